--- /dev/null
+++ b/plat/table.go
@@ -0,0 +1,164 @@
+// Package plat holds the HTTP adapters for the platform: table service, object
+// store, VM list and weight store.
+package plat
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cranberrybay/cranberrybay/table"
+)
+
+// maxReply bounds the bytes read of one platform reply.
+const maxReply = 64 << 20
+
+// Row is the JSON form of a table row.
+type Row struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value,omitempty"`
+	Revision uint64 `json:"revision"`
+}
+
+// GetRequest is the body of POST /table/get.
+type GetRequest struct {
+	Keys []string `json:"keys"`
+}
+
+// ScanRequest is the body of POST /table/scan.
+type ScanRequest struct {
+	Prefix string `json:"prefix"`
+	After  string `json:"after,omitempty"`
+	Limit  int    `json:"limit"`
+}
+
+// RowsReply is the answer to a get or a scan.
+type RowsReply struct {
+	Rows []Row `json:"rows"`
+}
+
+// CommitReply is the answer to a commit.
+type CommitReply struct {
+	Revision uint64 `json:"revision"`
+}
+
+// Config holds the address of the platform and the HTTP client to use.
+type Config struct {
+	Address string       // host:port
+	Client  *http.Client // nil for a client with the default transport
+}
+
+// callTimeout bounds one platform call whose context has no deadline.
+const callTimeout = 3 * time.Second
+
+type client struct {
+	base string
+	http *http.Client
+}
+
+func newClient(cfg Config) *client {
+	hc := cfg.Client
+	if hc == nil {
+		hc = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, DisableCompression: true}}
+	}
+	return &client{base: "http://" + cfg.Address, http: hc}
+}
+
+// call does one HTTP exchange. A failure before the request was sent gives
+// errNotSent; a failure after it gives errLost.
+func (c *client) call(ctx context.Context, method, path string, body []byte) (int, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	rq, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, fmt.Errorf("platform request %s: %w: %w", path, errNotSent, err)
+	}
+	rq.Header.Set("Content-Type", "application/json")
+	rs, err := c.http.Do(rq)
+	if err != nil {
+		var oe *net.OpError
+		if errors.As(err, &oe) && oe.Op == "dial" {
+			return 0, nil, fmt.Errorf("platform call %s: %w: %w", path, errNotSent, err)
+		}
+		return 0, nil, fmt.Errorf("platform call %s: %w: %w", path, errLost, err)
+	}
+	defer rs.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(rs.Body, maxReply))
+	if err != nil {
+		return 0, nil, fmt.Errorf("platform reply %s: %w: %w", path, errLost, err)
+	}
+	return rs.StatusCode, b, nil
+}
+
+var (
+	errNotSent = errors.New("request was not sent")
+	errLost    = errors.New("reply was lost")
+)
+
+// Table returns a table client that calls the platform over HTTP.
+func Table(cfg Config) *table.Client {
+	c := newClient(cfg)
+	return table.New(table.Config{Get: c.get, Scan: c.scan, Commit: c.commit})
+}
+
+func (c *client) get(ctx context.Context, keys ...string) ([]table.Row, error) {
+	return c.rows(ctx, "/table/get", GetRequest{Keys: keys})
+}
+
+func (c *client) scan(ctx context.Context, prefix, after string, limit int) ([]table.Row, error) {
+	return c.rows(ctx, "/table/scan", ScanRequest{Prefix: prefix, After: after, Limit: limit})
+}
+
+func (c *client) rows(ctx context.Context, path string, body any) ([]table.Row, error) {
+	b, err := json.Marshal(body)
+	if err != nil {
+		return nil, fmt.Errorf("encode %s: %w", path, err)
+	}
+	status, reply, err := c.call(ctx, http.MethodPost, path, b)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", table.ErrUnavailable, err)
+	}
+	if status != http.StatusOK {
+		return nil, fmt.Errorf("%w: status %d", table.ErrUnavailable, status)
+	}
+	var out RowsReply
+	if err := json.Unmarshal(reply, &out); err != nil {
+		return nil, fmt.Errorf("%w: decode %s: %w", table.ErrUnavailable, path, err)
+	}
+	rows := make([]table.Row, len(out.Rows))
+	for i, r := range out.Rows {
+		rows[i] = table.NewRow(r.Key, r.Value, r.Revision)
+	}
+	return rows, nil
+}
+
+func (c *client) commit(ctx context.Context, batch table.Batch) (uint64, error) {
+	b, err := json.Marshal(batch)
+	if err != nil {
+		return 0, fmt.Errorf("encode commit: %w", err)
+	}
+	status, reply, err := c.call(ctx, http.MethodPost, "/table/commit", b)
+	switch {
+	case errors.Is(err, errNotSent):
+		return 0, fmt.Errorf("%w: %w", table.ErrUnavailable, err)
+	case err != nil:
+		return 0, fmt.Errorf("%w: %w", table.ErrUnknown, err)
+	case status == http.StatusConflict:
+		return 0, table.ErrConflict
+	case status == http.StatusServiceUnavailable:
+		return 0, fmt.Errorf("%w: status %d", table.ErrUnavailable, status)
+	case status != http.StatusOK:
+		return 0, fmt.Errorf("%w: status %d", table.ErrUnknown, status)
+	}
+	var out CommitReply
+	if err := json.Unmarshal(reply, &out); err != nil {
+		return 0, fmt.Errorf("%w: decode commit: %w", table.ErrUnknown, err)
+	}
+	return out.Revision, nil
+}
--- /dev/null
+++ b/spec/file.go
@@ -0,0 +1,184 @@
+// Package spec defines the documents that operators publish: services, client
+// accounts, placement wishes and teams. A document is one short TOML file with
+// one table. The package parses documents, checks each one alone and all of
+// them together, and holds them in an immutable Tree.
+package spec
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Suffix ends the names of the files that publishing collects. Other TOML
+// files beside a service's code are not touched.
+const Suffix = ".bay.toml"
+
+// Kind names the kind of a document.
+type Kind string
+
+// Kinds of documents.
+const (
+	KindService Kind = "service"
+	KindAccount Kind = "account"
+	KindWish    Kind = "wish"
+	KindTeam    Kind = "team"
+)
+
+// Duration is a TOML string such as "1.4s".
+type Duration struct{ time.Duration }
+
+// UnmarshalText parses a duration in the notation of time.ParseDuration.
+func (d *Duration) UnmarshalText(b []byte) error {
+	v, err := time.ParseDuration(string(b))
+	if err != nil {
+		return fmt.Errorf("duration %q: %w", b, err)
+	}
+	d.Duration = v
+	return nil
+}
+
+// ServiceFile is the TOML form of a service.
+type ServiceFile struct {
+	Name   string     `toml:"name"`
+	Team   string     `toml:"team"`
+	Kind   string     `toml:"kind"`   // "model" or "plain"
+	Model  string     `toml:"model"`  // model services: name of the model
+	Layers int        `toml:"layers"` // model services: number of layers
+	Fenced bool       `toml:"fenced"` // engines refuse an old fencing number
+	First  Duration   `toml:"first"`  // deadline of the first token, or of a plain answer
+	Slots  int        `toml:"slots"`  // requests that one backend server runs at once
+	Calls  []CallFile `toml:"calls"`  // plain services: which calls are idempotent
+}
+
+// CallFile is the TOML form of a call pattern of a plain service.
+type CallFile struct {
+	Method     string `toml:"method"`     // HTTP method, or "*"
+	Path       string `toml:"path"`       // path below the service; a trailing * matches any rest
+	Idempotent bool   `toml:"idempotent"` // the call may be repeated
+}
+
+// AccountFile is the TOML form of a client account.
+type AccountFile struct {
+	Name     string   `toml:"name"`
+	Team     string   `toml:"team"`
+	Keys     []string `toml:"keys"`     // "sha256:" and the hex digest of an API key
+	Services []string `toml:"services"` // services that the account may call; empty for all
+	Weight   int      `toml:"weight"`   // share under load, relative to other accounts
+	Rate     float64  `toml:"rate"`     // requests a second over all entry processes; 0 for no limit
+	Tokens   float64  `toml:"tokens"`   // generated tokens a second; 0 for no limit
+	Inflight int      `toml:"inflight"` // requests in flight; 0 for no limit
+}
+
+// WishFile is the TOML form of a placement wish.
+type WishFile struct {
+	Name    string   `toml:"name"`
+	Team    string   `toml:"team"`
+	Service string   `toml:"service"`
+	Version string   `toml:"version"` // model version to serve
+	Adapter string   `toml:"adapter"` // adapter to load, may be empty
+	Ranges  [][2]int `toml:"ranges"`  // layer ranges, first inclusive, last exclusive
+	Copies  int      `toml:"copies"`  // ready copies of each range
+	Memory  int      `toml:"memory"`  // weights of one layer, MB
+	Domains []string `toml:"domains"` // failure domains to use; empty for all
+}
+
+// TeamFile is the TOML form of a team and its operators.
+type TeamFile struct {
+	Name      string   `toml:"name"`
+	Operators []string `toml:"operators"` // "sha256:" and the hex digest of an operator's credential
+	Readers   []string `toml:"readers"`
+}
+
+// file is the whole of one TOML file.
+type file struct {
+	Service *ServiceFile `toml:"service"`
+	Account *AccountFile `toml:"account"`
+	Wish    *WishFile    `toml:"wish"`
+	Team    *TeamFile    `toml:"team"`
+}
+
+// Document is one parsed file.
+type Document struct {
+	kind    Kind
+	name    string
+	path    string
+	text    []byte
+	service *Service
+	account *Account
+	wish    *Wish
+	team    *Team
+}
+
+// Kind returns the kind of the document.
+func (d *Document) Kind() Kind { return d.kind }
+
+// Name returns the name that the document gives itself.
+func (d *Document) Name() string { return d.name }
+
+// Path returns the file that the document was read from.
+func (d *Document) Path() string { return d.path }
+
+// Text returns the TOML text. Callers must not change it.
+func (d *Document) Text() []byte { return d.text }
+
+// ID returns the kind and the name, which no other document of a tree has.
+func (d *Document) ID() string { return string(d.kind) + "/" + d.name }
+
+// Parse reads one document and checks it alone. The path serves messages. The
+// error lists every fault found, each with file and line.
+func Parse(path string, text []byte) (*Document, error) {
+	var f file
+	dec := toml.NewDecoder(bytes.NewReader(text))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&f); err != nil {
+		return nil, decodeError(path, err)
+	}
+	d := &Document{path: path, text: text}
+	count := 0
+	if f.Service != nil {
+		count++
+		d.kind, d.name, d.service = KindService, f.Service.Name, newService(*f.Service)
+	}
+	if f.Account != nil {
+		count++
+		d.kind, d.name, d.account = KindAccount, f.Account.Name, newAccount(*f.Account)
+	}
+	if f.Wish != nil {
+		count++
+		d.kind, d.name, d.wish = KindWish, f.Wish.Name, newWish(*f.Wish)
+	}
+	if f.Team != nil {
+		count++
+		d.kind, d.name, d.team = KindTeam, f.Team.Name, newTeam(*f.Team)
+	}
+	if count != 1 {
+		return nil, fmt.Errorf("%s: holds %d documents, want one of [service], [account], [wish] or [team]", path, count)
+	}
+	if err := d.check(); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+// decodeError names file and line of a TOML error.
+func decodeError(path string, err error) error {
+	var de *toml.DecodeError
+	if errors.As(err, &de) {
+		row, _ := de.Position()
+		return fmt.Errorf("%s:%d: %s", path, row, de.Error())
+	}
+	var se *toml.StrictMissingError
+	if errors.As(err, &se) {
+		var all []error
+		for i := range se.Errors {
+			row, _ := se.Errors[i].Position()
+			all = append(all, fmt.Errorf("%s:%d: unknown key %q", path, row, se.Errors[i].Key()))
+		}
+		return errors.Join(all...)
+	}
+	return fmt.Errorf("%s: %w", path, err)
+}
