--- /dev/null
+++ b/fakes/platform.go
@@ -0,0 +1,276 @@
+package fakes
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+
+	"github.com/cranberrybay/cranberrybay/object"
+	"github.com/cranberrybay/cranberrybay/plat"
+	"github.com/cranberrybay/cranberrybay/table"
+)
+
+// Objects is an in-memory object store.
+type Objects struct {
+	mu   sync.Mutex
+	data map[string][]byte
+	down bool
+}
+
+// NewObjects returns an empty store.
+func NewObjects() *Objects { return &Objects{data: map[string][]byte{}} }
+
+// SetDown switches an outage on or off.
+func (o *Objects) SetDown(down bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.down = down
+}
+
+// Client returns an object client that calls the store directly.
+func (o *Objects) Client() *object.Client {
+	return object.New(object.Config{Get: o.get, Put: o.put, List: o.list})
+}
+
+func (o *Objects) get(_ context.Context, key string) ([]byte, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.down {
+		return nil, object.ErrUnavailable
+	}
+	b, ok := o.data[key]
+	if !ok {
+		return nil, object.ErrAbsent
+	}
+	return b, nil
+}
+
+func (o *Objects) put(_ context.Context, key string, value []byte) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.down {
+		return object.ErrUnavailable
+	}
+	o.data[key] = append([]byte(nil), value...)
+	return nil
+}
+
+func (o *Objects) list(_ context.Context, prefix string) ([]string, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.down {
+		return nil, object.ErrUnavailable
+	}
+	var keys []string
+	for k := range o.data {
+		if strings.HasPrefix(k, prefix) {
+			keys = append(keys, k)
+		}
+	}
+	sort.Strings(keys)
+	return keys, nil
+}
+
+// Platform is the stand-in of the whole platform. It serves the HTTP paths
+// that package plat calls, and PUT /faults, PUT /vms for tests and operators
+// of the stand-in.
+type Platform struct {
+	table   *Table
+	objects *Objects
+	mu      sync.Mutex
+	vms     map[string]plat.VM
+	frozen  []plat.VM // non-nil while the list is stale
+}
+
+// NewPlatform returns a healthy, empty platform.
+func NewPlatform() *Platform {
+	return &Platform{table: NewTable(), objects: NewObjects(), vms: map[string]plat.VM{}}
+}
+
+// Table returns the table service.
+func (p *Platform) Table() *Table { return p.table }
+
+// Objects returns the object store.
+func (p *Platform) Objects() *Objects { return p.objects }
+
+// SetVM adds or replaces an entry of the VM list.
+func (p *Platform) SetVM(v plat.VM) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.vms[v.Name] = v
+}
+
+// RemoveVM deletes an entry of the VM list.
+func (p *Platform) RemoveVM(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.vms, name)
+}
+
+// FreezeVMs makes the list stale: readers see its present content until it is
+// thawed.
+func (p *Platform) FreezeVMs(freeze bool) {
+	now := p.VMs()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.frozen = nil
+	if freeze {
+		p.frozen = now
+	}
+}
+
+// VMs returns the list that readers see, by name.
+func (p *Platform) VMs() []plat.VM {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.frozen != nil {
+		return append([]plat.VM(nil), p.frozen...)
+	}
+	out := make([]plat.VM, 0, len(p.vms))
+	for _, v := range p.vms {
+		out = append(out, v)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
+
+// Handler returns the HTTP interface of the platform.
+func (p *Platform) Handler() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("POST /table/get", p.serveGet)
+	m.HandleFunc("POST /table/scan", p.serveScan)
+	m.HandleFunc("POST /table/commit", p.serveCommit)
+	m.HandleFunc("GET /objects/{key...}", p.serveObject)
+	m.HandleFunc("PUT /objects/{key...}", p.serveStore)
+	m.HandleFunc("GET /objects", p.serveKeys)
+	m.HandleFunc("GET /vms", func(w http.ResponseWriter, _ *http.Request) {
+		if p.table.Faults().Down {
+			http.Error(w, "outage", http.StatusServiceUnavailable)
+			return
+		}
+		reply(w, plat.VMsReply{VMs: p.VMs()})
+	})
+	m.HandleFunc("PUT /vms", func(w http.ResponseWriter, r *http.Request) {
+		var v plat.VM
+		if !accept(w, r, &v) {
+			return
+		}
+		p.SetVM(v)
+		reply(w, v)
+	})
+	m.HandleFunc("DELETE /vms/{name}", func(w http.ResponseWriter, r *http.Request) {
+		p.RemoveVM(r.PathValue("name"))
+		reply(w, plat.VMsReply{VMs: p.VMs()})
+	})
+	m.HandleFunc("PUT /faults", func(w http.ResponseWriter, r *http.Request) {
+		var f Faults
+		if !accept(w, r, &f) {
+			return
+		}
+		p.table.SetFaults(f)
+		p.objects.SetDown(f.Down)
+		reply(w, f)
+	})
+	m.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) { reply(w, p.table.Counts()) })
+	return m
+}
+
+func (p *Platform) serveGet(w http.ResponseWriter, r *http.Request) {
+	var q plat.GetRequest
+	if !accept(w, r, &q) {
+		return
+	}
+	rows, err := p.table.get(r.Context(), q.Keys...)
+	serveRows(w, rows, err)
+}
+
+func (p *Platform) serveScan(w http.ResponseWriter, r *http.Request) {
+	var q plat.ScanRequest
+	if !accept(w, r, &q) {
+		return
+	}
+	rows, err := p.table.scan(r.Context(), q.Prefix, q.After, q.Limit)
+	serveRows(w, rows, err)
+}
+
+func serveRows(w http.ResponseWriter, rows []table.Row, err error) {
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	out := plat.RowsReply{Rows: make([]plat.Row, len(rows))}
+	for i, r := range rows {
+		out.Rows[i] = plat.Row{Key: r.Key(), Value: r.Value(), Revision: r.Revision()}
+	}
+	reply(w, out)
+}
+
+func (p *Platform) serveCommit(w http.ResponseWriter, r *http.Request) {
+	var b table.Batch
+	if !accept(w, r, &b) {
+		return
+	}
+	rev, err := p.table.commit(r.Context(), b)
+	switch {
+	case errors.Is(err, table.ErrConflict):
+		http.Error(w, err.Error(), http.StatusConflict)
+	case errors.Is(err, table.ErrUnknown):
+		// The connection is closed without a reply, as when a reply is lost.
+		panic(http.ErrAbortHandler)
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	default:
+		reply(w, plat.CommitReply{Revision: rev})
+	}
+}
+
+func (p *Platform) serveObject(w http.ResponseWriter, r *http.Request) {
+	b, err := p.objects.get(r.Context(), r.PathValue("key"))
+	switch {
+	case errors.Is(err, object.ErrAbsent):
+		http.Error(w, err.Error(), http.StatusNotFound)
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	default:
+		_, _ = w.Write(b)
+	}
+}
+
+func (p *Platform) serveStore(w http.ResponseWriter, r *http.Request) {
+	b, err := io.ReadAll(r.Body)
+	if err == nil {
+		err = p.objects.put(r.Context(), r.PathValue("key"), b)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	}
+}
+
+func (p *Platform) serveKeys(w http.ResponseWriter, r *http.Request) {
+	keys, err := p.objects.list(r.Context(), r.URL.Query().Get("prefix"))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	reply(w, plat.KeysReply{Keys: keys})
+}
+
+// accept decodes a JSON body and answers 400 when that fails.
+func accept(w http.ResponseWriter, r *http.Request, into any) bool {
+	if err := json.NewDecoder(r.Body).Decode(into); err != nil {
+		http.Error(w, fmt.Sprintf("decode body: %v", err), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func reply(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
