claim, proxy, change, entry, admin, node, cmds: thin whole path

Cause: the parts had to be joined into processes before any of them can be proved under failure. Change: claims on table rows, pass-through with verdicts, publishing in one transaction, HTTP listeners, fx assembly, commands, stand-ins and the demo. Conclusion: a request is served end to end; limits, queues, membership and peers are missing.

--- /dev/null
+++ b/cmds/cmds.go
@@ -0,0 +1,70 @@
+// Package cmds holds the commands of the cranberrybay program.
+package cmds
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/spf13/cobra"
+
+	"github.com/cranberrybay/cranberrybay/fault"
+)
+
+// Exit codes of the program.
+const (
+	exitOK      = 0
+	exitFailed  = 1 // the command failed for another reason
+	exitUsage   = 2 // arguments, settings or files are wrong
+	exitRefused = 3 // refused, nothing was applied
+	exitUnknown = 4 // it is not known whether the change was applied
+)
+
+// Run runs the program with the given arguments and returns its exit code.
+func Run(args []string, out, errOut io.Writer) int {
+	root := newRoot()
+	root.SetArgs(args)
+	root.SetOut(out)
+	root.SetErr(errOut)
+	err := root.Execute()
+	if err != nil {
+		_, _ = fmt.Fprintf(errOut, "cranberrybay: %v\n", err)
+	}
+	return exitCode(err)
+}
+
+// usageError marks wrong arguments, settings or files.
+type usageError struct{ err error }
+
+func (e usageError) Error() string { return e.err.Error() }
+func (e usageError) Unwrap() error { return e.err }
+
+func exitCode(err error) int {
+	if err == nil {
+		return exitOK
+	}
+	var ue usageError
+	if errors.As(err, &ue) {
+		return exitUsage
+	}
+	var fe *fault.Error
+	if errors.As(err, &fe) {
+		if fe.Verdict() == fault.NotRun {
+			return exitRefused
+		}
+		return exitUnknown
+	}
+	return exitFailed
+}
+
+func newRoot() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "cranberrybay",
+		Short:         "Router for model pipelines and plain services",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
+	root.AddCommand(newServe(), newCheck(), newPublish(), newStatus(), newAudit(), newDrain(), newVersion(), newStandin(), newDemo(), newDocs())
+	return root
+}
--- /dev/null
+++ b/cmds/demo_test.go
@@ -0,0 +1,22 @@
+package cmds_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cranberrybay/cranberrybay/cmds"
+)
+
+// TestDemo guards against a path that no longer serves a request end to end,
+// a doubled order, and an answer that is cut when a stage fails.
+func TestDemo(t *testing.T) {
+	var out, errOut bytes.Buffer
+	code := cmds.Run([]string{"demo"}, &out, &errOut)
+	assert.Equal(t, code, 0, errOut.String())
+	for _, want := range []string{"accepted as version 1", "streamed an answer of 37 tokens, whole", "it ran once", "of 300 tokens, whole"} {
+		assert.Assert(t, strings.Contains(out.String(), want), "output lacks %q:\n%s", want, out.String())
+	}
+}
--- /dev/null
+++ b/cmds/serve.go
@@ -0,0 +1,87 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"os/signal"
+	"runtime/debug"
+	"strings"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"github.com/cranberrybay/cranberrybay/node"
+	"github.com/cranberrybay/cranberrybay/spec"
+)
+
+func newServe() *cobra.Command {
+	var path string
+	c := &cobra.Command{
+		Use:   "serve --config FILE",
+		Short: "Run an entry process",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			s, err := node.ReadSettings(path)
+			if err != nil {
+				return usageError{err}
+			}
+			return serve(c.Context(), c, s)
+		},
+	}
+	c.Flags().StringVar(&path, "config", "", "settings file (TOML)")
+	_ = c.MarkFlagRequired("config")
+	return c
+}
+
+func serve(ctx context.Context, c *cobra.Command, s node.Settings) error {
+	if ctx == nil {
+		ctx = context.Background()
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	app := node.New(s, c.ErrOrStderr())
+	if err := app.Start(ctx); err != nil {
+		return fmt.Errorf("start entry process: %w", err)
+	}
+	<-ctx.Done()
+	stopCtx, cancel := context.WithTimeout(context.Background(), app.StopTimeout())
+	defer cancel()
+	return app.Stop(stopCtx)
+}
+
+func newCheck() *cobra.Command {
+	return &cobra.Command{
+		Use:   "check FILE...",
+		Short: "Check settings files and documents without starting",
+		Args:  cobra.MinimumNArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			for _, path := range args {
+				if strings.HasSuffix(path, spec.Suffix) {
+					if _, err := readFile(path); err != nil {
+						return usageError{err}
+					}
+				} else if _, err := node.ReadSettings(path); err != nil {
+					return usageError{err}
+				}
+				_, _ = fmt.Fprintf(c.OutOrStdout(), "%s: ok\n", path)
+			}
+			return nil
+		},
+	}
+}
+
+func newVersion() *cobra.Command {
+	return &cobra.Command{
+		Use:   "version",
+		Short: "Print the version of the program",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			v := "devel"
+			if b, ok := debug.ReadBuildInfo(); ok && b.Main.Version != "" {
+				v = b.Main.Version
+			}
+			_, err := fmt.Fprintf(c.OutOrStdout(), "cranberrybay %s\n", v)
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/node/settings.go
@@ -0,0 +1,78 @@
+// Package node holds the settings of an entry process and assembles its parts.
+package node
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Settings are the contents of a settings file.
+type Settings struct {
+	Name     string           `toml:"name"`   // unique name of the entry VM
+	Domain   string           `toml:"domain"` // failure domain
+	Region   string           `toml:"region"`
+	Token    string           `toml:"token"` // hash of the operators' credential, "sha256:..."
+	Listen   ListenSettings   `toml:"listen"`
+	Platform PlatformSettings `toml:"platform"`
+}
+
+// ListenSettings are the addresses to listen on, as IP:port.
+type ListenSettings struct {
+	Callers string `toml:"callers"`
+	Admin   string `toml:"admin"`
+}
+
+// PlatformSettings locate the platform.
+type PlatformSettings struct {
+	Address string `toml:"address"`
+}
+
+// ReadSettings reads and checks a settings file. An error names the file, the
+// key, the value and what is allowed.
+func ReadSettings(path string) (Settings, error) {
+	var s Settings
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return s, fmt.Errorf("read settings: %w", err)
+	}
+	dec := toml.NewDecoder(bytes.NewReader(text))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&s); err != nil {
+		var se *toml.StrictMissingError
+		if errors.As(err, &se) {
+			row, _ := se.Errors[0].Position()
+			return s, fmt.Errorf("%s:%d: unknown key %q", path, row, se.Errors[0].Key())
+		}
+		return s, fmt.Errorf("%s: %w", path, err)
+	}
+	return s, s.Check(path)
+}
+
+// Check returns every fault of the settings; path serves messages.
+func (s Settings) Check(path string) error {
+	var all []error
+	add := func(key, value, want string) {
+		all = append(all, fmt.Errorf("%s: %s is %q, want %s", path, key, value, want))
+	}
+	for _, f := range []struct{ key, value string }{{"name", s.Name}, {"domain", s.Domain}, {"region", s.Region}} {
+		if f.value == "" {
+			add(f.key, f.value, "a name")
+		}
+	}
+	if len(s.Token) != len("sha256:")+64 {
+		add("token", s.Token, "\"sha256:\" followed by 64 hex digits")
+	}
+	for _, f := range []struct{ key, value string }{
+		{"listen.callers", s.Listen.Callers}, {"listen.admin", s.Listen.Admin}, {"platform.address", s.Platform.Address},
+	} {
+		if _, err := netip.ParseAddrPort(f.value); err != nil {
+			add(f.key, f.value, "IP:port")
+		}
+	}
+	return errors.Join(all...)
+}
