--- /dev/null
+++ b/logs/logs_test.go
@@ -0,0 +1,44 @@
+package logs_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cranberrybay/cranberrybay/logs"
+)
+
+// TestLevels guards against a switch that silences the wrong part.
+func TestLevels(t *testing.T) {
+	var out bytes.Buffer
+	m, err := logs.New(logs.Config{Out: &out, Node: "entry-1", Level: "warn", Levels: map[string]string{"claim": "debug", "peer": "off"}})
+	assert.NilError(t, err)
+	emit := func(part string) string {
+		out.Reset()
+		l := m.Part(part)
+		l.Debug().Msg("detail")
+		l.Error().Msg("failure")
+		return out.String()
+	}
+	t.Run("own level", func(t *testing.T) { assert.Equal(t, strings.Count(emit("claim"), "\n"), 2) })
+	t.Run("off", func(t *testing.T) { assert.Equal(t, emit("peer"), "") })
+	t.Run("default level", func(t *testing.T) {
+		got := emit("queue")
+		assert.Assert(t, strings.Contains(got, `"part":"queue"`) && strings.Contains(got, "failure") && !strings.Contains(got, "detail"), got)
+	})
+}
+
+// TestUnknown guards against a misspelt part or level that is ignored.
+func TestUnknown(t *testing.T) {
+	for name, cfg := range map[string]logs.Config{
+		"part":  {Levels: map[string]string{"clam": "debug"}},
+		"level": {Level: "loud"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := logs.New(cfg)
+			assert.Assert(t, err != nil)
+		})
+	}
+}
