fault: one mapping from codes to HTTP statuses and problem documents

Entry and admin each had a mapping of their own, and admin answered 500 for codes that it did not list, without Retry-After. Status, ProblemOf and RetryAfter are now in package fault and both listeners use them. New codes: reused (422), slow (408), header (431).

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -72,7 +73,7 @@
 func (h *Handler) operator(c *gin.Context) {
 	token, ok := strings.CutPrefix(c.GetHeader("Authorization"), "Bearer ")
 	if !ok || spec.HashKey(token) != h.cfg.Token {
-		c.AbortWithStatusJSON(http.StatusUnauthorized, gin.H{"detail": "the operator's credential is missing or wrong", "verdict": fault.NotRun.String()})
+		fail(c, fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Unauthorized, Reason: "the operator's credential is missing or wrong"}))
 	}
 }
 
@@ -113,20 +114,15 @@
 	c.Data(http.StatusOK, "application/json", []byte("["+strings.Join(out, ",")+"]"))
 }
 
+// fail answers an error as problem+json. Operators see the text of every error.
 func fail(c *gin.Context, err error) {
-	code := http.StatusInternalServerError
-	detail := err.Error()
-	var e *fault.Error
-	if errors.As(err, &e) {
-		detail = e.Reason()
-		switch e.Code() {
-		case fault.Invalid:
-			code = http.StatusBadRequest
-		case fault.Conflict:
-			code = http.StatusConflict
-		case fault.Unavailable:
-			code = http.StatusServiceUnavailable
-		}
+	p := fault.ProblemOf(err)
+	if e := (*fault.Error)(nil); !errors.As(err, &e) {
+		p.Detail = err.Error()
 	}
-	c.AbortWithStatusJSON(code, gin.H{"detail": detail, "verdict": fault.Of(err).String()})
+	if s, ok := fault.RetryAfter(err); ok {
+		c.Header("Retry-After", strconv.Itoa(s))
+	}
+	c.Header("Content-Type", "application/problem+json")
+	c.AbortWithStatusJSON(p.Status, p)
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -156,44 +155,19 @@
 
 func newID() string { return uuid.NewString() }
 
-// Problem is the body of an error answer (RFC 9457).
-type Problem struct {
-	Title   string `json:"title"`
-	Status  int    `json:"status"`
-	Detail  string `json:"detail"`
-	Verdict string `json:"verdict"`
-}
-
-// status maps codes to HTTP statuses.
-var status = map[fault.Code]int{
-	fault.Invalid: 400, fault.Unauthorized: 401, fault.Forbidden: 403, fault.Unknown: 404,
-	fault.Timeout: 504, fault.Conflict: 409, fault.TooLarge: 413, fault.Limited: 429,
-	fault.Overload: 503, fault.Leaving: 503, fault.Unavailable: 503, fault.Cancelled: 499, fault.Internal: 500,
-}
+// problem answers an error as problem+json and ends the chain of handlers.
+func problem(c *gin.Context, err error) { sendProblem(c, err, fault.ProblemOf(err)) }
 
-// problem answers an error and ends the chain of handlers.
-func problem(c *gin.Context, err error) {
-	p := problemOf(err)
-	if at, ok := fault.RetryAt(err); ok {
-		c.Header("Retry-After", strconv.Itoa(max(0, int(math.Ceil(time.Until(at).Seconds())))))
+func sendProblem(c *gin.Context, err error, p fault.Problem) {
+	if s, ok := fault.RetryAfter(err); ok {
+		c.Header("Retry-After", strconv.Itoa(s))
 	}
 	c.Abort()
 	b, _ := json.Marshal(p)
 	c.Data(p.Status, "application/problem+json", b)
 }
 
-func problemOf(err error) Problem {
-	code := fault.CodeOf(err)
-	p := Problem{Title: string(code), Status: status[code], Verdict: fault.Of(err).String(), Detail: "internal error"}
-	var e *fault.Error
-	if errors.As(err, &e) {
-		p.Detail = e.Reason()
-	}
-	if p.Status == 0 {
-		p.Status = http.StatusInternalServerError
-	}
-	return p
-}
+func problemOf(err error) fault.Problem { return fault.ProblemOf(err) }
 
 // after returns a context that outlives the caller's connection for a bounded
 // time, for records that must be written once the work has run.
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -50,6 +50,9 @@
 	Unavailable  Code = "unavailable"  // no backend server or platform part answers
 	Timeout      Code = "timeout"      // the deadline passed
 	Conflict     Code = "conflict"     // another write or another use of the key came first
+	Reused       Code = "reused"       // the idempotency key belongs to another request
+	Slow         Code = "slow"         // the caller sends its request too slowly
+	Header       Code = "header"       // the request's header is over its limit
 	Cancelled    Code = "cancelled"    // the caller went away
 	Internal     Code = "internal"     // an invariant does not hold
 )
@@ -63,7 +66,9 @@
 	Cause   error     // wrapped error, may be nil
 }
 
-// Error is an error with a verdict. Callers test for it with errors.As.
+// Error is an error with a verdict. Callers test for it with errors.As. When
+// errors with verdicts wrap each other, the outermost one holds: it was made by
+// the layer that knew what the inner failure means for the whole request.
 type Error struct {
 	verdict Verdict
 	code    Code
