claim: group commit, lost replies, takeover by the claimant's word, tickets

A claim was one transaction each, a lost reply was read back once and taken as absent, and a process that died left no way to tell what became of its claim. Writes now go through a group with one outstanding transaction; a conflict is split by reading the rows back; a lost reply is resolved by committing the same write again. A claim that stays unresolved is refused as not run, is never started by this incarnation, and its row is settled in the background by a "released" row in its place. Only the claimant's recorded refusal (Ask) lets others take over. While the table fails, claims are refused at once and a transaction that never applies probes it.

The randomised runs found that an outcome written late after a pause was swept at once, so the time now counts from the end of the work. Tickets live in memory and cost no write.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -1,19 +1,20 @@
 // Package claim makes work that is not idempotent run at most once. A claim
 // row in the table is written before the work is sent, and its outcome after.
+// A ticket gives the same guarantee for the lifetime of the incarnation that
+// issued it, without a write.
+//
+// A Book has two locks, its own and that of its group; the group's lock is
+// never held while the book's lock is taken.
 package claim
 
 import (
-	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/google/uuid"
-
-	"github.com/cranberrybay/cranberrybay/fault"
-	"github.com/cranberrybay/cranberrybay/table"
 )
 
 // Outcome is the recorded answer of a backend server.
@@ -21,25 +22,51 @@
 	Status int                 `json:"status"`
 	Header map[string][]string `json:"header,omitempty"`
 	Body   []byte              `json:"body,omitempty"`
+	Object string              `json:"object,omitempty"` // key of the object that holds a large body
+	Lost   bool                `json:"lost,omitempty"`   // the body was not kept
 }
 
+// state of a claim row.
+type state string
+
+const (
+	claimed  state = "claimed"  // the holder may run the work, or has started it
+	done     state = "done"     // the work ran, the outcome is recorded
+	released state = "released" // the holder states that the work was not run
+	unclear  state = "unclear"  // the holder states that it can't find out
+)
+
 // row is the JSON value of a claim row.
 type row struct {
-	Claim   string   `json:"claim"`   // unique ID of the claim
-	Holder  string   `json:"holder"`  // incarnation that made it
-	Digest  uint64   `json:"digest"`  // hash of the request
-	State   string   `json:"state"`   // "claimed", "done" or "released"
-	Outcome *Outcome `json:"outcome"` // set when done
+	Claim   string    `json:"claim"`  // unique ID of the claim
+	Holder  string    `json:"holder"` // incarnation that made it
+	Digest  uint64    `json:"digest"` // hash of the request
+	State   state     `json:"state"`
+	Until   time.Time `json:"until"`             // kept at least until this time
+	Outcome *Outcome  `json:"outcome,omitempty"` // set when done
 }
 
-// Key names a piece of work.
+// Key names a piece of work. Equal keys of different accounts or services name
+// different work.
 type Key struct {
 	Account string
 	Service string
 	Key     string // the caller's Idempotency-Key
 }
 
-func (k Key) row() string { return "claim/" + k.Account + "/" + k.Service + "/" + k.Key }
+// prefix of claim rows.
+const prefix = "claim/"
+
+// row returns the key of the claim's row. Callers choose their keys, so that
+// they are hashed, each part with its length: "a/b"+"c" and "a"+"b/c" differ.
+// Hashes also spread the rows evenly, which sweeping relies on.
+func (k Key) row() string {
+	h := sha256.New()
+	for _, p := range []string{k.Account, k.Service, k.Key} {
+		_, _ = fmt.Fprintf(h, "%d:%s", len(p), p)
+	}
+	return prefix + hex.EncodeToString(h.Sum(nil)[:20])
+}
 
 // Digest hashes the parts of a request that must not change between repeats.
 func Digest(method, path string, body []byte) uint64 {
@@ -49,106 +76,59 @@
 	return h.Sum64()
 }
 
+// phase is the progress of a claim in the memory of its holder.
+type phase uint8
+
+const (
+	pending  phase = iota // its row is being written
+	held                  // its row is written, the work may start
+	running               // the work was started
+	finished              // the work ran, its outcome may not be recorded yet
+	refused               // the work was not started and never will be
+	lost                  // the work was started and its end is not known
+)
+
 // Claim is the right to run a piece of work once.
 type Claim struct {
-	key      string
-	value    row
+	id       string
+	key      string // key of its row
+	digest   uint64
+	until    time.Time
+	ticket   bool // held in memory only
 	revision uint64
+	phase    phase    // guarded by Book.mu
+	outcome  *Outcome // guarded by Book.mu
 }
 
-// Config holds the parts of a Book.
-type Config struct {
-	Table  *table.Client
-	Holder string // incarnation of this process
-}
-
-// Book makes claims.
-type Book struct {
-	table  *table.Client
-	holder string
-}
-
-// New returns a book.
-func New(cfg Config) *Book { return &Book{table: cfg.Table, holder: cfg.Holder} }
-
-// Begin claims a key. It returns a claim when the work may run now, or the
-// outcome when it has run before. Errors: fault.Conflict for a key that was
-// used with another request or that is still running; fault.Unavailable, not
-// run, when the table doesn't answer.
-func (b *Book) Begin(ctx context.Context, k Key, digest uint64) (*Claim, *Outcome, error) {
-	c := &Claim{key: k.row(), value: row{Claim: uuid.NewString(), Holder: b.holder, Digest: digest, State: "claimed"}}
-	rev, err := b.write(ctx, c, table.Absent)
-	if err == nil {
-		c.revision = rev
-		return c, nil, nil
-	}
-	if errors.Is(err, table.ErrUnavailable) {
-		return nil, nil, unavailable(err)
-	}
-	return b.resolve(ctx, c, digest)
-}
+// ID returns the unique ID of the claim.
+func (c *Claim) ID() string { return c.id }
 
-// resolve reads the row after a conflict or a lost reply.
-func (b *Book) resolve(ctx context.Context, c *Claim, digest uint64) (*Claim, *Outcome, error) {
-	r, err := b.table.GetOne(ctx, c.key)
+// encode returns the value of the claim's row in a state.
+func (c *Claim) encode(holder string, s state, o *Outcome) ([]byte, error) {
+	b, err := json.Marshal(row{Claim: c.id, Holder: holder, Digest: c.digest, State: s, Until: c.until, Outcome: o})
 	if err != nil {
-		return nil, nil, unavailable(err)
+		return nil, fmt.Errorf("encode claim row %q: %w", c.key, err)
 	}
-	if !r.Exists() {
-		return nil, nil, unavailable(errors.New("claim was not written"))
-	}
-	var v row
-	if err := json.Unmarshal(r.Value(), &v); err != nil {
-		return nil, nil, fmt.Errorf("decode claim row %q: %w", c.key, err)
-	}
-	switch {
-	case v.Claim == c.value.Claim:
-		c.revision = r.Revision()
-		return c, nil, nil
-	case v.Digest != digest:
-		return nil, nil, fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Conflict, Reason: "the idempotency key was used with another request"})
-	case v.State == "done":
-		return nil, v.Outcome, nil
-	case v.State == "released":
-		return b.reclaim(ctx, c, r.Revision())
-	default:
-		return nil, nil, fault.New(fault.Config{Verdict: fault.MayHaveRun, Code: fault.Conflict, Reason: "a request with this idempotency key was started and its outcome is not recorded", RetryAt: time.Now().Add(time.Second)})
-	}
-}
-
-func (b *Book) reclaim(ctx context.Context, c *Claim, revision uint64) (*Claim, *Outcome, error) {
-	rev, err := b.write(ctx, c, revision)
-	if err != nil {
-		return nil, nil, unavailable(err)
-	}
-	c.revision = rev
-	return c, nil, nil
+	return b, nil
 }
 
-// Finish records the outcome of a claim.
-func (b *Book) Finish(ctx context.Context, c *Claim, o Outcome) error {
-	c.value.State, c.value.Outcome = "done", &o
-	_, err := b.write(ctx, c, c.revision)
-	return err
-}
-
-// Release records that the claimed work was not run, so that a repeat may run.
-func (b *Book) Release(ctx context.Context, c *Claim) error {
-	c.value.State = "released"
-	_, err := b.write(ctx, c, c.revision)
-	return err
-}
-
-func (b *Book) write(ctx context.Context, c *Claim, revision uint64) (uint64, error) {
-	v, err := json.Marshal(c.value)
-	if err != nil {
-		return 0, fmt.Errorf("encode claim: %w", err)
+func decode(key string, value []byte) (row, error) {
+	var v row
+	if err := json.Unmarshal(value, &v); err != nil {
+		return v, fmt.Errorf("decode claim row %q: %w", key, err)
 	}
-	var bt table.Batch
-	bt.Expect(c.key, revision).Put(c.key, v)
-	return b.table.Commit(ctx, bt)
+	return v, nil
 }
 
-func unavailable(err error) error {
-	return fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Unavailable, Reason: "the request could not be claimed and was not run", RetryAt: time.Now().Add(2 * time.Second), Cause: err})
-}
+// Word is the answer of an incarnation that is asked about a claim it made.
+type Word string
+
+const (
+	// UnknownWord means that it can't tell, or that it was not reached.
+	UnknownWord Word = "unknown"
+	// RunningWord means that the work may start, is running or has run.
+	RunningWord Word = "running"
+	// NotRunWord means that the work was not run and never will be under this
+	// claim. Only the incarnation that made the claim may say so.
+	NotRunWord Word = "not-run"
+)
--- /dev/null
+++ b/claim/claim_test.go
@@ -0,0 +1,344 @@
+package claim_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cranberrybay/cranberrybay/claim"
+	"github.com/cranberrybay/cranberrybay/fakes"
+	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/table"
+)
+
+var (
+	work  = claim.Key{Account: "hotel", Service: "desk", Key: "order-1"}
+	whole = claim.Outcome{Status: 201, Header: map[string][]string{"X-A": {"1"}}, Body: []byte("order 1")}
+)
+
+const digest = 7
+
+func within(t *testing.T, d time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func wantError(t *testing.T, err error, v fault.Verdict, c fault.Code) {
+	t.Helper()
+	var e *fault.Error
+	assert.Assert(t, errors.As(err, &e), "%v has no verdict", err)
+	assert.Equal(t, e.Verdict(), v, err.Error())
+	assert.Equal(t, e.Code(), c, err.Error())
+}
+
+func begin(t *testing.T, b *claim.Book, k claim.Key) *claim.Claim {
+	t.Helper()
+	c, o, err := b.Begin(within(t, 5*time.Second), k, digest)
+	assert.NilError(t, err)
+	assert.Assert(t, o == nil)
+	return c
+}
+
+func bubble(t *testing.T, name string, f func(t *testing.T, w *weather, open func(holder string) *claim.Book)) {
+	t.Run(name, func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWeather(1, 0)
+			books := map[string]*claim.Book{}
+			// Writes that wait for the table end before the test does.
+			defer func() { w.set(false, false, 0); time.Sleep(time.Minute) }()
+			f(t, w, func(holder string) *claim.Book {
+				b := claim.New(claim.Config{
+					Table: w.client(func() error { return nil }), Objects: fakes.NewObjects().Client(), Holder: holder,
+					Ask: func(_ context.Context, h, id string) (claim.Word, error) {
+						if books[h] == nil {
+							return "", errors.New("not reached")
+						}
+						return books[h].Answer(id), nil
+					},
+				})
+				books[holder] = b
+				return b
+			})
+		})
+	})
+}
+
+// TestClaims guards against work that runs twice, a lost outcome, and keys that
+// are confused with each other.
+func TestClaims(t *testing.T) {
+	bubble(t, "outcome is replayed elsewhere", func(t *testing.T, _ *weather, open func(string) *claim.Book) {
+		a, b := open("a"), open("b")
+		c := begin(t, a, work)
+		assert.NilError(t, a.Start(within(t, time.Second), c))
+		_, _, err := b.Begin(within(t, time.Second), work, digest)
+		wantError(t, err, fault.MayHaveRun, fault.Conflict)
+		assert.NilError(t, a.Finish(within(t, time.Second), c, whole))
+		_, o, err := b.Begin(within(t, time.Second), work, digest)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, *o, whole)
+		_, _, err = b.Begin(within(t, time.Second), work, digest+1)
+		wantError(t, err, fault.NotRun, fault.Reused)
+	})
+	bubble(t, "keys are separate", func(t *testing.T, _ *weather, open func(string) *claim.Book) {
+		b := open("a")
+		for _, k := range []claim.Key{work, {"hotel", "other", "order-1"}, {"shop", "desk", "order-1"}, {"hotel", "desk/x", "y"}, {"hotel", "desk", "x/y"}, {"hotel/desk", "x", "y"}} {
+			begin(t, b, k)
+		}
+	})
+	bubble(t, "same key at once", func(t *testing.T, w *weather, open func(string) *claim.Book) {
+		w.set(false, false, 20*time.Millisecond)
+		books := []*claim.Book{open("a"), open("b"), open("c")}
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		won := 0
+		for i := range 30 {
+			wg.Go(func() {
+				c, _, err := books[i%3].Begin(within(t, 3*time.Second), work, digest)
+				mu.Lock()
+				defer mu.Unlock()
+				if err == nil && c != nil {
+					won++
+				}
+			})
+		}
+		wg.Wait()
+		assert.Equal(t, won, 1)
+	})
+	bubble(t, "released work may run elsewhere", func(t *testing.T, _ *weather, open func(string) *claim.Book) {
+		a, b := open("a"), open("b")
+		c := begin(t, a, work)
+		assert.NilError(t, a.Release(within(t, time.Second), c))
+		assert.Assert(t, a.Start(within(t, time.Second), c) != nil, "a refused claim was started")
+		begin(t, b, work)
+	})
+	bubble(t, "abandoned work never runs again", func(t *testing.T, _ *weather, open func(string) *claim.Book) {
+		a, b := open("a"), open("b")
+		c := begin(t, a, work)
+		assert.NilError(t, a.Start(within(t, time.Second), c))
+		assert.NilError(t, a.Abandon(within(t, time.Second), c))
+		for _, p := range []*claim.Book{a, b} {
+			_, _, err := p.Begin(within(t, time.Second), work, digest)
+			wantError(t, err, fault.MayHaveRun, fault.Conflict)
+		}
+	})
+	bubble(t, "holder is gone", func(t *testing.T, w *weather, open func(string) *claim.Book) {
+		begin(t, claim.New(claim.Config{Table: w.table.Client(), Holder: "dead"}), work)
+		_, _, err := open("b").Begin(within(t, time.Second), work, digest)
+		wantError(t, err, fault.MayHaveRun, fault.Conflict)
+	})
+	bubble(t, "a claim ends once", func(t *testing.T, _ *weather, open func(string) *claim.Book) {
+		a := open("a")
+		c := begin(t, a, work)
+		assert.NilError(t, a.Start(within(t, time.Second), c))
+		assert.NilError(t, a.Finish(within(t, time.Second), c, whole))
+		wantError(t, a.Release(within(t, time.Second), c), fault.MayHaveRun, fault.Internal)
+	})
+	bubble(t, "start after the deadline", func(t *testing.T, _ *weather, open func(string) *claim.Book) {
+		a := open("a")
+		ctx := within(t, time.Second)
+		c, _, err := a.Begin(ctx, work, digest)
+		assert.NilError(t, err)
+		time.Sleep(48 * time.Hour) // paused longer than every deadline
+		wantError(t, a.Start(ctx, c), fault.NotRun, fault.Timeout)
+	})
+}
+
+// TestLostReplies guards against a claim that is dispatched while it is not
+// known whether its row was written, and against a late write that brings a
+// refused claim back.
+func TestLostReplies(t *testing.T) {
+	bubble(t, "applied", func(t *testing.T, w *weather, open func(string) *claim.Book) {
+		a := open("a")
+		w.table.SetFaults(fakes.Faults{Lose: 1})
+		c := begin(t, a, work)
+		w.table.SetFaults(fakes.Faults{Lose: 1})
+		assert.NilError(t, a.Start(within(t, time.Second), c))
+		assert.NilError(t, a.Finish(within(t, time.Second), c, whole))
+	})
+	bubble(t, "not applied", func(t *testing.T, w *weather, open func(string) *claim.Book) {
+		w.table.SetFaults(fakes.Faults{Drop: 1})
+		begin(t, open("a"), work)
+	})
+	bubble(t, "unresolved and applied late", func(t *testing.T, w *weather, open func(string) *claim.Book) {
+		a, b := open("a"), open("b")
+		late := make(chan table.Batch, 1)
+		w.change = func(bt table.Batch) table.Batch {
+			late <- bt
+			w.set(false, true, 0) // from here on the table hangs
+			return table.Batch{}
+		}
+		w.lose(1)
+		_, _, err := a.Begin(within(t, time.Second), work, digest)
+		wantError(t, err, fault.NotRun, fault.Unavailable)
+		synctest.Wait()
+		w.change = same
+		w.lose(0)
+		w.set(false, false, 0)
+		time.Sleep(commitTimeout)
+		_, err = w.table.Client().Commit(context.Background(), <-late)
+		assert.NilError(t, err)
+		c := begin(t, b, work) // a says that its claim was not run
+		assert.NilError(t, b.Start(within(t, time.Second), c))
+		a.Settle(context.Background())
+		a.Settle(context.Background())
+		assert.Equal(t, a.Unsettled(), 0)
+		assert.NilError(t, b.Finish(within(t, time.Second), c, whole))
+	})
+}
+
+// commitTimeout is longer than a book waits for one transaction.
+const commitTimeout = 3 * time.Second
+
+// TestOutage guards against claims that wait for their deadline during an
+// outage, and against an outcome that is lost because of one.
+func TestOutage(t *testing.T) {
+	bubble(t, "long", func(t *testing.T, w *weather, open func(string) *claim.Book) {
+		a, b := open("a"), open("b")
+		c := begin(t, a, work)
+		assert.NilError(t, a.Start(within(t, time.Second), c))
+		w.set(true, false, 0)
+		assert.Assert(t, a.Finish(within(t, time.Second), c, whole) != nil)
+		_, o, err := a.Begin(within(t, time.Second), work, digest)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, *o, whole) // replayed from memory
+		for i := range 100 {
+			time.Sleep(36 * time.Second)
+			a.Settle(context.Background())
+			start := time.Now()
+			_, _, err := b.Begin(within(t, 5*time.Second), claim.Key{Account: "hotel", Key: fmt.Sprint(i)}, digest)
+			wantError(t, err, fault.NotRun, fault.Unavailable)
+			_, hasRetry := fault.RetryAt(err)
+			assert.Assert(t, hasRetry && time.Since(start) < 100*time.Millisecond)
+		}
+		w.set(false, false, 0)
+		a.Settle(context.Background())
+		time.Sleep(time.Second)
+		_, _, _ = b.Begin(within(t, time.Second), work, digest) // at most one more refusal, which probes the table
+		time.Sleep(time.Second)
+		_, o, err = b.Begin(within(t, time.Second), work, digest)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, *o, whole)
+	})
+	bubble(t, "hanging table", func(t *testing.T, w *weather, open func(string) *claim.Book) {
+		a := open("a")
+		w.set(false, true, 0)
+		at := 0
+		for i := range 200 {
+			start := time.Now()
+			_, _, err := a.Begin(within(t, 5*time.Second), claim.Key{Key: fmt.Sprint(i)}, digest)
+			wantError(t, err, fault.NotRun, fault.Unavailable)
+			if time.Since(start) == 0 {
+				at++
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		assert.Assert(t, at > 180, "only %d of 200 claims were refused at once", at)
+	})
+}
+
+// TestKeeping guards against outcomes removed early, rows of paused holders
+// removed at all, and large bodies kept in rows.
+func TestKeeping(t *testing.T) {
+	bubble(t, "sweep", func(t *testing.T, w *weather, open func(string) *claim.Book) {
+		a := open("a")
+		c := begin(t, a, work)
+		begin(t, a, claim.Key{Key: "paused"})
+		assert.NilError(t, a.Start(within(t, time.Second), c))
+		assert.NilError(t, a.Finish(within(t, time.Second), c, whole))
+		rows := func() int {
+			assert.NilError(t, a.Sweep(context.Background()))
+			assert.NilError(t, a.Sweep(context.Background()))
+			all, err := w.table.Client().ScanAll(context.Background(), "claim/")
+			assert.NilError(t, err)
+			return len(all)
+		}
+		time.Sleep(24 * time.Hour)
+		assert.Equal(t, rows(), 2)
+		time.Sleep(2 * time.Hour)
+		assert.Equal(t, rows(), 1)
+	})
+	bubble(t, "large body", func(t *testing.T, w *weather, _ func(string) *claim.Book) {
+		objects := fakes.NewObjects()
+		open := func(h string) *claim.Book {
+			return claim.New(claim.Config{Table: w.table.Client(), Objects: objects.Client(), Holder: h})
+		}
+		a := open("a")
+		large := claim.Outcome{Status: 200, Body: bytes.Repeat([]byte("x"), 100<<10)}
+		for _, down := range []bool{false, true} {
+			k := claim.Key{Key: fmt.Sprint(down)}
+			c := begin(t, a, k)
+			assert.NilError(t, a.Start(within(t, time.Second), c))
+			objects.SetDown(down)
+			assert.NilError(t, a.Finish(within(t, time.Second), c, large))
+			objects.SetDown(false)
+			_, o, err := open("b").Begin(within(t, time.Second), k, digest)
+			if down {
+				wantError(t, err, fault.Ran, fault.Conflict)
+				continue
+			}
+			assert.NilError(t, err)
+			assert.Equal(t, string(o.Body), string(large.Body))
+		}
+	})
+}
+
+// TestTickets guards against a ticket that runs twice, is honoured by another
+// incarnation or account, or is called unused when that is not certain.
+func TestTickets(t *testing.T) {
+	key := func(b *claim.Book) claim.Key {
+		tk, _ := b.Issue("hotel")
+		return claim.Key{Account: "hotel", Service: "desk", Key: tk}
+	}
+	bubble(t, "once, without writes", func(t *testing.T, w *weather, open func(string) *claim.Book) {
+		w.set(true, false, 0)
+		a := open("a")
+		k := key(a)
+		c := begin(t, a, k)
+		assert.NilError(t, a.Start(within(t, time.Second), c))
+		_, _, err := a.Begin(within(t, time.Second), k, digest)
+		wantError(t, err, fault.MayHaveRun, fault.Conflict)
+		assert.NilError(t, a.Finish(within(t, time.Second), c, whole))
+		_, o, err := a.Begin(within(t, time.Second), k, digest)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, *o, whole)
+		_, _, err = a.Begin(within(t, time.Second), k, digest+1)
+		wantError(t, err, fault.NotRun, fault.Reused)
+		assert.Equal(t, w.table.Counts().Writes, uint64(0))
+	})
+	bubble(t, "other incarnation and account", func(t *testing.T, _ *weather, open func(string) *claim.Book) {
+		k := key(open("a"))
+		_, _, err := open("b").Begin(within(t, time.Second), k, digest)
+		wantError(t, err, fault.MayHaveRun, fault.Conflict)
+		_, _, err = open("a").Begin(within(t, time.Second), k, digest) // restarted under its old name
+		wantError(t, err, fault.NotRun, fault.Invalid)
+		a := open("c")
+		k = key(a)
+		k.Account = "shop"
+		_, _, err = a.Begin(within(t, time.Second), k, digest)
+		wantError(t, err, fault.NotRun, fault.Invalid)
+	})
+	bubble(t, "expiry", func(t *testing.T, _ *weather, open func(string) *claim.Book) {
+		a := open("a")
+		used, unused := key(a), key(a)
+		c := begin(t, a, used)
+		assert.NilError(t, a.Start(within(t, time.Second), c))
+		assert.NilError(t, a.Finish(within(t, time.Second), c, whole))
+		time.Sleep(11 * time.Minute)
+		_, o, err := a.Begin(within(t, time.Second), used, digest)
+		assert.NilError(t, err)
+		assert.Equal(t, o.Status, 201)
+		_, _, err = a.Begin(within(t, time.Second), unused, digest)
+		wantError(t, err, fault.NotRun, fault.Invalid)
+		time.Sleep(10 * time.Minute)
+		_, _, err = a.Begin(within(t, time.Second), unused, digest)
+		wantError(t, err, fault.MayHaveRun, fault.Conflict)
+	})
+}
--- a/entry/service.go
+++ b/entry/service.go
@@ -58,7 +58,10 @@
 		answer(c, &proxy.Answer{Status: done.Status, Header: done.Header, Body: done.Body}, nil)
 		return
 	}
-	a, err := h.send(c, svc, call)
+	var a *proxy.Answer
+	if err = h.cfg.Claims.Start(c.Request.Context(), cl); err == nil {
+		a, err = h.send(c, svc, call)
+	}
 	ctx, cancel := after(c.Request.Context())
 	defer cancel()
 	switch {
@@ -74,6 +77,9 @@
 		}
 		problem(c, err)
 	default:
+		if aerr := h.cfg.Claims.Abandon(ctx, cl); aerr != nil {
+			h.cfg.Log.Warn().Err(aerr).Msg("claim was not abandoned")
+		}
 		problem(c, err)
 	}
 }
