proxy, entry: streamed pass-through, retries by verdict, draining

Answers were buffered whole, the path was decoded, a call's verdict was taken from the kind of the network error, and net/http could repeat an order by itself: it counts a request without a body and with an Idempotency-Key header as repeatable on a reused connection. Calls that are not idempotent now get a connection of their own. A connection records the first byte of a request and is sealed when a request fails before it, so that "not run" is certain.

Pool chooses servers by load and measured latency, repeats after not-run, after may-have-run only idempotent calls, within a budget of 10 % of the calls, and hedges slow lookups within 5 %. Entry reads calls before anything is sent (413, 408, 431, dot segments, key length), streams answers, runs work once apart from the caller's connection, issues and forwards tickets, and drains: readyz fails, new requests get 503 not-run with the other addresses, requests in flight end, then the process stops, also when an operator ordered the drain.

The test of the silent repeat sees two runs of one order with connections shared, one with the change.

--- a/cmds/serve.go
+++ b/cmds/serve.go
@@ -43,7 +43,10 @@
 	if err := app.Start(ctx); err != nil {
 		return fmt.Errorf("start entry process: %w", err)
 	}
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-app.Wait(): // drained by an operator
+	}
 	stopCtx, cancel := context.WithTimeout(context.Background(), app.StopTimeout())
 	defer cancel()
 	return app.Stop(stopCtx)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -1,16 +1,14 @@
 // Package entry is the HTTP listener for callers: chat completions, plain
-// services, addresses, health.
+// services, tickets, addresses, health.
 package entry
 
 import (
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/gin-gonic/gin"
@@ -44,36 +42,44 @@
 	Store     *change.Store
 	Fleet     *fleet.Table
 	Engines   *engine.Client
-	Services  *proxy.Client
+	Services  *proxy.Pool
 	Claims    *claim.Book
 	Domain    string // failure domain of this process
+	Self      string // address for callers of this process
 	Addresses func() Addresses
-	Log       zerolog.Logger
+	// Forward sends work with a ticket to the incarnation that issued it and
+	// returns what RunOnce returns there. A fault.Error is the issuer's own;
+	// any other error means that the issuer did not answer. Nil when no other
+	// process can be reached.
+	Forward func(ctx context.Context, holder string, w Work) (*proxy.Answer, bool, error)
+	Log     zerolog.Logger
 }
 
 // Handler serves callers.
 type Handler struct {
-	cfg      Config
-	draining atomic.Bool
-	engine   *gin.Engine
+	cfg    Config
+	flow   *flow
+	engine *gin.Engine
 }
 
 // New returns a handler.
 func New(cfg Config) *Handler {
 	gin.SetMode(gin.ReleaseMode)
-	h := &Handler{cfg: cfg, engine: gin.New()}
+	h := &Handler{cfg: cfg, flow: newFlow(), engine: gin.New()}
+	h.engine.RedirectTrailingSlash = false // paths of services are passed on as they are
 	h.engine.Use(gin.CustomRecovery(func(c *gin.Context, v any) {
 		if err, ok := v.(error); ok && errors.Is(err, http.ErrAbortHandler) {
 			panic(v)
 		}
 		cfg.Log.Error().Interface("panic", v).Msg("handler panicked")
-		c.AbortWithStatus(http.StatusInternalServerError)
-	}))
+		problem(c, fault.New(fault.Config{Code: fault.Internal, Reason: "internal error"}))
+	}), h.checkHeader)
 	h.engine.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
 	h.engine.GET("/readyz", h.ready)
 	h.engine.GET("/addresses", func(c *gin.Context) { c.JSON(http.StatusOK, cfg.Addresses()) })
 	h.engine.GET("/v1/models", h.account, h.models)
 	h.engine.POST("/v1/chat/completions", h.accepting, h.account, h.chat)
+	h.engine.POST("/tickets", h.accepting, h.account, h.tickets)
 	h.engine.Any("/services/:service/*path", h.accepting, h.account, h.service)
 	h.engine.NoRoute(func(c *gin.Context) {
 		problem(c, fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Unknown, Reason: "no such path"}))
@@ -83,29 +89,17 @@
 
 // Server returns an HTTP server with bounds on headers and slow callers.
 func (h *Handler) Server() *http.Server {
-	return &http.Server{Handler: h.engine, ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: maxHeader, IdleTimeout: time.Minute}
+	return &http.Server{Handler: h.engine, ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 2 * maxHeader, IdleTimeout: time.Minute}
 }
 
-// Drain makes the handler refuse new requests, not run.
-func (h *Handler) Drain() { h.draining.Store(true) }
-
 func (h *Handler) ready(c *gin.Context) {
-	if h.draining.Load() || h.cfg.Store.Version() == 0 {
+	if h.flow.left() || h.cfg.Store.Version() == 0 {
 		c.String(http.StatusServiceUnavailable, "not ready\n")
 		return
 	}
 	c.String(http.StatusOK, "ready\n")
 }
 
-// accepting refuses requests while the process drains.
-func (h *Handler) accepting(c *gin.Context) {
-	if !h.draining.Load() {
-		return
-	}
-	c.Header("Connection", "close")
-	problem(c, fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Leaving, Reason: "this entry process is leaving, ask another address", RetryAt: time.Now()}))
-}
-
 const accountKey = "account"
 
 // account finds the client account of the API key.
@@ -139,20 +133,6 @@
 	c.JSON(http.StatusOK, gin.H{"object": "list", "data": data})
 }
 
-// readBody reads a bounded body.
-func readBody(c *gin.Context) ([]byte, error) {
-	b, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, maxBody))
-	if err == nil {
-		return b, nil
-	}
-	cfg := fault.Config{Verdict: fault.NotRun, Code: fault.Invalid, Reason: "the body could not be read", Cause: err}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		cfg.Code, cfg.Reason = fault.TooLarge, "the body is over 4 MiB"
-	}
-	return nil, fault.New(cfg)
-}
-
 func newID() string { return uuid.NewString() }
 
 // problem answers an error as problem+json and ends the chain of handlers.
@@ -168,9 +148,3 @@
 }
 
 func problemOf(err error) fault.Problem { return fault.ProblemOf(err) }
-
-// after returns a context that outlives the caller's connection for a bounded
-// time, for records that must be written once the work has run.
-func after(ctx context.Context) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(context.WithoutCancel(ctx), 5*time.Second)
-}
--- /dev/null
+++ b/entry/read.go
@@ -0,0 +1,88 @@
+package entry
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"github.com/cranberrybay/cranberrybay/fault"
+)
+
+// bodyTimeout bounds the reading of a body: 4 MiB at 280 KB/s.
+const bodyTimeout = 15 * time.Second
+
+// readBody reads a bounded body within a bounded time.
+func readBody(c *gin.Context) ([]byte, error) {
+	if c.Request.ContentLength > maxBody {
+		return nil, tooLarge(nil)
+	}
+	if c.Request.ContentLength == 0 {
+		return nil, nil
+	}
+	rc := http.NewResponseController(c.Writer)
+	// A connection that has no deadlines is bounded by its caller alone.
+	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout))
+	b, err := readAll(http.MaxBytesReader(c.Writer, c.Request.Body, maxBody), c.Request.ContentLength)
+	if err == nil {
+		// net/http goes on reading, to see the caller go away.
+		_ = rc.SetReadDeadline(time.Time{})
+		return b, nil
+	}
+	c.Header("Connection", "close")
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return nil, tooLarge(err)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, refusal(fault.Slow, fmt.Sprintf("the body did not arrive within %s", bodyTimeout), err)
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		return nil, refusal(fault.Cancelled, "the connection ended before the body", err)
+	default:
+		return nil, refusal(fault.Invalid, "the body could not be read", err)
+	}
+}
+
+// readAll reads a body whose length is known or, when negative, not.
+func readAll(r io.Reader, length int64) ([]byte, error) {
+	if length < 0 {
+		return io.ReadAll(r)
+	}
+	b := make([]byte, length)
+	if _, err := io.ReadFull(r, b); err != nil {
+		return nil, err
+	}
+	// Reaching the end of the body lets net/http watch the connection.
+	if _, err := r.Read(make([]byte, 1)); err != nil && !errors.Is(err, io.EOF) {
+		return nil, err
+	}
+	return b, nil
+}
+
+func tooLarge(err error) error {
+	return refusal(fault.TooLarge, fmt.Sprintf("the body is over %d MiB", maxBody>>20), err)
+}
+
+// refusal is the error of a request that is refused before it is sent to any
+// backend server.
+func refusal(code fault.Code, reason string, cause error) error {
+	return fault.New(fault.Config{Verdict: fault.NotRun, Code: code, Reason: reason, Cause: cause})
+}
+
+// checkHeader refuses a header over the limit with a problem document. The
+// bound of net/http itself is twice as high, its answer is plain text.
+func (h *Handler) checkHeader(c *gin.Context) {
+	n := len(c.Request.RequestURI)
+	for k, vs := range c.Request.Header {
+		for _, v := range vs {
+			n += len(k) + len(v) + 4
+		}
+	}
+	if n > maxHeader {
+		problem(c, refusal(fault.Header, fmt.Sprintf("the header is over %d KiB", maxHeader>>10), nil))
+	}
+}
--- a/entry/service.go
+++ b/entry/service.go
@@ -2,152 +2,155 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
+	"strings"
+	"sync"
 	"time"
 
 	"github.com/gin-gonic/gin"
 
-	"github.com/cranberrybay/cranberrybay/claim"
 	"github.com/cranberrybay/cranberrybay/fault"
-	"github.com/cranberrybay/cranberrybay/fleet"
 	"github.com/cranberrybay/cranberrybay/proxy"
 	"github.com/cranberrybay/cranberrybay/spec"
 )
 
 // service passes a call to a plain service.
 func (h *Handler) service(c *gin.Context) {
-	svc := h.cfg.Store.Tree().Service(c.Param("service"))
-	if svc == nil || svc.IsModel() {
-		problem(c, fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Unknown, Reason: fmt.Sprintf("service %q is not known", c.Param("service"))}))
-		return
-	}
-	if !accountOf(c).May(svc.Name()) {
-		problem(c, fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Forbidden, Reason: "the account may not call this service"}))
-		return
-	}
-	body, err := readBody(c)
+	arrival := time.Now()
+	svc, err := h.plainService(c)
 	if err != nil {
 		problem(c, err)
 		return
 	}
-	call := proxy.Call{Method: c.Request.Method, Path: c.Param("path"), Header: c.Request.Header.Clone(), Body: body}
-	if q := c.Request.URL.RawQuery; q != "" {
-		call.Path += "?" + q
-	}
-	call.Header.Del("Authorization")
-	call.Header.Set("X-Request-Id", newID())
-	key := c.GetHeader("Idempotency-Key")
-	if key == "" || svc.Idempotent(call.Method, c.Param("path")) {
-		a, err := h.send(c, svc, call)
-		answer(c, a, err)
+	call, err := readCall(c, svc, arrival)
+	if err != nil {
+		problem(c, err)
 		return
 	}
-	h.once(c, svc, call, key)
-}
-
-// once runs a call that is not idempotent under the caller's key.
-func (h *Handler) once(c *gin.Context, svc *spec.Service, call proxy.Call, key string) {
-	k := claim.Key{Account: accountOf(c).Name(), Service: svc.Name(), Key: key}
-	cl, done, err := h.cfg.Claims.Begin(c.Request.Context(), k, claim.Digest(call.Method, call.Path, call.Body))
+	key, err := idempotencyKey(c)
 	if err != nil {
 		problem(c, err)
 		return
 	}
-	if done != nil {
-		c.Header("Idempotent-Replayed", "true")
-		answer(c, &proxy.Answer{Status: done.Status, Header: done.Header, Body: done.Body}, nil)
+	if key != "" && !call.Idempotent {
+		h.serveOnce(c, Work{Account: accountOf(c).Name(), Service: svc.Name(), Key: key, Call: call})
 		return
 	}
-	var a *proxy.Answer
-	if err = h.cfg.Claims.Start(c.Request.Context(), cl); err == nil {
-		a, err = h.send(c, svc, call)
-	}
-	ctx, cancel := after(c.Request.Context())
-	defer cancel()
-	switch {
-	case err == nil:
-		err = h.cfg.Claims.Finish(ctx, cl, claim.Outcome{Status: a.Status, Header: a.Header, Body: a.Body})
-		if err != nil {
-			h.cfg.Log.Warn().Err(err).Msg("outcome of a claim was not recorded")
-		}
-		answer(c, a, nil)
-	case fault.Of(err) == fault.NotRun:
-		if rerr := h.cfg.Claims.Release(ctx, cl); rerr != nil {
-			h.cfg.Log.Warn().Err(rerr).Msg("claim was not released")
-		}
-		problem(c, err)
-	default:
-		if aerr := h.cfg.Claims.Abandon(ctx, cl); aerr != nil {
-			h.cfg.Log.Warn().Err(aerr).Msg("claim was not abandoned")
-		}
+	a, err := h.cfg.Services.Send(c.Request.Context(), svc.Name(), call)
+	if err != nil {
 		problem(c, err)
+		return
 	}
+	answer(c, a)
 }
 
-// maxTries bounds the servers tried for one call.
-const maxTries = 3
-
-// send tries servers until one answers. After a failure that may have run, it
-// repeats the call only when it is idempotent.
-func (h *Handler) send(c *gin.Context, svc *spec.Service, call proxy.Call) (*proxy.Answer, error) {
-	avoid := map[string]bool{}
-	idempotent := svc.Idempotent(call.Method, c.Param("path"))
-	var last error
-	for range maxTries {
-		sv, ok := pick(h.cfg.Fleet.Servers(svc.Name()), avoid)
-		if !ok {
-			break
-		}
-		h.cfg.Fleet.Begin(sv.Name)
-		a, err := h.cfg.Services.Do(c.Request.Context(), sv.Address, call)
-		h.cfg.Fleet.End(sv.Name)
-		if err == nil {
-			h.cfg.Fleet.Worked(sv.Name)
-			return a, nil
-		}
-		avoid[sv.Name] = true
-		h.cfg.Fleet.Failed(sv.Name)
-		last = err
-		if fault.Of(err) != fault.NotRun && !idempotent {
-			return nil, err
-		}
+// plainService returns the service that the path names.
+func (h *Handler) plainService(c *gin.Context) (*spec.Service, error) {
+	svc := h.cfg.Store.Tree().Service(c.Param("service"))
+	if svc == nil || svc.IsModel() {
+		return nil, refusal(fault.Unknown, fmt.Sprintf("service %q is not known", c.Param("service")), nil)
 	}
-	if last != nil {
-		return nil, last
+	if !accountOf(c).May(svc.Name()) {
+		return nil, refusal(fault.Forbidden, "the account may not call this service", nil)
 	}
-	return nil, fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Unavailable, Reason: "no backend server of the service is ready", RetryAt: time.Now().Add(time.Second)})
+	return svc, nil
 }
 
-// pick returns the least loaded server that is not avoided.
-func pick(all []fleet.Candidate, avoid map[string]bool) (fleet.Candidate, bool) {
-	best, found := fleet.Candidate{}, false
-	for _, c := range all {
-		if avoid[c.Name] {
-			continue
-		}
-		if !found || less(c, best) {
-			best, found = c, true
+// readCall reads the call of a service as it is passed on: everything
+// unchanged but for the account's API key and the request's ID.
+func readCall(c *gin.Context, svc *spec.Service, arrival time.Time) (proxy.Call, error) {
+	path := c.Param("path")
+	for segment := range strings.SplitSeq(path, "/") {
+		// A service may resolve "/lookups/../orders" to "/orders", while the
+		// patterns of idempotent calls see the path as it was sent.
+		if segment == "." || segment == ".." {
+			return proxy.Call{}, refusal(fault.Invalid, "the path has a segment \".\" or \"..\"", nil)
 		}
 	}
-	return best, found
+	body, err := readBody(c)
+	if err != nil {
+		return proxy.Call{}, err
+	}
+	_, rest, _ := strings.Cut(strings.TrimPrefix(c.Request.URL.EscapedPath(), "/services/"), "/")
+	call := proxy.Call{
+		Method: c.Request.Method, Path: "/" + rest, Host: c.Request.Host, Header: c.Request.Header, Body: body,
+		Idempotent: svc.Idempotent(c.Request.Method, path), By: svc.FirstBy(arrival),
+	}
+	if q := c.Request.URL.RawQuery; q != "" {
+		call.Path += "?" + q
+	}
+	call.Header.Del("Authorization")
+	id := newID()
+	call.Header.Set("X-Request-Id", id)
+	c.Header("X-Request-Id", id)
+	return call, nil
 }
 
-func less(a, b fleet.Candidate) bool {
-	if a.Down != b.Down {
-		return b.Down
+// maxKey bounds an idempotency key in bytes; a ticket has about 150.
+const maxKey = 512
+
+// idempotencyKey returns the caller's key, or "".
+func idempotencyKey(c *gin.Context) (string, error) {
+	keys := c.Request.Header["Idempotency-Key"]
+	if len(keys) == 0 {
+		return "", nil
+	}
+	if len(keys) > 1 || keys[0] == "" || len(keys[0]) > maxKey {
+		return "", refusal(fault.Invalid, fmt.Sprintf("Idempotency-Key must be one value of 1 to %d bytes", maxKey), nil)
 	}
-	return a.Inflight < b.Inflight
+	return keys[0], nil
 }
 
-func answer(c *gin.Context, a *proxy.Answer, err error) {
-	if err != nil {
-		problem(c, err)
-		return
-	}
+const (
+	chunk = 32 << 10
+	// writeTimeout bounds the writing of one chunk to a caller that does not
+	// read, so that it can't keep a leaving process from stopping.
+	writeTimeout = time.Minute
+)
+
+var chunks = sync.Pool{New: func() any { b := make([]byte, chunk); return &b }}
+
+// answer streams a service's answer to the caller. When the answer is cut off
+// after its header was sent, the connection is closed, so that the caller sees
+// that it is not whole.
+func answer(c *gin.Context, a *proxy.Answer) {
+	defer a.Body.Close()
 	out := c.Writer.Header()
 	for k, v := range a.Header {
-		out[http.CanonicalHeaderKey(k)] = v
+		out[k] = v
 	}
+	rc := http.NewResponseController(c.Writer)
+	streamed := len(a.Header["Content-Length"]) == 0 && c.Request.Method != http.MethodHead
 	c.Status(a.Status)
-	_, _ = c.Writer.Write(a.Body)
+	if streamed {
+		c.Writer.Flush()
+	}
+	b := chunks.Get().(*[]byte)
+	defer chunks.Put(b)
+	for {
+		n, err := a.Body.Read(*b)
+		if n > 0 {
+			_ = rc.SetWriteDeadline(time.Now().Add(writeTimeout))
+			if _, werr := c.Writer.Write((*b)[:n]); werr != nil {
+				return
+			}
+			if streamed {
+				c.Writer.Flush()
+			}
+		}
+		if err == io.EOF { //nolint:errorlint // readers return io.EOF itself
+			break
+		}
+		if err != nil {
+			if !c.Writer.Written() {
+				clear(out)
+				problem(c, err)
+				return
+			}
+			panic(http.ErrAbortHandler)
+		}
+	}
+	c.Writer.WriteHeaderNow()
+	_ = rc.SetWriteDeadline(time.Time{})
 }
--- a/node/node.go
+++ b/node/node.go
@@ -20,6 +20,7 @@
 	"github.com/cranberrybay/cranberrybay/engine"
 	"github.com/cranberrybay/cranberrybay/entry"
 	"github.com/cranberrybay/cranberrybay/fleet"
+	"github.com/cranberrybay/cranberrybay/object"
 	"github.com/cranberrybay/cranberrybay/plat"
 	"github.com/cranberrybay/cranberrybay/proxy"
 	"github.com/cranberrybay/cranberrybay/table"
@@ -46,11 +47,13 @@
 			fleet.NewTable,
 			func(t *table.Client) *change.Store { return change.NewStore(change.StoreConfig{Table: t}) },
 			func() *engine.Client { return engine.New(engine.Config{}) },
-			func() *proxy.Client { return proxy.New(proxy.Config{}) },
-			func(t *table.Client, i incarnation) *claim.Book {
-				return claim.New(claim.Config{Table: t, Holder: string(i)})
+			func(t *fleet.Table) *proxy.Pool { return proxy.PoolOf(t, proxy.New(proxy.Config{})) },
+			plat.Objects,
+			func(t *table.Client, o *object.Client, i incarnation, l zerolog.Logger) *claim.Book {
+				return claim.New(claim.Config{Table: t, Objects: o, Holder: string(i), Log: part(l, "claim")})
 			},
 			newEntry,
+			newDrainer,
 			newAdmin,
 		),
 		fx.Invoke(background, listen),
@@ -65,7 +68,7 @@
 	Store    *change.Store
 	Fleet    *fleet.Table
 	Engines  *engine.Client
-	Services *proxy.Client
+	Services *proxy.Pool
 	Claims   *claim.Book
 	Log      zerolog.Logger
 }
@@ -73,17 +76,17 @@
 func newEntry(p entryParts) *entry.Handler {
 	return entry.New(entry.Config{
 		Store: p.Store, Fleet: p.Fleet, Engines: p.Engines, Services: p.Services, Claims: p.Claims,
-		Domain: p.Settings.Domain, Log: part(p.Log, "entry"),
+		Domain: p.Settings.Domain, Self: p.Settings.Listen.Callers, Log: part(p.Log, "entry"),
 		Addresses: func() entry.Addresses {
 			return entry.Addresses{Addresses: []string{p.Settings.Listen.Callers}, Until: time.Now().Add(30 * time.Second).UTC()}
 		},
 	})
 }
 
-func newAdmin(s Settings, st *change.Store, t *table.Client, f *fleet.Table, e *entry.Handler, l zerolog.Logger) *admin.Handler {
+func newAdmin(s Settings, st *change.Store, t *table.Client, f *fleet.Table, d *drainer, l zerolog.Logger) *admin.Handler {
 	return admin.New(admin.Config{
 		Name: s.Name, Domain: s.Domain, Token: s.Token, Store: st, Table: t, Fleet: f,
-		Drain: e.Drain, Log: part(l, "admin"),
+		Drain: d.leave, Log: part(l, "admin"),
 	})
 }
 
@@ -95,7 +98,7 @@
 )
 
 // background runs the loops that keep tables fresh.
-func background(lc fx.Lifecycle, st *change.Store, f *fleet.Table, l *plat.VMList, e *engine.Client, log zerolog.Logger) {
+func background(lc fx.Lifecycle, st *change.Store, b *claim.Book, f *fleet.Table, l *plat.VMList, e *engine.Client, log zerolog.Logger) {
 	ctx, cancel := context.WithCancel(context.Background())
 	w := &watcher{fleet: f, list: l, engines: e, log: part(log, "fleet")}
 	lc.Append(fx.Hook{
@@ -103,19 +106,23 @@
 			cl := part(log, "change")
 			go st.Run(ctx, refreshInterval, func(err error) { cl.Warn().Err(err).Msg("refresh failed") })
 			go w.run(ctx)
+			go b.Run(ctx)
 			return nil
 		},
 		OnStop: func(context.Context) error { cancel(); return nil },
 	})
 }
 
-// listen opens both listeners before the process counts as started.
-func listen(lc fx.Lifecycle, s Settings, e *entry.Handler, a *admin.Handler, log zerolog.Logger) {
-	serveOn(lc, "callers", s.Listen.Callers, e.Server(), e.Drain, log)
-	serveOn(lc, "admin", s.Listen.Admin, a.Server(), func() {}, log)
+// listen opens both listeners before the process counts as started. At a stop
+// the callers' listener closes when the process is drained, and the operators'
+// listener after it.
+func listen(lc fx.Lifecycle, s Settings, e *entry.Handler, d *drainer, a *admin.Handler, log zerolog.Logger) {
+	serveOn(lc, "admin", s.Listen.Admin, a.Server(), func(context.Context) {}, log)
+	serveOn(lc, "callers", s.Listen.Callers, e.Server(), d.wait, log)
 }
 
-func serveOn(lc fx.Lifecycle, name, address string, srv *http.Server, drain func(), log zerolog.Logger) {
+// serveOn opens a listener. At a stop it calls wait before it shuts down.
+func serveOn(lc fx.Lifecycle, name, address string, srv *http.Server, wait func(context.Context), log zerolog.Logger) {
 	lc.Append(fx.Hook{
 		OnStart: func(ctx context.Context) error {
 			var c net.ListenConfig
@@ -131,7 +138,7 @@
 			return nil
 		},
 		OnStop: func(ctx context.Context) error {
-			drain()
+			wait(ctx)
 			return srv.Shutdown(ctx)
 		},
 	})
--- a/node/settings.go
+++ b/node/settings.go
@@ -7,8 +7,11 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"time"
 
 	"github.com/pelletier/go-toml/v2"
+
+	"github.com/cranberrybay/cranberrybay/spec"
 )
 
 // Settings are the contents of a settings file.
@@ -25,8 +28,15 @@
 type ListenSettings struct {
 	Callers string `toml:"callers"`
 	Admin   string `toml:"admin"`
+	// Linger is how long a leaving process still refuses callers that hold an
+	// old address list. During it they learn the other addresses; afterwards
+	// their connections are refused.
+	Linger spec.Duration `toml:"linger"`
 }
 
+// defaultLinger lets most callers with a cached address list come once more.
+const defaultLinger = 5 * time.Second
+
 // PlatformSettings locate the platform.
 type PlatformSettings struct {
 	Address string `toml:"address"`
@@ -35,7 +45,7 @@
 // ReadSettings reads and checks a settings file. An error names the file, the
 // key, the value and what is allowed.
 func ReadSettings(path string) (Settings, error) {
-	var s Settings
+	s := Settings{Listen: ListenSettings{Linger: spec.Duration{Duration: defaultLinger}}}
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return s, fmt.Errorf("read settings: %w", err)
@@ -67,6 +77,9 @@
 	if len(s.Token) != len("sha256:")+64 {
 		add("token", s.Token, "\"sha256:\" followed by 64 hex digits")
 	}
+	if s.Listen.Linger.Duration < 0 || s.Listen.Linger.Duration > stopTimeout/2 {
+		add("listen.linger", s.Listen.Linger.String(), "a duration from 0s to "+(stopTimeout/2).String())
+	}
 	for _, f := range []struct{ key, value string }{
 		{"listen.callers", s.Listen.Callers}, {"listen.admin", s.Listen.Admin}, {"platform.address", s.Platform.Address},
 	} {
--- /dev/null
+++ b/proxy/pool_test.go
@@ -0,0 +1,202 @@
+package proxy
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/fleet"
+)
+
+// shop is a set of servers whose behaviour is a function of the server and the
+// number of the call.
+type shop struct {
+	mu       sync.Mutex
+	calls    []string
+	inflight map[string]int
+	pool     *Pool
+}
+
+func newShop(servers int, do func(ctx context.Context, server string, n int) (int, error)) *shop {
+	s := &shop{inflight: map[string]int{}}
+	count := func(name string, d int) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.inflight[name] += d
+	}
+	s.pool = NewPool(PoolConfig{
+		Rand: rand.New(rand.NewSource(1)),
+		Servers: func(string) []fleet.Candidate {
+			var out []fleet.Candidate
+			for i := range servers {
+				c := fleet.Candidate{State: fleet.State{Name: fmt.Sprint(i), Address: fmt.Sprint(i), Slots: 16}}
+				s.mu.Lock()
+				c.Inflight = s.inflight[c.Name]
+				s.mu.Unlock()
+				out = append(out, c)
+			}
+			return out
+		},
+		Begin: func(n string) { count(n, 1) }, End: func(n string) { count(n, -1) }, Failed: func(string) {}, Worked: func(string) {},
+		Do: func(ctx context.Context, server string, _ Call) (*Answer, error) {
+			s.mu.Lock()
+			s.calls = append(s.calls, server)
+			n := len(s.calls)
+			s.mu.Unlock()
+			status, err := do(ctx, server, n)
+			if err != nil {
+				return nil, err
+			}
+			return &Answer{Status: status, Body: io.NopCloser(strings.NewReader(server))}, nil
+		},
+	})
+	return s
+}
+
+func (s *shop) send(call Call) error {
+	a, err := s.pool.Send(context.Background(), "desk", call)
+	if err == nil {
+		_ = a.Body.Close()
+	}
+	return err
+}
+
+func failing(v fault.Verdict) error {
+	return fault.New(fault.Config{Verdict: v, Code: fault.Unavailable})
+}
+
+// TestRetries guards against a call that is repeated although it may have run,
+// a verdict that forgets an earlier try, and repeats without a bound.
+func TestRetries(t *testing.T) {
+	lookup := Call{Method: "GET", Idempotent: true}
+	for name, c := range map[string]struct {
+		call    Call
+		first   error
+		status  int
+		second  error
+		calls   int
+		verdict fault.Verdict
+		ok      bool
+	}{
+		"order not run":             {call: order, first: failing(fault.NotRun), calls: 2, ok: true},
+		"order may have run":        {call: order, first: failing(fault.MayHaveRun), calls: 1, verdict: fault.MayHaveRun},
+		"order failed with 500":     {call: order, status: 500, calls: 1, ok: true},
+		"lookup may have run":       {call: lookup, first: failing(fault.MayHaveRun), calls: 2, ok: true},
+		"lookup failed with 500":    {call: lookup, status: 500, calls: 2, ok: true},
+		"lookup, then refused":      {call: lookup, first: failing(fault.MayHaveRun), second: failing(fault.NotRun), calls: 3, verdict: fault.MayHaveRun},
+		"order refused everywhere":  {call: order, first: failing(fault.NotRun), second: failing(fault.NotRun), calls: 3, verdict: fault.NotRun},
+		"order refused, then error": {call: order, first: failing(fault.NotRun), second: failing(fault.MayHaveRun), calls: 2, verdict: fault.MayHaveRun},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newShop(4, func(_ context.Context, _ string, n int) (int, error) {
+				switch {
+				case n == 1 && c.status != 0:
+					return c.status, nil
+				case n == 1:
+					return 200, c.first
+				}
+				return 200, c.second
+			})
+			err := s.send(c.call)
+			assert.Equal(t, len(s.calls), c.calls)
+			assert.Equal(t, err == nil, c.ok, "%v", err)
+			if err != nil {
+				assert.Equal(t, fault.Of(err), c.verdict)
+				_, ok := fault.RetryAt(err)
+				assert.Assert(t, ok, "no time to retry")
+			}
+		})
+	}
+	t.Run("budget", func(t *testing.T) {
+		s := newShop(4, func(context.Context, string, int) (int, error) { return 0, failing(fault.NotRun) })
+		for range 1000 {
+			assert.Assert(t, s.send(order) != nil)
+		}
+		assert.Assert(t, len(s.calls) <= 1000+firstTokens+100, "%d calls for 1000 requests", len(s.calls))
+	})
+	t.Run("no server", func(t *testing.T) {
+		wantError(t, newShop(0, nil).send(order), fault.NotRun, fault.Unavailable)
+	})
+}
+
+// TestHedging guards against hedged orders, hedging without a bound, and
+// exchanges that are left open.
+func TestHedging(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		slow := func(n int) bool { return n > 50 && n%10 == 0 }
+		s := newShop(4, func(ctx context.Context, _ string, n int) (int, error) {
+			wait := 10 * time.Millisecond
+			if slow(n) {
+				wait = 10 * time.Second
+			}
+			select {
+			case <-time.After(wait):
+				return 200, nil
+			case <-ctx.Done():
+				return 0, failing(fault.MayHaveRun)
+			}
+		})
+		hedged := func(call Call) (int, time.Duration) {
+			before, start := len(s.calls), time.Now()
+			for range 200 {
+				assert.NilError(t, s.send(call))
+			}
+			return len(s.calls) - before - 200, time.Since(start)
+		}
+		n, took := hedged(Call{Method: "GET", Idempotent: true})
+		assert.Assert(t, n >= 10 && n <= firstTokens+200/20, "%d hedges", n)
+		assert.Assert(t, took < 60*time.Second, "200 lookups took %v", took)
+		n, _ = hedged(order)
+		assert.Equal(t, n, 0)
+		synctest.Wait()
+		for name, n := range s.inflight {
+			assert.Equal(t, n, 0, "server %s has open exchanges", name)
+		}
+	})
+}
+
+// TestBalance guards against a slow server that gets as much work as fast ones,
+// and against one that is never tried again after it recovered.
+func TestBalance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		recovered := false
+		s := newShop(3, func(_ context.Context, server string, _ int) (int, error) {
+			if server == "0" && !recovered {
+				time.Sleep(200 * time.Millisecond)
+			}
+			time.Sleep(10 * time.Millisecond)
+			return 200, nil
+		})
+		share := func() float64 {
+			s.calls = nil
+			var wg sync.WaitGroup
+			for range 6 {
+				wg.Go(func() {
+					for end := time.Now().Add(30 * time.Second); time.Now().Before(end); {
+						_ = s.send(order)
+					}
+				})
+			}
+			wg.Wait()
+			n := 0
+			for _, c := range s.calls {
+				if c == "0" {
+					n++
+				}
+			}
+			return float64(n) / float64(len(s.calls))
+		}
+		assert.Assert(t, share() < 0.05)
+		recovered = true
+		assert.Assert(t, share() > 0.2)
+	})
+}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -1,5 +1,6 @@
-// Package proxy passes calls to plain services over HTTP. Every error carries
-// the verdict that the transport allows.
+// Package proxy passes calls to plain services over HTTP. The Client is the
+// adapter of one exchange and decides its verdict; the Pool chooses servers and
+// repeats calls where the verdict allows it.
 package proxy
 
 import (
@@ -10,6 +11,9 @@
 	"io"
 	"net"
 	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cranberrybay/cranberrybay/engine"
@@ -18,87 +22,159 @@
 
 // Call is one call of a plain service.
 type Call struct {
-	Method string
-	Path   string // path and query below the service
-	Header http.Header
-	Body   []byte
+	Method     string
+	Path       string // escaped path and query below the service
+	Host       string // Host header of the caller
+	Header     http.Header
+	Body       []byte
+	Idempotent bool      // may be repeated
+	By         time.Time // the header of the answer must arrive by then; zero for no deadline
 }
 
-// Answer is the service's answer.
+// Answer is the service's answer. Its body is a stream and must be closed.
 type Answer struct {
 	Status int
 	Header http.Header
-	Body   []byte
+	Body   io.ReadCloser
 }
 
-// maxAnswer bounds the body of an answer in bytes.
-const maxAnswer = 16 << 20
-
 // hopHeaders belong to one connection and are not passed on (RFC 9110, 7.6.1).
-var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
+var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
 
-// Config holds the HTTP client of the adapter.
+// Config holds the connections of a Client.
 type Config struct {
-	Client *http.Client // nil for a client with a transport of its own
+	// Dial opens a connection; nil for TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Idle bounds the pause between two parts of an answer's body; 0 for 1 min.
+	Idle time.Duration
 }
 
 // Client calls plain services.
-type Client struct{ http *http.Client }
+type Client struct {
+	pooled http.RoundTripper // keeps connections
+	fresh  http.RoundTripper // opens a connection for each call
+	idle   time.Duration
+}
+
+// dialTimeout bounds the opening of a connection, within a region.
+const dialTimeout = time.Second
 
 // New returns a client.
 func New(cfg Config) *Client {
-	if cfg.Client == nil {
-		tr := &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}
-		tr.DialContext = (&net.Dialer{Timeout: time.Second}).DialContext
-		cfg.Client = &http.Client{Transport: tr, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	if cfg.Dial == nil {
+		cfg.Dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
-	return &Client{http: cfg.Client}
+	if cfg.Idle == 0 {
+		cfg.Idle = time.Minute
+	}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := cfg.Dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &conn{Conn: c}, nil
+	}
+	pooled := &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 90 * time.Second, DisableCompression: true, DialContext: dial}
+	fresh := &http.Transport{DisableKeepAlives: true, DisableCompression: true, DialContext: dial}
+	return &Client{pooled: pooled, fresh: fresh, idle: cfg.Idle}
 }
 
 // Do sends a call to the server at address. The verdict of an error says
 // whether the service may have run it.
+//
+// net/http repeats a request by itself when a reused connection fails and the
+// request has no body and is a GET, or carries an Idempotency-Key header, which
+// callers send with bookings. A call that is not idempotent therefore gets a
+// connection of its own, which is never repeated. This also spares it the
+// unclear verdict when a server closes an idle connection at that moment.
 func (c *Client) Do(ctx context.Context, address string, call Call) (*Answer, error) {
-	rq, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address+call.Path, bytes.NewReader(call.Body))
+	if err := past(ctx, call.By); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	x := &exchange{cancel: cancel, idle: c.idle}
+	rq, err := request(x.trace(ctx), address, call)
 	if err != nil {
+		cancel()
 		return nil, fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Invalid, Reason: "the call is malformed", Cause: err})
 	}
-	rq.Header = call.Header.Clone()
-	for _, h := range hopHeaders {
-		rq.Header.Del(h)
-	}
-	// net/http repeats a request on a fresh connection by itself only when it
-	// is idempotent or has a body it can rewind; without GetBody it does not
-	// repeat a call that may have run.
-	rq.GetBody = nil
-	rs, err := c.http.Do(rq)
+	if !call.By.IsZero() {
+		x.timer = time.AfterFunc(time.Until(call.By), x.expire)
+	}
+	transport := c.fresh
+	if call.Idempotent {
+		transport = c.pooled
+	}
+	rs, err := transport.RoundTrip(rq)
 	if err != nil {
-		return nil, sendError(ctx, err)
+		x.end()
+		return nil, x.failed(ctx, err)
 	}
-	defer rs.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(rs.Body, maxAnswer+1))
+	x.received(rs)
+	if rs.StatusCode == http.StatusServiceUnavailable && rs.Header.Get(engine.NotRunHeader) == "true" {
+		at := retryAt(rs.Header)
+		_ = x.Close()
+		return nil, fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Leaving, Reason: fmt.Sprintf("server %s takes no work", address), RetryAt: at})
+	}
+	removeHop(rs.Header)
+	return &Answer{Status: rs.StatusCode, Header: rs.Header, Body: x}, nil
+}
+
+// request builds the request of a call, with its headers unchanged but for
+// those of one connection.
+func request(ctx context.Context, address string, call Call) (*http.Request, error) {
+	rq, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address+call.Path, bytes.NewReader(call.Body))
 	if err != nil {
-		return nil, fault.New(fault.Config{Verdict: fault.Ran, Code: fault.Unavailable, Reason: "the answer of the service was cut off", Cause: err})
+		return nil, err
 	}
-	if len(body) > maxAnswer {
-		return nil, fault.New(fault.Config{Verdict: fault.Ran, Code: fault.TooLarge, Reason: "the answer of the service is too large"})
+	rq.Header = call.Header.Clone()
+	if rq.Header == nil {
+		rq.Header = http.Header{}
 	}
-	if rs.StatusCode == http.StatusServiceUnavailable && rs.Header.Get(engine.NotRunHeader) == "true" {
-		return nil, fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Leaving, Reason: fmt.Sprintf("server %s takes no work", address), RetryAt: time.Now().Add(time.Second)})
+	removeHop(rq.Header)
+	if _, ok := rq.Header["User-Agent"]; !ok {
+		rq.Header["User-Agent"] = nil // keeps net/http from adding its own
 	}
-	for _, h := range hopHeaders {
-		rs.Header.Del(h)
+	if call.Host != "" {
+		rq.Host = call.Host
 	}
-	return &Answer{Status: rs.StatusCode, Header: rs.Header, Body: body}, nil
+	return rq, nil
 }
 
-func sendError(ctx context.Context, err error) error {
-	cfg := fault.Config{Verdict: fault.MayHaveRun, Code: fault.Unavailable, Reason: "the service does not answer", Cause: err}
-	var oe *net.OpError
-	if errors.As(err, &oe) && oe.Op == "dial" {
-		cfg.Verdict = fault.NotRun
+// removeHop removes the headers of one connection, also those that the
+// Connection header names.
+func removeHop(h http.Header) {
+	for _, v := range h["Connection"] {
+		for name := range strings.SplitSeq(v, ",") {
+			delete(h, textproto.CanonicalMIMEHeaderKey(textproto.TrimString(name)))
+		}
 	}
-	if ctx.Err() != nil {
-		cfg.Code = fault.Timeout
+	for _, name := range hopHeaders {
+		delete(h, name)
+	}
+}
+
+// past returns an error when ctx has ended or the deadline has passed. A
+// process that was paused finds out here, before it sends anything.
+func past(ctx context.Context, by time.Time) error {
+	if ctx.Err() == nil && (by.IsZero() || time.Now().Before(by)) {
+		return nil
+	}
+	return fault.New(fault.Config{Verdict: fault.NotRun, Code: endCode(ctx), Reason: "the request ended before it was sent", Cause: ctx.Err()})
+}
+
+// endCode tells a caller that went away from a deadline that passed.
+func endCode(ctx context.Context) fault.Code {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return fault.Cancelled
+	}
+	return fault.Timeout
+}
+
+// retryAt returns the server's own retry time, or in a second.
+func retryAt(h http.Header) time.Time {
+	if s, err := strconv.Atoi(h.Get("Retry-After")); err == nil && s >= 0 && s <= 3600 {
+		return time.Now().Add(time.Duration(s) * time.Second)
 	}
-	return fault.New(cfg)
+	return time.Now().Add(time.Second)
 }
--- /dev/null
+++ b/proxy/proxy_test.go
@@ -0,0 +1,193 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cranberrybay/cranberrybay/fakes"
+	"github.com/cranberrybay/cranberrybay/fault"
+)
+
+func wantError(t *testing.T, err error, v fault.Verdict, c fault.Code) {
+	t.Helper()
+	var e *fault.Error
+	assert.Assert(t, errors.As(err, &e), "%v has no verdict", err)
+	assert.Equal(t, e.Verdict(), v, err.Error())
+	assert.Equal(t, e.Code(), c, err.Error())
+}
+
+func listen(t *testing.T, serve func(net.Conn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() { defer c.Close(); serve(c) }()
+		}
+	}()
+	return l.Addr().String()
+}
+
+var order = Call{Method: "POST", Path: "/orders", Header: http.Header{"Idempotency-Key": {"k"}}}
+
+// TestVerdicts guards against an error whose verdict says that a request was
+// not run although the service may have run it, and the reverse.
+func TestVerdicts(t *testing.T) {
+	closed := listen(t, func(c net.Conn) { _, _ = c.Read(make([]byte, 1)) })
+	s := fakes.NewService()
+	sv := httptest.NewServer(s.Handler())
+	defer sv.Close()
+	address := sv.Listener.Addr().String()
+	gone, stop := context.WithCancel(context.Background())
+	stop()
+	for name, c := range map[string]struct {
+		faults  fakes.ServiceFaults
+		address string
+		by      time.Duration
+		ctx     context.Context
+		verdict fault.Verdict
+		code    fault.Code
+		runs    int
+	}{
+		"connection refused":    {address: "127.0.0.1:1", verdict: fault.NotRun, code: fault.Unavailable},
+		"closed in the request": {address: closed, verdict: fault.MayHaveRun, code: fault.Unavailable},
+		"refused by the server": {faults: fakes.ServiceFaults{Refuse: true}, verdict: fault.NotRun, code: fault.Leaving},
+		"lost before it ran":    {faults: fakes.ServiceFaults{Lose: 1}, verdict: fault.MayHaveRun, code: fault.Unavailable},
+		"answer dropped":        {faults: fakes.ServiceFaults{Drop: 1}, verdict: fault.MayHaveRun, code: fault.Unavailable, runs: 1},
+		"answer cut off":        {faults: fakes.ServiceFaults{Cut: 1}, verdict: fault.MayHaveRun, code: fault.Unavailable, runs: 1},
+		"deadline passes":       {faults: fakes.ServiceFaults{Delay: 300 * time.Millisecond}, by: 50 * time.Millisecond, verdict: fault.MayHaveRun, code: fault.Timeout, runs: 1},
+		"deadline has passed":   {by: -time.Second, verdict: fault.NotRun, code: fault.Timeout},
+		"caller is gone":        {ctx: gone, verdict: fault.NotRun, code: fault.Cancelled},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s.SetFaults(c.faults)
+			before := len(s.Ran())
+			call, ctx := order, context.Background()
+			if c.by != 0 {
+				call.By = time.Now().Add(c.by)
+			}
+			if c.address == "" {
+				c.address = address
+			}
+			if c.ctx != nil {
+				ctx = c.ctx
+			}
+			a, err := New(Config{}).Do(ctx, c.address, call)
+			if err == nil {
+				_, err = io.ReadAll(a.Body)
+				_ = a.Body.Close()
+			}
+			wantError(t, err, c.verdict, c.code)
+			time.Sleep(c.faults.Delay)
+			assert.Equal(t, len(s.Ran())-before, c.runs)
+		})
+	}
+}
+
+// closing answers the first request of each connection and closes it after the
+// second one arrived, as a server does that closes idle connections. It counts
+// the requests by method.
+func closing(t *testing.T, count map[string]*atomic.Int32) string {
+	return listen(t, func(c net.Conn) {
+		r := bufio.NewReader(c)
+		for n := 0; ; n++ {
+			rq, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			count[rq.Method].Add(1)
+			if n == 1 || rq.Method == "POST" {
+				return
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+}
+
+// repeats sends a lookup, which leaves an idle connection, then an order, and
+// returns how often the order arrived.
+func repeats(t *testing.T, c *Client) int32 {
+	t.Helper()
+	count := map[string]*atomic.Int32{"GET": {}, "POST": {}}
+	address := closing(t, count)
+	a, err := c.Do(context.Background(), address, Call{Method: "GET", Path: "/", Idempotent: true})
+	assert.NilError(t, err)
+	assert.NilError(t, a.Body.Close())
+	time.Sleep(20 * time.Millisecond) // the connection returns to the pool
+	_, err = c.Do(context.Background(), address, order)
+	wantError(t, err, fault.MayHaveRun, fault.Unavailable)
+	return count["POST"].Load()
+}
+
+// TestNoSilentRepeat guards against net/http repeating an order on its own when
+// the server closes a reused connection, which it does for a request with an
+// Idempotency-Key header and no body.
+func TestNoSilentRepeat(t *testing.T) {
+	assert.Equal(t, repeats(t, New(Config{})), int32(1))
+	t.Run("fault: shared connections", func(t *testing.T) {
+		c := New(Config{})
+		c.fresh = c.pooled
+		assert.Assert(t, repeats(t, c) > 1, "the test would not see a repeat")
+	})
+}
+
+// TestSeal guards against a request that is called not run and is written to
+// its connection afterwards.
+func TestSeal(t *testing.T) {
+	a, b := net.Pipe()
+	go func() { _, _ = io.Copy(io.Discard, b) }()
+	c := &conn{Conn: a}
+	assert.Assert(t, c.seal())
+	_, err := c.Write([]byte("x"))
+	assert.Assert(t, errors.Is(err, errSealed))
+	c = &conn{Conn: a}
+	_, err = c.Write([]byte("x"))
+	assert.NilError(t, err)
+	assert.Assert(t, !c.seal())
+}
+
+// TestPassThrough guards against changed methods, paths, headers and bodies,
+// and against headers of one connection that are passed on.
+func TestPassThrough(t *testing.T) {
+	var got string
+	sv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		b, _ := io.ReadAll(r.Body)
+		var h strings.Builder
+		_ = r.Header.Write(&h)
+		got = r.Method + " " + r.RequestURI + " " + r.Host + "\n" + h.String() + string(b)
+		w.Header()["X-Back"] = []string{"1", "2"}
+		w.Header().Set("Keep-Alive", "x")
+		w.WriteHeader(http.StatusTeapot)
+		_, _ = io.WriteString(w, "tea")
+	}))
+	defer sv.Close()
+	a, err := New(Config{}).Do(context.Background(), sv.Listener.Addr().String(), Call{
+		Method: "PATCH", Path: "/a%2Fb//c?x=%20&y", Host: "desk.example", Body: []byte("body"), Idempotent: true,
+		Header: http.Header{"X-Two": {"1", "2"}, "Accept-Encoding": {"br"}, "Connection": {"X-Hop, close"}, "X-Hop": {"1"}, "Te": {"trailers"}, "Upgrade": {"h2c"}},
+	})
+	assert.NilError(t, err)
+	b, err := io.ReadAll(a.Body)
+	assert.NilError(t, err)
+	assert.NilError(t, a.Body.Close())
+	assert.Equal(t, got, "PATCH /a%2Fb//c?x=%20&y desk.example\nAccept-Encoding: br\r\nContent-Length: 4\r\nX-Two: 1\r\nX-Two: 2\r\nbody")
+	assert.Equal(t, a.Status, http.StatusTeapot)
+	assert.DeepEqual(t, a.Header["X-Back"], []string{"1", "2"})
+	assert.Equal(t, a.Header.Get("Keep-Alive"), "")
+	assert.Equal(t, string(b), "tea")
+}
