fakes: Flaky, a table with faults drawn from a seed

The randomised runs of claims had it in a test file; the runs of whole entry processes need the same table. It loses replies before, after and long before a commit is applied, is slow, down or hangs, and passes each call of a process through a gate that pauses or kills it.

--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -47,16 +47,26 @@
 	return c
 }
 
-func bubble(t *testing.T, name string, f func(t *testing.T, w *weather, open func(holder string) *claim.Book)) {
+type flaky struct {
+	*fakes.Flaky
+	table *fakes.Table
+}
+
+func (f *flaky) set(down, hang bool) {
+	f.Set(func(t *fakes.Trouble) { *t = fakes.Trouble{Down: down, Hang: hang} })
+}
+
+func bubble(t *testing.T, name string, f func(t *testing.T, w *flaky, open func(holder string) *claim.Book)) {
 	t.Run(name, func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
-			w := newWeather(1, 0)
+			rows := fakes.NewTable()
+			w := &flaky{fakes.NewFlaky(rows, 1), rows}
 			books := map[string]*claim.Book{}
 			// Writes that wait for the table end before the test does.
-			defer func() { w.set(false, false, 0); time.Sleep(time.Minute) }()
+			defer func() { w.set(false, false); time.Sleep(time.Minute) }()
 			f(t, w, func(holder string) *claim.Book {
 				b := claim.New(claim.Config{
-					Table: w.client(func() error { return nil }), Objects: fakes.NewObjects().Client(), Holder: holder,
+					Table: w.Client(func() error { return nil }), Objects: fakes.NewObjects().Client(), Holder: holder,
 					Ask: func(_ context.Context, h, id string) (claim.Word, error) {
 						if books[h] == nil {
 							return "", errors.New("not reached")
@@ -74,7 +84,7 @@
 // TestClaims guards against work that runs twice, a lost outcome, and keys that
 // are confused with each other.
 func TestClaims(t *testing.T) {
-	bubble(t, "outcome is replayed elsewhere", func(t *testing.T, _ *weather, open func(string) *claim.Book) {
+	bubble(t, "outcome is replayed elsewhere", func(t *testing.T, _ *flaky, open func(string) *claim.Book) {
 		a, b := open("a"), open("b")
 		c := begin(t, a, work)
 		assert.NilError(t, a.Start(within(t, time.Second), c))
@@ -87,14 +97,14 @@
 		_, _, err = b.Begin(within(t, time.Second), work, digest+1)
 		wantError(t, err, fault.NotRun, fault.Reused)
 	})
-	bubble(t, "keys are separate", func(t *testing.T, _ *weather, open func(string) *claim.Book) {
+	bubble(t, "keys are separate", func(t *testing.T, _ *flaky, open func(string) *claim.Book) {
 		b := open("a")
 		for _, k := range []claim.Key{work, {"hotel", "other", "order-1"}, {"shop", "desk", "order-1"}, {"hotel", "desk/x", "y"}, {"hotel", "desk", "x/y"}, {"hotel/desk", "x", "y"}} {
 			begin(t, b, k)
 		}
 	})
-	bubble(t, "same key at once", func(t *testing.T, w *weather, open func(string) *claim.Book) {
-		w.set(false, false, 20*time.Millisecond)
+	bubble(t, "same key at once", func(t *testing.T, w *flaky, open func(string) *claim.Book) {
+		w.Set(func(t *fakes.Trouble) { t.Slow = 20 * time.Millisecond })
 		books := []*claim.Book{open("a"), open("b"), open("c")}
 		var wg sync.WaitGroup
 		var mu sync.Mutex
@@ -112,14 +122,14 @@
 		wg.Wait()
 		assert.Equal(t, won, 1)
 	})
-	bubble(t, "released work may run elsewhere", func(t *testing.T, _ *weather, open func(string) *claim.Book) {
+	bubble(t, "released work may run elsewhere", func(t *testing.T, _ *flaky, open func(string) *claim.Book) {
 		a, b := open("a"), open("b")
 		c := begin(t, a, work)
 		assert.NilError(t, a.Release(within(t, time.Second), c))
 		assert.Assert(t, a.Start(within(t, time.Second), c) != nil, "a refused claim was started")
 		begin(t, b, work)
 	})
-	bubble(t, "abandoned work never runs again", func(t *testing.T, _ *weather, open func(string) *claim.Book) {
+	bubble(t, "abandoned work never runs again", func(t *testing.T, _ *flaky, open func(string) *claim.Book) {
 		a, b := open("a"), open("b")
 		c := begin(t, a, work)
 		assert.NilError(t, a.Start(within(t, time.Second), c))
@@ -129,19 +139,19 @@
 			wantError(t, err, fault.MayHaveRun, fault.Conflict)
 		}
 	})
-	bubble(t, "holder is gone", func(t *testing.T, w *weather, open func(string) *claim.Book) {
+	bubble(t, "holder is gone", func(t *testing.T, w *flaky, open func(string) *claim.Book) {
 		begin(t, claim.New(claim.Config{Table: w.table.Client(), Holder: "dead"}), work)
 		_, _, err := open("b").Begin(within(t, time.Second), work, digest)
 		wantError(t, err, fault.MayHaveRun, fault.Conflict)
 	})
-	bubble(t, "a claim ends once", func(t *testing.T, _ *weather, open func(string) *claim.Book) {
+	bubble(t, "a claim ends once", func(t *testing.T, _ *flaky, open func(string) *claim.Book) {
 		a := open("a")
 		c := begin(t, a, work)
 		assert.NilError(t, a.Start(within(t, time.Second), c))
 		assert.NilError(t, a.Finish(within(t, time.Second), c, whole))
 		wantError(t, a.Release(within(t, time.Second), c), fault.MayHaveRun, fault.Internal)
 	})
-	bubble(t, "start after the deadline", func(t *testing.T, _ *weather, open func(string) *claim.Book) {
+	bubble(t, "start after the deadline", func(t *testing.T, _ *flaky, open func(string) *claim.Book) {
 		a := open("a")
 		ctx := within(t, time.Second)
 		c, _, err := a.Begin(ctx, work, digest)
@@ -155,7 +165,7 @@
 // known whether its row was written, and against a late write that brings a
 // refused claim back.
 func TestLostReplies(t *testing.T) {
-	bubble(t, "applied", func(t *testing.T, w *weather, open func(string) *claim.Book) {
+	bubble(t, "applied", func(t *testing.T, w *flaky, open func(string) *claim.Book) {
 		a := open("a")
 		w.table.SetFaults(fakes.Faults{Lose: 1})
 		c := begin(t, a, work)
@@ -163,25 +173,24 @@
 		assert.NilError(t, a.Start(within(t, time.Second), c))
 		assert.NilError(t, a.Finish(within(t, time.Second), c, whole))
 	})
-	bubble(t, "not applied", func(t *testing.T, w *weather, open func(string) *claim.Book) {
+	bubble(t, "not applied", func(t *testing.T, w *flaky, open func(string) *claim.Book) {
 		w.table.SetFaults(fakes.Faults{Drop: 1})
 		begin(t, open("a"), work)
 	})
-	bubble(t, "unresolved and applied late", func(t *testing.T, w *weather, open func(string) *claim.Book) {
+	bubble(t, "unresolved and applied late", func(t *testing.T, w *flaky, open func(string) *claim.Book) {
 		a, b := open("a"), open("b")
 		late := make(chan table.Batch, 1)
-		w.change = func(bt table.Batch) table.Batch {
+		w.Change = func(bt table.Batch) table.Batch {
 			late <- bt
-			w.set(false, true, 0) // from here on the table hangs
+			w.set(false, true) // from here on the table hangs
 			return table.Batch{}
 		}
-		w.lose(1)
+		w.Set(func(t *fakes.Trouble) { t.Lose = 1 })
 		_, _, err := a.Begin(within(t, time.Second), work, digest)
 		wantError(t, err, fault.NotRun, fault.Unavailable)
 		synctest.Wait()
-		w.change = same
-		w.lose(0)
-		w.set(false, false, 0)
+		w.Change = nil
+		w.set(false, false)
 		time.Sleep(commitTimeout)
 		_, err = w.table.Client().Commit(context.Background(), <-late)
 		assert.NilError(t, err)
@@ -200,11 +209,11 @@
 // TestOutage guards against claims that wait for their deadline during an
 // outage, and against an outcome that is lost because of one.
 func TestOutage(t *testing.T) {
-	bubble(t, "long", func(t *testing.T, w *weather, open func(string) *claim.Book) {
+	bubble(t, "long", func(t *testing.T, w *flaky, open func(string) *claim.Book) {
 		a, b := open("a"), open("b")
 		c := begin(t, a, work)
 		assert.NilError(t, a.Start(within(t, time.Second), c))
-		w.set(true, false, 0)
+		w.set(true, false)
 		assert.Assert(t, a.Finish(within(t, time.Second), c, whole) != nil)
 		_, o, err := a.Begin(within(t, time.Second), work, digest)
 		assert.NilError(t, err)
@@ -218,7 +227,7 @@
 			_, hasRetry := fault.RetryAt(err)
 			assert.Assert(t, hasRetry && time.Since(start) < 100*time.Millisecond)
 		}
-		w.set(false, false, 0)
+		w.set(false, false)
 		a.Settle(context.Background())
 		time.Sleep(time.Second)
 		_, _, _ = b.Begin(within(t, time.Second), work, digest) // at most one more refusal, which probes the table
@@ -227,9 +236,9 @@
 		assert.NilError(t, err)
 		assert.DeepEqual(t, *o, whole)
 	})
-	bubble(t, "hanging table", func(t *testing.T, w *weather, open func(string) *claim.Book) {
+	bubble(t, "hanging table", func(t *testing.T, w *flaky, open func(string) *claim.Book) {
 		a := open("a")
-		w.set(false, true, 0)
+		w.set(false, true)
 		at := 0
 		for i := range 200 {
 			start := time.Now()
@@ -247,7 +256,7 @@
 // TestKeeping guards against outcomes removed early, rows of paused holders
 // removed at all, and large bodies kept in rows.
 func TestKeeping(t *testing.T) {
-	bubble(t, "sweep", func(t *testing.T, w *weather, open func(string) *claim.Book) {
+	bubble(t, "sweep", func(t *testing.T, w *flaky, open func(string) *claim.Book) {
 		a := open("a")
 		c := begin(t, a, work)
 		begin(t, a, claim.Key{Key: "paused"})
@@ -265,7 +274,7 @@
 		time.Sleep(2 * time.Hour)
 		assert.Equal(t, rows(), 1)
 	})
-	bubble(t, "large body", func(t *testing.T, w *weather, _ func(string) *claim.Book) {
+	bubble(t, "large body", func(t *testing.T, w *flaky, _ func(string) *claim.Book) {
 		objects := fakes.NewObjects()
 		open := func(h string) *claim.Book {
 			return claim.New(claim.Config{Table: w.table.Client(), Objects: objects.Client(), Holder: h})
@@ -297,8 +306,8 @@
 		tk, _ := b.Issue("hotel")
 		return claim.Key{Account: "hotel", Service: "desk", Key: tk}
 	}
-	bubble(t, "once, without writes", func(t *testing.T, w *weather, open func(string) *claim.Book) {
-		w.set(true, false, 0)
+	bubble(t, "once, without writes", func(t *testing.T, w *flaky, open func(string) *claim.Book) {
+		w.set(true, false)
 		a := open("a")
 		k := key(a)
 		c := begin(t, a, k)
@@ -313,7 +322,7 @@
 		wantError(t, err, fault.NotRun, fault.Reused)
 		assert.Equal(t, w.table.Counts().Writes, uint64(0))
 	})
-	bubble(t, "other incarnation and account", func(t *testing.T, _ *weather, open func(string) *claim.Book) {
+	bubble(t, "other incarnation and account", func(t *testing.T, _ *flaky, open func(string) *claim.Book) {
 		k := key(open("a"))
 		_, _, err := open("b").Begin(within(t, time.Second), k, digest)
 		wantError(t, err, fault.MayHaveRun, fault.Conflict)
@@ -325,7 +334,7 @@
 		_, _, err = a.Begin(within(t, time.Second), k, digest)
 		wantError(t, err, fault.NotRun, fault.Invalid)
 	})
-	bubble(t, "expiry", func(t *testing.T, _ *weather, open func(string) *claim.Book) {
+	bubble(t, "expiry", func(t *testing.T, _ *flaky, open func(string) *claim.Book) {
 		a := open("a")
 		used, unused := key(a), key(a)
 		c := begin(t, a, used)
--- a/claim/random_test.go
+++ b/claim/random_test.go
@@ -82,7 +82,6 @@
 }
 
 func sound(p plan) plan {
-	p.change = same
 	p.word = func(w claim.Word, err error) (claim.Word, error) { return w, err }
 	p.verdict = func(v fault.Verdict) fault.Verdict { return v }
 	return p
@@ -91,7 +90,8 @@
 // world is the state of one run.
 type world struct {
 	plan
-	weather *weather
+	table   *fakes.Flaky
+	rows    *fakes.Table
 	runs    *runs
 	mu      sync.Mutex
 	rand    *rand.Rand
@@ -116,7 +116,7 @@
 	p := &process{name: fmt.Sprintf("entry/%d", w.made), stop: stop}
 	var n atomic.Int64
 	p.book = claim.New(claim.Config{
-		Table: w.weather.client(p.gate), Objects: fakes.NewObjects().Client(), Holder: p.name, Keep: keep, Skew: 5 * time.Second, Batch: 8,
+		Table: w.table.Client(p.gate), Objects: fakes.NewObjects().Client(), Holder: p.name, Keep: keep, Skew: 5 * time.Second, Batch: 8,
 		Rand: rand.New(rand.NewSource(w.seed)),
 		ID:   func() string { return fmt.Sprintf("%s/%d", p.name, n.Add(1)) },
 		Ask:  w.ask,
@@ -252,21 +252,25 @@
 			w.start()
 			p.kill()
 		case 3:
-			w.weather.set(w.chance(0.5), w.chance(0.3), 0)
+			down, hang := w.chance(0.5), w.chance(0.3)
+			w.table.Set(func(t *fakes.Trouble) { t.Down, t.Hang = down, hang })
 			time.Sleep(time.Duration(w.draw(20)) * time.Second)
-			w.weather.set(false, false, 0)
+			w.heal()
 		case 4:
-			w.weather.set(false, false, 2*time.Second)
+			w.table.Set(func(t *fakes.Trouble) { t.Slow = 2 * time.Second })
 		default:
-			w.weather.set(false, false, 0)
+			w.heal()
 		}
 	}
-	w.weather.set(false, false, 0)
+	w.heal()
 }
 
+// heal ends all trouble of the table but for lost replies.
+func (w *world) heal() { w.table.Set(func(t *fakes.Trouble) { *t = fakes.Trouble{Lose: w.lose} }) }
+
 // removeAll removes rows that are older than outcomes are kept.
 func (w *world) removeAll() {
-	c, seen := w.weather.table.Client(), map[string]time.Time{}
+	c, seen := w.rows.Client(), map[string]time.Time{}
 	for range 200 {
 		time.Sleep(5 * time.Second)
 		rows, _ := c.ScanAll(context.Background(), "claim/")
@@ -284,8 +288,10 @@
 
 // play runs a plan and returns what the check finds.
 func play(t *testing.T, p plan) (*world, error) {
-	w := &world{plan: p, weather: newWeather(p.seed, p.lose), runs: newRuns(), rand: rand.New(rand.NewSource(p.seed))}
-	w.weather.change = p.change
+	rows := fakes.NewTable()
+	w := &world{plan: p, rows: rows, table: fakes.NewFlaky(rows, p.seed), runs: newRuns(), rand: rand.New(rand.NewSource(p.seed))}
+	w.table.Change = p.change
+	w.heal()
 	synctest.Test(t, func(*testing.T) {
 		for range 3 {
 			w.start()
@@ -301,7 +307,7 @@
 		wg.Wait()
 		time.Sleep(4 * keep) // paused processes wake up
 		w.lose = 0
-		w.weather.lose(0)
+		w.heal()
 		w.caller(12, 0) // repeats after everything has healed
 		for _, p := range w.live() {
 			p.stop()
--- /dev/null
+++ b/fakes/flaky.go
@@ -0,0 +1,123 @@
+package fakes
+
+import (
+	"context"
+	"errors"
+	"math/rand"
+	"sync"
+	"time"
+
+	"github.com/cranberrybay/cranberrybay/table"
+)
+
+// Trouble is the state of a flaky way to the table.
+type Trouble struct {
+	Lose float64       // share of commits whose reply is lost: a third each before, after and long before they are applied
+	Slow time.Duration // calls take a random time up to this
+	Down bool          // every call fails, nothing is applied
+	Hang bool          // calls end with their context
+}
+
+// maxLate bounds how late a commit is applied whose reply was lost.
+const maxLate = 8 * time.Second
+
+// Flaky is a way to a table with faults drawn from a seed. It serves long
+// randomised runs, where Faults serve tests of single failures.
+type Flaky struct {
+	// Change is applied to each transaction, for deliberate faults. Nil for none.
+	Change func(table.Batch) table.Batch
+
+	inner   *table.Client
+	mu      sync.Mutex
+	rand    *rand.Rand
+	trouble Trouble
+}
+
+// NewFlaky returns a way to the table without trouble.
+func NewFlaky(t *Table, seed int64) *Flaky {
+	return &Flaky{inner: t.Client(), rand: rand.New(rand.NewSource(seed))}
+}
+
+// Set changes the trouble.
+func (f *Flaky) Set(change func(*Trouble)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(&f.trouble)
+}
+
+// draw returns the present trouble, a random number and a random delay.
+func (f *Flaky) draw() (Trouble, float64, time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t := f.trouble
+	return t, f.rand.Float64(), time.Duration(f.rand.Int63n(int64(t.Slow) + int64(time.Millisecond)))
+}
+
+// enter shows the faults before a call. It returns a number below 1 when the
+// reply of a commit is to be lost.
+func (f *Flaky) enter(ctx context.Context, gate func() error) (float64, error) {
+	if gate() != nil {
+		return 0, table.ErrUnavailable
+	}
+	t, n, slow := f.draw()
+	if t.Hang {
+		<-ctx.Done()
+		return 0, table.ErrUnknown
+	}
+	time.Sleep(slow)
+	if t.Down {
+		return 0, table.ErrUnavailable
+	}
+	return n / max(t.Lose, 1e-9), nil
+}
+
+// Client returns the client of one process. Each call passes through gate on
+// its way there and back: it blocks while the process is paused and fails when
+// the process is dead.
+func (f *Flaky) Client(gate func() error) *table.Client {
+	read := func(ctx context.Context, do func() ([]table.Row, error)) ([]table.Row, error) {
+		if _, err := f.enter(ctx, gate); err != nil {
+			return nil, table.ErrUnavailable
+		}
+		rows, err := do()
+		return rows, errors.Join(err, gate())
+	}
+	return table.New(table.Config{
+		Get: func(ctx context.Context, keys ...string) ([]table.Row, error) {
+			return read(ctx, func() ([]table.Row, error) { return f.inner.Get(ctx, keys...) })
+		},
+		Scan: func(ctx context.Context, prefix, after string, limit int) ([]table.Row, error) {
+			return read(ctx, func() ([]table.Row, error) { return f.inner.Scan(ctx, prefix, after, limit) })
+		},
+		Commit: func(ctx context.Context, b table.Batch) (uint64, error) { return f.commit(ctx, b, gate) },
+	})
+}
+
+func (f *Flaky) commit(ctx context.Context, b table.Batch, gate func() error) (uint64, error) {
+	n, err := f.enter(ctx, gate)
+	if err != nil {
+		return 0, err
+	}
+	if f.Change != nil {
+		b = f.Change(b)
+	}
+	// A transaction that has arrived is applied, whatever becomes of its caller.
+	apply := func() (uint64, error) { return f.inner.Commit(context.WithoutCancel(ctx), b) }
+	switch {
+	case n >= 1:
+		revision, err := apply()
+		if gate() != nil {
+			return 0, table.ErrUnknown
+		}
+		return revision, err
+	case n < 1.0/3: // lost before it was applied
+	case n < 2.0/3:
+		_, _ = apply()
+	default: // applied after reads that found nothing
+		go func() {
+			time.Sleep(time.Duration(n * float64(maxLate)))
+			_, _ = apply()
+		}()
+	}
+	return 0, table.ErrUnknown
+}
