--- /dev/null
+++ b/entry/fixture_test.go
@@ -0,0 +1,315 @@
+package entry_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cranberrybay/cranberrybay/change"
+	"github.com/cranberrybay/cranberrybay/claim"
+	"github.com/cranberrybay/cranberrybay/engine"
+	"github.com/cranberrybay/cranberrybay/entry"
+	"github.com/cranberrybay/cranberrybay/fakes"
+	"github.com/cranberrybay/cranberrybay/fleet"
+	"github.com/cranberrybay/cranberrybay/proxy"
+	"github.com/cranberrybay/cranberrybay/spec"
+	"github.com/cranberrybay/cranberrybay/table"
+)
+
+// network connects processes in memory.
+type network struct {
+	mu        sync.Mutex
+	listeners map[string]*listener
+}
+
+type listener struct {
+	net     *network
+	address string
+	conns   chan net.Conn
+	closed  chan struct{}
+	once    sync.Once
+}
+
+func (n *network) listen(address string) *listener {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l := &listener{net: n, address: address, conns: make(chan net.Conn), closed: make(chan struct{})}
+	n.listeners[address] = l
+	return l
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *listener) Close() error   { l.once.Do(func() { close(l.closed) }); return nil }
+func (l *listener) Addr() net.Addr { return &net.UnixAddr{Name: l.address} }
+
+func (n *network) dial(ctx context.Context, _, address string) (net.Conn, error) {
+	n.mu.Lock()
+	l := n.listeners[strings.TrimSuffix(address, ":80")]
+	n.mu.Unlock()
+	refused := &net.OpError{Op: "dial", Err: errors.New("connection refused")}
+	if l == nil {
+		return nil, refused
+	}
+	a, b := net.Pipe()
+	select {
+	case l.conns <- b:
+		return a, nil
+	case <-l.closed:
+		return nil, refused
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// gated is a connection of a process that may be paused or killed.
+type gated struct {
+	net.Conn
+	gate func() error
+}
+
+func (g gated) Read(b []byte) (int, error) {
+	n, err := g.Conn.Read(b)
+	if g.gate() != nil {
+		_ = g.Close()
+		return 0, errDead
+	}
+	return n, err
+}
+
+func (g gated) Write(b []byte) (int, error) {
+	if g.gate() != nil {
+		_ = g.Close()
+		return 0, errDead
+	}
+	return g.Conn.Write(b)
+}
+
+// gatedListener accepts gated connections.
+type gatedListener struct {
+	*listener
+	gate func() error
+}
+
+func (g gatedListener) Accept() (net.Conn, error) {
+	c, err := g.listener.Accept()
+	return gated{c, g.gate}, err
+}
+
+var errDead = errors.New("process is dead")
+
+// system is a set of entry processes and servers of the plain service "desk".
+type system struct {
+	*network
+	flaky    *fakes.Flaky
+	direct   *table.Client
+	services []*fakes.Service
+	mu       sync.Mutex
+	nodes    []*node
+	do       func(c *proxy.Client) func(context.Context, string, proxy.Call) (*proxy.Answer, error) // seam
+}
+
+// node is one entry process.
+type node struct {
+	name    string
+	handler *entry.Handler
+	book    *claim.Book
+	server  *http.Server
+	stop    context.CancelFunc
+	mu      sync.Mutex
+	paused  time.Time // until then
+	dead    bool
+}
+
+func (n *node) gate() error {
+	for {
+		n.mu.Lock()
+		wait, dead := time.Until(n.paused), n.dead
+		n.mu.Unlock()
+		if dead {
+			return errDead
+		}
+		if wait <= 0 {
+			return nil
+		}
+		time.Sleep(wait)
+	}
+}
+
+func (n *node) kill() {
+	n.mu.Lock()
+	n.dead = true
+	n.mu.Unlock()
+	n.stop()
+	_ = n.server.Close()
+}
+
+const documents = `[service]
+name = "desk"
+team = "desk"
+kind = "plain"
+first = "5s"
+calls = [{ method = "POST", path = "/lookup/*", idempotent = true }]
+---
+[team]
+name = "desk"
+---
+[account]
+name = "hotel"
+team = "desk"
+keys = ["` + "%s" + `"]
+services = ["desk"]
+`
+
+func newSystem(t *testing.T, seed int64, servers int) *system {
+	t.Helper()
+	rows := fakes.NewTable()
+	s := &system{network: &network{listeners: map[string]*listener{}}, flaky: fakes.NewFlaky(rows, seed), direct: rows.Client()}
+	s.do = func(c *proxy.Client) func(context.Context, string, proxy.Call) (*proxy.Answer, error) { return c.Do }
+	var files []change.File
+	for i, text := range strings.Split(fmt.Sprintf(documents, spec.HashKey("key")), "---\n") {
+		files = append(files, change.File{Path: fmt.Sprintf("%d.bay.toml", i), Text: text})
+	}
+	_, err := change.Publish(context.Background(), s.direct, "test", files)
+	assert.NilError(t, err)
+	for i := range servers {
+		sv := fakes.NewService()
+		s.services = append(s.services, sv)
+		srv := &http.Server{Handler: sv.Handler()}
+		l := s.listen(fmt.Sprintf("desk-%d", i))
+		go func() { _ = srv.Serve(l) }()
+		t.Cleanup(func() { _ = srv.Close() })
+	}
+	return s
+}
+
+// start adds an entry process.
+func (s *system) start(t *testing.T) *node {
+	t.Helper()
+	ctx, stop := context.WithCancel(context.Background())
+	s.mu.Lock()
+	n := &node{name: fmt.Sprintf("entry-%d", len(s.nodes)), stop: stop}
+	s.nodes = append(s.nodes, n)
+	s.mu.Unlock()
+	store := change.NewStore(change.StoreConfig{Table: s.direct})
+	assert.NilError(t, store.Refresh(context.Background()))
+	servers := fleet.NewTable()
+	client := proxy.New(proxy.Config{Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+		if err := n.gate(); err != nil {
+			return nil, err
+		}
+		c, err := s.dial(ctx, network, address)
+		return gated{c, n.gate}, err
+	}})
+	n.book = claim.New(claim.Config{Table: s.flaky.Client(n.gate), Holder: n.name, Ask: s.ask})
+	n.handler = entry.New(entry.Config{
+		Store: store, Fleet: servers, Engines: engine.New(engine.Config{}), Claims: n.book, Self: n.name, Forward: s.forward,
+		Services: proxy.NewPool(proxy.PoolConfig{
+			Servers: servers.Servers, Begin: servers.Begin, End: servers.End, Failed: servers.Failed, Worked: servers.Worked, Do: s.do(client),
+		}),
+		Addresses: func() entry.Addresses { return entry.Addresses{Addresses: s.addresses()} },
+	})
+	n.server = n.handler.Server()
+	go n.book.Run(ctx)
+	go s.watch(ctx, servers)
+	go func() { _ = n.server.Serve(gatedListener{s.listen(n.name), n.gate}) }()
+	t.Cleanup(n.kill)
+	return n
+}
+
+// watch keeps the table of servers fresh, as the node's watcher does.
+func (s *system) watch(ctx context.Context, servers *fleet.Table) {
+	for ctx.Err() == nil {
+		for i, sv := range s.services {
+			name := fmt.Sprintf("desk-%d", i)
+			servers.Listed(fleet.State{Name: name, Address: name, Service: "desk"})
+			servers.Reported(name, func(st *fleet.State) { st.Ready, st.Slots, st.Leaving = true, 16, sv.Leaving() })
+		}
+		select {
+		case <-time.After(500 * time.Millisecond):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (s *system) live() []*node {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []*node
+	for _, n := range s.nodes {
+		n.mu.Lock()
+		if !n.dead {
+			out = append(out, n)
+		}
+		n.mu.Unlock()
+	}
+	return out
+}
+
+func (s *system) addresses() (out []string) {
+	for _, n := range s.live() {
+		out = append(out, n.name)
+	}
+	return out
+}
+
+// peer returns a process that answers other processes.
+func (s *system) peer(name string) (*node, error) {
+	for _, n := range s.live() {
+		if n.name == name && n.gate() == nil {
+			return n, nil
+		}
+	}
+	return nil, errDead
+}
+
+func (s *system) ask(_ context.Context, holder, id string) (claim.Word, error) {
+	n, err := s.peer(holder)
+	if err != nil {
+		return claim.UnknownWord, err
+	}
+	return n.book.Answer(id), nil
+}
+
+func (s *system) forward(ctx context.Context, holder string, w entry.Work) (*proxy.Answer, bool, error) {
+	n, err := s.peer(holder)
+	if err != nil {
+		return nil, false, err
+	}
+	return n.handler.RunOnce(ctx, w)
+}
+
+// call sends a request of the account and returns the whole answer.
+func (s *system) call(ctx context.Context, address, method, path, body string, header ...string) (*http.Response, string, error) {
+	rq, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, strings.NewReader(body))
+	if err != nil {
+		return nil, "", err
+	}
+	rq.Header.Set("Authorization", "Bearer key")
+	for i := 0; i < len(header); i += 2 {
+		rq.Header.Set(header[i], header[i+1])
+	}
+	rs, err := (&http.Transport{DialContext: s.dial, DisableKeepAlives: true}).RoundTrip(rq)
+	if err != nil {
+		return nil, "", err
+	}
+	defer rs.Body.Close()
+	b, err := io.ReadAll(rs.Body)
+	return rs, string(b), err
+}
--- a/fakes/service.go
+++ b/fakes/service.go
@@ -79,6 +79,13 @@
 	s.leaving = leaving
 }
 
+// Leaving tells whether the service is leaving.
+func (s *Service) Leaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving
+}
+
 // Handler returns the HTTP interface of the service.
 func (s *Service) Handler() http.Handler {
 	m := http.NewServeMux()
@@ -173,7 +180,7 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(http.StatusCreated)
-	_, _ = fmt.Fprintf(w, "{\"order\":%d}\n", n)
+	_, _ = fmt.Fprintf(w, "{\"order\":%d,\"request\":%q}\n", n, r.Header.Get("X-Request-Id"))
 }
 
 // feed streams as many lines as the query says, one each millisecond, or the
