--- /dev/null
+++ b/cmds/process_test.go
@@ -0,0 +1,297 @@
+package cmds_test
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"github.com/cranberrybay/cranberrybay/fakes"
+	"github.com/cranberrybay/cranberrybay/spec"
+)
+
+const (
+	processKey   = "demo-key" // of the account in examples/desk
+	processToken = "operator"
+)
+
+// session runs real processes and records what callers and operators see.
+type session struct {
+	t        *testing.T
+	program  string
+	dir      string
+	platform string
+	service  string
+	log      strings.Builder
+}
+
+var volatile = []struct {
+	pattern *regexp.Regexp
+	with    string
+}{
+	{regexp.MustCompile(`127\.0\.0\.1:\d+`), "ADDRESS"},
+	{regexp.MustCompile(`[0-9a-f]{8}-[0-9a-f-]{27}`), "ID"},
+	{regexp.MustCompile(`\d{4}-\d\d-\d\dT[0-9:.]+Z`), "TIME"},
+}
+
+func (s *session) say(format string, args ...any) {
+	text := fmt.Sprintf(format, args...)
+	for _, v := range volatile {
+		text = v.pattern.ReplaceAllString(text, v.with)
+	}
+	fmt.Fprintln(&s.log, strings.TrimRight(text, "\n"))
+}
+
+// start starts a process, which the test kills at its end if it still runs.
+func (s *session) start(args ...string) (*exec.Cmd, io.Reader) {
+	s.t.Helper()
+	c := exec.Command(s.program, args...)
+	errOut, err := os.Create(filepath.Join(s.dir, fmt.Sprintf("%s-%d.log", args[0], time.Now().UnixNano())))
+	assert.NilError(s.t, err)
+	c.Stderr = errOut
+	out, err := c.StdoutPipe()
+	assert.NilError(s.t, err)
+	assert.NilError(s.t, c.Start())
+	s.t.Cleanup(func() {
+		_ = c.Process.Kill()
+		_ = c.Wait()
+		if s.t.Failed() {
+			text, _ := os.ReadFile(errOut.Name())
+			s.t.Logf("%v:\n%s", args, text)
+		}
+	})
+	return c, out
+}
+
+// standin starts a stand-in and returns its address.
+func (s *session) standin(args ...string) string {
+	s.t.Helper()
+	_, out := s.start(append([]string{"standin"}, append(args, "--listen", "127.0.0.1:0")...)...)
+	line, err := bufio.NewReader(out).ReadString('\n')
+	assert.NilError(s.t, err)
+	return strings.TrimPrefix(strings.TrimSpace(line), "listening on ")
+}
+
+func (s *session) put(address, path string, body any) {
+	s.t.Helper()
+	b, err := json.Marshal(body)
+	assert.NilError(s.t, err)
+	rq, err := http.NewRequest("PUT", "http://"+address+path, bytes.NewReader(b))
+	assert.NilError(s.t, err)
+	rs, err := http.DefaultClient.Do(rq)
+	assert.NilError(s.t, err)
+	assert.NilError(s.t, rs.Body.Close())
+	assert.Equal(s.t, rs.StatusCode, 200)
+}
+
+// process is one entry process.
+type process struct {
+	name, callers, admin string
+	cmd                  *exec.Cmd
+}
+
+func free(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (s *session) serve(name string) *process {
+	s.t.Helper()
+	p := &process{name: name, callers: free(s.t), admin: free(s.t)}
+	path := filepath.Join(s.dir, name+".toml")
+	text := fmt.Sprintf("name = %q\ndomain = \"thamel\"\nregion = \"bagmati\"\ntoken = %q\n[listen]\ncallers = %q\nadmin = %q\nlinger = \"300ms\"\n[platform]\naddress = %q\n",
+		name, spec.HashKey(processToken), p.callers, p.admin, s.platform)
+	assert.NilError(s.t, os.WriteFile(path, []byte(text), 0o600))
+	p.cmd, _ = s.start("serve", "--config", path)
+	return p
+}
+
+func (s *session) command(args ...string) string {
+	s.t.Helper()
+	out, err := exec.Command(s.program, args...).CombinedOutput()
+	assert.NilError(s.t, err, string(out))
+	return string(out)
+}
+
+// until waits for a condition, at most 5 s.
+func (s *session) until(what string, ok func() bool) {
+	s.t.Helper()
+	for end := time.Now().Add(5 * time.Second); !ok(); time.Sleep(20 * time.Millisecond) {
+		assert.Assert(s.t, time.Now().Before(end), "waited 5 s: %s", what)
+	}
+}
+
+// ready waits until the process serves the configuration and every server.
+func (s *session) ready(p *process) {
+	s.t.Helper()
+	s.until(p.name+" is ready", func() bool {
+		out, err := exec.Command(s.program, "status", "--address", p.admin, "--token", processToken).CombinedOutput()
+		return err == nil && strings.Contains(string(out), "version 1") && strings.Count(string(out), "ready true") == 4
+	})
+}
+
+// client is a caller that opens a connection for each request.
+var client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 15 * time.Second}
+
+func (p *process) request(method, path, body, key string) (*http.Response, error) {
+	rq, err := http.NewRequest(method, "http://"+p.callers+path, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	rq.Header.Set("Authorization", "Bearer "+processKey)
+	if key != "" {
+		rq.Header.Set("Idempotency-Key", key)
+	}
+	return client.Do(rq)
+}
+
+// order places an order and records the answer.
+func (s *session) order(p *process, body, key string) {
+	rs, err := p.request("POST", "/services/desk/orders", body, key)
+	if err != nil {
+		s.say("%s: order %q: no answer", p.name, body)
+		return
+	}
+	defer rs.Body.Close()
+	b, _ := io.ReadAll(rs.Body)
+	s.say("%s: order %q: %d replayed=%q %s", p.name, body, rs.StatusCode, rs.Header.Get("Idempotent-Replayed"), b)
+}
+
+// ask streams an answer, calls mid after some tokens, and records whether the
+// answer is whole.
+func (s *session) ask(p *process, content string, mid func()) {
+	s.t.Helper()
+	rs, err := p.request("POST", "/v1/chat/completions", fmt.Sprintf(`{"model":"assistant","stream":true,"messages":[{"role":"user","content":%q}]}`, content), "")
+	assert.NilError(s.t, err)
+	defer rs.Body.Close()
+	var text strings.Builder
+	end := "cut off"
+	sc := bufio.NewScanner(rs.Body)
+	for n := 0; sc.Scan(); {
+		data, ok := strings.CutPrefix(sc.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			end = "whole"
+			break
+		}
+		var chunk struct {
+			Choices []struct{ Delta struct{ Content string } }
+		}
+		assert.NilError(s.t, json.Unmarshal([]byte(data), &chunk))
+		for _, c := range chunk.Choices {
+			text.WriteString(c.Delta.Content)
+		}
+		if n++; n == 10 && mid != nil {
+			mid()
+		}
+	}
+	if text.String() != fakes.Expected("lights", "user: "+content+"\n", 24, 16384) {
+		end = "wrong text"
+	}
+	s.say("%s: answer to %q: %d, %d tokens, %s", p.name, content, rs.StatusCode, len(strings.Fields(text.String())), end)
+}
+
+// TestProcesses guards the whole path with real processes: publishing, answers
+// through each entry process, an order placed twice, a process that is paused,
+// killed and replaced with an order in flight, and one that drains while an
+// answer streams through it.
+func TestProcesses(t *testing.T) {
+	dir := t.TempDir()
+	s := &session{t: t, dir: dir, program: filepath.Join(dir, "cranberrybay")}
+	out, err := exec.Command("go", "build", "-o", s.program, "../cmd/cranberrybay").CombinedOutput()
+	assert.NilError(t, err, string(out))
+	begin := time.Now()
+	s.platform = s.standin("platform")
+	vm := func(name, address, service string) {
+		s.put(s.platform, "/vms", map[string]any{"name": name, "address": address, "domain": "thamel", "service": service})
+	}
+	for i := range 3 {
+		vm(fmt.Sprintf("engine-%d", i), s.standin("engine", "--model", "lights", "--first", fmt.Sprint(i*8), "--last", fmt.Sprint(i*8+8)), "assistant")
+	}
+	s.service = s.standin("service")
+	vm("desk-1", s.service, "desk")
+	one, two := s.serve("entry-1"), s.serve("entry-2")
+	s.until("entry-1 listens", func() bool {
+		c, err := net.Dial("tcp", one.admin)
+		if err == nil {
+			_ = c.Close()
+		}
+		return err == nil
+	})
+	s.say("publish: %s", s.command("publish", "--address", one.admin, "--token", processToken, "--author", "operator", "../examples"))
+	s.ready(one)
+	s.ready(two)
+	s.ask(one, "the tube flickers", nil)
+	s.ask(two, "the sign hums", nil)
+	s.order(one, "refill", "order-1")
+	s.order(two, "refill", "order-1")
+	s.order(two, "another", "order-1")
+
+	s.say("SIGSTOP entry-1 with an order in flight")
+	s.put(s.service, "/faults", fakes.ServiceFaults{Delay: 300 * time.Millisecond})
+	inFlight := func(body, key string, with syscall.Signal) chan struct{} {
+		done := make(chan struct{})
+		go func() { s.order(one, body, key); close(done) }()
+		time.Sleep(150 * time.Millisecond)
+		assert.NilError(t, one.cmd.Process.Signal(with))
+		return done
+	}
+	done := inFlight("paused", "order-2", syscall.SIGSTOP)
+	time.Sleep(500 * time.Millisecond)
+	s.order(two, "paused", "order-2")
+	assert.NilError(t, one.cmd.Process.Signal(syscall.SIGCONT))
+	<-done
+	s.order(two, "paused", "order-2")
+
+	s.say("SIGKILL entry-1 with an order in flight")
+	<-inFlight("killed", "order-3", syscall.SIGKILL)
+	time.Sleep(500 * time.Millisecond)
+	s.order(two, "killed", "order-3")
+	s.put(s.service, "/faults", fakes.ServiceFaults{})
+	one = s.serve("entry-1")
+	s.ready(one)
+	s.order(one, "killed", "order-3")
+	s.order(one, "refill", "order-1")
+
+	s.say("drain entry-2 while an answer streams through it")
+	s.ask(two, "a long diagnosis, words=200", func() {
+		s.say("drain: %s", s.command("drain", "--address", two.admin, "--token", processToken))
+		rs, err := two.request("GET", "/readyz", "", "")
+		assert.NilError(t, err)
+		assert.NilError(t, rs.Body.Close())
+		s.say("entry-2: readyz: %d", rs.StatusCode)
+		s.order(two, "late", "order-4")
+	})
+	state, err := two.cmd.Process.Wait()
+	assert.NilError(t, err)
+	assert.Equal(t, state.ExitCode(), 0)
+	s.order(one, "late", "order-4")
+	rs, err := http.Get("http://" + s.service + "/orders")
+	assert.NilError(t, err)
+	defer rs.Body.Close()
+	var ran []fakes.Order
+	assert.NilError(t, json.NewDecoder(rs.Body).Decode(&ran))
+	for _, o := range ran {
+		s.say("the service ran %q", o.Body)
+	}
+	golden.Assert(t, s.log.String(), "session.golden")
+	assert.Assert(t, time.Since(begin) < 30*time.Second)
+}
--- /dev/null
+++ b/entry/bench_test.go
@@ -0,0 +1,61 @@
+package entry_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
+	"net/url"
+	"testing"
+
+	"github.com/cranberrybay/cranberrybay/fakes"
+	"github.com/cranberrybay/cranberrybay/fleet"
+	"github.com/cranberrybay/cranberrybay/proxy"
+
+	"github.com/cranberrybay/cranberrybay/entry"
+)
+
+// discard is a response writer without a connection.
+type discard struct{ header http.Header }
+
+func (d *discard) Header() http.Header         { return d.header }
+func (d *discard) Write(b []byte) (int, error) { return len(b), nil }
+func (d *discard) WriteHeader(int)             {}
+func (d *discard) Flush()                      {}
+
+// BenchmarkPassThrough measures a lookup through the whole handler against a
+// bare ReverseProxy in front of the same server, which knows no accounts, no
+// verdicts, no balancing and no retries. Both figures contain the cost of the
+// server, which runs in this process.
+func BenchmarkPassThrough(b *testing.B) {
+	sv := httptest.NewServer(fakes.NewService().Handler())
+	defer sv.Close()
+	target, _ := url.Parse(sv.URL)
+	servers := fleet.NewTable()
+	servers.Listed(fleet.State{Name: "desk", Address: target.Host, Service: "desk"})
+	servers.Reported("desk", func(s *fleet.State) { s.Ready, s.Slots = true, 16 })
+	h := entry.New(entry.Config{
+		Store: newSystem(b, 1, 0).store(b), Fleet: servers, Services: proxy.PoolOf(servers, proxy.New(proxy.Config{})),
+		Addresses: func() entry.Addresses { return entry.Addresses{} },
+	})
+	bare := httputil.NewSingleHostReverseProxy(target)
+	bare.Transport = &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}
+	for name, c := range map[string]struct {
+		handler http.Handler
+		method  string
+		path    string
+	}{
+		"bare/lookup":  {bare, "GET", "/archive/x"},
+		"bare/order":   {bare, "POST", "/orders"},
+		"entry/lookup": {h.Server().Handler, "GET", "/services/desk/archive/x"},
+		"entry/order":  {h.Server().Handler, "POST", "/services/desk/orders"},
+	} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				rq, _ := http.NewRequest(c.method, c.path, nil)
+				rq.Header.Set("Authorization", "Bearer key")
+				c.handler.ServeHTTP(&discard{http.Header{}}, rq)
+			}
+		})
+	}
+}
--- a/entry/fixture_test.go
+++ b/entry/fixture_test.go
@@ -177,7 +177,7 @@
 services = ["desk"]
 `
 
-func newSystem(t *testing.T, seed int64, servers int) *system {
+func newSystem(t testing.TB, seed int64, servers int) *system {
 	t.Helper()
 	rows := fakes.NewTable()
 	s := &system{network: &network{listeners: map[string]*listener{}}, flaky: fakes.NewFlaky(rows, seed), direct: rows.Client()}
@@ -199,6 +199,14 @@
 	return s
 }
 
+// store returns a store with the configuration in effect.
+func (s *system) store(t testing.TB) *change.Store {
+	t.Helper()
+	store := change.NewStore(change.StoreConfig{Table: s.direct})
+	assert.NilError(t, store.Refresh(context.Background()))
+	return store
+}
+
 // start adds an entry process.
 func (s *system) start(t *testing.T) *node {
 	t.Helper()
@@ -207,8 +215,6 @@
 	n := &node{name: fmt.Sprintf("entry-%d", len(s.nodes)), stop: stop}
 	s.nodes = append(s.nodes, n)
 	s.mu.Unlock()
-	store := change.NewStore(change.StoreConfig{Table: s.direct})
-	assert.NilError(t, store.Refresh(context.Background()))
 	servers := fleet.NewTable()
 	client := proxy.New(proxy.Config{Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
 		if err := n.gate(); err != nil {
@@ -219,7 +225,7 @@
 	}})
 	n.book = claim.New(claim.Config{Table: s.flaky.Client(n.gate), Holder: n.name, Ask: s.ask})
 	n.handler = entry.New(entry.Config{
-		Store: store, Fleet: servers, Engines: engine.New(engine.Config{}), Claims: n.book, Self: n.name, Forward: s.forward,
+		Store: s.store(t), Fleet: servers, Engines: engine.New(engine.Config{}), Claims: n.book, Self: n.name, Forward: s.forward,
 		Services: proxy.NewPool(proxy.PoolConfig{
 			Servers: servers.Servers, Begin: servers.Begin, End: servers.End, Failed: servers.Failed, Worked: servers.Worked, Do: s.do(client),
 		}),
