--- a/entry/random_test.go
+++ b/entry/random_test.go
@@ -40,6 +40,8 @@
 	mu        sync.Mutex
 	rand      *rand.Rand
 	answers   []told
+	drains    int            // planned stops
+	busy      int            // of them with requests in flight
 	cut       []string       // answers cut off by a process that was only drained
 	unplanned map[*node]bool // killed, or paused: net/http closes connections that are 5 s old and whose first request it has not read
 }
@@ -157,6 +159,10 @@
 func (r *trial) drain() {
 	n := r.node()
 	r.start(r.t)
+	r.drains++
+	if n.handler.Inflight() > 0 {
+		r.busy++
+	}
 	if r.abrupt {
 		_ = n.server.Close()
 		return
@@ -245,10 +251,12 @@
 		for _, a := range r.answers {
 			count[a.verdict]++
 		}
+		count["drains"] += r.drains
+		count["drains with requests in flight"] += r.busy
 	})
 	t.Log(count)
-	for _, v := range []fault.Verdict{fault.Ran, fault.NotRun, fault.MayHaveRun} {
-		assert.Assert(t, count[v.String()] > 20, "the runs hardly reach %s: %v", v, count)
+	for v, least := range map[string]int{"ran": 100, "not-run": 20, "may-have-run": 20, "drains with requests in flight": 3} {
+		assert.Assert(t, count[v] > least, "the runs hardly reach %s: %v", v, count)
 	}
 }
 
