fakes: Gate, a process that is paused or killed

The randomised runs of claims and of whole entry processes each had a copy of the same switch. It is now a stand-in of its own, with connections and a listener that wait while the process is paused.

--- a/claim/random_test.go
+++ b/claim/random_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"math/rand"
 	"sync"
@@ -24,48 +23,10 @@
 // process is one incarnation of an entry process. While it is paused, each of
 // its calls of a port blocks, as all of its goroutines would.
 type process struct {
-	book  *claim.Book
-	name  string
-	mu    sync.Mutex
-	until time.Time // paused
-	dead  bool
-	stop  context.CancelFunc
-}
-
-var errDead = errors.New("process is dead")
-
-func (p *process) gate() error {
-	for {
-		p.mu.Lock()
-		wait, dead := time.Until(p.until), p.dead
-		p.mu.Unlock()
-		if dead {
-			return errDead
-		}
-		if wait <= 0 {
-			return nil
-		}
-		time.Sleep(wait)
-	}
-}
-
-func (p *process) pause(d time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.until = time.Now().Add(d)
-}
-
-func (p *process) kill() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.dead = true
-	p.stop()
-}
-
-func (p *process) state() (dead, paused bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.dead, time.Now().Before(p.until)
+	fakes.Gate
+	book *claim.Book
+	name string
+	stop context.CancelFunc
 }
 
 // plan is one randomised run. The functions are seams for deliberate faults.
@@ -116,7 +77,7 @@
 	p := &process{name: fmt.Sprintf("entry/%d", w.made), stop: stop}
 	var n atomic.Int64
 	p.book = claim.New(claim.Config{
-		Table: w.table.Client(p.gate), Objects: fakes.NewObjects().Client(), Holder: p.name, Keep: keep, Skew: 5 * time.Second, Batch: 8,
+		Table: w.table.Client(p.Pass), Objects: fakes.NewObjects().Client(), Holder: p.name, Keep: keep, Skew: 5 * time.Second, Batch: 8,
 		Rand: rand.New(rand.NewSource(w.seed)),
 		ID:   func() string { return fmt.Sprintf("%s/%d", p.name, n.Add(1)) },
 		Ask:  w.ask,
@@ -131,7 +92,7 @@
 	defer w.mu.Unlock()
 	var out []*process
 	for _, p := range w.fleet {
-		if dead, _ := p.state(); !dead {
+		if !p.Killed() {
 			out = append(out, p)
 		}
 	}
@@ -142,14 +103,14 @@
 func (w *world) ask(ctx context.Context, holder, id string) (claim.Word, error) {
 	for _, p := range w.live() {
 		if p.name == holder {
-			if _, paused := p.state(); paused || w.chance(0.05) {
+			if p.Paused() || w.chance(0.05) {
 				<-ctx.Done()
 				return w.word(claim.UnknownWord, ctx.Err())
 			}
 			return w.word(p.book.Answer(id), nil)
 		}
 	}
-	return w.word(claim.UnknownWord, errDead)
+	return w.word(claim.UnknownWord, fakes.ErrKilled)
 }
 
 // serve is one call of a plain service as the proxy reports it.
@@ -171,7 +132,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	end := func(v fault.Verdict, body string) answer {
-		if p.gate() == nil { // a dead process answers nothing
+		if p.Pass() == nil { // a dead process answers nothing
 			a.verdict, a.body, a.at = v, body, time.Now()
 		}
 		return a
@@ -185,16 +146,16 @@
 		return end(fault.Ran, string(o.Body))
 	}
 	if w.chance(0.1) { // paused between the claim and its use
-		p.pause(time.Duration(w.draw(w.draw(400)+1)) * time.Second)
+		p.Pause(time.Duration(w.draw(w.draw(400)+1)) * time.Second)
 	}
-	if p.gate() != nil {
+	if p.Pass() != nil {
 		return a
 	}
 	if err = p.book.Start(ctx, c); err == nil {
 		if w.chance(0.1) { // paused between the start and the first byte
-			p.pause(time.Duration(w.draw(w.draw(400)+1)) * time.Second)
+			p.Pause(time.Duration(w.draw(w.draw(400)+1)) * time.Second)
 		}
-		if p.gate() != nil {
+		if p.Pass() != nil {
 			return a
 		}
 		var got claim.Outcome
@@ -202,7 +163,7 @@
 			o = &got
 		}
 	}
-	if p.gate() != nil {
+	if p.Pass() != nil {
 		return a
 	}
 	ctx, cancel = context.WithTimeout(context.Background(), 2*time.Second)
@@ -245,12 +206,13 @@
 		live := w.live()
 		switch p := live[w.draw(len(live))]; w.draw(6) {
 		case 0:
-			p.pause(time.Duration(w.draw(4)*w.draw(30)) * time.Second)
+			p.Pause(time.Duration(w.draw(4)*w.draw(30)) * time.Second)
 		case 1:
-			p.pause(3 * keep) // longer than outcomes are kept
+			p.Pause(3 * keep) // longer than outcomes are kept
 		case 2:
 			w.start()
-			p.kill()
+			p.Kill()
+			p.stop()
 		case 3:
 			down, hang := w.chance(0.5), w.chance(0.3)
 			w.table.Set(func(t *fakes.Trouble) { t.Down, t.Hang = down, hang })
--- a/entry/fixture_test.go
+++ b/entry/fixture_test.go
@@ -78,42 +78,6 @@
 	}
 }
 
-// gated is a connection of a process that may be paused or killed.
-type gated struct {
-	net.Conn
-	gate func() error
-}
-
-func (g gated) Read(b []byte) (int, error) {
-	n, err := g.Conn.Read(b)
-	if g.gate() != nil {
-		_ = g.Close()
-		return 0, errDead
-	}
-	return n, err
-}
-
-func (g gated) Write(b []byte) (int, error) {
-	if g.gate() != nil {
-		_ = g.Close()
-		return 0, errDead
-	}
-	return g.Conn.Write(b)
-}
-
-// gatedListener accepts gated connections.
-type gatedListener struct {
-	*listener
-	gate func() error
-}
-
-func (g gatedListener) Accept() (net.Conn, error) {
-	c, err := g.listener.Accept()
-	return gated{c, g.gate}, err
-}
-
-var errDead = errors.New("process is dead")
-
 // system is a set of entry processes and servers of the plain service "desk".
 type system struct {
 	*network
@@ -127,35 +91,16 @@
 
 // node is one entry process.
 type node struct {
+	fakes.Gate
 	name    string
 	handler *entry.Handler
 	book    *claim.Book
 	server  *http.Server
 	stop    context.CancelFunc
-	mu      sync.Mutex
-	paused  time.Time // until then
-	dead    bool
-}
-
-func (n *node) gate() error {
-	for {
-		n.mu.Lock()
-		wait, dead := time.Until(n.paused), n.dead
-		n.mu.Unlock()
-		if dead {
-			return errDead
-		}
-		if wait <= 0 {
-			return nil
-		}
-		time.Sleep(wait)
-	}
 }
 
 func (n *node) kill() {
-	n.mu.Lock()
-	n.dead = true
-	n.mu.Unlock()
+	n.Kill()
 	n.stop()
 	_ = n.server.Close()
 }
@@ -217,13 +162,13 @@
 	s.mu.Unlock()
 	servers := fleet.NewTable()
 	client := proxy.New(proxy.Config{Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
-		if err := n.gate(); err != nil {
+		if err := n.Pass(); err != nil {
 			return nil, err
 		}
 		c, err := s.dial(ctx, network, address)
-		return gated{c, n.gate}, err
+		return n.Conn(c), err
 	}})
-	n.book = claim.New(claim.Config{Table: s.flaky.Client(n.gate), Holder: n.name, Ask: s.ask})
+	n.book = claim.New(claim.Config{Table: s.flaky.Client(n.Pass), Holder: n.name, Ask: s.ask})
 	n.handler = entry.New(entry.Config{
 		Store: s.store(t), Fleet: servers, Engines: engine.New(engine.Config{}), Claims: n.book, Self: n.name, Forward: s.forward,
 		Services: proxy.NewPool(proxy.PoolConfig{
@@ -234,7 +179,7 @@
 	n.server = n.handler.Server()
 	go n.book.Run(ctx)
 	go s.watch(ctx, servers)
-	go func() { _ = n.server.Serve(gatedListener{s.listen(n.name), n.gate}) }()
+	go func() { _ = n.server.Serve(n.Listener(s.listen(n.name))) }()
 	t.Cleanup(n.kill)
 	return n
 }
@@ -259,11 +204,9 @@
 	defer s.mu.Unlock()
 	var out []*node
 	for _, n := range s.nodes {
-		n.mu.Lock()
-		if !n.dead {
+		if !n.Killed() {
 			out = append(out, n)
 		}
-		n.mu.Unlock()
 	}
 	return out
 }
@@ -278,11 +221,11 @@
 // peer returns a process that answers other processes.
 func (s *system) peer(name string) (*node, error) {
 	for _, n := range s.live() {
-		if n.name == name && n.gate() == nil {
+		if n.name == name && n.Pass() == nil {
 			return n, nil
 		}
 	}
-	return nil, errDead
+	return nil, fakes.ErrKilled
 }
 
 func (s *system) ask(_ context.Context, holder, id string) (claim.Word, error) {
--- a/entry/random_test.go
+++ b/entry/random_test.go
@@ -130,9 +130,7 @@
 			r.mu.Lock()
 			r.unplanned[n] = true
 			r.mu.Unlock()
-			n.mu.Lock()
-			n.paused = time.Now().Add(d)
-			n.mu.Unlock()
+			n.Pause(d)
 		case 2:
 			sv.SetFaults(fakes.ServiceFaults{Drop: r.draw(4), Lose: r.draw(3), Cut: r.draw(3), Fail: r.draw(2)})
 		case 3:
