entry: 408 for slow headers, bounded writes to callers

net/http closes a connection whose header arrives too slowly without a word, and a caller that stops reading a streamed chat answer could hold a draining process until the stop timeout. Callers' connections now answer such a header with 408 and a problem document, and bound each write to 1 min, for every handler. A claim that is ended against I3 or I4 is logged as an error.

TestSlowReader drains within a minute; TestBadInput covers the header.

--- a/cmds/process_test.go
+++ b/cmds/process_test.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"regexp"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -36,6 +37,7 @@
 	dir      string
 	platform string
 	service  string
+	mu       sync.Mutex
 	log      strings.Builder
 }
 
@@ -53,6 +55,8 @@
 	for _, v := range volatile {
 		text = v.pattern.ReplaceAllString(text, v.with)
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	fmt.Fprintln(&s.log, strings.TrimRight(text, "\n"))
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -68,7 +68,7 @@
 	gin.SetMode(gin.ReleaseMode)
 	h := &Handler{cfg: cfg, flow: newFlow(), engine: gin.New()}
 	h.engine.RedirectTrailingSlash = false // paths of services are passed on as they are
-	h.engine.Use(h.recover, h.checkHeader)
+	h.engine.Use(h.handling, h.recover, h.checkHeader)
 	h.engine.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
 	h.engine.GET("/readyz", h.ready)
 	h.engine.GET("/addresses", func(c *gin.Context) { c.JSON(http.StatusOK, cfg.Addresses()) })
@@ -103,9 +103,10 @@
 	c.Next()
 }
 
-// Server returns an HTTP server with bounds on headers and slow callers.
+// Server returns an HTTP server with bounds on headers and slow callers. It
+// serves on a Listener.
 func (h *Handler) Server() *http.Server {
-	return &http.Server{Handler: h.engine, ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 2 * maxHeader, IdleTimeout: time.Minute}
+	return &http.Server{Handler: h.engine, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: 2 * maxHeader, ConnContext: withConn, IdleTimeout: time.Minute}
 }
 
 func (h *Handler) ready(c *gin.Context) {
--- /dev/null
+++ b/entry/listen.go
@@ -0,0 +1,94 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"github.com/cranberrybay/cranberrybay/fault"
+)
+
+const (
+	// headerTimeout bounds the reading of a request's header.
+	headerTimeout = 5 * time.Second
+	// writeTimeout bounds each write to a caller, so that one that does not
+	// read can't keep a leaving process from stopping. It is not a bound on the
+	// whole answer.
+	writeTimeout = time.Minute
+)
+
+// Listener returns a listener for callers. Its connections bound each write,
+// and answer a header that arrives too slowly with 408, where net/http closes
+// the connection without a word.
+func Listener(l net.Listener) net.Listener { return callerListener{l} }
+
+type callerListener struct{ net.Listener }
+
+func (l callerListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &callerConn{Conn: c}, nil
+}
+
+// callerConn is a connection of a caller.
+type callerConn struct {
+	net.Conn
+	busy   atomic.Bool // a handler runs
+	header atomic.Bool // a part of a header has arrived and no handler runs
+}
+
+// Read reads and notes whether the bytes belong to a header.
+func (c *callerConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if c.busy.Load() {
+		return n, err
+	}
+	if n > 0 {
+		c.header.Store(true)
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.header.Swap(false) {
+		p, _ := json.Marshal(fault.ProblemOf(refusal(fault.Slow, fmt.Sprintf("the header did not arrive within %s", headerTimeout), nil)))
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 408 Request Timeout\r\nContent-Type: application/problem+json\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", len(p), p)
+		_ = c.Close() // net/http would take what it has read for a whole line
+	}
+	return n, err
+}
+
+// Write writes within a bounded time.
+func (c *callerConn) Write(b []byte) (int, error) {
+	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
+	return c.Conn.Write(b)
+}
+
+type connKey struct{}
+
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	if cc, ok := c.(*callerConn); ok {
+		return context.WithValue(ctx, connKey{}, cc)
+	}
+	return ctx
+}
+
+// handling marks the connection while a handler runs: what is read then belongs
+// to a body.
+func (h *Handler) handling(c *gin.Context) {
+	cc, ok := c.Request.Context().Value(connKey{}).(*callerConn)
+	if !ok {
+		return
+	}
+	cc.busy.Store(true)
+	defer func() {
+		cc.header.Store(false)
+		cc.busy.Store(false)
+	}()
+	c.Next()
+}
--- a/entry/once.go
+++ b/entry/once.go
@@ -125,7 +125,17 @@
 	if fault.Of(err) == fault.NotRun {
 		end = h.cfg.Claims.Release
 	}
-	if err := end(ctx, cl); err != nil {
+	h.recorded(end(ctx, cl))
+}
+
+// recorded logs why the end of a claim is not recorded. The table is tried again
+// in the background, unless the claim was ended in a way that breaks I3 or I4.
+func (h *Handler) recorded(err error) {
+	var fe *fault.Error
+	switch {
+	case errors.As(err, &fe) && fe.Code() == fault.Internal:
+		h.cfg.Log.Error().Err(err).Msg("invariant of a claim does not hold")
+	case err != nil:
 		h.cfg.Log.Warn().Err(err).Msg("end of a claim is not recorded yet")
 	}
 }
@@ -147,9 +157,7 @@
 	}
 	rctx, rcancel := after(ctx)
 	defer rcancel()
-	if err := h.cfg.Claims.Finish(rctx, cl, o); err != nil {
-		h.cfg.Log.Warn().Err(err).Msg("outcome of a claim is not recorded yet")
-	}
+	h.recorded(h.cfg.Claims.Finish(rctx, cl, o))
 	if whole {
 		_ = a.Body.Close()
 		cancel()
--- a/entry/service.go
+++ b/entry/service.go
@@ -102,12 +102,8 @@
 	return keys[0], nil
 }
 
-const (
-	chunk = 32 << 10
-	// writeTimeout bounds the writing of one chunk to a caller that does not
-	// read, so that it can't keep a leaving process from stopping.
-	writeTimeout = time.Minute
-)
+// chunk is the size of the parts in which answers are passed on.
+const chunk = 32 << 10
 
 var chunks = sync.Pool{New: func() any { b := make([]byte, chunk); return &b }}
 
@@ -120,7 +116,6 @@
 	for k, v := range a.Header {
 		out[k] = v
 	}
-	rc := http.NewResponseController(c.Writer)
 	streamed := len(a.Header["Content-Length"]) == 0 && c.Request.Method != http.MethodHead
 	c.Status(a.Status)
 	if streamed {
@@ -131,7 +126,6 @@
 	for {
 		n, err := a.Body.Read(*b)
 		if n > 0 {
-			_ = rc.SetWriteDeadline(time.Now().Add(writeTimeout))
 			if _, werr := c.Writer.Write((*b)[:n]); werr != nil {
 				return
 			}
@@ -152,5 +146,4 @@
 		}
 	}
 	c.Writer.WriteHeaderNow()
-	_ = rc.SetWriteDeadline(time.Time{})
 }
--- a/node/node.go
+++ b/node/node.go
@@ -117,12 +117,12 @@
 // the callers' listener closes when the process is drained, and the operators'
 // listener after it.
 func listen(lc fx.Lifecycle, s Settings, e *entry.Handler, d *drainer, a *admin.Handler, log zerolog.Logger) {
-	serveOn(lc, "admin", s.Listen.Admin, a.Server(), func(context.Context) {}, log)
-	serveOn(lc, "callers", s.Listen.Callers, e.Server(), d.wait, log)
+	serveOn(lc, "admin", s.Listen.Admin, a.Server(), func(l net.Listener) net.Listener { return l }, func(context.Context) {}, log)
+	serveOn(lc, "callers", s.Listen.Callers, e.Server(), entry.Listener, d.wait, log)
 }
 
 // serveOn opens a listener. At a stop it calls wait before it shuts down.
-func serveOn(lc fx.Lifecycle, name, address string, srv *http.Server, wait func(context.Context), log zerolog.Logger) {
+func serveOn(lc fx.Lifecycle, name, address string, srv *http.Server, wrap func(net.Listener) net.Listener, wait func(context.Context), log zerolog.Logger) {
 	lc.Append(fx.Hook{
 		OnStart: func(ctx context.Context) error {
 			var c net.ListenConfig
@@ -131,7 +131,7 @@
 				return fmt.Errorf("listen for %s on %s: %w", name, address, err)
 			}
 			go func() {
-				if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+				if err := srv.Serve(wrap(l)); !errors.Is(err, http.ErrServerClosed) {
 					log.Error().Err(err).Str("listener", name).Msg("listener ended")
 				}
 			}()
