--- a/spec/types.go
+++ b/spec/types.go
@@ -1,6 +1,8 @@
 package spec
 
 import (
+	"regexp"
+	"slices"
 	"strings"
 	"time"
 )
@@ -160,3 +162,31 @@
 
 // Readers returns the hashes of the credentials that may read.
 func (t *Team) Readers() []string { return t.file.Readers }
+
+// Credential is what a credential allows in a team.
+type Credential struct {
+	Team     string
+	Operator bool // false for a reader
+}
+
+// Credentials returns the teams that the hash of a credential belongs to, by
+// name of the team.
+func (t *Tree) Credentials(hash string) []Credential {
+	var out []Credential
+	for _, m := range t.Teams() {
+		if slices.Contains(m.Operators(), hash) {
+			out = append(out, Credential{Team: m.Name(), Operator: true})
+		} else if slices.Contains(m.Readers(), hash) {
+			out = append(out, Credential{Team: m.Name()})
+		}
+	}
+	return out
+}
+
+var secretPattern = regexp.MustCompile(`sha256:[0-9a-f]{8,}`)
+
+// Mask shortens the hashes of keys and credentials in the text of a document
+// to 8 digits: enough to tell two apart, too few to test guesses against.
+func Mask(text string) string {
+	return secretPattern.ReplaceAllStringFunc(text, func(h string) string { return h[:len("sha256:")+8] + "…" })
+}
