change: publish conditionally, load incrementally, keep versions forward

Cause: a publication read every document and overwrote what the operator had not seen; a lost reply ended as unknown at once; removing a file had no effect; every process read all documents for each change; a restarted process took whatever it read first.

Change: a publication is one transaction on the revision of the head row. It writes documents, a record of the change and an audit entry, and is refused with author, version and time when a document changed after the version that the operator saw. A lost reply is resolved by sending the same transaction again and reading the record of its version back. Directories own documents by name; a missing file removes its document. Seams for peers: Announce, Offer, Peers, Fetch, and Store.Announced, Records. The administration API and the commands follow.

Found by TestRace and fixed: a stale head row at start reverted a restarted process (a transaction without writes now confirms the row); peers that had not heard of a version reverted its only holder after a restart (Offer); a slow table delayed records from peers (two gates); frequent publications kept a start from reading all documents (records fill the gap); documents of different reads counted as a digest violation.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -1,11 +1,11 @@
-// Package admin is the HTTP listener for operators: publish, status, audit and
-// drain. It has its own credentials.
+// Package admin is the HTTP listener for operators: publish, status, audit,
+// drain, and the documents of each kind. It has its own credentials.
 package admin
 
 import (
-	"errors"
+	"context"
 	"net/http"
-	"strings"
+	"strconv"
 	"time"
 
 	"github.com/gin-gonic/gin"
@@ -18,19 +18,32 @@
 	"github.com/cranberrybay/cranberrybay/table"
 )
 
-// Publication is the body of POST /publish.
+// Publication is the body of POST /publish. The fields have the meaning of
+// those of change.Request.
 type Publication struct {
+	ID     string        `json:"id,omitempty"`
 	Author string        `json:"author"`
-	Dry    bool          `json:"dry"`
+	Source string        `json:"source,omitempty"`
+	Base   uint64        `json:"base"`
+	Adopt  bool          `json:"adopt,omitempty"`
+	Dry    bool          `json:"dry,omitempty"`
 	Files  []change.File `json:"files"`
 }
 
+// Live is one live entry process and the version that it has in force.
+type Live struct {
+	Name    string `json:"name"`
+	Version uint64 `json:"version"`
+}
+
 // Status is the answer to GET /status.
 type Status struct {
 	Name    string        `json:"name"`
 	Domain  string        `json:"domain"`
 	Version uint64        `json:"version"` // configuration in force
-	Checked time.Time     `json:"checked"` // last time the table confirmed the version
+	Checked time.Time     `json:"checked"` // last time the version was known to be the newest
+	Health  change.Health `json:"health"`
+	Live    []Live        `json:"live"`
 	Servers []fleet.State `json:"servers"`
 }
 
@@ -38,29 +51,55 @@
 type Config struct {
 	Name   string
 	Domain string
-	Token  string // hash of the operators' credential, as made by spec.HashKey
+	Token  string // hash of the root operator's credential, as made by spec.HashKey
 	Store  *change.Store
 	Table  *table.Client
 	Fleet  *fleet.Table
 	Drain  func()
 	Log    zerolog.Logger
+	// Live returns the live entry processes and their versions. Nil means that
+	// only this process is known.
+	Live func() []Live
+	// Engines returns what is known of the engines, against which placement
+	// wishes are checked. Nil means that nothing is known.
+	Engines func() []spec.Engine
 }
 
 // Handler serves operators.
 type Handler struct {
-	cfg    Config
-	engine *gin.Engine
+	cfg       Config
+	engine    *gin.Engine
+	publisher *change.Publisher
 }
 
+// maxBody bounds a publication; 10,000 accounts take about 3 MB.
+const maxBody = 32 << 20
+
 // New returns a handler.
 func New(cfg Config) *Handler {
 	gin.SetMode(gin.ReleaseMode)
-	h := &Handler{cfg: cfg, engine: gin.New()}
-	h.engine.Use(gin.Recovery(), h.operator)
-	h.engine.POST("/publish", h.publish)
+	h := &Handler{cfg: cfg, engine: gin.New(), publisher: change.NewPublisher(change.PublisherConfig{
+		Store: cfg.Store, Table: cfg.Table, Node: cfg.Name, Engines: cfg.Engines, Log: cfg.Log,
+	})}
+	h.engine.Use(gin.Recovery(), h.identify, func(c *gin.Context) {
+		c.Request.Body = http.MaxBytesReader(c.Writer, c.Request.Body, maxBody)
+	})
 	h.engine.GET("/status", h.status)
 	h.engine.GET("/audit", h.audit)
-	h.engine.POST("/drain", func(c *gin.Context) { cfg.Drain(); c.JSON(http.StatusAccepted, gin.H{}) })
+	h.engine.GET("/wait", h.wait)
+	op := h.engine.Group("/", operatorOnly)
+	op.POST("/publish", h.publish)
+	op.POST("/drain", func(c *gin.Context) {
+		cfg.Log.Info().Str("author", callerOf(c).author("")).Msg("drain ordered")
+		cfg.Drain()
+		c.JSON(http.StatusAccepted, gin.H{})
+	})
+	for path, kind := range map[string]spec.Kind{"services": spec.KindService, "accounts": spec.KindAccount, "wishes": spec.KindWish, "teams": spec.KindTeam} {
+		h.engine.GET("/"+path, h.list(kind))
+		h.engine.GET("/"+path+"/:name", h.show(kind))
+		op.PUT("/"+path+"/:name", h.put(kind))
+		op.DELETE("/"+path+"/:name", h.remove(kind))
+	}
 	return h
 }
 
@@ -69,64 +108,128 @@
 	return &http.Server{Handler: h.engine, ReadHeaderTimeout: 5 * time.Second}
 }
 
-func (h *Handler) operator(c *gin.Context) {
-	token, ok := strings.CutPrefix(c.GetHeader("Authorization"), "Bearer ")
-	if !ok || spec.HashKey(token) != h.cfg.Token {
-		c.AbortWithStatusJSON(http.StatusUnauthorized, gin.H{"detail": "the operator's credential is missing or wrong", "verdict": fault.NotRun.String()})
-	}
-}
-
 func (h *Handler) publish(c *gin.Context) {
 	var p Publication
 	if err := c.ShouldBindJSON(&p); err != nil {
-		fail(c, fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Invalid, Reason: err.Error()}))
+		fail(c, invalid("%v", err))
 		return
 	}
-	res, err := change.Publish(c.Request.Context(), h.cfg.Table, p.Author, p.Files)
+	h.apply(c, p.Author, change.Request{ID: p.ID, Source: p.Source, Base: p.Base, Adopt: p.Adopt, Dry: p.Dry, Files: p.Files})
+}
+
+// apply publishes in the name of the caller and answers the result.
+func (h *Handler) apply(c *gin.Context, author string, rq change.Request) {
+	id := callerOf(c)
+	rq.Author, rq.Allow = id.author(author), id.allow
+	res, err := h.publisher.Publish(c.Request.Context(), rq)
 	if err != nil {
 		fail(c, err)
 		return
 	}
-	if err := h.cfg.Store.Refresh(c.Request.Context()); err != nil {
-		h.cfg.Log.Warn().Err(err).Msg("refresh after publishing failed")
-	}
 	c.JSON(http.StatusOK, res)
 }
 
+func (h *Handler) live() []Live {
+	if h.cfg.Live != nil {
+		return h.cfg.Live()
+	}
+	return []Live{{Name: h.cfg.Name, Version: h.cfg.Store.Version()}}
+}
+
 func (h *Handler) status(c *gin.Context) {
+	health := h.cfg.Store.Health()
 	c.JSON(http.StatusOK, Status{
-		Name: h.cfg.Name, Domain: h.cfg.Domain, Version: h.cfg.Store.Version(),
-		Checked: h.cfg.Store.Checked(), Servers: h.cfg.Fleet.All(),
+		Name: h.cfg.Name, Domain: h.cfg.Domain, Version: health.Version, Checked: health.Checked,
+		Health: health, Live: h.live(), Servers: h.cfg.Fleet.All(),
 	})
 }
 
-func (h *Handler) audit(c *gin.Context) {
-	rows, err := h.cfg.Table.ScanAll(c.Request.Context(), "audit/")
+// Lag is the answer to GET /wait.
+type Lag struct {
+	Version uint64 `json:"version"`
+	Live    int    `json:"live"`
+	Lagging []Live `json:"lagging"` // live processes with an older version
+}
+
+// maxWait bounds one call of GET /wait; callers repeat it.
+const maxWait = 10 * time.Second
+
+// wait answers when every live process has a version in force, or at the end
+// of the time that the caller gives.
+func (h *Handler) wait(c *gin.Context) {
+	version, err := strconv.ParseUint(c.Query("version"), 10, 64)
 	if err != nil {
-		fail(c, fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Unavailable, Reason: "table service does not answer", Cause: err}))
+		fail(c, invalid("version %q, want a number", c.Query("version")))
 		return
 	}
-	out := []string{}
-	for _, r := range rows {
-		out = append(out, string(r.Value()))
+	d, err := time.ParseDuration(c.DefaultQuery("for", maxWait.String()))
+	if err != nil || d < 0 {
+		fail(c, invalid("for %q, want a duration such as 5s", c.Query("for")))
+		return
+	}
+	ctx, cancel := context.WithTimeout(c.Request.Context(), min(d, maxWait))
+	defer cancel()
+	for {
+		l := lag(version, h.live())
+		if len(l.Lagging) == 0 || ctx.Err() != nil {
+			c.JSON(http.StatusOK, l)
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+func lag(version uint64, live []Live) Lag {
+	l := Lag{Version: version, Live: len(live), Lagging: []Live{}}
+	for _, p := range live {
+		if p.Version < version {
+			l.Lagging = append(l.Lagging, p)
+		}
+	}
+	return l
+}
+
+func (h *Handler) audit(c *gin.Context) {
+	f := change.Filter{Name: c.Query("name"), Author: c.Query("author"), ID: c.Query("id"), After: c.Query("after")}
+	var err error
+	if f.Limit, err = limitOf(c); err != nil {
+		fail(c, err)
+		return
 	}
-	c.Data(http.StatusOK, "application/json", []byte("["+strings.Join(out, ",")+"]"))
-}
-
-func fail(c *gin.Context, err error) {
-	code := http.StatusInternalServerError
-	detail := err.Error()
-	var e *fault.Error
-	if errors.As(err, &e) {
-		detail = e.Reason()
-		switch e.Code() {
-		case fault.Invalid:
-			code = http.StatusBadRequest
-		case fault.Conflict:
-			code = http.StatusConflict
-		case fault.Unavailable:
-			code = http.StatusServiceUnavailable
+	for key, at := range map[string]*time.Time{"since": &f.Since, "until": &f.Until} {
+		if v := c.Query(key); v != "" {
+			if *at, err = time.Parse(time.RFC3339, v); err != nil {
+				fail(c, invalid("%s %q, want a time such as 2026-01-02T15:04:05Z", key, v))
+				return
+			}
 		}
 	}
-	c.AbortWithStatusJSON(code, gin.H{"detail": detail, "verdict": fault.Of(err).String()})
+	h.publisher.Flush(c.Request.Context())
+	page, err := change.Audit(c.Request.Context(), h.cfg.Table, f)
+	if err != nil {
+		fail(c, err)
+		return
+	}
+	c.JSON(http.StatusOK, page)
+}
+
+// Sizes of a page of a list.
+const (
+	defaultLimit = 100
+	maxPage      = 1000
+)
+
+func limitOf(c *gin.Context) (int, error) {
+	n, err := strconv.Atoi(c.DefaultQuery("limit", strconv.Itoa(defaultLimit)))
+	if err != nil || n < 1 || n > maxPage {
+		return 0, invalid("limit %q, want 1 to %d", c.Query("limit"), maxPage)
+	}
+	return n, nil
+}
+
+func unknown(kind spec.Kind, name string) error {
+	return fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Unknown, Reason: string(kind) + " " + strconv.Quote(name) + " is not published"})
 }
--- a/change/store.go
+++ b/change/store.go
@@ -1,77 +1,106 @@
-// Package change publishes documents through the table service and keeps the
-// configuration in force in each process. A version only grows.
 package change
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/cranberrybay/cranberrybay/object"
 	"github.com/cranberrybay/cranberrybay/spec"
 	"github.com/cranberrybay/cranberrybay/table"
 )
 
-// Keys of the table rows.
-const (
-	headKey   = "config/head"
-	docPrefix = "config/doc/"
+var (
+	// ErrStale reports a version that is not newer than the one in force.
+	ErrStale = errors.New("version is not newer than the one in force")
+	errGap   = errors.New("records are missing before the version")
 )
 
-// ErrStale reports a version that is not newer than the one in force.
-var ErrStale = errors.New("version is not newer than the one in force")
-
-// head is the JSON value of the head row.
-type head struct {
-	Version     uint64 `json:"version"`
-	Digest      uint64 `json:"digest"`
-	Publication string `json:"publication"`
-}
-
-// docRow is the JSON value of a document row.
-type docRow struct {
-	Path string `json:"path"`
-	Text string `json:"text"`
-}
+var (
+	violations = metrics.NewCounter("cranberrybay_config_digest_violations_total")
+	staleReads = metrics.NewCounter("cranberrybay_config_stale_reads_total")
+)
 
-// StoreConfig holds the parts of a Store.
+// StoreConfig holds the parts of a Store. Only Table is required.
 type StoreConfig struct {
-	Table *table.Client
+	Table   *table.Client
+	Objects *object.Client // snapshots; nil for none
+	Rand    *rand.Rand     // spreads the reads of processes; nil for a random seed
+	Log     zerolog.Logger
+
+	// Live returns the number of entry processes, this one included, by which
+	// they share the reads of the head row. Nil counts one.
+	Live func() int
+	// Announce tells peers the version that came into force here. It must not
+	// block. Nil when there are no peers.
+	Announce func(Announcement)
+	// Offer tells some peers a version before it comes into force here, and
+	// returns when one of them has taken it: its Store.Announced returned nil.
+	// It is called for versions that were read from the table or accepted here.
+	// Without it a process could serve a version, restart while the table is
+	// out of its reach, and find only peers that never heard of the version.
+	Offer func(context.Context, Announcement) error
+	// Peers names the peers to ask at start when the table does not answer.
+	Peers func() []string
+	// Fetch returns the records of a peer after a version, as its
+	// Store.Records gives them.
+	Fetch func(ctx context.Context, peer string, after uint64) ([]Record, error)
 }
 
 // Store holds the configuration in force in this process.
 type Store struct {
-	table   *table.Client
+	cfg   StoreConfig
+	force atomic.Pointer[state] // read on every request, so without a lock
+	// One load at a time from the table and one from peers. They are apart, so
+	// that a slow table does not delay what peers give.
+	loading, fetching gate
+
 	mu      sync.Mutex
-	tree    *spec.Tree
-	version uint64
-	checked time.Time // last time the table confirmed the version
+	base    *state    // from a snapshot, not in force before it is confirmed
+	held    *state    // in force, or about to be: peers may fetch it
+	recent  []Record  // the last records in order up to held, for peers
+	known   uint64    // highest version heard of
+	checked time.Time // when the version was last known to be the newest
 	changed chan struct{}
+	counts  Health
+
+	newer func(next, now uint64) bool // replaced by tests
 }
 
 // NewStore returns a store with an empty tree at version 0.
 func NewStore(cfg StoreConfig) *Store {
-	empty, _ := spec.NewTree(nil)
-	return &Store{table: cfg.Table, tree: empty, changed: make(chan struct{})}
+	if cfg.Rand == nil {
+		cfg.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	s := &Store{cfg: cfg, loading: make(gate, 1), fetching: make(gate, 1), changed: make(chan struct{})}
+	s.newer = func(next, now uint64) bool { return next > now }
+	s.held = emptyState()
+	s.force.Store(s.held)
+	return s
 }
 
 // Tree returns the configuration in force.
-func (s *Store) Tree() *spec.Tree {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.tree
-}
+func (s *Store) Tree() *spec.Tree { return s.force.Load().tree }
 
 // Version returns the version in force; 0 means that none was loaded yet.
-func (s *Store) Version() uint64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.version
+func (s *Store) Version() uint64 { return s.force.Load().version }
+
+// Origin returns who changed a document last, without its text, and whether
+// the document was ever published.
+func (s *Store) Origin(id string) (Doc, bool) {
+	d, ok := s.force.Load().origins[id]
+	return d, ok
 }
 
-// Checked returns the last time at which the table confirmed the version.
+// Checked returns the last time at which the version was known to be the
+// newest: the table said so, or a peer to which the table had said so.
 func (s *Store) Checked() time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -85,109 +114,176 @@
 	return s.changed
 }
 
-// Apply puts a tree in force. It returns ErrStale unless the version is newer.
+// Health is what a process knows about its version.
+type Health struct {
+	Version    uint64    `json:"version"`
+	Digest     uint64    `json:"digest,string"`
+	Known      uint64    `json:"known"`      // highest version heard of
+	Checked    time.Time `json:"checked"`    // last time the version was known to be the newest
+	Behind     bool      `json:"behind"`     // a newer version is known or possible
+	Violations uint64    `json:"violations"` // equal versions with different digests
+	Stale      uint64    `json:"stale"`      // reads that were older than the version in force
+}
+
+// Health returns what the process knows about its version. The process may be
+// behind when it heard of a newer version, or when nothing has confirmed its
+// version for 5 s and two of its own reading intervals.
+func (s *Store) Health() Health {
+	limit := maxAge + 2*s.interval()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := s.force.Load()
+	h := s.counts
+	h.Version, h.Digest, h.Known, h.Checked = f.version, f.tree.Digest(), max(s.known, f.version), s.checked
+	h.Behind = h.Known > h.Version || time.Since(s.checked) > limit
+	return h
+}
+
+// maxAge is the time within which an accepted change must be in force.
+const maxAge = 5 * time.Second
+
+// Apply puts a tree in force that did not come from the table. It returns
+// ErrStale unless the version is newer.
 func (s *Store) Apply(version uint64, t *spec.Tree) error {
+	n := &state{version: version, tree: t, origins: map[string]Doc{}}
+	for _, d := range t.Documents() {
+		n.origins[d.ID()] = Doc{ID: d.ID(), Path: d.Path(), Version: version}
+	}
+	s.hold(n, nil)
+	return s.install(n)
+}
+
+// keptRecent is the number of records kept for peers that are a little behind.
+const keptRecent = 128
+
+// hold makes a state available to peers. Records lead to it.
+func (s *Store) hold(n *state, records []Record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if version <= s.version {
-		return fmt.Errorf("version %d after %d: %w", version, s.version, ErrStale)
+	if !s.newer(n.version, s.held.version) {
+		return
 	}
-	s.version, s.tree = version, t
-	close(s.changed)
-	s.changed = make(chan struct{})
-	return nil
+	if len(records) == 0 || records[0].Full || records[0].Version != s.held.version+1 {
+		s.recent = nil
+	}
+	s.recent = append(s.recent, records...)
+	s.recent = s.recent[max(0, len(s.recent)-keptRecent):]
+	s.held = n
 }
 
-// Refresh reads the head row and loads the documents when it is newer.
-func (s *Store) Refresh(ctx context.Context) error {
-	row, err := s.table.GetOne(ctx, headKey)
-	if err != nil {
-		return fmt.Errorf("read head: %w", err)
+// offerTimeout bounds the wait for a peer; two round trips take about 2 ms.
+const offerTimeout = 200 * time.Millisecond
+
+// offer makes sure that a peer holds a state before it comes in force here.
+func (s *Store) offer(ctx context.Context, n *state) {
+	if s.cfg.Offer == nil || n.version <= s.Version() {
+		return
 	}
-	h, err := decodeHead(row)
-	if err != nil {
-		return err
+	ctx, cancel := context.WithTimeout(ctx, offerTimeout)
+	defer cancel()
+	if err := s.cfg.Offer(ctx, Announcement{Version: n.version, Digest: n.tree.Digest()}); err != nil {
+		s.cfg.Log.Warn().Err(err).Uint64("version", n.version).Msg("no peer has taken the version before it comes in force")
 	}
-	if h.Version > s.Version() {
-		t, v, err := load(ctx, s.table)
-		if err != nil {
-			return err
-		}
-		if err := s.Apply(v, t); err != nil && !errors.Is(err, ErrStale) {
-			return err
+}
+
+// install puts a state in force.
+func (s *Store) install(n *state) error {
+	s.mu.Lock()
+	now := s.force.Load()
+	if !s.newer(n.version, now.version) {
+		s.mu.Unlock()
+		if n.version == now.version {
+			s.compare(n.version, n.tree.Digest())
 		}
+		return fmt.Errorf("version %d after %d: %w", n.version, now.version, ErrStale)
 	}
-	s.mu.Lock()
-	s.checked = time.Now()
+	s.force.Store(n)
+	s.known = max(s.known, n.version)
+	s.base = nil
+	close(s.changed)
+	s.changed = make(chan struct{})
 	s.mu.Unlock()
+	if s.cfg.Announce != nil {
+		s.cfg.Announce(s.Announcement())
+	}
 	return nil
 }
 
-func decodeHead(row table.Row) (head, error) {
-	var h head
-	if !row.Exists() {
-		return h, nil
+// compare asserts that an equal version has an equal digest.
+func (s *Store) compare(version, digest uint64) bool {
+	f := s.force.Load()
+	same := version != f.version || digest == f.tree.Digest()
+	if !same {
+		s.violated(fmt.Errorf("version %d: %w", version, errDigest))
 	}
-	if err := json.Unmarshal(row.Value(), &h); err != nil {
-		return h, fmt.Errorf("decode head row: %w", err)
-	}
-	return h, nil
+	return same
 }
 
-// load reads all documents at one version: it repeats when the head moved
-// while the documents were read.
-func load(ctx context.Context, c *table.Client) (*spec.Tree, uint64, error) {
-	for {
-		before, err := c.GetOne(ctx, headKey)
-		if err != nil {
-			return nil, 0, fmt.Errorf("read head: %w", err)
-		}
-		rows, err := c.ScanAll(ctx, docPrefix)
-		if err != nil {
-			return nil, 0, fmt.Errorf("read documents: %w", err)
-		}
-		after, err := c.GetOne(ctx, headKey)
-		if err != nil {
-			return nil, 0, fmt.Errorf("read head: %w", err)
-		}
-		if before.Revision() != after.Revision() {
-			continue
-		}
-		h, err := decodeHead(after)
-		if err != nil {
-			return nil, 0, err
-		}
-		t, err := parseRows(rows)
-		return t, h.Version, err
+func (s *Store) violated(err error) {
+	violations.Inc()
+	s.mu.Lock()
+	s.counts.Violations++
+	s.mu.Unlock()
+	s.cfg.Log.Error().Err(err).Msg("equal versions have different documents")
+}
+
+// confirm notes that at a time the version was the newest.
+func (s *Store) confirm(version uint64, at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.known = max(s.known, version)
+	if version >= s.force.Load().version && at.After(s.checked) {
+		s.checked = at
 	}
 }
 
-func parseRows(rows []table.Row) (*spec.Tree, error) {
-	docs := make([]*spec.Document, 0, len(rows))
-	for _, r := range rows {
-		var v docRow
-		if err := json.Unmarshal(r.Value(), &v); err != nil {
-			return nil, fmt.Errorf("decode row %q: %w", r.Key(), err)
-		}
-		d, err := spec.Parse(v.Path, []byte(v.Text))
-		if err != nil {
-			return nil, fmt.Errorf("stored document %q: %w", r.Key(), err)
-		}
-		docs = append(docs, d)
+// Intervals at which a process reads the head row. All processes together read
+// it about 20 times a second, and one process at most twice a second.
+const (
+	minInterval = 500 * time.Millisecond
+	perProcess  = 50 * time.Millisecond
+)
+
+func (s *Store) interval() time.Duration {
+	n := 1
+	if s.cfg.Live != nil {
+		n = max(1, s.cfg.Live())
 	}
-	return spec.NewTree(docs)
+	return max(minInterval, time.Duration(n)*perProcess)
 }
 
-// Run refreshes the store until ctx ends.
-func (s *Store) Run(ctx context.Context, interval time.Duration, report func(error)) {
+// callTimeout bounds one load; it leaves room for a second one within maxAge.
+// The first load makes up to five calls to the table, where a later one makes
+// two, so startTimeout is longer: with calls of 0.5 s, 2 s were never enough.
+const (
+	callTimeout  = 2 * time.Second
+	startTimeout = 4 * time.Second
+)
+
+// Run starts the store and keeps it fresh until ctx ends.
+func (s *Store) Run(ctx context.Context, report func(error)) {
 	for {
-		if err := s.Refresh(ctx); err != nil && ctx.Err() == nil {
+		var err error
+		if s.Version() == 0 {
+			err = s.Start(ctx)
+		} else {
+			err = bounded(ctx, s.Refresh)
+		}
+		if err != nil && ctx.Err() == nil {
 			report(err)
 		}
+		// A random half of the interval keeps processes from reading in step.
+		d := s.interval()
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(interval):
+		case <-time.After(d*3/4 + time.Duration(s.cfg.Rand.Int64N(int64(d/2)))):
 		}
 	}
 }
+
+func bounded(ctx context.Context, f func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return f(ctx)
+}
--- a/cmds/api.go
+++ b/cmds/api.go
@@ -8,13 +8,16 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"os"
+	"strconv"
 	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
 
 	"github.com/cranberrybay/cranberrybay/admin"
+	"github.com/cranberrybay/cranberrybay/change"
 	"github.com/cranberrybay/cranberrybay/fault"
 )
 
@@ -108,6 +111,12 @@
 			return a.print(c, s, func() string {
 				var b strings.Builder
 				fmt.Fprintf(&b, "%s in %s: version %d, confirmed %s\n", s.Name, s.Domain, s.Version, s.Checked.Format(time.RFC3339))
+				if s.Health.Behind {
+					fmt.Fprintf(&b, "  may be behind: version %d is known\n", s.Health.Known)
+				}
+				for _, l := range s.Live {
+					fmt.Fprintf(&b, "  %-16s version %d\n", l.Name, l.Version)
+				}
 				for _, sv := range s.Servers {
 					fmt.Fprintf(&b, "  %-16s %-12s %-14s layers %d-%d running %d waiting %d ready %t leaving %t\n", sv.Name, sv.Domain, sv.Service, sv.First, sv.Last, sv.Running, sv.Waiting, sv.Ready, sv.Leaving)
 				}
@@ -119,30 +128,87 @@
 	return c
 }
 
+// auditFlags are the filters of audit.
+type auditFlags struct {
+	name, author, id, since, until, after string
+	limit                                 int
+}
+
 func newAudit() *cobra.Command {
 	var a api
+	var f auditFlags
 	c := &cobra.Command{
 		Use:   "audit",
-		Short: "Show who changed what and when",
+		Short: "Show who changed what and when, newest first",
 		Args:  cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			var entries []json.RawMessage
-			if err := a.call("GET", "/audit", nil, &entries); err != nil {
+			q, err := f.query(time.Now())
+			if err != nil {
+				return usageError{err}
+			}
+			var page change.Page
+			if err := a.call("GET", "/audit?"+q, nil, &page); err != nil {
 				return err
 			}
-			return a.print(c, entries, func() string {
-				var b strings.Builder
-				for _, e := range entries {
-					fmt.Fprintf(&b, "%s\n", e)
-				}
-				return b.String()
-			})
+			return a.print(c, page, func() string { return describePage(page) })
 		},
 	}
 	a.flags(c)
+	c.Flags().StringVar(&f.name, "name", "", "only changes of this document, as NAME or KIND/NAME")
+	c.Flags().StringVar(&f.author, "author", "", "only changes by this operator, as NAME or NAME@TEAM")
+	c.Flags().StringVar(&f.id, "id", "", "only this publication")
+	c.Flags().StringVar(&f.since, "since", "", "not before this time (RFC 3339), or this long ago (such as 2h)")
+	c.Flags().StringVar(&f.until, "until", "", "before this time (RFC 3339), or this long ago")
+	c.Flags().StringVar(&f.after, "after", "", "continue after the page that ended with this value")
+	c.Flags().IntVar(&f.limit, "limit", 50, "entries on a page")
 	return c
 }
 
+func (f auditFlags) query(now time.Time) (string, error) {
+	q := url.Values{"limit": {strconv.Itoa(f.limit)}}
+	for key, v := range map[string]string{"name": f.name, "author": f.author, "id": f.id, "after": f.after} {
+		if v != "" {
+			q.Set(key, v)
+		}
+	}
+	for key, v := range map[string]string{"since": f.since, "until": f.until} {
+		if v == "" {
+			continue
+		}
+		if d, err := time.ParseDuration(v); err == nil {
+			v = now.Add(-d).UTC().Format(time.RFC3339)
+		} else if _, err := time.Parse(time.RFC3339, v); err != nil {
+			return "", fmt.Errorf("--%s is %q, want a time (RFC 3339) or a duration", key, v)
+		}
+		q.Set(key, v)
+	}
+	return q.Encode(), nil
+}
+
+func describePage(page change.Page) string {
+	var b strings.Builder
+	for _, e := range page.Entries {
+		what := "accepted as version"
+		if !e.Accepted {
+			what = "refused at version"
+		}
+		fmt.Fprintf(&b, "%s %s %s %d, publication %s through %s\n", e.Time.Format(time.RFC3339), e.Author, what, e.Version, e.ID, e.Node)
+		if e.Reason != "" {
+			fmt.Fprintf(&b, "  %s: %s\n", e.Code, strings.ReplaceAll(e.Reason, "\n", "\n  "))
+		}
+		for _, ch := range e.Changes {
+			fmt.Fprintf(&b, "  %s\n", strings.TrimSpace(ch.Kind+" "+ch.ID))
+			for _, l := range ch.Lines() {
+				fmt.Fprintf(&b, "    %s\n", l)
+			}
+		}
+	}
+	if page.Next != "" {
+		fmt.Fprintf(&b, "more: --after %s\n", page.Next)
+	}
+	return b.String()
+}
+
 func newDrain() *cobra.Command {
 	var a api
 	c := &cobra.Command{
--- a/cmds/cmds.go
+++ b/cmds/cmds.go
@@ -18,6 +18,7 @@
 	exitUsage   = 2 // arguments, settings or files are wrong
 	exitRefused = 3 // refused, nothing was applied
 	exitUnknown = 4 // it is not known whether the change was applied
+	exitLag     = 5 // accepted, but not in force on every live process in time
 )
 
 // Run runs the program with the given arguments and returns its exit code.
@@ -39,10 +40,20 @@
 func (e usageError) Error() string { return e.err.Error() }
 func (e usageError) Unwrap() error { return e.err }
 
+// lagError reports that an accepted version is not in force everywhere yet.
+type lagError struct{ err error }
+
+func (e lagError) Error() string { return e.err.Error() }
+func (e lagError) Unwrap() error { return e.err }
+
 func exitCode(err error) int {
 	if err == nil {
 		return exitOK
 	}
+	var le lagError
+	if errors.As(err, &le) {
+		return exitLag
+	}
 	var ue usageError
 	if errors.As(err, &ue) {
 		return exitUsage
--- a/cmds/demo.go
+++ b/cmds/demo.go
@@ -179,7 +179,7 @@
 	if err := a.call("POST", "/publish", admin.Publication{Author: "demo", Files: files}, &res); err != nil {
 		return err
 	}
-	d.say("published %d documents, accepted as version %d", len(res.Changed), res.Version)
+	d.say("published %d documents, accepted as version %d", len(res.Changes), res.Version)
 	return nil
 }
 
--- a/cmds/publish.go
+++ b/cmds/publish.go
@@ -1,49 +1,198 @@
 package cmds
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
+	"io"
 	"io/fs"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
+	"time"
 
+	"github.com/google/uuid"
+	"github.com/pelletier/go-toml/v2"
 	"github.com/spf13/cobra"
 
 	"github.com/cranberrybay/cranberrybay/admin"
 	"github.com/cranberrybay/cranberrybay/change"
+	"github.com/cranberrybay/cranberrybay/fault"
 	"github.com/cranberrybay/cranberrybay/spec"
 )
 
+// publication holds the flags of publish.
+type publication struct {
+	api
+	author, source string
+	base           int64
+	dry, adopt     bool
+	wait           time.Duration
+	dir            string
+	out            io.Writer
+}
+
+// unset is the value of --base that stands for the version kept beside the
+// directory.
+const unset = -1
+
 func newPublish() *cobra.Command {
-	var a api
-	var author string
+	var p publication
 	c := &cobra.Command{
 		Use:   "publish DIR",
 		Short: "Collect the *" + spec.Suffix + " files below DIR, check them and publish them",
-		Args:  cobra.ExactArgs(1),
+		Long: "Collect the *" + spec.Suffix + " files below DIR, check them and publish those that differ from what is in force.\n\n" +
+			"When " + ownerFile + " in DIR holds source = \"NAME\", DIR owns its documents: a document that NAME published before " +
+			"and whose file is gone is removed. Documents of other directories stay. Without a source nothing is removed.\n\n" +
+			"A document that changed after the version that you saw is a conflict. That version is kept in " + baseFile + " in DIR.",
+		Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			files, err := collect(args[0])
-			if err != nil {
-				return usageError{err}
-			}
-			var res change.Result
-			if err := a.call("POST", "/publish", admin.Publication{Author: author, Files: files}, &res); err != nil {
-				return err
-			}
-			return a.print(c, res, func() string {
-				if len(res.Changed) == 0 {
-					return fmt.Sprintf("nothing to change at version %d\n", res.Version)
-				}
-				return fmt.Sprintf("accepted as version %d: %s\n", res.Version, strings.Join(res.Changed, ", "))
-			})
+			p.dir, p.out = args[0], c.OutOrStdout()
+			return p.run(c)
 		},
 	}
-	a.flags(c)
-	c.Flags().StringVar(&author, "author", os.Getenv("USER"), "name for the audit trail")
+	p.flags(c)
+	f := c.Flags()
+	f.StringVar(&p.author, "author", os.Getenv("USER"), "name for the audit trail")
+	f.StringVar(&p.source, "source", "", "name under which DIR owns its documents (default from DIR/"+ownerFile+")")
+	f.Int64Var(&p.base, "base", unset, "tree version that you saw (default from DIR/"+baseFile+", else 0)")
+	f.BoolVar(&p.dry, "dry", false, "show the difference and the conflicts, change nothing")
+	f.BoolVar(&p.adopt, "adopt", false, "take over documents that other directories own")
+	f.DurationVar(&p.wait, "wait", 0, "wait so long until every live entry process has the version in force")
+	f.Lookup("wait").NoOptDefVal = "30s"
 	return c
 }
 
+// Files in a published directory beside the documents.
+const (
+	ownerFile = "bay.toml"  // written by the operator: source = "NAME"
+	baseFile  = ".bay.base" // written by publish: the version that the operator saw
+)
+
+func (p *publication) run(c *cobra.Command) error {
+	body, err := p.body()
+	if err != nil {
+		return usageError{err}
+	}
+	var res change.Result
+	if err := p.call("POST", "/publish", body, &res); err != nil {
+		if fault.Of(err) != fault.NotRun {
+			return fmt.Errorf("whether publication %s is accepted is unknown; see audit --id, or publish again: %w", body.ID, err)
+		}
+		return err
+	}
+	if !p.dry {
+		if err := os.WriteFile(filepath.Join(p.dir, baseFile), fmt.Appendf(nil, "%d\n", res.Version), 0o644); err != nil {
+			return fmt.Errorf("accepted as version %d, but that was not kept: %w", res.Version, err)
+		}
+	}
+	if err := p.print(c, res, func() string { return describe(res) }); err != nil {
+		return err
+	}
+	if p.wait > 0 && !p.dry {
+		return p.await(res.Version)
+	}
+	return nil
+}
+
+// body collects the files and what says how to publish them.
+func (p *publication) body() (admin.Publication, error) {
+	files, err := collect(p.dir)
+	b := admin.Publication{ID: uuid.NewString(), Author: p.author, Source: p.source, Adopt: p.adopt, Dry: p.dry, Files: files}
+	if err != nil {
+		return b, err
+	}
+	if b.Source == "" {
+		if b.Source, err = readOwner(filepath.Join(p.dir, ownerFile)); err != nil {
+			return b, err
+		}
+	}
+	if b.Base = uint64(p.base); p.base != unset {
+		return b, nil
+	}
+	text, err := os.ReadFile(filepath.Join(p.dir, baseFile))
+	if errors.Is(err, fs.ErrNotExist) {
+		b.Base = 0
+		return b, nil
+	}
+	if err == nil {
+		b.Base, err = strconv.ParseUint(strings.TrimSpace(string(text)), 10, 64)
+	}
+	return b, err
+}
+
+// readOwner returns the source that a directory names, or "".
+func readOwner(path string) (string, error) {
+	text, err := os.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return "", nil
+	}
+	if err != nil {
+		return "", err
+	}
+	var o struct {
+		Source string `toml:"source"`
+	}
+	if err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(&o); err != nil {
+		return "", fmt.Errorf("%s: %w", path, err)
+	}
+	if o.Source == "" {
+		return "", fmt.Errorf("%s: source is empty, want a name", path)
+	}
+	return o.Source, nil
+}
+
+// describe returns what a publication changed, for people.
+func describe(res change.Result) string {
+	var b strings.Builder
+	switch {
+	case res.Dry:
+		fmt.Fprintf(&b, "dry run against version %d: %d changes, %d conflicts\n", res.Version, len(res.Changes), len(res.Conflicts))
+	case len(res.Changes) == 0:
+		fmt.Fprintf(&b, "nothing to change at version %d\n", res.Version)
+	default:
+		fmt.Fprintf(&b, "accepted as version %d: %d changes\n", res.Version, len(res.Changes))
+	}
+	for _, ch := range res.Changes {
+		fmt.Fprintf(&b, "  %s %s\n", ch.Kind, ch.ID)
+		if res.Dry {
+			for _, l := range ch.Lines() {
+				fmt.Fprintf(&b, "    %s\n", l)
+			}
+		}
+	}
+	for _, text := range res.Conflicts {
+		fmt.Fprintf(&b, "  conflict: %s\n", text)
+	}
+	return b.String()
+}
+
+// await waits until every live process has a version in force.
+func (p *publication) await(version uint64) error {
+	end := time.Now().Add(p.wait)
+	var l admin.Lag
+	for {
+		left := max(0, time.Until(end).Round(time.Millisecond))
+		path := fmt.Sprintf("/wait?version=%d&for=%s", version, min(left, 5*time.Second))
+		if err := p.call("GET", path, nil, &l); err != nil {
+			return lagError{fmt.Errorf("version %d is accepted; whether it is in force everywhere is not known: %w", version, err)}
+		}
+		if len(l.Lagging) == 0 {
+			_, err := fmt.Fprintf(p.out, "in force on all live entry processes (%d)\n", l.Live)
+			return err
+		}
+		if left == 0 {
+			break
+		}
+	}
+	names := make([]string, len(l.Lagging))
+	for i, v := range l.Lagging {
+		names[i] = fmt.Sprintf("%s (version %d)", v.Name, v.Version)
+	}
+	return lagError{fmt.Errorf("version %d is accepted; after %s it is not in force on %d of %d entry processes: %s", version, p.wait, len(names), l.Live, strings.Join(names, ", "))}
+}
+
 // collect reads and checks every document below dir.
 func collect(dir string) ([]change.File, error) {
 	var files []change.File
--- a/fakes/table.go
+++ b/fakes/table.go
@@ -16,10 +16,13 @@
 
 // Faults are the switches of the platform stand-in. The zero value is healthy.
 type Faults struct {
-	Down  bool          `json:"down"`  // every call fails, nothing is applied
-	Delay time.Duration `json:"delay"` // added before each call, nanoseconds
-	Lose  int           `json:"lose"`  // so many commits are applied and their replies lost
-	Drop  int           `json:"drop"`  // so many commits are lost before they are applied, reply unknown
+	Down   bool          `json:"down"`   // every call fails, nothing is applied
+	Delay  time.Duration `json:"delay"`  // added before each call, nanoseconds
+	Lose   int           `json:"lose"`   // so many commits are applied and their replies lost
+	Drop   int           `json:"drop"`   // so many commits are lost before they are applied, reply unknown
+	Late   int           `json:"late"`   // so many commits are answered unknown and applied after LateBy
+	LateBy time.Duration `json:"lateby"` // nanoseconds
+	Stale  int           `json:"stale"`  // so many reads do not see the last commit
 }
 
 // Counts are the calls that a Table has served.
@@ -32,43 +35,89 @@
 type Table struct {
 	mu       sync.Mutex
 	rows     map[string]table.Row
+	before   map[string]table.Row // rows that the last commit replaced
 	revision uint64
-	faults   Faults
 	counts   Counts
+	all      Link // faults that every caller sees
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{rows: map[string]table.Row{}} }
+func NewTable() *Table {
+	t := &Table{rows: map[string]table.Row{}}
+	t.all.table = t
+	return t
+}
 
-// Client returns a table client that calls the table directly.
-func (t *Table) Client() *table.Client {
-	return table.New(table.Config{Get: t.get, Scan: t.scan, Commit: t.commit})
+// Link is the way of one caller to the table, with faults of its own.
+type Link struct {
+	table  *Table
+	mu     sync.Mutex
+	faults Faults
 }
 
-// SetFaults replaces the fault switches.
-func (t *Table) SetFaults(f Faults) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.faults = f
+// Link returns a new way to the table. The faults of the table apply too.
+func (t *Table) Link() *Link { return &Link{table: t} }
+
+// Client returns a table client that calls the table over the link.
+func (l *Link) Client() *table.Client {
+	return table.New(table.Config{
+		Get: func(ctx context.Context, keys ...string) ([]table.Row, error) {
+			if err := l.pause(ctx); err != nil {
+				return nil, err
+			}
+			return l.table.get(ctx, keys...)
+		},
+		Scan: func(ctx context.Context, prefix, after string, limit int) ([]table.Row, error) {
+			if err := l.pause(ctx); err != nil {
+				return nil, err
+			}
+			return l.table.scan(ctx, prefix, after, limit)
+		},
+		Commit: func(ctx context.Context, b table.Batch) (uint64, error) {
+			if err := l.pause(ctx); err != nil {
+				return 0, err
+			}
+			return l.commit(ctx, b, l.table.commit)
+		},
+	})
 }
 
-// Faults returns the fault switches.
-func (t *Table) Faults() Faults {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.faults
+// SetFaults replaces the fault switches of the link.
+func (l *Link) SetFaults(f Faults) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faults = f
 }
 
-// Counts returns the number of calls served.
-func (t *Table) Counts() Counts {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.counts
+// Alter changes some of the fault switches of the link.
+func (l *Link) Alter(change func(*Faults)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	change(&l.faults)
+}
+
+// Faults returns the fault switches of the link.
+func (l *Link) Faults() Faults {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.faults
+}
+
+// take uses up one of a counted fault.
+func (l *Link) take(count func(*Faults) *int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := count(&l.faults)
+	if *n == 0 {
+		return false
+	}
+	*n--
+	return true
 }
 
 // pause waits for the configured delay and reports an outage.
-func (t *Table) pause(ctx context.Context) error {
-	f := t.Faults()
+func (l *Link) pause(ctx context.Context) error {
+	f := l.Faults()
 	if f.Delay > 0 {
 		select {
 		case <-time.After(f.Delay):
@@ -82,34 +131,88 @@
 	return nil
 }
 
+// commit passes a transaction on with the faults of the link.
+func (l *Link) commit(ctx context.Context, b table.Batch, next func(context.Context, table.Batch) (uint64, error)) (uint64, error) {
+	f := l.Faults()
+	switch {
+	case l.take(func(f *Faults) *int { return &f.Drop }):
+		return 0, table.ErrUnknown
+	case l.take(func(f *Faults) *int { return &f.Late }):
+		time.AfterFunc(f.LateBy, func() { _, _ = next(context.WithoutCancel(ctx), b) })
+		return 0, table.ErrUnknown
+	}
+	revision, err := next(ctx, b)
+	if err == nil && l.take(func(f *Faults) *int { return &f.Lose }) {
+		return 0, table.ErrUnknown
+	}
+	return revision, err
+}
+
+// Client returns a table client that calls the table directly.
+func (t *Table) Client() *table.Client { return t.Link().Client() }
+
+// SetFaults replaces the fault switches that every caller sees.
+func (t *Table) SetFaults(f Faults) { t.all.SetFaults(f) }
+
+// Alter changes some of the fault switches that every caller sees.
+func (t *Table) Alter(change func(*Faults)) { t.all.Alter(change) }
+
+// Faults returns the fault switches that every caller sees.
+func (t *Table) Faults() Faults { return t.all.Faults() }
+
+// Counts returns the number of calls served.
+func (t *Table) Counts() Counts {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.counts
+}
+
+// Row returns the row of a key past all faults, for checks.
+func (t *Table) Row(key string) table.Row {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.row(key, false)
+}
+
+// row returns the row of a key, or the one before the last commit.
+func (t *Table) row(key string, stale bool) table.Row {
+	if r, ok := t.before[key]; ok && stale {
+		return r
+	}
+	if r, ok := t.rows[key]; ok {
+		return r
+	}
+	return table.NewRow(key, nil, table.Absent)
+}
+
+func (t *Table) stale() bool { return t.all.take(func(f *Faults) *int { return &f.Stale }) }
+
 func (t *Table) get(ctx context.Context, keys ...string) ([]table.Row, error) {
-	if err := t.pause(ctx); err != nil {
+	if err := t.all.pause(ctx); err != nil {
 		return nil, err
 	}
+	stale := t.stale()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.counts.Reads++
 	out := make([]table.Row, len(keys))
 	for i, k := range keys {
-		r, ok := t.rows[k]
-		if !ok {
-			r = table.NewRow(k, nil, table.Absent)
-		}
-		out[i] = r
+		out[i] = t.row(k, stale)
 	}
 	return out, nil
 }
 
 func (t *Table) scan(ctx context.Context, prefix, after string, limit int) ([]table.Row, error) {
-	if err := t.pause(ctx); err != nil {
+	if err := t.all.pause(ctx); err != nil {
 		return nil, err
 	}
+	stale := t.stale()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.counts.Reads++
 	var keys []string
 	for k := range t.rows {
-		if strings.HasPrefix(k, prefix) && k > after {
+		if strings.HasPrefix(k, prefix) && k > after && t.row(k, stale).Exists() {
 			keys = append(keys, k)
 		}
 	}
@@ -119,38 +222,36 @@
 	}
 	out := make([]table.Row, len(keys))
 	for i, k := range keys {
-		out[i] = t.rows[k]
+		out[i] = t.row(k, stale)
 	}
 	return out, nil
 }
 
 func (t *Table) commit(ctx context.Context, b table.Batch) (uint64, error) {
-	if err := t.pause(ctx); err != nil {
+	if err := t.all.pause(ctx); err != nil {
 		return 0, err
 	}
+	return t.all.commit(ctx, b, t.apply)
+}
+
+func (t *Table) apply(_ context.Context, b table.Batch) (uint64, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.counts.Writes++
-	if t.faults.Drop > 0 {
-		t.faults.Drop--
-		return 0, table.ErrUnknown
-	}
 	for _, c := range b.Conditions {
 		if t.rows[c.Key].Revision() != c.Revision {
 			return 0, table.ErrConflict
 		}
 	}
 	t.revision++
+	t.before = map[string]table.Row{}
 	for _, w := range b.Writes {
+		t.before[w.Key] = t.row(w.Key, false)
 		v := append([]byte(nil), w.Value...)
 		t.rows[w.Key] = table.NewRow(w.Key, v, t.revision)
 	}
 	for _, k := range b.Deletes {
 		delete(t.rows, k)
 	}
-	if t.faults.Lose > 0 {
-		t.faults.Lose--
-		return 0, table.ErrUnknown
-	}
 	return t.revision, nil
 }
--- a/node/node.go
+++ b/node/node.go
@@ -20,6 +20,7 @@
 	"github.com/cranberrybay/cranberrybay/engine"
 	"github.com/cranberrybay/cranberrybay/entry"
 	"github.com/cranberrybay/cranberrybay/fleet"
+	"github.com/cranberrybay/cranberrybay/object"
 	"github.com/cranberrybay/cranberrybay/plat"
 	"github.com/cranberrybay/cranberrybay/proxy"
 	"github.com/cranberrybay/cranberrybay/table"
@@ -44,7 +45,10 @@
 			plat.Table,
 			plat.NewVMList,
 			fleet.NewTable,
-			func(t *table.Client) *change.Store { return change.NewStore(change.StoreConfig{Table: t}) },
+			plat.Objects,
+			func(t *table.Client, o *object.Client, l zerolog.Logger) *change.Store {
+				return change.NewStore(change.StoreConfig{Table: t, Objects: o, Log: part(l, "change")})
+			},
 			func() *engine.Client { return engine.New(engine.Config{}) },
 			func() *proxy.Client { return proxy.New(proxy.Config{}) },
 			func(t *table.Client, i incarnation) *claim.Book {
@@ -89,9 +93,8 @@
 
 // Intervals of background work.
 const (
-	refreshInterval = time.Second
-	listInterval    = time.Second
-	loadInterval    = 500 * time.Millisecond
+	listInterval = time.Second
+	loadInterval = 500 * time.Millisecond
 )
 
 // background runs the loops that keep tables fresh.
@@ -101,7 +104,7 @@
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			cl := part(log, "change")
-			go st.Run(ctx, refreshInterval, func(err error) { cl.Warn().Err(err).Msg("refresh failed") })
+			go st.Run(ctx, func(err error) { cl.Warn().Err(err).Msg("refresh failed") })
 			go w.run(ctx)
 			return nil
 		},
