admin, cmds: operate documents of several teams, show and wait for changes

Cause: one credential could do everything, the audit trail was one list of JSON lines, and publish said only that something was accepted.

--- /dev/null
+++ b/admin/admin_test.go
@@ -0,0 +1,145 @@
+package admin_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	is "gotest.tools/v3/assert/cmp"
+
+	"github.com/cranberrybay/cranberrybay/admin"
+	"github.com/cranberrybay/cranberrybay/change"
+	"github.com/cranberrybay/cranberrybay/fakes"
+	"github.com/cranberrybay/cranberrybay/fleet"
+	"github.com/cranberrybay/cranberrybay/spec"
+)
+
+type server struct {
+	t       *testing.T
+	handler http.Handler
+	drained bool
+	live    []admin.Live
+}
+
+func newServer(t *testing.T) *server {
+	s := &server{t: t}
+	table := fakes.NewTable()
+	s.handler = admin.New(admin.Config{
+		Name: "entry-1", Token: spec.HashKey("root"), Table: table.Client(), Fleet: fleet.NewTable(),
+		Store: change.NewStore(change.StoreConfig{Table: table.Client()}),
+		Drain: func() { s.drained = true },
+		Live:  func() []admin.Live { return s.live },
+	}).Server().Handler
+	return s
+}
+
+// call returns the answer to one request and asserts its status.
+func (s *server) call(token, method, path, body string, status int) string {
+	s.t.Helper()
+	rq := httptest.NewRequest(method, path, strings.NewReader(body))
+	rq.Header.Set("Authorization", "Bearer "+token)
+	rs := httptest.NewRecorder()
+	s.handler.ServeHTTP(rs, rq)
+	assert.Equal(s.t, rs.Code, status, "%s %s: %s", method, path, rs.Body)
+	return rs.Body.String()
+}
+
+func team(name string) string {
+	return fmt.Sprintf("[team]\nname = %q\noperators = [%q]\nreaders = [%q]\n", name, spec.HashKey(name+"-op"), spec.HashKey(name+"-read"))
+}
+
+func service(name, team string) string {
+	return fmt.Sprintf("[service]\nname = %q\nteam = %q\nkind = \"plain\"\n", name, team)
+}
+
+// TestRoles guards against a reader who changes something, an operator who
+// changes documents of another team, and a credential that is not known.
+func TestRoles(t *testing.T) {
+	s := newServer(t)
+	s.call("root", "PUT", "/teams/desk", team("desk"), 200)
+	s.call("root", "PUT", "/teams/shop", team("shop"), 200)
+	s.call("root", "PUT", "/services/b", service("b", "shop"), 200)
+	s.call("desk-op", "PUT", "/services/a?author=asha", service("a", "desk"), 200)
+	for _, tc := range []struct {
+		token, method, path, body string
+		status                    int
+	}{
+		{"wrong", "GET", "/status", "", 401},
+		{"desk-read", "GET", "/status", "", 200},
+		{"desk-read", "GET", "/services", "", 200},
+		{"desk-read", "PUT", "/services/c", service("c", "desk"), 403},
+		{"desk-read", "POST", "/publish", "{}", 403},
+		{"desk-read", "POST", "/drain", "", 403},
+		{"desk-op", "PUT", "/services/b?base=9", service("b", "shop") + "slots = 2\n", 403},
+		{"desk-op", "PUT", "/services/b?base=9", service("b", "desk"), 403},
+		{"desk-op", "PUT", "/services/a?base=9", service("a", "shop"), 403},
+		{"desk-op", "PUT", "/services/c", "[service]\nname = \"c\"\nkind = \"plain\"\n", 403},
+		{"desk-op", "DELETE", "/services/b?base=9", "", 403},
+		{"desk-op", "PUT", "/teams/desk?base=9", team("desk") + "\n", 403},
+		{"desk-op", "DELETE", "/services/a", "", 409},
+		{"desk-op", "DELETE", "/services/none", "", 404},
+		{"desk-op", "PUT", "/services/c", service("d", "desk"), 400},
+		{"desk-op", "PUT", "/services/c", service("c", "desk") + "slots = -1\n", 400},
+		{"desk-op", "DELETE", "/services/a?base=9", "", 200},
+		{"desk-op", "POST", "/drain", "", 202},
+	} {
+		s.call(tc.token, tc.method, tc.path, tc.body, tc.status)
+	}
+	assert.Assert(t, s.drained)
+	var page change.Page
+	assert.NilError(t, json.Unmarshal([]byte(s.call("desk-read", "GET", "/audit?author=asha", "", 200)), &page))
+	assert.Equal(t, len(page.Entries), 1)
+	assert.Equal(t, page.Entries[0].Author, "asha@desk")
+	shown := s.call("shop-read", "GET", "/teams/desk", "", 200)
+	assert.Assert(t, !strings.Contains(shown, spec.HashKey("desk-op")), "hashes are not masked")
+}
+
+// TestPages guards against a list or an audit trail that skips or repeats
+// entries between pages.
+func TestPages(t *testing.T) {
+	s := newServer(t)
+	for i := range 7 {
+		s.call("root", "PUT", fmt.Sprintf("/services/s%d", i), service(fmt.Sprintf("s%d", i), ""), 200)
+	}
+	var names, versions []string
+	var docs admin.Documents
+	for path := "/services?limit=3"; ; path = "/services?limit=3&after=" + docs.Next {
+		docs = admin.Documents{}
+		assert.NilError(t, json.Unmarshal([]byte(s.call("root", "GET", path, "", 200)), &docs))
+		for _, d := range docs.Documents {
+			names = append(names, d.Name)
+		}
+		if docs.Next == "" {
+			break
+		}
+	}
+	assert.DeepEqual(t, names, strings.Fields("s0 s1 s2 s3 s4 s5 s6"))
+	var page change.Page
+	for path := "/audit?limit=2"; ; path = "/audit?limit=2&after=" + page.Next {
+		page = change.Page{}
+		assert.NilError(t, json.Unmarshal([]byte(s.call("root", "GET", path, "", 200)), &page))
+		for _, e := range page.Entries {
+			versions = append(versions, fmt.Sprint(e.Version))
+		}
+		if page.Next == "" {
+			break
+		}
+	}
+	assert.DeepEqual(t, versions, strings.Fields("7 6 5 4 3 2 1"))
+	s.call("root", "GET", "/services?limit=0", "", 400)
+	s.call("root", "GET", "/audit?since=x", "", 400)
+}
+
+// TestWait guards against a wait that ends while a live process lags, and
+// against one that does not say which.
+func TestWait(t *testing.T) {
+	s := newServer(t)
+	s.live = []admin.Live{{Name: "entry-1", Version: 3}, {Name: "entry-2", Version: 2}}
+	assert.Assert(t, is.Contains(s.call("root", "GET", "/wait?version=3&for=60ms", "", 200), `"lagging":[{"name":"entry-2","version":2}]`))
+	assert.Assert(t, is.Contains(s.call("root", "GET", "/wait?version=2&for=5s", "", 200), `"lagging":[]`))
+	s.call("root", "GET", "/wait?version=x", "", 400)
+}
--- a/cmds/api.go
+++ b/cmds/api.go
@@ -76,11 +76,15 @@
 func refusal(status int, text []byte) error {
 	var p struct {
 		Detail  string `json:"detail"`
+		Code    string `json:"code"`
 		Verdict string `json:"verdict"`
 	}
 	cfg := fault.Config{Verdict: fault.MayHaveRun, Code: fault.Internal, Reason: fmt.Sprintf("status %d", status)}
 	if json.Unmarshal(text, &p) == nil && p.Detail != "" {
 		cfg.Reason = p.Detail
+		if p.Code != "" {
+			cfg.Code = fault.Code(p.Code)
+		}
 		if p.Verdict == fault.NotRun.String() {
 			cfg.Verdict = fault.NotRun
 		}
--- a/cmds/publish.go
+++ b/cmds/publish.go
@@ -148,11 +148,11 @@
 	var b strings.Builder
 	switch {
 	case res.Dry:
-		fmt.Fprintf(&b, "dry run against version %d: %d changes, %d conflicts\n", res.Version, len(res.Changes), len(res.Conflicts))
+		fmt.Fprintf(&b, "dry run against version %d: %s, %s\n", res.Version, count(len(res.Changes), "change"), count(len(res.Conflicts), "conflict"))
 	case len(res.Changes) == 0:
 		fmt.Fprintf(&b, "nothing to change at version %d\n", res.Version)
 	default:
-		fmt.Fprintf(&b, "accepted as version %d: %d changes\n", res.Version, len(res.Changes))
+		fmt.Fprintf(&b, "accepted as version %d: %s\n", res.Version, count(len(res.Changes), "change"))
 	}
 	for _, ch := range res.Changes {
 		fmt.Fprintf(&b, "  %s %s\n", ch.Kind, ch.ID)
@@ -168,6 +168,13 @@
 	return b.String()
 }
 
+func count(n int, what string) string {
+	if n != 1 {
+		what += "s"
+	}
+	return fmt.Sprintf("%d %s", n, what)
+}
+
 // await waits until every live process has a version in force.
 func (p *publication) await(version uint64) error {
 	end := time.Now().Add(p.wait)
--- /dev/null
+++ b/cmds/session_test.go
@@ -0,0 +1,163 @@
+package cmds_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+	"gotest.tools/v3/poll"
+
+	"github.com/cranberrybay/cranberrybay/cmds"
+	"github.com/cranberrybay/cranberrybay/fakes"
+	"github.com/cranberrybay/cranberrybay/node"
+	"github.com/cranberrybay/cranberrybay/spec"
+)
+
+// session runs commands against one entry process and keeps what they print.
+type session struct {
+	t        *testing.T
+	platform *fakes.Platform
+	address  string
+	root     string
+	out      bytes.Buffer
+}
+
+func newSession(t *testing.T) *session {
+	s := &session{t: t, platform: fakes.NewPlatform(), root: t.TempDir()}
+	server := httptest.NewServer(s.platform.Handler())
+	t.Cleanup(server.Close)
+	addresses := make([]string, 2)
+	for i := range addresses {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		addresses[i] = l.Addr().String()
+		assert.NilError(t, l.Close())
+	}
+	s.address = addresses[1]
+	app := node.New(node.Settings{
+		Name: "entry-1", Domain: "thamel", Region: "bagmati", Token: spec.HashKey("secret"),
+		Listen:   node.ListenSettings{Callers: addresses[0], Admin: addresses[1]},
+		Platform: node.PlatformSettings{Address: strings.TrimPrefix(server.URL, "http://")},
+	}, io.Discard)
+	assert.NilError(t, app.Start(t.Context()))
+	t.Cleanup(func() { _ = app.Stop(t.Context()) })
+	return s
+}
+
+var (
+	idPattern   = regexp.MustCompile(`[0-9a-f]{8}-[0-9a-f]{4}-[0-9a-f-]{22}`)
+	timePattern = regexp.MustCompile(`\d{4}-\d\d-\d\dT\d\d:\d\d:\d\dZ`)
+	keyPattern  = regexp.MustCompile(`audit/[0-9a-f]{16}/\S+`)
+)
+
+func (s *session) say(format string, args ...any) { fmt.Fprintf(&s.out, "# "+format+"\n", args...) }
+
+// run runs one command; credential and address are added.
+func (s *session) run(args ...string) {
+	var out bytes.Buffer
+	full := append([]string{}, args...)
+	if args[0] == "publish" {
+		full[1] = filepath.Join(s.root, full[1])
+	}
+	code := cmds.Run(append(full, "--address", s.address, "--token", "secret"), &out, &out)
+	text := strings.ReplaceAll(out.String(), s.root+"/", "")
+	text = timePattern.ReplaceAllString(idPattern.ReplaceAllString(text, "ID"), "TIME")
+	text = keyPattern.ReplaceAllString(strings.ReplaceAll(text, s.address, "ADDRESS"), "KEY")
+	fmt.Fprintf(&s.out, "$ cranberrybay %s\n%sexit %d\n\n", strings.Join(args, " "), text, code)
+}
+
+func (s *session) write(path, text string) {
+	path = filepath.Join(s.root, path)
+	assert.NilError(s.t, os.MkdirAll(filepath.Dir(path), 0o755))
+	assert.NilError(s.t, os.WriteFile(path, []byte(text), 0o644))
+}
+
+func (s *session) copy(from, to string) {
+	assert.NilError(s.t, os.CopyFS(filepath.Join(s.root, to), os.DirFS(filepath.Join(s.root, from))))
+}
+
+func account(name string, rate int) string {
+	return fmt.Sprintf("[account]\nname = %q\nkeys = [%q]\nservices = [\"desk\"]\nrate = %d\n", name, spec.HashKey(name), rate)
+}
+
+// TestSession guards against a change of what an operator sees in a whole
+// publishing session: conflicts, removal, rollback, outages, audit trail.
+func TestSession(t *testing.T) {
+	s := newSession(t)
+	s.write("shop/bay.toml", "source = \"shop\"\n")
+	s.write("shop/service.bay.toml", "[service]\nname = \"desk\"\nkind = \"plain\"\n")
+	s.write("shop/hotel.bay.toml", account("hotel", 10))
+	s.write("shop/inn.bay.toml", account("inn", 10))
+	s.say("first publication")
+	s.run("publish", "shop", "--author", "asha", "--wait")
+	s.copy("shop", "old")
+	s.copy("shop", "second")
+	s.run("publish", "shop", "--author", "asha")
+
+	s.say("a change, shown and then published")
+	s.write("shop/hotel.bay.toml", account("hotel", 20))
+	s.run("publish", "shop", "--author", "asha", "--dry")
+	s.run("publish", "shop", "--author", "asha")
+
+	s.say("a second operator who did not see that change")
+	s.write("second/hotel.bay.toml", account("hotel", 30))
+	s.run("publish", "second", "--author", "bina")
+	s.run("publish", "second", "--author", "bina", "--dry")
+
+	s.say("wrong documents")
+	s.write("wrong/a.bay.toml", strings.Replace(account("hall", 1), "rate = 1", "rate = -1", 1))
+	s.run("publish", "wrong", "--author", "asha")
+	s.write("wrong/a.bay.toml", strings.Replace(account("hall", 1), "\"desk\"", "\"spa\"", 1))
+	s.run("publish", "wrong", "--author", "asha")
+
+	s.say("a document of another directory")
+	s.write("night/service.bay.toml", "[service]\nname = \"desk\"\nkind = \"plain\"\nslots = 1\n")
+	s.run("publish", "night", "--author", "asha", "--base", "2")
+
+	s.say("a file that is gone")
+	assert.NilError(t, os.Remove(filepath.Join(s.root, "shop/inn.bay.toml")))
+	s.run("publish", "shop", "--author", "asha")
+
+	s.say("rollback to the first tree")
+	s.run("publish", "old", "--author", "asha")
+	s.run("publish", "old", "--author", "asha", "--base", "3")
+
+	s.say("an outage, and a reply that is lost after the write")
+	s.write("old/hotel.bay.toml", account("hotel", 40))
+	s.platform.Table().SetFaults(fakes.Faults{Down: true})
+	s.run("publish", "old", "--author", "asha")
+	s.platform.Table().SetFaults(fakes.Faults{Lose: 1})
+	s.run("publish", "old", "--author", "asha")
+
+	s.say("the audit trail")
+	s.run("audit", "--limit", "3")
+	s.run("audit", "--name", "hotel", "--author", "bina")
+	s.run("audit", "--since", "yesterday")
+	golden.Assert(t, s.out.String(), "session.golden")
+}
+
+// TestFollow guards against a process that does not take a published version
+// over from the table.
+func TestFollow(t *testing.T) {
+	s := newSession(t)
+	s.write("shop/service.bay.toml", "[service]\nname = \"desk\"\nkind = \"plain\"\n")
+	s.run("publish", "shop", "--author", "asha")
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		var out bytes.Buffer
+		cmds.Run([]string{"status", "--address", s.address, "--token", "secret"}, &out, &out)
+		if strings.Contains(out.String(), "version 1,") && !strings.Contains(out.String(), "behind") {
+			return poll.Success()
+		}
+		return poll.Continue("%s", out.String())
+	}, poll.WithTimeout(5*time.Second))
+}
