--- a/change/publish.go
+++ b/change/publish.go
@@ -143,6 +143,13 @@
 	if err != nil {
 		return Result{}, nil, unavailable(err)
 	}
+	if rq.Base > st.version {
+		// Either the operator is wrong or the head row was a stale read.
+		if err := p.cfg.Store.confirmHead(ctx, revision); err != nil {
+			return Result{}, nil, errMoved
+		}
+		return Result{}, nil, invalid(fmt.Errorf("you saw version %d, the newest is %d", rq.Base, st.version))
+	}
 	var engines []spec.Engine
 	if p.cfg.Engines != nil {
 		engines = p.cfg.Engines()
--- a/change/record.go
+++ b/change/record.go
@@ -14,6 +14,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"time"
 
 	"github.com/cranberrybay/cranberrybay/spec"
@@ -94,10 +95,7 @@
 	}
 	var put []*spec.Document
 	var drop []string
-	n := &state{version: r.Version, origins: make(map[string]Doc, len(base.origins)+len(r.Docs))}
-	for id, o := range base.origins {
-		n.origins[id] = o
-	}
+	n := &state{version: r.Version, origins: maps.Clone(base.origins)}
 	for _, d := range r.Docs {
 		if d.Removed {
 			drop = append(drop, d.ID)
