--- a/admin/admin.go
+++ b/admin/admin.go
@@ -87,7 +87,7 @@
 	h.engine.GET("/status", h.status)
 	h.engine.GET("/audit", h.audit)
 	h.engine.GET("/wait", h.wait)
-	op := h.engine.Group("/", operatorOnly)
+	op := h.engine.Group("/", h.operatorOnly)
 	op.POST("/publish", h.publish)
 	op.POST("/drain", func(c *gin.Context) {
 		cfg.Log.Info().Str("author", callerOf(c).author("")).Msg("drain ordered")
--- a/admin/admin_test.go
+++ b/admin/admin_test.go
@@ -95,6 +95,10 @@
 	assert.NilError(t, json.Unmarshal([]byte(s.call("desk-read", "GET", "/audit?author=asha", "", 200)), &page))
 	assert.Equal(t, len(page.Entries), 1)
 	assert.Equal(t, page.Entries[0].Author, "asha@desk")
+	refused := s.call("root", "GET", "/audit?limit=1000", "", 200)
+	for _, want := range []string{"PUT /services/c: this credential may only read", "only the root operator changes teams", "of which this credential is no operator"} {
+		assert.Assert(t, is.Contains(refused, want))
+	}
 	shown := s.call("shop-read", "GET", "/teams/desk", "", 200)
 	assert.Assert(t, !strings.Contains(shown, spec.HashKey("desk-op")), "hashes are not masked")
 }
--- a/admin/role.go
+++ b/admin/role.go
@@ -5,12 +5,14 @@
 	"fmt"
 	"math"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/gin-gonic/gin"
 
+	"github.com/cranberrybay/cranberrybay/change"
 	"github.com/cranberrybay/cranberrybay/fault"
 	"github.com/cranberrybay/cranberrybay/spec"
 )
@@ -41,16 +43,14 @@
 	c.Set(callerKey, id)
 }
 
-func operatorOnly(c *gin.Context) {
+// operatorOnly refuses readers, and notes that they tried.
+func (h *Handler) operatorOnly(c *gin.Context) {
 	id := callerOf(c)
-	for _, t := range id.teams {
-		if t.Operator {
-			return
-		}
-	}
-	if !id.root {
-		fail(c, forbidden("this credential may only read"))
+	if id.root || slices.ContainsFunc(id.teams, func(t spec.Credential) bool { return t.Operator }) {
+		return
 	}
+	rq := change.Request{Author: id.author(c.Query("author"))}
+	fail(c, h.publisher.Refuse(c.Request.Context(), rq, forbidden("%s %s: this credential may only read", c.Request.Method, c.Request.URL.Path)))
 }
 
 func forbidden(format string, args ...any) error {
--- a/change/audit.go
+++ b/change/audit.go
@@ -9,6 +9,8 @@
 	"strings"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/cranberrybay/cranberrybay/fault"
 	"github.com/cranberrybay/cranberrybay/spec"
 	"github.com/cranberrybay/cranberrybay/table"
@@ -45,6 +47,15 @@
 	maxPending = 256
 )
 
+// Refuse notes a publication that was refused before it was looked at, and
+// returns err.
+func (p *Publisher) Refuse(ctx context.Context, rq Request, err error) error {
+	if rq.ID == "" {
+		rq.ID = uuid.NewString()
+	}
+	return p.refuse(ctx, &rq, nil, nil, err)
+}
+
 // refuse writes a refusal to the audit trail and returns its error. A dry run
 // leaves no entry.
 func (p *Publisher) refuse(ctx context.Context, rq *Request, docs []*spec.Document, pl *plan, err error) error {
--- a/change/plan.go
+++ b/change/plan.go
@@ -105,6 +105,9 @@
 			}
 		}
 	}
+	if len(docs) == 0 && len(rq.Remove) == 0 && len(drop) > 0 {
+		return p, invalid(fmt.Errorf("directory %q has no documents and owns %d: to remove all, remove the last one by name", rq.Source, len(drop)))
+	}
 	slices.Sort(drop)
 	for _, id := range slices.Compact(drop) {
 		if old := st.tree.Document(id); old != nil {
--- a/change/publish_test.go
+++ b/change/publish_test.go
@@ -84,6 +84,20 @@
 	})
 }
 
+// TestEmpty guards against a directory that was emptied by mistake and removes
+// everything that it owns.
+func TestEmpty(t *testing.T) {
+	bubble(t, 1, func(w *world) {
+		p := w.procs[0].now().pub
+		_, err := p.Publish(w.ctx, Request{Author: "asha", Source: "shop", Files: files("hotel", 1)})
+		assert.NilError(t, err)
+		_, err = p.Publish(w.ctx, Request{Author: "asha", Source: "shop", Base: 1})
+		assert.Equal(t, fault.CodeOf(err), fault.Invalid)
+		_, err = p.Publish(w.ctx, Request{Author: "asha", Source: "shop", Base: 1, Partial: true, Remove: []string{"account/hotel"}})
+		assert.NilError(t, err)
+	})
+}
+
 // TestStart guards against an old snapshot that comes in force alone, and
 // against a start that reads more than the changes after the snapshot.
 func TestStart(t *testing.T) {
