--- a/admin/admin.go
+++ b/admin/admin.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/gin-gonic/gin"
 	"github.com/rs/zerolog"
 
@@ -87,6 +88,7 @@
 	h.engine.GET("/status", h.status)
 	h.engine.GET("/audit", h.audit)
 	h.engine.GET("/wait", h.wait)
+	h.engine.GET("/metrics", func(c *gin.Context) { metrics.WritePrometheus(c.Writer, true) })
 	op := h.engine.Group("/", h.operatorOnly)
 	op.POST("/publish", h.publish)
 	op.POST("/drain", func(c *gin.Context) {
--- a/admin/admin_test.go
+++ b/admin/admin_test.go
@@ -147,4 +147,5 @@
 	assert.Assert(t, is.Contains(s.call("root", "GET", "/wait?version=3&for=60ms", "", 200), `"lagging":[{"name":"entry-2","version":2}]`))
 	assert.Assert(t, is.Contains(s.call("root", "GET", "/wait?version=2&for=5s", "", 200), `"lagging":[]`))
 	s.call("root", "GET", "/wait?version=x", "", 400)
+	assert.Assert(t, is.Contains(s.call("root", "GET", "/metrics", "", 200), "cranberrybay_config_digest_violations_total"))
 }
--- a/change/publish.go
+++ b/change/publish.go
@@ -140,6 +140,9 @@
 	if errors.Is(err, ErrStale) {
 		return Result{}, nil, errMoved
 	}
+	if errors.Is(err, errDigest) {
+		return Result{}, nil, fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Internal, Reason: "this process holds other documents than the table at the same version; publish through another process", Cause: err})
+	}
 	if err != nil {
 		return Result{}, nil, unavailable(err)
 	}
