--- a/entry/fixture_test.go
+++ b/entry/fixture_test.go
@@ -131,7 +131,8 @@
 	for i, text := range strings.Split(fmt.Sprintf(documents, spec.HashKey("key")), "---\n") {
 		files = append(files, change.File{Path: fmt.Sprintf("%d.bay.toml", i), Text: text})
 	}
-	_, err := change.Publish(context.Background(), s.direct, "test", files)
+	publisher := change.NewPublisher(change.PublisherConfig{Store: change.NewStore(change.StoreConfig{Table: s.direct}), Table: s.direct})
+	_, err := publisher.Publish(context.Background(), change.Request{Author: "test", Files: files})
 	assert.NilError(t, err)
 	for i := range servers {
 		sv := fakes.NewService()
--- a/node/node.go
+++ b/node/node.go
@@ -45,10 +45,12 @@
 			plat.Table,
 			plat.NewVMList,
 			fleet.NewTable,
-			func(t *table.Client) *change.Store { return change.NewStore(change.StoreConfig{Table: t}) },
+			plat.Objects,
+			func(t *table.Client, o *object.Client, l zerolog.Logger) *change.Store {
+				return change.NewStore(change.StoreConfig{Table: t, Objects: o, Log: part(l, "change")})
+			},
 			func() *engine.Client { return engine.New(engine.Config{}) },
 			func(t *fleet.Table) *proxy.Pool { return proxy.PoolOf(t, proxy.New(proxy.Config{})) },
-			plat.Objects,
 			func(t *table.Client, o *object.Client, i incarnation, l zerolog.Logger) *claim.Book {
 				return claim.New(claim.Config{Table: t, Objects: o, Holder: string(i), Log: part(l, "claim")})
 			},
@@ -92,9 +94,8 @@
 
 // Intervals of background work.
 const (
-	refreshInterval = time.Second
-	listInterval    = time.Second
-	loadInterval    = 500 * time.Millisecond
+	listInterval = time.Second
+	loadInterval = 500 * time.Millisecond
 )
 
 // background runs the loops that keep tables fresh.
@@ -104,7 +105,7 @@
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			cl := part(log, "change")
-			go st.Run(ctx, refreshInterval, func(err error) { cl.Warn().Err(err).Msg("refresh failed") })
+			go st.Run(ctx, func(err error) { cl.Warn().Err(err).Msg("refresh failed") })
 			go w.run(ctx)
 			go b.Run(ctx)
 			return nil
