peer: calls between entry processes

Cause: membership, announcements, claim queries, tickets and account shares need a transport between entry processes that a stranger on the network can neither read nor use. Change: protobuf messages in wire with generated code; peer with one yamux session for each pair over TLS 1.3 with certificates on both sides, the process name checked against the certificate, back-off after failed dials, bounds for each kind of message, a deadline for each call, a worker pool and counters. fakes gets an authority in memory and a network over net.Pipe with one-way cuts. Found on the way: GoAway on the losing one of two simultaneous sessions reset the call for which the peer had dialled; the loser is now closed without a message once its streams have ended. Conclusion: calls carry a verdict (not run when nothing was sent), and a call for one incarnation never reaches its successor.

--- /dev/null
+++ b/member/types.go
@@ -0,0 +1,60 @@
+// Package member keeps the membership of entry processes: who is there, who is
+// leaving, and which addresses callers should use. Rows of the table service
+// serve joining and listing; pings between processes serve the detection of
+// deaths and keep the membership alive while the table service is down.
+//
+// Table has one lock. It is never held during a call to a peer or to the
+// table service.
+package member
+
+// Member is one entry process as it describes itself.
+type Member struct {
+	Name        string `json:"name"`
+	Incarnation string `json:"incarnation"`
+	Domain      string `json:"domain"`            // failure domain
+	Region      string `json:"region,omitempty"`  // region of the failure domain
+	Callers     string `json:"callers"`           // address for callers, IP:port
+	Peers       string `json:"peers"`             // address for entry processes, IP:port
+	Leaving     bool   `json:"leaving,omitempty"` // drains, takes no new requests
+	Sequence    uint64 `json:"sequence"`          // grows with each change that the process makes to itself
+}
+
+// Kind says what an Event reports.
+type Kind uint32
+
+// Kinds of events.
+const (
+	Joined  Kind = iota + 1 // the member is alive; receivers add it
+	Leaving                 // the member drains; receivers list it no more
+	Suspect                 // the sender gets no answer; receivers ping it and reply
+	Dead                    // nobody that was asked gets an answer; receivers check and remove it
+	Stopped                 // the member says itself that it ends now
+)
+
+// Event is one piece of news about a member.
+type Event struct {
+	Kind   Kind
+	Member Member
+}
+
+// News is a set of events on its way through the membership.
+type News struct {
+	Events []Event
+	Hop    int  // times the message was passed on
+	List   bool // asks for the list of live members
+}
+
+// Verdicts is the reply to News.
+type Verdicts struct {
+	Members []Member // live members, when the list was asked for
+	Alive   []bool   // one for each event: whether the member answers this process
+}
+
+// Health is what two processes tell each other with a ping.
+type Health struct {
+	Version  uint64 // configuration in effect
+	Digest   uint64 // digest of that configuration
+	Leaving  bool
+	Sequence uint64
+	Self     *Member // nil when the peer already knows the sender at this sequence
+}
--- /dev/null
+++ b/peer/call.go
@@ -0,0 +1,193 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/member"
+	"github.com/cranberrybay/cranberrybay/wire"
+)
+
+// failed returns the error of a call with its verdict: a call that never left
+// this process was not run, one that was sent may have been.
+func failed(v fault.Verdict, name string, err error) error {
+	return fault.New(fault.Config{Verdict: v, Code: fault.Unavailable, Reason: fmt.Sprintf("entry process %q does not answer", name), Cause: err})
+}
+
+// call sends one request and reads its reply. It returns at the deadline of
+// ctx, or after callTimeout when ctx has none.
+func (n *Node) call(ctx context.Context, t Target, k kind, rq, rs proto.Message) error {
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+	}
+	s, err := n.session(ctx, t)
+	if err != nil {
+		return failed(fault.NotRun, t.Name, err)
+	}
+	s.touch()
+	type result struct {
+		verdict fault.Verdict
+		err     error
+	}
+	done := make(chan result, 1)
+	go func() {
+		v, err := n.exchange(ctx, s, k, rq, rs)
+		done <- result{v, err}
+	}()
+	select {
+	case r := <-done:
+		if r.err == nil {
+			return nil
+		}
+		if e, ok := r.err.(*fault.Error); ok { // the peer's own statement
+			return e
+		}
+		return failed(r.verdict, t.Name, r.err)
+	case <-ctx.Done():
+		return failed(fault.MayHaveRun, t.Name, ctx.Err())
+	}
+}
+
+// exchange does a call on a stream of its own.
+func (n *Node) exchange(ctx context.Context, s *session, k kind, rq, rs proto.Message) (fault.Verdict, error) {
+	st, err := s.mux.OpenStream()
+	if err != nil {
+		return fault.NotRun, fmt.Errorf("open stream: %w", err)
+	}
+	defer st.Close()
+	stop := context.AfterFunc(ctx, func() { _ = st.Close() })
+	defer stop()
+	deadline, _ := ctx.Deadline()
+	if err := st.SetDeadline(deadline); err != nil {
+		return fault.NotRun, fmt.Errorf("set deadline: %w", err)
+	}
+	size := proto.Size(rq)
+	if size > bounds[k] {
+		return fault.NotRun, fmt.Errorf("%w: %s message of %d bytes is over the bound of %d", errFrame, kindNames[k], size, bounds[k])
+	}
+	if err := writeFrame(st, k, time.Until(deadline), rq); err != nil {
+		return fault.MayHaveRun, err
+	}
+	n.counts.out(k, size)
+	h, payload, err := readFrame(st)
+	if err != nil {
+		return fault.MayHaveRun, err
+	}
+	n.counts.in(h.kind, len(payload))
+	switch h.kind {
+	case k:
+		return fault.MayHaveRun, decode(payload, rs)
+	case kindFault:
+		return fault.MayHaveRun, decodeFault(payload)
+	default:
+		return fault.MayHaveRun, fmt.Errorf("%w: reply of kind %s to %s", errFrame, kindNames[h.kind], kindNames[k])
+	}
+}
+
+func decodeFault(payload []byte) error {
+	f := &wire.Fault{}
+	if err := decode(payload, f); err != nil {
+		return err
+	}
+	cfg := fault.Config{Verdict: verdictOf(f.GetVerdict()), Code: fault.Code(f.GetCode()), Reason: f.GetReason()}
+	if f.GetRetry() > 0 {
+		cfg.RetryAt = time.Now().Add(time.Duration(f.GetRetry()) * time.Millisecond)
+	}
+	return fault.New(cfg)
+}
+
+func encodeFault(err error) *wire.Fault {
+	f := &wire.Fault{Verdict: uint32(fault.Of(err)), Code: string(fault.CodeOf(err)), Reason: err.Error()}
+	if e, ok := err.(*fault.Error); ok {
+		f.Reason = e.Reason()
+	}
+	if at, ok := fault.RetryAt(err); ok {
+		f.Retry = max(1, time.Until(at).Milliseconds())
+	}
+	return f
+}
+
+// verdictOf maps a number of the protocol. Numbers that are not known may
+// have run.
+func verdictOf(n uint32) fault.Verdict {
+	if v := fault.Verdict(n); n <= uint32(fault.Ran) {
+		return v
+	}
+	return fault.MayHaveRun
+}
+
+// Ping exchanges health with a peer.
+func (n *Node) Ping(ctx context.Context, t Target, h member.Health) (member.Health, error) {
+	rs := &wire.Health{}
+	if err := n.call(ctx, t, kindPing, fromHealth(h), rs); err != nil {
+		return member.Health{}, err
+	}
+	return toHealth(rs), nil
+}
+
+// Announce tells a peer about a configuration version.
+func (n *Node) Announce(ctx context.Context, t Target, v Version) error {
+	return n.call(ctx, t, kindAnnounce, &wire.Version{Version: v.Version, Digest: v.Digest, Hop: uint32(v.Hop)}, &wire.Version{})
+}
+
+// Changes fetches the documents that changed after a version.
+func (n *Node) Changes(ctx context.Context, t Target, since uint64) (Changes, error) {
+	rs := &wire.Changes{}
+	if err := n.call(ctx, t, kindChanges, &wire.Since{Version: since}, rs); err != nil {
+		return Changes{}, err
+	}
+	return toChanges(rs), nil
+}
+
+// Claim asks the incarnation t.Incarnation whether it ran a claim. When
+// another incarnation answers at that address the error wraps a GoneError.
+func (n *Node) Claim(ctx context.Context, t Target, q Query) (Outcome, error) {
+	rs := &wire.Outcome{}
+	rq := &wire.Query{Incarnation: q.Incarnation, Account: q.Account, Key: q.Key, Digest: q.Digest}
+	if err := n.call(ctx, t, kindClaim, rq, rs); err != nil {
+		return Outcome{}, err
+	}
+	return Outcome{Known: rs.GetKnown(), Verdict: verdictOf(rs.GetVerdict())}, nil
+}
+
+// Forward hands a whole HTTP request to a peer and returns its answer.
+func (n *Node) Forward(ctx context.Context, t Target, r Request) (Answer, error) {
+	rs := &wire.Answer{}
+	rq := &wire.Request{Method: r.Method, Path: r.Path, Headers: fromHeaders(r.Header), Body: r.Body}
+	if err := n.call(ctx, t, kindForward, rq, rs); err != nil {
+		return Answer{}, err
+	}
+	return Answer{Status: int(rs.GetStatus()), Header: toHeaders(rs.GetHeaders()), Body: rs.GetBody()}, nil
+}
+
+// Demand reports demand to the home process of the accounts and returns the
+// shares that it grants.
+func (n *Node) Demand(ctx context.Context, t Target, ds []Demand) ([]Share, error) {
+	rs, asked := &wire.Shares{}, time.Now()
+	if err := n.call(ctx, t, kindDemand, fromDemands(ds), rs); err != nil {
+		return nil, err
+	}
+	return toShares(rs, asked), nil
+}
+
+// News tells a peer what became known about members.
+func (n *Node) News(ctx context.Context, t Target, news member.News) (member.Verdicts, error) {
+	rs := &wire.Verdicts{}
+	if err := n.call(ctx, t, kindNews, fromNews(news), rs); err != nil {
+		return member.Verdicts{}, err
+	}
+	return toVerdicts(rs), nil
+}
+
+// job is one incoming stream.
+type job struct {
+	stream  *yamux.Stream
+	session *session
+}
--- /dev/null
+++ b/peer/handle.go
@@ -0,0 +1,223 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/member"
+	"github.com/cranberrybay/cranberrybay/wire"
+)
+
+// Version is a configuration version on its way through the membership.
+type Version struct {
+	Version uint64
+	Digest  uint64
+	Hop     int // times the message was passed on
+}
+
+// Document is one configuration document.
+type Document struct {
+	ID      string // as spec.Document.ID
+	Path    string
+	Text    []byte
+	Deleted bool
+}
+
+// Changes are the documents that lead from one version to another.
+type Changes struct {
+	Version   uint64
+	Digest    uint64
+	Whole     bool // Documents is the whole tree, not only what changed
+	Documents []Document
+}
+
+// Query asks about a claim.
+type Query struct {
+	Incarnation string // that made the claim
+	Account     string
+	Key         string // the caller's idempotency key
+	Digest      []byte // of the request
+}
+
+// Outcome is the answer to a Query. Without a record nothing is stated.
+type Outcome struct {
+	Known   bool
+	Verdict fault.Verdict
+}
+
+// Request is a forwarded HTTP request.
+type Request struct {
+	Method string
+	Path   string // path and query
+	Header http.Header
+	Body   []byte
+}
+
+// Answer is the answer to a forwarded HTTP request.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Demand is what one process served for an account in the last second.
+type Demand struct {
+	Account  string
+	Rate     float64 // requests a second
+	Tokens   float64 // generated tokens a second
+	Inflight int
+}
+
+// Share is the part of an account's limits that a process may use.
+type Share struct {
+	Account  string
+	Rate     float64
+	Tokens   float64
+	Inflight float64
+	Until    time.Time
+}
+
+// Handlers serve incoming calls. A nil handler answers that the call was not
+// run. Handlers run on a worker and must honour ctx; Forward runs on a
+// goroutine of its own, since a request may take minutes.
+type Handlers struct {
+	Ping     func(ctx context.Context, from Remote, h member.Health) (member.Health, error)
+	Announce func(ctx context.Context, from Remote, v Version) error
+	Changes  func(ctx context.Context, from Remote, since uint64) (Changes, error)
+	Claim    func(ctx context.Context, from Remote, q Query) (Outcome, error)
+	Forward  func(ctx context.Context, from Remote, r Request) (Answer, error)
+	Demand   func(ctx context.Context, from Remote, ds []Demand) ([]Share, error)
+	News     func(ctx context.Context, from Remote, n member.News) (member.Verdicts, error)
+}
+
+func notServed(reason string) error {
+	return fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Overload, Reason: reason, RetryAt: time.Now().Add(time.Second)})
+}
+
+// work serves incoming streams.
+func (n *Node) work() {
+	for {
+		select {
+		case <-n.ctx.Done():
+			return
+		case j := <-n.jobs:
+			n.take(j)
+		}
+	}
+}
+
+// refuse answers a stream without reading it.
+func (n *Node) refuse(st *yamux.Stream) {
+	n.wg.Go(func() {
+		_ = st.SetDeadline(time.Now().Add(writeTimeout))
+		n.reply(st, kindFault, encodeFault(notServed("entry process has too many calls")))
+		_ = st.Close()
+	})
+}
+
+func (n *Node) reply(st *yamux.Stream, k kind, m proto.Message) {
+	if err := writeFrame(st, k, 0, m); err != nil {
+		return // the caller's deadline decides
+	}
+	n.counts.out(k, proto.Size(m))
+}
+
+// readTimeout bounds the reading of a request, so that a paused peer does not
+// hold a worker.
+const readTimeout = 2 * time.Second
+
+// take reads one request and answers it.
+func (n *Node) take(j job) {
+	_ = j.stream.SetDeadline(time.Now().Add(readTimeout))
+	h, payload, err := readFrame(j.stream)
+	if err != nil {
+		_ = j.stream.Close()
+		return
+	}
+	n.counts.in(h.kind, len(payload))
+	left := min(time.Duration(h.left)*time.Millisecond, maxCallTime)
+	ctx, cancel := context.WithTimeout(n.ctx, left)
+	deadline, _ := ctx.Deadline()
+	_ = j.stream.SetDeadline(deadline)
+	run := func() {
+		defer cancel()
+		defer j.stream.Close()
+		m, err := n.handle(ctx, j.session.remote, h.kind, payload)
+		if err != nil {
+			n.reply(j.stream, kindFault, encodeFault(err))
+			return
+		}
+		n.reply(j.stream, h.kind, m)
+	}
+	if h.kind != kindForward {
+		run()
+		return
+	}
+	select {
+	case n.forward <- struct{}{}:
+		n.wg.Go(func() {
+			defer func() { <-n.forward }()
+			run()
+		})
+	default:
+		cancel()
+		n.refuse(j.stream)
+	}
+}
+
+// handle decodes a request, calls its handler and encodes the reply.
+func (n *Node) handle(ctx context.Context, from Remote, k kind, payload []byte) (proto.Message, error) {
+	h := n.cfg.Handlers
+	switch {
+	case k == kindPing && h.Ping != nil:
+		return serve(payload, &wire.Health{}, func(m *wire.Health) (proto.Message, error) {
+			out, err := h.Ping(ctx, from, toHealth(m))
+			return fromHealth(out), err
+		})
+	case k == kindAnnounce && h.Announce != nil:
+		return serve(payload, &wire.Version{}, func(m *wire.Version) (proto.Message, error) {
+			v := Version{Version: m.GetVersion(), Digest: m.GetDigest(), Hop: int(m.GetHop())}
+			return &wire.Version{}, h.Announce(ctx, from, v)
+		})
+	case k == kindChanges && h.Changes != nil:
+		return serve(payload, &wire.Since{}, func(m *wire.Since) (proto.Message, error) {
+			out, err := h.Changes(ctx, from, m.GetVersion())
+			return fromChanges(out), err
+		})
+	case k == kindClaim && h.Claim != nil:
+		return serve(payload, &wire.Query{}, func(m *wire.Query) (proto.Message, error) {
+			out, err := h.Claim(ctx, from, Query{Incarnation: m.GetIncarnation(), Account: m.GetAccount(), Key: m.GetKey(), Digest: m.GetDigest()})
+			return &wire.Outcome{Known: out.Known, Verdict: uint32(out.Verdict)}, err
+		})
+	case k == kindForward && h.Forward != nil:
+		return serve(payload, &wire.Request{}, func(m *wire.Request) (proto.Message, error) {
+			out, err := h.Forward(ctx, from, Request{Method: m.GetMethod(), Path: m.GetPath(), Header: toHeaders(m.GetHeaders()), Body: m.GetBody()})
+			return &wire.Answer{Status: uint32(out.Status), Headers: fromHeaders(out.Header), Body: out.Body}, err
+		})
+	case k == kindDemand && h.Demand != nil:
+		return serve(payload, &wire.Demands{}, func(m *wire.Demands) (proto.Message, error) {
+			out, err := h.Demand(ctx, from, toDemands(m))
+			return fromShares(out), err
+		})
+	case k == kindNews && h.News != nil:
+		return serve(payload, &wire.News{}, func(m *wire.News) (proto.Message, error) {
+			out, err := h.News(ctx, from, toNews(m))
+			return fromVerdicts(out), err
+		})
+	}
+	return nil, fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Unknown, Reason: "entry process does not serve this call"})
+}
+
+// serve decodes a payload for a handler. A request that can't be decoded was
+// not run.
+func serve[M proto.Message](payload []byte, m M, handle func(M) (proto.Message, error)) (proto.Message, error) {
+	if err := decode(payload, m); err != nil {
+		return nil, fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Invalid, Reason: "the message can't be decoded", Cause: err})
+	}
+	return handle(m)
+}
--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,251 @@
+package peer_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"runtime"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cranberrybay/cranberrybay/fakes"
+	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/member"
+	"github.com/cranberrybay/cranberrybay/peer"
+)
+
+var authority = func() *fakes.Authority {
+	a, err := fakes.NewAuthority()
+	if err != nil {
+		panic(err)
+	}
+	return a
+}()
+
+// bubble runs f in virtual time. yamux keeps timers in a sync.Pool of the
+// process; two collections empty it, since a timer must not leave its bubble.
+func bubble(t *testing.T, f func(t *testing.T)) {
+	t.Helper()
+	runtime.GC()
+	runtime.GC()
+	synctest.Test(t, f)
+	runtime.GC()
+	runtime.GC()
+}
+
+// start runs a Node on a network; its name is its host and its address.
+func start(t *testing.T, nw *fakes.Network, a *fakes.Authority, name, incarnation string, h peer.Handlers) *peer.Node {
+	t.Helper()
+	cert, key, err := a.Issue(name)
+	assert.NilError(t, err)
+	tc, err := peer.TLSConfig(a.PEM(), cert, key)
+	assert.NilError(t, err)
+	n := peer.New(peer.Config{
+		Name: name, Incarnation: incarnation, TLS: tc, Handlers: h,
+		Dial: func(ctx context.Context, address string) (net.Conn, error) { return nw.Dial(ctx, name, address) },
+	})
+	n.Start(nw.Listen(name))
+	t.Cleanup(n.Close)
+	return n
+}
+
+func target(name, incarnation string) peer.Target {
+	return peer.Target{Name: name, Incarnation: incarnation, Address: name}
+}
+
+func pong(version uint64) peer.Handlers {
+	return peer.Handlers{Ping: func(context.Context, peer.Remote, member.Health) (member.Health, error) {
+		return member.Health{Version: version}, nil
+	}}
+}
+
+// TestCalls guards against a field that is lost on the way, and against a
+// second session between a pair of processes.
+func TestCalls(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		nw := fakes.NewNetwork(time.Millisecond)
+		m := member.Member{Name: "c", Incarnation: "c/1", Domain: "patan", Region: "bagmati", Callers: "1", Peers: "2", Leaving: true, Sequence: 7}
+		h := pong(4)
+		h.Changes = func(_ context.Context, from peer.Remote, since uint64) (peer.Changes, error) {
+			assert.Equal(t, from, peer.Remote{Name: "a", Incarnation: "a/1"})
+			return peer.Changes{Version: since + 1, Digest: 9, Whole: true, Documents: []peer.Document{{ID: "x/y", Path: "p", Text: []byte("t"), Deleted: true}}}, nil
+		}
+		h.Claim = func(_ context.Context, _ peer.Remote, q peer.Query) (peer.Outcome, error) {
+			assert.DeepEqual(t, q, peer.Query{Incarnation: "b/1", Account: "acc", Key: "k", Digest: []byte{1}})
+			return peer.Outcome{Known: true, Verdict: fault.Ran}, nil
+		}
+		h.Forward = func(_ context.Context, _ peer.Remote, r peer.Request) (peer.Answer, error) {
+			return peer.Answer{Status: 201, Header: r.Header, Body: r.Body}, nil
+		}
+		h.Demand = func(_ context.Context, _ peer.Remote, ds []peer.Demand) ([]peer.Share, error) {
+			return []peer.Share{{Account: ds[0].Account, Rate: ds[0].Rate, Tokens: ds[0].Tokens, Inflight: 2, Until: time.Now().Add(time.Second)}}, nil
+		}
+		h.News = func(_ context.Context, _ peer.Remote, n member.News) (member.Verdicts, error) {
+			assert.DeepEqual(t, n, member.News{Events: []member.Event{{Kind: member.Dead, Member: m}}, Hop: 1, List: true})
+			return member.Verdicts{Members: []member.Member{m}, Alive: []bool{true}}, nil
+		}
+		announced := peer.Version{}
+		h.Announce = func(_ context.Context, _ peer.Remote, v peer.Version) error { announced = v; return nil }
+		a, b := start(t, nw, authority, "a", "a/1", pong(3)), start(t, nw, authority, "b", "b/1", h)
+		ctx, to := t.Context(), target("b", "b/1")
+		health, err := a.Ping(ctx, to, member.Health{Version: 3, Self: &m})
+		assert.NilError(t, err)
+		assert.Equal(t, health.Version, uint64(4))
+		assert.NilError(t, a.Announce(ctx, to, peer.Version{Version: 5, Digest: 6, Hop: 1}))
+		assert.Equal(t, announced, peer.Version{Version: 5, Digest: 6, Hop: 1})
+		ch, err := a.Changes(ctx, to, 8)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, ch, peer.Changes{Version: 9, Digest: 9, Whole: true, Documents: []peer.Document{{ID: "x/y", Path: "p", Text: []byte("t"), Deleted: true}}})
+		out, err := a.Claim(ctx, to, peer.Query{Incarnation: "b/1", Account: "acc", Key: "k", Digest: []byte{1}})
+		assert.NilError(t, err)
+		assert.Equal(t, out, peer.Outcome{Known: true, Verdict: fault.Ran})
+		ans, err := a.Forward(ctx, to, peer.Request{Method: "POST", Path: "/x?y", Header: http.Header{"A": {"1", "2"}}, Body: bytes.Repeat([]byte("z"), 4<<20)})
+		assert.NilError(t, err)
+		assert.Equal(t, ans.Status, 201)
+		assert.Equal(t, len(ans.Body), 4<<20)
+		assert.DeepEqual(t, ans.Header, http.Header{"A": {"1", "2"}})
+		shares, err := a.Demand(ctx, to, []peer.Demand{{Account: "q", Rate: 2.5, Tokens: 3, Inflight: 4}})
+		assert.NilError(t, err)
+		assert.Equal(t, shares[0].Rate, 2.5)
+		v, err := a.News(ctx, to, member.News{Events: []member.Event{{Kind: member.Dead, Member: m}}, Hop: 1, List: true})
+		assert.NilError(t, err)
+		assert.DeepEqual(t, v, member.Verdicts{Members: []member.Member{m}, Alive: []bool{true}})
+		_, err = b.Ping(ctx, target("a", "a/1"), member.Health{})
+		assert.NilError(t, err)
+		assert.Equal(t, a.Sessions(), 1)
+		assert.Equal(t, b.Sessions(), 1)
+	})
+}
+
+// TestStranger guards against a process without a certificate of the
+// authority, or with the certificate of another process, that gets an answer.
+func TestStranger(t *testing.T) {
+	other, err := fakes.NewAuthority()
+	assert.NilError(t, err)
+	cases := []struct {
+		name      string
+		authority *fakes.Authority
+		as        string // name that the stranger's certificate holds
+		says      string // name that the stranger states
+	}{
+		{"other authority", other, "a", "a"},
+		{"other name", authority, "c", "a"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				nw := fakes.NewNetwork(0)
+				var called atomic.Bool
+				start(t, nw, authority, "b", "b/1", peer.Handlers{Ping: func(context.Context, peer.Remote, member.Health) (member.Health, error) {
+					called.Store(true)
+					return member.Health{}, nil
+				}})
+				cert, key, err := c.authority.Issue(c.as)
+				assert.NilError(t, err)
+				// The stranger trusts the authority of the others.
+				tc, err := peer.TLSConfig(authority.PEM(), cert, key)
+				assert.NilError(t, err)
+				n := peer.New(peer.Config{Name: c.says, Incarnation: "s/1", TLS: tc, Dial: func(ctx context.Context, address string) (net.Conn, error) { return nw.Dial(ctx, "a", address) }})
+				n.Start(nil)
+				defer n.Close()
+				_, err = n.Ping(t.Context(), target("b", "b/1"), member.Health{})
+				assert.Assert(t, err != nil)
+				assert.Assert(t, !called.Load())
+			})
+		})
+	}
+}
+
+// TestGone guards against a call for one incarnation that reaches its
+// successor at the same address.
+func TestGone(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		nw := fakes.NewNetwork(0)
+		a := start(t, nw, authority, "a", "a/1", pong(1))
+		old := start(t, nw, authority, "b", "b/1", pong(1))
+		_, err := a.Ping(t.Context(), target("b", "b/1"), member.Health{})
+		assert.NilError(t, err)
+		old.Close()
+		synctest.Wait()
+		start(t, nw, authority, "b", "b/2", pong(2))
+		_, err = a.Ping(t.Context(), target("b", "b/1"), member.Health{})
+		var gone *peer.GoneError
+		assert.Assert(t, errors.As(err, &gone), "%v", err)
+		assert.Equal(t, gone.Found, "b/2")
+		assert.Equal(t, fault.Of(err), fault.NotRun)
+		h, err := a.Ping(t.Context(), target("b", ""), member.Health{})
+		assert.NilError(t, err)
+		assert.Equal(t, h.Version, uint64(2))
+	})
+}
+
+// TestVerdicts guards against a call that may have reached the peer and is
+// reported as not run, and against a call that outlasts its deadline.
+func TestVerdicts(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		nw := fakes.NewNetwork(time.Millisecond)
+		var ran atomic.Int32
+		a := start(t, nw, authority, "a", "a/1", peer.Handlers{})
+		start(t, nw, authority, "b", "b/1", peer.Handlers{Forward: func(ctx context.Context, _ peer.Remote, _ peer.Request) (peer.Answer, error) {
+			ran.Add(1)
+			<-ctx.Done()
+			return peer.Answer{}, ctx.Err()
+		}})
+		send := func() (time.Duration, error) {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			before := time.Now()
+			_, err := a.Forward(ctx, target("b", "b/1"), peer.Request{})
+			return time.Since(before), err
+		}
+		took, err := send()
+		assert.Equal(t, fault.Of(err), fault.MayHaveRun, "%v", err)
+		assert.Assert(t, took <= time.Second+10*time.Millisecond, "%v", took)
+		assert.Equal(t, ran.Load(), int32(1))
+		_, err = a.Ping(t.Context(), target("b", "b/1"), member.Health{})
+		assert.Equal(t, fault.Of(err), fault.NotRun, "a call without a handler")
+		nw.Cut("b", "a", true) // the request arrives, its answer does not
+		took, err = send()
+		assert.Equal(t, fault.Of(err), fault.MayHaveRun)
+		assert.Assert(t, took <= time.Second+10*time.Millisecond, "%v", took)
+		assert.Equal(t, ran.Load(), int32(2))
+		nw.Cut("b", "a", false)
+		nw.Kill("b")
+		synctest.Wait()
+		_, err = send()
+		assert.Equal(t, fault.Of(err), fault.NotRun, "%v", err)
+		_, err = send()
+		assert.Assert(t, errors.Is(err, peer.ErrBackoff), "%v", err)
+		assert.Equal(t, ran.Load(), int32(2))
+	})
+}
+
+// TestBothDial guards against two sessions, or none, after both processes
+// dialled at once, and against sessions that stay open when idle.
+func TestBothDial(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		nw := fakes.NewNetwork(5 * time.Millisecond)
+		a, b := start(t, nw, authority, "a", "a/1", pong(1)), start(t, nw, authority, "b", "b/1", pong(1))
+		done := make(chan error, 2)
+		go func() { _, err := a.Ping(t.Context(), target("b", "b/1"), member.Health{}); done <- err }()
+		go func() { _, err := b.Ping(t.Context(), target("a", "a/1"), member.Health{}); done <- err }()
+		assert.NilError(t, <-done)
+		assert.NilError(t, <-done)
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, a.Sessions(), 1)
+		assert.Equal(t, b.Sessions(), 1)
+		_, err := a.Ping(t.Context(), target("b", "b/1"), member.Health{})
+		assert.NilError(t, err)
+		time.Sleep(2 * time.Minute)
+		assert.Equal(t, a.Sessions(), 0)
+		assert.Equal(t, b.Sessions(), 0)
+		_, err = b.Ping(t.Context(), target("a", "a/1"), member.Health{})
+		assert.NilError(t, err)
+	})
+}
