member: membership by rows and pings

Cause: entry processes must know each other and hand out addresses, within the write budget of the table service and through its outages. Lost members are tried again, so that partitions heal without the table. Spread reaches all in two hops over ranges of names. Conclusion: works without the table service once a process knows one other.

--- /dev/null
+++ b/member/news.go
@@ -0,0 +1,223 @@
+package member
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// verifySpread is the time for each member over which the pings are spread
+// that follow the news of a death, so that a live process that was reported
+// dead is not called by all others at once.
+const verifySpread = 2 * time.Millisecond
+
+// sendNews returns a function that sends one event, for Spread.
+func (t *Table) sendNews(e Event) func(context.Context, Member, Reach) error {
+	return func(ctx context.Context, to Member, r Reach) error {
+		_, err := t.cfg.News(ctx, to, News{Events: []Event{e}, Reach: r})
+		return err
+	}
+}
+
+// HandlePing answers a ping of an authenticated peer.
+func (t *Table) HandlePing(name, incarnation string, h Health) Health {
+	t.cfg.Gate()
+	t.pulse.Beat()
+	t.mu.Lock()
+	if h.Self != nil && h.Self.Name == name && h.Self.Incarnation == incarnation {
+		t.merge(*h.Self)
+	}
+	e := t.current(Member{Name: name, Incarnation: incarnation})
+	var from Member
+	if e != nil {
+		t.states(e, h)
+		t.proved(e)
+		from = e.member
+	}
+	t.mu.Unlock()
+	if e != nil {
+		t.cfg.Heard(from, h)
+	}
+	// A full reply to a short ping asks the sender to describe itself.
+	return t.health(e == nil || h.Self != nil)
+}
+
+// HandleNews takes news of an authenticated peer, answers it, and passes it on
+// when it is asked to.
+func (t *Table) HandleNews(ctx context.Context, name, incarnation string, n News) Verdicts {
+	t.cfg.Gate()
+	t.pulse.Beat()
+	t.mu.Lock()
+	if e := t.current(Member{Name: name, Incarnation: incarnation}); e != nil {
+		t.proved(e)
+	}
+	t.mu.Unlock()
+	out := Verdicts{Alive: make([]bool, len(n.Events))}
+	var pass []Event
+	for i, e := range n.Events {
+		switch e.Kind {
+		case Suspect:
+			out.Alive[i] = t.check(ctx, e.Member)
+			continue
+		case Dead:
+			out.Alive[i] = t.reportedDead(e.Member)
+		case Stopped:
+			t.stopped(e.Member)
+		case Joined, Leaving:
+			t.joined(e.Member, e.Member.Incarnation == incarnation)
+		default:
+			continue
+		}
+		pass = append(pass, e)
+	}
+	if n.List {
+		out.Members = t.Live()
+	}
+	if n.Reach.Relay && len(pass) > 0 {
+		t.spawn(func() {
+			t.Spread(t.ctx, func(ctx context.Context, to Member, r Reach) error {
+				_, err := t.cfg.News(ctx, to, News{Events: pass, Reach: r})
+				return err
+			}, Reach{First: n.Reach.First, Last: n.Reach.Last})
+		})
+	}
+	return out
+}
+
+// fresh tells whether a member was heard a moment ago. It needs the lock.
+func (t *Table) fresh(e *entry) bool { return time.Since(e.heard) < freshTime }
+
+// check tells a peer whether this process reaches a member.
+func (t *Table) check(ctx context.Context, m Member) bool {
+	t.mu.Lock()
+	if m.Incarnation == t.self.Incarnation {
+		t.mu.Unlock()
+		return true
+	}
+	e := t.current(m)
+	fresh := e != nil && t.fresh(e)
+	t.mu.Unlock()
+	if fresh {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	_, err := t.cfg.Ping(ctx, m, t.health(true))
+	return err == nil
+}
+
+// reportedDead checks the news of a death with a ping of its own before it
+// believes it. It returns true when the member was heard a moment ago.
+func (t *Table) reportedDead(m Member) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if m.Incarnation == t.self.Incarnation {
+		return true
+	}
+	e := t.current(m)
+	switch {
+	case e == nil || e.state == lost:
+		return false
+	case t.fresh(e):
+		// It may have died right after it was heard: look again later.
+		t.spawn(func() { t.verify(m, freshTime) })
+		return true
+	}
+	wait := time.Duration(t.rand.Int63n(int64(t.count()+1))) * verifySpread
+	t.spawn(func() { t.verify(m, wait) })
+	return false
+}
+
+// verify pings a member that was reported dead and removes it when it gives no
+// answer.
+func (t *Table) verify(m Member, wait time.Duration) {
+	select {
+	case <-time.After(wait):
+	case <-t.ctx.Done():
+		return
+	}
+	t.cfg.Gate()
+	epoch := t.pulse.Beat()
+	if t.ping(t.ctx, m) || t.pulse.Beat() != epoch {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.current(m); e != nil && e.state != lost && !t.fresh(e) {
+		e.state, e.lostAt, e.judging = lost, time.Now(), false
+	}
+}
+
+// stopped removes a member that said that it ends.
+func (t *Table) stopped(m Member) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.current(m); e != nil {
+		e.state, e.lostAt = lost, time.Now()
+	}
+}
+
+// joined adds a member. What a third process says of a member that gives no
+// answer here is checked with a ping first.
+func (t *Table) joined(m Member, direct bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.merge(m)
+	switch {
+	case e == nil:
+	case direct:
+		t.proved(e)
+	case e.state == lost:
+		e.state, e.misses = unproven, 0
+	case e.state == unproven:
+		e.state = live
+	}
+}
+
+// swap tells a member about this process and takes over its list.
+func (t *Table) swap(ctx context.Context, to Member) bool {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	epoch := t.pulse.Beat()
+	v, err := t.cfg.News(ctx, to, News{Events: []Event{{Kind: Joined, Member: t.Self()}}, List: true})
+	if err != nil || t.pulse.Beat() != epoch {
+		return false
+	}
+	for _, m := range v.Members {
+		t.joined(m, false)
+	}
+	return true
+}
+
+// syncPeers is how many members are asked for their list at once.
+const syncPeers = 3
+
+// sync takes over the lists of a few members when this process has proof of
+// none: after its start and after a pause.
+func (t *Table) sync(ctx context.Context) {
+	var to []Member
+	t.mu.Lock()
+	for _, e := range t.entries {
+		switch {
+		case e.state == live:
+			t.mu.Unlock()
+			return
+		case e.state == unproven:
+			to = append(to, e.member)
+		}
+	}
+	if len(to) == 0 {
+		for name, address := range t.cfg.Seeds {
+			if name != t.self.Name {
+				to = append(to, Member{Name: name, Peers: address})
+			}
+		}
+	}
+	t.rand.Shuffle(len(to), func(i, j int) { to[i], to[j] = to[j], to[i] })
+	t.mu.Unlock()
+	var wg sync.WaitGroup
+	for _, m := range to[:min(syncPeers, len(to))] {
+		wg.Go(func() { t.swap(ctx, m) })
+	}
+	wg.Wait()
+}
--- /dev/null
+++ b/member/probe.go
@@ -0,0 +1,214 @@
+package member
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+)
+
+// Times and numbers of pings.
+const (
+	pingInterval = time.Second
+	pingTimeout  = 900 * time.Millisecond // below the interval, so that one ping is in flight
+	maxMisses    = 3
+	askTimeout   = 2 * time.Second // a helper pings once before it answers
+	proveCount   = 16              // unproven members that are pinged at once
+	staleCount   = 4               // members whose row stands still that are pinged at once
+	freshTime    = 2 * time.Second // an answer this recent refutes a death
+)
+
+// tick pings the neighbours on the ring, members that are not proven yet, one
+// lost member and one other member. The last two find again who was lost in a
+// partition, and find deaths whose news did not arrive, without the table.
+func (t *Table) tick(ctx context.Context) {
+	now := time.Now()
+	t.mu.Lock()
+	chosen := map[string]bool{}
+	for _, n := range t.watch(now) {
+		chosen[n] = true
+	}
+	var idle, waiting, gone, still []string
+	expiry := 3 * max(refreshFloor, time.Duration(t.count())*time.Second/refreshRate)
+	known := now.Sub(t.scanned) < expiry
+	for n, e := range t.entries {
+		switch {
+		case chosen[n]:
+		case e.state == unproven:
+			waiting = append(waiting, n)
+		case e.state == lost:
+			gone = append(gone, n)
+		case known && now.Sub(e.moved) > expiry && now.Sub(e.heard) > maxMisses*pingInterval:
+			still = append(still, n)
+		default:
+			idle = append(idle, n)
+		}
+	}
+	t.pick(chosen, waiting, proveCount)
+	t.pick(chosen, gone, 1)
+	t.pick(chosen, still, staleCount)
+	t.pick(chosen, idle, 1)
+	var to []Member
+	for n := range chosen {
+		if e := t.entries[n]; !e.pinging {
+			e.pinging = true
+			to = append(to, e.member)
+		}
+	}
+	t.mu.Unlock()
+	for _, m := range to {
+		t.spawn(func() { t.ping(ctx, m) })
+	}
+}
+
+// pick adds up to n random names. It needs the lock.
+func (t *Table) pick(into map[string]bool, from []string, n int) {
+	t.rand.Shuffle(len(from), func(i, j int) { from[i], from[j] = from[j], from[i] })
+	for _, name := range from[:min(n, len(from))] {
+		into[name] = true
+	}
+}
+
+// health returns what this process states in a ping. With full it describes
+// itself.
+func (t *Table) health(full bool) Health {
+	v, d := t.cfg.Version()
+	self := t.Self()
+	h := Health{Version: v, Digest: d, Leaving: self.Leaving, Sequence: self.Sequence}
+	if full {
+		h.Self = &self
+	}
+	return h
+}
+
+// current returns the entry of an incarnation, or nil. It needs the lock.
+func (t *Table) current(m Member) *entry {
+	if e := t.entries[m.Name]; e != nil && e.member.Incarnation == m.Incarnation {
+		return e
+	}
+	return nil
+}
+
+// ping asks one member once and records the result, unless this process was
+// paused in between.
+func (t *Table) ping(ctx context.Context, m Member) bool {
+	epoch := t.pulse.Beat()
+	t.mu.Lock()
+	full := true
+	if e := t.current(m); e != nil {
+		full = e.told != t.self.Sequence
+	}
+	t.mu.Unlock()
+	cctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	sent := t.health(full)
+	h, err := t.cfg.Ping(cctx, m, sent)
+	cancel()
+	same := t.pulse.Beat() == epoch
+	t.mu.Lock()
+	e := t.current(m)
+	if e == nil {
+		t.mu.Unlock()
+		return err == nil
+	}
+	e.pinging = false
+	if err != nil {
+		if same && ctx.Err() == nil {
+			t.missed(e, errors.Is(err, ErrGone))
+		}
+		t.mu.Unlock()
+		return false
+	}
+	found := e.state == lost
+	e.told = sent.Sequence
+	if h.Self != nil && sent.Self == nil {
+		e.told = 0 // the peer does not know this process
+	}
+	t.states(e, h)
+	t.proved(e)
+	m = e.member
+	t.mu.Unlock()
+	t.cfg.Heard(m, h)
+	if found {
+		t.cfg.Log.Info().Str("member", m.Name).Msg("lost member answers again")
+		t.swap(ctx, m)
+	}
+	return true
+}
+
+// states merges what a member says of itself in a ping. It needs the lock.
+func (t *Table) states(e *entry, h Health) {
+	if h.Self != nil && h.Self.Name == e.member.Name {
+		t.merge(*h.Self)
+	}
+	if h.Sequence >= e.member.Sequence {
+		e.member.Leaving, e.member.Sequence = h.Leaving, h.Sequence
+	}
+}
+
+// missed counts a ping without an answer. It needs the lock.
+func (t *Table) missed(e *entry, gone bool) {
+	e.misses++
+	if e.state == unproven && (gone || e.misses >= maxMisses) {
+		e.state, e.lostAt = lost, time.Now()
+		return
+	}
+	if e.state != live || e.judging || !gone && e.misses < maxMisses {
+		return
+	}
+	e.judging = true
+	m := e.member
+	t.spawn(func() { t.judge(t.ctx, m, gone) })
+}
+
+// judge asks other watchers whether they reach a member that does not answer
+// this process. Only when none does, the member is dead; a link that is cut
+// between two processes does not remove either of them.
+func (t *Table) judge(ctx context.Context, m Member, gone bool) {
+	epoch := t.pulse.Beat()
+	if !gone && t.reached(ctx, m) || t.pulse.Beat() != epoch {
+		t.mu.Lock()
+		if e := t.current(m); e != nil {
+			e.misses, e.judging = 0, false
+		}
+		t.mu.Unlock()
+		return
+	}
+	t.mu.Lock()
+	e := t.current(m)
+	if e == nil || !e.judging || e.state != live {
+		if e != nil {
+			e.judging = false
+		}
+		t.mu.Unlock()
+		return // it was heard in the meantime
+	}
+	e.state, e.judging, e.lostAt = lost, false, time.Now()
+	t.deaths = append(t.deaths, e.lostAt)
+	t.mu.Unlock()
+	t.cfg.Log.Warn().Str("member", m.Name).Str("incarnation", m.Incarnation).Msg("member is dead")
+	t.Spread(ctx, t.sendNews(Event{Kind: Dead, Member: m}), Reach{})
+}
+
+// reached asks the helpers and returns whether one of them reaches m.
+func (t *Table) reached(ctx context.Context, m Member) bool {
+	t.mu.Lock()
+	helpers := t.helpers(m.Name)
+	t.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	yes := make([]bool, len(helpers))
+	var wg sync.WaitGroup
+	for i, h := range helpers {
+		wg.Go(func() {
+			v, err := t.cfg.News(ctx, h, News{Events: []Event{{Kind: Suspect, Member: m}}})
+			yes[i] = err == nil && len(v.Alive) == 1 && v.Alive[0]
+		})
+	}
+	wg.Wait()
+	for _, y := range yes {
+		if y {
+			return true
+		}
+	}
+	return false
+}
--- a/member/types.go
+++ b/member/types.go
@@ -3,10 +3,12 @@
 // serve joining and listing; pings between processes serve the detection of
 // deaths and keep the membership alive while the table service is down.
 //
-// Table has one lock. It is never held during a call to a peer or to the
-// table service.
+// Locks are taken in this order: Pulse, Table, start of goroutines. None is
+// held during a call to a peer or to the table service.
 package member
 
+import "errors"
+
 // Member is one entry process as it describes itself.
 type Member struct {
 	Name        string `json:"name"`
@@ -40,8 +42,8 @@
 // News is a set of events on its way through the membership.
 type News struct {
 	Events []Event
-	Hop    int  // times the message was passed on
-	List   bool // asks for the list of live members
+	Reach  Reach // who passes the message on
+	List   bool  // asks for the list of live members
 }
 
 // Verdicts is the reply to News.
@@ -58,3 +60,16 @@
 	Sequence uint64
 	Self     *Member // nil when the peer already knows the sender at this sequence
 }
+
+// Reach limits who passes a message on. A message with Relay set goes on to
+// every live member whose name is in the range; the range keeps members from
+// being left out when sender and receiver know different members.
+type Reach struct {
+	Relay bool
+	First string // first name, inclusive
+	Last  string // name after the last one; "" for no bound
+}
+
+// ErrGone reports that an address answers as another incarnation than the
+// wanted one, which is proof that the wanted one is dead.
+var ErrGone = errors.New("incarnation was replaced at its address")
--- a/peer/call.go
+++ b/peer/call.go
@@ -134,7 +134,7 @@
 
 // Announce tells a peer about a configuration version.
 func (n *Node) Announce(ctx context.Context, t Target, v Version) error {
-	return n.call(ctx, t, kindAnnounce, &wire.Version{Version: v.Version, Digest: v.Digest, Hop: uint32(v.Hop)}, &wire.Version{})
+	return n.call(ctx, t, kindAnnounce, &wire.Version{Version: v.Version, Digest: v.Digest, Reach: fromReach(v.Reach)}, &wire.Version{})
 }
 
 // Changes fetches the documents that changed after a version.
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -39,8 +39,20 @@
 	return out
 }
 
+// fromReach leaves the message out when nobody passes it on.
+func fromReach(r member.Reach) *wire.Reach {
+	if r == (member.Reach{}) {
+		return nil
+	}
+	return &wire.Reach{Relay: r.Relay, First: r.First, Last: r.Last}
+}
+
+func toReach(r *wire.Reach) member.Reach {
+	return member.Reach{Relay: r.GetRelay(), First: r.GetFirst(), Last: r.GetLast()}
+}
+
 func fromNews(n member.News) *wire.News {
-	out := &wire.News{Hop: uint32(n.Hop), List: n.List}
+	out := &wire.News{Reach: fromReach(n.Reach), List: n.List}
 	for _, e := range n.Events {
 		out.Events = append(out.Events, &wire.Event{Member: fromMember(e.Member), Kind: uint32(e.Kind)})
 	}
@@ -48,7 +60,7 @@
 }
 
 func toNews(n *wire.News) member.News {
-	out := member.News{Hop: int(n.GetHop()), List: n.GetList()}
+	out := member.News{Reach: toReach(n.GetReach()), List: n.GetList()}
 	for _, e := range n.GetEvents() {
 		out.Events = append(out.Events, member.Event{Kind: member.Kind(e.GetKind()), Member: toMember(e.GetMember())})
 	}
--- a/peer/handle.go
+++ b/peer/handle.go
@@ -17,7 +17,7 @@
 type Version struct {
 	Version uint64
 	Digest  uint64
-	Hop     int // times the message was passed on
+	Reach   member.Reach // who passes the message on
 }
 
 // Document is one configuration document.
@@ -181,7 +181,7 @@
 		})
 	case k == kindAnnounce && h.Announce != nil:
 		return serve(payload, &wire.Version{}, func(m *wire.Version) (proto.Message, error) {
-			v := Version{Version: m.GetVersion(), Digest: m.GetDigest(), Hop: int(m.GetHop())}
+			v := Version{Version: m.GetVersion(), Digest: m.GetDigest(), Reach: toReach(m.GetReach())}
 			return &wire.Version{}, h.Announce(ctx, from, v)
 		})
 	case k == kindChanges && h.Changes != nil:
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -87,7 +87,7 @@
 			return []peer.Share{{Account: ds[0].Account, Rate: ds[0].Rate, Tokens: ds[0].Tokens, Inflight: 2, Until: time.Now().Add(time.Second)}}, nil
 		}
 		h.News = func(_ context.Context, _ peer.Remote, n member.News) (member.Verdicts, error) {
-			assert.DeepEqual(t, n, member.News{Events: []member.Event{{Kind: member.Dead, Member: m}}, Hop: 1, List: true})
+			assert.DeepEqual(t, n, member.News{Events: []member.Event{{Kind: member.Dead, Member: m}}, Reach: member.Reach{Relay: true, Last: "z"}, List: true})
 			return member.Verdicts{Members: []member.Member{m}, Alive: []bool{true}}, nil
 		}
 		announced := peer.Version{}
@@ -97,8 +97,8 @@
 		health, err := a.Ping(ctx, to, member.Health{Version: 3, Self: &m})
 		assert.NilError(t, err)
 		assert.Equal(t, health.Version, uint64(4))
-		assert.NilError(t, a.Announce(ctx, to, peer.Version{Version: 5, Digest: 6, Hop: 1}))
-		assert.Equal(t, announced, peer.Version{Version: 5, Digest: 6, Hop: 1})
+		assert.NilError(t, a.Announce(ctx, to, peer.Version{Version: 5, Digest: 6, Reach: member.Reach{Relay: true, First: "a"}}))
+		assert.Equal(t, announced, peer.Version{Version: 5, Digest: 6, Reach: member.Reach{Relay: true, First: "a"}})
 		ch, err := a.Changes(ctx, to, 8)
 		assert.NilError(t, err)
 		assert.DeepEqual(t, ch, peer.Changes{Version: 9, Digest: 9, Whole: true, Documents: []peer.Document{{ID: "x/y", Path: "p", Text: []byte("t"), Deleted: true}}})
@@ -113,7 +113,7 @@
 		shares, err := a.Demand(ctx, to, []peer.Demand{{Account: "q", Rate: 2.5, Tokens: 3, Inflight: 4}})
 		assert.NilError(t, err)
 		assert.Equal(t, shares[0].Rate, 2.5)
-		v, err := a.News(ctx, to, member.News{Events: []member.Event{{Kind: member.Dead, Member: m}}, Hop: 1, List: true})
+		v, err := a.News(ctx, to, member.News{Events: []member.Event{{Kind: member.Dead, Member: m}}, Reach: member.Reach{Relay: true, Last: "z"}, List: true})
 		assert.NilError(t, err)
 		assert.DeepEqual(t, v, member.Verdicts{Members: []member.Member{m}, Alive: []bool{true}})
 		_, err = b.Ping(ctx, target("a", "a/1"), member.Health{})
