lease: leases with fencing numbers on table rows

Cause: only one process may order engines, although its clock is not comparable with that of others and it may be paused at any moment. Change: the holder counts its term from before it sent its write, on the monotonic and the wall clock, and may send only while the send timeout fits before the deadline; a successor waits until it has seen the row unchanged for a whole term and one send timeout. A lost reply is resolved by reading the row back. A release waits one send timeout, then frees the lease at once. Conclusion: the check fails for a holder that does not look at its deadline and for a successor that does not wait (TestRules).

--- /dev/null
+++ b/lease/lease_test.go
@@ -0,0 +1,331 @@
+package lease_test
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"fmt"
+	"math/rand"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/cranberrybay/cranberrybay/fakes"
+	"github.com/cranberrybay/cranberrybay/lease"
+	"github.com/cranberrybay/cranberrybay/table"
+)
+
+func init() {
+	_ = flag.Set("rapid.seed", "20261204")
+	_ = flag.Set("rapid.checks", "60")
+}
+
+const (
+	term = 8 * time.Second
+	send = time.Second
+)
+
+// engine is a receiver that ignores fencing numbers and records a violation
+// when something of an older holder takes effect after that of a newer one.
+type engine struct {
+	mu      sync.Mutex
+	highest uint64
+	effects int
+	holders map[uint64]int
+	err     error
+}
+
+func (e *engine) take(fence uint64, holder int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.effects++
+	if fence < e.highest && e.err == nil {
+		e.err = fmt.Errorf("number %d took effect after %d", fence, e.highest)
+	}
+	if other, ok := e.holders[fence]; ok && other != holder && e.err == nil {
+		e.err = fmt.Errorf("number %d is used by holders %d and %d", fence, other, holder)
+	}
+	e.holders[fence] = holder
+	e.highest = max(e.highest, fence)
+}
+
+// party is one process that wants the lease and sends under it.
+type party struct {
+	index   int
+	holder  *lease.Holder
+	rand    *rand.Rand
+	mu      sync.Mutex
+	resumed chan struct{}
+	cut     bool // reaches the table no more
+	deaf    bool // its writes arrive, the replies do not
+	unsafe  bool // deliberate fault: sends what it once held without a check
+	last    uint64
+}
+
+func (p *party) gate() {
+	for {
+		p.mu.Lock()
+		c := p.resumed
+		p.mu.Unlock()
+		if c == nil {
+			return
+		}
+		<-c
+	}
+}
+
+// random returns a random time below a bound.
+func (p *party) random(bound time.Duration) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Duration(p.rand.Int63n(int64(bound)))
+}
+
+func (p *party) flags() (cut, deaf bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cut, p.deaf
+}
+
+// rows returns a client whose calls can be cut off and take a while.
+func (p *party) rows(c *table.Client) *table.Client {
+	delay := func() { time.Sleep(p.random(300 * time.Millisecond)) }
+	return table.New(table.Config{
+		Get: func(ctx context.Context, keys ...string) ([]table.Row, error) {
+			p.gate()
+			defer p.gate()
+			delay()
+			if cut, _ := p.flags(); cut {
+				return nil, table.ErrUnavailable
+			}
+			return c.Get(ctx, keys...)
+		},
+		Commit: func(ctx context.Context, b table.Batch) (uint64, error) {
+			p.gate()
+			defer p.gate()
+			delay()
+			cut, deaf := p.flags()
+			if cut {
+				return 0, table.ErrUnavailable
+			}
+			r, err := c.Commit(ctx, b)
+			delay()
+			if deaf {
+				return 0, table.ErrUnknown
+			}
+			return r, err
+		},
+	})
+}
+
+// run steps the lease and sends under it until ctx ends.
+func (p *party) run(ctx context.Context, e *engine) {
+	go func() {
+		for ctx.Err() == nil {
+			p.gate()
+			_ = p.holder.Step(ctx)
+			time.Sleep(term / 8)
+		}
+	}()
+	for ctx.Err() == nil {
+		p.gate()
+		time.Sleep(100 * time.Millisecond)
+		fence, ok := p.holder.MaySend()
+		if p.unsafe {
+			p.last = max(p.last, fence)
+			fence, ok = p.last, p.last > 0
+		}
+		if !ok {
+			continue
+		}
+		sendBy := time.Now().Add(send)
+		time.Sleep(p.random(send))
+		p.gate()
+		if time.Now().Before(sendBy) || p.unsafe {
+			e.take(fence, p.index)
+		}
+	}
+}
+
+type step struct {
+	Kind string
+	A    int
+	Wait int // seconds
+}
+
+var steps = rapid.Custom(func(t *rapid.T) step {
+	return step{
+		Kind: rapid.SampledFrom([]string{"pause", "resume", "cut", "heal", "deaf", "hear", "down", "up", "lose", "drop", "drop", "release", "forget"}).Draw(t, "kind"),
+		A:    rapid.IntRange(0, 2).Draw(t, "a"),
+		Wait: rapid.IntRange(0, 30).Draw(t, "wait"),
+	}
+})
+
+func (p *party) apply(s step, t *fakes.Table) {
+	if s.Kind == "release" {
+		_ = p.holder.Release(context.Background())
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch s.Kind {
+	case "pause":
+		if p.resumed == nil {
+			p.resumed = make(chan struct{})
+		}
+	case "resume":
+		if p.resumed != nil {
+			close(p.resumed)
+			p.resumed = nil
+		}
+	case "cut", "heal":
+		p.cut = s.Kind == "cut"
+	case "deaf", "hear":
+		p.deaf = s.Kind == "deaf"
+	case "down", "up":
+		t.SetFaults(fakes.Faults{Down: s.Kind == "down"})
+	case "lose":
+		t.SetFaults(fakes.Faults{Lose: 3})
+	case "drop":
+		t.SetFaults(fakes.Faults{Drop: 3})
+	case "forget":
+		p.holder.Drop()
+	}
+}
+
+// play runs three parties through a schedule. change may build in a fault.
+func play(t *testing.T, schedule []step, change func(*party, *lease.Config)) (effects int, err error) {
+	synctest.Test(t, func(*testing.T) {
+		tb := fakes.NewTable()
+		e := &engine{holders: map[uint64]int{}}
+		ctx, cancel := context.WithCancel(context.Background())
+		var all []*party
+		for i := range 3 {
+			p := &party{index: i, rand: rand.New(rand.NewSource(int64(i)))}
+			cfg := lease.Config{
+				Rows: p.rows(tb.Client()), Name: "place", Holder: fmt.Sprint("p/", i), Term: term, Send: send,
+				Violated: func(reason string) {
+					e.mu.Lock()
+					defer e.mu.Unlock()
+					e.err = fmt.Errorf("invariant: %s", reason)
+				},
+			}
+			change(p, &cfg)
+			p.holder = lease.New(cfg)
+			all = append(all, p)
+			go p.run(ctx, e)
+		}
+		for _, s := range schedule {
+			p := all[s.A]
+			p.mu.Lock()
+			paused := p.resumed != nil
+			p.mu.Unlock()
+			if !paused || s.Kind != "release" {
+				p.apply(s, tb)
+			}
+			time.Sleep(time.Duration(s.Wait) * time.Second)
+		}
+		for _, k := range []string{"up", "resume", "heal", "hear"} {
+			for _, p := range all {
+				p.apply(step{Kind: k}, tb)
+			}
+		}
+		e.mu.Lock()
+		e.effects = 0
+		e.mu.Unlock()
+		time.Sleep(3 * (term + send))
+		cancel()
+		time.Sleep(term)
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		effects, err = e.effects, e.err
+	})
+	return effects, err
+}
+
+// TestRandom guards against two holders whose orders take effect, a fencing
+// number that does not grow, and a lease that nobody gets any more.
+func TestRandom(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		schedule := rapid.SliceOfN(steps, 1, 14).Draw(rt, "schedule")
+		effects, err := play(t, schedule, func(*party, *lease.Config) {})
+		if err != nil {
+			rt.Fatalf("%v", err)
+		}
+		if effects == 0 {
+			rt.Fatalf("nobody holds the lease after all faults ended")
+		}
+	})
+}
+
+// holderPaused pauses whichever process holds the lease, longer than a term.
+func holderPaused() []step {
+	var s []step
+	for i := range 3 {
+		s = append(s, step{"pause", (i + 1) % 3, 0}, step{"pause", (i + 2) % 3, 15}, step{"resume", (i + 1) % 3, 0}, step{"resume", (i + 2) % 3, 0},
+			step{"pause", i, 20}, step{"resume", i, 20})
+	}
+	return s
+}
+
+// TestRules shows that the check of TestRandom fails without each of the two
+// rules, and that it holds with them.
+func TestRules(t *testing.T) {
+	schedule := holderPaused()
+	_, err := play(t, schedule, func(*party, *lease.Config) {})
+	assert.NilError(t, err)
+	_, err = play(t, schedule, func(p *party, _ *lease.Config) { p.unsafe = true })
+	assert.ErrorContains(t, err, "took effect after", "a holder that does not check its deadline")
+	_, err = play(t, schedule, func(p *party, c *lease.Config) {
+		// A successor that does not wait: it counts no term and no send time,
+		// and reads rows that state none.
+		c.Rows, c.Term, c.Send = hasty(c.Rows), term, 0
+	})
+	assert.ErrorContains(t, err, "took effect after", "a successor that does not wait")
+}
+
+// hasty hides other holders from a reader, so that it takes the lease at once.
+func hasty(c *table.Client) *table.Client {
+	return table.New(table.Config{Commit: c.Commit, Get: func(ctx context.Context, keys ...string) ([]table.Row, error) {
+		rows, err := c.Get(ctx, keys...)
+		for i, r := range rows {
+			v := r.Value()
+			if at := bytes.Index(v, []byte(`"holder":"p/`)); at >= 0 {
+				v = append(append(append([]byte(nil), v[:at]...), []byte(`"holder":"",`)...), v[at+len(`"holder":"p/0",`):]...)
+			}
+			rows[i] = table.NewRow(r.Key(), v, r.Revision())
+		}
+		return rows, err
+	}})
+}
+
+// TestRelease guards against a planned stop that leaves the lease unused for
+// a term.
+func TestRelease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tb := fakes.NewTable()
+		cfg := lease.Config{Rows: tb.Client(), Name: "place", Holder: "a/1", Term: term, Send: send}
+		a := lease.New(cfg)
+		cfg.Holder = "b/1"
+		b := lease.New(cfg)
+		ctx := t.Context()
+		assert.NilError(t, a.Step(ctx))
+		first, _, ok := a.Held()
+		assert.Assert(t, ok)
+		assert.NilError(t, b.Step(ctx))
+		_, _, ok = b.Held()
+		assert.Assert(t, !ok)
+		assert.NilError(t, a.Release(ctx))
+		assert.NilError(t, b.Step(ctx))
+		second, _, ok := b.Held()
+		assert.Assert(t, ok && second > first)
+		time.Sleep(term - send)
+		_, ok = b.MaySend()
+		assert.Assert(t, !ok, "a send would outlast the lease")
+		_, _, ok = b.Held()
+		assert.Assert(t, ok)
+	})
+}
