--- /dev/null
+++ b/plat/weight.go
@@ -0,0 +1,40 @@
+package plat
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+)
+
+// WeightsReply is the answer to GET /weights: how fast the weight store may be
+// read by all engines together.
+type WeightsReply struct {
+	Rate  int `json:"rate"`  // MB a second
+	Burst int `json:"burst"` // MB at once
+}
+
+// Weights reads the limits of the weight store.
+type Weights struct{ c *client }
+
+// NewWeights returns a reader of the limits.
+func NewWeights(cfg Config) *Weights { return &Weights{c: newClient(cfg)} }
+
+// Read returns the limits as they are now.
+func (w *Weights) Read(ctx context.Context) (WeightsReply, error) {
+	var out WeightsReply
+	status, b, err := w.c.call(ctx, http.MethodGet, "/weights", nil)
+	if err != nil {
+		return out, fmt.Errorf("read weight store: %w", err)
+	}
+	if status != http.StatusOK {
+		return out, fmt.Errorf("read weight store: status %d", status)
+	}
+	if err := json.Unmarshal(b, &out); err != nil {
+		return out, fmt.Errorf("decode weight store: %w", err)
+	}
+	if out.Rate < 0 || out.Burst < 0 {
+		return out, fmt.Errorf("weight store states a rate of %d and a burst of %d", out.Rate, out.Burst)
+	}
+	return out, nil
+}
