node: entry processes as members of each other

Cause: peers, membership, lease and placement were packages without a process that runs them. Change: settings for peers (address, authority, certificate, key, seeds); start opens the peer listener, joins, places and listens; stop leaves the lists first, then drains, releases the lease and says that it ends. A version that comes into effect is announced to all members, who fetch only the changed documents from the announcer, and from the table when that fails; pings repair lost announcements. GET /addresses is answered from the membership for the caller's IP and an optional domain. The demo runs three processes with certificates made in memory and checks that each lists all three; the engine and platform stand-ins serve orders and weight limits. entry: Addresses takes caller and domain.

--- a/cmds/demo.go
+++ b/cmds/demo.go
@@ -19,6 +19,8 @@
 
 	"github.com/cranberrybay/cranberrybay/admin"
 	"github.com/cranberrybay/cranberrybay/change"
+	"github.com/cranberrybay/cranberrybay/engine"
+	"github.com/cranberrybay/cranberrybay/entry"
 	"github.com/cranberrybay/cranberrybay/examples"
 	"github.com/cranberrybay/cranberrybay/fakes"
 	"github.com/cranberrybay/cranberrybay/node"
@@ -62,6 +64,7 @@
 type demo struct {
 	out      io.Writer
 	platform *fakes.Platform
+	certs    *fakes.Authority
 	engines  map[string]*fakes.Engine
 	service  *fakes.Service
 	servers  []*http.Server
@@ -93,6 +96,9 @@
 	if err != nil {
 		return err
 	}
+	if d.certs, err = fakes.NewAuthority(); err != nil {
+		return err
+	}
 	if err := d.startServers(); err != nil {
 		return err
 	}
@@ -114,7 +120,9 @@
 		for copied := range 2 {
 			name := fmt.Sprintf("engine-%d-%c", r, 'a'+copied)
 			e := fakes.NewEngine(fakes.EngineConfig{Kind: "a", Model: "lights", Version: "1", First: r * 8, Last: r*8 + 8, Pace: 3 * time.Millisecond})
-			address, err := d.serve(e.Handler())
+			part := engine.Part{Model: "lights", Version: "1", First: r * 8, Last: r*8 + 8, Size: 8 * 400}
+			orders := fakes.NewOrders(fakes.OrdersConfig{Memory: 8000, Fenced: true, Weights: d.platform.Weights(), Parts: []engine.Part{part}})
+			address, err := d.serve(fakes.WithOrders(e.Handler(), orders))
 			if err != nil {
 				return err
 			}
@@ -136,7 +144,12 @@
 		Name: fmt.Sprintf("entry-%d", i+1), Domain: domain, Region: "bagmati", Token: spec.HashKey(demoToken),
 		Platform: node.PlatformSettings{Address: platform},
 	}
-	for _, a := range []*string{&s.Listen.Callers, &s.Listen.Admin} {
+	certificate, key, err := d.certs.Issue(s.Name)
+	if err != nil {
+		return err
+	}
+	s.Peer.Authority, s.Peer.Certificate, s.Peer.Key = string(d.certs.PEM()), string(certificate), string(key)
+	for _, a := range []*string{&s.Listen.Callers, &s.Listen.Admin, &s.Peer.Listen} {
 		free, err := freeAddress()
 		if err != nil {
 			return err
@@ -197,9 +210,29 @@
 		}
 	}
 	d.say("3 entry processes in %s are ready", strings.Join(domains, ", "))
+	for _, n := range d.nodes {
+		for !knowsAll(n.Listen.Callers) {
+			if time.Now().After(deadline) || ctx.Err() != nil {
+				return fmt.Errorf("%s did not list 3 addresses within 10s", n.Name)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	d.say("each of them lists the addresses of all 3")
 	return nil
 }
 
+// knowsAll tells whether a node lists all nodes to callers.
+func knowsAll(address string) bool {
+	rs, err := http.Get("http://" + address + "/addresses")
+	if err != nil {
+		return false
+	}
+	defer rs.Body.Close()
+	var l entry.Addresses
+	return json.NewDecoder(rs.Body).Decode(&l) == nil && len(l.Addresses) == len(domains)
+}
+
 func nodeReady(a api) bool {
 	var s admin.Status
 	if err := a.call("GET", "/status", nil, &s); err != nil || s.Version == 0 || len(s.Servers) < 7 {
--- a/cmds/standin.go
+++ b/cmds/standin.go
@@ -12,6 +12,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/cranberrybay/cranberrybay/engine"
 	"github.com/cranberrybay/cranberrybay/fakes"
 )
 
@@ -34,11 +35,18 @@
 func newStandinEngine() *cobra.Command {
 	var address string
 	var cfg fakes.EngineConfig
+	var memory, size int
 	c := &cobra.Command{
 		Use: "engine", Short: "Run an engine that holds a range of layers", Args: cobra.NoArgs,
-		RunE: func(c *cobra.Command, _ []string) error { return listenOn(c, address, fakes.NewEngine(cfg).Handler()) },
+		RunE: func(c *cobra.Command, _ []string) error {
+			part := engine.Part{Model: cfg.Model, Version: cfg.Version, First: cfg.First, Last: cfg.Last, Size: (cfg.Last - cfg.First) * size}
+			orders := fakes.NewOrders(fakes.OrdersConfig{Memory: memory, Fenced: true, Parts: []engine.Part{part}})
+			return listenOn(c, address, fakes.WithOrders(fakes.NewEngine(cfg).Handler(), orders))
+		},
 	}
 	f := c.Flags()
+	f.IntVar(&memory, "memory", 80000, "memory for weights, MB")
+	f.IntVar(&size, "size", 400, "weights of one layer, MB")
 	f.StringVar(&address, "listen", "127.0.0.1:9100", "IP:port to listen on")
 	f.StringVar(&cfg.Kind, "kind", "a", "accelerator kind")
 	f.StringVar(&cfg.Model, "model", "", "model to hold")
--- /dev/null
+++ b/engine/order_test.go
@@ -0,0 +1,56 @@
+package engine_test
+
+import (
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cranberrybay/cranberrybay/engine"
+	"github.com/cranberrybay/cranberrybay/fakes"
+	"github.com/cranberrybay/cranberrybay/fault"
+)
+
+var errHeld = errors.New("held")
+
+// TestOrder guards against an order that takes effect although the check
+// before its send failed or its number is old, and against a wrong verdict.
+func TestOrder(t *testing.T) {
+	for _, fenced := range []bool{true, false} {
+		part := engine.Part{Model: "m", Version: "1", First: 0, Last: 4, Size: 40}
+		orders := fakes.NewOrders(fakes.OrdersConfig{Memory: 100, Fenced: fenced, Parts: []engine.Part{part}})
+		srv := httptest.NewServer(fakes.WithOrders(http.NotFoundHandler(), orders))
+		address := strings.TrimPrefix(srv.URL, "http://")
+		c, ctx := engine.New(engine.Config{}), t.Context()
+		yes, no := func() error { return nil }, func() error { return errHeld }
+		order := engine.Order{Fence: 5, Hold: []engine.Part{part}, Serve: &part}
+		h, err := c.Order(ctx, address, order, yes)
+		assert.NilError(t, err)
+		assert.Equal(t, h.Fence, uint64(5))
+		assert.Equal(t, *h.Serve, part)
+		for range 2 { // on a new connection and on one that is kept
+			_, err = c.Order(ctx, address, engine.Order{Fence: 6}, no)
+			assert.Assert(t, errors.Is(err, errHeld))
+			assert.Equal(t, fault.Of(err), fault.NotRun)
+		}
+		_, err = c.Order(ctx, address, engine.Order{Fence: 7, Hold: []engine.Part{{Size: 101}}}, yes)
+		assert.Equal(t, fault.Of(err), fault.NotRun, "more than the memory holds")
+		_, err = c.Order(ctx, address, engine.Order{Fence: 4}, yes)
+		h, herr := c.Holding(ctx, address)
+		assert.NilError(t, herr)
+		if fenced {
+			assert.Equal(t, fault.CodeOf(err), fault.Conflict)
+			assert.Equal(t, fault.Of(err), fault.NotRun)
+			assert.Equal(t, len(h.Parts), 1)
+		} else {
+			assert.NilError(t, err)
+			assert.Equal(t, len(h.Parts), 0)
+		}
+		srv.Close()
+		_, err = c.Order(ctx, address, order, yes)
+		assert.Equal(t, fault.Of(err), fault.NotRun, "connection refused")
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -42,13 +42,15 @@
 
 // Config holds the parts of a Handler.
 type Config struct {
-	Store     *change.Store
-	Fleet     *fleet.Table
-	Engines   *engine.Client
-	Services  *proxy.Client
-	Claims    *claim.Book
-	Domain    string // failure domain of this process
-	Addresses func() Addresses
+	Store    *change.Store
+	Fleet    *fleet.Table
+	Engines  *engine.Client
+	Services *proxy.Client
+	Claims   *claim.Book
+	Domain   string // failure domain of this process
+	// Addresses returns the list for a caller, by its IP address and the
+	// failure domain that it states, which may be "".
+	Addresses func(caller, domain string) Addresses
 	Log       zerolog.Logger
 }
 
@@ -72,7 +74,7 @@
 	}))
 	h.engine.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
 	h.engine.GET("/readyz", h.ready)
-	h.engine.GET("/addresses", func(c *gin.Context) { c.JSON(http.StatusOK, cfg.Addresses()) })
+	h.engine.GET("/addresses", func(c *gin.Context) { c.JSON(http.StatusOK, cfg.Addresses(c.RemoteIP(), c.Query("domain"))) })
 	h.engine.GET("/v1/models", h.account, h.models)
 	h.engine.POST("/v1/chat/completions", h.accepting, h.account, h.chat)
 	h.engine.Any("/services/:service/*path", h.accepting, h.account, h.service)
--- a/fakes/platform.go
+++ b/fakes/platform.go
@@ -83,14 +83,24 @@
 type Platform struct {
 	table   *Table
 	objects *Objects
+	weights *Weights
 	mu      sync.Mutex
 	vms     map[string]plat.VM
 	frozen  []plat.VM // non-nil while the list is stale
 }
 
+// Limits of the weight store of a Platform.
+const (
+	weightRate  = 1000 // MB a second
+	weightBurst = 8000 // MB
+)
+
+// Weights returns the weight store.
+func (p *Platform) Weights() *Weights { return p.weights }
+
 // NewPlatform returns a healthy, empty platform.
 func NewPlatform() *Platform {
-	return &Platform{table: NewTable(), objects: NewObjects(), vms: map[string]plat.VM{}}
+	return &Platform{table: NewTable(), objects: NewObjects(), weights: NewWeights(weightRate, weightBurst), vms: map[string]plat.VM{}}
 }
 
 // Table returns the table service.
@@ -149,6 +159,7 @@
 	m.HandleFunc("GET /objects/{key...}", p.serveObject)
 	m.HandleFunc("PUT /objects/{key...}", p.serveStore)
 	m.HandleFunc("GET /objects", p.serveKeys)
+	m.Handle("GET /weights", p.weights)
 	m.HandleFunc("GET /vms", func(w http.ResponseWriter, _ *http.Request) {
 		if p.table.Faults().Down {
 			http.Error(w, "outage", http.StatusServiceUnavailable)
--- a/node/node.go
+++ b/node/node.go
@@ -20,6 +20,7 @@
 	"github.com/cranberrybay/cranberrybay/engine"
 	"github.com/cranberrybay/cranberrybay/entry"
 	"github.com/cranberrybay/cranberrybay/fleet"
+	"github.com/cranberrybay/cranberrybay/member"
 	"github.com/cranberrybay/cranberrybay/plat"
 	"github.com/cranberrybay/cranberrybay/proxy"
 	"github.com/cranberrybay/cranberrybay/table"
@@ -50,10 +51,17 @@
 			func(t *table.Client, i incarnation) *claim.Book {
 				return claim.New(claim.Config{Table: t, Holder: string(i)})
 			},
+			func() *member.Pulse { return member.NewPulse(time.Now) },
+			plat.NewWeights,
+			func() PeerHandlers { return PeerHandlers{} },
+			newPeers,
+			newLease,
+			newPlacer,
 			newEntry,
 			newAdmin,
 		),
-		fx.Invoke(background, listen),
+		// Hooks stop in reverse order: leave the lists, drain, release.
+		fx.Invoke(startPeers, background, startPlacing, listen, leaveFirst),
 	)
 }
 
@@ -67,6 +75,7 @@
 	Engines  *engine.Client
 	Services *proxy.Client
 	Claims   *claim.Book
+	Peers    *peers
 	Log      zerolog.Logger
 }
 
@@ -74,16 +83,14 @@
 	return entry.New(entry.Config{
 		Store: p.Store, Fleet: p.Fleet, Engines: p.Engines, Services: p.Services, Claims: p.Claims,
 		Domain: p.Settings.Domain, Log: part(p.Log, "entry"),
-		Addresses: func() entry.Addresses {
-			return entry.Addresses{Addresses: []string{p.Settings.Listen.Callers}, Until: time.Now().Add(30 * time.Second).UTC()}
-		},
+		Addresses: p.Peers.addresses,
 	})
 }
 
-func newAdmin(s Settings, st *change.Store, t *table.Client, f *fleet.Table, e *entry.Handler, l zerolog.Logger) *admin.Handler {
+func newAdmin(s Settings, st *change.Store, t *table.Client, f *fleet.Table, e *entry.Handler, p *peers, l zerolog.Logger) *admin.Handler {
 	return admin.New(admin.Config{
 		Name: s.Name, Domain: s.Domain, Token: s.Token, Store: st, Table: t, Fleet: f,
-		Drain: e.Drain, Log: part(l, "admin"),
+		Drain: func() { p.leave(); e.Drain() }, Log: part(l, "admin"),
 	})
 }
 
--- /dev/null
+++ b/node/node_test.go
@@ -0,0 +1,184 @@
+package node_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/fx"
+	"gotest.tools/v3/assert"
+
+	"github.com/cranberrybay/cranberrybay/admin"
+	"github.com/cranberrybay/cranberrybay/change"
+	"github.com/cranberrybay/cranberrybay/entry"
+	"github.com/cranberrybay/cranberrybay/fakes"
+	"github.com/cranberrybay/cranberrybay/node"
+	"github.com/cranberrybay/cranberrybay/spec"
+)
+
+// logs collects the log of a process.
+type logs struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *logs) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *logs) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+type process struct {
+	settings node.Settings
+	app      *fx.App
+	logs     logs
+}
+
+func free(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// cluster starts n entry processes on one platform.
+func cluster(t *testing.T, n int) (*fakes.Platform, []*process) {
+	t.Helper()
+	platform := fakes.NewPlatform()
+	srv := httptest.NewServer(platform.Handler())
+	t.Cleanup(srv.Close)
+	ca, err := fakes.NewAuthority()
+	assert.NilError(t, err)
+	var all []*process
+	for i := range n {
+		p := &process{settings: node.Settings{
+			Name: fmt.Sprint("entry-", i), Domain: fmt.Sprint("domain-", i%3), Region: "r", Token: spec.HashKey("token"),
+			Listen:   node.ListenSettings{Callers: free(t), Admin: free(t)},
+			Platform: node.PlatformSettings{Address: strings.TrimPrefix(srv.URL, "http://")},
+		}}
+		cert, key, err := ca.Issue(p.settings.Name)
+		assert.NilError(t, err)
+		p.settings.Peer = node.PeerSettings{Listen: free(t), Authority: string(ca.PEM()), Certificate: string(cert), Key: string(key)}
+		assert.NilError(t, p.settings.Check("settings"))
+		p.app = node.New(p.settings, &p.logs)
+		assert.NilError(t, p.app.Start(t.Context()))
+		all = append(all, p)
+	}
+	return platform, all
+}
+
+func (p *process) stop(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	assert.NilError(t, p.app.Stop(ctx))
+	assert.Assert(t, !strings.Contains(p.logs.String(), `"level":"error"`), "%s", p.logs.String())
+}
+
+func (p *process) get(path, token string, into any) error {
+	rq, err := http.NewRequest(http.MethodGet, "http://"+path, nil)
+	if err != nil {
+		return err
+	}
+	rq.Header.Set("Authorization", "Bearer "+token)
+	rs, err := http.DefaultClient.Do(rq)
+	if err != nil {
+		return err
+	}
+	defer rs.Body.Close()
+	return json.NewDecoder(rs.Body).Decode(into)
+}
+
+func (p *process) addresses(t *testing.T) []string {
+	var l entry.Addresses
+	assert.NilError(t, p.get(p.settings.Listen.Callers+"/addresses", "", &l))
+	return l.Addresses
+}
+
+// eventually waits until f holds.
+func eventually(t *testing.T, limit time.Duration, what string, f func() bool) time.Duration {
+	t.Helper()
+	start := time.Now()
+	for !f() {
+		assert.Assert(t, time.Since(start) < limit, what)
+		time.Sleep(20 * time.Millisecond)
+	}
+	return time.Since(start)
+}
+
+func (p *process) publish(t *testing.T, text string) {
+	body, err := json.Marshal(admin.Publication{Author: "a", Files: []change.File{{Path: "team.bay.toml", Text: text}}})
+	assert.NilError(t, err)
+	rq, err := http.NewRequest(http.MethodPost, "http://"+p.settings.Listen.Admin+"/publish", bytes.NewReader(body))
+	assert.NilError(t, err)
+	rq.Header.Set("Authorization", "Bearer token")
+	rs, err := http.DefaultClient.Do(rq)
+	assert.NilError(t, err)
+	defer rs.Body.Close()
+	assert.Equal(t, rs.StatusCode, http.StatusOK)
+}
+
+func (p *process) version() uint64 {
+	var s admin.Status
+	if err := p.get(p.settings.Listen.Admin+"/status", "token", &s); err != nil {
+		return 0
+	}
+	return s.Version
+}
+
+// TestCluster guards against processes that do not find each other, a version
+// that needs the table service to reach the others, and a process that is
+// still listed after it began to stop.
+func TestCluster(t *testing.T) {
+	platform, all := cluster(t, 3)
+	for _, p := range all {
+		eventually(t, 5*time.Second, "three addresses", func() bool { return len(p.addresses(t)) == 3 })
+		assert.Equal(t, p.addresses(t)[0], p.settings.Listen.Callers, "the own failure domain comes first")
+	}
+	operator := spec.HashKey("o")
+	all[0].publish(t, "[team]\nname = \"x\"\noperators = [\""+operator+"\"]\n")
+	platform.Table().SetFaults(fakes.Faults{Down: true})
+	took := eventually(t, 5*time.Second, "version 1 everywhere", func() bool {
+		return all[1].version() == 1 && all[2].version() == 1
+	})
+	t.Logf("version 1 was in effect everywhere after %v", took)
+	assert.Equal(t, len(all[1].addresses(t)), 3, "addresses are answered during an outage")
+	platform.Table().SetFaults(fakes.Faults{})
+	gone := all[2].settings.Listen.Callers
+	all[2].stop(t)
+	for _, p := range all[:2] {
+		for _, a := range p.addresses(t) {
+			assert.Assert(t, a != gone)
+		}
+	}
+	all[0].stop(t)
+	all[1].stop(t)
+}
+
+// TestPeerSettings guards against a process that starts with a certificate
+// that can't work.
+func TestPeerSettings(t *testing.T) {
+	s := node.Settings{
+		Name: "a", Domain: "d", Region: "r", Token: spec.HashKey("t"),
+		Listen: node.ListenSettings{Callers: "127.0.0.1:1", Admin: "127.0.0.1:2"}, Platform: node.PlatformSettings{Address: "127.0.0.1:3"},
+	}
+	assert.NilError(t, s.Check("p"))
+	s.Peer = node.PeerSettings{Listen: "x", Seeds: map[string]string{"b": "y"}, Authority: "none"}
+	err := s.Check("p")
+	for _, want := range []string{"peer.listen", "peer.seeds.b", "certificate authority"} {
+		assert.ErrorContains(t, err, want)
+	}
+}
--- /dev/null
+++ b/node/peers.go
@@ -0,0 +1,197 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/fx"
+
+	"github.com/cranberrybay/cranberrybay/change"
+	"github.com/cranberrybay/cranberrybay/entry"
+	"github.com/cranberrybay/cranberrybay/member"
+	"github.com/cranberrybay/cranberrybay/peer"
+	"github.com/cranberrybay/cranberrybay/table"
+)
+
+// PeerSettings say how to reach other entry processes. Without Listen the
+// process has no peers.
+type PeerSettings struct {
+	Listen      string            `toml:"listen"`      // IP:port
+	Authority   string            `toml:"authority"`   // certificate of the authority, PEM
+	Certificate string            `toml:"certificate"` // certificate that holds the name of this process, PEM
+	Key         string            `toml:"key"`         // PEM
+	Seeds       map[string]string `toml:"seeds"`       // name to IP:port, used when the table service is down at start
+}
+
+// peers joins the transport and the membership of this process.
+type peers struct {
+	node    *peer.Node // nil without peers
+	members *member.Table
+	config  *follower
+	listen  string
+	log     zerolog.Logger
+}
+
+// PeerHandlers are the calls of other entry processes that other parts serve.
+// A field that is nil is answered as not run.
+type PeerHandlers struct {
+	Claim   func(ctx context.Context, from peer.Remote, q peer.Query) (peer.Outcome, error)
+	Forward func(ctx context.Context, from peer.Remote, r peer.Request) (peer.Answer, error)
+	Demand  func(ctx context.Context, from peer.Remote, ds []peer.Demand) ([]peer.Share, error)
+}
+
+type peerParts struct {
+	fx.In
+	Settings    Settings
+	Incarnation incarnation
+	Rows        *table.Client
+	Store       *change.Store
+	Pulse       *member.Pulse
+	Handlers    PeerHandlers
+	Log         zerolog.Logger
+}
+
+func target(m member.Member) peer.Target {
+	return peer.Target{Name: m.Name, Incarnation: m.Incarnation, Address: m.Peers}
+}
+
+func newPeers(p peerParts) (*peers, error) {
+	s := p.Settings
+	out := &peers{listen: s.Peer.Listen, log: part(p.Log, "peer")}
+	out.config = newFollower(p.Store, part(p.Log, "change"))
+	cfg := member.Config{
+		Self: member.Member{
+			Name: s.Name, Incarnation: string(p.Incarnation), Domain: s.Domain, Region: s.Region,
+			Callers: s.Listen.Callers, Peers: s.Peer.Listen,
+		},
+		Rows: p.Rows, Seeds: s.Peer.Seeds, Pulse: p.Pulse, Log: part(p.Log, "member"),
+		Ping: out.ping, News: out.news, Version: out.config.version,
+		Heard: func(from member.Member, h member.Health) { out.config.pinged(target(from), h.Version, h.Digest) },
+	}
+	out.members = member.New(cfg)
+	out.config.members = out.members
+	if s.Peer.Listen == "" {
+		return out, nil
+	}
+	tc, err := peer.TLSConfig([]byte(s.Peer.Authority), []byte(s.Peer.Certificate), []byte(s.Peer.Key))
+	if err != nil {
+		return nil, fmt.Errorf("settings of peers: %w", err)
+	}
+	out.node = peer.New(peer.Config{
+		Name: s.Name, Incarnation: string(p.Incarnation), TLS: tc, Log: out.log,
+		Handlers: peer.Handlers{
+			Ping: func(_ context.Context, from peer.Remote, h member.Health) (member.Health, error) {
+				return out.members.HandlePing(from.Name, from.Incarnation, h), nil
+			},
+			News: func(ctx context.Context, from peer.Remote, n member.News) (member.Verdicts, error) {
+				return out.members.HandleNews(ctx, from.Name, from.Incarnation, n), nil
+			},
+			Announce: out.config.announced, Changes: out.config.changes,
+			Claim: p.Handlers.Claim, Forward: p.Handlers.Forward, Demand: p.Handlers.Demand,
+		},
+	})
+	out.config.peers = out.node
+	return out, nil
+}
+
+var errNoPeers = errors.New("this process has no peers")
+
+func (p *peers) ping(ctx context.Context, to member.Member, h member.Health) (member.Health, error) {
+	if p.node == nil {
+		return member.Health{}, errNoPeers
+	}
+	out, err := p.node.Ping(ctx, target(to), h)
+	return out, goneError(err)
+}
+
+func (p *peers) news(ctx context.Context, to member.Member, n member.News) (member.Verdicts, error) {
+	if p.node == nil {
+		return member.Verdicts{}, errNoPeers
+	}
+	out, err := p.node.News(ctx, target(to), n)
+	return out, goneError(err)
+}
+
+// goneError translates the transport's proof that an incarnation is dead.
+func goneError(err error) error {
+	var gone *peer.GoneError
+	if errors.As(err, &gone) {
+		return fmt.Errorf("%w: %w", member.ErrGone, err)
+	}
+	return err
+}
+
+// leaveTimeout bounds the time in which the other processes learn that this
+// one leaves.
+const leaveTimeout = 3 * time.Second
+
+// leave takes this process off the address lists.
+func (p *peers) leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	p.members.Leave(ctx)
+}
+
+// startPeers opens the listener for peers before it joins the membership, so
+// that the others reach this process as soon as they know it.
+func startPeers(lc fx.Lifecycle, p *peers, e *entry.Handler) {
+	ctx, cancel := context.WithCancel(context.Background())
+	lc.Append(fx.Hook{
+		OnStart: func(start context.Context) error {
+			if p.node != nil {
+				var c net.ListenConfig
+				l, err := c.Listen(start, "tcp", p.listen)
+				if err != nil {
+					return fmt.Errorf("listen for peers on %s: %w", p.listen, err)
+				}
+				p.node.Start(l)
+			}
+			p.members.Start(start)
+			go p.config.run(ctx)
+			go p.guard(ctx, e)
+			return nil
+		},
+		OnStop: func(stop context.Context) error {
+			cancel()
+			bounded, done := context.WithTimeout(stop, leaveTimeout)
+			defer done()
+			p.members.Stop(bounded)
+			if p.node != nil {
+				p.node.Close()
+			}
+			return nil
+		},
+	})
+}
+
+// guard stops serving when a newer incarnation has taken this process's name.
+func (p *peers) guard(ctx context.Context, e *entry.Handler) {
+	for !p.members.Superseded() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Second):
+		}
+	}
+	p.log.Error().Msg("another incarnation has this name, this process serves no more")
+	e.Drain()
+}
+
+// leaveFirst runs first when the process stops: it leaves the lists before the
+// listeners drain.
+func leaveFirst(lc fx.Lifecycle, p *peers) {
+	lc.Append(fx.Hook{OnStop: func(context.Context) error {
+		p.leave()
+		return nil
+	}})
+}
+
+// addresses answers GET /addresses.
+func (p *peers) addresses(caller, domain string) entry.Addresses {
+	l := p.members.Addresses(caller, domain)
+	return entry.Addresses{Addresses: l.Addresses, Until: l.Until.UTC()}
+}
--- /dev/null
+++ b/node/placing.go
@@ -0,0 +1,120 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/fx"
+
+	"github.com/cranberrybay/cranberrybay/change"
+	"github.com/cranberrybay/cranberrybay/engine"
+	"github.com/cranberrybay/cranberrybay/fleet"
+	"github.com/cranberrybay/cranberrybay/lease"
+	"github.com/cranberrybay/cranberrybay/member"
+	"github.com/cranberrybay/cranberrybay/place"
+	"github.com/cranberrybay/cranberrybay/plat"
+	"github.com/cranberrybay/cranberrybay/table"
+)
+
+// Times of the placement lease. With the send timeout as slack, the clocks of
+// two processes may differ in rate by a fifteenth.
+const (
+	leaseTerm    = 15 * time.Second
+	leaseStep    = leaseTerm / 5 // between renewals, or looks at the row
+	sendTimeout  = time.Second   // of one order
+	releaseLimit = 5 * time.Second
+)
+
+// newLease returns the lease of the placement controller. A pause drops it.
+func newLease(rows *table.Client, i incarnation, p *member.Pulse) *lease.Holder {
+	h := lease.New(lease.Config{Rows: rows, Name: "place", Holder: string(i), Term: leaseTerm, Send: sendTimeout})
+	p.OnWake(func(time.Duration) { h.Drop() })
+	return h
+}
+
+type placeParts struct {
+	fx.In
+	Lease   *lease.Holder
+	Store   *change.Store
+	Fleet   *fleet.Table
+	Engines *engine.Client
+	Weights *plat.Weights
+	Log     zerolog.Logger
+}
+
+func newPlacer(p placeParts) *place.Controller {
+	return place.New(place.Config{
+		Lease:  p.Lease,
+		Wishes: func() []place.Wish { return place.Wishes(p.Store.Tree()) },
+		Fenced: func(service string) bool {
+			s := p.Store.Tree().Service(service)
+			return s != nil && s.Fenced()
+		},
+		Servers: func() []place.Listed { return listed(p.Store, p.Fleet) },
+		Survey:  p.Engines.Holding,
+		Send:    p.Engines.Order,
+		Limits: func(ctx context.Context) (int, int, error) {
+			l, err := p.Weights.Read(ctx)
+			return l.Rate, l.Burst, err
+		},
+		SendTimeout: sendTimeout,
+		Log:         part(p.Log, "place"),
+	})
+}
+
+// listed returns the engines of services that have a placement wish.
+func listed(st *change.Store, f *fleet.Table) []place.Listed {
+	wished := map[string]bool{}
+	for _, w := range st.Tree().Wishes() {
+		wished[w.Service()] = true
+	}
+	var out []place.Listed
+	for _, s := range f.All() {
+		if wished[s.Service] {
+			out = append(out, place.Listed{Name: s.Name, Address: s.Address, Domain: s.Domain, Service: s.Service, Leaving: s.Leaving})
+		}
+	}
+	return out
+}
+
+// startPlacing runs the lease and the controller. The lease is released only
+// after the controller has ended.
+func startPlacing(lc fx.Lifecycle, h *lease.Holder, c *place.Controller, p *member.Pulse, log zerolog.Logger) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	pl := part(log, "lease")
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go func() {
+				for ctx.Err() == nil {
+					p.Beat()
+					step, end := context.WithTimeout(ctx, leaseStep)
+					if err := h.Step(step); err != nil && ctx.Err() == nil {
+						pl.Info().Err(err).Msg("lease step failed")
+					}
+					end()
+					select {
+					case <-ctx.Done():
+					case <-time.After(leaseStep):
+					}
+				}
+			}()
+			go func() {
+				defer close(done)
+				c.Run(ctx)
+			}()
+			return nil
+		},
+		OnStop: func(stop context.Context) error {
+			cancel()
+			<-done
+			bounded, end := context.WithTimeout(stop, releaseLimit)
+			defer end()
+			if err := h.Release(bounded); err != nil {
+				pl.Info().Err(err).Msg("lease was not released, it runs out")
+			}
+			return nil
+		},
+	})
+}
--- a/node/settings.go
+++ b/node/settings.go
@@ -9,6 +9,8 @@
 	"os"
 
 	"github.com/pelletier/go-toml/v2"
+
+	"github.com/cranberrybay/cranberrybay/peer"
 )
 
 // Settings are the contents of a settings file.
@@ -19,6 +21,7 @@
 	Token    string           `toml:"token"` // hash of the operators' credential, "sha256:..."
 	Listen   ListenSettings   `toml:"listen"`
 	Platform PlatformSettings `toml:"platform"`
+	Peer     PeerSettings     `toml:"peer"` // other entry processes
 }
 
 // ListenSettings are the addresses to listen on, as IP:port.
@@ -74,5 +77,25 @@
 			add(f.key, f.value, "IP:port")
 		}
 	}
+	all = append(all, s.checkPeer(path, add)...)
 	return errors.Join(all...)
 }
+
+// checkPeer checks the settings of peers when there are any.
+func (s Settings) checkPeer(path string, add func(key, value, want string)) []error {
+	if s.Peer.Listen == "" {
+		return nil
+	}
+	if _, err := netip.ParseAddrPort(s.Peer.Listen); err != nil {
+		add("peer.listen", s.Peer.Listen, "IP:port")
+	}
+	for name, address := range s.Peer.Seeds {
+		if _, err := netip.ParseAddrPort(address); err != nil {
+			add("peer.seeds."+name, address, "IP:port")
+		}
+	}
+	if _, err := peer.TLSConfig([]byte(s.Peer.Authority), []byte(s.Peer.Certificate), []byte(s.Peer.Key)); err != nil {
+		return []error{fmt.Errorf("%s: peer: %w", path, err)}
+	}
+	return nil
+}
