--- a/node/node.go
+++ b/node/node.go
@@ -53,7 +53,6 @@
 			},
 			func() *member.Pulse { return member.NewPulse(time.Now) },
 			plat.NewWeights,
-			func() PeerHandlers { return PeerHandlers{} },
 			newPeers,
 			newLease,
 			newPlacer,
--- a/node/peers.go
+++ b/node/peers.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -12,6 +13,7 @@
 
 	"github.com/cranberrybay/cranberrybay/change"
 	"github.com/cranberrybay/cranberrybay/entry"
+	"github.com/cranberrybay/cranberrybay/fault"
 	"github.com/cranberrybay/cranberrybay/member"
 	"github.com/cranberrybay/cranberrybay/peer"
 	"github.com/cranberrybay/cranberrybay/table"
@@ -34,11 +36,12 @@
 	config  *follower
 	listen  string
 	log     zerolog.Logger
+	serving atomic.Pointer[peerHandlers]
 }
 
-// PeerHandlers are the calls of other entry processes that other parts serve.
+// peerHandlers are the calls of other entry processes that other parts serve.
 // A field that is nil is answered as not run.
-type PeerHandlers struct {
+type peerHandlers struct {
 	Claim   func(ctx context.Context, from peer.Remote, q peer.Query) (peer.Outcome, error)
 	Forward func(ctx context.Context, from peer.Remote, r peer.Request) (peer.Answer, error)
 	Demand  func(ctx context.Context, from peer.Remote, ds []peer.Demand) ([]peer.Share, error)
@@ -51,7 +54,6 @@
 	Rows        *table.Client
 	Store       *change.Store
 	Pulse       *member.Pulse
-	Handlers    PeerHandlers
 	Log         zerolog.Logger
 }
 
@@ -62,6 +64,7 @@
 func newPeers(p peerParts) (*peers, error) {
 	s := p.Settings
 	out := &peers{listen: s.Peer.Listen, log: part(p.Log, "peer")}
+	out.serve(peerHandlers{})
 	out.config = newFollower(p.Store, part(p.Log, "change"))
 	cfg := member.Config{
 		Self: member.Member{
@@ -91,13 +94,34 @@
 				return out.members.HandleNews(ctx, from.Name, from.Incarnation, n), nil
 			},
 			Announce: out.config.announced, Changes: out.config.changes,
-			Claim: p.Handlers.Claim, Forward: p.Handlers.Forward, Demand: p.Handlers.Demand,
+			Claim: func(ctx context.Context, from peer.Remote, q peer.Query) (peer.Outcome, error) {
+				return served(ctx, from, q, out.serving.Load().Claim)
+			},
+			Forward: func(ctx context.Context, from peer.Remote, r peer.Request) (peer.Answer, error) {
+				return served(ctx, from, r, out.serving.Load().Forward)
+			},
+			Demand: func(ctx context.Context, from peer.Remote, ds []peer.Demand) ([]peer.Share, error) {
+				return served(ctx, from, ds, out.serving.Load().Demand)
+			},
 		},
 	})
 	out.config.peers = out.node
 	return out, nil
 }
 
+// serve connects the parts that answer calls of peers. It may be called after
+// newPeers, since these parts call peers themselves.
+func (p *peers) serve(h peerHandlers) { p.serving.Store(&h) }
+
+// served calls a handler, or answers that there is none.
+func served[Q, A any](ctx context.Context, from peer.Remote, q Q, handle func(context.Context, peer.Remote, Q) (A, error)) (A, error) {
+	if handle == nil {
+		var none A
+		return none, fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Unknown, Reason: "entry process does not serve this call"})
+	}
+	return handle(ctx, from, q)
+}
+
 var errNoPeers = errors.New("this process has no peers")
 
 func (p *peers) ping(ctx context.Context, to member.Member, h member.Health) (member.Health, error) {
