--- a/cmds/process_test.go
+++ b/cmds/process_test.go
@@ -21,6 +21,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
 
+	"github.com/cranberrybay/cranberrybay/examples"
 	"github.com/cranberrybay/cranberrybay/fakes"
 	"github.com/cranberrybay/cranberrybay/spec"
 )
@@ -240,7 +241,9 @@
 		}
 		return err == nil
 	})
-	s.say("publish: %s", s.command("publish", "--address", one.admin, "--token", processToken, "--author", "operator", "../examples"))
+	tree := t.TempDir() // publishing keeps the version that the operator saw beside the files
+	assert.NilError(t, os.CopyFS(tree, examples.Tree))
+	s.say("publish: %s", s.command("publish", "--address", one.admin, "--token", processToken, "--author", "operator", tree))
 	s.ready(one)
 	s.ready(two)
 	s.ask(one, "the tube flickers", nil)
--- a/entry/bench_test.go
+++ b/entry/bench_test.go
@@ -35,7 +35,7 @@
 	servers.Reported("desk", func(s *fleet.State) { s.Ready, s.Slots = true, 16 })
 	h := entry.New(entry.Config{
 		Store: newSystem(b, 1, 0).store(b), Fleet: servers, Services: proxy.PoolOf(servers, proxy.New(proxy.Config{})),
-		Addresses: func() entry.Addresses { return entry.Addresses{} },
+		Addresses: func(string, string) entry.Addresses { return entry.Addresses{} },
 	})
 	bare := httputil.NewSingleHostReverseProxy(target)
 	bare.Transport = &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}
--- a/entry/drain.go
+++ b/entry/drain.go
@@ -110,7 +110,7 @@
 func (h *Handler) refuseLeaving(c *gin.Context) {
 	err := fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Leaving, Reason: "this entry process is leaving, ask another address", RetryAt: time.Now()})
 	p := fault.ProblemOf(err)
-	for _, a := range h.cfg.Addresses().Addresses {
+	for _, a := range h.cfg.Addresses(c.RemoteIP(), c.Query("domain")).Addresses {
 		if a != h.cfg.Self {
 			p.Addresses = append(p.Addresses, a)
 		}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -47,7 +47,9 @@
 	Claims    *claim.Book
 	Domain    string // failure domain of this process
 	Self      string // address for callers of this process
-	Addresses func() Addresses
+	// Addresses returns the list for a caller, by its IP address and the
+	// failure domain that it states, which may be "".
+	Addresses func(caller, domain string) Addresses
 	// Forward sends work with a ticket to the incarnation that issued it and
 	// returns what RunForwarded returns there. A fault.Error is the issuer's own;
 	// any other error means that the issuer did not answer. Nil when no other
@@ -71,7 +73,7 @@
 	h.engine.Use(h.handling, h.recover, h.checkHeader)
 	h.engine.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
 	h.engine.GET("/readyz", h.ready)
-	h.engine.GET("/addresses", func(c *gin.Context) { c.JSON(http.StatusOK, cfg.Addresses()) })
+	h.engine.GET("/addresses", func(c *gin.Context) { c.JSON(http.StatusOK, cfg.Addresses(c.RemoteIP(), c.Query("domain"))) })
 	h.engine.GET("/v1/models", h.account, h.models)
 	h.engine.POST("/v1/chat/completions", h.accepting, h.account, h.chat)
 	h.engine.POST("/tickets", h.accepting, h.account, h.tickets)
--- a/entry/fixture_test.go
+++ b/entry/fixture_test.go
@@ -175,7 +175,7 @@
 		Services: proxy.NewPool(proxy.PoolConfig{
 			Servers: servers.Servers, Begin: servers.Begin, End: servers.End, Failed: servers.Failed, Worked: servers.Worked, Do: s.do(client),
 		}),
-		Addresses: func() entry.Addresses { return entry.Addresses{Addresses: s.addresses()} },
+		Addresses: func(string, string) entry.Addresses { return entry.Addresses{Addresses: s.addresses()} },
 	})
 	n.server = n.handler.Server()
 	go n.book.Run(ctx)
--- /dev/null
+++ b/node/calls.go
@@ -0,0 +1,67 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/cranberrybay/cranberrybay/claim"
+	"github.com/cranberrybay/cranberrybay/entry"
+	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/peer"
+	"github.com/cranberrybay/cranberrybay/proxy"
+)
+
+// askClaim asks the incarnation that made a claim whether it ran.
+func (p *peers) askClaim(ctx context.Context, holder, id string) (claim.Word, error) {
+	m, ok := p.members.Find(holder)
+	if !ok || p.node == nil {
+		return claim.UnknownWord, fmt.Errorf("incarnation %q is not a live member", holder)
+	}
+	return p.node.Claim(ctx, target(m), id)
+}
+
+// forward sends work with a ticket to the incarnation that issued it.
+func (p *peers) forward(ctx context.Context, holder string, w entry.Work) (*proxy.Answer, bool, error) {
+	m, ok := p.members.Find(holder)
+	if !ok || p.node == nil {
+		return nil, false, fmt.Errorf("incarnation %q is not a live member", holder)
+	}
+	a, err := p.node.Forward(ctx, target(m), peer.Work{
+		Account: w.Account, Service: w.Service, Key: w.Key,
+		Method: w.Call.Method, Path: w.Call.Path, Header: w.Call.Header, Body: w.Call.Body,
+	})
+	if err != nil {
+		return nil, false, err
+	}
+	return &proxy.Answer{Status: a.Status, Header: a.Header, Body: io.NopCloser(bytes.NewReader(a.Body))}, a.Replayed, nil
+}
+
+// maxForwarded bounds the body of the answer to forwarded work, so that it fits
+// into one message.
+const maxForwarded = 7 << 20
+
+// runForwarded serves the calls of forward.
+func runForwarded(e *entry.Handler) func(context.Context, peer.Remote, peer.Work) (peer.Answer, error) {
+	return func(ctx context.Context, _ peer.Remote, w peer.Work) (peer.Answer, error) {
+		by, _ := ctx.Deadline()
+		a, replayed, err := e.RunForwarded(ctx, entry.Work{
+			Account: w.Account, Service: w.Service, Key: w.Key,
+			Call: proxy.Call{Method: w.Method, Path: w.Path, Header: w.Header, Body: w.Body, By: by},
+		})
+		if err != nil {
+			return peer.Answer{}, err
+		}
+		defer a.Body.Close()
+		body, err := io.ReadAll(io.LimitReader(a.Body, maxForwarded+1))
+		if err == nil && len(body) > maxForwarded {
+			err = errors.New("the body is over 7 MiB")
+		}
+		if err != nil {
+			return peer.Answer{}, fault.New(fault.Config{Verdict: fault.Ran, Code: fault.Unavailable, Reason: "the request ran, its answer can't be passed on", Cause: err})
+		}
+		return peer.Answer{Status: a.Status, Header: a.Header, Body: body, Replayed: replayed}, nil
+	}
+}
--- a/node/drain.go
+++ b/node/drain.go
@@ -14,19 +14,22 @@
 // flight and for callers with an old address list, then stops the process.
 type drainer struct {
 	entry  *entry.Handler
+	peers  *peers
 	linger time.Duration
 	stop   fx.Shutdowner
 	once   sync.Once
 	until  time.Time // end of lingering, set once
 }
 
-func newDrainer(s Settings, e *entry.Handler, stop fx.Shutdowner) *drainer {
-	return &drainer{entry: e, linger: s.Listen.Linger.Duration, stop: stop}
+func newDrainer(s Settings, e *entry.Handler, p *peers, stop fx.Shutdowner) *drainer {
+	return &drainer{entry: e, peers: p, linger: s.Listen.Linger.Duration, stop: stop}
 }
 
-// begin makes the process leave. The listeners stay open.
+// begin takes the process off the address lists before it refuses new
+// requests. The listeners stay open.
 func (d *drainer) begin() {
 	d.once.Do(func() {
+		d.peers.leave()
 		d.until = time.Now().Add(d.linger)
 		d.entry.Drain()
 	})
--- a/node/node.go
+++ b/node/node.go
@@ -20,7 +20,9 @@
 	"github.com/cranberrybay/cranberrybay/engine"
 	"github.com/cranberrybay/cranberrybay/entry"
 	"github.com/cranberrybay/cranberrybay/fleet"
+	"github.com/cranberrybay/cranberrybay/member"
 	"github.com/cranberrybay/cranberrybay/object"
+	"github.com/cranberrybay/cranberrybay/peer"
 	"github.com/cranberrybay/cranberrybay/plat"
 	"github.com/cranberrybay/cranberrybay/proxy"
 	"github.com/cranberrybay/cranberrybay/table"
@@ -46,24 +48,47 @@
 			plat.NewVMList,
 			fleet.NewTable,
 			plat.Objects,
-			func(t *table.Client, o *object.Client, l zerolog.Logger) *change.Store {
-				return change.NewStore(change.StoreConfig{Table: t, Objects: o, Log: part(l, "change")})
-			},
+			newFollower,
+			newStore,
 			func() *engine.Client { return engine.New(engine.Config{}) },
 			func(t *fleet.Table) *proxy.Pool { return proxy.PoolOf(t, proxy.New(proxy.Config{})) },
-			func(t *table.Client, o *object.Client, i incarnation, l zerolog.Logger) *claim.Book {
-				return claim.New(claim.Config{Table: t, Objects: o, Holder: string(i), Log: part(l, "claim")})
-			},
+			newBook,
+			func() *member.Pulse { return member.NewPulse(time.Now) },
+			plat.NewWeights,
+			newPeers,
+			newLease,
+			newPlacer,
 			newEntry,
 			newDrainer,
 			newAdmin,
 		),
-		fx.Invoke(background, listen),
+		fx.Invoke(connect, startPeers, background, startPlacing, listen),
 	)
 }
 
 func part(l zerolog.Logger, name string) zerolog.Logger { return l.With().Str("part", name).Logger() }
 
+func newStore(t *table.Client, o *object.Client, f *follower) *change.Store {
+	f.store = change.NewStore(change.StoreConfig{
+		Table: t, Objects: o, Log: f.log, Live: f.live, Announce: f.announce, Offer: f.offer, Peers: f.names, Fetch: f.fetch,
+	})
+	return f.store
+}
+
+func newBook(t *table.Client, o *object.Client, i incarnation, p *peers, l zerolog.Logger) *claim.Book {
+	return claim.New(claim.Config{
+		Table: t, Objects: o, Holder: string(i), Log: part(l, "claim"), Ask: p.askClaim, Peers: p.config.live,
+	})
+}
+
+// connect lets peers call the parts of this process.
+func connect(p *peers, b *claim.Book, e *entry.Handler) {
+	p.serve(peerHandlers{
+		Claim:   func(_ context.Context, _ peer.Remote, id string) (claim.Word, error) { return b.Answer(id), nil },
+		Forward: runForwarded(e),
+	})
+}
+
 type entryParts struct {
 	fx.In
 	Settings Settings
@@ -72,6 +97,7 @@
 	Engines  *engine.Client
 	Services *proxy.Pool
 	Claims   *claim.Book
+	Peers    *peers
 	Log      zerolog.Logger
 }
 
@@ -79,16 +105,14 @@
 	return entry.New(entry.Config{
 		Store: p.Store, Fleet: p.Fleet, Engines: p.Engines, Services: p.Services, Claims: p.Claims,
 		Domain: p.Settings.Domain, Self: p.Settings.Listen.Callers, Log: part(p.Log, "entry"),
-		Addresses: func() entry.Addresses {
-			return entry.Addresses{Addresses: []string{p.Settings.Listen.Callers}, Until: time.Now().Add(30 * time.Second).UTC()}
-		},
+		Addresses: p.Peers.addresses, Forward: p.Peers.forward,
 	})
 }
 
-func newAdmin(s Settings, st *change.Store, t *table.Client, f *fleet.Table, d *drainer, l zerolog.Logger) *admin.Handler {
+func newAdmin(s Settings, st *change.Store, t *table.Client, f *fleet.Table, d *drainer, p *peers, l zerolog.Logger) *admin.Handler {
 	return admin.New(admin.Config{
 		Name: s.Name, Domain: s.Domain, Token: s.Token, Store: st, Table: t, Fleet: f,
-		Drain: d.leave, Log: part(l, "admin"),
+		Drain: d.leave, Live: p.config.status, Log: part(l, "admin"),
 	})
 }
 
