--- a/entry/entry.go
+++ b/entry/entry.go
@@ -40,13 +40,13 @@
 
 // Config holds the parts of a Handler.
 type Config struct {
-	Store     *change.Store
-	Fleet     *fleet.Table
-	Engines   *engine.Client
-	Services  *proxy.Pool
-	Claims    *claim.Book
-	Domain    string // failure domain of this process
-	Self      string // address for callers of this process
+	Store    *change.Store
+	Fleet    *fleet.Table
+	Engines  *engine.Client
+	Services *proxy.Pool
+	Claims   *claim.Book
+	Domain   string // failure domain of this process
+	Self     string // address for callers of this process
 	// Addresses returns the list for a caller, by its IP address and the
 	// failure domain that it states, which may be "".
 	Addresses func(caller, domain string) Addresses
