fleet: merged table, measured speed, ejection, subset

The table took the VM list as the truth: an empty list removed every server, and a report that lagged behind a refusal made a leaving server usable again. Load estimates ignored the age of a report.

Merge now treats the list as a late hint: a server that still reports is kept, an empty list or one that lost most servers removes nothing, and a list that says that all servers of a service leave is believed only for those that do not contradict it. A refusal holds for 3 s against reports. A new incarnation (State.Boot) clears failures, refusals and measures. Load is what others had at the report, losing half of its weight each 3 s against the mean of the range, plus what this process has there now. Answers feed the time of a stage and of links; a server three times slower than the median of its kind and range is ejected, and at most half of a range at once, whatever the cause. Above 96 servers the subset takes the servers of highest rendezvous hash in each range.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -1,6 +1,9 @@
 // Package fleet keeps the table of backend servers that this process knows:
-// where they are, what they hold, how loaded they are and whether they leave.
-// The servers' own reports go before the platform's VM list, which lags.
+// where they are, what they hold, how loaded, fast and healthy they are and
+// whether they leave. What a server says itself (load report, refusal,
+// connection error) goes before the platform's VM list, which lags.
+//
+// The Table has one lock. The Watcher holds no lock while it calls a port.
 package fleet
 
 import (
@@ -15,6 +18,7 @@
 	Address  string // host:port
 	Domain   string // failure domain
 	Service  string
+	Boot     string // incarnation, "" when the server does not state it
 	Kind     string // accelerator kind
 	Model    string
 	Version  string
@@ -25,147 +29,134 @@
 	Waiting  int
 	Ready    bool
 	Leaving  bool
+	Event    uint64    // number of the latest cache event
 	Reported time.Time // when the last load report was received; zero before the first
 }
 
-// Server is one backend server. Its fields are guarded by the Table.
+// server is one backend server. The Table's lock guards it.
 type server struct {
-	state    State
-	inflight int       // requests of this process
-	downTill time.Time // not chosen before this time
-	fails    int       // failures in a row
+	state     State
+	rank      uint64    // rendezvous hash of the server for this process
+	missed    time.Time // since when the VM list lacks it, zero when listed
+	inflight  int       // requests of this process
+	atReport  int       // value of inflight when the report came
+	refusedAt time.Time // last refusal as leaving
+	listed    bool      // the VM list says that it leaves
+	health    health
+	speed     speed
+	rampFrom  time.Time // begin of slow start, zero for none
+	pollAt    time.Time // when to poll next
 }
 
-// Table is the set of backend servers. It has one lock.
+// Config holds the settings of a Table.
+type Config struct {
+	Self     string  // name of this process, selects the subset
+	Domain   string  // failure domain of this process
+	Most     int     // servers polled at most, 96 when zero
+	Share    float64 // share of the servers of a range that may be ejected at once, 0.5 when zero
+	Doubtful float64 // share of the servers that a list may lose at once and still be believed, 0.5 when zero
+}
+
+// Table is the set of backend servers.
 type Table struct {
+	cfg     Config
 	mu      sync.Mutex
+	started time.Time
 	servers map[string]*server
+	subset  []*server // the servers that are watched
+	links   map[[2]string]*link
 }
 
-// NewTable returns an empty table.
-func NewTable() *Table { return &Table{servers: map[string]*server{}} }
-
-// Listed merges one entry of the VM list.
-func (t *Table) Listed(s State) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	sv := t.servers[s.Name]
-	if sv == nil || sv.state.Address != s.Address {
-		t.servers[s.Name] = &server{state: s}
-		return
+// New returns an empty table.
+func New(cfg Config) *Table {
+	if cfg.Most == 0 {
+		cfg.Most = 96
 	}
-	sv.state.Domain, sv.state.Service = s.Domain, s.Service
-	if s.Leaving {
-		sv.state.Leaving = true
+	if cfg.Share == 0 {
+		cfg.Share = 0.5
 	}
-}
-
-// Keep removes servers whose name is not in the set.
-func (t *Table) Keep(names map[string]bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for n := range t.servers {
-		if !names[n] {
-			delete(t.servers, n)
-		}
+	if cfg.Doubtful == 0 {
+		cfg.Doubtful = 0.5
 	}
+	return &Table{cfg: cfg, started: time.Now(), servers: map[string]*server{}, links: map[[2]string]*link{}}
 }
 
-// Reported merges a load report of a server, received now.
-func (t *Table) Reported(name string, update func(*State)) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if sv := t.servers[name]; sv != nil {
-		update(&sv.state)
-		sv.state.Reported = time.Now()
-	}
-}
+// NewTable returns an empty table with default settings.
+func NewTable() *Table { return New(Config{}) }
 
-// Begin counts a request that this process sends to a server.
-func (t *Table) Begin(name string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if sv := t.servers[name]; sv != nil {
-		sv.inflight++
-	}
+// Candidate is a server that may be chosen, with the estimates of this
+// process.
+type Candidate struct {
+	State
+	Inflight int           // requests of this process
+	Down     bool          // ejected: to be chosen only when nothing else is left
+	Load     float64       // estimated requests on the server
+	Step     time.Duration // estimated time of one token on this stage, 0 when unknown
+	Prefill  time.Duration // estimated time of one prompt token on this stage, 0 when unknown
+	Ramp     float64       // slow start: share of its work that a new server may get, 0 to 1
 }
 
-// End counts the end of a request that Begin counted.
-func (t *Table) End(name string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if sv := t.servers[name]; sv != nil && sv.inflight > 0 {
-		sv.inflight--
-	}
+// rangeKey names servers that can replace each other.
+type rangeKey struct {
+	service, version string
+	first, last      int
 }
 
-// backoff after the first failure of a server, doubled for each further one.
-const (
-	firstBackoff = 200 * time.Millisecond
-	maxBackoff   = 5 * time.Second
-)
-
-// Failed keeps a server from being chosen for a while.
-func (t *Table) Failed(name string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if sv := t.servers[name]; sv != nil {
-		wait := min(firstBackoff<<min(sv.fails, 10), maxBackoff)
-		sv.fails++
-		sv.downTill = time.Now().Add(wait)
-	}
+func (s *State) key() rangeKey {
+	return rangeKey{service: s.Service, version: s.Version, first: s.First, last: s.Last}
 }
 
-// Worked clears the failures of a server.
-func (t *Table) Worked(name string) {
+// Servers returns the servers of a service that are ready and not leaving,
+// ordered by name. At most Config.Share of the servers of a range are marked
+// as Down.
+func (t *Table) Servers(service string) []Candidate {
+	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if sv := t.servers[name]; sv != nil {
-		sv.fails, sv.downTill = 0, time.Time{}
+	var chosen []*server
+	for _, sv := range t.subset {
+		if sv.state.Service == service && sv.state.Ready && !sv.leaving(now) {
+			chosen = append(chosen, sv)
+		}
 	}
-}
-
-// MarkLeaving records a server's own statement that it takes no new work.
-func (t *Table) MarkLeaving(name string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if sv := t.servers[name]; sv != nil {
-		sv.state.Leaving = true
+	sort.Slice(chosen, func(i, j int) bool { return chosen[i].state.Name < chosen[j].state.Name })
+	mean := meanLoad(chosen)
+	down := t.ejected(chosen, now)
+	steps := kindSteps(chosen, now)
+	out := make([]Candidate, len(chosen))
+	for i, sv := range chosen {
+		out[i] = Candidate{
+			State: sv.state, Inflight: sv.inflight, Down: down[sv],
+			Load: sv.load(now, mean[sv.state.key()]), Step: sv.speed.step(now, steps[sv.state.Kind], sv.state.Last-sv.state.First),
+			Prefill: sv.speed.prefill, Ramp: sv.ramp(now),
+		}
 	}
+	return out
 }
 
-// Candidate is a server that may be chosen, with the requests that this
-// process has in flight on it.
-type Candidate struct {
-	State
-	Inflight int
-	Down     bool // failed a short while ago
-}
-
-// Servers returns the servers of a service that are ready and not leaving,
-// ordered by name. Servers that failed a short while ago are marked.
-func (t *Table) Servers(service string) []Candidate {
+// All returns every server, ordered by name. Leaving is the merged value.
+func (t *Table) All() []State {
 	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var out []Candidate
+	out := make([]State, 0, len(t.servers))
 	for _, sv := range t.servers {
-		if sv.state.Service == service && sv.state.Ready && !sv.state.Leaving {
-			out = append(out, Candidate{State: sv.state, Inflight: sv.inflight, Down: now.Before(sv.downTill)})
-		}
+		s := sv.state
+		s.Leaving = sv.leaving(now)
+		out = append(out, s)
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
 	return out
 }
 
-// All returns every server, ordered by name.
-func (t *Table) All() []State {
+// Named returns the name and the failure domain of the server at an address.
+func (t *Table) Named(address string) (name, domain string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := make([]State, 0, len(t.servers))
 	for _, sv := range t.servers {
-		out = append(out, sv.state)
+		if sv.state.Address == address {
+			return sv.state.Name, sv.state.Domain
+		}
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
-	return out
+	return "", ""
 }
--- /dev/null
+++ b/fleet/watch.go
@@ -0,0 +1,164 @@
+package fleet
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// WatchConfig holds the ports of a Watcher.
+type WatchConfig struct {
+	Table *Table
+	// List reads the VM list.
+	List func(ctx context.Context) ([]State, error)
+	// Load reads the load report of a server.
+	Load func(ctx context.Context, address string) (State, error)
+	// Events is called when a server's cache events have moved on, and with
+	// reborn set when a new incarnation answers at its address. It may be nil.
+	Events func(ctx context.Context, s State, reborn bool)
+	// Failed is told that the VM list was not read.
+	Failed func(error)
+}
+
+// Watcher keeps a table fresh from the VM list and load reports.
+type Watcher struct {
+	cfg  WatchConfig
+	seen map[string]uint64 // latest event number by name, used by one poll of a server at a time
+	mu   sync.Mutex        // guards seen and busy
+	busy map[string]bool   // servers whose poll has not ended
+
+	tokens float64   // polls that may be sent now; used by Run only
+	filled time.Time // when tokens was filled last
+}
+
+// NewWatcher returns a watcher.
+func NewWatcher(cfg WatchConfig) *Watcher {
+	return &Watcher{cfg: cfg, seen: map[string]uint64{}, busy: map[string]bool{}}
+}
+
+// Intervals of background work.
+const (
+	listInterval = time.Second
+	tick         = 62500 * time.Microsecond // 16 times a second
+	pollRate     = 16                       // polls a second at most
+	minPoll      = time.Second              // interval between polls of one server at least
+	loadTimeout  = time.Second
+)
+
+// Run polls until the context ends.
+func (w *Watcher) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	next := time.Time{}
+	for ctx.Err() == nil {
+		if now := time.Now(); !now.Before(next) {
+			next = now.Add(listInterval)
+			wg.Go(func() { w.list(ctx) })
+		}
+		for _, s := range w.due() {
+			wg.Go(func() { w.poll(ctx, s) })
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(tick):
+		}
+	}
+}
+
+// list reads the VM list. It runs beside the polls, which must not wait for a
+// platform that is slow.
+func (w *Watcher) list(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, 5*listInterval)
+	defer cancel()
+	if !w.begin("") {
+		return
+	}
+	defer w.end("")
+	list, err := w.cfg.List(ctx)
+	if err != nil {
+		w.cfg.Failed(err)
+		return
+	}
+	w.cfg.Table.Merge(list)
+}
+
+func (w *Watcher) begin(name string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.busy[name] {
+		return false
+	}
+	w.busy[name] = true
+	return true
+}
+
+func (w *Watcher) end(name string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.busy, name)
+}
+
+// due returns the servers whose time for a poll has come. Servers without a
+// report are polled at once.
+func (w *Watcher) due() []State {
+	t := w.cfg.Table
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	interval := max(minPoll, time.Duration(len(t.subset))*time.Second/pollRate)
+	// A whole subset may be polled at once after the start; later the rate
+	// holds, also while servers with unknown range come and go.
+	most := float64(t.cfg.Most)
+	w.tokens = min(most, w.tokens+now.Sub(w.filled).Seconds()*pollRate)
+	w.filled = now
+	var out []State
+	for _, sv := range t.subset {
+		if now.Before(sv.pollAt) {
+			continue
+		}
+		if w.tokens < 1 {
+			break
+		}
+		w.tokens--
+		// The rank spreads the polls of servers that were added together.
+		spread := time.Duration(sv.rank % uint64(interval/4))
+		if sv.pollAt.IsZero() {
+			sv.pollAt = now.Add(interval - spread)
+		} else {
+			sv.pollAt = now.Add(interval)
+		}
+		out = append(out, sv.state)
+	}
+	return out
+}
+
+// poll reads one load report, and tells of cache events that it announces.
+func (w *Watcher) poll(ctx context.Context, s State) {
+	if !w.begin(s.Name) {
+		return
+	}
+	defer w.end(s.Name)
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	begun := time.Now()
+	r, err := w.cfg.Load(ctx, s.Address)
+	if err != nil {
+		if ctx.Err() == nil || time.Since(begun) >= loadTimeout {
+			w.cfg.Table.Silent(s.Name)
+		}
+		return
+	}
+	w.cfg.Table.HopTo(s.Name, time.Since(begun))
+	reborn := w.cfg.Table.Observe(s.Name, r)
+	if w.cfg.Events == nil {
+		return
+	}
+	w.mu.Lock()
+	moved := w.seen[s.Name] != r.Event
+	w.seen[s.Name] = r.Event
+	w.mu.Unlock()
+	if moved || reborn {
+		s.Boot, s.Event = r.Boot, r.Event
+		w.cfg.Events(ctx, s, reborn)
+	}
+}
