--- /dev/null
+++ b/engine/client.go
@@ -0,0 +1,156 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cranberrybay/cranberrybay/fault"
+)
+
+// Config holds the HTTP client of the adapter.
+type Config struct {
+	Client *http.Client // nil for a client with a transport of its own
+}
+
+// Client calls engines over HTTP.
+type Client struct{ http *http.Client }
+
+// New returns a client.
+func New(cfg Config) *Client {
+	if cfg.Client == nil {
+		tr := &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true, IdleConnTimeout: time.Minute}
+		tr.DialContext = (&net.Dialer{Timeout: time.Second}).DialContext
+		cfg.Client = &http.Client{Transport: tr}
+	}
+	return &Client{http: cfg.Client}
+}
+
+// Generate sends a job to the first stage of its route. The verdict of an
+// error says whether the engine may have started it.
+func (c *Client) Generate(ctx context.Context, j Job) (*Answer, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	rs, err := c.send(ctx, http.MethodPost, j.Route[0].Address, "/generate", j)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	return newAnswer(rs.Body, cancel), nil
+}
+
+// Cancel tells a stage that an attempt of a request has ended. The stage
+// frees the request's slot and refuses this and older attempts from then on.
+func (c *Client) Cancel(ctx context.Context, address string, r Release) error {
+	var l Load
+	return c.call(ctx, callTimeout, http.MethodPost, address, "/cancel", r, &l)
+}
+
+// Load reads the load report of an engine or a plain service.
+func (c *Client) Load(ctx context.Context, address string) (Load, error) {
+	var l Load
+	err := c.call(ctx, callTimeout, http.MethodGet, address, "/load", nil, &l)
+	return l, err
+}
+
+// Events reads the cache events after the given number.
+func (c *Client) Events(ctx context.Context, address string, after uint64) (Events, error) {
+	var e Events
+	err := c.call(ctx, callTimeout, http.MethodGet, address, "/events?after="+strconv.FormatUint(after, 10), nil, &e)
+	return e, err
+}
+
+// Export writes the KV cache of a request to storage that other engines read.
+func (c *Client) Export(ctx context.Context, address, request string) (Export, error) {
+	var e Export
+	err := c.call(ctx, moveTimeout, http.MethodPost, address, "/export", Release{Request: request}, &e)
+	return e, err
+}
+
+// Import reads an export into the state of a request on another engine.
+func (c *Client) Import(ctx context.Context, address string, i Import) error {
+	var e Export
+	return c.call(ctx, moveTimeout, http.MethodPost, address, "/import", i, &e)
+}
+
+// call sends one request and decodes the answer within the timeout.
+func (c *Client) call(ctx context.Context, timeout time.Duration, method, address, path string, body, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	rs, err := c.send(ctx, method, address, path, body)
+	if err != nil {
+		return err
+	}
+	defer rs.Body.Close()
+	if err := json.NewDecoder(rs.Body).Decode(into); err != nil {
+		return fault.New(fault.Config{Verdict: fault.MayHaveRun, Code: fault.Unavailable, Reason: "engine's answer can't be decoded", Cause: fmt.Errorf("decode %s of %s: %w", path, address, err)})
+	}
+	return nil
+}
+
+// send sends one request and returns an answer with status 200.
+func (c *Client) send(ctx context.Context, method, address, path string, body any) (*http.Response, error) {
+	var rd io.Reader
+	if body != nil {
+		b, err := json.Marshal(body)
+		if err != nil {
+			return nil, fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Internal, Reason: "engine request can't be encoded", Cause: err})
+		}
+		rd = bytes.NewReader(b)
+	}
+	rq, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, rd)
+	if err != nil {
+		return nil, fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Internal, Reason: "engine request can't be built", Cause: err})
+	}
+	if rd != nil {
+		rq.Header.Set("Content-Type", "application/json")
+	}
+	rs, err := c.http.Do(rq)
+	if err != nil {
+		return nil, fault.New(fault.Config{Verdict: sendVerdict(err), Code: fault.Unavailable, Reason: "engine does not answer", Cause: err})
+	}
+	if rs.StatusCode == http.StatusOK {
+		return rs, nil
+	}
+	defer rs.Body.Close()
+	return nil, refusal(rs)
+}
+
+// refusal decides the verdict and the code of an answer without status 200.
+func refusal(rs *http.Response) error {
+	text, _ := io.ReadAll(io.LimitReader(rs.Body, 512))
+	cfg := fault.Config{
+		Verdict: fault.MayHaveRun, Code: fault.Unavailable,
+		Reason: fmt.Sprintf("engine answered %d: %s", rs.StatusCode, bytes.TrimSpace(text)),
+	}
+	if rs.Header.Get(NotRunHeader) == "true" {
+		cfg.Verdict = fault.NotRun
+	}
+	switch rs.Header.Get(ReasonHeader) {
+	case ReasonLeaving:
+		cfg.Code = fault.Leaving
+	case ReasonFull:
+		cfg.Code = fault.Overload
+	case ReasonVersion:
+		cfg.Code = fault.Conflict
+	}
+	if failed := rs.Header.Get(FailedHeader); failed != "" {
+		cfg.Cause = &StageError{Failed: failed, From: rs.Header.Get(FromHeader), Reason: rs.Header.Get(ReasonHeader), Text: cfg.Reason}
+	}
+	return fault.New(cfg)
+}
+
+// sendVerdict decides from a transport error whether the request was sent.
+func sendVerdict(err error) fault.Verdict {
+	var oe *net.OpError
+	if errors.As(err, &oe) && oe.Op == "dial" {
+		return fault.NotRun
+	}
+	return fault.MayHaveRun
+}
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -1,21 +1,15 @@
 // Package engine is the port of a model engine, and its HTTP adapter. An
 // engine holds a range of layers of a model. The first stage of a route takes
 // the job and streams the tokens back; stages pass activations to each other.
+//
+// The adapter decides the verdict of every error: callers read it with
+// fault.Of and never inspect statuses or transport errors.
 package engine
 
 import (
-	"bufio"
-	"bytes"
-	"context"
-	"encoding/json"
-	"errors"
-	"fmt"
-	"io"
-	"net"
-	"net/http"
 	"time"
 
-	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cespare/xxhash/v2"
 )
 
 // Stage is one entry of the route that travels with a job.
@@ -28,29 +22,41 @@
 // Job is the body of POST /generate.
 type Job struct {
 	Request  string   `json:"request"`            // unique ID of the caller's request
+	Tag      uint32   `json:"tag"`                // repeated in each frame, identifies the request in few bytes
 	Attempt  int      `json:"attempt"`            // grows with each route that is tried
 	Model    string   `json:"model"`              // model name
+	Version  string   `json:"version"`            // model version that every stage must hold
 	Route    []Stage  `json:"route"`              // the first stage is the receiver
 	Prompt   string   `json:"prompt"`             // prompt text
-	Accepted []string `json:"accepted,omitempty"` // tokens that the caller already has
+	Accepted []string `json:"accepted,omitempty"` // tokens that the caller already has: resume after them
 	Limit    int      `json:"limit"`              // tokens of the whole answer at most
 	Priority int      `json:"priority"`           // higher runs earlier
 }
 
 // Frame is one line of the answer to a job.
 type Frame struct {
-	Attempt  int      `json:"attempt"`
+	Tag      uint32   `json:"tag"`              // tag of the job
+	Attempt  int      `json:"attempt"`          // attempt of the job
 	Position int      `json:"position"`         // index of the token in the answer
 	Token    string   `json:"token,omitempty"`  // text of the token
 	Ranges   [][2]int `json:"ranges,omitempty"` // layer ranges passed, in order
+	Took     []int    `json:"took,omitempty"`   // time of each stage for this token, in µs; in some frames only
+	Hops     []int    `json:"hops,omitempty"`   // round trip between each pair of neighbouring stages, in µs
+	Prompt   int      `json:"prompt,omitempty"` // tokens of the prompt, in the first frame of an attempt
+	Cached   int      `json:"cached,omitempty"` // prompt tokens found in the prefix cache, in the first frame
 	Stop     string   `json:"stop,omitempty"`   // "end" or "limit" in the last frame
+	Loads    []Load   `json:"loads,omitempty"`  // load of the stages, in the last frame
 	Fault    string   `json:"fault,omitempty"`  // why the attempt failed
 	Failed   string   `json:"failed,omitempty"` // address of the stage that failed
+	From     string   `json:"from,omitempty"`   // address of the stage that observed the failure
+	Reason   string   `json:"reason,omitempty"` // word of ReasonHeader when the stage refused
 }
 
 // Load is the answer to GET /load.
 type Load struct {
-	Kind    string `json:"kind"` // accelerator kind
+	Address string `json:"address,omitempty"` // set in frames only
+	Boot    string `json:"boot"`              // incarnation of the engine
+	Kind    string `json:"kind"`              // accelerator kind
 	Model   string `json:"model"`
 	Version string `json:"version"`
 	First   int    `json:"first"`
@@ -60,139 +66,95 @@
 	Waiting int    `json:"waiting"`
 	Ready   bool   `json:"ready"`
 	Leaving bool   `json:"leaving"`
+	Event   uint64 `json:"event,omitempty"` // number of the latest cache event
 }
 
-// NotRunHeader marks a refusal of a request that the server has not run.
-const NotRunHeader = "X-Not-Run"
-
-// maxFrame bounds one line of an answer.
-const maxFrame = 1 << 20
-
-// Answer is the stream of frames of one job.
-type Answer struct {
-	body    io.ReadCloser
-	scanner *bufio.Scanner
-	cancel  context.CancelFunc
+// Event is one change of an engine's prefix cache.
+type Event struct {
+	Number uint64 `json:"number"` // grows by one with each event
+	Block  uint64 `json:"block"`  // hash of a prompt prefix, see Blocks
+	Stored bool   `json:"stored"` // false when the block was evicted
 }
 
-// Next returns the next frame. It returns io.EOF after the last one.
-func (a *Answer) Next() (Frame, error) {
-	var f Frame
-	if !a.scanner.Scan() {
-		if err := a.scanner.Err(); err != nil {
-			return f, fmt.Errorf("read frame: %w", err)
-		}
-		return f, io.EOF
-	}
-	if err := json.Unmarshal(a.scanner.Bytes(), &f); err != nil {
-		return f, fmt.Errorf("decode frame: %w", err)
-	}
-	return f, nil
+// Events is the answer to GET /events.
+type Events struct {
+	Boot   string  `json:"boot"`
+	Events []Event `json:"events"`
 }
 
-// Close ends the exchange. The engine takes it as a cancellation.
-func (a *Answer) Close() {
-	a.cancel()
-	_ = a.body.Close()
+// Release is the body of POST /cancel. The engine drops the request's state
+// and refuses later work of this and of older attempts.
+type Release struct {
+	Request string `json:"request"`
+	Attempt int    `json:"attempt"`
 }
 
-// Config holds the HTTP client of the adapter.
-type Config struct {
-	Client *http.Client // nil for a client with a transport of its own
+// Export is the answer to POST /export: where the KV cache of a request was
+// written. The engine writes it to storage that other engines can read.
+type Export struct {
+	Handle   string `json:"handle"`
+	Position int    `json:"position"` // answer tokens contained
+	Bytes    int64  `json:"bytes"`
 }
 
-// Client calls engines over HTTP.
-type Client struct{ http *http.Client }
-
-// New returns a client.
-func New(cfg Config) *Client {
-	if cfg.Client == nil {
-		tr := &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}
-		tr.DialContext = (&net.Dialer{Timeout: time.Second}).DialContext
-		cfg.Client = &http.Client{Transport: tr}
-	}
-	return &Client{http: cfg.Client}
+// Import is the body of POST /import. The engine reads an export into the
+// state of the request before an attempt starts.
+type Import struct {
+	Request string `json:"request"`
+	Attempt int    `json:"attempt"`
+	Handle  string `json:"handle"`
 }
 
-// Generate sends a job to the first stage of its route. The verdict of an
-// error says whether the engine may have started it.
-func (c *Client) Generate(ctx context.Context, j Job) (*Answer, error) {
-	body, err := json.Marshal(j)
-	if err != nil {
-		return nil, fmt.Errorf("encode job: %w", err)
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	rs, err := c.post(ctx, "http://"+j.Route[0].Address+"/generate", body)
-	if err != nil {
-		cancel()
-		return nil, err
-	}
-	s := bufio.NewScanner(rs.Body)
-	s.Buffer(make([]byte, 0, 4096), maxFrame)
-	return &Answer{body: rs.Body, scanner: s, cancel: cancel}, nil
+// StageError says which stage of a route failed, as another stage saw it.
+type StageError struct {
+	Failed string // address of the stage that failed
+	From   string // address of the stage that observed it
+	Reason string // word of ReasonHeader, or ""
+	Text   string
 }
 
-func (c *Client) post(ctx context.Context, url string, body []byte) (*http.Response, error) {
-	rq, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
-	if err != nil {
-		return nil, fmt.Errorf("build engine request: %w", err)
-	}
-	rq.Header.Set("Content-Type", "application/json")
-	rs, err := c.http.Do(rq)
-	if err != nil {
-		return nil, fault.New(fault.Config{Verdict: sendVerdict(err), Code: fault.Unavailable, Reason: "engine does not answer", Cause: err})
-	}
-	if rs.StatusCode == http.StatusOK {
-		return rs, nil
-	}
-	defer rs.Body.Close()
-	text, _ := io.ReadAll(io.LimitReader(rs.Body, 512))
-	v := fault.MayHaveRun
-	if rs.Header.Get(NotRunHeader) == "true" {
-		v = fault.NotRun
-	}
-	return nil, fault.New(fault.Config{Verdict: v, Code: fault.Unavailable, Reason: fmt.Sprintf("engine answered %d: %s", rs.StatusCode, bytes.TrimSpace(text))})
+// Error returns the reason with the addresses.
+func (e *StageError) Error() string {
+	return "stage " + e.Failed + ", seen from " + e.From + ": " + e.Text
 }
 
-// sendVerdict decides from a transport error whether the request was sent.
-func sendVerdict(err error) fault.Verdict {
-	var oe *net.OpError
-	if errors.As(err, &oe) && oe.Op == "dial" {
-		return fault.NotRun
-	}
-	return fault.MayHaveRun
-}
+// Headers of the protocol.
+const (
+	NotRunHeader = "X-Not-Run" // marks a refusal of a request that the server has not run
+	ReasonHeader = "X-Reason"  // one word for the cause of a refusal
+	FailedHeader = "X-Failed"  // address of the stage that failed
+	FromHeader   = "X-From"    // address of the stage that observed the failure
+)
 
-// Load reads the load report of an engine or a plain service.
-func (c *Client) Load(ctx context.Context, address string) (Load, error) {
-	var l Load
-	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/load", nil)
-	if err != nil {
-		return l, fmt.Errorf("build load request: %w", err)
-	}
-	rs, err := c.http.Do(rq)
-	if err != nil {
-		return l, fmt.Errorf("read load of %s: %w", address, err)
-	}
-	defer rs.Body.Close()
-	if rs.StatusCode != http.StatusOK {
-		return l, fmt.Errorf("read load of %s: status %d", address, rs.StatusCode)
-	}
-	if err := json.NewDecoder(rs.Body).Decode(&l); err != nil {
-		return l, fmt.Errorf("decode load of %s: %w", address, err)
-	}
-	return l, nil
-}
+// Words of ReasonHeader.
+const (
+	ReasonLeaving = "leaving" // the engine takes no new work
+	ReasonFull    = "full"    // the engine's queue is full
+	ReasonVersion = "version" // the engine holds another range, model or version
+)
 
-// Cancel tells the stages of a route that a request has ended.
-func (c *Client) Cancel(ctx context.Context, address, request string) error {
-	body, err := json.Marshal(map[string]string{"request": request})
-	if err != nil {
-		return fmt.Errorf("encode cancellation: %w", err)
+// BlockBytes is the length of prompt text that one cache block stands for.
+const BlockBytes = 256
+
+// Blocks returns the hash of each prefix of the prompt whose length is a
+// multiple of BlockBytes. Engines name cache blocks by these hashes.
+func Blocks(model, prompt string) []uint64 {
+	n := len(prompt) / BlockBytes
+	if n == 0 {
+		return nil
 	}
-	rs, err := c.post(ctx, "http://"+address+"/cancel", body)
-	if err != nil {
-		return err
+	out := make([]uint64, n)
+	h := xxhash.New()
+	_, _ = h.WriteString(model + "\n")
+	for i := range n {
+		_, _ = h.WriteString(prompt[i*BlockBytes : (i+1)*BlockBytes])
+		out[i] = h.Sum64()
 	}
-	return rs.Body.Close()
+	return out
 }
+
+// Timeouts of calls other than Generate.
+const (
+	callTimeout = time.Second
+	moveTimeout = 5 * time.Second // export and import move the KV cache of a request
+)
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -1,10 +1,12 @@
 package entry
 
 import (
-	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"math"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -12,7 +14,6 @@
 
 	"github.com/cranberrybay/cranberrybay/engine"
 	"github.com/cranberrybay/cranberrybay/fault"
-	"github.com/cranberrybay/cranberrybay/route"
 	"github.com/cranberrybay/cranberrybay/spec"
 	"github.com/cranberrybay/cranberrybay/stream"
 )
@@ -23,14 +24,50 @@
 	Model    string        `json:"model"`
 	Messages []ChatMessage `json:"messages"`
 	Stream   bool          `json:"stream"`
-	Limit    int           `json:"max_tokens"`
-	Newer    int           `json:"max_completion_tokens"`
+	Options  ChatOptions   `json:"stream_options"`
+	Limit    *int          `json:"max_tokens"`
+	Newer    *int          `json:"max_completion_tokens"`
+	Choices  int           `json:"n"`
+}
+
+// ChatOptions are the options of a streamed answer.
+type ChatOptions struct {
+	Usage bool `json:"include_usage"`
 }
 
 // ChatMessage is one message of a conversation.
 type ChatMessage struct {
-	Role    string `json:"role"`
-	Content string `json:"content"`
+	Role    string   `json:"role"`
+	Content ChatText `json:"content"`
+}
+
+// ChatText is the text of a message. In JSON it is a string, null, or a list
+// of parts of type text.
+type ChatText string
+
+// UnmarshalJSON reads a string, null or a list of text parts.
+func (t *ChatText) UnmarshalJSON(b []byte) error {
+	var s *string
+	if err := json.Unmarshal(b, &s); err == nil {
+		if s != nil {
+			*t = ChatText(*s)
+		}
+		return nil
+	}
+	var parts []struct {
+		Type string `json:"type"`
+		Text string `json:"text"`
+	}
+	if err := json.Unmarshal(b, &parts); err != nil {
+		return errors.New("content is neither a string nor a list of parts")
+	}
+	for _, p := range parts {
+		if p.Type != "text" {
+			return fmt.Errorf("content part of type %q is not supported", p.Type)
+		}
+		*t += ChatText(p.Text)
+	}
+	return nil
 }
 
 type chatChoice struct {
@@ -41,12 +78,23 @@
 }
 
 type chatDelta struct {
-	Role    string `json:"role,omitempty"`
-	Content string `json:"content,omitempty"`
+	Role    string  `json:"role,omitempty"`
+	Content *string `json:"content,omitempty"`
 }
 
 type chatUsage struct {
-	Completion int `json:"completion_tokens"`
+	Prompt     int         `json:"prompt_tokens"`
+	Completion int         `json:"completion_tokens"`
+	Total      int         `json:"total_tokens"`
+	Details    chatDetails `json:"prompt_tokens_details"`
+}
+
+type chatDetails struct {
+	Cached int `json:"cached_tokens"`
+}
+
+func usageOf(o stream.Outcome) *chatUsage {
+	return &chatUsage{Prompt: o.Prompt, Completion: o.Tokens, Total: o.Prompt + o.Tokens, Details: chatDetails{Cached: o.Cached}}
 }
 
 type chatReply struct {
@@ -58,6 +106,52 @@
 	Usage   *chatUsage   `json:"usage,omitempty"`
 }
 
+// chatError is the error member that client libraries for chat completions
+// read, in an answer with an error status and in an event of a stream.
+type chatError struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+	Param   any    `json:"param"` // always null
+	Code    string `json:"code"`
+	Verdict string `json:"verdict"`
+	Retry   int    `json:"retry_after,omitempty"` // seconds
+}
+
+// chatProblem is the body of an error answer: a problem document with the
+// error member beside it.
+type chatProblem struct {
+	Problem
+	Error chatError `json:"error"`
+}
+
+func chatErrorOf(err error) chatError {
+	p := problemOf(err)
+	e := chatError{Message: p.Detail, Type: "server_error", Code: p.Title, Verdict: p.Verdict}
+	switch {
+	case p.Status == http.StatusTooManyRequests:
+		e.Type = "rate_limit_error"
+	case p.Status < http.StatusInternalServerError:
+		e.Type = "invalid_request_error"
+	}
+	if at, ok := fault.RetryAt(err); ok {
+		e.Retry = retrySeconds(at)
+	}
+	return e
+}
+
+func retrySeconds(at time.Time) int { return max(0, int(math.Ceil(time.Until(at).Seconds()))) }
+
+// chatFailed answers an error before the first token.
+func chatFailed(c *gin.Context, err error) {
+	p := chatProblem{Problem: problemOf(err), Error: chatErrorOf(err)}
+	if at, ok := fault.RetryAt(err); ok {
+		c.Header("Retry-After", strconv.Itoa(retrySeconds(at)))
+	}
+	c.Abort()
+	b, _ := json.Marshal(p)
+	c.Data(p.Status, "application/problem+json", b)
+}
+
 // finish maps the stop reason of an engine to the API's word.
 func finish(stop string) *string {
 	s := "stop"
@@ -70,30 +164,36 @@
 func (h *Handler) chat(c *gin.Context) {
 	rq, svc, err := h.readChat(c)
 	if err != nil {
-		problem(c, err)
+		chatFailed(c, err)
 		return
 	}
 	prompt := promptOf(rq.Messages)
 	rs := &chatReply{ID: newID(), Object: "chat.completion", Created: time.Now().Unix(), Model: rq.Model}
-	sr := stream.Request{ID: rs.ID, Model: svc.Model(), Layers: svc.Layers(), Prompt: prompt, Limit: rq.Limit, FirstBy: svc.FirstBy(time.Now())}
-	run := h.runner(svc)
+	sr := stream.Request{
+		ID: rs.ID, Service: svc.Name(), Model: svc.Model(), Layers: svc.Layers(), Prompt: prompt,
+		Blocks: engine.Blocks(svc.Model(), prompt), Limit: *rq.Limit, FirstBy: svc.FirstBy(time.Now()),
+	}
 	c.Header("X-Request-Id", rs.ID)
 	if rq.Stream {
-		h.streamChat(c, run, sr, rs)
+		h.streamChat(c, sr, rs, rq.Options.Usage)
 		return
 	}
 	var text strings.Builder
-	out, err := run.Run(c.Request.Context(), sr, func(t string) error { text.WriteString(t); return nil })
+	out, err := h.answers.Run(c.Request.Context(), sr, stream.Sink{Token: func(t string) error { text.WriteString(t); return nil }})
 	if err != nil {
-		problem(c, err)
+		chatFailed(c, err)
 		return
 	}
-	rs.Choices = []chatChoice{{Message: &ChatMessage{Role: "assistant", Content: text.String()}, Finish: finish(out.Stop)}}
-	rs.Usage = &chatUsage{Completion: out.Tokens}
+	rs.Choices = []chatChoice{{Message: &ChatMessage{Role: "assistant", Content: ChatText(text.String())}, Finish: finish(out.Stop)}}
+	rs.Usage = usageOf(out)
 	c.JSON(http.StatusOK, rs)
 }
 
-// readChat reads and checks the request.
+func invalid(format string, args ...any) error {
+	return fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Invalid, Reason: fmt.Sprintf(format, args...)})
+}
+
+// readChat reads and checks the request. Its Limit is set in the result.
 func (h *Handler) readChat(c *gin.Context) (ChatRequest, *spec.Service, error) {
 	var rq ChatRequest
 	body, err := readBody(c)
@@ -101,20 +201,28 @@
 		return rq, nil, err
 	}
 	if err := json.Unmarshal(body, &rq); err != nil {
-		return rq, nil, fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Invalid, Reason: fmt.Sprintf("the body is not a chat completion request: %v", err)})
+		return rq, nil, invalid("the body is not a chat completion request: %v", err)
 	}
 	if len(rq.Messages) == 0 {
-		return rq, nil, fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Invalid, Reason: "messages is empty"})
+		return rq, nil, invalid("messages is empty")
 	}
-	if rq.Limit == 0 {
+	if rq.Choices > 1 {
+		return rq, nil, invalid("n is %d, only 1 is supported", rq.Choices)
+	}
+	if rq.Newer != nil {
 		rq.Limit = rq.Newer
 	}
-	if rq.Limit < 0 {
-		return rq, nil, fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Invalid, Reason: "max_tokens is negative"})
+	limit := maxTokens
+	if rq.Limit != nil {
+		limit = *rq.Limit
+	}
+	if limit < 0 {
+		return rq, nil, invalid("max_tokens is negative")
 	}
-	if rq.Limit == 0 || rq.Limit > maxTokens {
-		rq.Limit = maxTokens
+	if limit == 0 || limit > maxTokens {
+		limit = maxTokens
 	}
+	rq.Limit = &limit
 	svc := h.cfg.Store.Tree().ServiceOfModel(rq.Model)
 	if svc == nil {
 		return rq, nil, fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Unknown, Reason: fmt.Sprintf("model %q is not known", rq.Model)})
@@ -132,62 +240,3 @@
 	}
 	return b.String()
 }
-
-// runner returns the runner of a service's answers.
-func (h *Handler) runner(svc *spec.Service) *stream.Runner {
-	return stream.New(stream.Config{
-		Choose: func(avoid map[string]bool) (route.Route, error) {
-			return route.Choose(h.cfg.Fleet, route.Want{Service: svc.Name(), Layers: svc.Layers(), Domain: h.cfg.Domain, Avoid: avoid})
-		},
-		Generate: func(ctx context.Context, j engine.Job) (stream.Answer, error) { return h.cfg.Engines.Generate(ctx, j) },
-		Failed:   h.cfg.Fleet.Failed,
-		Began:    func(r route.Route) { each(r, h.cfg.Fleet.Begin) },
-		Ended:    func(r route.Route) { each(r, h.cfg.Fleet.End) },
-	})
-}
-
-func each(r route.Route, do func(name string)) {
-	for _, s := range r {
-		do(s.Name)
-	}
-}
-
-// streamChat answers with server-sent events. The status line goes out with
-// the first token, so that an error before it still gets its own status.
-func (h *Handler) streamChat(c *gin.Context, run *stream.Runner, sr stream.Request, rs *chatReply) {
-	rs.Object = "chat.completion.chunk"
-	started := false
-	send := func(ch chatChoice) error {
-		if !started {
-			started = true
-			c.Header("Content-Type", "text/event-stream")
-			c.Header("Cache-Control", "no-cache")
-			c.Status(http.StatusOK)
-		}
-		rs.Choices = []chatChoice{ch}
-		b, err := json.Marshal(rs)
-		if err != nil {
-			return fmt.Errorf("encode chunk: %w", err)
-		}
-		if _, err := fmt.Fprintf(c.Writer, "data: %s\n\n", b); err != nil {
-			return err
-		}
-		c.Writer.Flush()
-		return c.Request.Context().Err()
-	}
-	out, err := run.Run(c.Request.Context(), sr, func(t string) error {
-		return send(chatChoice{Delta: &chatDelta{Content: t}})
-	})
-	if err != nil {
-		if !started {
-			problem(c, err)
-			return
-		}
-		b, _ := json.Marshal(gin.H{"error": problemOf(err)})
-		_, _ = fmt.Fprintf(c.Writer, "event: error\ndata: %s\n\n", b)
-		return
-	}
-	_ = send(chatChoice{Delta: &chatDelta{}, Finish: finish(out.Stop)})
-	_, _ = fmt.Fprint(c.Writer, "data: [DONE]\n\n")
-	c.Writer.Flush()
-}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -24,7 +24,9 @@
 	"github.com/cranberrybay/cranberrybay/fault"
 	"github.com/cranberrybay/cranberrybay/fleet"
 	"github.com/cranberrybay/cranberrybay/proxy"
+	"github.com/cranberrybay/cranberrybay/route"
 	"github.com/cranberrybay/cranberrybay/spec"
+	"github.com/cranberrybay/cranberrybay/stream"
 )
 
 // Limits of one request.
@@ -47,7 +49,8 @@
 	Engines   *engine.Client
 	Services  *proxy.Client
 	Claims    *claim.Book
-	Domain    string // failure domain of this process
+	Domain    string         // failure domain of this process
+	Chooser   *route.Chooser // nil for one of its own
 	Addresses func() Addresses
 	Log       zerolog.Logger
 }
@@ -57,12 +60,14 @@
 	cfg      Config
 	draining atomic.Bool
 	engine   *gin.Engine
+	answers  *stream.Runner
 }
 
 // New returns a handler.
 func New(cfg Config) *Handler {
 	gin.SetMode(gin.ReleaseMode)
 	h := &Handler{cfg: cfg, engine: gin.New()}
+	h.answers = NewAnswers(AnswersConfig{Fleet: cfg.Fleet, Chooser: cfg.Chooser, Engines: cfg.Engines, Domain: cfg.Domain})
 	h.engine.Use(gin.CustomRecovery(func(c *gin.Context, v any) {
 		if err, ok := v.(error); ok && errors.Is(err, http.ErrAbortHandler) {
 			panic(v)
--- a/fakes/engine.go
+++ b/fakes/engine.go
@@ -1,33 +1,56 @@
 package fakes
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/cranberrybay/cranberrybay/engine"
 )
 
 // EngineConfig describes an engine stand-in.
 type EngineConfig struct {
-	Kind    string // accelerator kind
-	Model   string
-	Version string
-	First   int
-	Last    int
-	Slots   int
-	Pace    time.Duration // time for one token on this stage
+	Kind       string // accelerator kind
+	Model      string
+	Version    string
+	First      int
+	Last       int
+	Slots      int           // requests that run at once, 8 when zero
+	Queue      int           // requests that wait for a slot, 256 when zero
+	Memory     int           // positions of KV cache, 1<<20 when zero
+	Pace       time.Duration // time of one batch iteration on this stage
+	Prefill    time.Duration // further time for each position of a prefill, Pace/50 when zero
+	Import     time.Duration // time to import one position, Pace/200 when zero
+	Lag        time.Duration // age that a load report may reach
+	EventDelay time.Duration // time until a cache event is published
+	Client     *http.Client  // for calls to other stages, nil for one of its own
+	Depot      *Depot        // storage of exports, nil for one of its own
+}
+
+// LinkFault is a fault of the link to another stage, in that direction only.
+type LinkFault struct {
+	Delay time.Duration `json:"delay"` // added to each call
+	Cut   bool          `json:"cut"`   // calls are lost without an error
 }
 
 // EngineFaults are the switches of an engine. The zero value is healthy.
 type EngineFaults struct {
-	Dead  bool `json:"dead"`  // drops every connection
-	Stall bool `json:"stall"` // takes requests and never answers
+	Dead      bool                 `json:"dead"`      // drops every connection
+	Stall     bool                 `json:"stall"`     // takes requests and never answers
+	Slow      int                  `json:"slow"`      // multiplies the time of an iteration
+	Links     map[string]LinkFault `json:"links"`     // by address of the other stage
+	Duplicate bool                 `json:"duplicate"` // sends each frame twice
+	Late      bool                 `json:"late"`      // sends each second frame after its successor
+	Crossed   bool                 `json:"crossed"`   // sends a frame of another request before each frame
+	Skip      bool                 `json:"skip"`      // leaves out the last layer
+	Double    bool                 `json:"double"`    // runs the last layer twice
+	Refuse    bool                 `json:"refuse"`    // refuses new work as leaving, its report does not say so
+	Gaps      bool                 `json:"gaps"`      // loses each third cache event
 }
 
 // Engine holds a layer range. The first stage of a route drives the answer:
@@ -35,34 +58,65 @@
 // stage, which returns the token.
 type Engine struct {
 	cfg     EngineConfig
+	http    *http.Client
 	mu      sync.Mutex
+	boot    string
 	faults  EngineFaults
 	leaving bool
-	running int
-	waiting int
-	used    int           // tokens computed
-	free    chan struct{} // one entry for each free slot
+	used    int // positions computed
+	slots   slots
+	batch   batch
 	states  map[string]*state
-	http    *http.Client
-}
-
-// state is the KV cache of one request on one stage.
-type state struct {
-	attempt  int
-	position int // positions held
+	ended   map[string]ending
+	cache   prefixCache
+	report  engine.Load // last load report, up to cfg.Lag old
+	asOf    time.Time
 }
 
 // NewEngine returns an engine that has its weights loaded.
 func NewEngine(cfg EngineConfig) *Engine {
-	if cfg.Slots == 0 {
-		cfg.Slots = 8
+	setDefault(&cfg.Slots, 8)
+	setDefault(&cfg.Queue, 256)
+	setDefault(&cfg.Memory, 1<<20)
+	setDefault(&cfg.Prefill, cfg.Pace/50)
+	setDefault(&cfg.Import, cfg.Pace/200)
+	e := &Engine{cfg: cfg, http: cfg.Client}
+	if e.http == nil {
+		e.http = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}}
+	}
+	if e.cfg.Depot == nil {
+		e.cfg.Depot = NewDepot()
+	}
+	e.reset()
+	return e
+}
+
+func setDefault[T int | time.Duration](v *T, d T) {
+	if *v == 0 {
+		*v = d
 	}
-	e := &Engine{cfg: cfg, free: make(chan struct{}, cfg.Slots), states: map[string]*state{}}
-	for range cfg.Slots {
-		e.free <- struct{}{}
+}
+
+// reset starts a new incarnation without state. Callers hold e.mu or own e.
+func (e *Engine) reset() {
+	e.boot = uuid.NewString()
+	e.slots = slots{free: e.cfg.Slots}
+	e.batch = batch{}
+	e.states, e.ended = map[string]*state{}, map[string]ending{}
+	e.cache = prefixCache{blocks: map[uint64]uint64{}}
+	e.asOf = time.Time{}
+}
+
+// Restart replaces the engine by a new incarnation that has lost all state
+// and all faults.
+func (e *Engine) Restart() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, w := range e.slots.waiting {
+		close(w.ready)
 	}
-	e.http = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}}
-	return e
+	e.faults, e.leaving = EngineFaults{}, false
+	e.reset()
 }
 
 // SetFaults replaces the fault switches.
@@ -79,13 +133,30 @@
 	e.leaving = leaving
 }
 
+// Used returns the number of positions that this engine has computed.
+func (e *Engine) Used() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.used
+}
+
+// Held returns the number of requests that hold a slot.
+func (e *Engine) Held() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cfg.Slots - e.slots.free
+}
+
 // Handler returns the HTTP interface of the engine.
 func (e *Engine) Handler() http.Handler {
 	m := http.NewServeMux()
 	m.HandleFunc("POST /generate", e.generate)
 	m.HandleFunc("POST /forward", e.forward)
 	m.HandleFunc("POST /cancel", e.cancel)
-	m.HandleFunc("GET /load", e.load)
+	m.HandleFunc("POST /export", e.export)
+	m.HandleFunc("POST /import", e.importState)
+	m.HandleFunc("GET /load", func(w http.ResponseWriter, _ *http.Request) { reply(w, e.load(e.cfg.Lag)) })
+	m.HandleFunc("GET /events", e.events)
 	m.HandleFunc("PUT /faults", func(w http.ResponseWriter, r *http.Request) {
 		var f EngineFaults
 		if accept(w, r, &f) {
@@ -98,229 +169,73 @@
 		reply(w, struct{}{})
 	})
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path != "/faults" && !e.healthy(r.Context()) {
-			panic(http.ErrAbortHandler)
+		if r.URL.Path != "/faults" {
+			e.receive(r)
 		}
 		m.ServeHTTP(w, r)
 	})
 }
 
-// healthy applies the fault switches; false means that the connection drops.
-func (e *Engine) healthy(ctx context.Context) bool {
+// receive drops the connection of a dead or stalled engine. It reads the body
+// of a stalled request, since net/http notices a closed connection only then.
+func (e *Engine) receive(r *http.Request) {
 	e.mu.Lock()
-	f := e.faults
+	stall := e.faults.Stall
 	e.mu.Unlock()
-	if f.Stall {
-		<-ctx.Done()
+	if stall {
+		_, _ = io.Copy(io.Discard, r.Body)
 	}
-	return !f.Dead && !f.Stall
+	e.must(r.Context())
 }
 
-func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
+// must drops the connection of a dead or stalled engine.
+func (e *Engine) must(ctx context.Context) {
 	e.mu.Lock()
-	defer e.mu.Unlock()
-	reply(w, engine.Load{
-		Kind: e.cfg.Kind, Model: e.cfg.Model, Version: e.cfg.Version, First: e.cfg.First, Last: e.cfg.Last,
-		Slots: e.cfg.Slots, Running: e.running, Waiting: e.waiting, Ready: true, Leaving: e.leaving,
-	})
-}
-
-func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
-	var q struct {
-		Request string `json:"request"`
+	f := e.faults
+	e.mu.Unlock()
+	if f.Stall {
+		<-ctx.Done()
 	}
-	if !accept(w, r, &q) {
-		return
+	if f.Dead || f.Stall {
+		panic(http.ErrAbortHandler)
 	}
-	e.mu.Lock()
-	delete(e.states, q.Request)
-	e.mu.Unlock()
-	reply(w, struct{}{})
-}
-
-// refuse answers that the request was not run.
-func refuse(w http.ResponseWriter, reason string) {
-	w.Header().Set(engine.NotRunHeader, "true")
-	http.Error(w, reason, http.StatusServiceUnavailable)
 }
 
-func (e *Engine) count(running, waiting int) {
+// load returns a load report that is at most lag old.
+func (e *Engine) load(lag time.Duration) engine.Load {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.running += running
-	e.waiting += waiting
-}
-
-func (e *Engine) generate(w http.ResponseWriter, r *http.Request) {
-	var j engine.Job
-	if !accept(w, r, &j) {
-		return
-	}
-	e.mu.Lock()
-	leaving := e.leaving
-	e.mu.Unlock()
-	if leaving {
-		refuse(w, "engine is leaving")
-		return
-	}
-	e.count(0, 1)
-	select {
-	case <-e.free:
-	case <-r.Context().Done():
-		e.count(0, -1)
-		return
-	}
-	e.count(1, -1)
-	defer func() {
-		e.count(-1, 0)
-		e.free <- struct{}{}
-	}()
-	e.answer(r.Context(), w, j)
-}
-
-func (e *Engine) answer(ctx context.Context, w http.ResponseWriter, j engine.Job) {
-	out := json.NewEncoder(w)
-	flush := http.NewResponseController(w)
-	total := min(AnswerLength(j.Prompt), j.Limit)
-	for p := len(j.Accepted); p < total; p++ {
-		if !e.healthy(ctx) {
-			panic(http.ErrAbortHandler)
-		}
-		start := p
-		if p == len(j.Accepted) {
-			start = 0 // prefill of prompt and accepted tokens
-		}
-		f := Forward{Request: j.Request, Attempt: j.Attempt, Start: start, Position: p, Hidden: hidden(j.Model, j.Prompt, p), Route: j.Route}
-		got, failed, err := e.step(ctx, f)
-		if err != nil {
-			_ = out.Encode(engine.Frame{Attempt: j.Attempt, Position: p, Fault: err.Error(), Failed: failed})
-			return
+	if now := time.Now(); lag == 0 || now.Sub(e.asOf) > lag {
+		e.asOf = now
+		e.report = engine.Load{
+			Boot: e.boot, Kind: e.cfg.Kind, Model: e.cfg.Model, Version: e.cfg.Version, First: e.cfg.First, Last: e.cfg.Last,
+			Slots: e.cfg.Slots, Running: e.cfg.Slots - e.slots.free, Waiting: len(e.slots.waiting),
+			Ready: true, Leaving: e.leaving, Event: e.cache.published(e.cfg.EventDelay),
 		}
-		if err := out.Encode(engine.Frame{Attempt: j.Attempt, Position: p, Token: got.Token, Ranges: got.Ranges}); err != nil {
-			return
-		}
-		_ = flush.Flush()
-	}
-	stop := "end"
-	if total < AnswerLength(j.Prompt) {
-		stop = "limit"
 	}
-	_ = out.Encode(engine.Frame{Attempt: j.Attempt, Position: total, Stop: stop})
-}
-
-// Forward is the body of POST /forward between stages.
-type Forward struct {
-	Request  string         `json:"request"`
-	Attempt  int            `json:"attempt"`
-	Start    int            `json:"start"`    // first position that this call computes
-	Position int            `json:"position"` // last position that this call computes
-	Hidden   uint64         `json:"hidden"`
-	Route    []engine.Stage `json:"route"` // the first stage is the receiver
-}
-
-// Forwarded is the answer to a Forward.
-type Forwarded struct {
-	Token  string   `json:"token"`
-	Ranges [][2]int `json:"ranges"`
+	return e.report
 }
 
-func (e *Engine) forward(w http.ResponseWriter, r *http.Request) {
-	var f Forward
-	if !accept(w, r, &f) {
-		return
-	}
-	got, failed, err := e.step(r.Context(), f)
+func (e *Engine) events(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 	if err != nil {
-		w.Header().Set("X-Failed", failed)
-		http.Error(w, err.Error(), http.StatusBadGateway)
+		http.Error(w, "after is not a number", http.StatusBadRequest)
 		return
 	}
-	reply(w, got)
-}
-
-// step runs this stage's layers and the rest of the route. On failure it
-// returns the address of the stage that failed.
-func (e *Engine) step(ctx context.Context, f Forward) (Forwarded, string, error) {
-	self := f.Route[0]
-	if self.First != e.cfg.First || self.Last != e.cfg.Last {
-		return Forwarded{}, self.Address, fmt.Errorf("holds layers %d to %d, asked for %d to %d", e.cfg.First, e.cfg.Last, self.First, self.Last)
-	}
-	if err := e.advance(f); err != nil {
-		return Forwarded{}, self.Address, err
-	}
-	select {
-	case <-time.After(e.cfg.Pace):
-	case <-ctx.Done():
-		return Forwarded{}, self.Address, ctx.Err()
-	}
-	f.Hidden = through(f.Hidden, self.First, self.Last)
-	mine := [2]int{self.First, self.Last}
-	if len(f.Route) == 1 {
-		return Forwarded{Token: token(f.Hidden), Ranges: [][2]int{mine}}, "", nil
-	}
-	f.Route = f.Route[1:]
-	got, failed, err := e.send(ctx, f)
-	if err != nil {
-		return got, failed, err
-	}
-	got.Ranges = append([][2]int{mine}, got.Ranges...)
-	return got, "", nil
-}
-
-// advance moves the KV cache of the request to the position, and refuses an
-// older attempt and a position whose predecessors are missing.
-func (e *Engine) advance(f Forward) error {
 	e.mu.Lock()
-	defer e.mu.Unlock()
-	s := e.states[f.Request]
-	if s == nil {
-		s = &state{}
-		e.states[f.Request] = s
-	}
-	if f.Attempt < s.attempt {
-		return fmt.Errorf("attempt %d is older than %d", f.Attempt, s.attempt)
-	}
-	if f.Start > s.position {
-		return fmt.Errorf("holds %d positions, asked to start at %d", s.position, f.Start)
-	}
-	s.attempt, s.position = f.Attempt, f.Position+1
-	e.used++
-	return nil
+	out := engine.Events{Boot: e.boot, Events: e.cache.after(after, e.cfg.EventDelay)}
+	e.mu.Unlock()
+	reply(w, out)
 }
 
-func (e *Engine) send(ctx context.Context, f Forward) (Forwarded, string, error) {
-	next := f.Route[0].Address
-	body, err := json.Marshal(f)
-	if err != nil {
-		return Forwarded{}, next, err
-	}
-	rq, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+next+"/forward", bytes.NewReader(body))
-	if err != nil {
-		return Forwarded{}, next, err
-	}
-	rs, err := e.http.Do(rq)
-	if err != nil {
-		return Forwarded{}, next, err
-	}
-	defer rs.Body.Close()
-	if rs.StatusCode != http.StatusOK {
-		text, _ := io.ReadAll(io.LimitReader(rs.Body, 512))
-		failed := rs.Header.Get("X-Failed")
-		if failed == "" {
-			failed = next
-		}
-		return Forwarded{}, failed, fmt.Errorf("stage answered %d: %s", rs.StatusCode, bytes.TrimSpace(text))
-	}
-	var got Forwarded
-	if err := json.NewDecoder(rs.Body).Decode(&got); err != nil {
-		return Forwarded{}, next, err
-	}
-	return got, "", nil
+// refuse answers that the request was not run.
+func refuse(w http.ResponseWriter, text string) {
+	w.Header().Set(engine.NotRunHeader, "true")
+	http.Error(w, text, http.StatusServiceUnavailable)
 }
 
-// Used returns the number of tokens that this engine has computed.
-func (e *Engine) Used() int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.used
+// decline refuses with a word for the cause.
+func decline(w http.ResponseWriter, reason, text string) {
+	w.Header().Set(engine.ReasonHeader, reason)
+	refuse(w, text)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand"
 	"net"
 	"net/http"
 	"time"
@@ -22,6 +23,7 @@
 	"github.com/cranberrybay/cranberrybay/fleet"
 	"github.com/cranberrybay/cranberrybay/plat"
 	"github.com/cranberrybay/cranberrybay/proxy"
+	"github.com/cranberrybay/cranberrybay/route"
 	"github.com/cranberrybay/cranberrybay/table"
 )
 
@@ -43,7 +45,11 @@
 			func() plat.Config { return plat.Config{Address: s.Platform.Address} },
 			plat.Table,
 			plat.NewVMList,
-			fleet.NewTable,
+			func() *fleet.Table { return fleet.New(fleet.Config{Self: s.Name, Domain: s.Domain}) },
+			route.NewCache,
+			func(t *fleet.Table, c *route.Cache) *route.Chooser {
+				return route.New(route.Config{Fleet: t, Cache: c, Rand: rand.New(rand.NewSource(time.Now().UnixNano()))})
+			},
 			func(t *table.Client) *change.Store { return change.NewStore(change.StoreConfig{Table: t}) },
 			func() *engine.Client { return engine.New(engine.Config{}) },
 			func() *proxy.Client { return proxy.New(proxy.Config{}) },
@@ -64,6 +70,7 @@
 	Settings Settings
 	Store    *change.Store
 	Fleet    *fleet.Table
+	Chooser  *route.Chooser
 	Engines  *engine.Client
 	Services *proxy.Client
 	Claims   *claim.Book
@@ -72,7 +79,7 @@
 
 func newEntry(p entryParts) *entry.Handler {
 	return entry.New(entry.Config{
-		Store: p.Store, Fleet: p.Fleet, Engines: p.Engines, Services: p.Services, Claims: p.Claims,
+		Store: p.Store, Fleet: p.Fleet, Chooser: p.Chooser, Engines: p.Engines, Services: p.Services, Claims: p.Claims,
 		Domain: p.Settings.Domain, Log: part(p.Log, "entry"),
 		Addresses: func() entry.Addresses {
 			return entry.Addresses{Addresses: []string{p.Settings.Listen.Callers}, Until: time.Now().Add(30 * time.Second).UTC()}
@@ -87,22 +94,18 @@
 	})
 }
 
-// Intervals of background work.
-const (
-	refreshInterval = time.Second
-	listInterval    = time.Second
-	loadInterval    = 500 * time.Millisecond
-)
+// refreshInterval is the time between looks for a new version.
+const refreshInterval = time.Second
 
 // background runs the loops that keep tables fresh.
-func background(lc fx.Lifecycle, st *change.Store, f *fleet.Table, l *plat.VMList, e *engine.Client, log zerolog.Logger) {
+func background(lc fx.Lifecycle, st *change.Store, f *fleet.Table, l *plat.VMList, e *engine.Client, cache *route.Cache, log zerolog.Logger) {
 	ctx, cancel := context.WithCancel(context.Background())
-	w := &watcher{fleet: f, list: l, engines: e, log: part(log, "fleet")}
+	w := newWatcher(f, l, e, cache, part(log, "fleet"))
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			cl := part(log, "change")
 			go st.Run(ctx, refreshInterval, func(err error) { cl.Warn().Err(err).Msg("refresh failed") })
-			go w.run(ctx)
+			go w.Run(ctx)
 			return nil
 		},
 		OnStop: func(context.Context) error { cancel(); return nil },
--- a/route/route.go
+++ b/route/route.go
@@ -3,6 +3,8 @@
 package route
 
 import (
+	"math/rand"
+	"sync"
 	"time"
 
 	"github.com/cranberrybay/cranberrybay/fault"
@@ -13,17 +15,22 @@
 type Stage struct {
 	Name    string
 	Address string
+	Domain  string
 	First   int // first layer, inclusive
 	Last    int // last layer, exclusive
 }
 
-// Route is the ordered list of stages.
-type Route []Stage
+// Route is the ordered list of stages. All hold the same model version.
+type Route struct {
+	Stages  []Stage
+	Version string
+	Step    time.Duration // estimated time of one token over all stages and links
+}
 
 // Tiles tells whether the stages cover layers 0 to n-1 once, in order.
 func (r Route) Tiles(n int) bool {
 	next := 0
-	for _, s := range r {
+	for _, s := range r.Stages {
 		if s.First != next || s.Last <= s.First {
 			return false
 		}
@@ -32,68 +39,162 @@
 	return next == n
 }
 
+// Has tells whether the named server is a stage of the route.
+func (r Route) Has(name string) bool {
+	for _, s := range r.Stages {
+		if s.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// Pair names two neighbouring stages, whose link may be bad.
+type Pair [2]string
+
 // Want describes the route to choose.
 type Want struct {
 	Service string
+	Model   string // a server that holds another model is not used
+	Version string // "" for any version, else the only one to use
 	Layers  int
 	Domain  string          // failure domain of this process
 	Avoid   map[string]bool // names of servers not to use
+	Pairs   map[Pair]bool   // neighbours to use only when nothing else is left
+	Keep    map[string]bool // names of servers that hold the KV cache of the request
+	Prompt  int             // tokens to prefill on a server that holds nothing
+	Blocks  []uint64        // cache blocks of the prompt
 }
 
-// Cost of a candidate in units of one waiting request.
-const (
-	domainCost = 0.5 // a hop into another failure domain
-	downCost   = 1000
-)
+// Config holds the parts of a Chooser.
+type Config struct {
+	Fleet *fleet.Table
+	Cache *Cache     // may be nil
+	Rand  *rand.Rand // seeded source, used under a lock
+}
+
+// Chooser chooses routes.
+type Chooser struct {
+	cfg Config
+	mu  sync.Mutex // guards cfg.Rand
+}
 
-// Choose returns the cheapest route over the servers of a service. It fails
-// with fault.Unavailable, not run, when the ranges can't be tiled.
-func Choose(t *fleet.Table, w Want) (Route, error) {
-	servers := t.Servers(w.Service)
-	type best struct {
-		cost  float64
-		stage Stage
-		dom   string
-		ok    bool
+// New returns a chooser.
+func New(cfg Config) *Chooser {
+	if cfg.Rand == nil {
+		cfg.Rand = rand.New(rand.NewSource(1))
 	}
-	// at[l] is the cheapest way to have run layers 0 to l-1.
-	at := make([]best, w.Layers+1)
-	at[0] = best{ok: true, dom: w.Domain}
-	for l := 0; l < w.Layers; l++ {
-		if !at[l].ok {
+	return &Chooser{cfg: cfg}
+}
+
+// Choose returns a good route over the servers of a service. It fails with
+// fault.Unavailable, not run, when the ranges can't be tiled.
+//
+// Each server gets a cost from what is known. The servers on some route whose
+// cost is close to the best one are the best candidates; two of them, drawn at
+// random, are kept in each range, and the cheapest route over those is taken.
+// A single cheapest route would draw the requests of all processes to the
+// same servers until the next load reports. For the same reason the first
+// step sees loads in coarse steps only.
+func (c *Chooser) Choose(w Want) (Route, error) {
+	all := c.cfg.Fleet.Servers(w.Service)
+	usable := all[:0]
+	down := false
+	for _, s := range all {
+		if w.Avoid[s.Name] || s.First >= s.Last || s.Last > w.Layers || w.Version != "" && s.Version != w.Version || w.Model != "" && s.Model != w.Model {
 			continue
 		}
-		for _, c := range servers {
-			if c.First != l || c.Last > w.Layers || c.Last <= l || w.Avoid[c.Name] {
-				continue
-			}
-			cost := at[l].cost + load(c)
-			if c.Domain != at[l].dom {
-				cost += domainCost
-			}
-			if b := at[c.Last]; !b.ok || cost < b.cost {
-				at[c.Last] = best{cost: cost, ok: true, dom: c.Domain, stage: Stage{Name: c.Name, Address: c.Address, First: c.First, Last: c.Last}}
-			}
+		usable = append(usable, s)
+		down = down || s.Down
+	}
+	for _, withDown := range []bool{false, true} {
+		if withDown && !down {
+			break
+		}
+		if r, ok := c.over(usable, w, withDown); ok {
+			return r, nil
 		}
 	}
-	if !at[w.Layers].ok {
-		return nil, fault.New(fault.Config{
-			Verdict: fault.NotRun, Code: fault.Unavailable,
-			Reason:  "no set of ready backend servers covers all layers of the model",
-			RetryAt: time.Now().Add(time.Second),
-		})
+	return Route{}, fault.New(fault.Config{
+		Verdict: fault.NotRun, Code: fault.Unavailable,
+		Reason:  "no set of ready backend servers covers all layers of the model",
+		RetryAt: time.Now().Add(retryTime),
+	})
+}
+
+// retryTime is the time after which a fleet that lacked a range may have it
+// again: a restarted server reports ready within about a second.
+const retryTime = time.Second
+
+// over chooses among the given servers, one model version at a time.
+func (c *Chooser) over(usable []fleet.Candidate, w Want, withDown bool) (Route, bool) {
+	byVersion := map[string][]fleet.Candidate{}
+	var versions []string
+	for _, s := range usable {
+		if s.Down && !withDown {
+			continue
+		}
+		if byVersion[s.Version] == nil {
+			versions = append(versions, s.Version)
+		}
+		byVersion[s.Version] = append(byVersion[s.Version], s)
 	}
-	var r Route
-	for l := w.Layers; l > 0; l = at[l].stage.First {
-		r = append(Route{at[l].stage}, r...)
+	best, found := Route{}, false
+	lowest := 0.0
+	for _, v := range versions {
+		g := newGraph(c.cfg, byVersion[v], w)
+		if r, cost, ok := c.draw(g); ok && (!found || cost < lowest) {
+			r.Version = v
+			best, lowest, found = r, cost, true
+		}
 	}
-	return r, nil
+	return best, found
 }
 
-func load(c fleet.Candidate) float64 {
-	cost := float64(c.Inflight+c.Waiting) / float64(max(c.Slots, 1))
-	if c.Down {
-		cost += downCost
+// draw keeps two of the best candidates in each range and takes the cheapest
+// route over them.
+func (c *Chooser) draw(g *graph) (Route, float64, bool) {
+	lowest, ok := g.solve(nil)
+	if !ok {
+		return Route{}, 0, false
+	}
+	limit := lowest + max(nearRatio*lowest, nearCost)
+	byRange := map[[2]int][]int{}
+	var ranges [][2]int
+	for i, n := range g.nodes {
+		if n.through > limit {
+			continue
+		}
+		k := [2]int{n.server.First, n.server.Last}
+		if byRange[k] == nil {
+			ranges = append(ranges, k)
+		}
+		byRange[k] = append(byRange[k], i)
+	}
+	keep := make([]bool, len(g.nodes))
+	c.mu.Lock()
+	for _, k := range ranges {
+		list := byRange[k]
+		c.cfg.Rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+		for _, i := range list[:min(2, len(list))] {
+			keep[i] = true
+			g.nodes[i].cost += g.nodes[i].fine
+			g.nodes[i].cost *= 1 + tieRatio*c.cfg.Rand.Float64()
+		}
 	}
-	return cost
+	c.mu.Unlock()
+	cost, ok := g.solve(keep)
+	if !ok {
+		// Drawn ranges of different tilings need not fit together.
+		cost, _ = g.solve(nil)
+	}
+	return g.path(), cost, true
 }
+
+// Candidates whose route costs at most this much more than the best one are
+// drawn from.
+const (
+	nearRatio = 0.05
+	nearCost  = 0.02 // seconds
+	tieRatio  = 0.01 // random part of a cost, so that equal servers share the work
+)
--- /dev/null
+++ b/stream/random_test.go
@@ -0,0 +1,190 @@
+package stream_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/cranberrybay/cranberrybay/fakes"
+	"github.com/cranberrybay/cranberrybay/fault"
+)
+
+// event is a fault of an engine for a while.
+type event struct {
+	at     time.Duration
+	lasts  time.Duration
+	engine string
+	kind   string
+}
+
+// plan is one randomised run.
+type plan struct {
+	seed    int64
+	callers int
+	events  []event
+	leaving int // callers that go away in mid-answer
+}
+
+var kinds = []string{"dead", "restart", "stall", "slow", "cut", "delay", "skip", "double", "duplicate", "late", "crossed", "refuse"}
+
+// drawPlan draws up to four faults. Each range keeps one engine without
+// faults, so that every request can be served.
+func drawPlan(rt *rapid.T) plan {
+	p := plan{
+		seed:    rapid.Int64Range(1, 1<<30).Draw(rt, "seed"),
+		callers: rapid.IntRange(10, 60).Draw(rt, "callers"),
+		leaving: rapid.IntRange(0, 5).Draw(rt, "leaving"),
+	}
+	for range rapid.IntRange(1, 4).Draw(rt, "faults") {
+		e := event{
+			at:     time.Duration(rapid.IntRange(0, 400).Draw(rt, "at")) * time.Millisecond,
+			lasts:  time.Duration(rapid.IntRange(20, 3000).Draw(rt, "lasts")) * time.Millisecond,
+			engine: fmt.Sprintf("e%d-%d", rapid.IntRange(0, 2).Draw(rt, "range"), rapid.IntRange(0, 1).Draw(rt, "copy")),
+			kind:   rapid.SampledFrom(kinds).Draw(rt, "kind"),
+		}
+		p.events = append(p.events, e)
+		if rapid.Bool().Draw(rt, "twice") { // the same again, when the first has hardly ended
+			e.at += e.lasts + 50*time.Millisecond
+			p.events = append(p.events, e)
+		}
+	}
+	return p
+}
+
+// apply adds a fault to those that an engine has.
+func (w *world) apply(e event, f *fakes.EngineFaults) {
+	switch e.kind {
+	case "dead":
+		f.Dead = true
+	case "restart":
+		w.engines[e.engine].Restart()
+	case "stall":
+		f.Stall = true
+	case "slow":
+		f.Slow = 30
+	case "cut", "delay":
+		l := fakes.LinkFault{Cut: e.kind == "cut", Delay: 80 * time.Millisecond}
+		f.Links = map[string]fakes.LinkFault{}
+		for _, n := range w.names {
+			f.Links[n+":1"] = l
+		}
+	case "skip":
+		f.Skip = true
+	case "double":
+		f.Double = true
+	case "duplicate":
+		f.Duplicate = true
+	case "late":
+		f.Late = true
+	case "crossed":
+		f.Crossed = true
+	case "refuse":
+		f.Refuse = true
+	}
+}
+
+// play runs the events of a plan until they have ended.
+func (w *world) play(p plan, begun time.Time) {
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	faults := map[string][]event{}
+	update := func(name string) {
+		var f fakes.EngineFaults
+		for _, e := range faults[name] {
+			w.apply(e, &f)
+		}
+		w.set(name, f)
+	}
+	for _, e := range p.events {
+		wg.Go(func() {
+			time.Sleep(time.Until(begun.Add(e.at)))
+			mu.Lock()
+			faults[e.engine] = append(faults[e.engine], e)
+			update(e.engine)
+			mu.Unlock()
+			time.Sleep(e.lasts)
+			mu.Lock()
+			defer mu.Unlock()
+			list := faults[e.engine]
+			for i := range list {
+				if list[i] == e {
+					faults[e.engine] = append(list[:i:i], list[i+1:]...)
+					break
+				}
+			}
+			update(e.engine)
+		})
+	}
+	wg.Wait()
+}
+
+// simulate runs a plan on virtual time and returns the answers and the slots
+// that were still held a second after the last one.
+func simulate(t *testing.T, p plan) (all []answer, held int) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3, p.seed, nil)
+		rnd := rand.New(rand.NewSource(p.seed))
+		all = make([]answer, p.callers)
+		begun := time.Now()
+		var wg sync.WaitGroup
+		wg.Go(func() { w.play(p, begun) })
+		for i := range all {
+			wait := time.Duration(rnd.Intn(300)) * time.Millisecond
+			prompt := fmt.Sprintf("caller %d of run %d, words=%d", i, p.seed, 10+rnd.Intn(120))
+			wg.Go(func() {
+				time.Sleep(wait)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				all[i] = w.ask(ctx, i, prompt, func(n int) {
+					if i < p.leaving && n == 8 {
+						cancel()
+					}
+				})
+			})
+		}
+		wg.Wait()
+		w.healthy()
+		time.Sleep(time.Second)
+		for _, n := range w.names {
+			held += w.engines[n].Held()
+		}
+		w.stop()
+	})
+	return all, held
+}
+
+// verify returns what is wrong with the end of a plan.
+func (p plan) verify(all []answer, held int) error {
+	for i, a := range all {
+		if err := a.check(); err != nil {
+			return err
+		}
+		gone := i < p.leaving && fault.CodeOf(a.err) == fault.Cancelled
+		if a.err != nil && !gone {
+			return fmt.Errorf("prompt %q failed after %d tokens and %d attempts: %w", a.prompt, a.out.Tokens, a.out.Attempts, a.err)
+		}
+	}
+	if held > 0 {
+		return fmt.Errorf("%d slots are held a second after the last answer", held)
+	}
+	return nil
+}
+
+// TestRandomFaults guards invariants I1 and I2 over many concurrent requests
+// while stages and links fail in random ways, together and again.
+func TestRandomFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		p := drawPlan(rt)
+		all, held := simulate(t, p)
+		if err := p.verify(all, held); err != nil {
+			rt.Fatal(err)
+		}
+	})
+}
--- a/stream/stream.go
+++ b/stream/stream.go
@@ -1,14 +1,12 @@
 // Package stream carries one answer from the stages of a pipeline to its
 // caller. It accepts each position once, only from the current attempt and
 // only when the layer ranges passed tile the model, and it replaces stages
-// that fail in mid-answer.
+// that fail, hang or slow down in mid-answer.
 package stream
 
 import (
 	"context"
 	"errors"
-	"fmt"
-	"io"
 	"time"
 
 	"github.com/cranberrybay/cranberrybay/engine"
@@ -19,195 +17,183 @@
 // Request is one request of a caller for an answer.
 type Request struct {
 	ID       string
+	Service  string
 	Model    string
 	Layers   int
 	Prompt   string
-	Limit    int // tokens at most
+	Blocks   []uint64 // cache blocks of the prompt, see engine.Blocks
+	Limit    int      // tokens at most
 	Priority int
-	FirstBy  time.Time // deadline of the first token
+	FirstBy  time.Time // deadline of the first token, zero for none
 }
 
-// Config holds the ports of a Runner.
+// Sink receives the answer.
+type Sink struct {
+	// Token takes the next token. An error ends the request: the caller is gone.
+	Token func(token string) error
+	// Flush is called after one or more tokens when no further token has
+	// arrived yet. It may be nil.
+	Flush func() error
+}
+
+// Answer is the stream of frames of one attempt.
+type Answer struct {
+	Next  func(*engine.Frame) error // reads a frame; io.EOF after the last one
+	More  func() bool               // a whole frame is buffered; may be nil
+	Close func()                    // ends the exchange
+}
+
+// Avoid says what a new route has to do without and what it should keep.
+type Avoid struct {
+	Servers map[string]bool     // names of servers that failed this request
+	Pairs   map[route.Pair]bool // neighbours whose link failed this request
+	Keep    map[string]bool     // servers that hold the KV cache of the request
+	Version string              // model version of the tokens that were accepted, "" for none
+	Tokens  int                 // accepted tokens
+}
+
+// Config holds the ports of a Runner. All functions may be called by several
+// requests at once.
 type Config struct {
-	// Choose returns a route that avoids the named servers.
-	Choose func(avoid map[string]bool) (route.Route, error)
+	// Choose returns a route for a request.
+	Choose func(rq *Request, a Avoid) (route.Route, error)
 	// Generate starts a job on the first stage of its route.
-	Generate func(ctx context.Context, j engine.Job) (Answer, error)
-	// Failed is told the name of a server that failed.
-	Failed func(name string)
-	// Began and Ended count a route's use.
-	Began, Ended func(route.Route)
+	Generate func(ctx context.Context, j engine.Job) (*Answer, error)
+	// Cancel tells a stage that an attempt has ended.
+	Cancel func(ctx context.Context, address string, r engine.Release) error
+	// Probe asks a stage for a sign of life and whether requests wait there.
+	Probe func(ctx context.Context, address string) (waiting bool, err error)
+	// Export and Import move the KV cache of a request. Both may be nil.
+	Export func(ctx context.Context, address, request string) (engine.Export, error)
+	Import func(ctx context.Context, address string, i engine.Import) error
+	// Feedback is told what the answers show about servers and links.
+	Feedback Feedback
+	// Budget bounds the attempts after the first over all requests.
+	Budget *Budget
+	// Checkpoint is the number of tokens between exports of a running request;
+	// 0 exports only when a stage is replaced that still answers.
+	Checkpoint int
 }
 
-// Answer is the stream of frames of one attempt.
-type Answer interface {
-	Next() (engine.Frame, error)
-	Close()
+// Feedback is told what answers show. Nil functions are not called.
+type Feedback struct {
+	Began    func(route.Route)                                   // a route is used
+	Ended    func(route.Route)                                   // the use ended
+	Worked   func(name string)                                   // a server was part of a token
+	Failed   func(name string)                                   // a server failed
+	Refused  func(name string)                                   // a server refused because it leaves
+	Token    func(s route.Stage, took time.Duration)             // time of a stage for one token
+	Prefill  func(s route.Stage, perToken time.Duration)         // time of a stage for a token of the prompt
+	Hop      func(from, to route.Stage, roundTrip time.Duration) // time between two stages
+	Reported func(engine.Load)                                   // load reports that came with the answer
 }
 
 // Runner runs requests.
-type Runner struct{ cfg Config }
+type Runner struct {
+	cfg   Config
+	tiles func(ranges [][2]int, n int) bool       // checks invariant I1
+	owns  func(a *acceptor, f *engine.Frame) bool // checks invariant I2
+}
 
 // New returns a runner.
-func New(cfg Config) *Runner { return &Runner{cfg: cfg} }
+func New(cfg Config) *Runner {
+	if cfg.Budget == nil {
+		cfg.Budget = NewBudget(defaultShare, defaultBurst)
+	}
+	if cfg.Probe == nil {
+		cfg.Probe = func(context.Context, string) (bool, error) { return false, nil }
+	}
+	if cfg.Cancel == nil {
+		cfg.Cancel = func(context.Context, string, engine.Release) error { return nil }
+	}
+	return &Runner{cfg: cfg, tiles: tiles, owns: owns}
+}
 
-const (
-	maxAttempts  = 6               // routes tried for one request
-	frameTimeout = 2 * time.Second // silence of a stage that is taken as its death
-)
+// maxAttempts bounds the routes tried for one request.
+const maxAttempts = 8
 
 // Outcome is the end of an answer.
 type Outcome struct {
 	Stop     string // "end" or "limit"
-	Tokens   int
+	Prompt   int    // tokens of the prompt
+	Cached   int    // of them, found in a prefix cache
+	Tokens   int    // tokens delivered
 	Attempts int
 }
 
 // Run streams the answer of rq into sink, in order, each token once. An error
-// carries the verdict.
-func (r *Runner) Run(ctx context.Context, rq Request, sink func(token string) error) (Outcome, error) {
-	a := &acceptor{layers: rq.Layers, sink: sink}
-	avoid := map[string]bool{}
-	var last error
-	sent := false
-	for attempt := 1; attempt <= maxAttempts; attempt++ {
-		rt, err := r.cfg.Choose(avoid)
-		if err != nil {
-			return a.outcome(attempt), giveUp(err, last, sent)
+// carries the verdict and, when the request was given up, a retry time.
+func (r *Runner) Run(ctx context.Context, rq Request, sink Sink) (Outcome, error) {
+	countRequests.Inc()
+	r.cfg.Budget.Deposit()
+	u := newRun(r, &rq, sink)
+	defer u.finish()
+	for u.number < maxAttempts {
+		if err := u.choose(ctx); err != nil {
+			return u.outcome(), u.giveUp(err)
 		}
-		a.attempt = attempt
-		failed, err := r.attempt(ctx, rq, rt, a)
+		err := u.attempt(ctx)
 		if err == nil {
-			return a.outcome(attempt), nil
+			return u.outcome(), nil
 		}
-		if ctx.Err() != nil {
-			return a.outcome(attempt), fault.New(fault.Config{Code: fault.Cancelled, Reason: "the caller went away", Cause: ctx.Err()})
+		if gone := u.gone(ctx, err); gone != nil {
+			return u.outcome(), gone
 		}
-		var se sinkError
-		if errors.As(err, &se) {
-			return a.outcome(attempt), fault.New(fault.Config{Code: fault.Cancelled, Reason: "the caller went away", Cause: err})
+		if late := u.late(err); late != nil {
+			return u.outcome(), late
 		}
-		sent = sent || fault.Of(err) != fault.NotRun
-		last = err
-		if failed != "" {
-			avoid[failed] = true
-			r.cfg.Failed(failed)
+		u.last = err
+		u.sent = u.sent || fault.Of(err) != fault.NotRun
+		if u.number >= maxAttempts || !r.cfg.Budget.Withdraw() {
+			break
 		}
 	}
-	return a.outcome(maxAttempts), giveUp(last, last, sent)
-}
-
-// giveUp returns the error of a request that no route is left for.
-func giveUp(err, last error, sent bool) error {
-	v := fault.NotRun
-	if sent {
-		v = fault.MayHaveRun
-	}
-	if last == nil {
-		last = err
-	}
-	return fault.New(fault.Config{Verdict: v, Code: fault.Unavailable, Reason: "no working set of backend servers for the model", RetryAt: time.Now().Add(time.Second), Cause: last})
+	return u.outcome(), u.giveUp(u.last)
 }
 
-// attempt runs one route and returns the name of the server that failed.
-func (r *Runner) attempt(ctx context.Context, rq Request, rt route.Route, a *acceptor) (string, error) {
-	r.cfg.Began(rt)
-	defer r.cfg.Ended(rt)
-	j := engine.Job{
-		Request: rq.ID, Attempt: a.attempt, Model: rq.Model, Prompt: rq.Prompt,
-		Accepted: a.tokens, Limit: rq.Limit, Priority: rq.Priority,
-	}
-	for _, s := range rt {
-		j.Route = append(j.Route, engine.Stage{Address: s.Address, First: s.First, Last: s.Last})
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	watch := time.AfterFunc(frameTimeout, cancel)
-	defer watch.Stop()
-	ans, err := r.cfg.Generate(ctx, j)
-	if err != nil {
-		return rt[0].Name, err
-	}
-	defer ans.Close()
-	for {
-		f, err := ans.Next()
-		if err != nil {
-			if errors.Is(err, io.EOF) {
-				err = errors.New("answer ended without a stop reason")
-			}
-			return rt[0].Name, fmt.Errorf("attempt %d: %w", a.attempt, err)
-		}
-		watch.Reset(frameTimeout)
-		if f.Fault != "" {
-			return nameOf(rt, f.Failed), fmt.Errorf("attempt %d: stage %s: %s", a.attempt, f.Failed, f.Fault)
-		}
-		stop, err := a.take(f)
-		if err != nil || stop {
-			return "", err
-		}
+// gone returns the error of a request whose caller went away, or nil.
+func (u *run) gone(ctx context.Context, err error) error {
+	var se sinkError
+	if ctx.Err() == nil && !errors.As(err, &se) {
+		return nil
 	}
+	countGone.Inc()
+	return fault.New(fault.Config{Verdict: fault.MayHaveRun, Code: fault.Cancelled, Reason: "the caller went away", Cause: err})
 }
 
-func nameOf(rt route.Route, address string) string {
-	for _, s := range rt {
-		if s.Address == address {
-			return s.Name
-		}
+// late returns the error of a request whose first token missed its deadline,
+// or nil.
+func (u *run) late(err error) error {
+	if len(u.accept.tokens) > 0 || u.rq.FirstBy.IsZero() || time.Now().Before(u.rq.FirstBy) {
+		return nil
 	}
-	return rt[0].Name
+	countGiveUps.Inc()
+	return fault.New(fault.Config{
+		Verdict: fault.MayHaveRun, Code: fault.Timeout, Reason: "the first token missed its deadline",
+		RetryAt: time.Now().Add(giveUpRetry), Cause: err,
+	})
 }
 
-// sinkError is a failure to deliver a token to the caller.
-type sinkError struct{ err error }
-
-func (e sinkError) Error() string { return "deliver token: " + e.err.Error() }
-
-// acceptor decides which tokens are delivered.
-type acceptor struct {
-	layers  int
-	attempt int
-	tokens  []string
-	stop    string
-	sink    func(string) error
-}
+// giveUpRetry is the retry time of a request that was given up without one
+// stated by a backend server: about the time in which a table of servers
+// learns of a replacement.
+const giveUpRetry = time.Second
 
-func (a *acceptor) outcome(attempts int) Outcome {
-	return Outcome{Stop: a.stop, Tokens: len(a.tokens), Attempts: attempts}
-}
-
-// take accepts one frame. It reports whether the answer is complete.
-func (a *acceptor) take(f engine.Frame) (bool, error) {
-	if f.Attempt != a.attempt {
-		return false, nil // a late frame of an attempt that was replaced
-	}
-	if f.Position < len(a.tokens) {
-		return false, nil // delivered already
-	}
-	if f.Position > len(a.tokens) {
-		return false, fmt.Errorf("token at position %d, want %d", f.Position, len(a.tokens))
-	}
-	if f.Stop != "" {
-		a.stop = f.Stop
-		return true, nil
+// giveUp returns the error of a request that no route is left for.
+func (u *run) giveUp(err error) error {
+	countGiveUps.Inc()
+	cfg := fault.Config{
+		Verdict: fault.NotRun, Code: fault.Unavailable, Cause: err,
+		Reason: "no working set of backend servers for the model", RetryAt: time.Now().Add(giveUpRetry),
 	}
-	if !tiles(f.Ranges, a.layers) {
-		return false, fmt.Errorf("token at position %d passed ranges %v, want layers 0 to %d once", f.Position, f.Ranges, a.layers)
+	if u.sent {
+		cfg.Verdict = fault.MayHaveRun
 	}
-	if err := a.sink(f.Token); err != nil {
-		return false, sinkError{err}
+	if at, ok := fault.RetryAt(err); ok {
+		cfg.RetryAt = at
 	}
-	a.tokens = append(a.tokens, f.Token)
-	return false, nil
-}
-
-// tiles tells whether ranges cover layers 0 to n-1 once, in order.
-func tiles(ranges [][2]int, n int) bool {
-	next := 0
-	for _, r := range ranges {
-		if r[0] != next || r[1] <= r[0] {
-			return false
-		}
-		next = r[1]
+	if u.last != nil && fault.CodeOf(u.last) == fault.Overload {
+		cfg.Code, cfg.Reason = fault.Overload, "the backend servers of the model are full"
 	}
-	return next == n
+	return fault.New(cfg)
 }
