fleet: compute estimates without the lock

A mutex profile of BenchmarkCarry showed that Table.Servers, which every request calls, held the table's lock while it sorted and built four maps. Servers now copies the usable servers under the lock and computes afterwards; the subset is kept ordered by name, once for each change.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -63,7 +63,7 @@
 	mu      sync.Mutex
 	started time.Time
 	servers map[string]*server
-	subset  []*server // the servers that are watched
+	subset  []*server // the servers that are polled and used, by name
 	links   map[[2]string]*link
 }
 
@@ -111,20 +111,13 @@
 // as Down.
 func (t *Table) Servers(service string) []Candidate {
 	now := time.Now()
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var chosen []*server
-	for _, sv := range t.subset {
-		if sv.state.Service == service && sv.state.Ready && !sv.leaving(now) {
-			chosen = append(chosen, sv)
-		}
-	}
-	sort.Slice(chosen, func(i, j int) bool { return chosen[i].state.Name < chosen[j].state.Name })
+	chosen := t.chosen(service, now)
 	mean := meanLoad(chosen)
 	down := t.ejected(chosen, now)
-	steps := kindSteps(chosen, now)
+	steps := kindSteps(chosen)
 	out := make([]Candidate, len(chosen))
-	for i, sv := range chosen {
+	for i := range chosen {
+		sv := &chosen[i]
 		out[i] = Candidate{
 			State: sv.state, Inflight: sv.inflight, Down: down[sv],
 			Load: sv.load(now, mean[sv.state.key()]), Step: sv.speed.step(now, steps[sv.state.Kind], sv.state.Last-sv.state.First),
@@ -134,6 +127,20 @@
 	return out
 }
 
+// chosen copies the usable servers of a service, so that the estimates are
+// computed without the lock.
+func (t *Table) chosen(service string, now time.Time) []server {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]server, 0, len(t.subset))
+	for _, sv := range t.subset {
+		if sv.state.Service == service && sv.state.Ready && !sv.leaving(now) {
+			out = append(out, *sv)
+		}
+	}
+	return out
+}
+
 // All returns every server, ordered by name. Leaving is the merged value.
 func (t *Table) All() []State {
 	now := time.Now()
--- a/fleet/health.go
+++ b/fleet/health.go
@@ -82,9 +82,10 @@
 
 // ejected returns the servers that are not to be chosen: those that failed
 // or are slow, the worst first, and at most Config.Share of each range.
-func (t *Table) ejected(all []*server, now time.Time) map[*server]bool {
+func (t *Table) ejected(all []server, now time.Time) map[*server]bool {
 	count, bad := map[rangeKey]int{}, map[rangeKey][]*server{}
-	for _, sv := range all {
+	for i := range all {
+		sv := &all[i]
 		k := sv.state.key()
 		count[k]++
 		if sv.health.down(now) {
--- a/fleet/merge.go
+++ b/fleet/merge.go
@@ -153,9 +153,10 @@
 }
 
 // meanLoad returns the mean requests of other processes by range.
-func meanLoad(all []*server) map[rangeKey]float64 {
+func meanLoad(all []server) map[rangeKey]float64 {
 	sum, n := map[rangeKey]float64{}, map[rangeKey]float64{}
-	for _, sv := range all {
+	for i := range all {
+		sv := &all[i]
 		k := sv.state.key()
 		sum[k] += float64(max(sv.state.Running+sv.state.Waiting-sv.atReport, 0))
 		n[k]++
--- a/fleet/speed.go
+++ b/fleet/speed.go
@@ -65,9 +65,10 @@
 }
 
 // kindSteps returns the median time of one token in one layer by kind.
-func kindSteps(all []*server, _ time.Time) map[string]time.Duration {
+func kindSteps(all []server) map[string]time.Duration {
 	by := map[string][]time.Duration{}
-	for _, s := range all {
+	for i := range all {
+		s := &all[i]
 		if n := s.state.Last - s.state.First; s.speed.measures > 0 && n > 0 {
 			by[s.state.Kind] = append(by[s.state.Kind], s.speed.token/time.Duration(n))
 		}
--- a/fleet/subset.go
+++ b/fleet/subset.go
@@ -24,6 +24,9 @@
 // caller holds t.mu.
 func (t *Table) watch() {
 	t.subset = t.subset[:0]
+	defer func() {
+		sort.Slice(t.subset, func(i, j int) bool { return t.subset[i].state.Name < t.subset[j].state.Name })
+	}()
 	if len(t.servers) <= t.cfg.Most {
 		for _, sv := range t.servers {
 			t.add(sv)
