--- a/engine/answer.go
+++ b/engine/answer.go
@@ -4,10 +4,11 @@
 	"bufio"
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"io"
 
+	"github.com/goccy/go-json"
+
 	"github.com/cranberrybay/cranberrybay/fault"
 )
 
--- a/entry/answers.go
+++ b/entry/answers.go
@@ -16,7 +16,8 @@
 	Fleet   *fleet.Table
 	Chooser *route.Chooser // nil for one of its own
 	Engines *engine.Client
-	Domain  string // failure domain of this process
+	Domain  string         // failure domain of this process
+	Budget  *stream.Budget // nil for the default retry budget
 }
 
 // NewAnswers returns a runner that is connected to the fleet, the chooser and
@@ -43,6 +44,7 @@
 		Export:   eng.Export,
 		Import:   eng.Import,
 		Feedback: feedback(cfg.Fleet),
+		Budget:   cfg.Budget,
 	})
 }
 
--- a/entry/events.go
+++ b/entry/events.go
@@ -28,6 +28,7 @@
 	enc     *json.Encoder // writes to buf
 	head    []byte        // chunk of a token up to its text
 	tail    []byte        // chunk of a token after its text
+	text    string        // text that is encoded; a local variable would escape
 }
 
 func newEvents(c *gin.Context, rs *chatReply, usage bool) *events {
@@ -54,7 +55,8 @@
 		e.start()
 	}
 	e.buf.Write(e.head)
-	if err := e.enc.Encode(&t); err != nil {
+	e.text = t
+	if err := e.enc.Encode(&e.text); err != nil {
 		return err
 	}
 	e.buf.Truncate(e.buf.Len() - 1) // the encoder ends with a newline
--- a/route/graph.go
+++ b/route/graph.go
@@ -24,6 +24,7 @@
 // node is a candidate as a stage.
 type node struct {
 	server  *fleet.Candidate
+	domain  int     // index into graph.domains
 	cost    float64 // of the stage itself
 	fine    float64 // part of the load that only the draw sees
 	step    float64 // seconds of one token
@@ -38,16 +39,25 @@
 	cfg     Config
 	want    Want
 	nodes   []node
-	links   map[[2]string]float64
+	domains []string      // failure domains; the first is that of this process
+	links   [][]float64   // cost of the hop between two of them, as indexes
 	byFirst map[int][]int // nodes by first layer
 	last    int           // final node of the route that solve found
 }
 
 func newGraph(cfg Config, servers []fleet.Candidate, w Want) *graph {
-	g := &graph{cfg: cfg, want: w, nodes: make([]node, len(servers)), links: map[[2]string]float64{}, byFirst: map[int][]int{}}
+	g := &graph{cfg: cfg, want: w, nodes: make([]node, len(servers)), domains: []string{w.Domain}, byFirst: map[int][]int{}}
 	for i := range servers {
 		s := &servers[i]
 		g.nodes[i] = g.node(s)
+		g.nodes[i].domain = g.domain(s.Domain)
+	}
+	g.links = make([][]float64, len(g.domains))
+	for i, from := range g.domains {
+		g.links[i] = make([]float64, len(g.domains))
+		for j, to := range g.domains {
+			g.links[i][j] = cfg.Fleet.Link(from, to).Seconds()
+		}
 	}
 	// Stages come before their successors, so that one pass solves the graph.
 	sort.SliceStable(g.nodes, func(i, j int) bool { return g.nodes[i].server.First < g.nodes[j].server.First })
@@ -92,20 +102,20 @@
 	return node{server: s, cost: cost, fine: step * nominalTokens * (load - coarse), step: step, prev: -1}
 }
 
-// link returns the cost of the hop between two failure domains.
-func (g *graph) link(from, to string) float64 {
-	k := [2]string{from, to}
-	c, ok := g.links[k]
-	if !ok {
-		c = g.cfg.Fleet.Link(from, to).Seconds()
-		g.links[k] = c
+// domain returns the index of a failure domain.
+func (g *graph) domain(name string) int {
+	for i, d := range g.domains {
+		if d == name {
+			return i
+		}
 	}
-	return c
+	g.domains = append(g.domains, name)
+	return len(g.domains) - 1
 }
 
 // edge returns the cost of the link between two stages.
 func (g *graph) edge(a, b *node) float64 {
-	c := g.link(a.server.Domain, b.server.Domain) * nominalTokens
+	c := g.links[a.domain][b.domain] * nominalTokens
 	if len(g.want.Pairs) > 0 && g.want.Pairs[Pair{a.server.Name, b.server.Name}] {
 		c += pairCost
 	}
@@ -121,7 +131,7 @@
 		n := &g.nodes[i]
 		n.ahead, n.behind, n.through, n.prev = inf, inf, inf, -1
 		if n.server.First == 0 && (keep == nil || keep[i]) {
-			n.ahead = n.cost + g.link(g.want.Domain, n.server.Domain)*nominalTokens
+			n.ahead = n.cost + g.links[0][n.domain]*nominalTokens
 		}
 	}
 	for i := range g.nodes {
@@ -179,7 +189,7 @@
 		r.Stages[n] = Stage{Name: s.Name, Address: s.Address, Domain: s.Domain, First: s.First, Last: s.Last}
 		step += g.nodes[i].step
 		if p := g.nodes[i].prev; p >= 0 {
-			step += g.link(g.nodes[p].server.Domain, s.Domain)
+			step += g.links[g.nodes[p].domain][g.nodes[i].domain]
 		}
 	}
 	r.Step = time.Duration(step * float64(time.Second))
--- a/stream/accept.go
+++ b/stream/accept.go
@@ -78,15 +78,25 @@
 		if err != nil || done {
 			return len(a.tokens) - next, done, err
 		}
-		held, ok := a.early[len(a.tokens)]
-		if !ok {
+		if f = a.turn(); f == nil {
 			return len(a.tokens) - next, false, nil
 		}
-		delete(a.early, len(a.tokens))
-		f = &held
 	}
 }
 
+// turn returns the held frame whose turn has come, or nil.
+func (a *acceptor) turn() *engine.Frame {
+	if len(a.early) == 0 {
+		return nil
+	}
+	f, ok := a.early[len(a.tokens)]
+	if !ok {
+		return nil
+	}
+	delete(a.early, len(a.tokens))
+	return &f
+}
+
 // hold keeps a frame that came ahead of its turn.
 func (a *acceptor) hold(f *engine.Frame) error {
 	if f.Position-len(a.tokens) > window {
--- a/stream/attempt.go
+++ b/stream/attempt.go
@@ -228,11 +228,11 @@
 		w.mu.Unlock()
 		return
 	}
-	seq, stages := w.seq, w.u.rt.Stages
+	seq, stages, silence := w.seq, w.u.rt.Stages, w.silence
 	late := seq == 0 && !w.firstBy.IsZero() && !time.Now().Before(w.firstBy)
 	w.mu.Unlock()
 	countSilences.Inc()
-	silent, waiting := w.u.probe(w.ctx, stages)
+	silent, waiting := w.u.probe(w.ctx, stages, silence)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.stopped || w.seq != seq {
--- a/stream/blame.go
+++ b/stream/blame.go
@@ -12,14 +12,19 @@
 	"github.com/cranberrybay/cranberrybay/route"
 )
 
-// probeTimeout bounds a sign of life: a load report takes a few ms, and the
-// pauses of a busy process reach about 100 ms.
-const probeTimeout = 250 * time.Millisecond
+// Bounds of a sign of life: a load report takes a few ms, and the pauses of a
+// busy process reach about 100 ms. A route that was silent for less than the
+// upper bound waits as long again, so that a stalled
+// stage is replaced sooner.
+const (
+	minProbe = minSilence
+	maxProbe = 250 * time.Millisecond
+)
 
 // probe asks stages for a sign of life. It returns the names of those that
 // gave none, and whether one of the others has requests waiting.
-func (u *run) probe(ctx context.Context, stages []route.Stage) (silent map[string]bool, waiting bool) {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+func (u *run) probe(ctx context.Context, stages []route.Stage, timeout time.Duration) (silent map[string]bool, waiting bool) {
+	ctx, cancel := context.WithTimeout(ctx, clamp(timeout, minProbe, maxProbe))
 	defer cancel()
 	silent = map[string]bool{}
 	var mu sync.Mutex
@@ -103,7 +108,7 @@
 		recovered("full")
 		return
 	case failed.Name != from.Name:
-		if silent, _ := u.probe(ctx, []route.Stage{failed}); !silent[failed.Name] {
+		if silent, _ := u.probe(ctx, []route.Stage{failed}, maxProbe); !silent[failed.Name] {
 			u.alive[failed.Name] = true
 			u.suspect(from.Name, failed.Name)
 			recovered("link")
--- /dev/null
+++ b/stream/recovery_test.go
@@ -0,0 +1,198 @@
+package stream_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand"
+	"sort"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cranberrybay/cranberrybay/engine"
+	"github.com/cranberrybay/cranberrybay/entry"
+	"github.com/cranberrybay/cranberrybay/fakes"
+	"github.com/cranberrybay/cranberrybay/route"
+	"github.com/cranberrybay/cranberrybay/stream"
+)
+
+// restart is the baseline: an answer whose route fails is begun again from
+// the prompt under another ID, and the tokens that the caller has are dropped.
+func (w *world) restart(t *testing.T, r *stream.Runner, id int, prompt string, token func()) (tries int, err error) {
+	have := 0
+	for try := range 8 {
+		n := 0
+		_, err := r.Run(t.Context(), stream.Request{
+			ID: fmt.Sprintf("r%d-%d", id, try), Service: "assistant", Model: "lights", Layers: layers, Prompt: prompt, Limit: 4096,
+		}, stream.Sink{Token: func(string) error {
+			if n++; n > have {
+				have = n
+				token()
+			}
+			return nil
+		}})
+		if err == nil {
+			return try + 1, nil
+		}
+	}
+	return 8, fmt.Errorf("prompt %q was not answered", prompt)
+}
+
+// measured is the outcome of one run with one failure.
+type measured struct {
+	waits []time.Duration // from the failure to the next token, of requests on the failed stage
+	extra int             // positions computed beyond those of a run without a failure
+}
+
+// measure lets a stage fail while 16 requests are in flight.
+func measure(t *testing.T, seed int64, baseline bool, f fakes.EngineFaults) (m measured) {
+	t.Helper()
+	const callers, words = 16, 200
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3, seed, nil)
+		defer w.stop()
+		defer w.healthy()
+		none := entry.NewAnswers(entry.AnswersConfig{
+			Fleet: w.table, Engines: w.client, Domain: domains[0], Budget: stream.NewBudget(0, 0),
+			Chooser: route.New(route.Config{Fleet: w.table, Rand: rand.New(rand.NewSource(seed))}),
+		})
+		rnd := rand.New(rand.NewSource(seed))
+		var failed time.Time
+		var mu sync.Mutex
+		var wg sync.WaitGroup
+		ideal := 0
+		// Stages before the replaced one compute their outputs again, so that
+		// the range decides how much a replay saves: 2/3 for the first, 1/3 for
+		// the second and nothing for the last.
+		victim := fmt.Sprintf("e%d-%d", seed%3, rnd.Intn(3))
+		for i := range callers {
+			prompt := fmt.Sprintf("caller %d of %d asks for a long diagnosis, words=%d", i, seed, words)
+			wait := time.Duration(rnd.Intn(400)) * time.Millisecond
+			ideal += 3 * (len(strings.Fields(prompt)) + words - 1)
+			wg.Go(func() {
+				time.Sleep(wait)
+				// A token that had passed the failed stage may still arrive, so
+				// the longest pause after the failure counts.
+				var pause time.Duration
+				last := time.Now()
+				token := func() {
+					mu.Lock()
+					defer mu.Unlock()
+					now := time.Now()
+					if !failed.IsZero() {
+						if last.Before(failed) {
+							last = failed
+						}
+						pause = max(pause, now.Sub(last))
+					}
+					last = now
+				}
+				tries := 0
+				if baseline {
+					var err error
+					tries, err = w.restart(t, none, i, prompt, token)
+					assert.Check(t, err)
+				} else {
+					a := w.ask(t.Context(), i, prompt, func(int) { token() })
+					assert.Check(t, a.err)
+					assert.Check(t, a.check())
+					tries = a.out.Attempts
+				}
+				if mu.Lock(); tries > 1 { // the request was on the failed stage
+					m.waits = append(m.waits, pause)
+				}
+				mu.Unlock()
+			})
+		}
+		time.Sleep(800 * time.Millisecond)
+		mu.Lock()
+		failed = time.Now()
+		mu.Unlock()
+		w.set(victim, f)
+		wg.Wait()
+		m.extra = w.used() - ideal
+	})
+	return m
+}
+
+func quantile(v []time.Duration, q float64) time.Duration {
+	sort.Slice(v, func(i, j int) bool { return v[i] < v[j] })
+	return v[int(q*float64(len(v)-1))]
+}
+
+var seeds = flag.Int("seeds", 1, "runs of TestRecoveryTime for each case")
+
+// TestRecoveryTime measures the time from the failure of a stage to the next
+// token, and the positions that are computed again, beside a baseline that
+// begins again from the prompt. It guards against a recovery that is slower.
+func TestRecoveryTime(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		fault fakes.EngineFaults
+	}{{"dead", fakes.EngineFaults{Dead: true}}, {"stalled", fakes.EngineFaults{Stall: true}}} {
+		t.Run(c.name, func(t *testing.T) {
+			var all [2]measured
+			for i, baseline := range []bool{false, true} {
+				for s := range *seeds {
+					m := measure(t, int64(s+1), baseline, c.fault)
+					all[i].waits = append(all[i].waits, m.waits...)
+					all[i].extra += m.extra
+				}
+				assert.Assert(t, len(all[i].waits) > 0)
+			}
+			for i, name := range []string{"replay", "restart"} {
+				m := all[i]
+				t.Logf("%s: %d requests, median %v, 95th percentile %v, %d positions computed again for each",
+					name, len(m.waits), quantile(m.waits, 0.5), quantile(m.waits, 0.95), m.extra/len(m.waits))
+			}
+			assert.Assert(t, quantile(all[0].waits, 0.5) < quantile(all[1].waits, 0.5))
+			assert.Assert(t, all[0].extra/len(all[0].waits) < all[1].extra/len(all[1].waits))
+		})
+	}
+}
+
+// TestRelease measures the time until all slots are free after a caller went
+// away. It guards against more than a second.
+func TestRelease(t *testing.T) {
+	var worst time.Duration
+	for seed := range int64(5) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t, 2, seed, nil)
+			defer w.stop()
+			var wg sync.WaitGroup
+			gone := fmt.Errorf("gone")
+			for i := range 20 {
+				wg.Go(func() {
+					n := 0
+					_, _ = w.runner.Run(t.Context(), stream.Request{
+						ID: fmt.Sprint(i), Service: "assistant", Model: "lights", Layers: layers, Prompt: "words=500", Limit: 4096,
+						Blocks: engine.Blocks("lights", ""),
+					}, stream.Sink{Token: func(string) error {
+						if n++; n == 40 {
+							return gone
+						}
+						return nil
+					}})
+				})
+			}
+			wg.Wait()
+			begun := time.Now()
+			for held := 1; held > 0; {
+				held = 0
+				for _, n := range w.names {
+					held += w.engines[n].Held()
+				}
+				if held > 0 {
+					time.Sleep(time.Millisecond)
+				}
+			}
+			worst = max(worst, time.Since(begun))
+		})
+	}
+	t.Logf("all slots were free %v after the last caller went away", worst)
+	assert.Assert(t, worst < time.Second)
+}
--- a/stream/run.go
+++ b/stream/run.go
@@ -96,7 +96,7 @@
 			}
 		}
 	}
-	silent, _ := u.probe(ctx, stages)
+	silent, _ := u.probe(ctx, stages, maxProbe)
 	found := false
 	for _, s := range stages {
 		if !silent[s.Name] {
--- a/stream/world_test.go
+++ b/stream/world_test.go
@@ -121,7 +121,7 @@
 			w.engines[name] = fakes.NewEngine(cfg)
 			w.names = append(w.names, name)
 			w.listen(name+":1", w.engines[name].Handler())
-			list = append(list, fleet.State{Name: name, Address: name + ":1", Domain: domains[i%3], Service: "lights"})
+			list = append(list, fleet.State{Name: name, Address: name + ":1", Domain: domains[i%3], Service: "assistant"})
 		}
 	}
 	w.client = engine.New(engine.Config{Client: w.http()})
@@ -142,7 +142,9 @@
 
 func (w *world) listen(address string, h http.Handler) {
 	l := &pipeListener{address: address, conns: make(chan net.Conn), done: make(chan struct{})}
+	w.net.mu.Lock()
 	w.net.servers[address] = l
+	w.net.mu.Unlock()
 	s := &http.Server{Handler: h}
 	go func() { _ = s.Serve(l) }()
 	w.close = append(w.close, func() { _ = s.Close() })
@@ -198,7 +200,7 @@
 	var text strings.Builder
 	last := time.Now()
 	a.out, a.err = w.runner.Run(ctx, stream.Request{
-		ID: fmt.Sprintf("r%d", id), Service: "lights", Model: "lights", Layers: layers, Prompt: prompt, Limit: 4096,
+		ID: fmt.Sprintf("r%d", id), Service: "assistant", Model: "lights", Layers: layers, Prompt: prompt, Limit: 4096,
 		Blocks: engine.Blocks("lights", prompt),
 	}, stream.Sink{Token: func(t string) error {
 		text.WriteString(t)
