--- a/entry/answers.go
+++ b/entry/answers.go
@@ -18,6 +18,8 @@
 	Engines *engine.Client
 	Domain  string         // failure domain of this process
 	Budget  *stream.Budget // nil for the default retry budget
+	// Checkpoint is the number of tokens between exports, see stream.Config.
+	Checkpoint int
 }
 
 // NewAnswers returns a runner that is connected to the fleet, the chooser and
@@ -44,7 +46,7 @@
 		Export:   eng.Export,
 		Import:   eng.Import,
 		Feedback: feedback(cfg.Fleet),
-		Budget:   cfg.Budget,
+		Budget:   cfg.Budget, Checkpoint: cfg.Checkpoint,
 	})
 }
 
--- a/stream/recover_test.go
+++ b/stream/recover_test.go
@@ -3,14 +3,18 @@
 import (
 	"context"
 	"fmt"
+	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/cranberrybay/cranberrybay/entry"
 	"github.com/cranberrybay/cranberrybay/fakes"
 	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/stream"
 )
 
 // inWorld runs a test on virtual time.
@@ -202,3 +206,67 @@
 		}
 	})
 }
+
+// TestCheckpoint guards against a checkpoint that is not used when the stage
+// that made it is dead.
+func TestCheckpoint(t *testing.T) {
+	inWorld(t, 2, func(c *fakes.EngineConfig) { c.Prefill, c.Import = pace, pace/1000 }, func(t *testing.T, w *world) {
+		w.runner = entry.NewAnswers(entry.AnswersConfig{Fleet: w.table, Engines: w.client, Domain: domains[0], Checkpoint: 50})
+		before := 0
+		a := w.ask(t.Context(), 1, "a long diagnosis, words=300", func(n int) {
+			if n == 220 {
+				before = w.used()
+				w.set(w.busiest(1), fakes.EngineFaults{Dead: true})
+			}
+		})
+		assertWhole(t, a)
+		extra := w.used() - before - 3*80
+		assert.Assert(t, extra < 3*50, "%d positions computed again", extra)
+	})
+}
+
+// TestFirstBy guards against a request that waits for a slot beyond the
+// deadline of its first token.
+func TestFirstBy(t *testing.T) {
+	inWorld(t, 1, func(c *fakes.EngineConfig) { c.Slots = 1 }, func(t *testing.T, w *world) {
+		var wg sync.WaitGroup
+		wg.Go(func() { assert.Check(t, w.ask(t.Context(), 1, "words=1000", nil).err) })
+		time.Sleep(100 * time.Millisecond)
+		begun := time.Now()
+		_, err := w.runner.Run(t.Context(), stream.Request{
+			ID: "late", Service: "assistant", Model: "lights", Layers: layers, Prompt: "words=5", Limit: 5, FirstBy: begun.Add(1500 * time.Millisecond),
+		}, stream.Sink{Token: func(string) error { return nil }})
+		assert.Equal(t, fault.CodeOf(err), fault.Timeout, "%v", err)
+		took := time.Since(begun)
+		assert.Assert(t, took >= 1500*time.Millisecond && took < 2*time.Second, "answered after %v", took)
+		wg.Wait()
+	})
+}
+
+// TestPrefix guards against a prompt that is computed again although the
+// engines hold its prefix.
+func TestPrefix(t *testing.T) {
+	inWorld(t, 1, nil, func(t *testing.T, w *world) {
+		prompt := strings.Repeat("the tube flickers ", 200) + "words=10"
+		assert.Equal(t, w.ask(t.Context(), 1, prompt, nil).out.Cached, 0)
+		before := w.used()
+		a := w.ask(t.Context(), 2, prompt, nil)
+		assertWhole(t, a)
+		assert.Assert(t, a.out.Cached > 500 && a.out.Cached < a.out.Prompt, "%d of %d cached", a.out.Cached, a.out.Prompt)
+		assert.Assert(t, w.used()-before < 3*100)
+	})
+}
+
+// TestBudget guards against retries beyond the share of requests.
+func TestBudget(t *testing.T) {
+	b := stream.NewBudget(0.1, 3)
+	for range 3 {
+		assert.Assert(t, b.Withdraw())
+	}
+	assert.Assert(t, !b.Withdraw())
+	for range 11 {
+		b.Deposit()
+	}
+	assert.Assert(t, b.Withdraw())
+	assert.Assert(t, !b.Withdraw())
+}
