stream: randomised outages, verdicts checked against the engines

TestRandomFaults always left one engine of each range without faults, so that giving up was hardly tested. The choice of what to avoid when a slow route is left was moved to a function of its own.

--- a/fakes/engine.go
+++ b/fakes/engine.go
@@ -68,6 +68,7 @@
 	batch   batch
 	states  map[string]*state
 	ended   map[string]ending
+	ran     map[string]bool // requests that any position was computed for
 	cache   prefixCache
 	report  engine.Load // last load report, up to cfg.Lag old
 	asOf    time.Time
@@ -103,6 +104,7 @@
 	e.slots = slots{free: e.cfg.Slots}
 	e.batch = batch{}
 	e.states, e.ended = map[string]*state{}, map[string]ending{}
+	e.ran = map[string]bool{}
 	e.cache = prefixCache{blocks: map[uint64]uint64{}}
 	e.asOf = time.Time{}
 }
@@ -140,6 +142,16 @@
 	return e.used
 }
 
+// Ran tells whether this incarnation has computed anything for a request. Only
+// the first maxRan requests are recorded.
+func (e *Engine) Ran(request string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.ran[request]
+}
+
+const maxRan = 64 << 10
+
 // Held returns the number of requests that hold a slot.
 func (e *Engine) Held() int {
 	e.mu.Lock()
--- a/fakes/pass.go
+++ b/fakes/pass.go
@@ -210,6 +210,9 @@
 		return 0, fmt.Errorf("holds %d positions, asked to start at %d", s.held, f.Start)
 	}
 	down = min(s.down, f.Position)
+	if len(e.ran) < maxRan {
+		e.ran[f.Request] = true
+	}
 	s.held, s.down, s.touched = f.Position+1, f.Position+1, time.Now()
 	return down, nil
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"sync/atomic"
 	"testing"
@@ -14,6 +15,9 @@
 	"github.com/cranberrybay/cranberrybay/fleet"
 )
 
+// The command line may name another seed.
+func init() { _ = flag.Set("rapid.seed", "20261204") }
+
 func listed(n int) []fleet.State {
 	out := make([]fleet.State, n)
 	for i := range out {
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -1,6 +1,7 @@
 package route_test
 
 import (
+	"flag"
 	"fmt"
 	"math/rand"
 	"testing"
@@ -16,6 +17,9 @@
 	"github.com/cranberrybay/cranberrybay/route"
 )
 
+// The command line may name another seed.
+func init() { _ = flag.Set("rapid.seed", "20261204") }
+
 func add(t *fleet.Table, name, domain, version string, first, last int) {
 	t.Listed(fleet.State{Name: name, Address: name, Domain: domain, Service: "m"})
 	t.Observe(name, fleet.State{Boot: "1", Kind: "a", Model: "m", Version: version, First: first, Last: last, Slots: 8, Ready: true})
--- a/stream/blame.go
+++ b/stream/blame.go
@@ -191,32 +191,37 @@
 		return false
 	}
 	w.pace.checked = w.last
-	before, pairs := u.avoid, u.avoid.Pairs
-	trial := u.avoid
-	trial.Version, trial.Tokens = u.rt.Version, len(u.accept.tokens)
-	s := u.rt.Stages[at]
-	if hop {
-		trial.Pairs = maps.Clone(pairs)
-		if trial.Pairs == nil {
-			trial.Pairs = map[route.Pair]bool{}
-		}
-		trial.Pairs[route.Pair{s.Name, u.rt.Stages[at+1].Name}] = true
-	} else {
-		trial.Servers = maps.Clone(trial.Servers)
-		if trial.Servers == nil {
-			trial.Servers = map[string]bool{}
-		}
-		trial.Servers[s.Name] = true
-	}
+	trial := u.without(at, hop)
 	rt, err := u.r.cfg.Choose(u.rq, trial)
-	if err != nil || rt.Step.Seconds()*moveRatio > w.pace.mean || rt.Has(s.Name) && (!hop || rt.Has(u.rt.Stages[at+1].Name)) {
-		u.avoid = before
+	if err != nil || rt.Step.Seconds()*moveRatio > w.pace.mean {
 		return false
 	}
-	u.avoid = trial
-	if u.hard == nil {
-		u.hard = map[string]bool{}
+	s := u.rt.Stages[at]
+	if rt.Has(s.Name) && (!hop || rt.Has(u.rt.Stages[at+1].Name)) {
+		return false // there is no other
 	}
+	u.avoid = trial
 	u.moves++
 	return true
 }
+
+// without returns what to avoid to leave a stage, or the link after it.
+func (u *run) without(at int, hop bool) Avoid {
+	a := u.avoid
+	a.Version, a.Tokens = u.rt.Version, len(u.accept.tokens)
+	name := u.rt.Stages[at].Name
+	if hop {
+		a.Pairs = maps.Clone(a.Pairs)
+		if a.Pairs == nil {
+			a.Pairs = map[route.Pair]bool{}
+		}
+		a.Pairs[route.Pair{name, u.rt.Stages[at+1].Name}] = true
+		return a
+	}
+	a.Servers = maps.Clone(a.Servers)
+	if a.Servers == nil {
+		a.Servers = map[string]bool{}
+	}
+	a.Servers[name] = true
+	return a
+}
--- a/stream/run.go
+++ b/stream/run.go
@@ -42,7 +42,7 @@
 	return &run{
 		r: r, rq: rq,
 		accept: &acceptor{runner: r, layers: rq.Layers, tag: uint32(xxhash.Sum64String(rq.ID)), sink: sink},
-		used:   map[string]bool{},
+		used:   map[string]bool{}, hard: map[string]bool{}, alive: map[string]bool{},
 	}
 }
 
@@ -161,7 +161,7 @@
 // shun avoids a server in later attempts of this request.
 func (u *run) shun(name string, forever bool) {
 	if u.avoid.Servers == nil {
-		u.avoid.Servers, u.hard = map[string]bool{}, map[string]bool{}
+		u.avoid.Servers = map[string]bool{}
 	}
 	u.avoid.Servers[name] = true
 	if forever {
