fleet: read a long VM list less often

The list was read each second whatever its length. The interval now grows by 22 ms for each server (4 KB/s); at the present size it stays at 1 s. The subset is selected again each 5 s while it lacks servers, since that no longer follows from reading the list.

TestSubset still learns all ranges within 400 s at no more than 17 polls a second.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -301,3 +301,22 @@
 		assertUsable(t, tab, "s0", false)
 	})
 }
+
+// BenchmarkSelect measures the selection of the subset at target size.
+func BenchmarkSelect(b *testing.B) {
+	tab := fleet.New(fleet.Config{Self: "node-1"})
+	var list []fleet.State
+	for i := range 4000 {
+		list = append(list, fleet.State{Name: fmt.Sprintf("s%d", i), Address: fmt.Sprintf("a%d", i), Service: "m"})
+	}
+	tab.Merge(list)
+	for i, s := range list {
+		r := report("1")
+		r.First, r.Last = i%8, i%8+1
+		tab.Observe(s.Name, r)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		tab.Merge(list)
+	}
+}
--- a/fleet/subset.go
+++ b/fleet/subset.go
@@ -70,6 +70,16 @@
 	}
 }
 
+// reselect selects the subset again when it does not hold all servers, as
+// reports may have told the ranges of some.
+func (t *Table) reselect() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.subset) < len(t.servers) {
+		t.watch()
+	}
+}
+
 func (t *Table) add(sv *server) {
 	t.subset = append(t.subset, sv)
 }
--- a/fleet/watch.go
+++ b/fleet/watch.go
@@ -38,7 +38,10 @@
 
 // Intervals of background work.
 const (
-	listInterval = time.Second
+	listInterval = time.Second              // between readings of the VM list at least
+	entryTime    = 22 * time.Millisecond    // further time for each server: an entry of about 90 B at 4 KB/s
+	listTimeout  = 5 * time.Second          // of one reading
+	selectTime   = 5 * time.Second          // between selections of the subset while it lacks servers
 	tick         = 62500 * time.Microsecond // 16 times a second
 	pollRate     = 16                       // polls a second at most
 	minPoll      = time.Second              // interval between polls of one server at least
@@ -49,12 +52,17 @@
 func (w *Watcher) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	next := time.Time{}
+	var list, choose time.Time // when to read the list and to select the subset next
 	for ctx.Err() == nil {
-		if now := time.Now(); !now.Before(next) {
-			next = now.Add(listInterval)
+		now := time.Now()
+		if !now.Before(list) {
+			list = now.Add(w.listInterval())
 			wg.Go(func() { w.list(ctx) })
 		}
+		if !now.Before(choose) {
+			choose = now.Add(selectTime)
+			w.cfg.Table.reselect()
+		}
 		for _, s := range w.due() {
 			wg.Go(func() { w.poll(ctx, s) })
 		}
@@ -65,10 +73,19 @@
 	}
 }
 
+// listInterval returns the time between readings of the VM list. It grows with
+// the list, which would otherwise exceed the control traffic of a node.
+func (w *Watcher) listInterval() time.Duration {
+	t := w.cfg.Table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return max(listInterval, time.Duration(len(t.servers))*entryTime)
+}
+
 // list reads the VM list. It runs beside the polls, which must not wait for a
 // platform that is slow.
 func (w *Watcher) list(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, 5*listInterval)
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	if !w.begin("") {
 		return
