queue: admission and scheduling in one entry process

Cause: entry processes sent every request at once; under overload all of them would have become late, and long requests delayed short ones. Change: estimates from lagging load reports plus what this process has sent since; rejection at arrival, not run, with a jittered retry time; prediction of the length from the request's shape and the account's history; two classes with a reserve, ageing and reclassification in flight; start-time fair queueing between accounts; retry budget; metrics.

--- /dev/null
+++ b/queue/dispatch.go
@@ -0,0 +1,212 @@
+package queue
+
+import (
+	"time"
+
+	"github.com/cranberrybay/cranberrybay/fault"
+)
+
+// shortSeen is how long after the last short request slots are reserved for the
+// next one. Without short work, long work may use every slot.
+const shortSeen = 10 * time.Second
+
+// dispatch starts waiting requests while a server has room.
+func (q *Queue) dispatch(now time.Time) {
+	for {
+		e := q.next(now)
+		if e == nil {
+			return
+		}
+		if e.work.FirstBy.Before(now) {
+			q.reject(e, now)
+			continue
+		}
+		name, ok := q.place()
+		if !ok {
+			return
+		}
+		q.start(e, name, now)
+	}
+}
+
+// next returns the entry to start next, or nil.
+func (q *Queue) next(now time.Time) *Entry {
+	s, l := q.short.first(), q.long.first()
+	if l == nil || !q.longFits(now) {
+		return s
+	}
+	if s == nil {
+		return l
+	}
+	if old := q.long.oldest(); q.aged(old, now) {
+		return old
+	}
+	return s
+}
+
+// aged tells whether a long request has waited for its part of the budget.
+func (q *Queue) aged(e *Entry, now time.Time) bool {
+	budget := e.work.FirstBy.Sub(e.entered)
+	return now.Sub(e.entered) >= time.Duration(q.cfg.Policy.Age*float64(budget))
+}
+
+// longFits tells whether long work may take one more slot: always within this
+// process's part of the slots that are not reserved, and beyond it while the
+// servers keep the reserve free.
+func (q *Queue) longFits(now time.Time) bool {
+	if now.Sub(q.lastShort) > shortSeen {
+		return true
+	}
+	slots, load := 0, 0
+	for _, s := range q.servers {
+		slots += s.report.Slots
+		load += min(s.load(), s.report.Slots)
+	}
+	open := 1 - q.cfg.Policy.Reserve
+	if float64(load+1) <= open*float64(slots) {
+		return true
+	}
+	return float64(q.running[classLong]+1) <= open*float64(slots)/float64(max(q.cfg.Peers(), 1))
+}
+
+// place chooses a server with room.
+func (q *Queue) place() (string, bool) {
+	peers := q.cfg.Peers()
+	var all []Option
+	for _, n := range q.names {
+		if s := q.servers[n]; s.room(q.cfg.Policy, peers) {
+			all = append(all, s.option(n))
+		}
+	}
+	if len(all) == 0 {
+		return "", false
+	}
+	return all[q.cfg.Choose(all)].Name, true
+}
+
+func (q *Queue) start(e *Entry, name string, now time.Time) {
+	q.laneOf(e).remove(e)
+	q.clock.now = max(q.clock.now, e.tag)
+	e.state = started
+	s := q.servers[name]
+	s.count(now, 1)
+	s.spare--
+	c := q.class(e)
+	q.running[c]++
+	e.slot = &Slot{q: q, entry: e, server: s, name: name, began: now, class: c, longFrom: q.cfg.Predictor.LongFrom()}
+	q.ready = append(q.ready, e)
+}
+
+// admit decides whether a new request can meet its deadline.
+func (q *Queue) admit(e *Entry, now time.Time) error {
+	if q.short.count+q.long.count >= q.cfg.Depth {
+		return q.refuse("the queue is full", now, q.drain(q.short.count))
+	}
+	if len(q.servers) == 0 {
+		return nil // nothing is known yet; the deadline bounds the wait
+	}
+	left := e.work.FirstBy.Sub(now) - q.firstAfter()
+	if wait := q.ahead(e, now); wait > left {
+		return q.refuse("the deadline of the first token can't be met", now, wait-left)
+	}
+	return nil
+}
+
+// ahead predicts how long a new request would wait.
+func (q *Queue) ahead(e *Entry, now time.Time) time.Duration {
+	tag := max(q.clock.now, q.clock.finish[e.work.Account])
+	if e.predict.Long {
+		// Long work goes after the short work that waits, until it has aged.
+		n := q.long.ahead(tag)
+		if n == 0 && q.longFits(now) {
+			return q.drain(q.short.count)
+		}
+		return q.drainLong(n + 1)
+	}
+	n := q.short.ahead(tag)
+	if old := q.long.oldest(); old != nil && q.aged(old, now) && q.longFits(now) {
+		n++
+	}
+	return q.drain(n)
+}
+
+// drain predicts the time until a request with n others before it starts.
+func (q *Queue) drain(n int) time.Duration {
+	peers := q.cfg.Peers()
+	free, slots := 0, 0
+	for _, s := range q.servers {
+		free += s.free(q.cfg.Policy, peers)
+		slots += s.report.Slots
+	}
+	if n < free {
+		return 0
+	}
+	rate := q.rate(slots, peers)
+	return time.Duration(float64(n-free+1) / rate * float64(time.Second))
+}
+
+// rate predicts how many slots a second come free for this process: those it
+// holds, or its part of all slots when it holds fewer.
+func (q *Queue) rate(slots, peers int) float64 {
+	short, long := q.seconds(classShort), q.seconds(classLong)
+	rate := float64(q.running[classShort])/short + float64(q.running[classLong])/long
+	part := float64(slots) / float64(max(peers, 1))
+	if missing := part - float64(q.running[classShort]+q.running[classLong]); missing > 0 {
+		rate += missing / short
+	}
+	return max(rate, 1e-3)
+}
+
+// drainLong predicts the time until the nth long request starts within the
+// slots that long work may use.
+func (q *Queue) drainLong(n int) time.Duration {
+	rate := float64(max(q.running[classLong], 1)) / q.seconds(classLong)
+	return time.Duration(float64(n) / rate * float64(time.Second))
+}
+
+// seconds returns the observed time of a whole request of a class.
+func (q *Queue) seconds(class int) float64 {
+	d := firstService.Seconds()
+	if class == classLong {
+		d = q.service[classShort].or(d) * longFactor
+	}
+	return max(q.service[class].or(d), minService.Seconds())
+}
+
+// firstAfter predicts the time from dispatch to the first token.
+func (q *Queue) firstAfter() time.Duration {
+	return time.Duration(q.first.or(firstToken.Seconds()) * float64(time.Second))
+}
+
+// refuse returns the rejection of a request that can be served after wait.
+func (q *Queue) refuse(reason string, now time.Time, wait time.Duration) error {
+	wait = max(wait, 100*time.Millisecond)
+	return fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Overload, Reason: reason, RetryAt: now.Add(Jitter(q.cfg.Rand, wait))})
+}
+
+// reject rejects a waiting entry.
+func (q *Queue) reject(e *Entry, now time.Time) {
+	q.drop(e)
+	e.err = q.refuse("the deadline of the first token can't be met", now, q.drain(q.short.count))
+	q.failed = append(q.failed, e)
+}
+
+// late returns the rejection of a request whose deadline passed in the queue.
+func (q *Queue) late() error {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.refuse("the deadline of the first token has passed", q.cfg.Now(), q.drain(q.short.count))
+}
+
+// sweep rejects waiting short requests whose deadline is out of reach by now.
+func (q *Queue) sweep(now time.Time) {
+	first := q.firstAfter()
+	n := 0
+	for _, e := range q.short.ordered() {
+		if q.drain(n) > e.work.FirstBy.Sub(now)-first {
+			q.reject(e, now)
+			continue
+		}
+		n++
+	}
+}
--- /dev/null
+++ b/queue/metrics.go
@@ -0,0 +1,91 @@
+package queue
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/cranberrybay/cranberrybay/fault"
+)
+
+// Metrics counts what a queue does. A nil Metrics counts nothing.
+type Metrics struct {
+	short    *metrics.Gauge
+	long     *metrics.Gauge
+	waits    [2]*metrics.Histogram
+	err      *metrics.Histogram
+	wrong    [2]*metrics.Counter // predicted short, predicted long
+	reclass  *metrics.Counter
+	rejCount func(reason string) *metrics.Counter
+}
+
+// NewMetrics registers the metrics of one service: waiting requests, waiting
+// times in seconds, rejections by reason, and the error of predictions.
+func NewMetrics(set *metrics.Set, service string) *Metrics {
+	name := func(base, label, value string) string {
+		return fmt.Sprintf("%s{service=%q,%s=%q}", base, service, label, value)
+	}
+	return &Metrics{
+		short: set.GetOrCreateGauge(name("queue_waiting", "class", "short"), nil),
+		long:  set.GetOrCreateGauge(name("queue_waiting", "class", "long"), nil),
+		waits: [2]*metrics.Histogram{
+			set.GetOrCreateHistogram(name("queue_wait_seconds", "class", "short")),
+			set.GetOrCreateHistogram(name("queue_wait_seconds", "class", "long")),
+		},
+		err: set.GetOrCreateHistogram(fmt.Sprintf("queue_prediction_error_log2{service=%q}", service)),
+		wrong: [2]*metrics.Counter{
+			set.GetOrCreateCounter(name("queue_mispredicted_total", "class", "short")),
+			set.GetOrCreateCounter(name("queue_mispredicted_total", "class", "long")),
+		},
+		reclass: set.GetOrCreateCounter(fmt.Sprintf("queue_reclassified_total{service=%q}", service)),
+		rejCount: func(reason string) *metrics.Counter {
+			return set.GetOrCreateCounter(name("queue_rejected_total", "reason", reason))
+		},
+	}
+}
+
+func (m *Metrics) lengths(short, long int) {
+	if m == nil {
+		return
+	}
+	m.short.Set(float64(short))
+	m.long.Set(float64(long))
+}
+
+func (m *Metrics) started(long bool, waited time.Duration) {
+	if m == nil {
+		return
+	}
+	class := classShort
+	if long {
+		class = classLong
+	}
+	m.waits[class].Update(waited.Seconds())
+}
+
+func (m *Metrics) rejected(err error) {
+	if m != nil {
+		m.rejCount(string(fault.CodeOf(err))).Inc()
+	}
+}
+
+func (m *Metrics) predicted(p Prediction, tokens int, long bool) {
+	if m == nil {
+		return
+	}
+	m.err.Update(math.Abs(math.Log2(max(float64(tokens), 1) / max(p.Tokens, 1))))
+	switch {
+	case long && !p.Long:
+		m.wrong[classShort].Inc()
+	case !long && p.Long:
+		m.wrong[classLong].Inc()
+	}
+}
+
+func (m *Metrics) outlived() {
+	if m != nil {
+		m.reclass.Inc()
+	}
+}
