bench: experiment on a virtual clock over the real queue

Cause: no decision of the queue can be judged without the demand of both users, baselines in the same run and a bound on what the hardware could have done. The queue got the candidate decisions Two and Decay, which are off, and learns from a request that outlives its prediction. All processes send to the server that the last reports show as emptiest.

--- /dev/null
+++ b/bench/run.go
@@ -0,0 +1,166 @@
+package bench
+
+import (
+	"sort"
+	"sync"
+	"time"
+)
+
+// Config describes a run of the whole experiment.
+type Config struct {
+	Seed     uint64
+	Shapes   []Shape   // nil for Shapes
+	Variants []Variant // nil for Variants
+	Workers  int       // runs at the same time, 0 for 2
+}
+
+// Figures are what one variant achieved on one shape.
+type Figures struct {
+	Shape, Variant string
+	Throughput     float64    // part of the hardware bound at saturation
+	With, Without  [4]float64 // waiting of short work, s: median, p95, p99, worst; with and without long work of equal size
+	Light          [4]float64 // the same without the long work
+	Peak           float64    // short work in time at the peak, part of the EDF plan
+	PeakShortest   float64    // the same, part of the shortest-first plan
+	PeakLong       float64    // part of the long requests at the peak served in time
+	PeakPlain      float64    // plain calls in time at the peak, part of the better plan
+	Needless       float64    // part of all short requests at the peak, by the plan
+	Passed         float64    // the same, by the actual course
+	Jain, Smallest float64
+	Swing          float64 // longest recovery after a peak, s
+	Worker         float64 // recovery, s
+	Domain         float64
+	Platform       float64
+	Predict        [3]float64 // mean error in powers of 2, parts of short and long predicted wrongly
+	runs           map[string]*sim
+}
+
+// Run plays all scenes.
+func Run(cfg Config) []Figures {
+	if cfg.Shapes == nil {
+		cfg.Shapes = Shapes()
+	}
+	if cfg.Variants == nil {
+		cfg.Variants = Variants()
+	}
+	if cfg.Workers == 0 {
+		cfg.Workers = 2
+	}
+	out := make([]Figures, 0, len(cfg.Shapes)*len(cfg.Variants))
+	for _, s := range cfg.Shapes {
+		for _, v := range cfg.Variants {
+			out = append(out, Figures{Shape: s.Name, Variant: v.Name})
+		}
+	}
+	var wg sync.WaitGroup
+	turn := make(chan struct{}, cfg.Workers)
+	for i := range out {
+		s, v := cfg.Shapes[i/len(cfg.Variants)], cfg.Variants[i%len(cfg.Variants)]
+		wg.Go(func() {
+			turn <- struct{}{}
+			defer func() { <-turn }()
+			out[i].play(s, v, cfg.Seed)
+		})
+	}
+	wg.Wait()
+	return out
+}
+
+// play runs every scene of one shape and variant.
+func (f *Figures) play(s Shape, v Variant, seed uint64) {
+	f.runs = map[string]*sim{}
+	for _, sc := range scenes(seed) {
+		sc.Seed, sc.Warm = seed, warm
+		m := newSim(s, sc, v)
+		m.run()
+		f.runs[sc.Name] = m
+	}
+	f.With, f.Without, f.Light = f.runs[steady].waits(), f.runs[alone].waits(), f.runs[light].waits()
+	f.Throughput = f.runs[full].worked / (s.rate() * (f.runs[full].scene.End - warm).Seconds())
+	f.peak(f.runs[swing])
+	f.fairness(f.runs[full])
+	end := f.runs[worker].scene.End
+	f.Worker = f.runs[worker].recovery(failAt, end)
+	f.Domain = f.runs[domain].recovery(failAt, end)
+	f.Platform = f.runs[platform].recovery(failAt, end)
+	if e := f.runs[steady].predicted; e.Count > 0 {
+		f.Predict = [3]float64{e.Log2 / float64(e.Count), float64(e.Long) / float64(e.Count-e.WereLong), float64(e.Short) / float64(max(e.WereLong, 1))}
+	}
+}
+
+// waits returns the waiting times of short work after the warm-up: from arrival
+// to the start in a slot, or to the end of a request that was never started.
+func (m *sim) waits() [4]float64 {
+	var all []float64
+	for _, q := range m.requests {
+		if q.plain || q.long || q.at < m.scene.Warm {
+			continue
+		}
+		switch {
+		case q.begun >= 0:
+			all = append(all, (q.begun - q.at).Seconds())
+		case q.rejected == "" || q.rejected == "expired":
+			all = append(all, (q.ended - q.at).Seconds())
+		}
+	}
+	sort.Float64s(all)
+	return [4]float64{percentile(all, 0.5), percentile(all, 0.95), percentile(all, 0.99), percentile(all, 1)}
+}
+
+func (f *Figures) peak(m *sim) {
+	good, all, long, longs, plain := 0, 0, 0, 0, 0
+	for _, q := range m.requests {
+		switch {
+		case !atPeak(q):
+		case q.plain:
+			plain += boolInt(q.inTime())
+		case q.long:
+			longs++
+			long += boolInt(q.inTime())
+		default:
+			all++
+			good += boolInt(q.inTime())
+		}
+	}
+	deadline, shortest := m.bound(false, atPeak)
+	calls, more := m.bound(true, atPeak)
+	f.Peak = float64(good) / float64(deadline)
+	f.PeakShortest = float64(good) / float64(max(deadline, shortest))
+	f.PeakLong = float64(long) / float64(longs)
+	f.PeakPlain = float64(plain) / float64(max(calls, more))
+	f.Needless = float64(m.needless(atPeak)) / float64(all)
+	f.Passed = float64(m.passed(atPeak)) / float64(all)
+	for _, t := range peaks(m.scene.End) {
+		r := m.recovery(t+swingRise, t+20*time.Second)
+		if r < 0 {
+			f.Swing = -1
+			return
+		}
+		f.Swing = max(f.Swing, r)
+	}
+}
+
+// fairness compares what each account got with its part by max-min fairness of
+// what all accounts got.
+func (f *Figures) fairness(m *sim) {
+	demand := make([]float64, len(m.shape.Accounts))
+	got := make([]float64, len(demand))
+	sum := 0.0
+	for _, q := range m.requests {
+		if q.plain || q.at < m.scene.Warm {
+			continue
+		}
+		demand[q.account] += q.steps()
+		if q.inTime() {
+			got[q.account] += q.steps()
+			sum += q.steps()
+		}
+	}
+	part := maxMin(sum, demand)
+	f.Smallest = 1e9
+	for i := range got {
+		got[i] /= part[i]
+		f.Smallest = min(f.Smallest, got[i])
+	}
+	f.Jain = jain(got)
+}
--- /dev/null
+++ b/bench/sim.go
@@ -0,0 +1,246 @@
+package bench
+
+import (
+	"time"
+
+	"github.com/cranberrybay/cranberrybay/queue"
+)
+
+// Variant is one way to admit and place requests.
+type Variant struct {
+	Name string
+	// Policy is the queue's policy; nil for a variant without a queue.
+	Policy *queue.Policy
+	// Choose is the balancing choice among servers.
+	Choose func(p *Process, all []queue.Option) int
+}
+
+// Variants returns the baselines and the policy's versions, in the order of
+// the table.
+func Variants() []Variant {
+	first, now := queue.V1(), queue.Current()
+	lowest := func(_ *Process, all []queue.Option) int { return queue.Lowest(all) }
+	return []Variant{
+		{Name: "fifo+rr", Choose: func(p *Process, all []queue.Option) int { p.turn++; return p.turn % len(all) }},
+		{Name: "least", Choose: func(_ *Process, all []queue.Option) int { return leastOwn(all) }},
+		{Name: first.Name, Policy: &first, Choose: lowest},
+		{Name: now.Name, Policy: &now, Choose: lowest},
+	}
+}
+
+// leastOwn chooses the server with the fewest outstanding requests of this
+// process.
+func leastOwn(all []queue.Option) int {
+	best := 0
+	for i, o := range all {
+		if o.Own < all[best].Own {
+			best = i
+		}
+	}
+	return best
+}
+
+// Intervals of load reports, as in package node.
+const (
+	pollInterval = 500 * time.Millisecond
+	pollTimeout  = time.Second
+	// reportLag is how often an engine renews its report: the lag is up to this.
+	reportLag = 200 * time.Millisecond
+)
+
+// snapshot is a published load report.
+type snapshot struct{ running, waiting int }
+
+// sim is one run of a scene.
+type sim struct {
+	clock     clock
+	shape     Shape
+	scene     Scene
+	variant   Variant
+	requests  []*request
+	lanes     []*lane // pipelines, then plain workers
+	published []snapshot
+	hidden    []bool // replaced servers that the VM list does not show yet
+	idle      []int  // free slots of all pipelines, sampled
+	worked    float64
+	processes []*Process
+	predicted queue.Errors
+}
+
+// Process is one entry process.
+type Process struct {
+	sim    *sim
+	number int
+	domain int
+	turn   int // of round robin
+	model  *service
+	plain  *service
+}
+
+// service is what a process knows of the servers of one service.
+type service struct {
+	process *Process
+	lanes   []int // indexes of lanes
+	queue   *queue.Queue
+	known   map[int]bool
+	own     map[int]int
+}
+
+func newSim(s Shape, sc Scene, v Variant) *sim {
+	m := &sim{shape: s, scene: sc, variant: v, requests: s.requests(sc)}
+	m.lanes = append(s.newLanes(&m.clock, false), s.newLanes(&m.clock, true)...)
+	m.published = make([]snapshot, len(m.lanes))
+	m.hidden = make([]bool, len(m.lanes))
+	for i := range s.Processes {
+		m.processes = append(m.processes, m.newProcess(i))
+	}
+	return m
+}
+
+func (m *sim) newProcess(i int) *Process {
+	p := &Process{sim: m, number: i, domain: i % len(m.shape.Domains)}
+	n := m.shape.pipelines()
+	p.model = p.newService("model", 0, n)
+	p.plain = p.newService("plain", n, len(m.lanes))
+	return p
+}
+
+func (p *Process) newService(name string, from, to int) *service {
+	s := &service{process: p, known: map[int]bool{}, own: map[int]int{}}
+	for i := from; i < to; i++ {
+		s.lanes = append(s.lanes, i)
+		s.known[i] = true
+	}
+	if v := p.sim.variant; v.Policy != nil {
+		s.queue = queue.New(queue.Config{
+			Name: name, Now: p.sim.clock.time, Rand: seeded(p.sim.scene.Seed, uint64(p.number)),
+			Policy: *v.Policy, Peers: func() int { return p.sim.shape.Processes },
+			Choose: func(all []queue.Option) int { return v.Choose(p, all) },
+		})
+	}
+	return s
+}
+
+// run plays the scene.
+func (m *sim) run() {
+	for i := range m.lanes {
+		m.publish(i)
+	}
+	for _, p := range m.processes {
+		offset := pollInterval * time.Duration(p.number) / time.Duration(len(m.processes))
+		for _, s := range []*service{p.model, p.plain} {
+			for _, i := range s.lanes {
+				m.clock.at(offset, func() { s.poll(i) })
+			}
+		}
+	}
+	for _, f := range m.scene.Fail {
+		m.fail(f)
+	}
+	m.clock.at(0, m.sample)
+	m.clock.at(m.scene.Warm, func() { m.worked = -m.work() })
+	m.clock.at(m.scene.End, func() { m.worked += m.work() })
+	for _, q := range m.requests {
+		p := m.processes[q.process]
+		m.clock.at(q.at, func() { p.arrive(q) })
+	}
+	// Requests that arrive near the end may still finish.
+	m.clock.run(m.scene.End + time.Minute)
+	for _, p := range m.processes {
+		if p.model.queue != nil {
+			e := p.model.queue.Errors()
+			m.predicted.Count += e.Count
+			m.predicted.Short += e.Short
+			m.predicted.Long += e.Long
+			m.predicted.WereLong += e.WereLong
+			m.predicted.Log2 += e.Log2
+		}
+	}
+}
+
+// publish renews a server's load report.
+func (m *sim) publish(i int) {
+	l := m.lanes[i]
+	m.published[i] = snapshot{len(l.running), l.queued()}
+	m.clock.after(reportLag, func() { m.publish(i) })
+}
+
+// sampleInterval is the distance of samples of free slots.
+const sampleInterval = 50 * time.Millisecond
+
+func (m *sim) sample() {
+	free := 0
+	for _, l := range m.lanes[:m.shape.pipelines()] {
+		free += max(0, l.free())
+	}
+	m.idle = append(m.idle, free)
+	m.clock.after(sampleInterval, m.sample)
+}
+
+// work returns the decoding steps that the pipelines have done.
+func (m *sim) work() float64 {
+	sum := 0.0
+	for _, l := range m.lanes[:m.shape.pipelines()] {
+		l.advance()
+		sum += l.work
+	}
+	return sum
+}
+
+func (m *sim) fail(f Failure) {
+	hit := func(l *lane) bool { return l.number == f.Lane || l.domain == f.Domain }
+	m.clock.at(f.At, func() {
+		for _, l := range m.lanes {
+			if hit(l) {
+				l.kill()
+				m.hidden[l.number] = f.Shown > f.Back
+			}
+		}
+	})
+	if f.Shown > 0 {
+		m.clock.at(f.Shown, func() { clear(m.hidden) })
+	}
+	if f.Back > 0 {
+		m.clock.at(f.Back, func() {
+			for _, l := range m.lanes {
+				if hit(l) {
+					l.revive()
+				}
+			}
+		})
+	}
+}
+
+func (p *Process) latency(l *lane) time.Duration {
+	if p.domain == l.domain {
+		return p.sim.shape.Near
+	}
+	return p.sim.shape.Far
+}
+
+// poll reads one load report, as the watcher of package node does.
+func (s *service) poll(i int) {
+	c, l := &s.process.sim.clock, s.process.sim.lanes[i]
+	sent, d := c.now, s.process.latency(l)
+	c.after(pollInterval, func() { s.poll(i) })
+	c.after(d, func() {
+		if l.dead || s.process.sim.hidden[i] {
+			c.at(sent+pollTimeout, func() { s.forget(i) })
+			return
+		}
+		r := s.process.sim.published[i]
+		c.after(d, func() {
+			s.known[i] = true
+			if s.queue != nil {
+				s.queue.Observe(queue.Report{Name: l.name, Slots: l.slots, Running: r.running, Waiting: r.waiting, Taken: epoch.Add(sent)})
+			}
+		})
+	})
+}
+
+func (s *service) forget(i int) {
+	delete(s.known, i)
+	if s.queue != nil {
+		s.queue.Forget(s.process.sim.lanes[i].name)
+	}
+}
--- a/queue/dispatch.go
+++ b/queue/dispatch.go
@@ -10,6 +10,14 @@
 // next one. Without short work, long work may use every slot.
 const shortSeen = 10 * time.Second
 
+// refresh renews the estimates of all servers.
+func (q *Queue) refresh(now time.Time) {
+	service := q.seconds(classShort)
+	for _, s := range q.servers {
+		s.refresh(now, q.cfg.Policy, service)
+	}
+}
+
 // dispatch starts waiting requests while a server has room.
 func (q *Queue) dispatch(now time.Time) {
 	for {
@@ -81,6 +89,13 @@
 	if len(all) == 0 {
 		return "", false
 	}
+	if q.cfg.Policy.Two && len(all) > 2 {
+		i, j := q.cfg.Rand.IntN(len(all)), q.cfg.Rand.IntN(len(all)-1)
+		if j >= i {
+			j++
+		}
+		all = []Option{all[i], all[j]}
+	}
 	return all[q.cfg.Choose(all)].Name, true
 }
 
--- a/queue/policy.go
+++ b/queue/policy.go
@@ -21,6 +21,12 @@
 	// Spread makes a process take only its part of the slots that a report
 	// shows free, so that several processes do not fill the same slot.
 	Spread bool
+	// Two makes the queue compare two servers drawn at random instead of all, so
+	// that processes with the same reports do not choose the same server.
+	Two bool
+	// Decay makes the report's view of other processes' requests lose weight
+	// against its running mean, within the time that a request takes.
+	Decay bool
 	// Sweep rejects waiting requests as soon as their deadline is out of reach.
 	Sweep bool
 }
--- a/queue/predict.go
+++ b/queue/predict.go
@@ -148,6 +148,17 @@
 	add(p.account, shapeKey{account, l, r}, log, long)
 }
 
+// Outlived learns from a request in flight that it is long, so that the next
+// one like it is predicted long before this one has ended.
+func (p *Predictor) Outlived(account string, s Shape) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	log := p.typical + math.Log(longFactor)
+	l, r := sizeOf(s.Limit), sizeOf(s.Prompt)
+	add(p.all, [2]uint8{l, r}, log, 1)
+	add(p.account, shapeKey{account, l, r}, log, 1)
+}
+
 // add updates one bucket and drops an arbitrary other one over the bound.
 func add[K comparable](m map[K]*bucket, k K, log, long float64) {
 	b := m[k]
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -184,6 +184,7 @@
 		e.work.Weight = 1
 	}
 	q.mu.Lock()
+	q.refresh(now)
 	if err := q.admit(e, now); err != nil {
 		q.mu.Unlock()
 		q.cfg.Metrics.rejected(err)
@@ -257,6 +258,9 @@
 		return
 	}
 	s.report = r
+	s.fresh = s.reported()
+	s.others.add(s.fresh)
+	q.refresh(now)
 	if free := r.Slots - s.load(); free > 0 {
 		// The fraction is drawn, so that few slots and many processes still
 		// fill up.
@@ -288,3 +292,6 @@
 	defer q.mu.Unlock()
 	return q.short.count + q.long.count
 }
+
+// Errors returns the measured errors of the queue's predictions.
+func (q *Queue) Errors() Errors { return q.cfg.Predictor.Errors() }
--- a/queue/server.go
+++ b/queue/server.go
@@ -39,6 +39,9 @@
 	own     int
 	changes []change
 	spare   float64 // slots that this process may still take on this report
+	fresh   float64 // requests of other processes at the last report
+	other   float64 // requests of other processes now, estimated
+	others  mean    // requests of other processes, by past reports
 	pace    mean    // seconds between tokens
 	first   mean    // seconds from dispatch to the first token
 }
@@ -84,9 +87,21 @@
 
 // load estimates the requests on the server: what others had on it at the time
 // of the report, and what this process has on it now.
-func (s *server) load() int {
-	others := s.report.Running + s.report.Waiting - s.ownAt(s.report.Taken)
-	return max(0, others) + s.own
+func (s *server) load() int { return int(math.Round(s.other)) + s.own }
+
+// reported returns the requests of other processes by the last report.
+func (s *server) reported() float64 {
+	return float64(max(0, s.report.Running+s.report.Waiting-s.ownAt(s.report.Taken)))
+}
+
+// refresh renews the estimate of other processes' requests. A report loses its
+// weight as the requests that it counted end.
+func (s *server) refresh(now time.Time, p Policy, service float64) {
+	s.other = s.fresh
+	if p.Decay {
+		w := math.Exp(-now.Sub(s.report.Taken).Seconds() / service)
+		s.other = w*s.fresh + (1-w)*s.others.or(s.fresh)
+	}
 }
 
 // part is the number of slots of a server that are one process's equal part.
--- a/queue/slot.go
+++ b/queue/slot.go
@@ -91,6 +91,7 @@
 	s.class = classLong
 	s.q.running[classShort]--
 	s.q.running[classLong]++
+	s.q.cfg.Predictor.Outlived(s.entry.work.Account, s.entry.work.Shape)
 	s.q.cfg.Metrics.outlived()
 }
 
@@ -116,6 +117,7 @@
 		return
 	}
 	s.ended = true
+	q.refresh(now)
 	s.server.count(now, -1)
 	q.running[s.class]--
 	if whole {
