queue: policy v2 compares two servers drawn at random

Cause: all processes sent to the server that the same reports show as emptiest, so that it was overfull until the next report. Change: v2 draws two servers with room and takes the less loaded one. The predictor learns by prompt size and by token limit alone before it learns by both, and trusts a bucket after one observation.

--- a/bench/clair.go
+++ b/bench/clair.go
@@ -12,7 +12,8 @@
 	lanes   []*lane
 	rank    func(*request) float64 // lower starts earlier
 	pending []*request
-	served  map[int]bool // numbers of requests whose first token came in time
+	waits   map[int]float64 // seconds from arrival to the start, by number
+	served  map[int]bool    // numbers of requests whose first token came in time
 }
 
 // urgent is the slack below which a long request of the plan is started before
@@ -22,7 +23,11 @@
 // schedule plays the requests. Rank orders those that wait; a request whose
 // first token can no longer be in time is left out.
 func (s Shape) schedule(plain bool, requests []*request, rank func(*request) float64) map[int]bool {
-	p := &plan{rank: rank, served: map[int]bool{}}
+	return s.newPlan(plain, requests, rank).served
+}
+
+func (s Shape) newPlan(plain bool, requests []*request, rank func(*request) float64) *plan {
+	p := &plan{rank: rank, served: map[int]bool{}, waits: map[int]float64{}}
 	p.lanes = s.newLanes(&p.clock, plain)
 	end := time.Duration(0)
 	for _, q := range requests {
@@ -33,7 +38,7 @@
 		})
 	}
 	p.clock.run(end)
-	return p.served
+	return p
 }
 
 // dispatch starts requests while a slot is free.
@@ -103,6 +108,7 @@
 }
 
 func (p *plan) start(q *request, l *lane) {
+	p.waits[q.number] = (p.clock.now - q.at).Seconds()
 	j := &job{rq: q, begun: func() {}, lost: func() {}}
 	seen := false
 	first := func(int) {
@@ -163,19 +169,28 @@
 			all = append(all, q)
 		}
 	}
-	served := m.shape.schedule(false, all, func(q *request) float64 {
+	rank := func(q *request) float64 {
 		if extra[q.number] {
 			return 1e9 + q.by.Seconds()
 		}
 		return q.by.Seconds()
-	})
+	}
+	var base []*request
+	for _, q := range all {
+		if !extra[q.number] {
+			base = append(base, q)
+		}
+	}
+	// The plan itself may miss some of what the run served; only what the
+	// addition makes late counts against it.
+	before, after := m.shape.schedule(false, base, rank), m.shape.schedule(false, all, rank)
 	n := 0
 	for _, q := range all {
 		switch {
 		case !in(q) || q.long:
-		case extra[q.number] && served[q.number]:
+		case extra[q.number] && after[q.number]:
 			n++
-		case !extra[q.number] && !served[q.number]:
+		case !extra[q.number] && before[q.number] && !after[q.number]:
 			n--
 		}
 	}
--- a/bench/load.go
+++ b/bench/load.go
@@ -31,6 +31,7 @@
 	tokens  int
 	by      time.Duration // deadline of the first token
 
+	queued   time.Duration // in the entry process
 	begun    time.Duration // first start in a slot, -1 before
 	first    time.Duration // first token at the caller, -1 before
 	done     time.Duration // last token at the caller, -1 before
--- a/bench/process.go
+++ b/bench/process.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/limit"
 	"github.com/cranberrybay/cranberrybay/queue"
 )
 
@@ -22,6 +23,15 @@
 		return
 	}
 	acc := p.sim.shape.Accounts[q.account]
+	if p.keeper != nil {
+		g, err := p.keeper.Admit(acc.Name, p.expect(q))
+		if err != nil {
+			a.refused(err)
+			return
+		}
+		a.grant = g
+		acc.Weight = p.keeper.Weight(acc.Name)
+	}
 	w := queue.Work{Account: acc.Name, Weight: acc.Weight, Shape: q.shape, FirstBy: epoch.Add(q.by), Plain: q.plain}
 	e, err := s.queue.Enter(w, func(slot *queue.Slot, err error) {
 		if err != nil {
@@ -29,6 +39,7 @@
 			return
 		}
 		a.slot = slot
+		q.queued = slot.Waited()
 		a.send(p.sim.laneOf(slot.Server()), slot.Priority())
 	})
 	if err != nil {
@@ -39,6 +50,17 @@
 	a.watch()
 }
 
+// expect returns the cost that a request is expected to have.
+func (p *Process) expect(q *request) float64 {
+	if q.plain {
+		return plainCost
+	}
+	return p.model.queue.Expect(p.sim.shape.Accounts[q.account].Name, q.shape)
+}
+
+// plainCost is the cost of a plain call in tokens.
+const plainCost = 1
+
 func (m *sim) laneOf(name string) *lane {
 	for _, l := range m.lanes {
 		if l.name == name {
@@ -54,6 +76,7 @@
 	rq      *request
 	entry   *queue.Entry
 	slot    *queue.Slot
+	grant   *limit.Grant
 	job     *job
 	tokens  int // received
 	over    bool
@@ -63,6 +86,7 @@
 
 func (a *attempt) refused(err error) {
 	a.over = true
+	a.pay(0)
 	a.rq.ended = a.clock().now
 	a.rq.rejected = string(fault.CodeOf(err))
 }
@@ -106,6 +130,7 @@
 		switch {
 		case a.entry != nil && a.entry.Leave():
 			a.rq.rejected = "expired"
+			a.pay(0)
 		case a.job != nil:
 			a.job.lane.cancel(a.job)
 			a.end(false)
@@ -160,6 +185,7 @@
 // end frees what the request held.
 func (a *attempt) end(whole bool) {
 	a.service.own[a.job.lane.number]--
+	a.pay(a.tokens)
 	switch {
 	case a.slot == nil:
 	case whole:
@@ -169,6 +195,13 @@
 	}
 }
 
+// pay ends the account's grant.
+func (a *attempt) pay(tokens int) {
+	if a.grant != nil {
+		a.grant.Done(float64(tokens))
+	}
+}
+
 // lost replaces a server that has stopped answering and replays the tokens
 // received, as package stream does.
 func (a *attempt) lost(l *lane) {
@@ -177,18 +210,23 @@
 	}
 	a.service.forget(l.number)
 	a.service.own[l.number]--
-	i, ok := a.choose(l.number)
+	next, priority, ok := a.replace(l)
 	if !ok {
 		a.service.own[l.number]++
 		a.over, a.rq.ended, a.rq.rejected = true, a.clock().now, string(fault.Unavailable)
 		a.end(false)
 		return
 	}
-	next := a.service.process.sim.lanes[i]
-	priority := 0
+	a.send(next, priority)
+}
+
+// replace chooses the server after a lost one.
+func (a *attempt) replace(l *lane) (next *lane, priority int, ok bool) {
+	m := a.service.process.sim
 	if a.slot != nil {
-		a.slot.Sent(next.name)
-		priority = 1
+		name, ok := a.slot.Move()
+		return m.laneOf(name), 1, ok
 	}
-	a.send(next, priority)
+	i, ok := a.choose(l.number)
+	return m.lanes[i], 0, ok
 }
--- a/bench/run.go
+++ b/bench/run.go
@@ -1,6 +1,7 @@
 package bench
 
 import (
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -10,8 +11,9 @@
 type Config struct {
 	Seed     uint64
 	Shapes   []Shape   // nil for Shapes
-	Variants []Variant // nil for Variants
-	Workers  int       // runs at the same time, 0 for 2
+	All      bool      // every version of the policy
+	Variants []Variant // nil for Variants(All)
+	Workers  int       // runs at the same time, 0 for 3
 }
 
 // Figures are what one variant achieved on one shape.
@@ -22,8 +24,10 @@
 	Light          [4]float64 // the same without the long work
 	Peak           float64    // short work in time at the peak, part of the EDF plan
 	PeakShortest   float64    // the same, part of the shortest-first plan
+	Whole          float64    // short work in time from the rise to the deadline after the fall, part of the EDF plan
 	PeakLong       float64    // part of the long requests at the peak served in time
-	PeakPlain      float64    // plain calls in time at the peak, part of the better plan
+	PeakPlain      float64    // plain calls in time at the peak, part of the EDF plan
+	PlainShortest  float64    // the same, part of the shortest-first plan
 	Needless       float64    // part of all short requests at the peak, by the plan
 	Passed         float64    // the same, by the actual course
 	Jain, Smallest float64
@@ -41,10 +45,10 @@
 		cfg.Shapes = Shapes()
 	}
 	if cfg.Variants == nil {
-		cfg.Variants = Variants()
+		cfg.Variants = Variants(cfg.All)
 	}
 	if cfg.Workers == 0 {
-		cfg.Workers = 2
+		cfg.Workers = 3
 	}
 	out := make([]Figures, 0, len(cfg.Shapes)*len(cfg.Variants))
 	for _, s := range cfg.Shapes {
@@ -66,25 +70,44 @@
 	return out
 }
 
-// play runs every scene of one shape and variant.
-func (f *Figures) play(s Shape, v Variant, seed uint64) {
+// play runs the named scenes of one shape and variant, or all.
+func (f *Figures) play(s Shape, v Variant, seed uint64, names ...string) {
 	f.runs = map[string]*sim{}
 	for _, sc := range scenes(seed) {
+		if len(names) > 0 && !slices.Contains(names, sc.Name) {
+			continue
+		}
 		sc.Seed, sc.Warm = seed, warm
 		m := newSim(s, sc, v)
 		m.run()
 		f.runs[sc.Name] = m
+		f.take(sc.Name, m)
 	}
-	f.With, f.Without, f.Light = f.runs[steady].waits(), f.runs[alone].waits(), f.runs[light].waits()
-	f.Throughput = f.runs[full].worked / (s.rate() * (f.runs[full].scene.End - warm).Seconds())
-	f.peak(f.runs[swing])
-	f.fairness(f.runs[full])
-	end := f.runs[worker].scene.End
-	f.Worker = f.runs[worker].recovery(failAt, end)
-	f.Domain = f.runs[domain].recovery(failAt, end)
-	f.Platform = f.runs[platform].recovery(failAt, end)
-	if e := f.runs[steady].predicted; e.Count > 0 {
-		f.Predict = [3]float64{e.Log2 / float64(e.Count), float64(e.Long) / float64(e.Count-e.WereLong), float64(e.Short) / float64(max(e.WereLong, 1))}
+}
+
+// take computes the figures of one scene.
+func (f *Figures) take(scene string, m *sim) {
+	switch scene {
+	case steady:
+		f.With = m.waits()
+		if e := m.predicted; e.Count > 0 {
+			f.Predict = [3]float64{e.Log2 / float64(e.Count), float64(e.Long) / float64(e.Count-e.WereLong), float64(e.Short) / float64(max(e.WereLong, 1))}
+		}
+	case alone:
+		f.Without = m.waits()
+	case light:
+		f.Light = m.waits()
+	case full:
+		f.Throughput = m.worked / (m.shape.rate() * (m.scene.End - warm).Seconds())
+		f.fairness(m)
+	case swing:
+		f.peak(m)
+	case worker:
+		f.Worker = m.recovery(failAt, m.scene.End)
+	case domain:
+		f.Domain = m.recovery(failAt, m.scene.End)
+	case platform:
+		f.Platform = m.recovery(failAt, m.scene.End)
 	}
 }
 
@@ -127,7 +150,9 @@
 	f.Peak = float64(good) / float64(deadline)
 	f.PeakShortest = float64(good) / float64(max(deadline, shortest))
 	f.PeakLong = float64(long) / float64(longs)
-	f.PeakPlain = float64(plain) / float64(max(calls, more))
+	f.PeakPlain = float64(plain) / float64(calls)
+	f.PlainShortest = float64(plain) / float64(max(calls, more))
+	f.Whole = m.whole()
 	f.Needless = float64(m.needless(atPeak)) / float64(all)
 	f.Passed = float64(m.passed(atPeak)) / float64(all)
 	for _, t := range peaks(m.scene.End) {
@@ -140,6 +165,21 @@
 	}
 }
 
+// whole returns the short work served in time over whole swings, as a part of
+// the deadline plan. A variant that serves the requests after a peak in place of
+// those of the peak loses nothing here.
+func (m *sim) whole() float64 {
+	in := inSwing(m.shape.FirstBy)
+	good := 0
+	for _, q := range m.requests {
+		if !q.plain && !q.long && in(q) && q.inTime() {
+			good++
+		}
+	}
+	plan, _ := m.bound(false, in)
+	return float64(good) / float64(plan)
+}
+
 // fairness compares what each account got with its part by max-min fairness of
 // what all accounts got.
 func (f *Figures) fairness(m *sim) {
--- a/bench/scenes.go
+++ b/bench/scenes.go
@@ -63,6 +63,15 @@
 	return q.at >= warm && swinging(q.at) > swingHigh-1e-9
 }
 
+// inSwing tells whether a request arrives from the rise of a swing to the
+// deadline after its fall, when the last request of the peak is due.
+func inSwing(by time.Duration) func(*request) bool {
+	return func(q *request) bool {
+		p := (q.at-warm)%swingEvery - swingFrom
+		return q.at >= warm && p >= 0 && p < swingPeak+2*swingRise+by
+	}
+}
+
 // peaks returns the ends of the peaks of a scene.
 func peaks(end time.Duration) []time.Duration {
 	var out []time.Duration
--- a/bench/sim.go
+++ b/bench/sim.go
@@ -1,8 +1,10 @@
 package bench
 
 import (
+	"fmt"
 	"time"
 
+	"github.com/cranberrybay/cranberrybay/limit"
 	"github.com/cranberrybay/cranberrybay/queue"
 )
 
@@ -15,17 +17,22 @@
 	Choose func(p *Process, all []queue.Option) int
 }
 
-// Variants returns the baselines and the policy's versions, in the order of
-// the table.
-func Variants() []Variant {
-	first, now := queue.V1(), queue.Current()
+// Variants returns the baselines, the previous version of the policy and the
+// current one, in the order of the table; with all, every version.
+func Variants(all bool) []Variant {
 	lowest := func(_ *Process, all []queue.Option) int { return queue.Lowest(all) }
-	return []Variant{
+	out := []Variant{
 		{Name: "fifo+rr", Choose: func(p *Process, all []queue.Option) int { p.turn++; return p.turn % len(all) }},
 		{Name: "least", Choose: func(_ *Process, all []queue.Option) int { return leastOwn(all) }},
-		{Name: first.Name, Policy: &first, Choose: lowest},
-		{Name: now.Name, Policy: &now, Choose: lowest},
 	}
+	versions := queue.Versions()
+	if !all {
+		versions = versions[len(versions)-2:]
+	}
+	for _, p := range versions {
+		out = append(out, Variant{Name: p.Name, Policy: &p, Choose: lowest})
+	}
+	return out
 }
 
 // leastOwn chooses the server with the fewest outstanding requests of this
@@ -73,6 +80,7 @@
 	number int
 	domain int
 	turn   int // of round robin
+	keeper *limit.Keeper
 	model  *service
 	plain  *service
 }
@@ -100,11 +108,48 @@
 func (m *sim) newProcess(i int) *Process {
 	p := &Process{sim: m, number: i, domain: i % len(m.shape.Domains)}
 	n := m.shape.pipelines()
+	if v := m.variant.Policy; v != nil && v.Divide {
+		p.keeper = m.newKeeper(i)
+	}
 	p.model = p.newService("model", 0, n)
 	p.plain = p.newService("plain", n, len(m.lanes))
 	return p
 }
 
+// newKeeper returns the limits of a process. Messages between processes take
+// the time between failure domains.
+func (m *sim) newKeeper(i int) *limit.Keeper {
+	name := func(i int) string { return fmt.Sprintf("e%d", i) }
+	var members []string
+	index := map[string]int{}
+	for j := range m.shape.Processes {
+		members = append(members, name(j))
+		index[name(j)] = j
+	}
+	weights := map[string]float64{}
+	for _, a := range m.shape.Accounts {
+		weights[a.Name] = a.Weight
+	}
+	k := limit.New(limit.Config{
+		Self: name(i), Run: name(i) + "/1", Now: m.clock.time, Rand: seeded(m.scene.Seed, uint64(100+i)),
+		Limits: func(a string) (limit.Limits, bool) { return limit.Limits{Weight: weights[a]}, true },
+		Send: func(home string, r limit.Report) {
+			m.clock.after(m.shape.Far, func() { m.processes[index[home]].keeper.Report(r) })
+		},
+		Grant: func(to string, s limit.Share) {
+			m.clock.after(m.shape.Far, func() { m.processes[index[to]].keeper.Share(s) })
+		},
+	})
+	k.SetMembers(members)
+	return k
+}
+
+// tick reports demand, as package node does.
+func (p *Process) tick() {
+	p.keeper.Tick()
+	p.sim.clock.after(limit.ReportInterval, p.tick)
+}
+
 func (p *Process) newService(name string, from, to int) *service {
 	s := &service{process: p, known: map[int]bool{}, own: map[int]int{}}
 	for i := from; i < to; i++ {
@@ -128,6 +173,9 @@
 	}
 	for _, p := range m.processes {
 		offset := pollInterval * time.Duration(p.number) / time.Duration(len(m.processes))
+		if p.keeper != nil {
+			m.clock.at(offset/2, p.tick)
+		}
 		for _, s := range []*service{p.model, p.plain} {
 			for _, i := range s.lanes {
 				m.clock.at(offset, func() { s.poll(i) })
--- a/cmds/bench.go
+++ b/cmds/bench.go
@@ -9,25 +9,32 @@
 func newBench() *cobra.Command {
 	var seed uint64
 	var dir string
+	var all, slopes bool
 	c := &cobra.Command{
 		Use:   "bench",
 		Short: "Measure admission and scheduling on a virtual clock",
 		Long: `Measures the queues and limits of entry processes over models of engines, on a
 virtual clock, for both users of the design page. It prints one table with the
-baselines, the first version of the policy, the current one, and the targets of
-section 1.2 of the design page. The same seed gives the same figures.`,
+baselines, the previous version of the policy, the current one, and the targets
+of section 1.2 of the design page. The same seed gives the same figures.`,
 		Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			all := bench.Run(bench.Config{Seed: seed})
+			if slopes {
+				bench.PrintSlopes(c.OutOrStdout(), bench.Slopes(10, 1000, 10000))
+				return nil
+			}
+			figures := bench.Run(bench.Config{Seed: seed, All: all})
 			if dir != "" {
-				if err := bench.Plot(dir, all); err != nil {
+				if err := bench.Plot(dir, figures); err != nil {
 					return err
 				}
 			}
-			return bench.Print(c.OutOrStdout(), all)
+			return bench.Print(c.OutOrStdout(), figures)
 		},
 	}
 	c.Flags().Uint64Var(&seed, "seed", 1, "seed of the random numbers")
 	c.Flags().StringVar(&dir, "plots", "", "directory for SVG plots, none when empty")
+	c.Flags().BoolVar(&all, "all", false, "every version of the policy, not the last two alone")
+	c.Flags().BoolVar(&slopes, "slopes", false, "measure memory and processor time for the capacity page instead")
 	return c
 }
--- a/limit/keeper.go
+++ b/limit/keeper.go
@@ -13,8 +13,9 @@
 // limit*u/n*T more while u of n hold none. Processes that see disjoint members
 // (a partition) keep that bound on each side.
 //
-// Lock order: mu and homeMu are never held together. Callbacks are called
-// without a lock.
+// Lock order: mu and homeMu are never held together. Config.Send and
+// Config.Grant are called without a lock; Config.Limits is called under one and
+// must not call the keeper.
 package limit
 
 import (
@@ -266,6 +267,13 @@
 	return max(a.limits.Weight, 1e-3) * part
 }
 
+// Members returns the number of live processes.
+func (k *Keeper) Members() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.members)
+}
+
 // Accounts returns the number of accounts with state in this process.
 func (k *Keeper) Accounts() int {
 	k.mu.Lock()
--- a/queue/dispatch.go
+++ b/queue/dispatch.go
@@ -1,6 +1,7 @@
 package queue
 
 import (
+	"math"
 	"time"
 
 	"github.com/cranberrybay/cranberrybay/fault"
@@ -25,7 +26,7 @@
 		if e == nil {
 			return
 		}
-		if e.work.FirstBy.Before(now) {
+		if now.Add(q.least()).After(e.work.FirstBy) {
 			q.reject(e, now)
 			continue
 		}
@@ -89,6 +90,16 @@
 	if len(all) == 0 {
 		return "", false
 	}
+	return q.choose(all).Name, true
+}
+
+// choose applies the balancing choice to the servers with room.
+func (q *Queue) choose(all []Option) Option {
+	if q.cfg.Policy.Open > 0 {
+		if o, ok := q.open(all); ok {
+			return o
+		}
+	}
 	if q.cfg.Policy.Two && len(all) > 2 {
 		i, j := q.cfg.Rand.IntN(len(all)), q.cfg.Rand.IntN(len(all)-1)
 		if j >= i {
@@ -96,12 +107,39 @@
 		}
 		all = []Option{all[i], all[j]}
 	}
-	return all[q.cfg.Choose(all)].Name, true
+	return all[q.cfg.Choose(all)]
+}
+
+// open draws among the servers with a free slot, in proportion to a power of
+// their free slots.
+func (q *Queue) open(all []Option) (Option, bool) {
+	weight := func(o Option) float64 {
+		return math.Pow(max(0, float64(o.Slots)-o.Load), q.cfg.Policy.Open)
+	}
+	sum := 0.0
+	for _, o := range all {
+		sum += weight(o)
+	}
+	if sum <= 0 {
+		return Option{}, false
+	}
+	at := q.cfg.Rand.Float64() * sum
+	for _, o := range all {
+		if at -= weight(o); at < 0 {
+			return o, true
+		}
+	}
+	return all[len(all)-1], true
 }
 
 func (q *Queue) start(e *Entry, name string, now time.Time) {
-	q.laneOf(e).remove(e)
-	q.clock.now = max(q.clock.now, e.tag)
+	l := q.laneOf(e)
+	f := l.remove(e)
+	f.drain.started(now, q.cfg.Policy.Follow)
+	l.drain.started(now, q.cfg.Policy.Follow)
+	q.clock.now = max(q.clock.now, f.start)
+	f.account.finish = f.start
+	q.charge(e, e.cost, now)
 	e.state = started
 	s := q.servers[name]
 	s.count(now, 1)
@@ -112,15 +150,23 @@
 	q.ready = append(q.ready, e)
 }
 
+// charge moves the virtual time of an entry's account.
+func (q *Queue) charge(e *Entry, cost float64, now time.Time) {
+	a := q.clock.account(e.work.Account, now)
+	a.finish += cost / e.work.Weight
+	q.short.move(a)
+	q.long.move(a)
+}
+
 // admit decides whether a new request can meet its deadline.
 func (q *Queue) admit(e *Entry, now time.Time) error {
 	if q.short.count+q.long.count >= q.cfg.Depth {
-		return q.refuse("the queue is full", now, q.drain(q.short.count))
+		return q.refuse("the queue is full", now, q.drain(now, q.short.count, 0, nil))
 	}
 	if len(q.servers) == 0 {
-		return nil // nothing is known yet; the deadline bounds the wait
+		return q.none(now)
 	}
-	left := e.work.FirstBy.Sub(now) - q.firstAfter()
+	left := time.Duration(float64(e.work.FirstBy.Sub(now))*(1-q.cfg.Policy.Margin)) - q.firstAfter()
 	if wait := q.ahead(e, now); wait > left {
 		return q.refuse("the deadline of the first token can't be met", now, wait-left)
 	}
@@ -129,24 +175,29 @@
 
 // ahead predicts how long a new request would wait.
 func (q *Queue) ahead(e *Entry, now time.Time) time.Duration {
-	tag := max(q.clock.now, q.clock.finish[e.work.Account])
+	l := q.laneOf(e)
+	f := l.flow(q.clock.account(e.work.Account, now), q.clock)
+	n, own := l.ahead(e, f)
 	if e.predict.Long {
 		// Long work goes after the short work that waits, until it has aged.
-		n := q.long.ahead(tag)
 		if n == 0 && q.longFits(now) {
-			return q.drain(q.short.count)
+			return q.drain(now, q.short.count, 0, nil)
 		}
 		return q.drainLong(n + 1)
 	}
-	n := q.short.ahead(tag)
-	if old := q.long.oldest(); old != nil && q.aged(old, now) && q.longFits(now) {
+	if old := q.long.oldest(); !q.cfg.Policy.Measure && old != nil && q.aged(old, now) && q.longFits(now) {
 		n++
 	}
-	return q.drain(n)
+	if q.cfg.Policy.Hope {
+		f = nil
+	}
+	return q.drain(now, n, own, f)
 }
 
-// drain predicts the time until a request with n others before it starts.
-func (q *Queue) drain(n int) time.Duration {
+// drain predicts the time until a short request starts that has n others before
+// it, own of them in its flow. The measured rates contain what long work, other
+// accounts and other processes take.
+func (q *Queue) drain(now time.Time, n, own int, f *flow) time.Duration {
 	peers := q.cfg.Peers()
 	free, slots := 0, 0
 	for _, s := range q.servers {
@@ -156,8 +207,19 @@
 	if n < free {
 		return 0
 	}
-	rate := q.rate(slots, peers)
-	return time.Duration(float64(n-free+1) / rate * float64(time.Second))
+	gap := 1 / q.rate(slots, peers)
+	wait := float64(n-free+1) * gap
+	if q.cfg.Policy.Measure {
+		wait = float64(n-free+1) * q.short.drain.seconds(now, q.short.count > 0, gap)
+		if f != nil {
+			own := float64(own+1) * f.drain.seconds(now, len(f.waiting) > 0, 0)
+			if q.cfg.Policy.Whole {
+				own = min(own, float64(q.short.count+1)*q.short.drain.seconds(now, true, gap))
+			}
+			wait = max(wait, own)
+		}
+	}
+	return time.Duration(wait * float64(time.Second))
 }
 
 // rate predicts how many slots a second come free for this process: those it
@@ -199,10 +261,18 @@
 	return fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Overload, Reason: reason, RetryAt: now.Add(Jitter(q.cfg.Rand, wait))})
 }
 
+// none returns the rejection of a request for a service without servers.
+func (q *Queue) none(now time.Time) error {
+	return fault.New(fault.Config{
+		Verdict: fault.NotRun, Code: fault.Unavailable, Reason: "no backend server of the service is ready",
+		RetryAt: now.Add(Jitter(q.cfg.Rand, time.Second)),
+	})
+}
+
 // reject rejects a waiting entry.
 func (q *Queue) reject(e *Entry, now time.Time) {
 	q.drop(e)
-	e.err = q.refuse("the deadline of the first token can't be met", now, q.drain(q.short.count))
+	e.err = q.refuse("the deadline of the first token can't be met", now, q.drain(now, q.short.count, 0, nil))
 	q.failed = append(q.failed, e)
 }
 
@@ -210,18 +280,31 @@
 func (q *Queue) late() error {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.refuse("the deadline of the first token has passed", q.cfg.Now(), q.drain(q.short.count))
+	now := q.cfg.Now()
+	return q.refuse("the deadline of the first token has passed", now, q.drain(now, q.short.count, 0, nil))
 }
 
 // sweep rejects waiting short requests whose deadline is out of reach by now.
 func (q *Queue) sweep(now time.Time) {
 	first := q.firstAfter()
 	n := 0
-	for _, e := range q.short.ordered() {
-		if q.drain(n) > e.work.FirstBy.Sub(now)-first {
-			q.reject(e, now)
+	gone := map[*flow]int{}
+	for _, t := range q.short.turns() {
+		left := (t.entry.work.FirstBy.Sub(now) - first).Seconds()
+		if q.drain(now, n, t.own-gone[t.flow], t.flow).Seconds() > left*q.cfg.Policy.Patience {
+			q.reject(t.entry, now)
+			gone[t.flow]++
 			continue
 		}
 		n++
 	}
 }
+
+// least is the time to the first token that a dispatched request needs at
+// least: work that is sent later than that is wasted.
+func (q *Queue) least() time.Duration {
+	if !q.cfg.Policy.Measure {
+		return 0
+	}
+	return q.firstAfter() / 2
+}
--- a/queue/flow.go
+++ b/queue/flow.go
@@ -6,18 +6,21 @@
 	"time"
 )
 
-// flow is the queue of one account in one class, in order of arrival.
+// flow is the queue of one account in one class.
 type flow struct {
-	account string
-	waiting []*Entry
-	index   int // position in the heap, -1 when idle
+	account *account
+	waiting []*Entry // ordered by key, then by arrival
+	start   float64  // virtual start time of the first entry
+	index   int      // position in the heap, -1 when idle
+	drain   drain    // starts of this flow while it was backlogged
 }
 
-// lane orders the flows of one class by the start tag of their first entry.
+// lane orders the flows of one class by their virtual start time.
 type lane struct {
 	heap  []*flow
 	flows map[string]*flow
 	count int
+	drain drain
 }
 
 func newLane() *lane { return &lane{flows: map[string]*flow{}} }
@@ -25,13 +28,13 @@
 // Len, Less, Swap, Push and Pop implement heap.Interface.
 func (l *lane) Len() int { return len(l.heap) }
 
-// Less orders by tag, then by account, so that runs are reproducible.
+// Less orders by start, then by account, so that runs are reproducible.
 func (l *lane) Less(i, j int) bool {
 	a, b := l.heap[i], l.heap[j]
-	if a.waiting[0].tag != b.waiting[0].tag {
-		return a.waiting[0].tag < b.waiting[0].tag
+	if a.start != b.start {
+		return a.start < b.start
 	}
-	return a.account < b.account
+	return a.account.name < b.account.name
 }
 
 // Swap exchanges two flows.
@@ -56,25 +59,41 @@
 	return f
 }
 
-func (l *lane) add(e *Entry) {
-	f := l.flows[e.work.Account]
+// flow returns the flow of an account, with its start time up to date.
+func (l *lane) flow(a *account, c *clock) *flow {
+	f := l.flows[a.name]
 	if f == nil {
-		f = &flow{account: e.work.Account, index: -1}
-		l.flows[e.work.Account] = f
+		f = &flow{account: a, index: -1}
+		l.flows[a.name] = f
 	}
-	// A correction may have lowered the account's tag; the order of arrival
-	// within an account stays, as ahead searches by tag.
-	if n := len(f.waiting); n > 0 {
-		e.tag = max(e.tag, f.waiting[n-1].tag)
+	if f.index < 0 {
+		f.account, f.start = a, max(c.now, a.finish)
 	}
-	f.waiting = append(f.waiting, e)
+	return f
+}
+
+func (l *lane) add(e *Entry, now time.Time, c *clock) {
+	f := l.flow(c.account(e.work.Account, now), c)
+	i := f.place(e)
+	f.waiting = append(f.waiting, nil)
+	copy(f.waiting[i+1:], f.waiting[i:])
+	f.waiting[i] = e
 	l.count++
+	if l.count == 1 {
+		l.drain.begin(now)
+	}
 	if f.index < 0 {
+		f.drain.begin(now)
 		heap.Push(l, f)
 	}
 }
 
-// first returns the entry with the lowest tag, or nil.
+// place returns the position of a new entry in its flow.
+func (f *flow) place(e *Entry) int {
+	return sort.Search(len(f.waiting), func(i int) bool { return f.waiting[i].key > e.key })
+}
+
+// first returns the entry to start first, or nil.
 func (l *lane) first() *Entry {
 	if len(l.heap) == 0 {
 		return nil
@@ -83,7 +102,7 @@
 }
 
 // remove takes an entry out.
-func (l *lane) remove(e *Entry) {
+func (l *lane) remove(e *Entry) *flow {
 	f := l.flows[e.work.Account]
 	for i, o := range f.waiting {
 		if o != e {
@@ -95,25 +114,53 @@
 		l.count--
 		break
 	}
-	switch {
-	case len(f.waiting) == 0:
+	if len(f.waiting) == 0 {
 		heap.Remove(l, f.index)
-		delete(l.flows, f.account)
-	default:
+	}
+	return f
+}
+
+// move renews the start time of an account's flow after a charge.
+func (l *lane) move(a *account) {
+	if f := l.flows[a.name]; f != nil && f.index >= 0 {
+		f.start = a.finish
 		heap.Fix(l, f.index)
 	}
 }
 
-// ahead counts the entries with a lower tag.
-func (l *lane) ahead(tag float64) int {
-	n := 0
-	for _, f := range l.heap {
-		n += sort.Search(len(f.waiting), func(i int) bool { return f.waiting[i].tag >= tag })
+// forget drops the idle flow of an account.
+func (l *lane) forget(name string) {
+	if f := l.flows[name]; f != nil && f.index < 0 {
+		delete(l.flows, name)
 	}
-	return n
 }
 
-// oldest returns the entry that has waited longest, or nil.
+// ahead counts the entries that go before a new one: those before it in its own
+// flow, and those of other flows with an earlier virtual start.
+func (l *lane) ahead(e *Entry, f *flow) (all, own int) {
+	own = f.place(e)
+	start := f.start
+	for _, o := range f.waiting[:own] {
+		start += o.cost / o.work.Weight
+	}
+	all = own
+	for _, g := range l.heap {
+		if g == f {
+			continue
+		}
+		s := g.start
+		for _, o := range g.waiting {
+			if s >= start {
+				break
+			}
+			s += o.cost / o.work.Weight
+			all++
+		}
+	}
+	return all, own
+}
+
+// oldest returns the first entry of the flow that has waited longest, or nil.
 func (l *lane) oldest() *Entry {
 	var old *Entry
 	for _, f := range l.heap {
@@ -124,66 +171,122 @@
 	return old
 }
 
-// ordered returns all entries by tag.
-func (l *lane) ordered() []*Entry {
-	out := make([]*Entry, 0, l.count)
+// turn is an entry with its virtual start and its position in its flow.
+type turn struct {
+	entry *Entry
+	start float64
+	own   int
+	flow  *flow
+}
+
+// turns returns all entries in the order in which they would start.
+func (l *lane) turns() []turn {
+	out := make([]turn, 0, l.count)
 	for _, f := range l.heap {
-		out = append(out, f.waiting...)
+		s := f.start
+		for i, e := range f.waiting {
+			out = append(out, turn{e, s, i, f})
+			s += e.cost / e.work.Weight
+		}
 	}
 	sort.Slice(out, func(i, j int) bool {
-		if out[i].tag != out[j].tag {
-			return out[i].tag < out[j].tag
+		if out[i].start != out[j].start {
+			return out[i].start < out[j].start
 		}
-		return out[i].number < out[j].number
+		return out[i].entry.number < out[j].entry.number
 	})
 	return out
 }
 
+// account is the virtual finish time of one account over both classes.
+type account struct {
+	name   string
+	finish float64
+	used   time.Time
+}
+
 // clock is the virtual time of weighted fair queueing (start-time fair
-// queueing): an account's next tag lies its cost over its weight later.
+// queueing): each start moves its account's next start by cost over weight.
 type clock struct {
-	now    float64
-	finish map[string]float64
-	used   map[string]time.Time
-	trimAt int
+	now      float64
+	accounts map[string]*account
+	trimAt   int
 }
 
-func newClock() *clock {
-	return &clock{finish: map[string]float64{}, used: map[string]time.Time{}, trimAt: maxFinish}
-}
+func newClock() *clock { return &clock{accounts: map[string]*account{}, trimAt: maxAccounts} }
 
-// take returns the start tag of a request and charges its cost.
-func (c *clock) take(now time.Time, account string, cost, weight float64) float64 {
-	tag := max(c.now, c.finish[account])
-	c.finish[account] = tag + cost/weight
-	c.used[account] = now
-	if len(c.finish) > c.trimAt {
-		c.trim(now)
-		c.trimAt = max(maxFinish, 2*len(c.finish))
+func (c *clock) account(name string, now time.Time) *account {
+	a := c.accounts[name]
+	if a == nil {
+		a = &account{name: name}
+		c.accounts[name] = a
 	}
-	return tag
+	a.used = now
+	return a
 }
 
-// correct charges the difference between the true and the predicted cost.
-func (c *clock) correct(account string, cost, weight float64) {
-	if f, ok := c.finish[account]; ok {
-		c.finish[account] = f + cost/weight
+const (
+	// maxAccounts is the number of accounts at which idle ones are forgotten.
+	maxAccounts = 4096
+	// idleAccount is how long an idle account's virtual time is kept.
+	idleAccount = time.Minute
+)
+
+// trim returns the accounts whose virtual time no longer matters, when there
+// are many.
+func (c *clock) trim(now time.Time) []string {
+	if len(c.accounts) <= c.trimAt {
+		return nil
+	}
+	var out []string
+	for n, a := range c.accounts {
+		if now.Sub(a.used) > idleAccount {
+			delete(c.accounts, n)
+			out = append(out, n)
+		}
 	}
+	c.trimAt = max(maxAccounts, 2*len(c.accounts))
+	return out
+}
+
+// drain measures how fast a backlog is served: the mean time between starts
+// while there is one.
+type drain struct {
+	gap  mean
+	last time.Time
+	now  time.Time // of the newest start
 }
 
+// Backlogs shorter than a few starts say nothing; observations of an earlier
+// backlog lose their meaning after a while.
 const (
-	// maxFinish is the number of accounts at which idle ones are forgotten.
-	maxFinish = 4096
-	// idleAccount is how long an idle account's tag is kept.
-	idleAccount = time.Minute
+	drainStarts = 4
+	drainKept   = 5 * time.Second
 )
 
-// trim forgets accounts whose tag no longer matters.
-func (c *clock) trim(now time.Time) {
-	for a, f := range c.finish {
-		if f <= c.now || now.Sub(c.used[a]) > idleAccount {
-			delete(c.finish, a)
-			delete(c.used, a)
-		}
+// begin starts a backlog.
+func (d *drain) begin(now time.Time) {
+	if now.Sub(d.now) > drainKept {
+		d.gap = mean{}
+	}
+	d.last = now
+}
+
+// started counts a start out of a backlog.
+func (d *drain) started(now time.Time, follow float64) {
+	d.gap.n++
+	d.gap.value += max(1/float64(d.gap.n), follow) * (now.Sub(d.last).Seconds() - d.gap.value)
+	d.last, d.now = now, now
+}
+
+// seconds returns the mean time between starts, or d when it is not known. A
+// backlog that has not moved for longer counts with that time.
+func (d *drain) seconds(now time.Time, backlog bool, or float64) float64 {
+	if d.gap.n < drainStarts || now.Sub(d.now) > drainKept {
+		return or
+	}
+	if backlog {
+		return max(d.gap.value, now.Sub(d.last).Seconds()/4)
 	}
+	return d.gap.value
 }
--- a/queue/policy.go
+++ b/queue/policy.go
@@ -24,11 +24,42 @@
 	// Two makes the queue compare two servers drawn at random instead of all, so
 	// that processes with the same reports do not choose the same server.
 	Two bool
+	// Open restricts the choice to servers with a free slot while there is one,
+	// and draws among them in proportion to the power Open of their free slots.
+	Open float64
 	// Decay makes the report's view of other processes' requests lose weight
 	// against its running mean, within the time that a request takes.
 	Decay bool
-	// Sweep rejects waiting requests as soon as their deadline is out of reach.
-	Sweep bool
+	// Lag is the mean age of a report's figures when the server sends it.
+	Lag time.Duration
+	// Horizon raises Over to the requests that a server is expected to finish
+	// until its next report, but not over its slots. Where answers take less
+	// time than a report is old, a report of full slots says little.
+	Horizon bool
+	// Shortest orders the requests of an account by arrival plus this many
+	// seconds for each predicted token: shorter work first, with ageing.
+	Shortest float64
+	// Measure predicts waiting times from the measured rate at which this
+	// backlog and the account's own were served, in place of the mean service
+	// time alone, and leaves the part Margin of the time budget as a reserve.
+	Measure bool
+	Margin  float64
+	// Whole bounds a predicted wait by the time in which the whole backlog of
+	// the class would be served, as the overload may end.
+	Whole bool
+	// Hope admits by the backlog before the request alone, and leaves what later
+	// requests of other accounts take to Sweep, as the overload may end.
+	Hope bool
+	// Divide makes the process divide each account's weight between processes
+	// by demand (package limit).
+	Divide bool
+	// Sweep rejects waiting requests as soon as their deadline is out of reach:
+	// when the predicted wait is over Patience times the time that is left. The
+	// prediction is noisy and a rejection is final, so Patience is over 1.
+	Sweep    bool
+	Patience float64
+	// Follow is the weight of the newest start in the measured rates.
+	Follow float64
 }
 
 // V1 is the first version of the policy: it fills every slot that a report
@@ -37,8 +68,18 @@
 	return Policy{Name: "v1", Reserve: 0.25, Over: 2, Age: 0.5}
 }
 
+// V2 compares two servers drawn at random instead of all.
+func V2() Policy {
+	p := V1()
+	p.Name, p.Two = "v2", true
+	return p
+}
+
+// Versions returns every version, oldest first.
+func Versions() []Policy { return []Policy{V1(), V2()} }
+
 // Current is the policy of the entry process.
-func Current() Policy { return V1() }
+func Current() Policy { return V2() }
 
 const (
 	// minService bounds estimates of service times from below, so that a few
--- a/queue/predict.go
+++ b/queue/predict.go
@@ -24,8 +24,9 @@
 	// between 1 and 30 is about 5.
 	longFactor = 5.0
 	// enough is the number of observations at which a bucket is trusted as much
-	// as all coarser ones together.
-	enough = 4.0
+	// as all coarser ones together. With 4, more than half of the long requests
+	// of the bench ended before their bucket counted.
+	enough = 1.0
 	// forget is the weight of the newest observation in a full bucket.
 	forget = 0.05
 	// maxBuckets bounds the memory of the predictor: 10,000 accounts with a few
@@ -89,6 +90,15 @@
 	return &Predictor{typical: math.Log(128), all: map[[2]uint8]*bucket{}, account: map[shapeKey]*bucket{}}
 }
 
+// anySize stands for every size in a key.
+const anySize = 255
+
+// keys returns the keys of the buckets over all accounts, coarse to fine.
+func (s Shape) keys() [3][2]uint8 {
+	l, r := sizeOf(s.Limit), sizeOf(s.Prompt)
+	return [3][2]uint8{{anySize, r}, {l, anySize}, {l, r}}
+}
+
 func sizeOf(n int) uint8 { return uint8(bits.Len(uint(max(n, 0)))) }
 
 // Predict returns the expected length of an answer.
@@ -96,8 +106,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	log, long := p.typical, 0.02
+	for _, k := range s.keys() {
+		log, long = p.all[k].blend(log, long)
+	}
 	l, r := sizeOf(s.Limit), sizeOf(s.Prompt)
-	log, long = p.all[[2]uint8{l, r}].blend(log, long)
 	log, long = p.account[shapeKey{account, l, r}].blend(log, long)
 	pr := Prediction{Tokens: math.Exp(log), Long: long > 0.5 || log > p.typical+math.Log(longFactor)}
 	if s.Limit > 0 {
@@ -143,9 +155,14 @@
 	if isLong {
 		long = 1
 	}
-	l, r := sizeOf(s.Limit), sizeOf(s.Prompt)
-	add(p.all, [2]uint8{l, r}, log, long)
-	add(p.account, shapeKey{account, l, r}, log, long)
+	p.learn(account, s, log, long)
+}
+
+func (p *Predictor) learn(account string, s Shape, log, long float64) {
+	for _, k := range s.keys() {
+		add(p.all, k, log, long)
+	}
+	add(p.account, shapeKey{account, sizeOf(s.Limit), sizeOf(s.Prompt)}, log, long)
 }
 
 // Outlived learns from a request in flight that it is long, so that the next
@@ -154,9 +171,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	log := p.typical + math.Log(longFactor)
-	l, r := sizeOf(s.Limit), sizeOf(s.Prompt)
-	add(p.all, [2]uint8{l, r}, log, 1)
-	add(p.account, shapeKey{account, l, r}, log, 1)
+	p.learn(account, s, log, 1)
 }
 
 // add updates one bucket and drops an arbitrary other one over the bound.
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -8,8 +8,9 @@
 //
 // A request waits on its caller's goroutine; the queue starts none.
 //
-// Lock order: Queue.mu, then Predictor.mu. Budget.mu is never held with
-// another lock. Callbacks are called without a lock.
+// Lock order: Queue.mu, then Predictor.mu. Budget.mu is never held with another
+// lock. The callback of Enter is called without a lock; Config.Peers and
+// Config.Choose are called under Queue.mu and must not call the queue.
 package queue
 
 import (
@@ -49,6 +50,7 @@
 // Queue schedules the requests of one service. Its fields are guarded by mu.
 type Queue struct {
 	cfg       Config
+	epoch     time.Time // of the order within flows
 	mu        sync.Mutex
 	servers   map[string]*server
 	names     []string // sorted, so that choices are reproducible
@@ -93,7 +95,7 @@
 	if cfg.Choose == nil {
 		cfg.Choose = Lowest
 	}
-	return &Queue{cfg: cfg, servers: map[string]*server{}, short: newLane(), long: newLane(), clock: newClock()}
+	return &Queue{cfg: cfg, epoch: cfg.Now(), servers: map[string]*server{}, short: newLane(), long: newLane(), clock: newClock()}
 }
 
 // Entry is a request that waits, or has been started.
@@ -102,7 +104,7 @@
 	work    Work
 	predict Prediction
 	cost    float64
-	tag     float64
+	key     float64 // order within the account's flow
 	number  uint64
 	entered time.Time
 	state   uint8
@@ -183,6 +185,7 @@
 	if w.Weight <= 0 {
 		e.work.Weight = 1
 	}
+	e.key = now.Sub(q.epoch).Seconds() + q.cfg.Policy.Shortest*e.cost
 	q.mu.Lock()
 	q.refresh(now)
 	if err := q.admit(e, now); err != nil {
@@ -192,8 +195,11 @@
 	}
 	q.number++
 	e.number = q.number
-	e.tag = q.clock.take(now, w.Account, e.cost, e.work.Weight)
-	q.laneOf(e).add(e)
+	for _, n := range q.clock.trim(now) {
+		q.short.forget(n)
+		q.long.forget(n)
+	}
+	q.laneOf(e).add(e, now, q.clock)
 	if !e.predict.Long {
 		q.lastShort = now
 	}
@@ -214,10 +220,9 @@
 	return true
 }
 
-// drop removes a waiting entry and returns its charge.
+// drop removes a waiting entry.
 func (q *Queue) drop(e *Entry) {
 	q.laneOf(e).remove(e)
-	q.clock.correct(e.work.Account, -e.cost, e.work.Weight)
 	e.state = gone
 }
 
@@ -245,6 +250,7 @@
 	if r.Taken.IsZero() {
 		r.Taken = now
 	}
+	r.Taken = r.Taken.Add(-q.cfg.Policy.Lag)
 	q.mu.Lock()
 	defer q.unlock()
 	s := q.servers[r.Name]
@@ -257,6 +263,9 @@
 	if r.Taken.Before(s.report.Taken) {
 		return
 	}
+	if !s.report.Taken.IsZero() {
+		s.every.add(r.Taken.Sub(s.report.Taken).Seconds())
+	}
 	s.report = r
 	s.fresh = s.reported()
 	s.others.add(s.fresh)
@@ -284,6 +293,17 @@
 	delete(q.servers, name)
 	i := sort.SearchStrings(q.names, name)
 	q.names = append(q.names[:i], q.names[i+1:]...)
+	if len(q.names) > 0 {
+		return
+	}
+	now := q.cfg.Now()
+	for _, l := range []*lane{q.short, q.long} {
+		for _, t := range l.turns() {
+			q.drop(t.entry)
+			t.entry.err = q.none(now)
+			q.failed = append(q.failed, t.entry)
+		}
+	}
 }
 
 // Waiting returns the number of waiting requests.
@@ -293,5 +313,10 @@
 	return q.short.count + q.long.count
 }
 
+// Expect returns the tokens that a request is expected to cost.
+func (q *Queue) Expect(account string, s Shape) float64 {
+	return q.cfg.Predictor.Predict(account, s).Tokens
+}
+
 // Errors returns the measured errors of the queue's predictions.
 func (q *Queue) Errors() Errors { return q.cfg.Predictor.Errors() }
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -194,6 +194,21 @@
 	})
 }
 
+// Guards against requests that wait for their deadline although no server is
+// left that could serve them.
+func TestLastServerGone(t *testing.T) {
+	r := newRig(plain(), 1)
+	r.mustEnter(t, "runs", "x", Work{})
+	r.mustEnter(t, "waits", "x", Work{})
+	r.q.Forget("a")
+	assert.Equal(t, fault.CodeOf(r.errs["waits"]), fault.Unavailable)
+	assert.Equal(t, fault.Of(r.errs["waits"]), fault.NotRun)
+	_, err := r.enter("late", "x", Work{})
+	assert.Equal(t, fault.CodeOf(err), fault.Unavailable)
+	r.slots["runs"].Done(10)
+	assert.Equal(t, r.q.Waiting(), 0)
+}
+
 // Guards against a retry storm: retries stay within their part of requests.
 func TestBudget(t *testing.T) {
 	b := NewBudget(0.1, 10)
@@ -215,7 +230,7 @@
 	own := 0
 	for n, s := range q.servers {
 		own += s.own
-		if s.own < 0 || s.own > s.report.Slots+q.cfg.Policy.Over {
+		if s.own < 0 || s.own > s.report.Slots+s.over {
 			return fmt.Errorf("server %s has %d requests of this process for %d slots", n, s.own, s.report.Slots)
 		}
 		if q.short.count > 0 && s.room(q.cfg.Policy, 1) {
--- a/queue/server.go
+++ b/queue/server.go
@@ -41,6 +41,8 @@
 	spare   float64 // slots that this process may still take on this report
 	fresh   float64 // requests of other processes at the last report
 	other   float64 // requests of other processes now, estimated
+	over    int     // requests beyond the slots that it may be sent
+	every   mean    // seconds between reports
 	others  mean    // requests of other processes, by past reports
 	pace    mean    // seconds between tokens
 	first   mean    // seconds from dispatch to the first token
@@ -97,7 +99,11 @@
 // refresh renews the estimate of other processes' requests. A report loses its
 // weight as the requests that it counted end.
 func (s *server) refresh(now time.Time, p Policy, service float64) {
-	s.other = s.fresh
+	s.other, s.over = s.fresh, p.Over
+	if p.Horizon {
+		more := float64(s.report.Slots) * s.every.or(0) / service
+		s.over = min(max(p.Over, int(more)), s.report.Slots)
+	}
 	if p.Decay {
 		w := math.Exp(-now.Sub(s.report.Taken).Seconds() / service)
 		s.other = w*s.fresh + (1-w)*s.others.or(s.fresh)
@@ -116,7 +122,7 @@
 	switch {
 	case load < s.report.Slots:
 		return fair || !p.Spread || s.spare >= 1
-	case load >= s.report.Slots+p.Over:
+	case load >= s.report.Slots+s.over:
 		return false
 	case p.Fair:
 		return fair
@@ -127,7 +133,7 @@
 
 // free returns how many requests the server may be sent now.
 func (s *server) free(p Policy, peers int) int {
-	n := s.report.Slots + p.Over - s.load()
+	n := s.report.Slots + s.over - s.load()
 	if n <= 0 {
 		return 0
 	}
@@ -138,7 +144,7 @@
 }
 
 func (s *server) option(name string) Option {
-	return Option{Name: name, Slots: s.report.Slots, Load: float64(s.load()), Own: s.own, Pace: time.Duration(s.pace.or(0) * float64(time.Second))}
+	return Option{Name: name, Slots: s.report.Slots, Load: s.other + float64(s.own), Own: s.own, Pace: time.Duration(s.pace.or(0) * float64(time.Second))}
 }
 
 // Lowest is the balancing choice used when none is configured: the server with
--- a/queue/slot.go
+++ b/queue/slot.go
@@ -60,6 +60,38 @@
 	s.q.dispatch(now)
 }
 
+// Move chooses another server for a request whose server has failed, by the
+// same estimates as a new request. It returns false when there is none.
+func (s *Slot) Move() (string, bool) {
+	q := s.q
+	q.mu.Lock()
+	defer q.unlock()
+	var all, room []Option
+	peers := q.cfg.Peers()
+	for _, n := range q.names {
+		o := q.servers[n]
+		if n == s.name {
+			continue
+		}
+		all = append(all, o.option(n))
+		if o.room(q.cfg.Policy, peers) {
+			room = append(room, o.option(n))
+		}
+	}
+	if len(room) > 0 {
+		all = room
+	}
+	if s.ended || len(all) == 0 {
+		return "", false
+	}
+	now := q.cfg.Now()
+	s.server.count(now, -1)
+	s.name = q.choose(all).Name
+	s.server = q.servers[s.name]
+	s.server.count(now, 1)
+	return s.name, true
+}
+
 // Token counts one token of the answer. A request that outlives its prediction
 // is reclassified as long while it runs, so that it counts against the slots
 // that long work may use.
@@ -127,7 +159,7 @@
 		}
 	}
 	if !s.entry.work.Plain {
-		q.clock.correct(s.entry.work.Account, float64(tokens)-s.entry.cost, s.entry.work.Weight)
+		q.charge(s.entry, float64(tokens)-s.entry.cost, now)
 	}
 	q.dispatch(now)
 }
