queue: policy v3 lets a process claim its part of a full server

Cause: a process without requests on full servers got nothing while the others replaced each request that ended with their own. Change: Fair: a process that holds less than slots/n of a server may send to it although it is full, where the engine's queue orders the processes; the others wait for a free slot.

--- a/queue/policy.go
+++ b/queue/policy.go
@@ -75,11 +75,18 @@
 	return p
 }
 
+// V3 lets a process with less than its part of a server send to a full one.
+func V3() Policy {
+	p := V2()
+	p.Name, p.Fair = "v3", true
+	return p
+}
+
 // Versions returns every version, oldest first.
-func Versions() []Policy { return []Policy{V1(), V2()} }
+func Versions() []Policy { return []Policy{V1(), V2(), V3()} }
 
 // Current is the policy of the entry process.
-func Current() Policy { return V2() }
+func Current() Policy { return V3() }
 
 const (
 	// minService bounds estimates of service times from below, so that a few
