--- a/queue/policy.go
+++ b/queue/policy.go
@@ -89,11 +89,20 @@
 	return p
 }
 
+// V5 predicts waiting times from measured rates, rejects as soon as a deadline
+// is out of reach, and prefers shorter work within an account.
+func V5() Policy {
+	p := V4()
+	p.Name, p.Measure, p.Sweep, p.Margin, p.Shortest = "v5", true, true, 0.1, 0.01
+	p.Patience, p.Follow = 1, 0.15
+	return p
+}
+
 // Versions returns every version, oldest first.
-func Versions() []Policy { return []Policy{V1(), V2(), V3(), V4()} }
+func Versions() []Policy { return []Policy{V1(), V2(), V3(), V4(), V5()} }
 
 // Current is the policy of the entry process.
-func Current() Policy { return V4() }
+func Current() Policy { return V5() }
 
 const (
 	// minService bounds estimates of service times from below, so that a few
