queue: policy v6 divides weights between processes by demand

Cause: weights counted in each process anew, so an account on eight processes had eight times the weight of one on a single process. Change: Divide: the process multiplies an account's weight by the part of its demand that the account's home process reports for it.

--- a/queue/policy.go
+++ b/queue/policy.go
@@ -98,11 +98,18 @@
 	return p
 }
 
+// V6 divides the weights of accounts between processes by demand.
+func V6() Policy {
+	p := V5()
+	p.Name, p.Divide = "v6", true
+	return p
+}
+
 // Versions returns every version, oldest first.
-func Versions() []Policy { return []Policy{V1(), V2(), V3(), V4(), V5()} }
+func Versions() []Policy { return []Policy{V1(), V2(), V3(), V4(), V5(), V6()} }
 
 // Current is the policy of the entry process.
-func Current() Policy { return V5() }
+func Current() Policy { return V6() }
 
 const (
 	// minService bounds estimates of service times from below, so that a few
