--- a/queue/policy.go
+++ b/queue/policy.go
@@ -113,11 +113,19 @@
 	return p
 }
 
+// V8 admits by the backlog before a request and is more patient with the
+// requests that wait.
+func V8() Policy {
+	p := V7()
+	p.Name, p.Hope, p.Patience = "v8", true, 2
+	return p
+}
+
 // Versions returns every version, oldest first.
-func Versions() []Policy { return []Policy{V1(), V2(), V3(), V4(), V5(), V6(), V7()} }
+func Versions() []Policy { return []Policy{V1(), V2(), V3(), V4(), V5(), V6(), V7(), V8()} }
 
 // Current is the policy of the entry process.
-func Current() Policy { return V7() }
+func Current() Policy { return V8() }
 
 const (
 	// minService bounds estimates of service times from below, so that a few
