entry, node, admin: ask limits and queues before a request is sent

Cause: the running entry process used neither limits nor queues. Change: a hook in chat.go and one in service.go ask the account's limits and the service's queue; the queue hears of the server that was really used, of tokens and of the end; engines get the priority; retries of plain calls spend the budget. The watcher passes load reports of first stages and plain servers to the queues; GET /metrics on the operators' listener has queue lengths, waiting times, rejections by reason and the error of predictions. Conclusion: one process limits and queues alone until the cluster part calls Keeper.SetMembers and fills Send and Grant.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -43,7 +44,9 @@
 	Table  *table.Client
 	Fleet  *fleet.Table
 	Drain  func()
-	Log    zerolog.Logger
+	// Metrics writes the metrics of the process; nil for none.
+	Metrics func(io.Writer)
+	Log     zerolog.Logger
 }
 
 // Handler serves operators.
@@ -60,6 +63,9 @@
 	h.engine.POST("/publish", h.publish)
 	h.engine.GET("/status", h.status)
 	h.engine.GET("/audit", h.audit)
+	if cfg.Metrics != nil {
+		h.engine.GET("/metrics", func(c *gin.Context) { cfg.Metrics(c.Writer) })
+	}
 	h.engine.POST("/drain", func(c *gin.Context) { cfg.Drain(); c.JSON(http.StatusAccepted, gin.H{}) })
 	return h
 }
--- /dev/null
+++ b/entry/admit.go
@@ -0,0 +1,122 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"github.com/cranberrybay/cranberrybay/limit"
+	"github.com/cranberrybay/cranberrybay/queue"
+	"github.com/cranberrybay/cranberrybay/route"
+	"github.com/cranberrybay/cranberrybay/spec"
+	"github.com/cranberrybay/cranberrybay/stream"
+)
+
+// Gate holds the limits and queues that a request passes before it is sent. A
+// nil Gate admits everything at once.
+type Gate struct {
+	Limits  *limit.Keeper
+	Queues  *queue.Set
+	Retries *queue.Budget
+}
+
+// retry takes one retry out of the budget.
+func (g *Gate) retry() bool { return g == nil || g.Retries.Retry() }
+
+// pass is a request's permission to run. A nil pass is one without limits.
+type pass struct {
+	grant  *limit.Grant
+	slot   *queue.Slot
+	tokens int
+	whole  bool
+}
+
+// plainCost is the cost of a call of a plain service, in tokens.
+const plainCost = 1
+
+// admit asks the account's limits and then waits in the service's queue. Its
+// error is not run and carries the time at which to retry.
+func (h *Handler) admit(c *gin.Context, svc *spec.Service, s queue.Shape, firstBy time.Time) (*pass, error) {
+	g := h.cfg.Gate
+	if g == nil {
+		return nil, nil
+	}
+	g.Retries.Request()
+	q, name := g.Queues.Of(svc.Name()), accountOf(c).Name()
+	cost := float64(plainCost)
+	if svc.IsModel() {
+		cost = q.Expect(name, s)
+	}
+	grant, err := g.Limits.Admit(name, cost)
+	if err != nil {
+		return nil, err
+	}
+	slot, err := q.Wait(c.Request.Context(), queue.Work{
+		Account: name, Weight: g.Limits.Weight(name), Shape: s, FirstBy: firstBy, Plain: !svc.IsModel(),
+	})
+	if err != nil {
+		grant.Done(0)
+		return nil, err
+	}
+	return &pass{grant: grant, slot: slot}, nil
+}
+
+// sent tells the queue which server the request really went to.
+func (p *pass) sent(server string) {
+	if p != nil {
+		p.slot.Sent(server)
+	}
+}
+
+// done records a whole answer of some tokens.
+func (p *pass) done(tokens int) {
+	if p != nil {
+		p.tokens, p.whole = tokens, true
+	}
+}
+
+// end frees the slot and settles the account.
+func (p *pass) end() {
+	if p == nil {
+		return
+	}
+	if p.whole {
+		p.slot.Done(p.tokens)
+	} else {
+		p.slot.Drop()
+	}
+	p.grant.Done(float64(p.tokens))
+}
+
+// runFunc streams an answer into a sink, as stream.Runner.Run does.
+type runFunc func(ctx context.Context, rq stream.Request, sink func(token string) error) (stream.Outcome, error)
+
+// wrap returns a run that carries the priority of the request to the engines
+// and reports the course of the answer to the queue.
+func (p *pass) wrap(run runFunc) runFunc {
+	if p == nil {
+		return run
+	}
+	return func(ctx context.Context, rq stream.Request, sink func(string) error) (stream.Outcome, error) {
+		rq.Priority = p.slot.Priority()
+		out, err := run(ctx, rq, func(t string) error {
+			p.slot.Token()
+			p.tokens++
+			return sink(t)
+		})
+		if err == nil {
+			p.done(out.Tokens)
+		}
+		return out, err
+	}
+}
+
+// began returns a function that counts the use of a route and tells the queue
+// its first stage, which holds the slot.
+func (h *Handler) began(p *pass) func(route.Route) {
+	return func(r route.Route) {
+		each(r, h.cfg.Fleet.Begin)
+		p.sent(r[0].Name)
+	}
+}
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -12,6 +12,7 @@
 
 	"github.com/cranberrybay/cranberrybay/engine"
 	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/queue"
 	"github.com/cranberrybay/cranberrybay/route"
 	"github.com/cranberrybay/cranberrybay/spec"
 	"github.com/cranberrybay/cranberrybay/stream"
@@ -76,14 +77,20 @@
 	prompt := promptOf(rq.Messages)
 	rs := &chatReply{ID: newID(), Object: "chat.completion", Created: time.Now().Unix(), Model: rq.Model}
 	sr := stream.Request{ID: rs.ID, Model: svc.Model(), Layers: svc.Layers(), Prompt: prompt, Limit: rq.Limit, FirstBy: svc.FirstBy(time.Now())}
-	run := h.runner(svc)
+	p, err := h.admit(c, svc, queue.Shape{Limit: rq.Limit, Prompt: len(prompt)}, sr.FirstBy)
+	if err != nil {
+		problem(c, err)
+		return
+	}
+	defer p.end()
+	run := p.wrap(h.runner(svc, p).Run)
 	c.Header("X-Request-Id", rs.ID)
 	if rq.Stream {
 		h.streamChat(c, run, sr, rs)
 		return
 	}
 	var text strings.Builder
-	out, err := run.Run(c.Request.Context(), sr, func(t string) error { text.WriteString(t); return nil })
+	out, err := run(c.Request.Context(), sr, func(t string) error { text.WriteString(t); return nil })
 	if err != nil {
 		problem(c, err)
 		return
@@ -134,14 +141,14 @@
 }
 
 // runner returns the runner of a service's answers.
-func (h *Handler) runner(svc *spec.Service) *stream.Runner {
+func (h *Handler) runner(svc *spec.Service, p *pass) *stream.Runner {
 	return stream.New(stream.Config{
 		Choose: func(avoid map[string]bool) (route.Route, error) {
 			return route.Choose(h.cfg.Fleet, route.Want{Service: svc.Name(), Layers: svc.Layers(), Domain: h.cfg.Domain, Avoid: avoid})
 		},
 		Generate: func(ctx context.Context, j engine.Job) (stream.Answer, error) { return h.cfg.Engines.Generate(ctx, j) },
 		Failed:   h.cfg.Fleet.Failed,
-		Began:    func(r route.Route) { each(r, h.cfg.Fleet.Begin) },
+		Began:    h.began(p),
 		Ended:    func(r route.Route) { each(r, h.cfg.Fleet.End) },
 	})
 }
@@ -154,7 +161,7 @@
 
 // streamChat answers with server-sent events. The status line goes out with
 // the first token, so that an error before it still gets its own status.
-func (h *Handler) streamChat(c *gin.Context, run *stream.Runner, sr stream.Request, rs *chatReply) {
+func (h *Handler) streamChat(c *gin.Context, run runFunc, sr stream.Request, rs *chatReply) {
 	rs.Object = "chat.completion.chunk"
 	started := false
 	send := func(ch chatChoice) error {
@@ -175,7 +182,7 @@
 		c.Writer.Flush()
 		return c.Request.Context().Err()
 	}
-	out, err := run.Run(c.Request.Context(), sr, func(t string) error {
+	out, err := run(c.Request.Context(), sr, func(t string) error {
 		return send(chatChoice{Delta: &chatDelta{Content: t}})
 	})
 	if err != nil {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -47,6 +47,7 @@
 	Engines   *engine.Client
 	Services  *proxy.Client
 	Claims    *claim.Book
+	Gate      *Gate  // limits and queues; nil for none
 	Domain    string // failure domain of this process
 	Addresses func() Addresses
 	Log       zerolog.Logger
--- a/entry/service.go
+++ b/entry/service.go
@@ -11,6 +11,7 @@
 	"github.com/cranberrybay/cranberrybay/fault"
 	"github.com/cranberrybay/cranberrybay/fleet"
 	"github.com/cranberrybay/cranberrybay/proxy"
+	"github.com/cranberrybay/cranberrybay/queue"
 	"github.com/cranberrybay/cranberrybay/spec"
 )
 
@@ -84,19 +85,29 @@
 // send tries servers until one answers. After a failure that may have run, it
 // repeats the call only when it is idempotent.
 func (h *Handler) send(c *gin.Context, svc *spec.Service, call proxy.Call) (*proxy.Answer, error) {
+	p, err := h.admit(c, svc, queue.Shape{}, svc.FirstBy(time.Now()))
+	if err != nil {
+		return nil, err
+	}
+	defer p.end()
 	avoid := map[string]bool{}
 	idempotent := svc.Idempotent(call.Method, c.Param("path"))
 	var last error
-	for range maxTries {
+	for n := range maxTries {
+		if n > 0 && !h.cfg.Gate.retry() {
+			break
+		}
 		sv, ok := pick(h.cfg.Fleet.Servers(svc.Name()), avoid)
 		if !ok {
 			break
 		}
+		p.sent(sv.Name)
 		h.cfg.Fleet.Begin(sv.Name)
 		a, err := h.cfg.Services.Do(c.Request.Context(), sv.Address, call)
 		h.cfg.Fleet.End(sv.Name)
 		if err == nil {
 			h.cfg.Fleet.Worked(sv.Name)
+			p.done(plainCost)
 			return a, nil
 		}
 		avoid[sv.Name] = true
--- /dev/null
+++ b/node/admit.go
@@ -0,0 +1,85 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/fx"
+
+	"github.com/cranberrybay/cranberrybay/change"
+	"github.com/cranberrybay/cranberrybay/engine"
+	"github.com/cranberrybay/cranberrybay/limit"
+	"github.com/cranberrybay/cranberrybay/queue"
+)
+
+// Retries of a process: a part of its requests, with some saved up.
+const (
+	retryPart  = 0.1
+	retryBurst = 10
+)
+
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+// newKeeper returns the limits of client accounts. Without connections to other
+// processes it is its only member; whoever connects them calls SetMembers.
+func newKeeper(s Settings, i incarnation, st *change.Store, m *metrics.Set) *limit.Keeper {
+	return limit.New(limit.Config{
+		Self: s.Name, Run: string(i), Rand: newRand(), Metrics: limit.NewMetrics(m),
+		Limits: func(name string) (limit.Limits, bool) {
+			a := st.Tree().Account(name)
+			if a == nil {
+				return limit.Limits{}, false
+			}
+			return limit.Limits{
+				Amounts: limit.Amounts{limit.Rate: a.Rate(), limit.Tokens: a.Tokens(), limit.Inflight: float64(a.Inflight())},
+				Weight:  float64(a.Weight()),
+			}, true
+		},
+	})
+}
+
+// newQueues returns the queues of all services. The processes that send to the
+// same servers are the members that the limits know.
+func newQueues(k *limit.Keeper, m *metrics.Set) *queue.Set {
+	return queue.NewSet(func(service string) *queue.Queue {
+		return queue.New(queue.Config{Name: service, Rand: newRand(), Peers: k.Members, Metrics: queue.NewMetrics(m, service)})
+	})
+}
+
+// reportDemand reports the demand of accounts while the process runs.
+func reportDemand(lc fx.Lifecycle, k *limit.Keeper) {
+	ctx, cancel := context.WithCancel(context.Background())
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go func() {
+				t := time.NewTicker(limit.ReportInterval)
+				defer t.Stop()
+				for {
+					select {
+					case <-ctx.Done():
+						return
+					case <-t.C:
+						k.Tick()
+					}
+				}
+			}()
+			return nil
+		},
+		OnStop: func(context.Context) error { cancel(); return nil },
+	})
+}
+
+// admit passes a load report to the queue of a service. The first stage of a
+// pipeline drives an answer and holds its slot, so later stages don't count.
+func admit(q *queue.Queue, name string, l engine.Load, sent time.Time) {
+	if l.First != 0 {
+		return
+	}
+	if !l.Ready || l.Leaving {
+		q.Forget(name)
+		return
+	}
+	q.Observe(queue.Report{Name: name, Slots: max(1, l.Slots), Running: l.Running, Waiting: l.Waiting, Taken: sent})
+}
--- a/node/node.go
+++ b/node/node.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/uuid"
 	"github.com/rs/zerolog"
 	"go.uber.org/fx"
@@ -20,8 +21,10 @@
 	"github.com/cranberrybay/cranberrybay/engine"
 	"github.com/cranberrybay/cranberrybay/entry"
 	"github.com/cranberrybay/cranberrybay/fleet"
+	"github.com/cranberrybay/cranberrybay/limit"
 	"github.com/cranberrybay/cranberrybay/plat"
 	"github.com/cranberrybay/cranberrybay/proxy"
+	"github.com/cranberrybay/cranberrybay/queue"
 	"github.com/cranberrybay/cranberrybay/table"
 )
 
@@ -50,10 +53,13 @@
 			func(t *table.Client, i incarnation) *claim.Book {
 				return claim.New(claim.Config{Table: t, Holder: string(i)})
 			},
+			metrics.NewSet,
+			newKeeper,
+			newQueues,
 			newEntry,
 			newAdmin,
 		),
-		fx.Invoke(background, listen),
+		fx.Invoke(background, listen, reportDemand),
 	)
 }
 
@@ -67,12 +73,15 @@
 	Engines  *engine.Client
 	Services *proxy.Client
 	Claims   *claim.Book
+	Limits   *limit.Keeper
+	Queues   *queue.Set
 	Log      zerolog.Logger
 }
 
 func newEntry(p entryParts) *entry.Handler {
 	return entry.New(entry.Config{
 		Store: p.Store, Fleet: p.Fleet, Engines: p.Engines, Services: p.Services, Claims: p.Claims,
+		Gate:   &entry.Gate{Limits: p.Limits, Queues: p.Queues, Retries: queue.NewBudget(retryPart, retryBurst)},
 		Domain: p.Settings.Domain, Log: part(p.Log, "entry"),
 		Addresses: func() entry.Addresses {
 			return entry.Addresses{Addresses: []string{p.Settings.Listen.Callers}, Until: time.Now().Add(30 * time.Second).UTC()}
@@ -80,10 +89,10 @@
 	})
 }
 
-func newAdmin(s Settings, st *change.Store, t *table.Client, f *fleet.Table, e *entry.Handler, l zerolog.Logger) *admin.Handler {
+func newAdmin(s Settings, st *change.Store, t *table.Client, f *fleet.Table, e *entry.Handler, m *metrics.Set, l zerolog.Logger) *admin.Handler {
 	return admin.New(admin.Config{
 		Name: s.Name, Domain: s.Domain, Token: s.Token, Store: st, Table: t, Fleet: f,
-		Drain: e.Drain, Log: part(l, "admin"),
+		Drain: e.Drain, Metrics: m.WritePrometheus, Log: part(l, "admin"),
 	})
 }
 
@@ -95,9 +104,9 @@
 )
 
 // background runs the loops that keep tables fresh.
-func background(lc fx.Lifecycle, st *change.Store, f *fleet.Table, l *plat.VMList, e *engine.Client, log zerolog.Logger) {
+func background(lc fx.Lifecycle, st *change.Store, f *fleet.Table, l *plat.VMList, e *engine.Client, q *queue.Set, log zerolog.Logger) {
 	ctx, cancel := context.WithCancel(context.Background())
-	w := &watcher{fleet: f, list: l, engines: e, log: part(log, "fleet")}
+	w := &watcher{fleet: f, list: l, engines: e, queues: q, log: part(log, "fleet")}
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			cl := part(log, "change")
--- a/node/watch.go
+++ b/node/watch.go
@@ -10,6 +10,7 @@
 	"github.com/cranberrybay/cranberrybay/engine"
 	"github.com/cranberrybay/cranberrybay/fleet"
 	"github.com/cranberrybay/cranberrybay/plat"
+	"github.com/cranberrybay/cranberrybay/queue"
 )
 
 // watcher keeps the fleet table fresh from the VM list and load reports.
@@ -17,6 +18,7 @@
 	fleet   *fleet.Table
 	list    *plat.VMList
 	engines *engine.Client
+	queues  *queue.Set
 	log     zerolog.Logger
 }
 
@@ -47,6 +49,7 @@
 		w.fleet.Listed(fleet.State{Name: v.Name, Address: v.Address, Domain: v.Domain, Service: v.Service, Leaving: v.Leaving})
 	}
 	w.fleet.Keep(names)
+	w.queues.Keep(names)
 }
 
 // loadTimeout bounds one load report.
@@ -63,11 +66,14 @@
 func (w *watcher) readLoad(ctx context.Context, s fleet.State) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
+	sent := time.Now()
 	l, err := w.engines.Load(ctx, s.Address)
 	if err != nil {
 		w.fleet.Failed(s.Name)
+		w.queues.Of(s.Service).Forget(s.Name)
 		return
 	}
+	admit(w.queues.Of(s.Service), s.Name, l, sent)
 	w.fleet.Reported(s.Name, func(st *fleet.State) {
 		st.Kind, st.Model, st.Version, st.First, st.Last = l.Kind, l.Model, l.Version, l.First, l.Last
 		st.Slots, st.Running, st.Waiting, st.Ready, st.Leaving = l.Slots, l.Running, l.Waiting, l.Ready, l.Leaving
