--- a/bench/load.go
+++ b/bench/load.go
@@ -91,6 +91,9 @@
 	if plain {
 		unit = float64(s.Plain*s.PlainSlot) / (plainStep * plainMean)
 	}
+	if unit <= 0 {
+		return out
+	}
 	t := 0.0
 	for {
 		t += r.ExpFloat64() / (unit * most)
--- a/bench/run.go
+++ b/bench/run.go
@@ -1,7 +1,6 @@
 package bench
 
 import (
-	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -63,21 +62,17 @@
 		wg.Go(func() {
 			turn <- struct{}{}
 			defer func() { <-turn }()
-			out[i].play(s, v, cfg.Seed)
+			out[i].play(s, v, scenes(cfg.Seed))
 		})
 	}
 	wg.Wait()
 	return out
 }
 
-// play runs the named scenes of one shape and variant, or all.
-func (f *Figures) play(s Shape, v Variant, seed uint64, names ...string) {
+// play runs scenes of one shape and variant.
+func (f *Figures) play(s Shape, v Variant, list []Scene) {
 	f.runs = map[string]*sim{}
-	for _, sc := range scenes(seed) {
-		if len(names) > 0 && !slices.Contains(names, sc.Name) {
-			continue
-		}
-		sc.Seed, sc.Warm = seed, warm
+	for _, sc := range list {
 		m := newSim(s, sc, v)
 		m.run()
 		f.runs[sc.Name] = m
--- a/bench/scenes.go
+++ b/bench/scenes.go
@@ -83,7 +83,7 @@
 
 // scenes returns the scenes of one seed.
 func scenes(seed uint64) []Scene {
-	return []Scene{
+	all := []Scene{
 		{Name: steady, Load: constant(steadyLoad), Long: true, End: 6 * time.Minute},
 		{Name: alone, Load: constant(steadyLoad), Same: true, End: 6 * time.Minute},
 		{Name: light, Load: constant(steadyLoad), End: 6 * time.Minute},
@@ -95,6 +95,10 @@
 		// replacement is up after 10 s but the VM list does not show it.
 		{Name: platform, Load: constant(failLoad), Long: true, End: 4 * time.Minute, Fail: []Failure{{At: failAt, Back: failAt + 10*time.Second, Shown: failAt + 45*time.Second, Lane: 0, Domain: -1}}},
 	}
+	for i := range all {
+		all[i].Seed, all[i].Warm = seed, warm
+	}
+	return all
 }
 
 // recovery returns the seconds from a moment until, in every following window
