--- a/admin/admin.go
+++ b/admin/admin.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -57,7 +58,10 @@
 	Table  *table.Client
 	Fleet  *fleet.Table
 	Drain  func()
-	Log    zerolog.Logger
+	// Metrics writes the metrics of the parts that keep a set of their own; nil
+	// for none.
+	Metrics func(io.Writer)
+	Log     zerolog.Logger
 	// Live returns the live entry processes and their versions. Nil means that
 	// only this process is known.
 	Live func() []Live
@@ -88,7 +92,12 @@
 	h.engine.GET("/status", h.status)
 	h.engine.GET("/audit", h.audit)
 	h.engine.GET("/wait", h.wait)
-	h.engine.GET("/metrics", func(c *gin.Context) { metrics.WritePrometheus(c.Writer, true) })
+	h.engine.GET("/metrics", func(c *gin.Context) {
+		metrics.WritePrometheus(c.Writer, true)
+		if cfg.Metrics != nil {
+			cfg.Metrics(c.Writer)
+		}
+	})
 	op := h.engine.Group("/", h.operatorOnly)
 	op.POST("/publish", h.publish)
 	op.POST("/drain", func(c *gin.Context) {
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -13,6 +13,7 @@
 
 	"github.com/cranberrybay/cranberrybay/engine"
 	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/queue"
 	"github.com/cranberrybay/cranberrybay/spec"
 	"github.com/cranberrybay/cranberrybay/stream"
 )
@@ -168,17 +169,25 @@
 		ID: rs.ID, Service: svc.Name(), Model: svc.Model(), Layers: svc.Layers(), Prompt: prompt,
 		Blocks: engine.Blocks(svc.Model(), prompt), Limit: *rq.Limit, FirstBy: svc.FirstBy(time.Now()),
 	}
+	p, err := h.admit(c, svc, queue.Shape{Limit: *rq.Limit, Prompt: len(prompt)}, sr.FirstBy)
+	if err != nil {
+		chatFailed(c, err)
+		return
+	}
+	defer p.end()
+	sr.Priority = p.priority()
 	c.Header("X-Request-Id", rs.ID)
 	if rq.Stream {
-		h.streamChat(c, sr, rs, rq.Options.Usage)
+		h.streamChat(c, p, sr, rs, rq.Options.Usage)
 		return
 	}
 	var text strings.Builder
-	out, err := h.answers.Run(c.Request.Context(), sr, stream.Sink{Token: func(t string) error { text.WriteString(t); return nil }})
+	out, err := h.answers.Run(c.Request.Context(), sr, p.wrap(stream.Sink{Token: func(t string) error { text.WriteString(t); return nil }}))
 	if err != nil {
 		chatFailed(c, err)
 		return
 	}
+	p.done(out.Tokens)
 	rs.Choices = []chatChoice{{Message: &ChatMessage{Role: "assistant", Content: ChatText(text.String())}, Finish: finish(out.Stop)}}
 	rs.Usage = usageOf(out)
 	c.JSON(http.StatusOK, rs)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -47,6 +47,7 @@
 	Engines  *engine.Client
 	Services *proxy.Pool
 	Claims   *claim.Book
+	Gate     *Gate          // limits and queues; nil for none
 	Domain   string         // failure domain of this process
 	Chooser  *route.Chooser // nil for one of its own
 	Self     string         // address for callers of this process
--- a/entry/events.go
+++ b/entry/events.go
@@ -114,11 +114,12 @@
 	_ = e.flush()
 }
 
-func (h *Handler) streamChat(c *gin.Context, sr stream.Request, rs *chatReply, usage bool) {
+func (h *Handler) streamChat(c *gin.Context, p *pass, sr stream.Request, rs *chatReply, usage bool) {
 	e := newEvents(c, rs, usage)
-	out, err := h.answers.Run(c.Request.Context(), sr, stream.Sink{Token: e.token, Flush: e.flush})
+	out, err := h.answers.Run(c.Request.Context(), sr, p.wrap(stream.Sink{Token: e.token, Flush: e.flush}))
 	switch {
 	case err == nil:
+		p.done(out.Tokens)
 		e.end(out)
 	case e.started:
 		e.fail(err)
--- a/entry/once.go
+++ b/entry/once.go
@@ -37,7 +37,7 @@
 
 // serveOnce runs work at most once and answers the caller. A ticket that
 // another incarnation issued is forwarded to it.
-func (h *Handler) serveOnce(c *gin.Context, w Work) {
+func (h *Handler) serveOnce(c *gin.Context, p *pass, w Work) {
 	ctx, cancel := context.WithDeadline(c.Request.Context(), w.Call.By)
 	defer cancel()
 	var a *proxy.Answer
@@ -52,6 +52,7 @@
 		problem(c, err)
 		return
 	}
+	p.done(plainCost)
 	if replayed {
 		c.Header("Idempotent-Replayed", "true")
 	}
--- a/entry/service.go
+++ b/entry/service.go
@@ -12,6 +12,7 @@
 
 	"github.com/cranberrybay/cranberrybay/fault"
 	"github.com/cranberrybay/cranberrybay/proxy"
+	"github.com/cranberrybay/cranberrybay/queue"
 	"github.com/cranberrybay/cranberrybay/spec"
 )
 
@@ -33,8 +34,15 @@
 		problem(c, err)
 		return
 	}
+	p, err := h.admit(c, svc, queue.Shape{}, call.By)
+	if err != nil {
+		problem(c, err)
+		return
+	}
+	defer p.end()
+	call.Sent = p.sent
 	if key != "" && !call.Idempotent {
-		h.serveOnce(c, Work{Account: accountOf(c).Name(), Service: svc.Name(), Key: key, Call: call})
+		h.serveOnce(c, p, Work{Account: accountOf(c).Name(), Service: svc.Name(), Key: key, Call: call})
 		return
 	}
 	a, err := h.cfg.Services.Send(c.Request.Context(), svc.Name(), call)
@@ -42,6 +50,7 @@
 		problem(c, err)
 		return
 	}
+	p.done(plainCost)
 	answer(c, a)
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -156,14 +156,14 @@
 	return out
 }
 
-// Named returns the name and the failure domain of the server at an address.
-func (t *Table) Named(address string) (name, domain string) {
+// At returns the server at an address and whether there is one.
+func (t *Table) At(address string) (State, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, sv := range t.servers {
 		if sv.state.Address == address {
-			return sv.state.Name, sv.state.Domain
+			return sv.state, true
 		}
 	}
-	return "", ""
+	return State{}, false
 }
--- a/node/node.go
+++ b/node/node.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/uuid"
 	"github.com/rs/zerolog"
 	"go.uber.org/fx"
@@ -21,11 +22,13 @@
 	"github.com/cranberrybay/cranberrybay/engine"
 	"github.com/cranberrybay/cranberrybay/entry"
 	"github.com/cranberrybay/cranberrybay/fleet"
+	"github.com/cranberrybay/cranberrybay/limit"
 	"github.com/cranberrybay/cranberrybay/member"
 	"github.com/cranberrybay/cranberrybay/object"
 	"github.com/cranberrybay/cranberrybay/peer"
 	"github.com/cranberrybay/cranberrybay/plat"
 	"github.com/cranberrybay/cranberrybay/proxy"
+	"github.com/cranberrybay/cranberrybay/queue"
 	"github.com/cranberrybay/cranberrybay/route"
 	"github.com/cranberrybay/cranberrybay/table"
 )
@@ -64,11 +67,14 @@
 			newPeers,
 			newLease,
 			newPlacer,
+			metrics.NewSet,
+			newKeeper,
+			newQueues,
 			newEntry,
 			newDrainer,
 			newAdmin,
 		),
-		fx.Invoke(connect, startPeers, background, startPlacing, listen),
+		fx.Invoke(connect, startPeers, background, startPlacing, listen, reportDemand),
 	)
 }
 
@@ -105,28 +111,31 @@
 	Services *proxy.Pool
 	Claims   *claim.Book
 	Peers    *peers
+	Limits   *limit.Keeper
+	Queues   *queue.Set
 	Log      zerolog.Logger
 }
 
 func newEntry(p entryParts) *entry.Handler {
 	return entry.New(entry.Config{
 		Store: p.Store, Fleet: p.Fleet, Chooser: p.Chooser, Engines: p.Engines, Services: p.Services, Claims: p.Claims,
+		Gate:   &entry.Gate{Limits: p.Limits, Queues: p.Queues},
 		Domain: p.Settings.Domain, Self: p.Settings.Listen.Callers, Log: part(p.Log, "entry"),
 		Addresses: p.Peers.addresses, Forward: p.Peers.forward,
 	})
 }
 
-func newAdmin(s Settings, st *change.Store, t *table.Client, f *fleet.Table, d *drainer, p *peers, l zerolog.Logger) *admin.Handler {
+func newAdmin(s Settings, st *change.Store, t *table.Client, f *fleet.Table, d *drainer, p *peers, m *metrics.Set, l zerolog.Logger) *admin.Handler {
 	return admin.New(admin.Config{
 		Name: s.Name, Domain: s.Domain, Token: s.Token, Store: st, Table: t, Fleet: f,
-		Drain: d.leave, Live: p.config.status, Log: part(l, "admin"),
+		Drain: d.leave, Live: p.config.status, Metrics: m.WritePrometheus, Log: part(l, "admin"),
 	})
 }
 
 // background runs the loops that keep tables fresh.
-func background(lc fx.Lifecycle, st *change.Store, b *claim.Book, f *fleet.Table, l *plat.VMList, e *engine.Client, cache *route.Cache, log zerolog.Logger) {
+func background(lc fx.Lifecycle, st *change.Store, b *claim.Book, f *fleet.Table, l *plat.VMList, e *engine.Client, q *queue.Set, cache *route.Cache, log zerolog.Logger) {
 	ctx, cancel := context.WithCancel(context.Background())
-	w := newWatcher(f, l, e, cache, part(log, "fleet"))
+	w := newWatcher(f, l, e, q, cache, part(log, "fleet"))
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			cl := part(log, "change")
--- a/node/watch.go
+++ b/node/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -9,23 +10,34 @@
 	"github.com/cranberrybay/cranberrybay/entry"
 	"github.com/cranberrybay/cranberrybay/fleet"
 	"github.com/cranberrybay/cranberrybay/plat"
+	"github.com/cranberrybay/cranberrybay/queue"
 	"github.com/cranberrybay/cranberrybay/route"
 )
 
 // newWatcher connects the fleet table to the VM list and the engines.
-func newWatcher(t *fleet.Table, l *plat.VMList, e *engine.Client, cache *route.Cache, log zerolog.Logger) *fleet.Watcher {
+func newWatcher(t *fleet.Table, l *plat.VMList, e *engine.Client, q *queue.Set, cache *route.Cache, log zerolog.Logger) *fleet.Watcher {
 	return fleet.NewWatcher(fleet.WatchConfig{
 		Table: t,
 		List: func(ctx context.Context) ([]fleet.State, error) {
 			vms, err := l.Read(ctx)
 			out := make([]fleet.State, len(vms))
+			names := map[string]bool{}
+			for _, s := range t.All() { // the table keeps servers that a doubtful list lacks
+				names[s.Name] = true
+			}
 			for i, v := range vms {
+				names[v.Name] = true
 				out[i] = fleet.State{Name: v.Name, Address: v.Address, Domain: v.Domain, Service: v.Service, Leaving: v.Leaving}
 			}
+			q.Keep(names)
 			return out, err
 		},
 		Load: func(ctx context.Context, address string) (fleet.State, error) {
+			sent := time.Now()
 			r, err := e.Load(ctx, address)
+			if s, ok := t.At(address); ok {
+				admit(q.Of(s.Service), s.Name, r, err, sent)
+			}
 			return entry.StateOf(r), err
 		},
 		Events: func(ctx context.Context, s fleet.State, reborn bool) {
--- a/stream/attempt.go
+++ b/stream/attempt.go
@@ -23,6 +23,7 @@
 	rt, fb := u.rt, &u.r.cfg.Feedback
 	call(fb.Began, rt)
 	defer func() { call(fb.Ended, rt) }()
+	call(u.accept.sink.Route, rt)
 	j := engine.Job{
 		Request: u.rq.ID, Tag: u.accept.tag, Attempt: u.number, Model: u.rq.Model, Version: rt.Version,
 		Prompt: u.rq.Prompt, Accepted: u.accept.tokens, Limit: u.rq.Limit, Priority: u.rq.Priority,
--- a/stream/stream.go
+++ b/stream/stream.go
@@ -34,6 +34,8 @@
 	// Flush is called after one or more tokens when no further token has
 	// arrived yet. It may be nil.
 	Flush func() error
+	// Route is told each route that is tried. It may be nil.
+	Route func(route.Route)
 }
 
 // Answer is the stream of frames of one attempt.
