peer, node, limit: reports and shares between processes

Cause: limits of accounts were kept by each process alone. Change: the peer protocol carries limit.Report and limit.Share in place of its own demand messages; the keeper learns of the live processes from the membership. A new bucket holds a tenth of a second of its rate in place of one request: TestProcesses saw a 429 on the second order after a restart, 10 ms after the first, at a limit of 200/s.

--- a/limit/bucket.go
+++ b/limit/bucket.go
@@ -5,6 +5,11 @@
 // burstTime is how much of a rate may be saved up.
 const burstTime = time.Second
 
+// startTime is how much of a rate a new bucket holds. With a single request a
+// process that had just started rejected the second of two requests that came
+// within 10 ms, far below a limit of 200 a second.
+const startTime = 100 * time.Millisecond
+
 // bucket is a token bucket. Its level may fall below zero, as the cost of a
 // request is known only at its end.
 type bucket struct {
@@ -28,7 +33,7 @@
 // share that moved to another process is not spent here as well.
 func (b *bucket) set(now time.Time, rate float64) {
 	if b.at.IsZero() {
-		b.at, b.level = now, 1
+		b.at, b.level = now, max(1, rate*startTime.Seconds())
 	}
 	b.fill(now)
 	b.rate = rate
--- a/node/admit.go
+++ b/node/admit.go
@@ -16,11 +16,10 @@
 
 func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
-// newKeeper returns the limits of client accounts. Without connections to other
-// processes it is its only member; whoever connects them calls SetMembers.
-func newKeeper(s Settings, i incarnation, st *change.Store, m *metrics.Set) *limit.Keeper {
+// newKeeper returns the limits of client accounts.
+func newKeeper(s Settings, i incarnation, st *change.Store, p *peers, m *metrics.Set) *limit.Keeper {
 	return limit.New(limit.Config{
-		Self: s.Name, Run: string(i), Rand: newRand(), Metrics: limit.NewMetrics(m),
+		Self: s.Name, Run: string(i), Rand: newRand(), Metrics: limit.NewMetrics(m), Send: p.report, Grant: p.share,
 		Limits: func(name string) (limit.Limits, bool) {
 			a := st.Tree().Account(name)
 			if a == nil {
@@ -42,8 +41,9 @@
 	})
 }
 
-// reportDemand reports the demand of accounts while the process runs.
-func reportDemand(lc fx.Lifecycle, k *limit.Keeper) {
+// reportDemand reports the demand of accounts while the process runs, and keeps
+// the limits informed of the live processes.
+func reportDemand(lc fx.Lifecycle, k *limit.Keeper, p *peers) {
 	ctx, cancel := context.WithCancel(context.Background())
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
@@ -55,6 +55,7 @@
 					case <-ctx.Done():
 						return
 					case <-t.C:
+						k.SetMembers(p.names())
 						k.Tick()
 					}
 				}
--- a/node/calls.go
+++ b/node/calls.go
@@ -6,10 +6,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"time"
 
 	"github.com/cranberrybay/cranberrybay/claim"
 	"github.com/cranberrybay/cranberrybay/entry"
 	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/limit"
+	"github.com/cranberrybay/cranberrybay/member"
 	"github.com/cranberrybay/cranberrybay/peer"
 	"github.com/cranberrybay/cranberrybay/proxy"
 )
@@ -65,3 +68,60 @@
 		return peer.Answer{Status: a.Status, Header: a.Header, Body: body, Replayed: replayed}, nil
 	}
 }
+
+// maxSending bounds the messages of the limits under way at once. A process
+// talks to the home of each account that it serves, some 20 at the target size.
+const maxSending = 256
+
+// postTimeout bounds one message of the limits, which are sent again anyway.
+const postTimeout = 500 * time.Millisecond
+
+// post sends a message of the limits to a live process without waiting. A
+// message that can't be sent is dropped: the next report replaces it.
+func (p *peers) post(find func(member.Member) bool, send func(ctx context.Context, to peer.Target) error) {
+	if p.node == nil {
+		return
+	}
+	for _, m := range p.members.Live() {
+		if !find(m) {
+			continue
+		}
+		select {
+		case p.sending <- struct{}{}:
+		default:
+			return
+		}
+		go func() {
+			defer func() { <-p.sending }()
+			ctx, cancel := context.WithTimeout(context.Background(), postTimeout)
+			defer cancel()
+			if err := send(ctx, target(m)); err != nil {
+				p.log.Debug().Err(err).Str("peer", m.Name).Msg("message of the limits was not sent")
+			}
+		}()
+		return
+	}
+}
+
+// report sends a report of demand to the home process of its accounts.
+func (p *peers) report(home string, r limit.Report) {
+	p.post(func(m member.Member) bool { return m.Name == home }, func(ctx context.Context, to peer.Target) error {
+		return p.node.Report(ctx, to, r)
+	})
+}
+
+// share sends a share to the process that reported demand.
+func (p *peers) share(_ string, s limit.Share) {
+	p.post(func(m member.Member) bool { return m.Incarnation == s.To }, func(ctx context.Context, to peer.Target) error {
+		return p.node.Share(ctx, to, s)
+	})
+}
+
+// names returns the names of the live processes.
+func (p *peers) names() []string {
+	var out []string
+	for _, m := range p.members.Live() {
+		out = append(out, m.Name)
+	}
+	return out
+}
--- a/node/peers.go
+++ b/node/peers.go
@@ -14,6 +14,7 @@
 	"github.com/cranberrybay/cranberrybay/claim"
 	"github.com/cranberrybay/cranberrybay/entry"
 	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/limit"
 	"github.com/cranberrybay/cranberrybay/member"
 	"github.com/cranberrybay/cranberrybay/peer"
 	"github.com/cranberrybay/cranberrybay/table"
@@ -37,6 +38,7 @@
 	listen  string
 	log     zerolog.Logger
 	serving atomic.Pointer[peerHandlers]
+	sending chan struct{} // one entry for each message of the limits under way
 }
 
 // peerHandlers are the calls of other entry processes that other parts serve.
@@ -44,7 +46,8 @@
 type peerHandlers struct {
 	Claim   func(ctx context.Context, from peer.Remote, id string) (claim.Word, error)
 	Forward func(ctx context.Context, from peer.Remote, w peer.Work) (peer.Answer, error)
-	Demand  func(ctx context.Context, from peer.Remote, ds []peer.Demand) ([]peer.Share, error)
+	Report  func(ctx context.Context, from peer.Remote, r limit.Report) error
+	Share   func(ctx context.Context, from peer.Remote, s limit.Share) error
 }
 
 type peerParts struct {
@@ -63,7 +66,7 @@
 
 func newPeers(p peerParts) (*peers, error) {
 	s := p.Settings
-	out := &peers{listen: s.Peer.Listen, log: part(p.Log, "peer")}
+	out := &peers{listen: s.Peer.Listen, log: part(p.Log, "peer"), sending: make(chan struct{}, maxSending)}
 	out.serve(peerHandlers{})
 	out.config = p.Follower
 	cfg := member.Config{
@@ -100,8 +103,11 @@
 			Forward: func(ctx context.Context, from peer.Remote, w peer.Work) (peer.Answer, error) {
 				return served(ctx, from, w, out.serving.Load().Forward)
 			},
-			Demand: func(ctx context.Context, from peer.Remote, ds []peer.Demand) ([]peer.Share, error) {
-				return served(ctx, from, ds, out.serving.Load().Demand)
+			Report: func(ctx context.Context, from peer.Remote, r limit.Report) error {
+				return taken(ctx, from, r, out.serving.Load().Report)
+			},
+			Share: func(ctx context.Context, from peer.Remote, s limit.Share) error {
+				return taken(ctx, from, s, out.serving.Load().Share)
 			},
 		},
 	})
@@ -122,6 +128,18 @@
 	return handle(ctx, from, q)
 }
 
+// taken is served for a call without an answer.
+func taken[Q any](ctx context.Context, from peer.Remote, q Q, handle func(context.Context, peer.Remote, Q) error) error {
+	var with func(context.Context, peer.Remote, Q) (struct{}, error)
+	if handle != nil {
+		with = func(ctx context.Context, from peer.Remote, q Q) (struct{}, error) {
+			return struct{}{}, handle(ctx, from, q)
+		}
+	}
+	_, err := served(ctx, from, q, with)
+	return err
+}
+
 var errNoPeers = errors.New("this process has no peers")
 
 func (p *peers) ping(ctx context.Context, to member.Member, h member.Health) (member.Health, error) {
--- a/peer/call.go
+++ b/peer/call.go
@@ -12,6 +12,7 @@
 	"github.com/cranberrybay/cranberrybay/change"
 	"github.com/cranberrybay/cranberrybay/claim"
 	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/limit"
 	"github.com/cranberrybay/cranberrybay/member"
 	"github.com/cranberrybay/cranberrybay/wire"
 )
@@ -185,14 +186,14 @@
 	return Answer{Status: int(rs.GetStatus()), Header: toHeaders(rs.GetHeaders()), Body: rs.GetBody(), Replayed: rs.GetReplayed()}, nil
 }
 
-// Demand reports demand to the home process of the accounts and returns the
-// shares that it grants.
-func (n *Node) Demand(ctx context.Context, t Target, ds []Demand) ([]Share, error) {
-	rs, asked := &wire.Shares{}, time.Now()
-	if err := n.call(ctx, t, kindDemand, fromDemands(ds), rs); err != nil {
-		return nil, err
-	}
-	return toShares(rs, asked), nil
+// Report tells the home process of some accounts the demand of this process.
+func (n *Node) Report(ctx context.Context, t Target, r limit.Report) error {
+	return n.call(ctx, t, kindReport, fromReport(r), &wire.Received{})
+}
+
+// Share gives a process parts of the limits of some accounts.
+func (n *Node) Share(ctx context.Context, t Target, s limit.Share) error {
+	return n.call(ctx, t, kindShare, fromShare(s), &wire.Received{})
 }
 
 // News tells a peer what became known about members.
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cranberrybay/cranberrybay/change"
+	"github.com/cranberrybay/cranberrybay/limit"
 	"github.com/cranberrybay/cranberrybay/member"
 	"github.com/cranberrybay/cranberrybay/wire"
 )
@@ -130,42 +131,46 @@
 	return out
 }
 
-func fromDemands(ds []Demand) *wire.Demands {
-	out := &wire.Demands{}
-	for _, d := range ds {
-		out.Demands = append(out.Demands, &wire.Demand{Account: d.Account, Rate: d.Rate, Tokens: d.Tokens, Inflight: uint32(d.Inflight)})
+func fromReport(r limit.Report) *wire.Report {
+	out := &wire.Report{Run: r.Run, Number: r.Number}
+	for _, d := range r.Demands {
+		out.Demands = append(out.Demands, &wire.Demand{
+			Account: d.Account, Rate: float32(d.Want[limit.Rate]), Tokens: float32(d.Want[limit.Tokens]),
+			Inflight: float32(d.Want[limit.Inflight]), Running: uint32(d.Running), Held: d.Held, Idle: d.Idle,
+		})
 	}
 	return out
 }
 
-func toDemands(m *wire.Demands) []Demand {
-	out := make([]Demand, 0, len(m.GetDemands()))
+func toReport(from string, m *wire.Report) limit.Report {
+	r := limit.Report{From: from, Run: m.GetRun(), Number: m.GetNumber()}
 	for _, d := range m.GetDemands() {
-		out = append(out, Demand{Account: d.GetAccount(), Rate: d.GetRate(), Tokens: d.GetTokens(), Inflight: int(d.GetInflight())})
+		r.Demands = append(r.Demands, limit.Demand{
+			Account: d.GetAccount(), Running: int(d.GetRunning()), Held: d.GetHeld(), Idle: d.GetIdle(),
+			Want: limit.Amounts{limit.Rate: float64(d.GetRate()), limit.Tokens: float64(d.GetTokens()), limit.Inflight: float64(d.GetInflight())},
+		})
 	}
-	return out
+	return r
 }
 
-// Shares travel as the time left, since clocks of different processes differ.
-func fromShares(ss []Share) *wire.Shares {
-	out := &wire.Shares{}
-	for _, s := range ss {
-		out.Shares = append(out.Shares, &wire.Share{
-			Account: s.Account, Rate: s.Rate, Tokens: s.Tokens, Inflight: s.Inflight, Milliseconds: time.Until(s.Until).Milliseconds(),
+func fromShare(s limit.Share) *wire.Share {
+	out := &wire.Share{Run: s.Run, To: s.To, Answer: s.Answer}
+	for _, p := range s.Parts {
+		out.Parts = append(out.Parts, &wire.Part{
+			Account: p.Account, Rate: p.Share[limit.Rate], Tokens: p.Share[limit.Tokens], Inflight: p.Share[limit.Inflight],
+			Weight: p.Weight, Number: p.Number,
 		})
 	}
 	return out
 }
 
-// asked is when the demand was sent, so that the way of the reply does not
-// prolong a share.
-func toShares(m *wire.Shares, asked time.Time) []Share {
-	out := make([]Share, 0, len(m.GetShares()))
-	for _, s := range m.GetShares() {
-		out = append(out, Share{
-			Account: s.GetAccount(), Rate: s.GetRate(), Tokens: s.GetTokens(), Inflight: s.GetInflight(),
-			Until: asked.Add(time.Duration(s.GetMilliseconds()) * time.Millisecond),
+func toShare(home string, m *wire.Share) limit.Share {
+	s := limit.Share{Home: home, Run: m.GetRun(), To: m.GetTo(), Answer: m.GetAnswer()}
+	for _, p := range m.GetParts() {
+		s.Parts = append(s.Parts, limit.Part{
+			Account: p.GetAccount(), Weight: p.GetWeight(), Number: p.GetNumber(),
+			Share: limit.Amounts{limit.Rate: p.GetRate(), limit.Tokens: p.GetTokens(), limit.Inflight: p.GetInflight()},
 		})
 	}
-	return out
+	return s
 }
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -21,12 +21,13 @@
 	kindRecords
 	kindClaim
 	kindForward
-	kindDemand
+	kindReport
+	kindShare
 	kindNews
 	kinds // number of kinds
 )
 
-var kindNames = [kinds]string{"fault", "hello", "ping", "announce", "records", "claim", "forward", "demand", "news"}
+var kindNames = [kinds]string{"fault", "hello", "ping", "announce", "records", "claim", "forward", "report", "share", "news"}
 
 // Bounds of messages in bytes.
 const (
@@ -37,7 +38,7 @@
 
 var bounds = [kinds]int{
 	kindFault: smallMessage, kindHello: smallMessage, kindPing: smallMessage, kindAnnounce: smallMessage,
-	kindRecords: largeMessage, kindClaim: smallMessage, kindForward: largeMessage, kindDemand: listMessage, kindNews: listMessage,
+	kindRecords: largeMessage, kindClaim: smallMessage, kindForward: largeMessage, kindReport: listMessage, kindShare: listMessage, kindNews: listMessage,
 }
 
 // errFrame reports a frame that breaks the format or its bound.
--- a/peer/handle.go
+++ b/peer/handle.go
@@ -11,6 +11,7 @@
 	"github.com/cranberrybay/cranberrybay/change"
 	"github.com/cranberrybay/cranberrybay/claim"
 	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/limit"
 	"github.com/cranberrybay/cranberrybay/member"
 	"github.com/cranberrybay/cranberrybay/wire"
 )
@@ -42,23 +43,6 @@
 	Replayed bool // recorded from an earlier run
 }
 
-// Demand is what one process served for an account in the last second.
-type Demand struct {
-	Account  string
-	Rate     float64 // requests a second
-	Tokens   float64 // generated tokens a second
-	Inflight int
-}
-
-// Share is the part of an account's limits that a process may use.
-type Share struct {
-	Account  string
-	Rate     float64
-	Tokens   float64
-	Inflight float64
-	Until    time.Time
-}
-
 // Handlers serve incoming calls. A nil handler answers that the call was not
 // run. Handlers run on a worker and must honour ctx; Forward runs on a
 // goroutine of its own, since a request may take minutes.
@@ -68,7 +52,8 @@
 	Records  func(ctx context.Context, from Remote, after uint64) ([]change.Record, error)
 	Claim    func(ctx context.Context, from Remote, id string) (claim.Word, error)
 	Forward  func(ctx context.Context, from Remote, w Work) (Answer, error)
-	Demand   func(ctx context.Context, from Remote, ds []Demand) ([]Share, error)
+	Report   func(ctx context.Context, from Remote, r limit.Report) error
+	Share    func(ctx context.Context, from Remote, s limit.Share) error
 	News     func(ctx context.Context, from Remote, n member.News) (member.Verdicts, error)
 }
 
@@ -182,10 +167,13 @@
 			}
 			return &wire.Answer{Status: uint32(out.Status), Headers: fromHeaders(out.Header), Body: out.Body, Replayed: out.Replayed}, nil
 		})
-	case k == kindDemand && h.Demand != nil:
-		return serve(payload, &wire.Demands{}, func(m *wire.Demands) (proto.Message, error) {
-			out, err := h.Demand(ctx, from, toDemands(m))
-			return fromShares(out), err
+	case k == kindReport && h.Report != nil:
+		return serve(payload, &wire.Report{}, func(m *wire.Report) (proto.Message, error) {
+			return &wire.Received{}, h.Report(ctx, from, toReport(from.Name, m))
+		})
+	case k == kindShare && h.Share != nil:
+		return serve(payload, &wire.Share{}, func(m *wire.Share) (proto.Message, error) {
+			return &wire.Received{}, h.Share(ctx, from, toShare(from.Name, m))
 		})
 	case k == kindNews && h.News != nil:
 		return serve(payload, &wire.News{}, func(m *wire.News) (proto.Message, error) {
