entry, claim: a planned stop answers what has arrived; old outcomes end

A planned stop lost requests: net/http closes a connection without an answer when it reads the request during its own shutdown.

A process that was paused before it saw its outcome recorded replayed that outcome from memory after it had expired and the key had been used for new work. Outcomes in memory now end with their time; a test guards it. Batches of a group are bounded to 1 MiB, and a replay without a body has no length.

--- a/claim/book.go
+++ b/claim/book.go
@@ -132,7 +132,12 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if old := b.byKey[c.key]; old != nil {
-		return old.repeat(c.digest)
+		if old.phase != finished || now.Before(old.until) {
+			return old.repeat(c.digest)
+		}
+		// Its outcome is past its time and still to be recorded; the key may
+		// have been used for new work elsewhere.
+		b.leave(old)
 	}
 	if !down.IsZero() && now.Sub(down) > failAfter {
 		if !now.Before(b.probe) {
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -266,6 +266,24 @@
 		assert.NilError(t, err)
 		assert.DeepEqual(t, *o, whole)
 	})
+	bubble(t, "longer than outcomes are kept", func(t *testing.T, w *flaky, open func(string) *claim.Book) {
+		a, b := open("a"), open("b")
+		c := begin(t, a, work)
+		assert.NilError(t, a.Start(within(t, time.Second), c))
+		w.table.SetFaults(fakes.Faults{Lose: 1})
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel() // the record is written, and a does not see it
+		assert.Assert(t, a.Finish(ctx, c, whole) != nil)
+		time.Sleep(26 * time.Hour)
+		assert.NilError(t, b.Sweep(context.Background()))
+		assert.NilError(t, b.Sweep(context.Background()))
+		c = begin(t, b, work) // the key names new work
+		assert.NilError(t, b.Start(within(t, time.Second), c))
+		assert.NilError(t, b.Finish(within(t, time.Second), c, claim.Outcome{Status: 202}))
+		_, o, err := a.Begin(within(t, time.Second), work, digest)
+		assert.NilError(t, err)
+		assert.Equal(t, o.Status, 202, "an outcome past its time was replayed")
+	})
 	bubble(t, "hanging table", func(t *testing.T, w *flaky, open func(string) *claim.Book) {
 		a := open("a")
 		w.set(false, true)
--- a/claim/group.go
+++ b/claim/group.go
@@ -41,6 +41,9 @@
 	commitTimeout = 2 * time.Second
 	firstPause    = 20 * time.Millisecond
 	maxPause      = 500 * time.Millisecond
+	// maxBatch bounds the bytes of one transaction, up to the last row, so that
+	// a batch of outcomes does not hold up the claims behind it.
+	maxBatch = 1 << 20
 )
 
 // group commits writes. It has one outstanding transaction, and the writes
@@ -97,6 +100,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var batch, rest []*write
+	size := 0
 	keys := map[string]bool{}
 	for _, w := range g.queue {
 		switch {
@@ -104,10 +108,11 @@
 			w.result <- result{err: errUnresolved}
 		case now.After(w.by):
 			w.result <- result{err: errNotWritten}
-		case len(batch) == g.max || keys[w.claim.key]:
+		case len(batch) == g.max || size > maxBatch || keys[w.claim.key]:
 			rest = append(rest, w)
 		default:
 			keys[w.claim.key] = true
+			size += len(w.value)
 			batch = append(batch, w)
 		}
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -10,6 +10,7 @@
 	"runtime/debug"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/gin-gonic/gin"
@@ -60,6 +61,7 @@
 type Handler struct {
 	cfg    Config
 	flow   *flow
+	unread atomic.Int64 // connections with a request that no handler has seen
 	engine *gin.Engine
 }
 
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -272,7 +272,7 @@
 			assert.Assert(t, rs.StatusCode == 503 && rs.Header.Get("Retry-After") == "0" && time.Since(start) < time.Millisecond)
 			go func() {
 				a.handler.Drained(context.Background(), time.Now().Add(time.Second))
-				_ = a.server.Shutdown(context.Background())
+				_ = a.handler.Shutdown(context.Background(), a.server, a.listener)
 			}()
 		})
 		assert.NilError(t, err)
--- a/entry/fixture_test.go
+++ b/entry/fixture_test.go
@@ -92,11 +92,12 @@
 // node is one entry process.
 type node struct {
 	fakes.Gate
-	name    string
-	handler *entry.Handler
-	book    *claim.Book
-	server  *http.Server
-	stop    context.CancelFunc
+	name     string
+	handler  *entry.Handler
+	book     *claim.Book
+	server   *http.Server
+	listener net.Listener
+	stop     context.CancelFunc
 }
 
 func (n *node) kill() {
@@ -179,7 +180,8 @@
 	n.server = n.handler.Server()
 	go n.book.Run(ctx)
 	go s.watch(ctx, servers)
-	go func() { _ = n.server.Serve(entry.Listener(n.Listener(s.listen(n.name)))) }()
+	n.listener = n.handler.Listener(n.Listener(s.listen(n.name)))
+	go func() { _ = n.server.Serve(n.listener) }()
 	t.Cleanup(n.kill)
 	return n
 }
--- a/entry/listen.go
+++ b/entry/listen.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"sync/atomic"
 	"time"
@@ -27,23 +28,65 @@
 // Listener returns a listener for callers. Its connections bound each write,
 // and answer a header that arrives too slowly with 408, where net/http closes
 // the connection without a word.
-func Listener(l net.Listener) net.Listener { return callerListener{l} }
+func (h *Handler) Listener(l net.Listener) net.Listener { return callerListener{l, &h.unread} }
 
-type callerListener struct{ net.Listener }
+// Shutdown stops a drained server. net/http closes a connection without an
+// answer when it has read the request during its own shutdown, so that the
+// listener closes first and requests that have arrived are answered before.
+func (h *Handler) Shutdown(ctx context.Context, s *http.Server, l net.Listener) error {
+	_ = l.Close()
+	for end := time.Now().Add(headerTimeout); ; {
+		time.Sleep(unreadInterval)
+		if h.unread.Load() == 0 || ctx.Err() != nil || time.Now().After(end) {
+			return s.Shutdown(ctx)
+		}
+	}
+}
+
+// unreadInterval is the time between two looks at connections with a request
+// that no handler has seen.
+const unreadInterval = 5 * time.Millisecond
+
+type callerListener struct {
+	net.Listener
+	unread *atomic.Int64
+}
 
 func (l callerListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{Conn: c}, nil
+	cc := &callerConn{Conn: c, unread: l.unread}
+	cc.expect()
+	return cc, nil
 }
 
 // callerConn is a connection of a caller.
 type callerConn struct {
 	net.Conn
-	busy   atomic.Bool // a handler runs
-	header atomic.Bool // a part of a header has arrived and no handler runs
+	busy    atomic.Bool   // a handler runs
+	header  atomic.Bool   // a part of a header has arrived and no handler runs
+	waiting atomic.Bool   // a request has arrived, or the first is expected, and no handler has seen it
+	unread  *atomic.Int64 // connections that are waiting
+}
+
+func (c *callerConn) expect() {
+	if !c.waiting.Swap(true) {
+		c.unread.Add(1)
+	}
+}
+
+func (c *callerConn) seen() {
+	if c.waiting.Swap(false) {
+		c.unread.Add(-1)
+	}
+}
+
+// Close closes the connection.
+func (c *callerConn) Close() error {
+	c.seen()
+	return c.Conn.Close()
 }
 
 // Read reads and notes whether the bytes belong to a header.
@@ -54,6 +97,7 @@
 	}
 	if n > 0 {
 		c.header.Store(true)
+		c.expect()
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) && c.header.Swap(false) {
 		p, _ := json.Marshal(fault.ProblemOf(refusal(fault.Slow, fmt.Sprintf("the header did not arrive within %s", headerTimeout), nil)))
@@ -86,6 +130,7 @@
 		return
 	}
 	cc.busy.Store(true)
+	cc.seen()
 	defer func() {
 		cc.header.Store(false)
 		cc.busy.Store(false)
--- a/entry/once.go
+++ b/entry/once.go
@@ -185,7 +185,7 @@
 	if header == nil {
 		header = http.Header{}
 	}
-	if header.Get("Content-Length") == "" {
+	if header.Get("Content-Length") == "" && len(o.Body) > 0 {
 		header.Set("Content-Length", strconv.Itoa(len(o.Body)))
 	}
 	return &proxy.Answer{Status: o.Status, Header: header, Body: io.NopCloser(bytes.NewReader(o.Body))}
--- a/entry/random_test.go
+++ b/entry/random_test.go
@@ -173,7 +173,7 @@
 	n.handler.Drain()
 	go func() {
 		n.handler.Drained(context.Background(), time.Now().Add(2*time.Second))
-		_ = n.server.Shutdown(context.Background())
+		_ = n.handler.Shutdown(context.Background(), n.server, n.listener)
 	}()
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -117,29 +117,44 @@
 // the callers' listener closes when the process is drained, and the operators'
 // listener after it.
 func listen(lc fx.Lifecycle, s Settings, e *entry.Handler, d *drainer, a *admin.Handler, log zerolog.Logger) {
-	serveOn(lc, "admin", s.Listen.Admin, a.Server(), func(l net.Listener) net.Listener { return l }, func(context.Context) {}, log)
-	serveOn(lc, "callers", s.Listen.Callers, e.Server(), entry.Listener, d.wait, log)
+	serveOn(lc, listener{name: "admin", address: s.Listen.Admin, server: a.Server()}, log)
+	serveOn(lc, listener{name: "callers", address: s.Listen.Callers, server: e.Server(), entry: e, drain: d}, log)
 }
 
-// serveOn opens a listener. At a stop it calls wait before it shuts down.
-func serveOn(lc fx.Lifecycle, name, address string, srv *http.Server, wrap func(net.Listener) net.Listener, wait func(context.Context), log zerolog.Logger) {
+// listener is an HTTP server on an address. That of callers drains.
+type listener struct {
+	name    string
+	address string
+	server  *http.Server
+	entry   *entry.Handler // nil for operators
+	drain   *drainer
+}
+
+func serveOn(lc fx.Lifecycle, s listener, log zerolog.Logger) {
+	var l net.Listener
 	lc.Append(fx.Hook{
 		OnStart: func(ctx context.Context) error {
 			var c net.ListenConfig
-			l, err := c.Listen(ctx, "tcp", address)
-			if err != nil {
-				return fmt.Errorf("listen for %s on %s: %w", name, address, err)
+			var err error
+			if l, err = c.Listen(ctx, "tcp", s.address); err != nil {
+				return fmt.Errorf("listen for %s on %s: %w", s.name, s.address, err)
+			}
+			if s.entry != nil {
+				l = s.entry.Listener(l)
 			}
 			go func() {
-				if err := srv.Serve(wrap(l)); !errors.Is(err, http.ErrServerClosed) {
-					log.Error().Err(err).Str("listener", name).Msg("listener ended")
+				if err := s.server.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+					log.Error().Err(err).Str("listener", s.name).Msg("listener ended")
 				}
 			}()
 			return nil
 		},
 		OnStop: func(ctx context.Context) error {
-			wait(ctx)
-			return srv.Shutdown(ctx)
+			if s.entry == nil {
+				return s.server.Shutdown(ctx)
+			}
+			s.drain.wait(ctx)
+			return s.entry.Shutdown(ctx, s.server, l)
 		},
 	})
 }
