entry, cmds: focused tests of requests that arrive during a stop, and SIGTERM

TestArrived shows it each time with net/http's own shutdown, and an answer with Handler.Shutdown. The session with real processes now ends with SIGTERM, which must stop the process with exit code 0.

--- a/cmds/process_test.go
+++ b/cmds/process_test.go
@@ -296,6 +296,10 @@
 	for _, o := range ran {
 		s.say("the service ran %q", o.Body)
 	}
+	assert.NilError(t, one.cmd.Process.Signal(syscall.SIGTERM))
+	state, err = one.cmd.Process.Wait()
+	assert.NilError(t, err)
+	s.say("SIGTERM entry-1: exit code %d", state.ExitCode())
 	golden.Assert(t, s.log.String(), "session.golden")
 	assert.Assert(t, time.Since(begin) < 30*time.Second)
 }
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -286,6 +286,39 @@
 	})
 }
 
+// TestArrived guards against a request that has arrived when the server shuts
+// down and whose connection is closed without an answer.
+func TestArrived(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(t, 1, 1)
+		for name, c := range map[string]struct {
+			stop     func(n *node) error
+			answered bool
+		}{
+			"shutdown of the handler":    {func(n *node) error { return n.handler.Shutdown(context.Background(), n.server, n.listener) }, true},
+			"fault: net/http's shutdown": {func(n *node) error { return n.server.Shutdown(context.Background()) }, false},
+		} {
+			n := s.start(t)
+			time.Sleep(time.Second)
+			conn, err := s.dial(t.Context(), "", n.name)
+			assert.NilError(t, err)
+			n.handler.Drain()
+			go func() { assert.Check(t, c.stop(n)) }()
+			time.Sleep(time.Millisecond)
+			go func() {
+				_, _ = io.WriteString(conn, "POST /services/desk/orders HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n")
+			}()
+			rs, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			assert.Equal(t, err == nil, c.answered, "%s: %v", name, err)
+			if c.answered {
+				assert.Equal(t, rs.StatusCode, 503)
+			}
+			_ = conn.Close()
+			time.Sleep(10 * time.Second)
+		}
+	})
+}
+
 // TestSlowReader guards against a caller that does not read its answer and so
 // keeps a leaving process from stopping.
 func TestSlowReader(t *testing.T) {
