queue: remove the candidates Open, Lag and Spread

Cause: three candidates did not help and cost a branch each on the path of every request. Change: all three are removed; the state that they left off is the same. Conclusion: reverted.

--- a/queue/dispatch.go
+++ b/queue/dispatch.go
@@ -1,7 +1,6 @@
 package queue
 
 import (
-	"math"
 	"time"
 
 	"github.com/cranberrybay/cranberrybay/fault"
@@ -95,11 +94,6 @@
 
 // choose applies the balancing choice to the servers with room.
 func (q *Queue) choose(all []Option) Option {
-	if q.cfg.Policy.Open > 0 {
-		if o, ok := q.open(all); ok {
-			return o
-		}
-	}
 	if q.cfg.Policy.Two && len(all) > 2 {
 		i, j := q.cfg.Rand.IntN(len(all)), q.cfg.Rand.IntN(len(all)-1)
 		if j >= i {
@@ -110,28 +104,6 @@
 	return all[q.cfg.Choose(all)]
 }
 
-// open draws among the servers with a free slot, in proportion to a power of
-// their free slots.
-func (q *Queue) open(all []Option) (Option, bool) {
-	weight := func(o Option) float64 {
-		return math.Pow(max(0, float64(o.Slots)-o.Load), q.cfg.Policy.Open)
-	}
-	sum := 0.0
-	for _, o := range all {
-		sum += weight(o)
-	}
-	if sum <= 0 {
-		return Option{}, false
-	}
-	at := q.cfg.Rand.Float64() * sum
-	for _, o := range all {
-		if at -= weight(o); at < 0 {
-			return o, true
-		}
-	}
-	return all[len(all)-1], true
-}
-
 func (q *Queue) start(e *Entry, name string, now time.Time) {
 	l := q.laneOf(e)
 	f := l.remove(e)
@@ -143,7 +115,6 @@
 	e.state = started
 	s := q.servers[name]
 	s.count(now, 1)
-	s.spare--
 	c := q.class(e)
 	q.running[c]++
 	e.slot = &Slot{q: q, entry: e, server: s, name: name, began: now, class: c, longFrom: q.cfg.Predictor.LongFrom()}
@@ -201,7 +172,7 @@
 	peers := q.cfg.Peers()
 	free, slots := 0, 0
 	for _, s := range q.servers {
-		free += s.free(q.cfg.Policy, peers)
+		free += s.free()
 		slots += s.report.Slots
 	}
 	if n < free {
--- a/queue/policy.go
+++ b/queue/policy.go
@@ -18,20 +18,12 @@
 	// Fair lets a process that holds less than its part of a server's slots
 	// send to a full server, where the engine's own queue orders the processes.
 	Fair bool
-	// Spread makes a process take only its part of the slots that a report
-	// shows free, so that several processes do not fill the same slot.
-	Spread bool
 	// Two makes the queue compare two servers drawn at random instead of all, so
 	// that processes with the same reports do not choose the same server.
 	Two bool
-	// Open restricts the choice to servers with a free slot while there is one,
-	// and draws among them in proportion to the power Open of their free slots.
-	Open float64
 	// Decay makes the report's view of other processes' requests lose weight
 	// against its running mean, within the time that a request takes.
 	Decay bool
-	// Lag is the mean age of a report's figures when the server sends it.
-	Lag time.Duration
 	// Horizon raises Over to the requests that a server is expected to finish
 	// until its next report, but not over its slots. Where answers take less
 	// time than a report is old, a report of full slots says little.
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -250,7 +250,6 @@
 	if r.Taken.IsZero() {
 		r.Taken = now
 	}
-	r.Taken = r.Taken.Add(-q.cfg.Policy.Lag)
 	q.mu.Lock()
 	defer q.unlock()
 	s := q.servers[r.Name]
@@ -270,13 +269,6 @@
 	s.fresh = s.reported()
 	s.others.add(s.fresh)
 	q.refresh(now)
-	if free := r.Slots - s.load(); free > 0 {
-		// The fraction is drawn, so that few slots and many processes still
-		// fill up.
-		s.spare = float64(free)/float64(max(q.cfg.Peers(), 1)) + q.cfg.Rand.Float64()
-	} else {
-		s.spare = 0
-	}
 	if q.cfg.Policy.Sweep {
 		q.sweep(now)
 	}
--- a/queue/server.go
+++ b/queue/server.go
@@ -38,7 +38,6 @@
 	report  Report
 	own     int
 	changes []change
-	spare   float64 // slots that this process may still take on this report
 	fresh   float64 // requests of other processes at the last report
 	other   float64 // requests of other processes now, estimated
 	over    int     // requests beyond the slots that it may be sent
@@ -118,29 +117,21 @@
 // room tells whether the server may be sent a request now.
 func (s *server) room(p Policy, peers int) bool {
 	load := s.load()
-	fair := p.Fair && s.own < s.part(peers)
 	switch {
 	case load < s.report.Slots:
-		return fair || !p.Spread || s.spare >= 1
+		return true
 	case load >= s.report.Slots+s.over:
 		return false
 	case p.Fair:
-		return fair
+		return s.own < s.part(peers)
 	default:
 		return true
 	}
 }
 
 // free returns how many requests the server may be sent now.
-func (s *server) free(p Policy, peers int) int {
-	n := s.report.Slots + s.over - s.load()
-	if n <= 0 {
-		return 0
-	}
-	if p.Spread {
-		n = min(n, max(int(s.spare), s.part(peers)-s.own))
-	}
-	return max(0, n)
+func (s *server) free() int {
+	return max(0, s.report.Slots+s.over-s.load())
 }
 
 func (s *server) option(name string) Option {
