peer: calls while an idle session is closed

Cause: a process that closes an idle session lets the peer open no more streams on it for 2 s; calls of the peer failed in that time. Change: a call that gets no stream forgets the session and dials another one, once. Whether a call may have been sent is decided by one flag between its write and its deadline, so that a call which timed out before the write is not run for sure. Figures: TestBothDial fails without the retry at the first closing session and passes 200 of them with it.

--- a/peer/call.go
+++ b/peer/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -27,18 +28,14 @@
 		ctx, cancel = context.WithTimeout(ctx, callTimeout)
 		defer cancel()
 	}
-	s, err := n.session(ctx, t)
-	if err != nil {
-		return failed(fault.NotRun, t.Name, err)
-	}
-	s.touch()
 	type result struct {
 		verdict fault.Verdict
 		err     error
 	}
 	done := make(chan result, 1)
+	var decided atomic.Bool // set by whoever comes first: the write or the deadline
 	go func() {
-		v, err := n.exchange(ctx, s, k, rq, rs)
+		v, err := n.exchange(ctx, t, k, rq, rs, &decided)
 		done <- result{v, err}
 	}()
 	select {
@@ -51,15 +48,38 @@
 		}
 		return failed(r.verdict, t.Name, r.err)
 	case <-ctx.Done():
+		if decided.CompareAndSwap(false, true) {
+			return failed(fault.NotRun, t.Name, ctx.Err()) // nothing will be written
+		}
 		return failed(fault.MayHaveRun, t.Name, ctx.Err())
 	}
 }
 
+// stream opens a stream to the target. When the peer is about to close an idle
+// session it takes no more streams on it, and another session is dialled.
+func (n *Node) stream(ctx context.Context, t Target) (*yamux.Stream, error) {
+	for attempt := 0; ; attempt++ {
+		s, err := n.session(ctx, t)
+		if err != nil {
+			return nil, err
+		}
+		s.touch()
+		st, err := s.mux.OpenStream()
+		if err == nil {
+			return st, nil
+		}
+		n.forget(s)
+		if attempt > 0 || ctx.Err() != nil {
+			return nil, fmt.Errorf("open stream: %w", err)
+		}
+	}
+}
+
 // exchange does a call on a stream of its own.
-func (n *Node) exchange(ctx context.Context, s *session, k kind, rq, rs proto.Message) (fault.Verdict, error) {
-	st, err := s.mux.OpenStream()
+func (n *Node) exchange(ctx context.Context, t Target, k kind, rq, rs proto.Message, decided *atomic.Bool) (fault.Verdict, error) {
+	st, err := n.stream(ctx, t)
 	if err != nil {
-		return fault.NotRun, fmt.Errorf("open stream: %w", err)
+		return fault.NotRun, err
 	}
 	defer st.Close()
 	stop := context.AfterFunc(ctx, func() { _ = st.Close() })
@@ -72,6 +92,9 @@
 	if size > bounds[k] {
 		return fault.NotRun, fmt.Errorf("%w: %s message of %d bytes is over the bound of %d", errFrame, kindNames[k], size, bounds[k])
 	}
+	if !decided.CompareAndSwap(false, true) {
+		return fault.NotRun, ctx.Err()
+	}
 	if err := writeFrame(st, k, time.Until(deadline), rq); err != nil {
 		return fault.MayHaveRun, err
 	}
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -253,7 +253,8 @@
 }
 
 // TestBothDial guards against two sessions, or none, after both processes
-// dialled at once, and against sessions that stay open when idle.
+// dialled at once, against sessions that stay open when idle,
+// and against calls that fail while the peer closes an idle session.
 func TestBothDial(t *testing.T) {
 	bubble(t, func(t *testing.T) {
 		nw := fakes.NewNetwork(5*time.Millisecond, 0)
@@ -268,6 +269,14 @@
 		assert.Equal(t, b.Sessions(), 1)
 		_, err := a.Ping(t.Context(), target("b", "b/1"), member.Health{})
 		assert.NilError(t, err)
+		for range 200 { // at each moment around the close of an idle session
+			time.Sleep(19*time.Second + 100*time.Millisecond)
+			_, err = b.Ping(t.Context(), target("a", "a/1"), member.Health{})
+			assert.NilError(t, err)
+			time.Sleep(22*time.Second + 50*time.Millisecond)
+			_, err = b.Ping(t.Context(), target("a", "a/1"), member.Health{})
+			assert.NilError(t, err)
+		}
 		time.Sleep(2 * time.Minute)
 		assert.Equal(t, a.Sessions(), 0)
 		assert.Equal(t, b.Sessions(), 0)
--- a/peer/session.go
+++ b/peer/session.go
@@ -98,6 +98,9 @@
 	if l.err != nil {
 		return nil, l.err
 	}
+	if l.last == nil {
+		return nil, ErrBackoff // another call forgot the session already
+	}
 	if t.Incarnation != "" && l.last.remote.Incarnation != t.Incarnation {
 		return nil, &GoneError{Wanted: t.Incarnation, Found: l.last.remote.Incarnation}
 	}
@@ -277,6 +280,21 @@
 	}
 }
 
+// forget keeps a session from being used for further calls. It is closed by
+// the peer, or when it is idle.
+func (n *Node) forget(s *session) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.sessions[s.remote.Incarnation] == s {
+		delete(n.sessions, s.remote.Incarnation)
+	}
+	for _, l := range n.links {
+		if l.last == s {
+			l.last = nil
+		}
+	}
+}
+
 // serve takes incoming streams until the session ends.
 func (n *Node) serve(s *session) {
 	for {
