retry: one budget in place of three

Cause: stream, proxy and queue each had a token bucket that bounds retries, with different names for the same two calls. Change: package retry; stream and proxy use it with their former sizes; the one of queue had no caller left.

--- a/entry/answers.go
+++ b/entry/answers.go
@@ -7,6 +7,7 @@
 
 	"github.com/cranberrybay/cranberrybay/engine"
 	"github.com/cranberrybay/cranberrybay/fleet"
+	"github.com/cranberrybay/cranberrybay/retry"
 	"github.com/cranberrybay/cranberrybay/route"
 	"github.com/cranberrybay/cranberrybay/stream"
 )
@@ -16,8 +17,8 @@
 	Fleet   *fleet.Table
 	Chooser *route.Chooser // nil for one of its own
 	Engines *engine.Client
-	Domain  string         // failure domain of this process
-	Budget  *stream.Budget // nil for the default retry budget
+	Domain  string        // failure domain of this process
+	Budget  *retry.Budget // nil for the default retry budget
 	// Checkpoint is the number of tokens between exports, see stream.Config.
 	Checkpoint int
 }
--- a/proxy/balance.go
+++ b/proxy/balance.go
@@ -7,36 +7,17 @@
 	"time"
 
 	"github.com/cranberrybay/cranberrybay/fleet"
+	"github.com/cranberrybay/cranberrybay/retry"
 )
 
-// budget bounds repeated or additional calls to a share of all calls.
-type budget struct {
-	mu     sync.Mutex
-	share  float64
-	tokens float64
-}
-
+// Sizes of the budgets of repeated and of hedged calls.
 const (
 	firstTokens = 10  // lets a process with few calls repeat some
 	maxTokens   = 100 // bounds a burst after a quiet time
 )
 
-func newBudget(share float64) *budget { return &budget{share: share, tokens: firstTokens} }
-
-func (b *budget) earn() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.tokens = min(b.tokens+b.share, maxTokens)
-}
-
-func (b *budget) spend() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.tokens < 1 {
-		return false
-	}
-	b.tokens--
-	return true
+func newBudget(share float64) *retry.Budget {
+	return retry.New(retry.Config{Share: share, Burst: maxTokens, Start: firstTokens})
 }
 
 // meter holds measured latencies of servers and services.
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -8,6 +8,7 @@
 
 	"github.com/cranberrybay/cranberrybay/fault"
 	"github.com/cranberrybay/cranberrybay/fleet"
+	"github.com/cranberrybay/cranberrybay/retry"
 )
 
 // PoolConfig holds the parts of a Pool.
@@ -25,10 +26,10 @@
 
 // Pool sends calls to the servers of plain services.
 type Pool struct {
-	cfg    PoolConfig
-	meter  *meter
-	retry  *budget
-	hedges *budget
+	cfg     PoolConfig
+	meter   *meter
+	retries *retry.Budget
+	hedges  *retry.Budget
 }
 
 // NewPool returns a pool.
@@ -42,7 +43,7 @@
 	if cfg.Rand == nil {
 		cfg.Rand = rand.New(rand.NewSource(time.Now().UnixNano()))
 	}
-	return &Pool{cfg: cfg, meter: newMeter(cfg.Rand), retry: newBudget(cfg.Retry), hedges: newBudget(cfg.Hedge)}
+	return &Pool{cfg: cfg, meter: newMeter(cfg.Rand), retries: newBudget(cfg.Retry), hedges: newBudget(cfg.Hedge)}
 }
 
 // PoolOf returns a pool over the servers of a table.
@@ -58,8 +59,8 @@
 // when it may have run only if it is idempotent. The verdict of the error holds
 // for all tries together.
 func (p *Pool) Send(ctx context.Context, service string, call Call) (*Answer, error) {
-	p.retry.earn()
-	p.hedges.earn()
+	p.retries.Request()
+	p.hedges.Request()
 	tried := &tries{avoid: map[string]bool{}}
 	for {
 		c, ok := p.meter.pick(p.cfg.Servers(service), tried.avoid)
@@ -72,7 +73,7 @@
 			return a, nil
 		case err == nil:
 			// A 5xx without the statement that the call was not run.
-			if tried.count == maxTries || !p.other(service, tried) || !p.retry.spend() {
+			if tried.count == maxTries || !p.other(service, tried) || !p.retries.Repeat() {
 				return a, nil
 			}
 			tried.add(fault.New(fault.Config{Verdict: fault.MayHaveRun, Code: fault.Unavailable, Reason: "the service failed"}))
@@ -80,7 +81,7 @@
 			continue
 		}
 		tried.add(err)
-		if !tried.again(ctx, call) || !p.other(service, tried) || !p.retry.spend() {
+		if !tried.again(ctx, call) || !p.other(service, tried) || !p.retries.Repeat() {
 			return nil, tried.error()
 		}
 	}
@@ -171,7 +172,7 @@
 	for open := 1; ; {
 		select {
 		case <-timer.C:
-			if c, ok := p.meter.pick(p.cfg.Servers(service), t.avoid); ok && !c.Down && p.hedges.spend() {
+			if c, ok := p.meter.pick(p.cfg.Servers(service), t.avoid); ok && !c.Down && p.hedges.Repeat() {
 				t.avoid[c.Name] = true
 				t.count++
 				open++
--- a/queue/metrics.go
+++ b/queue/metrics.go
@@ -28,20 +28,20 @@
 		return fmt.Sprintf("%s{service=%q,%s=%q}", base, service, label, value)
 	}
 	return &Metrics{
-		short: set.GetOrCreateGauge(name("queue_waiting", "class", "short"), nil),
-		long:  set.GetOrCreateGauge(name("queue_waiting", "class", "long"), nil),
+		short: set.GetOrCreateGauge(name("cranberrybay_queue_waiting", "class", "short"), nil),
+		long:  set.GetOrCreateGauge(name("cranberrybay_queue_waiting", "class", "long"), nil),
 		waits: [2]*metrics.Histogram{
-			set.GetOrCreateHistogram(name("queue_wait_seconds", "class", "short")),
-			set.GetOrCreateHistogram(name("queue_wait_seconds", "class", "long")),
+			set.GetOrCreateHistogram(name("cranberrybay_queue_wait_seconds", "class", "short")),
+			set.GetOrCreateHistogram(name("cranberrybay_queue_wait_seconds", "class", "long")),
 		},
-		err: set.GetOrCreateHistogram(fmt.Sprintf("queue_prediction_error_log2{service=%q}", service)),
+		err: set.GetOrCreateHistogram(fmt.Sprintf("cranberrybay_queue_prediction_error_log2{service=%q}", service)),
 		wrong: [2]*metrics.Counter{
-			set.GetOrCreateCounter(name("queue_mispredicted_total", "class", "short")),
-			set.GetOrCreateCounter(name("queue_mispredicted_total", "class", "long")),
+			set.GetOrCreateCounter(name("cranberrybay_queue_mispredicted_total", "class", "short")),
+			set.GetOrCreateCounter(name("cranberrybay_queue_mispredicted_total", "class", "long")),
 		},
-		reclass: set.GetOrCreateCounter(fmt.Sprintf("queue_reclassified_total{service=%q}", service)),
+		reclass: set.GetOrCreateCounter(fmt.Sprintf("cranberrybay_queue_reclassified_total{service=%q}", service)),
 		rejCount: func(reason string) *metrics.Counter {
-			return set.GetOrCreateCounter(name("queue_rejected_total", "reason", reason))
+			return set.GetOrCreateCounter(name("cranberrybay_queue_rejected_total", "reason", reason))
 		},
 	}
 }
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -8,8 +8,7 @@
 //
 // A request waits on its caller's goroutine; the queue starts none.
 //
-// Lock order: Queue.mu, then Predictor.mu. Budget.mu is never held with another
-// lock. The callback of Enter is called without a lock; Config.Peers and
+// Lock order: Queue.mu, then Predictor.mu. The callback of Enter is called without a lock; Config.Peers and
 // Config.Choose are called under Queue.mu and must not call the queue.
 package queue
 
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -209,19 +209,6 @@
 	assert.Equal(t, r.q.Waiting(), 0)
 }
 
-// Guards against a retry storm: retries stay within their part of requests.
-func TestBudget(t *testing.T) {
-	b := NewBudget(0.1, 10)
-	n := 0
-	for range 1000 {
-		b.Request()
-		if b.Retry() {
-			n++
-		}
-	}
-	assert.Assert(t, n >= 99 && n <= 101, "%d retries of 1000 requests", n)
-}
-
 // conserving checks the queue's invariants after each step. It is a seam: the
 // test of the check itself breaks the state first.
 func conserving(q *Queue) error {
--- /dev/null
+++ b/retry/retry.go
@@ -0,0 +1,45 @@
+// Package retry bounds repeated work to a share of all work, so that retries
+// can't multiply the load of an overload.
+package retry
+
+import "sync"
+
+// Config holds the sizes of a Budget.
+type Config struct {
+	Share float64 // repeats for each request, such as 0.1
+	Burst float64 // repeats saved up at most
+	Start float64 // repeats at the start; at most Burst
+}
+
+// Budget bounds repeats over all requests of a process: each request adds a
+// share of a repeat, each repeat takes one. It has one lock, under which
+// nothing else is called.
+type Budget struct {
+	mu   sync.Mutex
+	cfg  Config
+	left float64
+}
+
+// New returns a budget.
+func New(cfg Config) *Budget { return &Budget{cfg: cfg, left: min(cfg.Start, cfg.Burst)} }
+
+// Request counts a request that arrived.
+func (b *Budget) Request() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.left = min(b.cfg.Burst, b.left+b.cfg.Share)
+}
+
+// tolerance covers the rounding of ten steps of 0.1.
+const tolerance = 1e-9
+
+// Repeat takes one repeat and tells whether there was one.
+func (b *Budget) Repeat() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.left < 1-tolerance {
+		return false
+	}
+	b.left = max(0, b.left-1)
+	return true
+}
--- /dev/null
+++ b/retry/retry_test.go
@@ -0,0 +1,40 @@
+package retry_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cranberrybay/cranberrybay/retry"
+)
+
+// TestBudget guards against a retry storm: repeats stay within their share of
+// requests, and what is saved up in quiet times within the burst.
+func TestBudget(t *testing.T) {
+	t.Run("share", func(t *testing.T) {
+		b := retry.New(retry.Config{Share: 0.1, Burst: 10, Start: 1})
+		n := 0
+		for range 1000 {
+			b.Request()
+			if b.Repeat() {
+				n++
+			}
+		}
+		assert.Assert(t, n >= 99 && n <= 101, "%d repeats of 1000 requests", n)
+	})
+	t.Run("burst", func(t *testing.T) {
+		b := retry.New(retry.Config{Share: 0.1, Burst: 3, Start: 3})
+		for range 100 {
+			b.Request()
+		}
+		for range 3 {
+			assert.Assert(t, b.Repeat())
+		}
+		assert.Assert(t, !b.Repeat())
+		for range 10 {
+			b.Request()
+		}
+		assert.Assert(t, b.Repeat())
+		assert.Assert(t, !b.Repeat())
+	})
+}
--- a/stream/recover_test.go
+++ b/stream/recover_test.go
@@ -256,17 +256,3 @@
 		assert.Assert(t, w.used()-before < 3*100)
 	})
 }
-
-// TestBudget guards against retries beyond the share of requests.
-func TestBudget(t *testing.T) {
-	b := stream.NewBudget(0.1, 3)
-	for range 3 {
-		assert.Assert(t, b.Withdraw())
-	}
-	assert.Assert(t, !b.Withdraw())
-	for range 11 {
-		b.Deposit()
-	}
-	assert.Assert(t, b.Withdraw())
-	assert.Assert(t, !b.Withdraw())
-}
--- a/stream/recovery_test.go
+++ b/stream/recovery_test.go
@@ -16,6 +16,7 @@
 	"github.com/cranberrybay/cranberrybay/engine"
 	"github.com/cranberrybay/cranberrybay/entry"
 	"github.com/cranberrybay/cranberrybay/fakes"
+	"github.com/cranberrybay/cranberrybay/retry"
 	"github.com/cranberrybay/cranberrybay/route"
 	"github.com/cranberrybay/cranberrybay/stream"
 )
@@ -57,7 +58,7 @@
 		defer w.stop()
 		defer w.healthy()
 		none := entry.NewAnswers(entry.AnswersConfig{
-			Fleet: w.table, Engines: w.client, Domain: domains[0], Budget: stream.NewBudget(0, 0),
+			Fleet: w.table, Engines: w.client, Domain: domains[0], Budget: retry.New(retry.Config{}),
 			Chooser: route.New(route.Config{Fleet: w.table, Rand: rand.New(rand.NewSource(seed))}),
 		})
 		rnd := rand.New(rand.NewSource(seed))
--- a/stream/stream.go
+++ b/stream/stream.go
@@ -11,6 +11,7 @@
 
 	"github.com/cranberrybay/cranberrybay/engine"
 	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/retry"
 	"github.com/cranberrybay/cranberrybay/route"
 )
 
@@ -54,6 +55,13 @@
 	Tokens  int                 // accepted tokens
 }
 
+// Share and burst of the retry budget: 10 % of requests. The burst covers the
+// requests that one failed server has in flight, with a few attempts each.
+const (
+	defaultShare = 0.1
+	defaultBurst = 200
+)
+
 // Config holds the ports of a Runner. All functions may be called by several
 // requests at once.
 type Config struct {
@@ -71,7 +79,7 @@
 	// Feedback is told what the answers show about servers and links.
 	Feedback Feedback
 	// Budget bounds the attempts after the first over all requests.
-	Budget *Budget
+	Budget *retry.Budget
 	// Checkpoint is the number of tokens between exports of a running request;
 	// 0 exports only when a stage is replaced that still answers.
 	Checkpoint int
@@ -100,7 +108,7 @@
 // New returns a runner.
 func New(cfg Config) *Runner {
 	if cfg.Budget == nil {
-		cfg.Budget = NewBudget(defaultShare, defaultBurst)
+		cfg.Budget = retry.New(retry.Config{Share: defaultShare, Burst: defaultBurst, Start: defaultBurst})
 	}
 	if cfg.Probe == nil {
 		cfg.Probe = func(context.Context, string) (bool, error) { return false, nil }
@@ -127,7 +135,7 @@
 // carries the verdict and, when the request was given up, a retry time.
 func (r *Runner) Run(ctx context.Context, rq Request, sink Sink) (Outcome, error) {
 	countRequests.Inc()
-	r.cfg.Budget.Deposit()
+	r.cfg.Budget.Request()
 	u := newRun(r, &rq, sink)
 	defer u.finish()
 	for u.number < maxAttempts {
@@ -146,7 +154,7 @@
 		}
 		u.last = err
 		u.sent = u.sent || fault.Of(err) != fault.NotRun
-		if u.number >= maxAttempts || !r.cfg.Budget.Withdraw() {
+		if u.number >= maxAttempts || !r.budget() {
 			break
 		}
 	}
@@ -199,3 +207,12 @@
 	}
 	return fault.New(cfg)
 }
+
+// budget takes one further attempt out of the retry budget.
+func (r *Runner) budget() bool {
+	if r.cfg.Budget.Repeat() {
+		return true
+	}
+	countBudget.Inc()
+	return false
+}
