node: background work on the worker pool, log switches

Cause: the house style asks for a pool of workers and for logs that can be switched by part; node started a goroutine for each loop and knew one level.

--- a/change/store.go
+++ b/change/store.go
@@ -260,24 +260,31 @@
 	startTimeout = 4 * time.Second
 )
 
+// Step starts the store, or looks for a newer version.
+func (s *Store) Step(ctx context.Context) error {
+	if s.Version() == 0 {
+		return s.Start(ctx)
+	}
+	return bounded(ctx, s.Refresh)
+}
+
+// Pause returns the time to wait before the next step. A random half of the
+// interval keeps processes from reading in step.
+func (s *Store) Pause() time.Duration {
+	d := s.interval()
+	return d*3/4 + time.Duration(s.cfg.Rand.Int64N(int64(d/2)))
+}
+
 // Run starts the store and keeps it fresh until ctx ends.
 func (s *Store) Run(ctx context.Context, report func(error)) {
 	for {
-		var err error
-		if s.Version() == 0 {
-			err = s.Start(ctx)
-		} else {
-			err = bounded(ctx, s.Refresh)
-		}
-		if err != nil && ctx.Err() == nil {
+		if err := s.Step(ctx); err != nil && ctx.Err() == nil {
 			report(err)
 		}
-		// A random half of the interval keeps processes from reading in step.
-		d := s.interval()
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(d*3/4 + time.Duration(s.cfg.Rand.Int64N(int64(d/2)))):
+		case <-time.After(s.Pause()):
 		}
 	}
 }
--- a/claim/book.go
+++ b/claim/book.go
@@ -49,7 +49,8 @@
 	tickets map[string]*Claim // tickets that were used
 	bytes   int               // of outcomes in memory
 	probe   time.Time         // when a failing table is probed next
-	cursor  string            // position of sweeping
+	cursor  string            // position of sweeping; used by steps only
+	sweepAt time.Time         // when the next page is swept; used by steps only
 }
 
 // New returns a book.
--- a/claim/finish.go
+++ b/claim/finish.go
@@ -208,28 +208,39 @@
 }
 
 const (
-	settleInterval = 500 * time.Millisecond
-	settleTimeout  = 10 * time.Second
+	// StepInterval is the time between two steps of a book.
+	StepInterval  = 500 * time.Millisecond
+	settleTimeout = 10 * time.Second
 )
 
-// Run settles rows and sweeps expired ones until ctx ends.
+// Run calls Step until ctx ends.
 func (b *Book) Run(ctx context.Context) {
-	next := time.Now().Add(b.sweepInterval())
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(settleInterval):
-		}
-		b.Settle(ctx)
-		b.purge(time.Now())
-		if now := time.Now(); now.After(next) {
-			if err := b.Sweep(ctx); err != nil {
-				b.cfg.Log.Debug().Err(err).Msg("expired claims were not swept")
-			}
-			next = now.Add(b.sweepInterval())
+		case <-time.After(StepInterval):
 		}
+		b.Step(ctx)
+	}
+}
+
+// Step settles rows, forgets used tickets that expired, and sweeps expired rows
+// when a page of them is due. Steps must not overlap.
+func (b *Book) Step(ctx context.Context) {
+	b.Settle(ctx)
+	now := time.Now()
+	b.purge(now)
+	if b.sweepAt.IsZero() {
+		b.sweepAt = now.Add(b.sweepInterval())
+	}
+	if now.Before(b.sweepAt) {
+		return
+	}
+	if err := b.Sweep(ctx); err != nil {
+		b.cfg.Log.Debug().Err(err).Msg("expired claims were not swept")
 	}
+	b.sweepAt = time.Now().Add(b.sweepInterval())
 }
 
 // Unsettled returns the number of claims whose row does not say yet what this
--- a/fleet/watch.go
+++ b/fleet/watch.go
@@ -18,6 +18,8 @@
 	Events func(ctx context.Context, s State, reborn bool)
 	// Failed is told that the VM list was not read.
 	Failed func(error)
+	// Spawn runs a reading or a poll on another goroutine; nil starts one.
+	Spawn func(run func(ctx context.Context))
 }
 
 // Watcher keeps a table fresh from the VM list and load reports.
@@ -27,8 +29,10 @@
 	mu   sync.Mutex        // guards seen and busy
 	busy map[string]bool   // servers whose poll has not ended
 
-	tokens float64   // polls that may be sent now; used by Run only
+	tokens float64   // polls that may be sent now; this and the next are used by Step only
 	filled time.Time // when tokens was filled last
+	listAt time.Time // when to read the list next
+	pickAt time.Time // when to select the subset next
 }
 
 // NewWatcher returns a watcher.
@@ -36,43 +40,52 @@
 	return &Watcher{cfg: cfg, seen: map[string]uint64{}, busy: map[string]bool{}}
 }
 
+// StepInterval is the time between two steps: 16 a second.
+const StepInterval = 62500 * time.Microsecond
+
 // Intervals of background work.
 const (
-	listInterval = time.Second              // between readings of the VM list at least
-	entryTime    = 22 * time.Millisecond    // further time for each server: an entry of about 90 B at 4 KB/s
-	listTimeout  = 5 * time.Second          // of one reading
-	selectTime   = 5 * time.Second          // between selections of the subset while it lacks servers
-	tick         = 62500 * time.Microsecond // 16 times a second
-	pollRate     = 16                       // polls a second at most
-	minPoll      = time.Second              // interval between polls of one server at least
+	listInterval = time.Second           // between readings of the VM list at least
+	entryTime    = 22 * time.Millisecond // further time for each server: an entry of about 90 B at 4 KB/s
+	listTimeout  = 5 * time.Second       // of one reading
+	selectTime   = 5 * time.Second       // between selections of the subset while it lacks servers
+	pollRate     = 16                    // polls a second at most
+	minPoll      = time.Second           // interval between polls of one server at least
 	loadTimeout  = time.Second
 )
 
-// Run polls until the context ends.
+// Run calls Step until the context ends, and waits for what it started.
 func (w *Watcher) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	var list, choose time.Time // when to read the list and to select the subset next
+	if w.cfg.Spawn == nil {
+		w.cfg.Spawn = func(run func(context.Context)) { wg.Go(func() { run(ctx) }) }
+	}
 	for ctx.Err() == nil {
-		now := time.Now()
-		if !now.Before(list) {
-			list = now.Add(w.listInterval())
-			wg.Go(func() { w.list(ctx) })
-		}
-		if !now.Before(choose) {
-			choose = now.Add(selectTime)
-			w.cfg.Table.reselect()
-		}
-		for _, s := range w.due() {
-			wg.Go(func() { w.poll(ctx, s) })
-		}
+		w.Step(ctx)
 		select {
 		case <-ctx.Done():
-		case <-time.After(tick):
+		case <-time.After(StepInterval):
 		}
 	}
 }
 
+// Step starts the readings and polls that are due. Steps must not overlap.
+func (w *Watcher) Step(context.Context) {
+	now := time.Now()
+	if !now.Before(w.listAt) {
+		w.listAt = now.Add(w.listInterval())
+		w.cfg.Spawn(w.list)
+	}
+	if !now.Before(w.pickAt) {
+		w.pickAt = now.Add(selectTime)
+		w.cfg.Table.reselect()
+	}
+	for _, s := range w.due() {
+		w.cfg.Spawn(func(ctx context.Context) { w.poll(ctx, s) })
+	}
+}
+
 // listInterval returns the time between readings of the VM list. It grows with
 // the list, which would otherwise exceed the control traffic of a node.
 func (w *Watcher) listInterval() time.Duration {
--- a/node/admit.go
+++ b/node/admit.go
@@ -1,12 +1,10 @@
 package node
 
 import (
-	"context"
 	"math/rand/v2"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"go.uber.org/fx"
 
 	"github.com/cranberrybay/cranberrybay/change"
 	"github.com/cranberrybay/cranberrybay/engine"
@@ -41,31 +39,6 @@
 	})
 }
 
-// reportDemand reports the demand of accounts while the process runs, and keeps
-// the limits informed of the live processes.
-func reportDemand(lc fx.Lifecycle, k *limit.Keeper, p *peers) {
-	ctx, cancel := context.WithCancel(context.Background())
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			go func() {
-				t := time.NewTicker(limit.ReportInterval)
-				defer t.Stop()
-				for {
-					select {
-					case <-ctx.Done():
-						return
-					case <-t.C:
-						k.SetMembers(p.names())
-						k.Tick()
-					}
-				}
-			}()
-			return nil
-		},
-		OnStop: func(context.Context) error { cancel(); return nil },
-	})
-}
-
 // admit passes a load report, or its absence, to the queue of a service. The
 // first stage of a pipeline drives an answer and holds its slot, so later
 // stages don't count.
--- a/node/follow.go
+++ b/node/follow.go
@@ -12,6 +12,7 @@
 	"github.com/cranberrybay/cranberrybay/admin"
 	"github.com/cranberrybay/cranberrybay/change"
 	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/logs"
 	"github.com/cranberrybay/cranberrybay/member"
 	"github.com/cranberrybay/cranberrybay/peer"
 )
@@ -29,8 +30,8 @@
 	asked    time.Time         // when the versions were read last
 }
 
-func newFollower(log zerolog.Logger) *follower {
-	return &follower{log: part(log, "change"), versions: map[string]uint64{}}
+func newFollower(log *logs.Maker) *follower {
+	return &follower{log: log.Part("change"), versions: map[string]uint64{}}
 }
 
 func (f *follower) version() (version, digest uint64) {
--- a/node/node.go
+++ b/node/node.go
@@ -12,7 +12,6 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/uuid"
-	"github.com/rs/zerolog"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
@@ -23,6 +22,7 @@
 	"github.com/cranberrybay/cranberrybay/entry"
 	"github.com/cranberrybay/cranberrybay/fleet"
 	"github.com/cranberrybay/cranberrybay/limit"
+	"github.com/cranberrybay/cranberrybay/logs"
 	"github.com/cranberrybay/cranberrybay/member"
 	"github.com/cranberrybay/cranberrybay/object"
 	"github.com/cranberrybay/cranberrybay/peer"
@@ -46,7 +46,9 @@
 		fx.StopTimeout(stopTimeout),
 		fx.Supply(s),
 		fx.Provide(
-			func() zerolog.Logger { return zerolog.New(out).With().Timestamp().Str("node", s.Name).Logger() },
+			func() (*logs.Maker, error) {
+				return logs.New(logs.Config{Out: out, Node: s.Name, Level: s.Log.Level, Levels: s.Log.Parts})
+			},
 			func() incarnation { return incarnation(s.Name + "/" + uuid.NewString()) },
 			func() plat.Config { return plat.Config{Address: s.Platform.Address} },
 			plat.Table,
@@ -57,6 +59,7 @@
 				return route.New(route.Config{Fleet: t, Cache: c, Rand: rand.New(rand.NewSource(time.Now().UnixNano()))})
 			},
 			plat.Objects,
+			newPool,
 			newFollower,
 			newStore,
 			func() *engine.Client { return engine.New(engine.Config{}) },
@@ -74,12 +77,12 @@
 			newDrainer,
 			newAdmin,
 		),
-		fx.Invoke(connect, startPeers, background, startPlacing, listen, reportDemand),
+		// Hooks stop in reverse order: listeners drain, the pool ends, the lease is
+		// released, peers learn that this process is gone.
+		fx.Invoke(connect, startPeers, releaseLease, background, listen),
 	)
 }
 
-func part(l zerolog.Logger, name string) zerolog.Logger { return l.With().Str("part", name).Logger() }
-
 func newStore(t *table.Client, o *object.Client, f *follower) *change.Store {
 	f.store = change.NewStore(change.StoreConfig{
 		Table: t, Objects: o, Log: f.log, Live: f.live, Announce: f.announce, Offer: f.offer, Peers: f.names, Fetch: f.fetch,
@@ -87,9 +90,9 @@
 	return f.store
 }
 
-func newBook(t *table.Client, o *object.Client, i incarnation, p *peers, l zerolog.Logger) *claim.Book {
+func newBook(t *table.Client, o *object.Client, i incarnation, p *peers, l *logs.Maker) *claim.Book {
 	return claim.New(claim.Config{
-		Table: t, Objects: o, Holder: string(i), Log: part(l, "claim"), Ask: p.askClaim, Peers: p.config.live,
+		Table: t, Objects: o, Holder: string(i), Log: l.Part("claim"), Ask: p.askClaim, Peers: p.config.live,
 	})
 }
 
@@ -115,45 +118,35 @@
 	Peers    *peers
 	Limits   *limit.Keeper
 	Queues   *queue.Set
-	Log      zerolog.Logger
+	Log      *logs.Maker
 }
 
 func newEntry(p entryParts) *entry.Handler {
 	return entry.New(entry.Config{
 		Store: p.Store, Fleet: p.Fleet, Chooser: p.Chooser, Engines: p.Engines, Services: p.Services, Claims: p.Claims,
 		Gate:   &entry.Gate{Limits: p.Limits, Queues: p.Queues},
-		Domain: p.Settings.Domain, Self: p.Settings.Listen.Callers, Log: part(p.Log, "entry"),
+		Domain: p.Settings.Domain, Self: p.Settings.Listen.Callers, Log: p.Log.Part("entry"),
 		Addresses: p.Peers.addresses, Forward: p.Peers.forward,
 	})
 }
 
-func newAdmin(s Settings, st *change.Store, t *table.Client, f *fleet.Table, d *drainer, p *peers, m *metrics.Set, l zerolog.Logger) *admin.Handler {
+func newAdmin(s Settings, st *change.Store, t *table.Client, f *fleet.Table, d *drainer, p *peers, m *metrics.Set, l *logs.Maker) *admin.Handler {
 	return admin.New(admin.Config{
 		Name: s.Name, Domain: s.Domain, Token: s.Token, Store: st, Table: t, Fleet: f,
-		Drain: d.leave, Live: p.config.status, Metrics: m.WritePrometheus, Log: part(l, "admin"),
-	})
-}
-
-// background runs the loops that keep tables fresh.
-func background(lc fx.Lifecycle, st *change.Store, b *claim.Book, f *fleet.Table, l *plat.VMList, e *engine.Client, q *queue.Set, cache *route.Cache, log zerolog.Logger) {
-	ctx, cancel := context.WithCancel(context.Background())
-	w := newWatcher(f, l, e, q, cache, part(log, "fleet"))
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			cl := part(log, "change")
-			go st.Run(ctx, func(err error) { cl.Warn().Err(err).Msg("refresh failed") })
-			go w.Run(ctx)
-			go b.Run(ctx)
-			return nil
+		Drain: d.leave, Live: p.config.status, Log: l.Part("admin"),
+		Metrics: func(w io.Writer) {
+			m.WritePrometheus(w)
+			if p.node != nil {
+				p.node.Metrics().WritePrometheus(w)
+			}
 		},
-		OnStop: func(context.Context) error { cancel(); return nil },
 	})
 }
 
 // listen opens both listeners before the process counts as started. At a stop
 // the callers' listener closes when the process is drained, and the operators'
 // listener after it.
-func listen(lc fx.Lifecycle, s Settings, e *entry.Handler, d *drainer, a *admin.Handler, log zerolog.Logger) {
+func listen(lc fx.Lifecycle, s Settings, e *entry.Handler, d *drainer, a *admin.Handler, log *logs.Maker) {
 	serveOn(lc, listener{name: "admin", address: s.Listen.Admin, server: a.Server()}, log)
 	serveOn(lc, listener{name: "callers", address: s.Listen.Callers, server: e.Server(), entry: e, drain: d}, log)
 }
@@ -167,7 +160,7 @@
 	drain   *drainer
 }
 
-func serveOn(lc fx.Lifecycle, s listener, log zerolog.Logger) {
+func serveOn(lc fx.Lifecycle, s listener, log *logs.Maker) {
 	var l net.Listener
 	lc.Append(fx.Hook{
 		OnStart: func(ctx context.Context) error {
@@ -181,7 +174,8 @@
 			}
 			go func() {
 				if err := s.server.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
-					log.Error().Err(err).Str("listener", s.name).Msg("listener ended")
+					l := log.Part("node")
+					l.Error().Err(err).Str("listener", s.name).Msg("listener ended")
 				}
 			}()
 			return nil
--- a/node/peers.go
+++ b/node/peers.go
@@ -15,6 +15,7 @@
 	"github.com/cranberrybay/cranberrybay/entry"
 	"github.com/cranberrybay/cranberrybay/fault"
 	"github.com/cranberrybay/cranberrybay/limit"
+	"github.com/cranberrybay/cranberrybay/logs"
 	"github.com/cranberrybay/cranberrybay/member"
 	"github.com/cranberrybay/cranberrybay/peer"
 	"github.com/cranberrybay/cranberrybay/table"
@@ -32,13 +33,14 @@
 
 // peers joins the transport and the membership of this process.
 type peers struct {
-	node    *peer.Node // nil without peers
-	members *member.Table
-	config  *follower
-	listen  string
-	log     zerolog.Logger
-	serving atomic.Pointer[peerHandlers]
-	sending chan struct{} // one entry for each message of the limits under way
+	node       *peer.Node // nil without peers
+	members    *member.Table
+	config     *follower
+	listen     string
+	log        zerolog.Logger
+	serving    atomic.Pointer[peerHandlers]
+	superseded atomic.Bool
+	sending    chan struct{} // one entry for each message of the limits under way
 }
 
 // peerHandlers are the calls of other entry processes that other parts serve.
@@ -57,7 +59,7 @@
 	Rows        *table.Client
 	Follower    *follower
 	Pulse       *member.Pulse
-	Log         zerolog.Logger
+	Log         *logs.Maker
 }
 
 func target(m member.Member) peer.Target {
@@ -66,7 +68,7 @@
 
 func newPeers(p peerParts) (*peers, error) {
 	s := p.Settings
-	out := &peers{listen: s.Peer.Listen, log: part(p.Log, "peer"), sending: make(chan struct{}, maxSending)}
+	out := &peers{listen: s.Peer.Listen, log: p.Log.Part("peer"), sending: make(chan struct{}, maxSending)}
 	out.serve(peerHandlers{})
 	out.config = p.Follower
 	cfg := member.Config{
@@ -74,7 +76,7 @@
 			Name: s.Name, Incarnation: string(p.Incarnation), Domain: s.Domain, Region: s.Region,
 			Callers: s.Listen.Callers, Peers: s.Peer.Listen,
 		},
-		Rows: p.Rows, Seeds: s.Peer.Seeds, Pulse: p.Pulse, Log: part(p.Log, "member"),
+		Rows: p.Rows, Seeds: s.Peer.Seeds, Pulse: p.Pulse, Log: p.Log.Part("member"),
 		Ping: out.ping, News: out.news, Version: out.config.version,
 		Heard: out.config.pinged,
 	}
@@ -180,8 +182,7 @@
 
 // startPeers opens the listener for peers before it joins the membership, so
 // that the others reach this process as soon as they know it.
-func startPeers(lc fx.Lifecycle, p *peers, e *entry.Handler) {
-	ctx, cancel := context.WithCancel(context.Background())
+func startPeers(lc fx.Lifecycle, p *peers) {
 	lc.Append(fx.Hook{
 		OnStart: func(start context.Context) error {
 			if p.node != nil {
@@ -193,11 +194,9 @@
 				p.node.Start(l)
 			}
 			p.members.Start(start)
-			go p.guard(ctx, e)
 			return nil
 		},
 		OnStop: func(stop context.Context) error {
-			cancel()
 			bounded, done := context.WithTimeout(stop, leaveTimeout)
 			defer done()
 			p.members.Stop(bounded)
@@ -210,16 +209,11 @@
 }
 
 // guard stops serving when a newer incarnation has taken this process's name.
-func (p *peers) guard(ctx context.Context, e *entry.Handler) {
-	for !p.members.Superseded() {
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(time.Second):
-		}
+func (p *peers) guard(e *entry.Handler) {
+	if p.members.Superseded() && !p.superseded.Swap(true) {
+		p.log.Error().Msg("another incarnation has this name, this process serves no more")
+		e.Drain()
 	}
-	p.log.Error().Msg("another incarnation has this name, this process serves no more")
-	e.Drain()
 }
 
 // addresses answers GET /addresses.
--- a/node/placing.go
+++ b/node/placing.go
@@ -11,6 +11,7 @@
 	"github.com/cranberrybay/cranberrybay/engine"
 	"github.com/cranberrybay/cranberrybay/fleet"
 	"github.com/cranberrybay/cranberrybay/lease"
+	"github.com/cranberrybay/cranberrybay/logs"
 	"github.com/cranberrybay/cranberrybay/member"
 	"github.com/cranberrybay/cranberrybay/place"
 	"github.com/cranberrybay/cranberrybay/plat"
@@ -27,10 +28,10 @@
 )
 
 // newLease returns the lease of the placement controller. A pause drops it.
-func newLease(rows *table.Client, i incarnation, p *member.Pulse, log zerolog.Logger) *lease.Holder {
+func newLease(rows *table.Client, i incarnation, p *member.Pulse, log *logs.Maker) *lease.Holder {
 	h := lease.New(lease.Config{
 		Rows: rows, Name: "place", Holder: string(i), Term: leaseTerm, Send: sendTimeout,
-		Violated: violated(part(log, "lease")),
+		Violated: violated(log.Part("lease")),
 	})
 	p.OnWake(func(time.Duration) { h.Drop() })
 	return h
@@ -49,7 +50,7 @@
 	Fleet   *fleet.Table
 	Engines *engine.Client
 	Weights *plat.Weights
-	Log     zerolog.Logger
+	Log     *logs.Maker
 }
 
 func newPlacer(p placeParts) *place.Controller {
@@ -68,8 +69,8 @@
 			return l.Rate, l.Burst, err
 		},
 		SendTimeout: sendTimeout,
-		Violated:    violated(part(p.Log, "place")),
-		Log:         part(p.Log, "place"),
+		Violated:    violated(p.Log.Part("place")),
+		Log:         p.Log.Part("place"),
 	})
 }
 
@@ -88,43 +89,16 @@
 	return out
 }
 
-// startPlacing runs the lease and the controller. The lease is released only
-// after the controller has ended.
-func startPlacing(lc fx.Lifecycle, h *lease.Holder, c *place.Controller, p *member.Pulse, log zerolog.Logger) {
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	pl := part(log, "lease")
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			go func() {
-				for ctx.Err() == nil {
-					p.Beat()
-					step, end := context.WithTimeout(ctx, leaseStep)
-					if err := h.Step(step); err != nil && ctx.Err() == nil {
-						pl.Info().Err(err).Msg("lease step failed")
-					}
-					end()
-					select {
-					case <-ctx.Done():
-					case <-time.After(leaseStep):
-					}
-				}
-			}()
-			go func() {
-				defer close(done)
-				c.Run(ctx)
-			}()
-			return nil
-		},
-		OnStop: func(stop context.Context) error {
-			cancel()
-			<-done
-			bounded, end := context.WithTimeout(stop, releaseLimit)
-			defer end()
-			if err := h.Release(bounded); err != nil {
-				pl.Info().Err(err).Msg("lease was not released, it runs out")
-			}
-			return nil
-		},
-	})
+// releaseLease releases the lease at a stop. Its hook runs after that of the
+// pool, so that the controller has ended.
+func releaseLease(lc fx.Lifecycle, h *lease.Holder, log *logs.Maker) {
+	lc.Append(fx.Hook{OnStop: func(stop context.Context) error {
+		bounded, end := context.WithTimeout(stop, releaseLimit)
+		defer end()
+		if err := h.Release(bounded); err != nil {
+			l := log.Part("lease")
+			l.Info().Err(err).Msg("lease was not released, it runs out")
+		}
+		return nil
+	}})
 }
--- a/node/settings.go
+++ b/node/settings.go
@@ -11,6 +11,7 @@
 
 	"github.com/pelletier/go-toml/v2"
 
+	"github.com/cranberrybay/cranberrybay/logs"
 	"github.com/cranberrybay/cranberrybay/peer"
 	"github.com/cranberrybay/cranberrybay/spec"
 )
@@ -24,6 +25,13 @@
 	Listen   ListenSettings   `toml:"listen"`
 	Platform PlatformSettings `toml:"platform"`
 	Peer     PeerSettings     `toml:"peer"` // other entry processes
+	Log      LogSettings      `toml:"log"`
+}
+
+// LogSettings say what is logged: debug, info, warn, error or off.
+type LogSettings struct {
+	Level string            `toml:"level"` // of parts without a level of their own; "" means info
+	Parts map[string]string `toml:"parts"` // level by part, see logs.Parts
 }
 
 // ListenSettings are the addresses to listen on, as IP:port.
@@ -89,6 +97,9 @@
 			add(f.key, f.value, "IP:port")
 		}
 	}
+	if _, err := logs.New(logs.Config{Level: s.Log.Level, Levels: s.Log.Parts}); err != nil {
+		all = append(all, fmt.Errorf("%s: log: %w", path, err))
+	}
 	all = append(all, s.checkPeer(path, add)...)
 	return errors.Join(all...)
 }
--- a/node/watch.go
+++ b/node/watch.go
@@ -10,12 +10,13 @@
 	"github.com/cranberrybay/cranberrybay/entry"
 	"github.com/cranberrybay/cranberrybay/fleet"
 	"github.com/cranberrybay/cranberrybay/plat"
+	"github.com/cranberrybay/cranberrybay/pool"
 	"github.com/cranberrybay/cranberrybay/queue"
 	"github.com/cranberrybay/cranberrybay/route"
 )
 
 // newWatcher connects the fleet table to the VM list and the engines.
-func newWatcher(t *fleet.Table, l *plat.VMList, e *engine.Client, q *queue.Set, cache *route.Cache, log zerolog.Logger) *fleet.Watcher {
+func newWatcher(wp *pool.Pool, t *fleet.Table, l *plat.VMList, e *engine.Client, q *queue.Set, cache *route.Cache, log zerolog.Logger) *fleet.Watcher {
 	return fleet.NewWatcher(fleet.WatchConfig{
 		Table: t,
 		List: func(ctx context.Context) ([]fleet.State, error) {
@@ -48,6 +49,7 @@
 				cache.Merge(s.Name, ev)
 			}
 		},
+		Spawn:  func(run func(context.Context)) { wp.At("poll", time.Now(), run) },
 		Failed: func(err error) { log.Warn().Err(err).Msg("VM list was not read") },
 	})
 }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -34,6 +34,7 @@
 	index    int // place in the heap, or -1 while it runs
 	again    bool
 	removed  bool
+	seconds  *metrics.FloatCounter
 }
 
 // Pool is a set of workers over one table of tasks ordered by due time.
@@ -72,6 +73,7 @@
 }
 
 func (p *Pool) add(t *Task) *Task {
+	t.seconds = metrics.GetOrCreateFloatCounter(`cranberrybay_pool_seconds_total{task="` + t.name + `"}`)
 	p.mu.Lock()
 	heap.Push(&p.tasks, t)
 	p.mu.Unlock()
@@ -184,7 +186,7 @@
 			}
 			p.cfg.Panic(fmt.Sprintf("task %s: %v", t.name, v))
 		}
-		metrics.GetOrCreateFloatCounter(`pool_seconds_total{task="` + t.name + `"}`).Add(time.Since(start).Seconds())
+		t.seconds.Add(time.Since(start).Seconds())
 		p.finish(t)
 	}()
 	t.run(p.ctx)
