--- a/limit/metrics.go
+++ b/limit/metrics.go
@@ -7,7 +7,7 @@
 
 // NewMetrics registers the metrics of a keeper.
 func NewMetrics(set *metrics.Set) *Metrics {
-	return &Metrics{rejected: set.GetOrCreateCounter("limit_rejected_total")}
+	return &Metrics{rejected: set.GetOrCreateCounter("cranberrybay_limit_rejected_total")}
 }
 
 func (m *Metrics) limited() {
--- a/peer/count.go
+++ b/peer/count.go
@@ -18,13 +18,13 @@
 func newCounts() *counts {
 	c := &counts{set: metrics.NewSet()}
 	for k, name := range kindNames {
-		c.sent[k] = c.set.NewCounter(fmt.Sprintf(`peer_messages{kind=%q,way="sent"}`, name))
-		c.received[k] = c.set.NewCounter(fmt.Sprintf(`peer_messages{kind=%q,way="received"}`, name))
-		c.sentB[k] = c.set.NewCounter(fmt.Sprintf(`peer_bytes{kind=%q,way="sent"}`, name))
-		c.receivedB[k] = c.set.NewCounter(fmt.Sprintf(`peer_bytes{kind=%q,way="received"}`, name))
+		c.sent[k] = c.set.NewCounter(fmt.Sprintf(`cranberrybay_peer_messages{kind=%q,way="sent"}`, name))
+		c.received[k] = c.set.NewCounter(fmt.Sprintf(`cranberrybay_peer_messages{kind=%q,way="received"}`, name))
+		c.sentB[k] = c.set.NewCounter(fmt.Sprintf(`cranberrybay_peer_bytes{kind=%q,way="sent"}`, name))
+		c.receivedB[k] = c.set.NewCounter(fmt.Sprintf(`cranberrybay_peer_bytes{kind=%q,way="received"}`, name))
 	}
-	c.wireSent = c.set.NewCounter(`peer_wire_bytes{way="sent"}`)
-	c.wireRecv = c.set.NewCounter(`peer_wire_bytes{way="received"}`)
+	c.wireSent = c.set.NewCounter(`cranberrybay_peer_wire_bytes{way="sent"}`)
+	c.wireRecv = c.set.NewCounter(`cranberrybay_peer_wire_bytes{way="received"}`)
 	return c
 }
 
--- a/peer/measure_test.go
+++ b/peer/measure_test.go
@@ -33,7 +33,7 @@
 func (c *cluster) wireBytes() (n uint64) {
 	for _, p := range c.all() {
 		for _, way := range []string{"sent", "received"} {
-			n += p.node.Metrics().GetOrCreateCounter(fmt.Sprintf(`peer_wire_bytes{way=%q}`, way)).Get()
+			n += p.node.Metrics().GetOrCreateCounter(fmt.Sprintf(`cranberrybay_peer_wire_bytes{way=%q}`, way)).Get()
 		}
 	}
 	return n
--- a/route/cache.go
+++ b/route/cache.go
@@ -15,7 +15,7 @@
 	maxServerBlocks = 4 << 10
 )
 
-var cacheGaps = metrics.NewCounter(`bay_cache_gaps`)
+var cacheGaps = metrics.NewCounter(`cranberrybay_cache_gaps`)
 
 // Cache is what this process knows of the prompt blocks in the prefix caches
 // of engines. It is a hint: events come late and some are lost. A gap in the
