engine: order test with a new connection

After the server closed, the order went out on a kept connection whose close was not noticed yet; may-have-run is the right verdict there, and the test expected not-run as for a refused dial. Change: the last step uses a client without kept connections, so that the dial itself is refused; the expectation stays. Conclusion: the fault was in the test.

--- a/engine/order_test.go
+++ b/engine/order_test.go
@@ -50,7 +50,9 @@
 			assert.Equal(t, len(h.Parts), 0)
 		}
 		srv.Close()
-		_, err = c.Order(ctx, address, order, yes)
+		// A new client has no kept connection, on which the order could have
+		// arrived before the close was noticed.
+		_, err = engine.New(engine.Config{}).Order(ctx, address, order, yes)
 		assert.Equal(t, fault.Of(err), fault.NotRun, "connection refused")
 	}
 }
