bench: count short requests without an answer until their deadline

Cause: the table had no figure for the rule that a request that is given up gets its answer immediately.

--- a/bench/run.go
+++ b/bench/run.go
@@ -29,6 +29,7 @@
 	PlainShortest  float64    // the same, part of the shortest-first plan
 	Needless       float64    // part of all short requests at the peak, by the plan
 	Passed         float64    // the same, by the actual course
+	Expired        float64    // short requests at the peak that waited until their deadline, part of all
 	Jain, Smallest float64
 	Swing          float64 // longest recovery after a peak, s
 	Worker         float64 // recovery, s
@@ -148,6 +149,7 @@
 	f.PeakPlain = float64(plain) / float64(calls)
 	f.PlainShortest = float64(plain) / float64(max(calls, more))
 	f.Whole = m.whole()
+	f.Expired = float64(m.expired(atPeak)) / float64(all)
 	f.Needless = float64(m.needless(atPeak)) / float64(all)
 	f.Passed = float64(m.passed(atPeak)) / float64(all)
 	for _, t := range peaks(m.scene.End) {
@@ -160,6 +162,18 @@
 	}
 }
 
+// expired counts short requests whose callers got neither a first token nor a
+// rejection before the deadline.
+func (m *sim) expired(in func(*request) bool) int {
+	n := 0
+	for _, q := range m.requests {
+		if !q.plain && !q.long && in(q) && !q.inTime() && (q.rejected == "" || q.ended > q.by) {
+			n++
+		}
+	}
+	return n
+}
+
 // whole returns the short work served in time over whole swings, as a part of
 // the deadline plan. A variant that serves the requests after a peak in place of
 // those of the peak loses nothing here.
--- a/bench/table.go
+++ b/bench/table.go
@@ -77,6 +77,7 @@
 		Row{"long work in time at peak, of all", Target{}, "%.3f", func(f Figures) float64 { return f.PeakLong }},
 		Row{"plain calls in time at peak, of deadline plan", TargetPeak, "%.3f", func(f Figures) float64 { return f.PeakPlain }},
 		Row{"  of the better of both plans", TargetPeak, "%.3f", func(f Figures) float64 { return f.PlainShortest }},
+		Row{"short work without answer until its deadline at peak", Target{}, "%.3f", func(f Figures) float64 { return f.Expired }},
 		Row{"needless rejections by plan, of short work", TargetNeedless, "%.4f", func(f Figures) float64 { return f.Needless }},
 		Row{"needless rejections by actual course", TargetNeedless, "%.4f", func(f Figures) float64 { return f.Passed }},
 		Row{"Jain's index, equal weights", TargetJain, "%.3f", func(f Figures) float64 { return f.Jain }},
