cmds: wrong arguments end with exit code 2

Cause: docs/admin.md promises exit code 2 for wrong arguments, but a missing flag, a wrong number of arguments or an unknown command ended with 1, since cobra returns plain errors for them; standin NAME with an unknown name printed help and ended with 0.

Change: every error before a command begins to run is a usage error, and standin refuses unknown names.

Conclusion: TestUsage runs nine command lines. A script can now tell a call that it must correct from one that it may repeat.

--- a/cmds/cmds.go
+++ b/cmds/cmds.go
@@ -27,13 +27,32 @@
 	root.SetArgs(args)
 	root.SetOut(out)
 	root.SetErr(errOut)
+	started := false
+	noteStart(root, &started)
 	err := root.Execute()
+	if err != nil && !started {
+		err = usageError{err} // unknown command, wrong number of arguments, missing flag
+	}
 	if err != nil {
 		_, _ = fmt.Fprintf(errOut, "cranberrybay: %v\n", err)
 	}
 	return exitCode(err)
 }
 
+// noteStart sets started when any command begins to run. cobra returns plain
+// errors for wrong arguments, which else would look like failures of a command.
+func noteStart(c *cobra.Command, started *bool) {
+	if run := c.RunE; run != nil {
+		c.RunE = func(c *cobra.Command, args []string) error {
+			*started = true
+			return run(c, args)
+		}
+	}
+	for _, sub := range c.Commands() {
+		noteStart(sub, started)
+	}
+}
+
 // usageError marks wrong arguments, settings or files.
 type usageError struct{ err error }
 
--- a/cmds/publish_test.go
+++ b/cmds/publish_test.go
@@ -186,3 +186,14 @@
 	assert.Equal(t, code, 5, out)
 	assert.Assert(t, strings.Contains(out, "accepted as version 8: 1 change"), out)
 }
+
+// TestUsage guards against wrong arguments that end with the exit code of a
+// failed command: scripts tell 1 from 2 to know whether a repeat can help.
+func TestUsage(t *testing.T) {
+	for _, args := range []string{"serve", "serve x --config y", "nonsense", "status --nope", "publish", "check", "check none.toml", "standin nonsense"} {
+		var out bytes.Buffer
+		assert.Equal(t, cmds.Run(strings.Fields(args), &out, &out), 2, "%s: %s", args, out.String())
+	}
+	var out bytes.Buffer
+	assert.Equal(t, cmds.Run([]string{"drain", "--address", "127.0.0.1:1"}, &out, &out), 3, out.String())
+}
--- a/cmds/standin.go
+++ b/cmds/standin.go
@@ -17,7 +17,13 @@
 )
 
 func newStandin() *cobra.Command {
-	c := &cobra.Command{Use: "standin", Short: "Run a stand-in for a system around an entry process"}
+	c := &cobra.Command{
+		Use: "standin", Short: "Run a stand-in for a system around an entry process", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			_ = c.Help()
+			return usageError{errors.New("standin wants one of engine, platform, service")}
+		},
+	}
 	c.AddCommand(newStandinPlatform(), newStandinEngine(), newStandinService())
 	return c
 }
