node, spec: settings errors name line and key, never the credential

Cause: a settings file with a wrong duration or a syntax error was refused without a line number, an unknown key was printed as ["listen" "lingre"], and a token in clear text was repeated in the message, which ends in logs. A token of 64 characters that are no hex digits was accepted, though no credential can match it.

Change: TOML errors carry file and line, keys are joined with dots as in the file, the token must match the pattern of hashes and its value is not shown.

Conclusion: TestSettingsErrors covers each of the cases, and the check of spec's unknown key is stricter than before. Tests of cmds, node and spec pass.

--- a/node/node_test.go
+++ b/node/node_test.go
@@ -8,6 +8,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
@@ -182,3 +184,22 @@
 		assert.ErrorContains(t, err, want)
 	}
 }
+
+// TestSettingsErrors guards against messages that do not say where a settings
+// file is wrong, and against a credential in clear text in a message.
+func TestSettingsErrors(t *testing.T) {
+	for _, c := range []struct{ text, want string }{
+		{"name = \"a\"\nnmae = \"x\"\n", `f.toml:2: unknown key "nmae"`},
+		{"[listen]\nlingre = \"1s\"\n", `f.toml:2: unknown key "listen.lingre"`},
+		{"[listen]\n\nlinger = \"soon\"\n", "f.toml:3: "},
+		{"name = a\n", "f.toml:1: "},
+		{"token = \"secret-word\"\n", "f.toml: token is not"},
+		{"token = \"sha256:" + strings.Repeat("z", 64) + "\"\n", "f.toml: token is not"},
+	} {
+		path := filepath.Join(t.TempDir(), "f.toml")
+		assert.NilError(t, os.WriteFile(path, []byte(c.text), 0o600))
+		_, err := node.ReadSettings(path)
+		assert.ErrorContains(t, err, c.want)
+		assert.Assert(t, !strings.Contains(err.Error(), "secret-word"), err)
+	}
+}
--- a/node/settings.go
+++ b/node/settings.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"regexp"
+	"strings"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
@@ -36,6 +38,8 @@
 	Linger spec.Duration `toml:"linger"`
 }
 
+var tokenPattern = regexp.MustCompile(`^sha256:[0-9a-f]{64}$`)
+
 // defaultLinger lets most callers with a cached address list come once more.
 const defaultLinger = 5 * time.Second
 
@@ -58,7 +62,12 @@
 		var se *toml.StrictMissingError
 		if errors.As(err, &se) {
 			row, _ := se.Errors[0].Position()
-			return s, fmt.Errorf("%s:%d: unknown key %q", path, row, se.Errors[0].Key())
+			return s, fmt.Errorf("%s:%d: unknown key %q", path, row, strings.Join(se.Errors[0].Key(), "."))
+		}
+		var de *toml.DecodeError
+		if errors.As(err, &de) {
+			row, _ := de.Position()
+			return s, fmt.Errorf("%s:%d: %w", path, row, err)
 		}
 		return s, fmt.Errorf("%s: %w", path, err)
 	}
@@ -76,8 +85,9 @@
 			add(f.key, f.value, "a name")
 		}
 	}
-	if len(s.Token) != len("sha256:")+64 {
-		add("token", s.Token, "\"sha256:\" followed by 64 hex digits")
+	if !tokenPattern.MatchString(s.Token) {
+		// The value is not shown: it may be the credential itself.
+		all = append(all, fmt.Errorf("%s: token is not \"sha256:\" followed by 64 lower-case hex digits", path))
 	}
 	if s.Listen.Linger.Duration < 0 || s.Listen.Linger.Duration > stopTimeout/2 {
 		add("listen.linger", s.Listen.Linger.String(), "a duration from 0s to "+(stopTimeout/2).String())
--- a/spec/file.go
+++ b/spec/file.go
@@ -8,6 +8,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -192,7 +193,7 @@
 		var all []error
 		for i := range se.Errors {
 			row, _ := se.Errors[i].Position()
-			all = append(all, fmt.Errorf("%s:%d: unknown key %q", path, row, se.Errors[i].Key()))
+			all = append(all, fmt.Errorf("%s:%d: unknown key %q", path, row, strings.Join(se.Errors[i].Key(), ".")))
 		}
 		return errors.Join(all...)
 	}
--- a/spec/spec_test.go
+++ b/spec/spec_test.go
@@ -32,7 +32,7 @@
 		{strings.Replace(model, "layers = 4", "layers = 0", 1), "f:5: layers: 0, want 1 to 1000"},
 		{strings.Replace(model, `"chat"`, `"Chat"`, 1), "f:2: name: \"Chat\""},
 		{strings.Replace(model, `"model"`, `"other"`, 1), "f:3: kind: \"other\""},
-		{strings.Replace(model, "layers = 4", "layer = 4", 1), "f:5: unknown key"},
+		{strings.Replace(model, "layers = 4", "layer = 4", 1), "f:5: unknown key \"service.layer\""},
 		{model + "slots = \"x\"\n", "f:6: "},
 		{model + plain, "f:6: "},
 		{model + wish, "f:1: holds 2 documents"},
