fakes, node: engines serve what their orders say

Cause: the engine stand-in ignored the orders that its order side took, so that placement was never shown end to end.

--- a/cmds/demo.go
+++ b/cmds/demo.go
@@ -19,7 +19,6 @@
 
 	"github.com/cranberrybay/cranberrybay/admin"
 	"github.com/cranberrybay/cranberrybay/change"
-	"github.com/cranberrybay/cranberrybay/engine"
 	"github.com/cranberrybay/cranberrybay/entry"
 	"github.com/cranberrybay/cranberrybay/examples"
 	"github.com/cranberrybay/cranberrybay/fakes"
@@ -119,10 +118,11 @@
 	for r := range 3 {
 		for copied := range 2 {
 			name := fmt.Sprintf("engine-%d-%c", r, 'a'+copied)
-			e := fakes.NewEngine(fakes.EngineConfig{Kind: "a", Model: "lights", Version: "1", First: r * 8, Last: r*8 + 8, Pace: 3 * time.Millisecond})
-			part := engine.Part{Model: "lights", Version: "1", First: r * 8, Last: r*8 + 8, Size: 8 * 400}
-			orders := fakes.NewOrders(fakes.OrdersConfig{Memory: 8000, Fenced: true, Weights: d.platform.Weights(), Parts: []engine.Part{part}})
-			address, err := d.serve(fakes.WithOrders(e.Handler(), orders))
+			e, _, h := fakes.NewOrdered(
+				fakes.EngineConfig{Kind: "a", Model: "lights", Version: "1", First: r * 8, Last: r*8 + 8, Pace: 3 * time.Millisecond},
+				fakes.OrdersConfig{Memory: 8000, Fenced: true, Weights: d.platform.Weights(), Size: 8 * 400},
+			)
+			address, err := d.serve(h)
 			if err != nil {
 				return err
 			}
--- a/cmds/standin.go
+++ b/cmds/standin.go
@@ -12,7 +12,6 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/cranberrybay/cranberrybay/engine"
 	"github.com/cranberrybay/cranberrybay/fakes"
 )
 
@@ -45,9 +44,9 @@
 	c := &cobra.Command{
 		Use: "engine", Short: "Run an engine that holds a range of layers", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			part := engine.Part{Model: cfg.Model, Version: cfg.Version, First: cfg.First, Last: cfg.Last, Size: (cfg.Last - cfg.First) * size}
-			orders := fakes.NewOrders(fakes.OrdersConfig{Memory: memory, Fenced: true, Parts: []engine.Part{part}})
-			return listenOn(c, address, fakes.WithOrders(fakes.NewEngine(cfg).Handler(), orders))
+			_, orders, h := fakes.NewOrdered(cfg, fakes.OrdersConfig{Memory: memory, Fenced: true, Size: (cfg.Last - cfg.First) * size})
+			defer orders.Close()
+			return listenOn(c, address, h)
 		},
 	}
 	f := c.Flags()
--- a/engine/order_test.go
+++ b/engine/order_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -22,7 +21,7 @@
 	for _, fenced := range []bool{true, false} {
 		part := engine.Part{Model: "m", Version: "1", First: 0, Last: 4, Size: 40}
 		orders := fakes.NewOrders(fakes.OrdersConfig{Memory: 100, Fenced: fenced, Parts: []engine.Part{part}})
-		srv := httptest.NewServer(fakes.WithOrders(http.NotFoundHandler(), orders))
+		srv := httptest.NewServer(orders)
 		address := strings.TrimPrefix(srv.URL, "http://")
 		c, ctx := engine.New(engine.Config{}), t.Context()
 		yes, no := func() error { return nil }, func() error { return errHeld }
--- a/fakes/engine.go
+++ b/fakes/engine.go
@@ -60,6 +60,8 @@
 	cfg     EngineConfig
 	http    *http.Client
 	mu      sync.Mutex
+	idle    bool          // serves no part; set by orders
+	held    []engine.Held // set by orders; nil when there are none
 	boot    string
 	faults  EngineFaults
 	leaving bool
@@ -135,6 +137,17 @@
 	e.leaving = leaving
 }
 
+// Hold sets the part that load reports name and new work goes to, and the parts
+// that requests may still run on.
+func (e *Engine) Hold(serve *engine.Part, held []engine.Held) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.held, e.idle, e.asOf = held, serve == nil, time.Time{}
+	if serve != nil {
+		e.cfg.Model, e.cfg.Version, e.cfg.First, e.cfg.Last = serve.Model, serve.Version, serve.First, serve.Last
+	}
+}
+
 // Used returns the number of positions that this engine has computed.
 func (e *Engine) Used() int {
 	e.mu.Lock()
@@ -222,7 +235,7 @@
 		e.report = engine.Load{
 			Boot: e.boot, Kind: e.cfg.Kind, Model: e.cfg.Model, Version: e.cfg.Version, First: e.cfg.First, Last: e.cfg.Last,
 			Slots: e.cfg.Slots, Running: e.cfg.Slots - e.slots.free, Waiting: len(e.slots.waiting),
-			Ready: true, Leaving: e.leaving, Event: e.cache.published(e.cfg.EventDelay),
+			Ready: !e.idle, Leaving: e.leaving, Event: e.cache.published(e.cfg.EventDelay),
 		}
 	}
 	return e.report
--- a/fakes/kv.go
+++ b/fakes/kv.go
@@ -219,7 +219,10 @@
 	e.cfg.Depot.mu.Lock()
 	it, ok := e.cfg.Depot.items[q.Handle]
 	e.cfg.Depot.mu.Unlock()
-	if !ok || it.first != e.cfg.First || it.last != e.cfg.Last {
+	e.mu.Lock()
+	first, last := e.cfg.First, e.cfg.Last
+	e.mu.Unlock()
+	if !ok || it.first != first || it.last != last {
 		http.Error(w, "no such export for this layer range", http.StatusNotFound)
 		return
 	}
--- a/fakes/order.go
+++ b/fakes/order.go
@@ -21,6 +21,7 @@
 	Fenced  bool
 	Weights *Weights // nil for loads that take no time
 	Parts   []engine.Part
+	Size    int // MB of the first part of NewOrdered
 	// Changed is called, without the lock, with each part that became
 	// ready, was unloaded or is served from now on; may be nil.
 	Changed func(what string, p engine.Part, fence uint64)
@@ -103,7 +104,8 @@
 	o.fence = max(o.fence, rq.Fence)
 	o.taken++
 	changes := o.unload(rq.Hold)
-	if o.wanted = rq.Serve; o.wanted == nil {
+	if o.wanted = rq.Serve; o.wanted == nil && o.serve != nil {
+		changes = append(changes, change{"stopped", *o.serve})
 		o.serve = nil
 	}
 	for _, p := range rq.Hold {
@@ -233,10 +235,26 @@
 	}
 }
 
-// WithOrders adds /order to the HTTP interface of an engine.
-func WithOrders(h http.Handler, o *Orders) http.Handler {
+// NewOrdered returns an engine that serves what its orders say, and the HTTP
+// interface of both. The engine's layer range is its first part. A part that
+// was loaded goes on to serve the requests that began on it until it is
+// unloaded.
+func NewOrdered(cfg EngineConfig, oc OrdersConfig) (*Engine, *Orders, http.Handler) {
+	e := NewEngine(cfg)
+	first := engine.Part{Model: cfg.Model, Version: cfg.Version, First: cfg.First, Last: cfg.Last, Size: oc.Size}
+	oc.Parts = []engine.Part{first}
+	changed := oc.Changed
+	var o *Orders
+	oc.Changed = func(what string, p engine.Part, fence uint64) {
+		h := o.Holding()
+		e.Hold(h.Serve, h.Parts)
+		if changed != nil {
+			changed(what, p, fence)
+		}
+	}
+	o = NewOrders(oc)
 	m := http.NewServeMux()
 	m.Handle("/order", o)
-	m.Handle("/", h)
-	return m
+	m.Handle("/", e.Handler())
+	return e, o, m
 }
--- a/fakes/pass.go
+++ b/fakes/pass.go
@@ -107,6 +107,11 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	c := e.cfg
+	for _, h := range e.held {
+		if h.Ready && self.First == h.First && self.Last == h.Last && f.Model == h.Model && f.Version == h.Version {
+			return nil
+		}
+	}
 	if self.First != c.First || self.Last != c.Last || f.Model != c.Model || f.Version != c.Version {
 		return fmt.Errorf("holds layers %d to %d of %s version %s, asked for %d to %d of %s version %s",
 			c.First, c.Last, c.Model, c.Version, self.First, self.Last, f.Model, f.Version)
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -121,8 +121,14 @@
 	return time.Since(start)
 }
 
-func (p *process) publish(t *testing.T, text string) {
-	body, err := json.Marshal(admin.Publication{Author: "a", Files: []change.File{{Path: "team.bay.toml", Text: text}}})
+// publish publishes documents by an operator who saw the version of p.
+func (p *process) publish(t *testing.T, texts ...string) {
+	t.Helper()
+	pub := admin.Publication{Author: "a", Base: p.version()}
+	for i, text := range texts {
+		pub.Files = append(pub.Files, change.File{Path: fmt.Sprint(i, spec.Suffix), Text: text})
+	}
+	body, err := json.Marshal(pub)
 	assert.NilError(t, err)
 	rq, err := http.NewRequest(http.MethodPost, "http://"+p.settings.Listen.Admin+"/publish", bytes.NewReader(body))
 	assert.NilError(t, err)
