limit: start an account's buckets full

A real fault: every account's first burst on a process was rejected. Change: a new bucket is full; the stated bound grows by limit/n*1s for each process that starts.

--- a/limit/bucket.go
+++ b/limit/bucket.go
@@ -28,7 +28,11 @@
 // share that moved to another process is not spent here as well.
 func (b *bucket) set(now time.Time, rate float64) {
 	if b.at.IsZero() {
-		b.at, b.level = now, 1
+		// A new bucket is full. With a level of one, the second of two requests
+		// that arrived together was rejected at any rate.
+		b.at, b.rate = now, rate
+		b.level = b.most()
+		return
 	}
 	b.fill(now)
 	b.rate = rate
--- a/limit/keeper.go
+++ b/limit/keeper.go
@@ -9,8 +9,8 @@
 // uses an equal part, limit/n.
 //
 // Over any time T, the processes that see the same members admit at most
-// limit*(T+1s)+n requests while all of them hold shares, and at most
-// limit*u/n*T more while u of n hold none. Processes that see disjoint members
+// limit*(T+1s)+n requests while all of them hold shares, at most limit*u/n*T
+// more while u of n hold none, and limit/n*1s more for each process that starts. Processes that see disjoint members
 // (a partition) keep that bound on each side.
 //
 // Lock order: mu and homeMu are never held together. Config.Send and
