limit: a refusal names the limits that the account is over

Cause: a 429 said only that the account is over its limit. An account has three limits, and an operator who has to decide which number to raise had to guess.

Change: the reason lists them as requests a second, tokens a second, requests in flight. The verdict and the retry time are as before.

--- a/limit/keeper.go
+++ b/limit/keeper.go
@@ -21,6 +21,7 @@
 import (
 	"math/rand/v2"
 	"sort"
+	"strings"
 	"sync"
 	"time"
 
@@ -132,7 +133,8 @@
 	a.cost += cost
 	a.used = now
 	k.apply(a, now)
-	wait, limited := a.check(now)
+	wait, over := a.check(now)
+	limited := len(over) > 0
 	var g *Grant
 	if !limited {
 		g = &Grant{k: k, a: a, cost: cost, began: now}
@@ -154,7 +156,7 @@
 	if limited {
 		k.cfg.Metrics.limited()
 		wait += time.Duration(jitter * float64(wait))
-		return nil, fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Limited, Reason: "the account is over its limit", RetryAt: now.Add(max(wait, 10*time.Millisecond))})
+		return nil, fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Limited, Reason: "the account is over its limit of " + strings.Join(over, " and of "), RetryAt: now.Add(max(wait, 10*time.Millisecond))})
 	}
 	return g, nil
 }
@@ -220,14 +222,20 @@
 	}
 }
 
-// check tells whether a request is over a limit, and how long that lasts.
-func (a *account) check(now time.Time) (time.Duration, bool) {
+// limitNames are the limits by the words that callers and operators read, in
+// the order of Rate, Tokens and Inflight.
+var limitNames = [...]string{"requests a second", "tokens a second", "requests in flight"}
+
+// check returns the names of the limits that a request is over, none when it
+// is admitted, and how long that lasts.
+func (a *account) check(now time.Time) (time.Duration, []string) {
 	var wait time.Duration
-	limited := false
+	var over []string
 	for d := range a.buckets {
 		if a.limits.Amounts[d] <= 0 {
 			continue
 		}
+		limited := false
 		// A share of zero has no rate; the next report renews it.
 		if a.buckets[d].rate <= 0 {
 			wait, limited = max(wait, reportInterval), true
@@ -239,14 +247,18 @@
 		if a.buckets[d].level < need {
 			wait, limited = max(wait, a.buckets[d].wait(need)), true
 		}
+		if limited {
+			over = append(over, limitNames[d])
+		}
 	}
 	if most := a.limits.Amounts[Inflight]; most > 0 {
 		if allowed := a.allowed(now, Inflight); float64(a.inflight) >= allowed {
 			a.refused++
-			wait, limited = max(wait, time.Duration(a.hold/max(1, allowed)*float64(time.Second))), true
+			wait = max(wait, time.Duration(a.hold/max(1, allowed)*float64(time.Second)))
+			over = append(over, limitNames[Inflight])
 		}
 	}
-	return wait, limited
+	return wait, over
 }
 
 // Weight returns the weight of an account on this process: its published
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -98,6 +98,7 @@
 		}
 		assert.Equal(t, fault.Of(err), fault.NotRun)
 		assert.Equal(t, fault.CodeOf(err), fault.Limited)
+		assert.ErrorContains(t, err, "over its limit of requests a second")
 		at, ok := fault.RetryAt(err)
 		assert.Assert(t, ok)
 		time.Sleep(time.Until(at))
@@ -106,6 +107,29 @@
 	})
 }
 
+// Guards against a refusal that leaves the operator guessing which of the three
+// limits to raise.
+func TestRefusalNamesLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, c := range []struct {
+			amounts Amounts
+			want    string
+		}{
+			{Amounts{Rate: 1}, "limit of requests a second"},
+			{Amounts{Tokens: 1}, "limit of tokens a second"},
+			{Amounts{Inflight: 1}, "limit of requests in flight"},
+			{Amounts{Rate: 1, Inflight: 1}, "limit of requests a second and of requests in flight"},
+		} {
+			k := New(Config{Self: "e", Run: "e/1", Limits: func(string) (Limits, bool) { return Limits{Amounts: c.amounts, Weight: 1}, true }})
+			var err error
+			for err == nil {
+				_, err = k.Admit("a", 5)
+			}
+			assert.ErrorContains(t, err, c.want)
+		}
+	})
+}
+
 // Guards against weights that double for an account on several processes.
 func TestWeightFollowsDemand(t *testing.T) {
 	w := newNetwork(4, 1, map[string]Limits{"big": limits(0, 0), "small": limits(0, 0)})
