cmds, admin: status tells servers that do not report

Cause: status showed dead engines as ready, since it prints the last load report without its age. During an outage of the table service it said that the version in force is known, as if that were a newer one.

Change: the answer of GET /status carries its time, and status adds how long a server has not reported when that is over 7 s, above the longest interval of polls (6 s). It says behind only when a newer version is known, and else that nobody has confirmed the version.

TestStatusSilent and TestStatusBehind guard the texts.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -45,6 +45,7 @@
 	Version uint64        `json:"version"` // configuration in force
 	Checked time.Time     `json:"checked"` // last time the version was known to be the newest
 	Health  change.Health `json:"health"`
+	Time    time.Time     `json:"time"` // of the answer, to compare with the times of reports
 	Live    []Live        `json:"live"`
 	Servers []fleet.State `json:"servers"`
 }
@@ -151,7 +152,7 @@
 	health := h.cfg.Store.Health()
 	c.JSON(http.StatusOK, Status{
 		Name: h.cfg.Name, Domain: h.cfg.Domain, Version: health.Version, Checked: health.Checked,
-		Health: health, Live: h.live(), Servers: h.cfg.Fleet.All(),
+		Health: health, Time: time.Now(), Live: h.live(), Servers: h.cfg.Fleet.All(),
 	})
 }
 
--- a/cmds/api.go
+++ b/cmds/api.go
@@ -19,6 +19,7 @@
 	"github.com/cranberrybay/cranberrybay/admin"
 	"github.com/cranberrybay/cranberrybay/change"
 	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/fleet"
 )
 
 // api calls the administration API of an entry process.
@@ -115,14 +116,17 @@
 			return a.print(c, s, func() string {
 				var b strings.Builder
 				fmt.Fprintf(&b, "%s in %s: version %d, confirmed %s\n", s.Name, s.Domain, s.Version, s.Checked.Format(time.RFC3339))
-				if s.Health.Behind {
-					fmt.Fprintf(&b, "  may be behind: version %d is known\n", s.Health.Known)
+				switch {
+				case s.Health.Known > s.Version:
+					fmt.Fprintf(&b, "  behind: version %d is known\n", s.Health.Known)
+				case s.Health.Behind:
+					b.WriteString("  may be behind: neither the table service nor a peer has confirmed the version lately\n")
 				}
 				for _, l := range s.Live {
 					fmt.Fprintf(&b, "  %-16s version %d\n", l.Name, l.Version)
 				}
 				for _, sv := range s.Servers {
-					fmt.Fprintf(&b, "  %-16s %-12s %-14s layers %d-%d running %d waiting %d ready %t leaving %t\n", sv.Name, sv.Domain, sv.Service, sv.First, sv.Last, sv.Running, sv.Waiting, sv.Ready, sv.Leaving)
+					fmt.Fprintf(&b, "  %-16s %-12s %-14s layers %d-%d running %d waiting %d ready %t leaving %t%s\n", sv.Name, sv.Domain, sv.Service, sv.First, sv.Last, sv.Running, sv.Waiting, sv.Ready, sv.Leaving, silence(sv, s.Time))
 				}
 				return b.String()
 			})
@@ -132,6 +136,22 @@
 	return c
 }
 
+// silentTime is the age of a load report from which status says so. Each
+// server is asked at least every 6 s, the longest interval of decision 7.
+const silentTime = 7 * time.Second
+
+// silence tells how long a server has not reported. The other fields of its
+// line are then those of its last report.
+func silence(sv fleet.State, now time.Time) string {
+	switch age := now.Sub(sv.Reported); {
+	case sv.Reported.IsZero():
+		return ", no report yet"
+	case age > silentTime:
+		return fmt.Sprintf(", no report for %s", age.Round(time.Second))
+	}
+	return ""
+}
+
 // auditFlags are the filters of audit.
 type auditFlags struct {
 	name, author, id, since, until, after string
--- a/cmds/publish_test.go
+++ b/cmds/publish_test.go
@@ -197,3 +197,34 @@
 	var out bytes.Buffer
 	assert.Equal(t, cmds.Run([]string{"drain", "--address", "127.0.0.1:1"}, &out, &out), 3, out.String())
 }
+
+// TestStatusBehind guards against a status that names the version in force as
+// the newer version during an outage of the table service.
+func TestStatusBehind(t *testing.T) {
+	for known, want := range map[string]string{"7": "may be behind: neither the table service nor a peer", "8": "  behind: version 8 is known"} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, `{"name":"entry-1","version":7,"health":{"version":7,"known":`+known+`,"behind":true}}`)
+		}))
+		var out bytes.Buffer
+		assert.Equal(t, cmds.Run([]string{"status", "--address", strings.TrimPrefix(server.URL, "http://")}, &out, &out), 0, out.String())
+		server.Close()
+		assert.Assert(t, strings.Contains(out.String(), want), out.String())
+	}
+}
+
+// TestStatusSilent guards against a dead server that status shows as ready
+// without saying that its last report is old.
+func TestStatusSilent(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, `{"time":"2026-01-01T00:01:00Z","servers":[`+
+			`{"Name":"dead","Ready":true,"Reported":"2026-01-01T00:00:40Z"},`+
+			`{"Name":"live","Ready":true,"Reported":"2026-01-01T00:00:59Z"},{"Name":"new"}]}`)
+	}))
+	defer server.Close()
+	var out bytes.Buffer
+	assert.Equal(t, cmds.Run([]string{"status", "--address", strings.TrimPrefix(server.URL, "http://")}, &out, &out), 0, out.String())
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	assert.Assert(t, strings.HasSuffix(lines[1], "leaving false, no report for 20s"), lines[1])
+	assert.Assert(t, strings.HasSuffix(lines[2], "leaving false"), lines[2])
+	assert.Assert(t, strings.HasSuffix(lines[3], "leaving false, no report yet"), lines[3])
+}
