limit: a new limit starts without debt

Cause: a request of an account without a token limit was charged to the token bucket all the same. When an operator published a limit of 20 tokens a second, the first answer after it was refused with Retry-After 20 although nothing ran. The rate bucket had the same fault.

Change: a request is charged, and corrected at its end, only for limits that the account had when it was admitted.

--- a/limit/keeper.go
+++ b/limit/keeper.go
@@ -110,11 +110,12 @@
 
 // Grant is the permission to run one request.
 type Grant struct {
-	k     *Keeper
-	a     *account
-	cost  float64
-	began time.Time
-	done  bool // guarded by Keeper.mu
+	k       *Keeper
+	a       *account
+	cost    float64
+	began   time.Time
+	done    bool // guarded by Keeper.mu
+	charged bool // the cost was taken from the token bucket
 }
 
 // Admit admits a request of an account with an expected cost in tokens, or
@@ -137,11 +138,17 @@
 	limited := len(over) > 0
 	var g *Grant
 	if !limited {
-		g = &Grant{k: k, a: a, cost: cost, began: now}
+		// Without a limit nothing is charged: a limit that is published later
+		// would start with the debt of all that was used before.
+		g = &Grant{k: k, a: a, cost: cost, began: now, charged: a.limits.Amounts[Tokens] > 0}
 		a.inflight++
 		a.peak = max(a.peak, a.inflight)
-		a.buckets[Rate].level--
-		a.buckets[Tokens].level -= cost
+		if a.limits.Amounts[Rate] > 0 {
+			a.buckets[Rate].level--
+		}
+		if g.charged {
+			a.buckets[Tokens].level -= cost
+		}
 	}
 	jitter := k.cfg.Rand.Float64() * 0.25
 	var r *Report
@@ -174,7 +181,7 @@
 	a.inflight--
 	a.used = now
 	a.cost += max(0, used-g.cost)
-	if a.limits.Amounts[Tokens] > 0 {
+	if g.charged {
 		a.buckets[Tokens].level -= used - g.cost
 	}
 	a.hold += 0.1 * (now.Sub(g.began).Seconds() - a.hold)
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -130,6 +130,23 @@
 	})
 }
 
+// Guards against a limit that starts with the debt of what was used while the
+// account had no such limit.
+func TestNewLimitStartsWithoutDebt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		amounts := Amounts{}
+		k := New(Config{Self: "e", Run: "e/1", Limits: func(string) (Limits, bool) { return Limits{Amounts: amounts, Weight: 1}, true }})
+		for range 100 {
+			g, err := k.Admit("a", 50)
+			assert.NilError(t, err)
+			g.Done(50)
+		}
+		amounts = Amounts{Rate: 10, Tokens: 20}
+		_, err := k.Admit("a", 50)
+		assert.NilError(t, err)
+	})
+}
+
 // Guards against weights that double for an account on several processes.
 func TestWeightFollowsDemand(t *testing.T) {
 	w := newNetwork(4, 1, map[string]Limits{"big": limits(0, 0), "small": limits(0, 0)})
