node: GET /metrics prints the messages between entry processes

Cause: the transport counts messages and bytes in a set of its own, which no handler wrote, so that an operator could not see whether a process still hears its peers.

--- a/node/node_test.go
+++ b/node/node_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -223,3 +224,19 @@
 		assert.Assert(t, rs.Header.Get("Retry-After") != "")
 	}
 }
+
+// TestMetrics guards against a set of metrics that GET /metrics leaves out.
+func TestMetrics(t *testing.T) {
+	_, all := cluster(t, 1)
+	rq, err := http.NewRequest("GET", "http://"+all[0].settings.Listen.Admin+"/metrics", nil)
+	assert.NilError(t, err)
+	rq.Header.Set("Authorization", "Bearer token")
+	rs, err := http.DefaultClient.Do(rq)
+	assert.NilError(t, err)
+	defer rs.Body.Close()
+	text, err := io.ReadAll(rs.Body)
+	assert.NilError(t, err)
+	for _, want := range []string{"bay_answers", "limit_rejected_total", `peer_messages{kind="ping",way="sent"}`, `peer_wire_bytes{way="sent"}`} {
+		assert.Assert(t, strings.Contains(string(text), "\n"+want+" ") || strings.HasPrefix(string(text), want+" "), want)
+	}
+}
--- a/node/peers.go
+++ b/node/peers.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 	"go.uber.org/fx"
 
@@ -41,6 +43,17 @@
 	sending chan struct{} // one entry for each message of the limits under way
 }
 
+// writeMetrics returns a function that writes a set, and that of the transport
+// when there are peers.
+func (p *peers) writeMetrics(m *metrics.Set) func(io.Writer) {
+	return func(w io.Writer) {
+		m.WritePrometheus(w)
+		if p.node != nil {
+			p.node.Metrics().WritePrometheus(w)
+		}
+	}
+}
+
 // peerHandlers are the calls of other entry processes that other parts serve.
 // A field that is nil is answered as not run.
 type peerHandlers struct {
