--- a/node/node.go
+++ b/node/node.go
@@ -133,13 +133,7 @@
 func newAdmin(s Settings, st *change.Store, t *table.Client, f *fleet.Table, d *drainer, p *peers, m *metrics.Set, l *logs.Maker) *admin.Handler {
 	return admin.New(admin.Config{
 		Name: s.Name, Domain: s.Domain, Token: s.Token, Store: st, Table: t, Fleet: f,
-		Drain: d.leave, Live: p.config.status, Log: l.Part("admin"),
-		Metrics: func(w io.Writer) {
-			m.WritePrometheus(w)
-			if p.node != nil {
-				p.node.Metrics().WritePrometheus(w)
-			}
-		},
+		Drain: d.leave, Live: p.config.status, Metrics: p.writeMetrics(m), Log: l.Part("admin"),
 	})
 }
 
