--- a/engine/client.go
+++ b/engine/client.go
@@ -55,8 +55,14 @@
 // Load reads the load report of an engine or a plain service.
 func (c *Client) Load(ctx context.Context, address string) (Load, error) {
 	var l Load
-	err := c.call(ctx, callTimeout, http.MethodGet, address, "/load", nil, &l)
-	return l, err
+	if err := c.call(ctx, callTimeout, http.MethodGet, address, "/load", nil, &l); err != nil {
+		return Load{}, err
+	}
+	if !l.possible() {
+		return Load{}, fault.New(fault.Config{Verdict: fault.MayHaveRun, Code: fault.Unavailable, Reason: fmt.Sprintf(
+			"load report of %s states layers %d to %d, %d slots, %d running and %d waiting", address, l.First, l.Last, l.Slots, l.Running, l.Waiting)})
+	}
+	return l, nil
 }
 
 // Events reads the cache events after the given number.
@@ -79,6 +85,10 @@
 	return c.call(ctx, moveTimeout, http.MethodPost, address, "/import", i, &e)
 }
 
+// maxReply bounds the bytes read of one reply. The longest are lists of cache
+// events, about 50 bytes each.
+const maxReply = 4 << 20
+
 // call sends one request and decodes the answer within the timeout.
 func (c *Client) call(ctx context.Context, timeout time.Duration, method, address, path string, body, into any) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
@@ -88,7 +98,7 @@
 		return err
 	}
 	defer rs.Body.Close()
-	if err := json.NewDecoder(rs.Body).Decode(into); err != nil {
+	if err := json.NewDecoder(io.LimitReader(rs.Body, maxReply)).Decode(into); err != nil {
 		return fault.New(fault.Config{Verdict: fault.MayHaveRun, Code: fault.Unavailable, Reason: "engine's answer can't be decoded", Cause: fmt.Errorf("decode %s of %s: %w", path, address, err)})
 	}
 	return nil
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -69,6 +69,12 @@
 	Event   uint64 `json:"event,omitempty"` // number of the latest cache event
 }
 
+// possible tells whether an engine can be in the reported state. Negative
+// counts would make it the least loaded server of all.
+func (l *Load) possible() bool {
+	return l.Slots >= 0 && l.Running >= 0 && l.Waiting >= 0 && l.First >= 0 && l.Last >= l.First
+}
+
 // Event is one change of an engine's prefix cache.
 type Event struct {
 	Number uint64 `json:"number"` // grows by one with each event
--- a/engine/order.go
+++ b/engine/order.go
@@ -70,17 +70,18 @@
 	if rs.StatusCode != http.StatusOK {
 		return h, fmt.Errorf("read holding of %s: status %d", address, rs.StatusCode)
 	}
-	return h, decodeHolding(rs.Body, &h)
+	return decodeHolding(rs.Body)
 }
 
 // maxHolding bounds the answer to an order.
 const maxHolding = 1 << 20
 
-func decodeHolding(r io.Reader, h *Holding) error {
-	if err := json.NewDecoder(io.LimitReader(r, maxHolding)).Decode(h); err != nil {
-		return fmt.Errorf("decode holding: %w", err)
+func decodeHolding(r io.Reader) (Holding, error) {
+	var h Holding
+	if err := json.NewDecoder(io.LimitReader(r, maxHolding)).Decode(&h); err != nil {
+		return h, fmt.Errorf("decode holding: %w", err)
 	}
-	return nil
+	return h, nil
 }
 
 // Order sends an order. check runs when the connection is open and the body is
@@ -109,7 +110,7 @@
 	}
 	defer rs.Body.Close()
 	if rs.StatusCode == http.StatusOK {
-		return h, decodeHolding(rs.Body, &h)
+		return decodeHolding(rs.Body)
 	}
 	text, _ := io.ReadAll(io.LimitReader(rs.Body, 512))
 	cfg := fault.Config{Verdict: fault.MayHaveRun, Code: fault.Unavailable, Reason: fmt.Sprintf("engine answered %d to an order: %s", rs.StatusCode, bytes.TrimSpace(text))}
