--- a/plat/table.go
+++ b/plat/table.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cranberrybay/cranberrybay/table"
@@ -89,7 +90,10 @@
 		return 0, nil, fmt.Errorf("platform call %s: %w: %w", path, errLost, err)
 	}
 	defer rs.Body.Close()
-	b, err := io.ReadAll(io.LimitReader(rs.Body, maxReply))
+	b, err := io.ReadAll(io.LimitReader(rs.Body, maxReply+1))
+	if err == nil && len(b) > maxReply {
+		err = fmt.Errorf("the reply is over %d MiB", maxReply>>20)
+	}
 	if err != nil {
 		return 0, nil, fmt.Errorf("platform reply %s: %w: %w", path, errLost, err)
 	}
@@ -108,11 +112,37 @@
 }
 
 func (c *client) get(ctx context.Context, keys ...string) ([]table.Row, error) {
-	return c.rows(ctx, "/table/get", GetRequest{Keys: keys})
+	rows, err := c.rows(ctx, "/table/get", GetRequest{Keys: keys})
+	if err != nil {
+		return nil, err
+	}
+	if len(rows) != len(keys) {
+		return nil, fmt.Errorf("%w: got %d rows for %d keys", table.ErrUnavailable, len(rows), len(keys))
+	}
+	for i, r := range rows {
+		if r.Key() != keys[i] {
+			return nil, fmt.Errorf("%w: got row %q for key %q", table.ErrUnavailable, r.Key(), keys[i])
+		}
+	}
+	return rows, nil
 }
 
 func (c *client) scan(ctx context.Context, prefix, after string, limit int) ([]table.Row, error) {
-	return c.rows(ctx, "/table/scan", ScanRequest{Prefix: prefix, After: after, Limit: limit})
+	rows, err := c.rows(ctx, "/table/scan", ScanRequest{Prefix: prefix, After: after, Limit: limit})
+	if err != nil {
+		return nil, err
+	}
+	if len(rows) > limit {
+		return nil, fmt.Errorf("%w: got %d rows, asked for %d at most", table.ErrUnavailable, len(rows), limit)
+	}
+	// A reply that does not advance would make a scan of all pages endless.
+	for _, r := range rows {
+		if r.Key() <= after || !strings.HasPrefix(r.Key(), prefix) {
+			return nil, fmt.Errorf("%w: got row %q below %q after %q", table.ErrUnavailable, r.Key(), prefix, after)
+		}
+		after = r.Key()
+	}
+	return rows, nil
 }
 
 func (c *client) rows(ctx context.Context, path string, body any) ([]table.Row, error) {
@@ -160,5 +190,8 @@
 	if err := json.Unmarshal(reply, &out); err != nil {
 		return 0, fmt.Errorf("%w: decode commit: %w", table.ErrUnknown, err)
 	}
+	if out.Revision == table.Absent {
+		return 0, fmt.Errorf("%w: the reply has no revision", table.ErrUnknown)
+	}
 	return out.Revision, nil
 }
