--- a/peer/convert.go
+++ b/peer/convert.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"math"
 	"net/http"
 	"time"
 
@@ -10,6 +11,25 @@
 	"github.com/cranberrybay/cranberrybay/wire"
 )
 
+// maxAge bounds the age of a version in a message. A larger one would overflow
+// a time.Duration.
+const maxAge = 365 * 24 * time.Hour
+
+// toAge reads an age in milliseconds. A negative one would put the time at
+// which a version was confirmed into the future.
+func toAge(ms int64) time.Duration {
+	return time.Duration(min(max(0, ms), maxAge.Milliseconds())) * time.Millisecond
+}
+
+// toAmount reads an amount of a limit. NaN and infinity would spread to the
+// shares of all processes; negative amounts have no meaning.
+func toAmount(v float64) float64 {
+	if !(v > 0) {
+		return 0
+	}
+	return min(v, math.MaxFloat32)
+}
+
 func fromMember(m member.Member) *wire.Member {
 	return &wire.Member{
 		Name: m.Name, Incarnation: m.Incarnation, Domain: m.Domain, Region: m.Region,
@@ -147,7 +167,9 @@
 	for _, d := range m.GetDemands() {
 		r.Demands = append(r.Demands, limit.Demand{
 			Account: d.GetAccount(), Running: int(d.GetRunning()), Held: d.GetHeld(), Idle: d.GetIdle(),
-			Want: limit.Amounts{limit.Rate: float64(d.GetRate()), limit.Tokens: float64(d.GetTokens()), limit.Inflight: float64(d.GetInflight())},
+			Want: limit.Amounts{
+				limit.Rate: toAmount(float64(d.GetRate())), limit.Tokens: toAmount(float64(d.GetTokens())), limit.Inflight: toAmount(float64(d.GetInflight())),
+			},
 		})
 	}
 	return r
@@ -168,8 +190,8 @@
 	s := limit.Share{Home: home, Run: m.GetRun(), To: m.GetTo(), Answer: m.GetAnswer()}
 	for _, p := range m.GetParts() {
 		s.Parts = append(s.Parts, limit.Part{
-			Account: p.GetAccount(), Weight: p.GetWeight(), Number: p.GetNumber(),
-			Share: limit.Amounts{limit.Rate: p.GetRate(), limit.Tokens: p.GetTokens(), limit.Inflight: p.GetInflight()},
+			Account: p.GetAccount(), Weight: toAmount(p.GetWeight()), Number: p.GetNumber(),
+			Share: limit.Amounts{limit.Rate: toAmount(p.GetRate()), limit.Tokens: toAmount(p.GetTokens()), limit.Inflight: toAmount(p.GetInflight())},
 		})
 	}
 	return s
--- a/peer/handle.go
+++ b/peer/handle.go
@@ -143,7 +143,7 @@
 		})
 	case k == kindAnnounce && h.Announce != nil:
 		return serve(payload, &wire.Version{}, func(m *wire.Version) (proto.Message, error) {
-			v := Version{Version: m.GetVersion(), Digest: m.GetDigest(), Reach: toReach(m.GetReach()), Age: time.Duration(m.GetAge()) * time.Millisecond}
+			v := Version{Version: m.GetVersion(), Digest: m.GetDigest(), Reach: toReach(m.GetReach()), Age: toAge(m.GetAge())}
 			return &wire.Version{}, h.Announce(ctx, from, v)
 		})
 	case k == kindRecords && h.Records != nil:
