plat: test of a scan whose pages repeat

The seeds of FuzzReplies hold less than a page of rows, so that none of them shows that a scan ends. TestRepeatedPage answers every page with the same 500 rows. It fails without the check of the order (11 calls instead of 2) and passes with it.

--- a/plat/fuzz_test.go
+++ b/plat/fuzz_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"testing"
@@ -81,3 +83,24 @@
 		assert.Assert(t, err == nil || err.Error() != "")
 	})
 }
+
+// TestRepeatedPage guards against a scan that never ends because the platform
+// answers every page with the same rows.
+func TestRepeatedPage(t *testing.T) {
+	calls := 0
+	var page RowsReply
+	for i := range 500 {
+		page.Rows = append(page.Rows, Row{Key: fmt.Sprintf("a%03d", i), Revision: 1})
+	}
+	body, err := json.Marshal(page)
+	assert.NilError(t, err)
+	cfg := Config{Address: "a:1", Client: &http.Client{Transport: tripper(func(*http.Request) (*http.Response, error) {
+		if calls++; calls > 10 {
+			return nil, errors.New("too many pages")
+		}
+		return &http.Response{StatusCode: 200, Body: io.NopCloser(bytes.NewReader(body))}, nil
+	})}}
+	_, err = Table(cfg).ScanAll(context.Background(), "a")
+	assert.Assert(t, errors.Is(err, table.ErrUnavailable), "%v", err)
+	assert.Equal(t, calls, 2)
+}
