--- a/entry/chat.go
+++ b/entry/chat.go
@@ -198,20 +198,18 @@
 }
 
 // readChat reads and checks the request. Its Limit is set in the result.
-func (h *Handler) readChat(c *gin.Context) (ChatRequest, *spec.Service, error) {
+// parseChat reads and checks the body of a chat completion request. The limit
+// of the result is set.
+func parseChat(body []byte) (ChatRequest, error) {
 	var rq ChatRequest
-	body, err := readBody(c)
-	if err != nil {
-		return rq, nil, err
-	}
 	if err := json.Unmarshal(body, &rq); err != nil {
-		return rq, nil, invalid("the body is not a chat completion request: %v", err)
+		return rq, invalid("the body is not a chat completion request: %v", err)
 	}
 	if len(rq.Messages) == 0 {
-		return rq, nil, invalid("messages is empty")
+		return rq, invalid("messages is empty")
 	}
 	if rq.Choices > 1 {
-		return rq, nil, invalid("n is %d, only 1 is supported", rq.Choices)
+		return rq, invalid("n is %d, only 1 is supported", rq.Choices)
 	}
 	if rq.Newer != nil {
 		rq.Limit = rq.Newer
@@ -221,12 +219,24 @@
 		limit = *rq.Limit
 	}
 	if limit < 0 {
-		return rq, nil, invalid("max_tokens is negative")
+		return rq, invalid("max_tokens is negative")
 	}
 	if limit == 0 || limit > maxTokens {
 		limit = maxTokens
 	}
 	rq.Limit = &limit
+	return rq, nil
+}
+
+func (h *Handler) readChat(c *gin.Context) (ChatRequest, *spec.Service, error) {
+	body, err := readBody(c)
+	if err != nil {
+		return ChatRequest{}, nil, err
+	}
+	rq, err := parseChat(body)
+	if err != nil {
+		return rq, nil, err
+	}
 	svc := h.cfg.Store.Tree().ServiceOfModel(rq.Model)
 	if svc == nil {
 		return rq, nil, fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Unknown, Reason: fmt.Sprintf("model %q is not known", rq.Model)})
