limit: report steady demand every 700 ms

Cause: an account in use was reported every 250 ms. At the target size a node serves 20 accounts with different homes, so that 80 messages a second would have taken more than the 13 KB/s of control traffic. Change: an account is reported when its demand changed by a quarter, its share has lapsed, it becomes idle, or after 700 ms; a share holds for 2 s, so that one lost report does not end it. The demand is still measured every 250 ms. Conclusion: a third of the messages, with a rise still reported at the next tick.

--- a/limit/keeper.go
+++ b/limit/keeper.go
@@ -84,6 +84,8 @@
 	peak     int     // most in flight or refused at once since the last report
 	refused  int     // by the limit of requests in flight, since the last report
 	want     Amounts // smoothed demand
+	told     Amounts // demand in the last report
+	reported time.Time
 	since    time.Time
 	used     time.Time
 	hold     float64 // mean seconds in flight
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -325,3 +325,44 @@
 	}
 	return nil
 }
+
+// Guards against control traffic that steady demand does not need, and against
+// a rise that waits for the next steady report.
+func TestSteadyReports(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var home, far *Keeper
+	reports := 0
+	cfg := func(self string) Config {
+		return Config{
+			Self: self, Run: self, Now: func() time.Time { return now },
+			Limits: func(string) (Limits, bool) { return limits(1000, 100), true },
+			Send:   func(_ string, r Report) { reports++; home.Report(r) },
+			Grant:  func(_ string, s Share) { far.Share(s) },
+		}
+	}
+	home, far = New(cfg("home")), New(cfg("far"))
+	members := []string{"far", "home"}
+	home.SetMembers(members)
+	far.SetMembers(members)
+	name := ""
+	for i := 0; name == "" || Home(members, name) != "home"; i++ {
+		name = fmt.Sprint("a", i)
+	}
+	run := func(d time.Duration, pause time.Duration) {
+		for end := now.Add(d); now.Before(end); now = now.Add(pause) {
+			if g, err := far.Admit(name, 1); err == nil {
+				g.Done(1)
+			}
+			if now.UnixMilli()%ReportInterval.Milliseconds() == 0 {
+				far.Tick()
+			}
+		}
+	}
+	run(10*time.Second, 50*time.Millisecond)
+	reports = 0
+	run(10*time.Second, 50*time.Millisecond)
+	assert.Assert(t, reports <= 14, "%d reports in 10 s of steady demand", reports)
+	before := reports
+	run(ReportInterval+50*time.Millisecond, 10*time.Millisecond)
+	assert.Assert(t, reports > before, "a fivefold rise was not reported at once")
+}
--- a/limit/report.go
+++ b/limit/report.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -18,18 +19,30 @@
 	sweepInterval = 5 * time.Second
 )
 
+// steadyInterval is the time between reports of an account whose demand stays
+// the same. A share holds for 2 s, so that one lost report does not end it. At
+// the target size a report every 250 ms would take more than the 13 KB/s of a
+// node: 80 messages a second to the homes of 20 accounts.
+const steadyInterval = 700 * time.Millisecond
+
+// changedPart is the change of demand that is reported at the next tick.
+const changedPart = 0.25
+
 // ReportInterval is the interval at which Tick is to be called.
 const ReportInterval = reportInterval
 
-// Tick sends the reports of all accounts in use. It is called every
-// ReportInterval.
+// Tick sends the reports of the accounts in use whose report is due. It is
+// called every ReportInterval.
 func (k *Keeper) Tick() {
 	now := k.cfg.Now()
 	k.mu.Lock()
 	byHome := map[string][]*account{}
 	for _, n := range names(k.active) {
 		a := k.active[n]
-		byHome[a.home] = append(byHome[a.home], a)
+		a.measure(now)
+		if a.due(now) {
+			byHome[a.home] = append(byHome[a.home], a)
+		}
 	}
 	type message struct {
 		home   string
@@ -62,6 +75,19 @@
 	}
 }
 
+// due tells whether the home has to hear of the account now.
+func (a *account) due(now time.Time) bool {
+	if a.idle(now) || !a.valid(now) || now.Sub(a.reported) >= steadyInterval {
+		return true
+	}
+	for i, v := range a.want {
+		if math.Abs(v-a.told[i]) > changedPart*max(1, a.told[i]) {
+			return true
+		}
+	}
+	return false
+}
+
 func (a *account) idle(now time.Time) bool {
 	return a.inflight == 0 && now.Sub(a.used) > idleAfter
 }
@@ -82,7 +108,7 @@
 	k.sent[k.number%sentKept] = sentAt{k.number, now}
 	r := &Report{From: k.cfg.Self, Run: k.cfg.Run, Number: k.number, Demands: make([]Demand, 0, len(all))}
 	for _, a := range all {
-		a.measure(now)
+		a.told, a.reported = a.want, now
 		d := Demand{Account: a.name, Want: a.want, Running: a.inflight, Idle: a.idle(now)}
 		if a.valid(now) {
 			d.Held = a.share.Number
