cmds, node, fakes: ports and process groups of tests

Change: processes of tests have a group of their own; fakes.FreeAddress gives ports below that range, also to the demo.

--- a/cmds/demo.go
+++ b/cmds/demo.go
@@ -150,7 +150,7 @@
 	}
 	s.Peer.Authority, s.Peer.Certificate, s.Peer.Key = string(d.certs.PEM()), string(certificate), string(key)
 	for _, a := range []*string{&s.Listen.Callers, &s.Listen.Admin, &s.Peer.Listen} {
-		free, err := freeAddress()
+		free, err := fakes.FreeAddress()
 		if err != nil {
 			return err
 		}
@@ -164,16 +164,6 @@
 	return nil
 }
 
-// freeAddress returns a loopback address that was free a moment ago.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
 func (d *demo) publish() error {
 	var files []change.File
 	err := fs.WalkDir(examples.Tree, ".", func(path string, e fs.DirEntry, err error) error {
--- a/cmds/process_test.go
+++ b/cmds/process_test.go
@@ -65,6 +65,9 @@
 func (s *session) start(args ...string) (*exec.Cmd, io.Reader) {
 	s.t.Helper()
 	c := exec.Command(s.program, args...)
+	// A group of its own: the kernel hangs up on a group with a stopped process
+	// when its last parent outside the group ends.
+	c.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	errOut, err := os.Create(filepath.Join(s.dir, fmt.Sprintf("%s-%d.log", args[0], time.Now().UnixNano())))
 	assert.NilError(s.t, err)
 	c.Stderr = errOut
@@ -110,10 +113,9 @@
 }
 
 func free(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := fakes.FreeAddress()
 	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	return address
 }
 
 func (s *session) serve(name string) *process {
--- a/cmds/publish_test.go
+++ b/cmds/publish_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -35,13 +34,7 @@
 	s := &shell{t: t, platform: fakes.NewPlatform(), root: t.TempDir()}
 	server := httptest.NewServer(s.platform.Handler())
 	t.Cleanup(server.Close)
-	addresses := make([]string, 2)
-	for i := range addresses {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
-		addresses[i] = l.Addr().String()
-		assert.NilError(t, l.Close())
-	}
+	addresses := []string{free(t), free(t)}
 	s.address = addresses[1]
 	app := node.New(node.Settings{
 		Name: "entry-1", Domain: "thamel", Region: "bagmati", Token: spec.HashKey("secret"),
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -52,10 +51,9 @@
 }
 
 func free(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := fakes.FreeAddress()
 	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	return address
 }
 
 // cluster starts n entry processes on one platform.
