--- a/admin/admin.go
+++ b/admin/admin.go
@@ -32,7 +32,7 @@
 	Files  []change.File `json:"files"`
 }
 
-// Live is one live entry process and the version that it has in force.
+// Live is one live entry process and the version that it has in effect.
 type Live struct {
 	Name    string `json:"name"`
 	Version uint64 `json:"version"`
@@ -42,7 +42,7 @@
 type Status struct {
 	Name    string        `json:"name"`
 	Domain  string        `json:"domain"`
-	Version uint64        `json:"version"` // configuration in force
+	Version uint64        `json:"version"` // configuration in effect
 	Checked time.Time     `json:"checked"` // last time the version was known to be the newest
 	Health  change.Health `json:"health"`
 	Time    time.Time     `json:"time"` // of the answer, to compare with the times of reports
@@ -166,7 +166,7 @@
 // maxWait bounds one call of GET /wait; callers repeat it.
 const maxWait = 10 * time.Second
 
-// wait answers when every live process has a version in force, or at the end
+// wait answers when every live process has a version in effect, or at the end
 // of the time that the caller gives.
 func (h *Handler) wait(c *gin.Context) {
 	version, err := strconv.ParseUint(c.Query("version"), 10, 64)
--- a/change/audit.go
+++ b/change/audit.go
@@ -19,7 +19,7 @@
 // Entry is one line of the audit trail. Secrets are masked.
 type Entry struct {
 	ID       string    `json:"id"`      // identifier of the publication
-	Version  uint64    `json:"version"` // made by an accepted publication, or in force when one was refused
+	Version  uint64    `json:"version"` // made by an accepted publication, or in effect when one was refused
 	Author   string    `json:"author"`
 	Node     string    `json:"node"` // process that took the publication
 	Source   string    `json:"source,omitempty"`
@@ -32,7 +32,7 @@
 
 // The keys of audit entries count down, since a scan runs upwards and readers
 // want the newest entry first. Refusals come after the acceptance of the
-// version that was in force.
+// version that was in effect.
 const auditPrefix = "audit/"
 
 func acceptedKey(version uint64) string { return fmt.Sprintf("%s%016x/~", auditPrefix, ^version) }
--- a/change/bench_test.go
+++ b/change/bench_test.go
@@ -26,9 +26,9 @@
 	return all[min(len(all)-1, int(q*float64(len(all))))]
 }
 
-// BenchmarkInForce measures the time from acceptance to in force on the last
+// BenchmarkInEffect measures the time from acceptance to effect on the last
 // process, in real time, with table calls of 2 ms and peers 1 ms apart.
-func BenchmarkInForce(b *testing.B) {
+func BenchmarkInEffect(b *testing.B) {
 	for _, n := range []int{8, 64} {
 		for name, setup := range map[string]func(*StoreConfig){
 			"announced": func(*StoreConfig) {},
--- a/change/load.go
+++ b/change/load.go
@@ -34,7 +34,7 @@
 	return err
 }
 
-// refresh returns the state in force and the revision of the head row that
+// refresh returns the state in effect and the revision of the head row that
 // belongs to it.
 func (s *Store) refresh(ctx context.Context) (*state, uint64, error) {
 	if err := s.loading.enter(ctx); err != nil {
@@ -73,7 +73,7 @@
 }
 
 // confirmHead makes sure that a head row is not a stale read, by a transaction
-// that writes nothing. A process in which nothing is in force needs that: it
+// that writes nothing. A process in which nothing is in effect needs that: it
 // can't tell a stale row from the newest one, and before it was restarted it
 // may have served a newer version.
 func (s *Store) confirmHead(ctx context.Context, revision uint64) error {
@@ -121,9 +121,9 @@
 	recordPage = 128
 )
 
-// loadTable brings the version of the head row in force, from records when
+// loadTable brings the version of the head row in effect, from records when
 // they reach back far enough, else from all documents. It returns the head row
-// of the version in force.
+// of the version in effect.
 func (s *Store) loadTable(ctx context.Context, row table.Row, h head) (table.Row, error) {
 	if from := s.from(); from.version > 0 && from.version <= h.Version && h.Version-from.version <= maxGap {
 		records, err := s.readRecords(ctx, from.version+1, h.Version)
@@ -175,7 +175,7 @@
 	return out, nil
 }
 
-// advance applies records to a state and puts the result in force. Records of
+// advance applies records to a state and puts the result into effect. Records of
 // a peer are not offered to peers, since that peer has them.
 func (s *Store) advance(ctx context.Context, from *state, records []Record, peer bool) error {
 	n, used, err := s.follow(from, records)
@@ -185,7 +185,7 @@
 	return s.enter(ctx, n, used, peer)
 }
 
-// enter puts a state in force after peers can have it.
+// enter puts a state into effect after peers can have it.
 func (s *Store) enter(ctx context.Context, n *state, used []Record, peer bool) error {
 	s.hold(n, used)
 	if !peer {
@@ -274,7 +274,7 @@
 // Start loads the newest version that can be reached: from a snapshot, peers
 // and the table. Peers come before the table since they answer faster and leave
 // less to read there. A snapshot alone may be older than what this process
-// served before it was restarted, so something comes in force only when the
+// served before it was restarted, so something takes effect only when the
 // table or a peer answers.
 func (s *Store) Start(ctx context.Context) error {
 	if err := s.loadSnapshot(ctx); err != nil {
@@ -333,7 +333,7 @@
 	return nil
 }
 
-// prepare keeps a state that comes in force once it is confirmed.
+// prepare keeps a state that takes effect once it is confirmed.
 func (s *Store) prepare(n *state) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/change/peer.go
+++ b/change/peer.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-// Announcement tells a peer which version is in force here.
+// Announcement tells a peer which version is in effect here.
 type Announcement struct {
 	Peer    string // name of the sender; the transport fills it in
 	Version uint64
@@ -41,7 +41,7 @@
 		s.confirm(a.Version, time.Now().Add(-a.Age))
 		return nil
 	case a.Version <= s.holds():
-		return nil // the peer is behind, or the version comes in force already
+		return nil // the peer is behind, or the version takes effect already
 	}
 	s.heard(a.Version)
 	err := errors.New("no transport to peers")
@@ -60,7 +60,7 @@
 // fetchTimeout bounds one fetch from a peer; peers are a few ms apart.
 const fetchTimeout = time.Second
 
-// fetch brings the version of a peer in force when it is newer.
+// fetch brings the version of a peer in effect when it is newer.
 func (s *Store) fetch(ctx context.Context, peer string) error {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
@@ -120,7 +120,7 @@
 	return records[len(records)-1].Version
 }
 
-// apply puts records in force that a peer gave or that were accepted here.
+// apply puts records into effect that a peer gave or that were accepted here.
 func (s *Store) apply(ctx context.Context, records []Record, peer bool) error {
 	err := s.advance(ctx, s.from(), records, peer)
 	if errors.Is(err, ErrStale) {
@@ -129,8 +129,8 @@
 	return err
 }
 
-// errStarting reports that this process has nothing in force yet.
-var errStarting = errors.New("no version is in force yet")
+// errStarting reports that this process has nothing in effect yet.
+var errStarting = errors.New("no version is in effect yet")
 
 // holds returns the version that peers may fetch.
 func (s *Store) holds() uint64 {
@@ -141,7 +141,7 @@
 
 // Records returns what leads from a version to the one held: the changes in
 // order when they are at hand, else all documents, or nothing when the version
-// is not older. It fails while nothing is in force here: an empty answer of
+// is not older. It fails while nothing is in effect here: an empty answer of
 // such a process would confirm an old snapshot of the peer. It serves
 // StoreConfig.Fetch of a peer.
 func (s *Store) Records(after uint64) ([]Record, error) {
--- a/change/publish.go
+++ b/change/publish.go
@@ -84,7 +84,7 @@
 const retryPause = 50 * time.Millisecond
 
 // Publish checks the files, and writes the documents that changed in one
-// transaction. The error says whether the publication may be in force: NotRun
+// transaction. The error says whether the publication may be in effect: NotRun
 // for a refusal, MayHaveRun when the reply of the table was lost and the table
 // could not be read until patience ended. It does not end with ctx once a
 // transaction was sent, since its outcome must be found out.
@@ -285,12 +285,12 @@
 	return undecided, nil
 }
 
-// accepted puts an accepted version in force in this process.
+// accepted puts an accepted version into effect in this process.
 func (p *Publisher) accepted(ctx context.Context, a *attempt) {
 	s := p.cfg.Store
 	if err := s.apply(ctx, []Record{a.record}, false); err != nil {
 		if err := s.Refresh(ctx); err != nil {
-			p.cfg.Log.Warn().Err(err).Uint64("version", a.record.Version).Msg("accepted version is not in force here yet")
+			p.cfg.Log.Warn().Err(err).Uint64("version", a.record.Version).Msg("accepted version is not in effect here yet")
 		}
 	}
 	if st := s.force.Load(); st.version == a.record.Version && (st.version%snapshotEvery == 0 || st.version == 1) {
--- a/change/publish_test.go
+++ b/change/publish_test.go
@@ -98,7 +98,7 @@
 	})
 }
 
-// TestStart guards against an old snapshot that comes in force alone, and
+// TestStart guards against an old snapshot that takes effect alone, and
 // against a start that reads more than the changes after the snapshot.
 func TestStart(t *testing.T) {
 	bubble(t, 1, func(w *world) {
@@ -111,7 +111,7 @@
 		p.restart()
 		time.Sleep(10 * time.Second)
 		s := p.now().store
-		assert.Equal(t, s.Version(), uint64(0), "a snapshot may be older than what was in force")
+		assert.Equal(t, s.Version(), uint64(0), "a snapshot may be older than what was in effect")
 		assert.Assert(t, s.Health().Behind)
 		before := w.table.Counts().Reads
 		w.table.SetFaults(fakes.Faults{})
--- a/change/race_test.go
+++ b/change/race_test.go
@@ -82,7 +82,7 @@
 	}()
 }
 
-// merge takes over what is in force at a process, as after reading a conflict.
+// merge takes over what is in effect at a process, as after reading a conflict.
 func (o *operator) merge(p *proc) {
 	st := p.now().store.force.Load()
 	o.base, o.files = st.version, map[string]string{}
@@ -178,7 +178,7 @@
 }
 
 // TestRace guards against a lost change, a process that goes back, a version
-// that is not in force within 5 s, and an audit trail that differs from the
+// that is not in effect within 5 s, and an audit trail that differs from the
 // accepted history, under races and faults.
 func TestRace(t *testing.T) {
 	versions := uint64(0)
@@ -209,7 +209,7 @@
 		"no base": {"its operator saw version", func(w *world) {
 			w.adjust = func(p *Publisher) { p.plan = planWithoutBase }
 		}},
-		"guess": {"was refused and is in force", func(w *world) {
+		"guess": {"was refused and is in effect", func(w *world) {
 			w.adjust = func(p *Publisher) {
 				p.readBack = func(p *Publisher, ctx context.Context, a *attempt) (outcome, error) {
 					if o, err := p.readRecord(ctx, a); err != nil || o == applied {
@@ -222,7 +222,7 @@
 		"old snapshot": {"went back", func(w *world) {
 			w.fetch = func(*proc, uint64) ([]Record, error) { return nil, nil }
 		}},
-		"slow": {"is not in force after", func(w *world) {
+		"slow": {"is not in effect after", func(w *world) {
 			w.setup = func(c *StoreConfig) { c.Announce, c.Live = nil, func() int { return 1000 } }
 		}},
 		"no audit": {"audit", func(w *world) {
--- a/change/record.go
+++ b/change/record.go
@@ -1,5 +1,5 @@
 // Package change publishes documents through the table service and keeps the
-// configuration in force in each process. A version only grows.
+// configuration in effect in each process. A version only grows.
 //
 // Every publication is one transaction that is conditional on the revision of
 // the head row and writes the head row, the document rows, a record of the
--- a/change/store.go
+++ b/change/store.go
@@ -18,8 +18,8 @@
 )
 
 var (
-	// ErrStale reports a version that is not newer than the one in force.
-	ErrStale = errors.New("version is not newer than the one in force")
+	// ErrStale reports a version that is not newer than the one in effect.
+	ErrStale = errors.New("version is not newer than the one in effect")
 	errGap   = errors.New("records are missing before the version")
 )
 
@@ -38,10 +38,10 @@
 	// Live returns the number of entry processes, this one included, by which
 	// they share the reads of the head row. Nil counts one.
 	Live func() int
-	// Announce tells peers the version that came into force here. It must not
+	// Announce tells peers the version that took effect here. It must not
 	// block. Nil when there are no peers.
 	Announce func(Announcement)
-	// Offer tells some peers a version before it comes into force here, and
+	// Offer tells some peers a version before it takes effect here, and
 	// returns when one of them has taken it: its Store.Announced returned nil.
 	// It is called for versions that were read from the table or accepted here.
 	// Without it a process could serve a version, restart while the table is
@@ -54,7 +54,7 @@
 	Fetch func(ctx context.Context, peer string, after uint64) ([]Record, error)
 }
 
-// Store holds the configuration in force in this process.
+// Store holds the configuration in effect in this process.
 type Store struct {
 	cfg   StoreConfig
 	force atomic.Pointer[state] // read on every request, so without a lock
@@ -63,8 +63,8 @@
 	loading, fetching gate
 
 	mu      sync.Mutex
-	base    *state    // from a snapshot, not in force before it is confirmed
-	held    *state    // in force, or about to be: peers may fetch it
+	base    *state    // from a snapshot, not in effect before it is confirmed
+	held    *state    // in effect, or about to be: peers may fetch it
 	recent  []Record  // the last records in order up to held, for peers
 	known   uint64    // highest version heard of
 	checked time.Time // when the version was last known to be the newest
@@ -86,10 +86,10 @@
 	return s
 }
 
-// Tree returns the configuration in force.
+// Tree returns the configuration in effect.
 func (s *Store) Tree() *spec.Tree { return s.force.Load().tree }
 
-// Version returns the version in force; 0 means that none was loaded yet.
+// Version returns the version in effect; 0 means that none was loaded yet.
 func (s *Store) Version() uint64 { return s.force.Load().version }
 
 // Origin returns who changed a document last, without its text, and whether
@@ -107,7 +107,7 @@
 	return s.checked
 }
 
-// Changed returns a channel that is closed when a newer version is in force.
+// Changed returns a channel that is closed when a newer version is in effect.
 func (s *Store) Changed() <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -122,7 +122,7 @@
 	Checked    time.Time `json:"checked"`    // last time the version was known to be the newest
 	Behind     bool      `json:"behind"`     // a newer version is known or possible
 	Violations uint64    `json:"violations"` // equal versions with different digests
-	Stale      uint64    `json:"stale"`      // reads that were older than the version in force
+	Stale      uint64    `json:"stale"`      // reads that were older than the version in effect
 }
 
 // Health returns what the process knows about its version. The process may be
@@ -139,10 +139,10 @@
 	return h
 }
 
-// maxAge is the time within which an accepted change must be in force.
+// maxAge is the time within which an accepted change must be in effect.
 const maxAge = 5 * time.Second
 
-// Apply puts a tree in force that did not come from the table. It returns
+// Apply puts a tree into effect that did not come from the table. It returns
 // ErrStale unless the version is newer.
 func (s *Store) Apply(version uint64, t *spec.Tree) error {
 	n := &state{version: version, tree: t, origins: map[string]Doc{}}
@@ -174,7 +174,7 @@
 // offerTimeout bounds the wait for a peer; two round trips take about 2 ms.
 const offerTimeout = 200 * time.Millisecond
 
-// offer makes sure that a peer holds a state before it comes in force here.
+// offer makes sure that a peer holds a state before it takes effect here.
 func (s *Store) offer(ctx context.Context, n *state) {
 	if s.cfg.Offer == nil || n.version <= s.Version() {
 		return
@@ -182,11 +182,11 @@
 	ctx, cancel := context.WithTimeout(ctx, offerTimeout)
 	defer cancel()
 	if err := s.cfg.Offer(ctx, Announcement{Version: n.version, Digest: n.tree.Digest()}); err != nil {
-		s.cfg.Log.Warn().Err(err).Uint64("version", n.version).Msg("no peer has taken the version before it comes in force")
+		s.cfg.Log.Warn().Err(err).Uint64("version", n.version).Msg("no peer has taken the version before it takes effect")
 	}
 }
 
-// install puts a state in force.
+// install puts a state into effect.
 func (s *Store) install(n *state) error {
 	s.mu.Lock()
 	now := s.force.Load()
--- a/change/world_test.go
+++ b/change/world_test.go
@@ -47,7 +47,7 @@
 	run    incarnation
 	resume time.Time // paused before it
 	well   time.Time // not disturbed since
-	top    uint64    // highest version ever in force
+	top    uint64    // highest version ever in effect
 	told   uint64    // version whose lag was reported
 }
 
@@ -253,7 +253,7 @@
 }
 
 // watch checks every 20 ms that no process goes back, and that every accepted
-// version is in force on every process within 5 s.
+// version is in effect on every process within 5 s.
 func (w *world) watch(ctx context.Context) {
 	for sleep(ctx, 20*time.Millisecond) {
 		h, err := decodeHead(w.table.Row(headKey))
@@ -284,7 +284,7 @@
 		}
 		if d := time.Since(since); d > maxAge && p.told != v+1 {
 			p.told = v + 1
-			w.faultf("%s has version %d, version %d is not in force after %s", p.name, v, v+1, d)
+			w.faultf("%s has version %d, version %d is not in effect after %s", p.name, v, v+1, d)
 		}
 	}
 }
@@ -322,7 +322,7 @@
 	}
 	for id := range w.refused {
 		if history[id] != 0 {
-			w.faultf("publication %s was refused and is in force as version %d", id, history[id])
+			w.faultf("publication %s was refused and is in effect as version %d", id, history[id])
 		}
 	}
 	all, _, err := NewStore(StoreConfig{Table: c}).readAll(ctx, head{Version: st.version})
--- a/cmds/api.go
+++ b/cmds/api.go
@@ -106,7 +106,7 @@
 	var a api
 	c := &cobra.Command{
 		Use:   "status",
-		Short: "Show the version in force and the backend servers",
+		Short: "Show the version in effect and the backend servers",
 		Args:  cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			var s admin.Status
--- a/cmds/cmds.go
+++ b/cmds/cmds.go
@@ -18,7 +18,7 @@
 	exitUsage   = 2 // arguments, settings or files are wrong
 	exitRefused = 3 // refused, nothing was applied
 	exitUnknown = 4 // it is not known whether the change was applied
-	exitLag     = 5 // accepted, but not in force on every live process in time
+	exitLag     = 5 // accepted, but not in effect on every live process in time
 )
 
 // Run runs the program with the given arguments and returns its exit code.
@@ -59,7 +59,7 @@
 func (e usageError) Error() string { return e.err.Error() }
 func (e usageError) Unwrap() error { return e.err }
 
-// lagError reports that an accepted version is not in force everywhere yet.
+// lagError reports that an accepted version is not in effect everywhere yet.
 type lagError struct{ err error }
 
 func (e lagError) Error() string { return e.err.Error() }
--- a/cmds/peers_test.go
+++ b/cmds/peers_test.go
@@ -143,7 +143,7 @@
 	return string(out)
 }
 
-// serves tells whether a process has a version in force.
+// serves tells whether a process has a version in effect.
 func (c *cluster) serves(p *process, version int) bool {
 	return strings.Contains(c.status(p), fmt.Sprintf("in thamel: version %d,", version))
 }
@@ -262,7 +262,7 @@
 
 	out, err := c.publish(one, 201, "--wait")
 	assert.NilError(t, err, out)
-	assert.Assert(t, strings.Contains(out, "in force on all live entry processes (3)"), out)
+	assert.Assert(t, strings.Contains(out, "in effect on all live entry processes (3)"), out)
 	for _, p := range c.members {
 		assert.Assert(t, c.serves(p, 1), "%s after publish --wait: %s", p.name, c.status(p))
 		c.await(p.name+" knows every server", func() bool { return strings.Count(c.status(p), "ready true") == 7 })
@@ -322,7 +322,7 @@
 	c.listed("the paused process is not listed", others...)
 	out, err := c.publish(c.members[others[0]], 202, "--wait")
 	assert.NilError(t, err, out)
-	assert.Assert(t, strings.Contains(out, "in force on all live entry processes (2)"), out)
+	assert.Assert(t, strings.Contains(out, "in effect on all live entry processes (2)"), out)
 	// Callers with an old address list wait at the paused process, and one of
 	// them has already asked another process under the same key.
 	assert.Assert(t, strings.HasPrefix(c.place(c.members[others[0]], "waiting", "order-waiting"), "201  "))
--- a/cmds/publish.go
+++ b/cmds/publish.go
@@ -44,7 +44,7 @@
 	c := &cobra.Command{
 		Use:   "publish DIR",
 		Short: "Collect the *" + spec.Suffix + " files below DIR, check them and publish them",
-		Long: "Collect the *" + spec.Suffix + " files below DIR, check them and publish those that differ from what is in force.\n\n" +
+		Long: "Collect the *" + spec.Suffix + " files below DIR, check them and publish those that differ from what is in effect.\n\n" +
 			"When " + ownerFile + " in DIR holds source = \"NAME\", DIR owns its documents: a document that NAME published before " +
 			"and whose file is gone is removed. Documents of other directories stay. Without a source nothing is removed.\n\n" +
 			"A document that changed after the version that you saw is a conflict. That version is kept in " + baseFile + " in DIR.",
@@ -61,7 +61,7 @@
 	f.Int64Var(&p.base, "base", unset, "tree version that you saw (default from DIR/"+baseFile+", else 0)")
 	f.BoolVar(&p.dry, "dry", false, "show the difference and the conflicts, change nothing")
 	f.BoolVar(&p.adopt, "adopt", false, "take over documents that other directories own")
-	f.DurationVar(&p.wait, "wait", 0, "wait so long until every live entry process has the version in force")
+	f.DurationVar(&p.wait, "wait", 0, "wait so long until every live entry process has the version in effect")
 	f.Lookup("wait").NoOptDefVal = "30s"
 	f.DurationVar(&p.patience, "patience", resolveTime, "search the audit trail so long when the answer was lost")
 	return c
@@ -207,7 +207,7 @@
 	return fmt.Sprintf("%d %s", n, what)
 }
 
-// await waits until every live process has a version in force.
+// await waits until every live process has a version in effect.
 func (p *publication) await(version uint64) error {
 	end := time.Now().Add(p.wait)
 	var l admin.Lag
@@ -215,10 +215,10 @@
 		left := max(0, time.Until(end).Round(time.Millisecond))
 		path := fmt.Sprintf("/wait?version=%d&for=%s", version, min(left, 5*time.Second))
 		if err := p.call("GET", path, nil, &l); err != nil {
-			return lagError{fmt.Errorf("version %d is accepted; whether it is in force everywhere is not known: %w", version, err)}
+			return lagError{fmt.Errorf("version %d is accepted; whether it is in effect everywhere is not known: %w", version, err)}
 		}
 		if len(l.Lagging) == 0 {
-			_, err := fmt.Fprintf(p.out, "in force on all live entry processes (%d)\n", l.Live)
+			_, err := fmt.Fprintf(p.out, "in effect on all live entry processes (%d)\n", l.Live)
 			return err
 		}
 		if left == 0 {
@@ -229,7 +229,7 @@
 	for i, v := range l.Lagging {
 		names[i] = fmt.Sprintf("%s (version %d)", v.Name, v.Version)
 	}
-	return lagError{fmt.Errorf("version %d is accepted; after %s it is not in force on %d of %d entry processes: %s", version, p.wait, len(names), l.Live, strings.Join(names, ", "))}
+	return lagError{fmt.Errorf("version %d is accepted; after %s it is not in effect on %d of %d entry processes: %s", version, p.wait, len(names), l.Live, strings.Join(names, ", "))}
 }
 
 // collect reads and checks every document below dir.
--- a/cmds/publish_test.go
+++ b/cmds/publish_test.go
@@ -139,7 +139,7 @@
 }
 
 // TestOutcomes guards against an exit code that hides that an accepted version
-// is not in force everywhere, or that the outcome is unknown.
+// is not in effect everywhere, or that the outcome is unknown.
 func TestOutcomes(t *testing.T) {
 	lost, trail := false, `{"entries":[]}`
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -163,7 +163,7 @@
 	}
 	code, out := publish()
 	assert.Equal(t, code, 5, out)
-	assert.Assert(t, strings.Contains(out, "not in force on 1 of 3 entry processes: entry-2 (version 6)"), out)
+	assert.Assert(t, strings.Contains(out, "not in effect on 1 of 3 entry processes: entry-2 (version 6)"), out)
 	base, err := os.ReadFile(filepath.Join(dir, ".bay.base"))
 	assert.NilError(t, err)
 	assert.Equal(t, string(base), "7\n")
@@ -191,7 +191,7 @@
 	assert.Equal(t, cmds.Run([]string{"drain", "--address", "127.0.0.1:1"}, &out, &out), 3, out.String())
 }
 
-// TestStatusBehind guards against a status that names the version in force as
+// TestStatusBehind guards against a status that names the version in effect as
 // the newer version during an outage of the table service.
 func TestStatusBehind(t *testing.T) {
 	for known, want := range map[string]string{"7": "may be behind: neither the table service nor a peer", "8": "  behind: version 8 is known"} {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -129,11 +129,11 @@
 
 const accountKey = "account"
 
-// bootRetry is when a caller may try again while no configuration is in force.
+// bootRetry is when a caller may try again while no configuration is in effect.
 const bootRetry = 2 * time.Second
 
 // account finds the client account of the API key. Before a configuration is
-// in force no key is known, which says nothing about the caller's.
+// in effect no key is known, which says nothing about the caller's.
 func (h *Handler) account(c *gin.Context) {
 	if h.cfg.Store.Version() == 0 {
 		problem(c, fault.New(fault.Config{
--- a/fleet/watch.go
+++ b/fleet/watch.go
@@ -42,7 +42,6 @@
 
 // StepInterval is the time between two steps. Polls of one step leave together;
 // with 16 steps a second an idle process took a third more processor time.
-
 const StepInterval = 250 * time.Millisecond
 
 // Intervals of background work.
--- a/limit/keeper.go
+++ b/limit/keeper.go
@@ -204,7 +204,7 @@
 	return a, true
 }
 
-// valid tells whether the share of an account is in force.
+// valid tells whether the share of an account is in effect.
 func (a *account) valid(now time.Time) bool { return now.Before(a.deadline) }
 
 // allowed returns what the process may use in a dimension: its share, or its
