fleet: index of servers by address

Cause: At and the merge of the VM list searched all servers for an address; a profile of two processes with 4,000 workers had 8.5 % of the samples in At and 19 % in the merge. Change: the table keeps the name by address; one function removes a server from both maps. One of the two processes was the placement holder in its first minute, which reads 64 engines a second.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -63,6 +63,7 @@
 	mu      sync.Mutex
 	started time.Time
 	servers map[string]*server
+	hosts   map[string]string // name of the server by address
 	subset  []*server // the servers that are polled and used, by name
 	links   map[[2]string]*link
 }
@@ -78,7 +79,7 @@
 	if cfg.Doubtful == 0 {
 		cfg.Doubtful = 0.5
 	}
-	return &Table{cfg: cfg, started: time.Now(), servers: map[string]*server{}, links: map[[2]string]*link{}}
+	return &Table{cfg: cfg, started: time.Now(), servers: map[string]*server{}, hosts: map[string]string{}, links: map[[2]string]*link{}}
 }
 
 // NewTable returns an empty table with default settings.
@@ -160,10 +161,18 @@
 func (t *Table) At(address string) (State, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, sv := range t.servers {
-		if sv.state.Address == address {
-			return sv.state, true
-		}
+	if sv := t.servers[t.hosts[address]]; sv != nil {
+		return sv.state, true
 	}
 	return State{}, false
 }
+
+// drop removes a server. It needs the lock.
+func (t *Table) drop(name string) {
+	if sv := t.servers[name]; sv != nil {
+		if t.hosts[sv.state.Address] == name {
+			delete(t.hosts, sv.state.Address)
+		}
+		delete(t.servers, name)
+	}
+}
--- a/fleet/merge.go
+++ b/fleet/merge.go
@@ -51,7 +51,7 @@
 		case sv.missed.IsZero():
 			sv.missed = now
 		case !doubtful && now.Sub(sv.missed) >= missingTime && now.Sub(sv.state.Reported) >= missingTime:
-			delete(t.servers, n)
+			t.drop(n)
 		}
 	}
 	t.watch()
@@ -68,11 +68,9 @@
 func (t *Table) listed(s State) {
 	sv := t.servers[s.Name]
 	if sv == nil || sv.state.Address != s.Address {
-		for n, other := range t.servers {
-			if other.state.Address == s.Address && n != s.Name {
-				delete(t.servers, n) // another VM had this address before
-			}
-		}
+		t.drop(t.hosts[s.Address]) // another VM had this address before
+		t.drop(s.Name)
+		t.hosts[s.Address] = s.Name
 		sv = &server{state: s, rank: t.rank(s.Name)}
 		sv.state.Leaving = false
 		t.servers[s.Name] = sv
@@ -87,7 +85,7 @@
 	defer t.mu.Unlock()
 	for n := range t.servers {
 		if !names[n] {
-			delete(t.servers, n)
+			t.drop(n)
 		}
 	}
 	t.watch()
