fakes: switch for a stale VM list

Cause: the platform stand-in could show a stale VM list only to tests in the same process. Change: PUT /faults takes frozen, which keeps the list as it was; TestFrozenList.

--- /dev/null
+++ b/fakes/platform_test.go
@@ -0,0 +1,40 @@
+package fakes_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cranberrybay/cranberrybay/fakes"
+	"github.com/cranberrybay/cranberrybay/plat"
+)
+
+// TestFrozenList guards against a switch of the stand-in that does not make the
+// VM list stale, which tests of stale lists rely on.
+func TestFrozenList(t *testing.T) {
+	p := fakes.NewPlatform()
+	srv := httptest.NewServer(p.Handler())
+	defer srv.Close()
+	list := plat.NewVMList(plat.Config{Address: strings.TrimPrefix(srv.URL, "http://")})
+	put := func(faults string) {
+		rq, err := http.NewRequest(http.MethodPut, srv.URL+"/faults", strings.NewReader(faults))
+		assert.NilError(t, err)
+		rs, err := http.DefaultClient.Do(rq)
+		assert.NilError(t, err)
+		assert.NilError(t, rs.Body.Close())
+	}
+	length := func() int {
+		vms, err := list.Read(t.Context())
+		assert.NilError(t, err)
+		return len(vms)
+	}
+	p.SetVM(plat.VM{Name: "a"})
+	put(`{"frozen":true}`)
+	p.SetVM(plat.VM{Name: "b"})
+	assert.Equal(t, length(), 1)
+	put(`{}`)
+	assert.Equal(t, length(), 2)
+}
