--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -64,7 +64,7 @@
 	started time.Time
 	servers map[string]*server
 	hosts   map[string]string // name of the server by address
-	subset  []*server // the servers that are polled and used, by name
+	subset  []*server         // the servers that are polled and used, by name
 	links   map[[2]string]*link
 }
 
