--- a/cmds/demo.go
+++ b/cmds/demo.go
@@ -248,9 +248,11 @@
 }
 
 func (d *demo) help() {
+	for _, n := range d.nodes {
+		d.say("%s in %s: callers http://%s, operators http://%s", n.Name, n.Domain, n.Listen.Callers, n.Listen.Admin)
+	}
+	d.say("API key %s, operator's credential %s", demoKey, demoToken)
 	n := d.nodes[0]
-	d.say("callers:  http://%s   key %s", n.Listen.Callers, demoKey)
-	d.say("operator: http://%s   credential %s", n.Listen.Admin, demoToken)
 	d.say("try: curl -s http://%s/addresses", n.Listen.Callers)
 	d.say(`try: curl -sN http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -d '{"model":"assistant","stream":true,"messages":[{"role":"user","content":"the tube flickers"}]}'`, n.Listen.Callers, demoKey)
 	d.say(`try: curl -s http://%s/services/desk/orders -H 'Authorization: Bearer %s' -H 'Idempotency-Key: 1' -d 'refill'`, n.Listen.Callers, demoKey)
