examples: parse the tree in one place

Cause: the demo, a benchmark of entry and the session test of stream each walked and parsed the embedded example tree. Change: examples.Documents; the three call it. Behaviour and expectations stay. Conclusion: one loop in place of three.

--- a/cmds/demo.go
+++ b/cmds/demo.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"io/fs"
 	"net"
 	"net/http"
 	"os/signal"
@@ -165,18 +164,14 @@
 }
 
 func (d *demo) publish() error {
-	var files []change.File
-	err := fs.WalkDir(examples.Tree, ".", func(path string, e fs.DirEntry, err error) error {
-		if err != nil || e.IsDir() {
-			return err
-		}
-		text, err := examples.Tree.ReadFile(path)
-		files = append(files, change.File{Path: path, Text: string(text)})
-		return err
-	})
+	docs, err := examples.Documents()
 	if err != nil {
 		return err
 	}
+	var files []change.File
+	for _, doc := range docs {
+		files = append(files, change.File{Path: doc.Path(), Text: string(doc.Text())})
+	}
 	a := api{address: d.nodes[0].Listen.Admin, token: demoToken}
 	var res change.Result
 	if err := a.call("POST", "/publish", admin.Publication{Author: "demo", Files: files}, &res); err != nil {
--- a/entry/carry_test.go
+++ b/entry/carry_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"io/fs"
 	"net/http"
 	"net/http/httptest"
 	"net/http/httputil"
@@ -66,19 +65,8 @@
 // benchHandler returns an entry process whose stages are at the address.
 func benchHandler(tb testing.TB, hc *http.Client, address string) *Handler {
 	tb.Helper()
-	var docs []*spec.Document
-	assert.NilError(tb, fs.WalkDir(examples.Tree, ".", func(path string, e fs.DirEntry, err error) error {
-		if err != nil || e.IsDir() {
-			return err
-		}
-		text, err := examples.Tree.ReadFile(path)
-		if err != nil {
-			return err
-		}
-		d, err := spec.Parse(path, text)
-		docs = append(docs, d)
-		return err
-	}))
+	docs, err := examples.Documents()
+	assert.NilError(tb, err)
 	tree, err := spec.NewTree(docs)
 	assert.NilError(tb, err)
 	st := change.NewStore(change.StoreConfig{Table: fakes.NewTable().Client()})
--- a/stream/session_test.go
+++ b/stream/session_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"io/fs"
 	"net/http"
 	"regexp"
 	"slices"
@@ -58,19 +57,8 @@
 // serve adds an entry process that uses the world's engines.
 func (w *world) serve(t *testing.T, rec *recorder) *http.Client {
 	t.Helper()
-	var docs []*spec.Document
-	assert.NilError(t, fs.WalkDir(examples.Tree, ".", func(path string, e fs.DirEntry, err error) error {
-		if err != nil || e.IsDir() {
-			return err
-		}
-		text, err := examples.Tree.ReadFile(path)
-		if err != nil {
-			return err
-		}
-		d, err := spec.Parse(path, text)
-		docs = append(docs, d)
-		return err
-	}))
+	docs, err := examples.Documents()
+	assert.NilError(t, err)
 	tree, err := spec.NewTree(docs)
 	assert.NilError(t, err)
 	st := change.NewStore(change.StoreConfig{Table: fakes.NewTable().Client()})
