fleet: remove Keep

Cause: Table.Keep served the first watcher; Merge has taken its place and nothing calls it, not even a test. Change: removed. Conclusion: go vet of all packages passes, so no caller is left.

--- a/fleet/merge.go
+++ b/fleet/merge.go
@@ -79,18 +79,6 @@
 	sv.listed = s.Leaving
 }
 
-// Keep removes servers whose name is not in the set.
-func (t *Table) Keep(names map[string]bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for n := range t.servers {
-		if !names[n] {
-			t.drop(n)
-		}
-	}
-	t.watch()
-}
-
 // Observe merges a load report of a server, received now. Only the fields
 // that a server reports are read. It returns true when the report comes from
 // a new incarnation.
