--- /dev/null
+++ b/beat/beat.go
@@ -0,0 +1,271 @@
+// Package beat exchanges heartbeats between entry processes. A heartbeat tells
+// that a process is alive and ready, which configuration it has, and what it has
+// in flight at each backend server, so that processes that choose at the same
+// time see each other's load without asking the backend servers.
+package beat
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cranberrybay/cranberrybay/clock"
+	"github.com/cranberrybay/cranberrybay/wire"
+)
+
+// Peer is another entry process as its row in the platform's table names it.
+type Peer struct {
+	Name    string
+	Address string // of heartbeats, IP:PORT
+	Callers string // for callers, IP:PORT
+	Domain  string
+}
+
+// State is what this process says of itself.
+type State struct {
+	Ready   bool
+	Version uint64
+}
+
+// Work is what a process has in flight at a backend server.
+type Work struct {
+	Server  string
+	Streams int
+	Tokens  int64 // layer tokens of KV cache
+}
+
+// Config holds the parts of a Ring.
+type Config struct {
+	Self        Peer
+	Incarnation uint64
+	State       func() State
+	Work        func() []Work
+	Send        func(address string, b []byte) error
+	Log         zerolog.Logger
+}
+
+const (
+	// interval between two heartbeats while there are few processes.
+	interval = 400 * time.Millisecond
+	// fewPeers is the number of peers up to which every heartbeat goes to each;
+	// with more, the interval grows so that the rate of datagrams stays.
+	fewPeers = 16
+	// missed heartbeats make a peer count as silent.
+	missed = 3.4
+	// loadAge bounds how long the work of a silent peer counts.
+	loadAge = 3 * time.Second
+)
+
+// Ring knows the other entry processes.
+type Ring struct {
+	cfg Config
+
+	mu       sync.Mutex
+	peers    map[string]*member
+	sequence uint64
+	totals   map[uint64]total // work of all peers
+}
+
+type total struct {
+	streams int
+	tokens  int64
+}
+
+type member struct {
+	peer        Peer
+	heard       time.Duration // clock.Now of the last heartbeat; 0 for never
+	listed      time.Duration // clock.Now since when the peer is in the table
+	incarnation uint64
+	sequence    uint64
+	ready       bool
+	version     uint64
+	silent      bool
+	work        []*wire.Inflight
+}
+
+// New returns a Ring without peers.
+func New(cfg Config) *Ring {
+	return &Ring{cfg: cfg, peers: map[string]*member{}, totals: map[uint64]total{}}
+}
+
+// Listed takes the peers of the platform's table.
+func (r *Ring) Listed(all []Peer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	named := map[string]bool{}
+	for _, p := range all {
+		if p.Name == r.cfg.Self.Name {
+			continue
+		}
+		named[p.Name] = true
+		m := r.peers[p.Name]
+		if m == nil || m.peer.Address != p.Address {
+			m = &member{listed: clock.Now()}
+			r.peers[p.Name] = m
+			r.cfg.Log.Info().Str("peer", p.Name).Str("address", p.Address).Msg("peer listed")
+		}
+		m.peer = p
+	}
+	for name := range r.peers {
+		if !named[name] {
+			delete(r.peers, name)
+			r.cfg.Log.Info().Str("peer", name).Msg("peer left the list")
+		}
+	}
+	r.sum()
+}
+
+// Interval returns the time between two heartbeats of this process.
+func (r *Ring) Interval() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.interval()
+}
+
+func (r *Ring) interval() time.Duration {
+	return interval * time.Duration(max(fewPeers, len(r.peers))) / fewPeers
+}
+
+func (r *Ring) deadline() time.Duration {
+	return time.Duration(missed * float64(r.interval()))
+}
+
+// Run sends heartbeats until the context ends.
+func (r *Ring) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		r.Beat()
+		d := r.Interval()
+		select {
+		case <-ctx.Done():
+		case <-time.After(d*9/10 + rand.N(d/5)):
+		}
+	}
+}
+
+// Beat sends one heartbeat to each peer and notes those that fell silent.
+func (r *Ring) Beat() {
+	s := r.cfg.State()
+	b := &wire.Beat{
+		Name: r.cfg.Self.Name, Incarnation: r.cfg.Incarnation, Domain: r.cfg.Self.Domain, Callers: r.cfg.Self.Callers,
+		Ready: s.Ready, Version: s.Version,
+	}
+	for _, w := range r.cfg.Work() {
+		b.Work = append(b.Work, &wire.Inflight{Server: xxhash.Sum64String(w.Server), Streams: uint32(w.Streams), Tokens: uint64(w.Tokens)})
+	}
+	r.mu.Lock()
+	r.sequence++
+	b.Sequence = r.sequence
+	var targets []string
+	for _, m := range r.peers {
+		targets = append(targets, m.peer.Address)
+	}
+	r.judge()
+	r.mu.Unlock()
+	raw, err := proto.Marshal(b)
+	if err != nil {
+		r.cfg.Log.Error().Err(err).Msg("encode heartbeat")
+		return
+	}
+	for _, address := range targets {
+		if err := r.cfg.Send(address, raw); err != nil {
+			r.cfg.Log.Debug().Err(err).Str("address", address).Msg("heartbeat not sent")
+		}
+	}
+}
+
+// judge notes peers that fell silent.
+func (r *Ring) judge() {
+	now := clock.Now()
+	for name, m := range r.peers {
+		silent := now-max(m.heard, m.listed) > r.deadline()
+		if silent && !m.silent {
+			r.cfg.Log.Warn().Str("peer", name).Dur("silent", now-m.heard).Msg("peer is silent")
+		}
+		m.silent = silent
+	}
+	r.sum()
+}
+
+// Receive takes a datagram.
+func (r *Ring) Receive(raw []byte) {
+	var b wire.Beat
+	if err := proto.Unmarshal(raw, &b); err != nil || b.Name == "" || b.Name == r.cfg.Self.Name {
+		r.cfg.Log.Debug().Err(err).Int("bytes", len(raw)).Msg("datagram is no heartbeat")
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m := r.peers[b.Name]
+	if m == nil {
+		return // it is not in the table yet, or no longer
+	}
+	if m.incarnation == b.Incarnation && b.Sequence <= m.sequence {
+		return
+	}
+	if m.silent {
+		r.cfg.Log.Info().Str("peer", b.Name).Msg("peer is back")
+	}
+	m.incarnation, m.sequence, m.heard, m.silent = b.Incarnation, b.Sequence, clock.Now(), false
+	m.ready, m.version, m.work = b.Ready, b.Version, b.Work
+	r.sum()
+}
+
+// sum adds up the work of all peers.
+func (r *Ring) sum() {
+	now := clock.Now()
+	clear(r.totals)
+	for _, m := range r.peers {
+		if now-m.heard > loadAge {
+			continue
+		}
+		for _, w := range m.work {
+			t := r.totals[w.Server]
+			t.streams += int(w.Streams)
+			t.tokens += int64(w.Tokens)
+			r.totals[w.Server] = t
+		}
+	}
+}
+
+// Others returns what the peers have in flight at a backend server.
+func (r *Ring) Others(server string) (streams int, tokens int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := r.totals[xxhash.Sum64String(server)]
+	return t.streams, t.tokens
+}
+
+// Size returns the number of entry processes, this one included.
+func (r *Ring) Size() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.peers) + 1
+}
+
+// Callers returns the addresses for callers of the peers that are ready, those
+// of a failure domain first; local tells how many these are. A peer that is
+// listed but was not heard yet counts as ready for a moment.
+func (r *Ring) Callers(domain string) (addresses []string, local int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var far []string
+	for _, name := range slices.Sorted(maps.Keys(r.peers)) {
+		m := r.peers[name]
+		if m.silent || !m.ready {
+			continue
+		}
+		if m.peer.Domain == domain {
+			addresses = append(addresses, m.peer.Callers)
+		} else {
+			far = append(far, m.peer.Callers)
+		}
+	}
+	return append(addresses, far...), len(addresses)
+}
--- /dev/null
+++ b/cmds/entry.go
@@ -0,0 +1,53 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"github.com/cranberrybay/cranberrybay/edge"
+	"github.com/cranberrybay/cranberrybay/platform"
+)
+
+func newEntry() *cobra.Command {
+	var path string
+	c := &cobra.Command{
+		Use:   "entry [--config FILE]",
+		Short: "Run an entry process on the users' platform",
+		Long: "Run an entry process on the users' platform. Without --config the settings file is the one that the\n" +
+			"environment variable " + platform.SettingsVariable + " names.",
+		Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if path == "" {
+				path = os.Getenv(platform.SettingsVariable)
+			}
+			s, err := edge.ReadSettings(path)
+			if err != nil {
+				return usageError{err}
+			}
+			return runEntry(c, s)
+		},
+	}
+	c.Flags().StringVar(&path, "config", "", "settings file (TOML)")
+	return c
+}
+
+func runEntry(c *cobra.Command, s edge.Settings) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	// Settings that change while the process runs concern its next start; the
+	// signal must not end it.
+	signal.Ignore(syscall.SIGHUP)
+	app := edge.New(s, c.OutOrStdout())
+	if err := app.Start(ctx); err != nil {
+		return fmt.Errorf("start entry process: %w", err)
+	}
+	<-ctx.Done()
+	stopCtx, cancel := context.WithTimeout(context.Background(), app.StopTimeout())
+	defer cancel()
+	return app.Stop(stopCtx)
+}
--- /dev/null
+++ b/edge/app.go
@@ -0,0 +1,279 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"github.com/cranberrybay/cranberrybay/beat"
+	"github.com/cranberrybay/cranberrybay/config"
+	"github.com/cranberrybay/cranberrybay/lease"
+	"github.com/cranberrybay/cranberrybay/link"
+	"github.com/cranberrybay/cranberrybay/logs"
+	"github.com/cranberrybay/cranberrybay/platform"
+	"github.com/cranberrybay/cranberrybay/relay"
+	"github.com/cranberrybay/cranberrybay/server"
+	"github.com/cranberrybay/cranberrybay/watch"
+)
+
+const (
+	// lapse is how long a missing entry may take to come back after an outage of
+	// the registry: the platform states about two seconds.
+	lapse = 2200 * time.Millisecond
+	// pollWait is the wait of one poll of the feed. It bounds the age of the
+	// configuration while nothing changes.
+	pollWait = 1500 * time.Millisecond
+	// pollSlack is added until a poll counts as lost. A slow store takes some
+	// 0.3 s; a silent connection shows only by this.
+	pollSlack = 900 * time.Millisecond
+	// peersEvery is the interval of reading the rows of the entry processes.
+	peersEvery = 4 * time.Second
+	// expireEvery is the interval of looking for entries that did not come back.
+	expireEvery = 200 * time.Millisecond
+	// addressTTL is how long callers keep an answer with addresses. A process
+	// that dies is on callers' lists for this time.
+	addressTTL = time.Second
+	// stopMargin is kept back from the time between SIGTERM and SIGKILL.
+	stopMargin = 700 * time.Millisecond
+	// lingerWhileLeaving keeps the listener of a stopping process open for
+	// callers that use an old answer with its address.
+	lingerWhileLeaving = 3200 * time.Millisecond
+	// sendTimeout bounds anything that is sent under the lease.
+	sendTimeout = time.Second
+)
+
+// incarnation names one run of a process.
+type incarnation struct {
+	text   string
+	number uint64
+}
+
+// New returns the application of an entry process on the platform. Logs go to
+// out.
+func New(s Settings, out io.Writer) *fx.App {
+	return fx.New(
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.StopTimeout(s.grace()),
+		fx.Supply(s, incarnation{text: s.Name + "/" + uuid.NewString(), number: rand.Uint64()}),
+		fx.Provide(
+			func() *logs.Queue { return logs.NewQueue(out) },
+			func(q *logs.Queue) (*logs.Maker, error) {
+				return logs.New(logs.Config{Out: q, Node: s.Name, Level: s.Log.Level, Levels: s.Log.Parts})
+			},
+			func() *platform.Store { return platform.NewStore(s.Store.Address) },
+			func() *config.Holder { return &config.Holder{} },
+			func() *link.Client { return link.New(link.Config{}) },
+			func(c *link.Client) *platform.Backend { return &platform.Backend{Client: c} },
+			func() *deskState { return &deskState{} },
+			newCounters,
+			newServers,
+			newRing,
+			newBudgets,
+			newRelay,
+			newDesk,
+			newPlacer,
+		),
+		fx.Invoke(logStart, follow, beats, place, listen, gauges),
+	)
+}
+
+func logStart(s Settings, i incarnation, l *logs.Maker, q *logs.Queue, lc fx.Lifecycle) {
+	log := l.Part("edge")
+	log.Info().Str("incarnation", i.text).Str("domain", s.Domain).Str("callers", s.Listen.Callers).
+		Str("store", s.Store.Address).Int64("memory", s.Limits.Memory).Msg("process starts")
+	lc.Append(fx.Hook{OnStop: func(context.Context) error {
+		log.Info().Msg("process stops")
+		q.Close(flushTimeout)
+		return nil
+	}})
+}
+
+// flushTimeout bounds the writing of the last log lines.
+const flushTimeout = 200 * time.Millisecond
+
+func newServers(c *link.Client, l *logs.Maker) *server.Table {
+	return server.NewTable(server.Config{Log: l.Part("server"), Lapse: lapse, Gone: c.Drop})
+}
+
+func newRing(s Settings, i incarnation, h *config.Holder, t *server.Table, d *deskState, l *logs.Maker) (*beat.Ring, error) {
+	conn, err := net.ListenPacket("udp4", s.Listen.Beats)
+	if err != nil {
+		return nil, fmt.Errorf("listen for heartbeats: %w", err)
+	}
+	d.packets = conn
+	return beat.New(beat.Config{
+		Self:        beat.Peer{Name: s.Name, Address: s.Listen.Beats, Callers: s.Listen.Callers, Domain: s.Domain},
+		Incarnation: i.number,
+		State: func() beat.State {
+			b := beat.State{Ready: d.ready()}
+			if c := h.Current(); c != nil {
+				b.Version = c.Version()
+			}
+			return b
+		},
+		Work: func() []beat.Work {
+			var out []beat.Work
+			for _, x := range t.All() {
+				if n := x.Inflight(); n > 0 {
+					out = append(out, beat.Work{Server: x.ID(), Streams: n, Tokens: x.Claimed()})
+				}
+			}
+			return out
+		},
+		Send: func(address string, b []byte) error {
+			to, err := net.ResolveUDPAddr("udp4", address)
+			if err != nil {
+				return err
+			}
+			_, err = conn.WriteTo(b, to)
+			return err
+		},
+		Log: l.Part("beat"),
+	}), nil
+}
+
+func newRelay(s Settings, t *server.Table, b *platform.Backend, g *beat.Ring, u *budgets, c *counters, l *logs.Maker) *relay.Relay {
+	return relay.New(relay.Config{
+		Servers: t, Send: b.Send, Report: b.Report, Repath: b.Repath, Budget: u.of, Others: g.Others,
+		Domain: s.Domain, Log: l.Part("relay"), Count: c.event,
+	})
+}
+
+func newPlacer(i incarnation, st *platform.Store, h *config.Holder, t *server.Table, b *platform.Backend, c *counters, l *logs.Maker) *Placer {
+	log := l.Part("place")
+	return &Placer{
+		lease: lease.New(lease.Config{
+			Rows: st.Table(), Name: "place", Holder: i.text, Term: leaseTerm, Send: sendTimeout,
+			Violated: func(reason string) { log.Error().Str("reason", reason).Msg("lease invariant does not hold") },
+		}),
+		holder: h, servers: t, place: b.Place, accepted: b.Accepted, log: log, count: c,
+	}
+}
+
+// follow keeps the configuration and the registry up to date.
+func follow(st *platform.Store, h *config.Holder, t *server.Table, l *logs.Maker, lc fx.Lifecycle) {
+	log := l.Part("watch")
+	conf := watch.New(watch.Config{
+		Name: platform.TableConfig, Wait: pollWait, Slack: pollSlack, Log: log, Confirm: h.Confirm,
+		Read: func(ctx context.Context) (watch.Page, error) { return st.Read(ctx, platform.TableConfig) },
+		Poll: func(ctx context.Context, after uint64, wait time.Duration) (watch.Page, error) {
+			return st.Poll(ctx, platform.TableConfig, after, wait)
+		},
+		Apply: func(p watch.Page, _ time.Duration) {
+			c, err := platform.Config(p.Rows)
+			if err != nil {
+				log.Error().Err(err).Msg("configuration can't be read; the one in effect stays")
+			}
+			if c != nil && h.Apply(c) {
+				log.Info().Uint64("version", c.Version()).Uint64("revision", p.Revision).Msg("configuration in effect")
+			}
+		},
+	})
+	registry := watch.New(watch.Config{
+		Name: platform.TableServers, Wait: pollWait, Slack: pollSlack, Log: log, Confirm: func(time.Duration) {},
+		Read: func(ctx context.Context) (watch.Page, error) { return st.Read(ctx, platform.TableServers) },
+		Poll: func(ctx context.Context, after uint64, wait time.Duration) (watch.Page, error) {
+			return st.Poll(ctx, platform.TableServers, after, wait)
+		},
+		Apply: func(p watch.Page, outage time.Duration) { t.Apply(platform.Servers(p.Rows, log), p.Whole, outage) },
+	})
+	run(lc, conf.Run, registry.Run, every(expireEvery, func(context.Context) { t.Expire() }))
+}
+
+// run starts functions on goroutines that end with the application.
+func run(lc fx.Lifecycle, all ...func(ctx context.Context)) {
+	ctx, cancel := context.WithCancel(context.Background())
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			for _, f := range all {
+				go f(ctx)
+			}
+			return nil
+		},
+		OnStop: func(context.Context) error { cancel(); return nil },
+	})
+}
+
+// every returns a function that calls f in an interval until its context ends.
+func every(interval time.Duration, f func(ctx context.Context)) func(ctx context.Context) {
+	return func(ctx context.Context) {
+		t := time.NewTicker(interval)
+		defer t.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-t.C:
+				f(ctx)
+			}
+		}
+	}
+}
+
+func place(p *Placer, lc fx.Lifecycle) {
+	run(lc, p.Run)
+	lc.Append(fx.Hook{OnStop: func(ctx context.Context) error {
+		if err := p.lease.Release(ctx); err != nil {
+			p.log.Warn().Err(err).Msg("lease not released; a successor waits for its end")
+		}
+		return nil
+	}})
+}
+
+// maxDatagram is the longest heartbeat.
+const maxDatagram = 64 << 10
+
+// beats exchanges heartbeats with the processes that the table lists.
+func beats(s Settings, st *platform.Store, g *beat.Ring, d *deskState, u *budgets, l *logs.Maker, lc fx.Lifecycle) {
+	n := newNodes(s, st.Table(), g, u, l.Part("beat"))
+	d.left = n.leave
+	receive := func(ctx context.Context) {
+		buf := make([]byte, maxDatagram)
+		for {
+			size, _, err := d.packets.ReadFrom(buf)
+			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return
+			}
+			if err != nil {
+				n.log.Warn().Err(err).Msg("read heartbeat")
+				continue
+			}
+			g.Receive(buf[:size])
+		}
+	}
+	run(lc, receive, g.Run, n.run)
+	lc.Append(fx.Hook{OnStop: func(context.Context) error { return d.packets.Close() }})
+}
+
+func listen(s Settings, d *Desk, g *beat.Ring, c *counters, l *logs.Maker, lc fx.Lifecycle) {
+	log := l.Part("edge")
+	front := &platform.Front{Serve: d.Serve, MaxBody: d.maxBody, Leaving: d.isLeaving}
+	find := func(domain string) ([]string, time.Duration) { return d.addresses(s, g, domain), addressTTL }
+	callers := newServer(front)
+	serve(lc, log, "callers", s.Listen.Callers, callers)
+	serve(lc, log, "ready", s.Listen.Ready, newServer(platform.Ready(d.ready)))
+	serve(lc, log, "directory", s.Listen.Directory, newServer(platform.Directory(find)))
+	if s.Listen.Metrics != "" {
+		serve(lc, log, "metrics", s.Listen.Metrics, newServer(c))
+	}
+	lc.Append(fx.Hook{OnStop: func(ctx context.Context) error { return d.drain(ctx, callers) }})
+}
+
+const (
+	headerTimeout = 3 * time.Second  // of a caller's header, as the platform states it for its callers
+	idleTimeout   = 20 * time.Second // above the 15 s that callers may stay idle, so that they close first
+	headerBytes   = 16 << 10
+)
+
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes, ErrorLog: silent()}
+}
--- /dev/null
+++ b/edge/placer.go
@@ -0,0 +1,282 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/cranberrybay/cranberrybay/clock"
+	"github.com/cranberrybay/cranberrybay/config"
+	"github.com/cranberrybay/cranberrybay/lease"
+	"github.com/cranberrybay/cranberrybay/server"
+	"github.com/cranberrybay/cranberrybay/shard"
+)
+
+const (
+	leaseTerm    = 4 * time.Second         // the store answers within milliseconds; a successor needs no more
+	orderTimeout = 800 * time.Millisecond  // of one order to an engine
+	renewEvery   = 1200 * time.Millisecond // three tries within a term
+	observeEvery = 2 * time.Second         // of processes that do not hold the lease
+	planEvery    = 300 * time.Millisecond  // reading the table costs microseconds
+	// loadSlack is added to the expected time of a load before the order is
+	// given again; an order may be carried out seconds late.
+	loadSlack    = 3 * time.Second
+	minOrderWait = 2 * time.Second // until an order that takes no load is given again
+	// settleTime without a new engine begins the first layout. Engines write
+	// their first entries within one heartbeat.
+	settleTime = 1500 * time.Millisecond
+)
+
+// Placer gives orders to engines while this process holds the lease.
+type Placer struct {
+	lease   *lease.Holder
+	holder  *config.Holder
+	servers *server.Table
+	place   func(ctx context.Context, address string, r shard.Range, fence, accepted uint64) error
+	// accepted returns the number of orders that an engine has accepted.
+	accepted func(ctx context.Context, address string) (uint64, error)
+	log      zerolog.Logger
+	count    *counters
+
+	pending map[string]*pending // by server; used by Run only
+	orders  map[string]accepted // by server, the orders that it has accepted; used by Run only
+	done    chan ordered
+	held    bool
+	seen    int           // engines at the last look, before any holds layers
+	since   time.Duration // clock.Now since when there are as many
+}
+
+// pending is an order that an engine has not finished.
+type pending struct {
+	want  shard.Range
+	born  int64
+	until time.Duration // clock.Now at which the order is given again
+}
+
+// accepted is a number of orders of one incarnation of an engine.
+type accepted struct {
+	born   int64
+	orders uint64
+}
+
+// ordered is the answer to an order.
+type ordered struct {
+	id    string
+	known accepted // as far as the answer tells
+	err   error
+}
+
+// Run steps the lease and places layers until the context ends.
+func (p *Placer) Run(ctx context.Context) {
+	p.pending, p.orders, p.done = map[string]*pending{}, map[string]accepted{}, make(chan ordered, 64)
+	var next time.Duration
+	tick := time.NewTicker(planEvery)
+	defer tick.Stop()
+	for {
+		if clock.Now() >= next {
+			next = clock.Now() + p.step(ctx)
+		}
+		if p.held {
+			p.plan(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case o := <-p.done:
+			p.answered(o)
+		case <-tick.C:
+		}
+	}
+}
+
+// step takes or renews the lease and returns the time to the next step.
+func (p *Placer) step(ctx context.Context) time.Duration {
+	if err := p.lease.Step(ctx); err != nil {
+		p.log.Warn().Err(err).Msg("lease step failed")
+	}
+	fence, deadline, held := p.lease.Held()
+	if held != p.held {
+		p.held = held
+		clear(p.pending)
+		clear(p.orders)
+		if held {
+			p.log.Info().Uint64("fence", fence).Time("until", deadline).Msg("lease taken")
+			p.count.event("lease")
+		} else {
+			p.log.Info().Uint64("fence", fence).Msg("lease lost")
+		}
+	}
+	if held {
+		return renewEvery
+	}
+	return observeEvery
+}
+
+// plan gives the orders that the state of the engines asks for.
+func (p *Placer) plan(ctx context.Context) {
+	conf := p.holder.Current()
+	if conf == nil {
+		return
+	}
+	byService := map[string][]*server.Server{}
+	for _, s := range p.servers.All() {
+		byService[s.Entry().Service] = append(byService[s.Entry().Service], s)
+	}
+	for name, all := range byService {
+		service, ok := conf.Service(name)
+		if !ok || service.Engine == nil || service.Engine.Layers == 0 {
+			continue
+		}
+		p.planService(ctx, service.Engine, all)
+	}
+}
+
+func (p *Placer) planService(ctx context.Context, e *config.Engine, all []*server.Server) {
+	model := shard.Model{Layers: e.Layers, Layer: e.LayerMemory, Token: e.TokenMemory / float64(e.Layers) / 1e6}
+	var engines []shard.Engine
+	byID := map[string]*server.Server{}
+	empty := true
+	for _, s := range all {
+		entry := s.Entry()
+		card, ok := e.Cards[entry.Card]
+		if !ok || entry.Draining {
+			continue
+		}
+		byID[entry.ID] = s
+		engines = append(engines, shard.Engine{
+			ID: entry.ID, Domain: entry.Domain, Memory: card.Memory, Pace: card.Pace, Holds: p.holds(entry),
+		})
+	}
+	for _, x := range engines {
+		empty = empty && x.Holds.Len() == 0
+	}
+	if empty && !p.settled(len(engines)) {
+		return
+	}
+	loading := 0
+	for id, want := range shard.Plan(model, engines) {
+		entry := byID[id].Entry()
+		if entry.From == want.From && entry.To == want.To {
+			continue
+		}
+		if x := p.pending[id]; x != nil && x.want == want && x.born == entry.Born && clock.Now() < x.until {
+			loading++
+			continue
+		}
+		p.order(ctx, e, entry, want, loading)
+		loading++
+	}
+}
+
+// settled tells whether the list of engines has stopped growing. The first
+// layout is made for all engines at once, and they register one after the other
+// at the start.
+func (p *Placer) settled(engines int) bool {
+	if engines != p.seen {
+		p.seen, p.since = engines, clock.Now()
+	}
+	return engines > 0 && clock.Now()-p.since >= settleTime
+}
+
+// holds returns the layers that an engine holds or was ordered to hold.
+func (p *Placer) holds(e server.Entry) shard.Range {
+	r := shard.Range{From: e.From, To: e.To}
+	x := p.pending[e.ID]
+	switch {
+	case x == nil:
+		return r
+	case x.born != e.Born || r == x.want:
+		delete(p.pending, e.ID) // it started again, or the order is done
+		return r
+	default:
+		return x.want
+	}
+}
+
+func (p *Placer) order(ctx context.Context, e *config.Engine, entry server.Entry, want shard.Range, loading int) {
+	fence, ok := p.lease.MaySend()
+	if !ok {
+		return
+	}
+	load := time.Duration(float64(e.Load) * float64(want.Len()) / float64(max(e.Layers, 1)))
+	slower := 1 + loading/max(e.LoadsAtOnce, 1)
+	wait := max(load*time.Duration(slower)+loadSlack, minOrderWait)
+	p.pending[entry.ID] = &pending{want: want, born: entry.Born, until: clock.Now() + wait}
+	p.log.Info().Str("server", entry.ID).Str("address", entry.Address).Int("from", want.From).Int("to", want.To).
+		Int("heldfrom", entry.From).Int("heldto", entry.To).Uint64("fence", fence).Dur("load", load).Msg("order given")
+	p.count.event("order")
+	known, ok := p.orders[entry.ID]
+	switch {
+	case ok && known.born == unknownBorn:
+		known, ok = accepted{born: entry.Born}, false
+	case !ok || known.born != entry.Born:
+		// An engine without layers has most likely accepted no order.
+		known, ok = accepted{born: entry.Born}, entry.From == entry.To
+	}
+	go func() {
+		octx, cancel := context.WithTimeout(ctx, orderTimeout)
+		defer cancel()
+		o := p.send(octx, entry, want, fence, known, ok)
+		select {
+		case p.done <- o:
+		case <-ctx.Done():
+		}
+	}()
+}
+
+// send gives an order. When the number of orders that the engine has accepted is
+// not known, it is read first, so that an older order that is carried out late
+// finds another number.
+func (p *Placer) send(ctx context.Context, entry server.Entry, want shard.Range, fence uint64, known accepted, sure bool) ordered {
+	o := ordered{id: entry.ID, known: known}
+	if !sure {
+		n, err := p.accepted(ctx, entry.Address)
+		if err != nil {
+			o.err = err
+			return o
+		}
+		o.known.orders = n
+		if _, ok := p.lease.MaySend(); !ok {
+			o.err = errLease
+			return o
+		}
+	}
+	o.err = p.place(ctx, entry.Address, want, fence, o.known.orders)
+	if o.err == nil {
+		o.known.orders++
+	}
+	return o
+}
+
+var errLease = errors.New("the lease ended before the order was sent")
+
+// unknownBorn marks an engine whose number of orders is not known.
+const unknownBorn = -1
+
+// retryOrder is the pause before an order that was refused is given again.
+const retryOrder = 700 * time.Millisecond
+
+func (p *Placer) answered(o ordered) {
+	x := p.pending[o.id]
+	if o.err == nil {
+		p.orders[o.id] = o.known
+		return
+	}
+	// After a failed order the number is read again: the order may have been
+	// accepted.
+	p.orders[o.id] = accepted{born: unknownBorn}
+	if x == nil {
+		return
+	}
+	p.log.Warn().Err(o.err).Str("server", o.id).Msg("order failed")
+	if errors.Is(o.err, shard.ErrFenced) {
+		p.log.Warn().Str("server", o.id).Msg("fencing number refused; giving up the lease")
+		p.lease.Drop()
+		p.held = false
+		clear(p.pending)
+		return
+	}
+	x.until = min(x.until, clock.Now()+retryOrder)
+}
--- /dev/null
+++ b/edge/serve.go
@@ -0,0 +1,127 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	stdlog "log"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/fx"
+
+	"github.com/cranberrybay/cranberrybay/beat"
+	"github.com/cranberrybay/cranberrybay/config"
+	"github.com/cranberrybay/cranberrybay/logs"
+	"github.com/cranberrybay/cranberrybay/relay"
+)
+
+// deskState is what the desk shares with the heartbeats, which are made first.
+type deskState struct {
+	desk    *Desk
+	packets net.PacketConn
+	left    func(ctx context.Context) // takes this process off the platform's table
+}
+
+func (d *deskState) ready() bool { return d.desk != nil && d.desk.ready() }
+
+func newDesk(s Settings, h *config.Holder, r *relay.Relay, c *counters, st *deskState, l *logs.Maker) *Desk {
+	d := &Desk{holder: h, relay: r, revoke: time.Duration(s.Bounds.Revoke) * time.Millisecond, log: l.Part("edge"), count: c, state: st, grace: s.grace()}
+	st.desk = d
+	return d
+}
+
+// silent takes the messages of net/http about connections that callers broke.
+func silent() *stdlog.Logger { return stdlog.New(io.Discard, "", 0) }
+
+// serve listens on an address while the application runs.
+func serve(lc fx.Lifecycle, log zerolog.Logger, name, address string, s *http.Server) {
+	lc.Append(fx.Hook{
+		OnStart: func(ctx context.Context) error {
+			var c net.ListenConfig
+			ln, err := c.Listen(ctx, "tcp4", address)
+			if err != nil {
+				return fmt.Errorf("listen for %s: %w", name, err)
+			}
+			go func() {
+				if err := s.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
+					log.Error().Err(err).Str("listener", name).Msg("listener ended")
+				}
+			}()
+			return nil
+		},
+		OnStop: func(context.Context) error { return s.Close() },
+	})
+}
+
+// maxAddresses bounds an answer to callers, as the platform states it.
+const maxAddresses = 64
+
+// addresses returns where a caller of a failure domain should connect: to the
+// ready processes of its own domain, or to all when that has none.
+func (d *Desk) addresses(s Settings, g *beat.Ring, domain string) []string {
+	all, local := g.Callers(domain)
+	if d.ready() {
+		if s.Domain == domain {
+			all = append([]string{s.Listen.Callers}, all...)
+			local++
+		} else {
+			all = append(all, s.Listen.Callers)
+		}
+	}
+	if local > 0 {
+		all = all[:local]
+	}
+	return all[:min(len(all), maxAddresses)]
+}
+
+// drain stops the process without cutting a request off: callers are told to go
+// elsewhere, requests still come in for a while, and the listener closes when
+// none is in flight.
+func (d *Desk) drain(ctx context.Context, callers *http.Server) error {
+	begun := time.Now()
+	end := begun.Add(d.grace - stopMargin)
+	d.leaving.Store(begun.UnixNano())
+	d.log.Info().Int64("inflight", d.inflight.Load()).Time("until", end).Msg("stopping; callers are told to go elsewhere")
+	if d.state.left != nil {
+		go d.state.left(ctx)
+	}
+	time.Sleep(time.Until(begun.Add(lingerWhileLeaving)))
+	for d.inflight.Load() > 0 && time.Now().Before(end) {
+		time.Sleep(drainPoll)
+	}
+	d.log.Info().Int64("inflight", d.inflight.Load()).Dur("took", time.Since(begun)).Msg("listener closes")
+	sctx, cancel := context.WithDeadline(ctx, end.Add(closeTime))
+	defer cancel()
+	if err := callers.Shutdown(sctx); err != nil {
+		return callers.Close()
+	}
+	return nil
+}
+
+const (
+	drainPoll = 20 * time.Millisecond  // between looks at the requests in flight
+	closeTime = 200 * time.Millisecond // for connections that have just got their answer
+)
+
+func gauges(h *config.Holder, g *beat.Ring, p *Placer, c *counters, d *Desk, q *logs.Queue) {
+	c.gauge("config_version", func() float64 {
+		if conf := h.Current(); conf != nil {
+			return float64(conf.Version())
+		}
+		return 0
+	})
+	c.gauge("config_age_seconds", func() float64 { return h.Age().Seconds() })
+	c.gauge("processes", func() float64 { return float64(g.Size()) })
+	c.gauge("inflight", func() float64 { return float64(d.inflight.Load()) })
+	c.gauge("log_lines_lost", func() float64 { return float64(q.Lost()) })
+	c.gauge("lease_held", func() float64 {
+		if _, _, ok := p.lease.Held(); ok {
+			return 1
+		}
+		return 0
+	})
+}
--- a/logs/logs.go
+++ b/logs/logs.go
@@ -13,7 +13,7 @@
 
 // Parts lists the parts that log, in the order of the module table of
 // docs/design.md.
-var Parts = []string{"change", "lease", "member", "peer", "fleet", "stream", "claim", "proxy", "limit", "queue", "place", "entry", "admin", "node"}
+var Parts = []string{"change", "lease", "member", "peer", "fleet", "stream", "claim", "proxy", "limit", "queue", "place", "entry", "admin", "node", "watch", "server", "relay", "beat", "edge"}
 
 // Config holds the output and the levels.
 type Config struct {
--- /dev/null
+++ b/path/path.go
@@ -0,0 +1,197 @@
+// Package path chooses the engines that a stream passes through: an ordered
+// list of engines whose parts cover every layer of the model once.
+//
+// It answers the load of many streams over engines of different speed and
+// memory: each stream takes the path with the least expected time, engines that
+// are busy or short of memory cost more, and transfers between failure domains
+// are charged for the pipe that all streams share.
+package path
+
+import (
+	"math"
+	"sort"
+)
+
+// Engine is one engine as a candidate.
+type Engine struct {
+	Name     string  // address, unique
+	Domain   int     // index of the failure domain
+	From, To int     // layers held, To exclusive
+	Step     float64 // seconds that one layer takes in a pass with the present batch
+	Read     float64 // seconds that one layer takes for one prompt token
+	Room     float64 // layer tokens of KV cache in all
+	Used     float64 // layer tokens in use
+	Streams  int     // streams that pass through it now
+	Slots    int     // streams that it takes as the first engine
+	Entered  int     // streams that entered at it
+	Suspect  bool    // failed a short while ago
+}
+
+// Links holds the costs of transfers.
+type Links struct {
+	Near  float64     // seconds of one transfer within a failure domain
+	Far   [][]float64 // seconds of one way between two failure domains
+	Token float64     // seconds that one token's activation occupies the pipe between two failure domains
+}
+
+// Want is a stream that needs a path.
+type Want struct {
+	Layers  int
+	Domain  int             // failure domain of this process
+	Prompt  float64         // tokens to read
+	Answer  float64         // tokens to write
+	First   string          // name of the engine that must be first; empty for any
+	Without map[string]bool // engines that must not be on the path
+}
+
+// Hop is a part of a path.
+type Hop struct {
+	Engine   int // index into the engines
+	From, To int // layers, To exclusive
+}
+
+const (
+	// tightUse is the share of an engine's KV cache above which it costs more:
+	// estimates of other processes' use lag behind.
+	tightUse = 0.7
+	// fullUse is the share above which an engine takes no new stream, since it
+	// would preempt the newest.
+	fullUse = 0.95
+	// tightCost multiplies the cost of an engine that is almost full.
+	tightCost = 4
+	// suspectCost in seconds makes a suspected engine the last resort.
+	suspectCost = 1e3
+	// pipeCost multiplies the time on the pipe between failure domains, which
+	// all streams share one transfer after another.
+	pipeCost = 4
+	// stepShare is the part of a pass that a token waits for on average until
+	// the pass before it has ended.
+	waitShare = 0.5
+	// maxHops is the longest list that engines accept.
+	maxHops = 32
+)
+
+type state struct {
+	cost float64
+	hops int
+	back int // index of the previous state, -1 for none
+	hop  Hop
+}
+
+// Choose returns the path with the least expected time of the whole answer, in
+// seconds. It reports false when no path covers all layers.
+func Choose(w Want, engines []Engine, l Links) (hops []Hop, seconds float64, ok bool) {
+	hops, seconds, ok = choose(w, engines, l, true)
+	if ok && repeats(hops) {
+		return choose(w, engines, l, false)
+	}
+	return hops, seconds, ok
+}
+
+func repeats(hops []Hop) bool {
+	seen := map[int]bool{}
+	for _, h := range hops {
+		if seen[h.Engine] {
+			return true
+		}
+		seen[h.Engine] = true
+	}
+	return false
+}
+
+// choose runs a search over (layer, failure domain of the last engine). With
+// split set, a hop may end where another engine begins, not only at its end.
+func choose(w Want, engines []Engine, l Links, split bool) ([]Hop, float64, bool) {
+	usable := make([]int, 0, len(engines))
+	ends := make([]bool, w.Layers+1)
+	for i, e := range engines {
+		if w.Without[e.Name] || e.From >= e.To || e.To > w.Layers {
+			continue
+		}
+		usable = append(usable, i)
+		ends[e.From] = ends[e.From] || split
+	}
+	sort.Slice(usable, func(i, j int) bool { return engines[usable[i]].From < engines[usable[j]].From })
+	domains := len(l.Far)
+	states := make([]state, (w.Layers+1)*domains)
+	for i := range states {
+		states[i].cost = math.Inf(1)
+	}
+	relax := func(to int, s state) {
+		if s.cost < states[to].cost {
+			states[to] = s
+		}
+	}
+	extend := func(from, back, last, hops int, cost float64) {
+		for _, i := range usable {
+			e := &engines[i]
+			if e.From > from {
+				break
+			}
+			if e.To <= from || (back < 0 && ((w.First != "" && e.Name != w.First) || e.Entered >= e.Slots)) {
+				continue
+			}
+			for to := from + 1; to <= e.To; to++ {
+				if to != e.To && !ends[to] {
+					continue
+				}
+				if x := cost + hopCost(w, e, l, last, to-from); !math.IsInf(x, 1) {
+					relax(to*domains+e.Domain, state{cost: x, hops: hops + 1, back: back, hop: Hop{Engine: i, From: from, To: to}})
+				}
+			}
+		}
+	}
+	extend(0, -1, w.Domain, 0, 0)
+	for at := 1; at < w.Layers; at++ {
+		for d := range domains {
+			if s := states[at*domains+d]; !math.IsInf(s.cost, 1) && s.hops < maxHops {
+				extend(at, at*domains+d, d, s.hops, s.cost)
+			}
+		}
+	}
+	best := -1
+	for d := range domains {
+		i := w.Layers*domains + d
+		if !math.IsInf(states[i].cost, 1) && (best < 0 || states[i].cost < states[best].cost) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return nil, 0, false
+	}
+	var hops []Hop
+	for i := best; i >= 0; i = states[i].back {
+		hops = append(hops, states[i].hop)
+	}
+	for i, j := 0, len(hops)-1; i < j; i, j = i+1, j-1 {
+		hops[i], hops[j] = hops[j], hops[i]
+	}
+	return hops, states[best].cost, true
+}
+
+// hopCost returns the seconds that a hop adds to the whole answer, or infinity
+// when the engine has no memory for the stream.
+func hopCost(w Want, e *Engine, l Links, last, layers int) float64 {
+	n := float64(layers)
+	pass := float64(e.To-e.From) * e.Step
+	cost := w.Answer*(n*e.Step+waitShare*pass) + w.Prompt*n*e.Read
+	use := 0.0
+	if e.Room > 0 {
+		use = (e.Used + (w.Prompt+w.Answer)*n) / e.Room
+	}
+	switch {
+	case use > fullUse:
+		return math.Inf(1)
+	case use > tightUse:
+		cost *= 1 + tightCost*(use-tightUse)/(fullUse-tightUse)
+	}
+	if last == e.Domain {
+		cost += w.Answer * l.Near
+	} else {
+		cost += w.Answer*l.Far[last][e.Domain] + pipeCost*(w.Prompt+w.Answer)*l.Token
+	}
+	if e.Suspect {
+		cost += suspectCost
+	}
+	return cost
+}
--- /dev/null
+++ b/relay/relay.go
@@ -0,0 +1,189 @@
+// Package relay carries one request of a caller to backend servers and the
+// answer back. It chooses servers and paths, repeats what may be repeated,
+// resumes streams, and decides when to give up. It knows no wire format: an
+// adapter sends attempts and reads reports through the functions of Config.
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/cranberrybay/cranberrybay/config"
+	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/retry"
+	"github.com/cranberrybay/cranberrybay/server"
+)
+
+// Request is a request of a caller after routing.
+type Request struct {
+	ID      string
+	Route   *config.Route
+	Service config.Service
+	Account *config.Account // nil on public routes
+	Version uint64          // of the configuration that routed it
+	Method  string
+	Target  string // path and query as sent
+	Host    string
+	Header  http.Header // passed on
+	Body    []byte
+	Arrived time.Time
+	By      time.Time // the caller's deadline or the route's timeout, whichever is first
+
+	LastEvent string // event after which the caller's stream goes on
+	Prompt    int    // tokens
+	Answer    int    // tokens at most
+	Hint      int    // tokens of the answer as the caller expects them; 0 when not told
+}
+
+// Hop is an engine on the path of a stream, with the layers that it runs.
+type Hop struct {
+	Address  string
+	From, To int // To exclusive
+}
+
+// Attempt is one send of a request.
+type Attempt struct {
+	Server    *server.Server
+	Path      []Hop // empty when the server runs the whole request
+	LastEvent string
+	Kept      bool // may use a kept connection
+}
+
+// Answer is the answer to an attempt, decoded.
+type Answer struct {
+	Status  int
+	Header  http.Header // passed on
+	Body    io.ReadCloser
+	Length  int64  // -1 when not known
+	Signed  bool   // bears the signature of a server
+	Refused bool   // the server states that it did not run the request
+	Culprit string // address of the server on the path that caused a refusal
+	Load    *Load  // nil when the server does not tell it
+}
+
+// Load is the load that a server tells with an answer.
+type Load struct{ Running, Waiting, Slots int }
+
+// Report is the state of an engine.
+type Report struct {
+	Stalled map[string]string // request to the address of the engine that it waits for
+}
+
+// Sink takes the answer of a request.
+type Sink struct {
+	Start func(status int, h http.Header, length int64)
+	Write func(b []byte) error
+	Flush func() error
+}
+
+// Config holds the parts of a Relay.
+type Config struct {
+	Servers *server.Table
+	Send    func(ctx context.Context, rq *Request, a Attempt) (*Answer, error)
+	Report  func(ctx context.Context, address string) (Report, error)
+	Repath  func(ctx context.Context, address, id string, path []Hop) error
+	Budget  func(service string) *retry.Budget
+	// Others returns the streams and layer tokens that other entry processes
+	// have at a server.
+	Others func(id string) (streams int, tokens int64)
+	Domain string // failure domain of this process
+	Log    zerolog.Logger
+	// Count counts an outcome for the metrics; it may be nil.
+	Count func(name string)
+}
+
+// Relay serves requests.
+type Relay struct {
+	cfg     Config
+	reports *reports
+}
+
+// New returns a Relay.
+func New(cfg Config) *Relay {
+	if cfg.Count == nil {
+		cfg.Count = func(string) {}
+	}
+	if cfg.Others == nil {
+		cfg.Others = func(string) (int, int64) { return 0, 0 }
+	}
+	r := &Relay{cfg: cfg}
+	r.reports = newReports(cfg.Report)
+	return r
+}
+
+// Serve carries a request. An error is one of package fault: when nothing was
+// started, the caller gets it as the answer, otherwise the answer must be cut.
+func (r *Relay) Serve(ctx context.Context, rq *Request, sink Sink) error {
+	ctx, cancel := context.WithDeadline(ctx, rq.By)
+	defer cancel()
+	r.cfg.Budget(rq.Service.Name).Request()
+	if rq.Route.Kind() == config.Stream {
+		return r.stream(ctx, rq, sink)
+	}
+	return r.plain(ctx, rq, sink)
+}
+
+// sleepless errors: reasons that callers and logs see.
+const (
+	reasonNoServer = "no backend server can take the request"
+	reasonNoPath   = "no path of engines can take the request"
+	reasonRefused  = "the backend servers refused the request"
+	reasonUnclear  = "the backend server did not answer"
+	reasonBadReply = "the answer of the backend server is damaged"
+	reasonTimeout  = "the request did not finish in time"
+)
+
+// retryIn returns a time to come back, spread so that refused callers do not
+// return together.
+func retryIn(d time.Duration) time.Time {
+	return time.Now().Add(d/2 + rand.N(d))
+}
+
+func refusal(reason string, in time.Duration, cause error) error {
+	return fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Overload, Reason: reason, RetryAt: retryIn(in), Cause: cause})
+}
+
+func unclear(reason string, cause error) error {
+	code := fault.Unavailable
+	if errors.Is(cause, context.DeadlineExceeded) {
+		code, reason = fault.Timeout, reasonTimeout
+	}
+	return fault.New(fault.Config{Verdict: fault.MayHaveRun, Code: code, Reason: reason, Cause: cause})
+}
+
+var (
+	errRefused  = errors.New("refused by the server")
+	errUnsigned = errors.New("answer without a signature")
+)
+
+// send makes one attempt and checks the header of its answer. A refusal and a
+// damaged answer are errors; any other answer of the server is returned.
+func (r *Relay) send(ctx context.Context, rq *Request, a Attempt) (*Answer, error) {
+	ans, err := r.cfg.Send(ctx, rq, a)
+	if err != nil {
+		return nil, err
+	}
+	if ans.Load != nil {
+		a.Server.Reported(ans.Load.Running, ans.Load.Waiting)
+	}
+	if ans.Refused {
+		// The body is read to its end so that the connection can be kept.
+		_, _ = io.Copy(io.Discard, io.LimitReader(ans.Body, maxRefusal))
+		_ = ans.Body.Close()
+		return ans, fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Overload, Reason: reasonRefused, Cause: errRefused})
+	}
+	if !ans.Signed {
+		_ = ans.Body.Close()
+		return nil, fault.New(fault.Config{Verdict: fault.MayHaveRun, Code: fault.Unavailable, Reason: reasonBadReply, Cause: errUnsigned})
+	}
+	return ans, nil
+}
+
+// maxRefusal bounds the bytes of a refusal that are read to keep a connection.
+const maxRefusal = 4 << 10
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -43,3 +43,11 @@
 	b.left = max(0, b.left-1)
 	return true
 }
+
+// Bound sets the number of repeats saved up at most.
+func (b *Budget) Bound(burst float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.cfg.Burst = burst
+	b.left = min(b.left, burst)
+}
--- /dev/null
+++ b/server/table.go
@@ -0,0 +1,194 @@
+package server
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/cranberrybay/cranberrybay/clock"
+)
+
+// Change is a new entry, or the removal of one.
+type Change struct {
+	ID      string
+	Entry   Entry
+	Removed bool
+}
+
+// Config holds the parts of a Table.
+type Config struct {
+	Log zerolog.Logger
+	// Lapse is how long after an outage of the registry a missing entry may
+	// still come back: entries expire while servers can't write.
+	Lapse time.Duration
+	// Changed is told after each change. It may be nil.
+	Changed func()
+	// Gone is told the address of a server that was removed or restarted.
+	Gone func(address string)
+}
+
+// Table holds the servers. Readers take a view without a lock.
+type Table struct {
+	cfg  Config
+	view atomic.Pointer[view]
+
+	mu      sync.Mutex
+	servers map[string]*Server
+	lapsed  map[string]bool // missing since an outage, may come back
+	until   time.Duration   // clock.Now until which lapsed entries are kept
+}
+
+type view struct {
+	services  map[string][]*Server
+	addresses map[string]*Server
+}
+
+// NewTable returns an empty table.
+func NewTable(cfg Config) *Table {
+	t := &Table{cfg: cfg, servers: map[string]*Server{}, lapsed: map[string]bool{}}
+	t.view.Store(&view{})
+	return t
+}
+
+// Servers returns the servers of a service that may take work, in no order.
+// Callers must not change the slice.
+func (t *Table) Servers(service string) []*Server { return t.view.Load().services[service] }
+
+// At returns the server at an address, or nil.
+func (t *Table) At(address string) *Server { return t.view.Load().addresses[address] }
+
+// All returns every listed server, draining ones included.
+func (t *Table) All() []*Server {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	all := make([]*Server, 0, len(t.servers))
+	for _, s := range t.servers {
+		all = append(all, s)
+	}
+	return all
+}
+
+// Apply takes changes of the registry. Whole says that the changes list every
+// server. Outage is the time without the registry before them; 0 for none.
+func (t *Table) Apply(changes []Change, whole bool, outage time.Duration) {
+	t.mu.Lock()
+	now := clock.Now()
+	if outage > 0 {
+		t.until = now + t.cfg.Lapse
+	}
+	if whole {
+		listed := make(map[string]bool, len(changes))
+		for _, c := range changes {
+			listed[c.ID] = !c.Removed
+		}
+		for id := range t.servers {
+			if !listed[id] {
+				t.remove(id, now)
+			}
+		}
+	}
+	for _, c := range changes {
+		if c.Removed {
+			t.remove(c.ID, now)
+		} else {
+			t.put(c.Entry)
+		}
+	}
+	t.publish()
+	t.mu.Unlock()
+	if t.cfg.Changed != nil {
+		t.cfg.Changed()
+	}
+}
+
+// Expire removes entries that did not come back after an outage. It is called
+// a few times a second.
+func (t *Table) Expire() {
+	t.mu.Lock()
+	if len(t.lapsed) == 0 || clock.Now() < t.until {
+		t.mu.Unlock()
+		return
+	}
+	for id := range t.lapsed {
+		t.drop(id, "did not come back after an outage of the registry")
+	}
+	t.publish()
+	t.mu.Unlock()
+	if t.cfg.Changed != nil {
+		t.cfg.Changed()
+	}
+}
+
+func (t *Table) remove(id string, now time.Duration) {
+	s := t.servers[id]
+	if s == nil {
+		return
+	}
+	if now < t.until && !s.entry.Draining {
+		if !t.lapsed[id] {
+			t.lapsed[id] = true
+			t.cfg.Log.Info().Str("server", id).Dur("left", t.until-now).Msg("entry lapsed during an outage; waiting for it to come back")
+		}
+		return
+	}
+	t.drop(id, "entry removed")
+}
+
+func (t *Table) drop(id, reason string) {
+	s := t.servers[id]
+	delete(t.servers, id)
+	delete(t.lapsed, id)
+	if s == nil {
+		return
+	}
+	t.cfg.Log.Info().Str("server", id).Str("address", s.entry.Address).Str("reason", reason).Msg("backend server left")
+	t.gone(s.entry.Address)
+}
+
+func (t *Table) gone(address string) {
+	if t.cfg.Gone != nil {
+		t.cfg.Gone(address)
+	}
+}
+
+func (t *Table) put(e Entry) {
+	delete(t.lapsed, e.ID)
+	old := t.servers[e.ID]
+	s := &Server{entry: e}
+	switch {
+	case old == nil:
+		s.record = &record{}
+		t.cfg.Log.Info().Str("server", e.ID).Str("address", e.Address).Str("service", e.Service).Str("domain", e.Domain).
+			Int("from", e.From).Int("to", e.To).Bool("draining", e.Draining).Msg("backend server joined")
+	case old.entry.Born != e.Born || old.entry.Address != e.Address:
+		s.record = &record{}
+		t.cfg.Log.Info().Str("server", e.ID).Str("address", e.Address).Int64("born", e.Born).Msg("backend server started again")
+		t.gone(old.entry.Address)
+	default:
+		s.record = old.record
+		if old.entry.Draining != e.Draining || old.entry.From != e.From || old.entry.To != e.To {
+			t.cfg.Log.Info().Str("server", e.ID).Bool("draining", e.Draining).Int("from", e.From).Int("to", e.To).Msg("backend server changed")
+		}
+	}
+	t.servers[e.ID] = s
+}
+
+func (t *Table) publish() {
+	v := &view{services: map[string][]*Server{}, addresses: make(map[string]*Server, len(t.servers))}
+	for _, s := range t.servers {
+		if s.entry.Address == "" {
+			continue
+		}
+		// An address may be listed by an old and a new server for a moment: the
+		// younger one has it.
+		if other := v.addresses[s.entry.Address]; other == nil || other.entry.Born < s.entry.Born {
+			v.addresses[s.entry.Address] = s
+		}
+		if !s.entry.Draining {
+			v.services[s.entry.Service] = append(v.services[s.entry.Service], s)
+		}
+	}
+	t.view.Store(v)
+}
--- /dev/null
+++ b/watch/watch.go
@@ -0,0 +1,132 @@
+// Package watch follows one table of the platform through its feed of changes.
+// It reads the whole table at the start and whenever the feed has a gap, tells
+// how old its knowledge is, and reports when the platform is lost and regained.
+package watch
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/cranberrybay/cranberrybay/clock"
+)
+
+// ErrGap reports that the feed no longer holds the changes after a revision.
+var ErrGap = errors.New("feed does not reach back to the revision")
+
+// Row is a row of the table, or the record that it was deleted.
+type Row struct {
+	Key      string
+	Value    []byte
+	Revision uint64
+	Deleted  bool
+}
+
+// Page is the answer to one call.
+type Page struct {
+	Rows     []Row
+	Revision uint64 // of the table when the page was made
+	Whole    bool   // the page holds all rows of the table
+}
+
+// Config holds the calls and the observers of a Follower.
+type Config struct {
+	Name string
+	Read func(ctx context.Context) (Page, error) // the whole table
+	// Poll returns the changes after a revision. It waits for up to wait when
+	// there are none.
+	Poll func(ctx context.Context, after uint64, wait time.Duration) (Page, error)
+	// Apply takes a page. Outage is the time without an answer before it.
+	Apply func(p Page, outage time.Duration)
+	// Confirm is told that all changes up to a time of package clock are known.
+	Confirm func(at time.Duration)
+	Wait    time.Duration // of one poll
+	Slack   time.Duration // added to Wait until a poll counts as lost
+	Log     zerolog.Logger
+}
+
+const (
+	firstPause  = 50 * time.Millisecond  // before the first repeat of a failed call
+	longestWait = 400 * time.Millisecond // between repeats: well below the bound on the age of a revoked key
+	lostAfter   = time.Second            // without an answer the platform counts as lost
+)
+
+// Follower follows one table.
+type Follower struct {
+	cfg      Config
+	revision uint64
+	known    bool
+	answered time.Duration // clock.Now of the last answer
+	lost     bool
+}
+
+// New returns a Follower.
+func New(cfg Config) *Follower { return &Follower{cfg: cfg} }
+
+// Run follows the table until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	f.answered = clock.Now()
+	pause := firstPause
+	for ctx.Err() == nil {
+		asked := clock.Now()
+		page, err := f.call(ctx)
+		if err == nil {
+			f.accept(page, asked)
+			pause = firstPause
+			continue
+		}
+		if errors.Is(err, ErrGap) {
+			f.cfg.Log.Warn().Str("table", f.cfg.Name).Uint64("revision", f.revision).Msg("feed has a gap; reading the whole table")
+			f.known = false
+			continue
+		}
+		f.failed(err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause/2 + rand.N(pause)):
+		}
+		pause = min(2*pause, longestWait)
+	}
+}
+
+func (f *Follower) call(ctx context.Context) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, f.cfg.Wait+f.cfg.Slack)
+	defer cancel()
+	if !f.known {
+		return f.cfg.Read(ctx)
+	}
+	return f.cfg.Poll(ctx, f.revision, f.cfg.Wait)
+}
+
+// accept applies a page. The call's start is the latest time for which the
+// answer is certain to hold all changes.
+func (f *Follower) accept(p Page, asked time.Duration) {
+	outage := asked - f.answered
+	if f.lost {
+		f.cfg.Log.Info().Str("table", f.cfg.Name).Dur("outage", outage).Msg("platform table regained")
+		f.lost = false
+	} else {
+		outage = 0
+	}
+	f.answered = clock.Now()
+	if !p.Whole && p.Revision < f.revision {
+		// A stale answer after a newer one holds nothing new.
+		return
+	}
+	f.known, f.revision = true, p.Revision
+	if p.Whole || len(p.Rows) > 0 || outage > 0 {
+		f.cfg.Apply(p, outage)
+	}
+	f.cfg.Confirm(asked)
+}
+
+func (f *Follower) failed(err error) {
+	if f.lost || clock.Now()-f.answered < lostAfter {
+		return
+	}
+	f.lost = true
+	f.cfg.Log.Warn().Err(err).Str("table", f.cfg.Name).Dur("silent", clock.Now()-f.answered).Msg("platform table lost")
+}
