--- a/beat/beat.go
+++ b/beat/beat.go
@@ -31,6 +31,8 @@
 // State is what this process says of itself.
 type State struct {
 	Ready   bool
+	Leaving bool
+	Holder  bool // holds the lease for placing layers
 	Version uint64
 }
 
@@ -59,6 +61,9 @@
 	fewPeers = 16
 	// missed heartbeats make a peer count as silent.
 	missed = 3.4
+	// forgetAfter is how long a peer that is not in the table is kept without a
+	// heartbeat.
+	forgetAfter = time.Minute
 	// loadAge bounds how long the work of a silent peer counts.
 	loadAge = 3 * time.Second
 )
@@ -85,6 +90,8 @@
 	incarnation uint64
 	sequence    uint64
 	ready       bool
+	leaving     bool
+	holder      bool
 	version     uint64
 	silent      bool
 	work        []*wire.Inflight
@@ -113,15 +120,19 @@
 		}
 		m.peer = p
 	}
-	for name := range r.peers {
-		if !named[name] {
-			delete(r.peers, name)
-			r.cfg.Log.Info().Str("peer", name).Msg("peer left the list")
+	for name, m := range r.peers {
+		if !named[name] && (m.leaving || m.silent) {
+			r.forget(name)
 		}
 	}
 	r.sum()
 }
 
+func (r *Ring) forget(name string) {
+	delete(r.peers, name)
+	r.cfg.Log.Info().Str("peer", name).Msg("peer forgotten")
+}
+
 // Interval returns the time between two heartbeats of this process.
 func (r *Ring) Interval() time.Duration {
 	r.mu.Lock()
@@ -154,7 +165,7 @@
 	s := r.cfg.State()
 	b := &wire.Beat{
 		Name: r.cfg.Self.Name, Incarnation: r.cfg.Incarnation, Domain: r.cfg.Self.Domain, Callers: r.cfg.Self.Callers,
-		Ready: s.Ready, Version: s.Version,
+		Ready: s.Ready, Leaving: s.Leaving, Holder: s.Holder, Version: s.Version, Address: r.cfg.Self.Address,
 	}
 	for _, w := range r.cfg.Work() {
 		b.Work = append(b.Work, &wire.Inflight{Server: xxhash.Sum64String(w.Server), Streams: uint32(w.Streams), Tokens: uint64(w.Tokens)})
@@ -189,6 +200,9 @@
 			r.cfg.Log.Warn().Str("peer", name).Dur("silent", now-m.heard).Msg("peer is silent")
 		}
 		m.silent = silent
+		if now-max(m.heard, m.listed) > forgetAfter {
+			r.forget(name)
+		}
 	}
 	r.sum()
 }
@@ -204,7 +218,10 @@
 	defer r.mu.Unlock()
 	m := r.peers[b.Name]
 	if m == nil {
-		return // it is not in the table yet, or no longer
+		// It started after the table was read.
+		m = &member{listed: clock.Now(), peer: Peer{Name: b.Name, Address: b.Address, Callers: b.Callers, Domain: b.Domain}}
+		r.peers[b.Name] = m
+		r.cfg.Log.Info().Str("peer", b.Name).Str("address", b.Address).Msg("peer heard")
 	}
 	if m.incarnation == b.Incarnation && b.Sequence <= m.sequence {
 		return
@@ -213,7 +230,7 @@
 		r.cfg.Log.Info().Str("peer", b.Name).Msg("peer is back")
 	}
 	m.incarnation, m.sequence, m.heard, m.silent = b.Incarnation, b.Sequence, clock.Now(), false
-	m.ready, m.version, m.work = b.Ready, b.Version, b.Work
+	m.ready, m.leaving, m.holder, m.version, m.work = b.Ready, b.Leaving, b.Holder, b.Version, b.Work
 	r.sum()
 }
 
@@ -242,6 +259,18 @@
 	return t.streams, t.tokens
 }
 
+// Held tells whether a peer said a short while ago that it holds the lease.
+func (r *Ring) Held() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, m := range r.peers {
+		if m.holder && !m.silent {
+			return true
+		}
+	}
+	return false
+}
+
 // Size returns the number of entry processes, this one included.
 func (r *Ring) Size() int {
 	r.mu.Lock()
@@ -258,7 +287,7 @@
 	var far []string
 	for _, name := range slices.Sorted(maps.Keys(r.peers)) {
 		m := r.peers[name]
-		if m.silent || !m.ready {
+		if m.silent || !m.ready || m.leaving {
 			continue
 		}
 		if m.peer.Domain == domain {
--- a/edge/app.go
+++ b/edge/app.go
@@ -31,12 +31,16 @@
 	lapse = 2200 * time.Millisecond
 	// pollWait is the wait of one poll of the feed. It bounds the age of the
 	// configuration while nothing changes.
-	pollWait = 1500 * time.Millisecond
+	pollWait = 2 * time.Second
 	// pollSlack is added until a poll counts as lost. A slow store takes some
 	// 0.3 s; a silent connection shows only by this.
-	pollSlack = 900 * time.Millisecond
-	// peersEvery is the interval of reading the rows of the entry processes.
-	peersEvery = 4 * time.Second
+	pollSlack = 700 * time.Millisecond
+	// settle is the pause after changes of the registry: engines change one by
+	// one when they start or load. It is short beside the bound on drains.
+	settle = 250 * time.Millisecond
+	// peersEvery is the interval of reading the rows of the entry processes. New
+	// processes make themselves known by heartbeats.
+	peersEvery = 20 * time.Second
 	// expireEvery is the interval of looking for entries that did not come back.
 	expireEvery = 200 * time.Millisecond
 	// addressTTL is how long callers keep an answer with addresses. A process
@@ -114,7 +118,7 @@
 		Self:        beat.Peer{Name: s.Name, Address: s.Listen.Beats, Callers: s.Listen.Callers, Domain: s.Domain},
 		Incarnation: i.number,
 		State: func() beat.State {
-			b := beat.State{Ready: d.ready()}
+			b := beat.State{Ready: d.ready(), Leaving: d.leaving(), Holder: d.holder()}
 			if c := h.Current(); c != nil {
 				b.Version = c.Version()
 			}
@@ -148,15 +152,18 @@
 	})
 }
 
-func newPlacer(i incarnation, st *platform.Store, h *config.Holder, t *server.Table, b *platform.Backend, c *counters, l *logs.Maker) *Placer {
+func newPlacer(i incarnation, g *beat.Ring, d *deskState, st *platform.Store, h *config.Holder, t *server.Table, b *platform.Backend, c *counters, l *logs.Maker) *Placer {
 	log := l.Part("place")
-	return &Placer{
+	p := &Placer{
+		others: g.Held,
 		lease: lease.New(lease.Config{
 			Rows: st.Table(), Name: "place", Holder: i.text, Term: leaseTerm, Send: sendTimeout,
 			Violated: func(reason string) { log.Error().Str("reason", reason).Msg("lease invariant does not hold") },
 		}),
 		holder: h, servers: t, place: b.Place, accepted: b.Accepted, log: log, count: c,
 	}
+	d.placer = p
+	return p
 }
 
 // follow keeps the configuration and the registry up to date.
@@ -179,7 +186,7 @@
 		},
 	})
 	registry := watch.New(watch.Config{
-		Name: platform.TableServers, Wait: pollWait, Slack: pollSlack, Log: log, Confirm: func(time.Duration) {},
+		Name: platform.TableServers, Wait: pollWait, Slack: pollSlack, Settle: settle, Log: log, Confirm: func(time.Duration) {},
 		Read: func(ctx context.Context) (watch.Page, error) { return st.Read(ctx, platform.TableServers) },
 		Poll: func(ctx context.Context, after uint64, wait time.Duration) (watch.Page, error) {
 			return st.Poll(ctx, platform.TableServers, after, wait)
--- a/edge/desk.go
+++ b/edge/desk.go
@@ -20,7 +20,7 @@
 	// request on its way to a backend server.
 	staleShare = 0.84
 	// unreadyShare is the part after which it tells callers to go elsewhere.
-	unreadyShare = 0.55
+	unreadyShare = 0.66
 	// defaultWait bounds a request whose caller and route state no time.
 	defaultWait = 30 * time.Second
 	// noConfigRetry is the time to come back to a process that starts.
--- a/edge/placer.go
+++ b/edge/placer.go
@@ -32,6 +32,7 @@
 // Placer gives orders to engines while this process holds the lease.
 type Placer struct {
 	lease   *lease.Holder
+	others  func() bool // tells whether another process says that it holds the lease
 	holder  *config.Holder
 	servers *server.Table
 	place   func(ctx context.Context, address string, r shard.Range, fence, accepted uint64) error
@@ -93,6 +94,9 @@
 
 // step takes or renews the lease and returns the time to the next step.
 func (p *Placer) step(ctx context.Context) time.Duration {
+	if !p.held && p.others() {
+		return planEvery // the row need not be read
+	}
 	if err := p.lease.Step(ctx); err != nil {
 		p.log.Warn().Err(err).Msg("lease step failed")
 	}
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -22,12 +22,23 @@
 // deskState is what the desk shares with the heartbeats, which are made first.
 type deskState struct {
 	desk    *Desk
+	placer  *Placer
 	packets net.PacketConn
 	left    func(ctx context.Context) // takes this process off the platform's table
 }
 
 func (d *deskState) ready() bool { return d.desk != nil && d.desk.ready() }
 
+func (d *deskState) leaving() bool { return d.desk != nil && d.desk.isLeaving() }
+
+func (d *deskState) holder() bool {
+	if d.placer == nil {
+		return false
+	}
+	_, _, held := d.placer.lease.Held()
+	return held
+}
+
 func newDesk(s Settings, h *config.Holder, r *relay.Relay, c *counters, st *deskState, l *logs.Maker) *Desk {
 	d := &Desk{holder: h, relay: r, revoke: time.Duration(s.Bounds.Revoke) * time.Millisecond, log: l.Part("edge"), count: c, state: st, grace: s.grace()}
 	st.desk = d
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -17,6 +17,8 @@
 // ErrGap reports that the feed no longer holds the changes after a revision.
 var ErrGap = errors.New("feed does not reach back to the revision")
 
+var errStale = errors.New("answer is older than what is known")
+
 // Row is a row of the table, or the record that it was deleted.
 type Row struct {
 	Key      string
@@ -30,6 +32,9 @@
 	Rows     []Row
 	Revision uint64 // of the table when the page was made
 	Whole    bool   // the page holds all rows of the table
+	// Clock is the platform's steady clock when the page was made; 0 when it was
+	// not told.
+	Clock time.Duration
 }
 
 // Config holds the calls and the observers of a Follower.
@@ -44,8 +49,11 @@
 	// Confirm is told that all changes up to a time of package clock are known.
 	Confirm func(at time.Duration)
 	Wait    time.Duration // of one poll
-	Slack   time.Duration // added to Wait until a poll counts as lost
-	Log     zerolog.Logger
+	// Settle is the pause after changes, so that changes that come one by one
+	// share a poll.
+	Settle time.Duration
+	Slack  time.Duration // added to Wait until a poll counts as lost
+	Log    zerolog.Logger
 }
 
 const (
@@ -61,6 +69,26 @@
 	known    bool
 	answered time.Duration // clock.Now of the last answer
 	lost     bool
+	failing  bool // the last call failed
+	skew     skew
+}
+
+// skew relates the platform's clock to package clock. The least difference seen
+// belongs to the answer that was fastest under way, so that times derived from
+// it are too late by no more than that answer's way.
+type skew struct {
+	known  bool
+	last   time.Duration // of the platform's clock
+	offset time.Duration
+}
+
+// local returns the time of package clock at which a page was made.
+func (k *skew) local(page, received time.Duration) time.Duration {
+	if d := received - page; !k.known || d < k.offset || page < k.last {
+		k.known, k.offset = true, d
+	}
+	k.last = page
+	return page + k.offset
 }
 
 // New returns a Follower.
@@ -73,49 +101,64 @@
 	for ctx.Err() == nil {
 		asked := clock.Now()
 		page, err := f.call(ctx)
-		if err == nil {
+		if err == nil && !f.stale(page) {
 			f.accept(page, asked)
 			pause = firstPause
+			if len(page.Rows) > 0 {
+				sleep(ctx, f.cfg.Settle)
+			}
 			continue
 		}
+		if err == nil {
+			err = errStale
+		}
 		if errors.Is(err, ErrGap) {
 			f.cfg.Log.Warn().Str("table", f.cfg.Name).Uint64("revision", f.revision).Msg("feed has a gap; reading the whole table")
 			f.known = false
 			continue
 		}
 		f.failed(err)
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause/2 + rand.N(pause)):
-		}
+		sleep(ctx, pause/2+rand.N(pause))
 		pause = min(2*pause, longestWait)
 	}
 }
 
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// stale tells whether a page is older than what is known.
+func (f *Follower) stale(p Page) bool { return p.Revision < f.revision }
+
 func (f *Follower) call(ctx context.Context) (Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, f.cfg.Wait+f.cfg.Slack)
 	defer cancel()
 	if !f.known {
 		return f.cfg.Read(ctx)
 	}
-	return f.cfg.Poll(ctx, f.revision, f.cfg.Wait)
+	wait := f.cfg.Wait
+	if f.failing {
+		wait = 0 // the first answer after a failure should confirm at once
+	}
+	return f.cfg.Poll(ctx, f.revision, wait)
 }
 
-// accept applies a page. The call's start is the latest time for which the
-// answer is certain to hold all changes.
+// accept applies a page. Without the platform's clock, the call's start is the
+// latest time for which the answer is certain to hold all changes.
 func (f *Follower) accept(p Page, asked time.Duration) {
-	outage := asked - f.answered
+	now := clock.Now()
+	if p.Clock > 0 {
+		asked = max(asked, f.skew.local(p.Clock, now))
+	}
+	outage := time.Duration(0)
 	if f.lost {
+		outage = now - f.answered
 		f.cfg.Log.Info().Str("table", f.cfg.Name).Dur("outage", outage).Msg("platform table regained")
-		f.lost = false
-	} else {
-		outage = 0
-	}
-	f.answered = clock.Now()
-	if !p.Whole && p.Revision < f.revision {
-		// A stale answer after a newer one holds nothing new.
-		return
 	}
+	f.lost, f.failing, f.answered = false, false, now
 	f.known, f.revision = true, p.Revision
 	if p.Whole || len(p.Rows) > 0 || outage > 0 {
 		f.cfg.Apply(p, outage)
@@ -124,6 +167,7 @@
 }
 
 func (f *Follower) failed(err error) {
+	f.failing = true
 	if f.lost || clock.Now()-f.answered < lostAfter {
 		return
 	}
