relay, path: find dead engines by asking them, resume elsewhere

Cause: a stream over a dead engine learned of it from the first engine's report, 200 ms late, and took a detour over the pipe between failure domains, where the activations of all its tokens take 15 ms a stream one after the other: 40 streams paused for 0.6 to 1.3 s. Reports also named engines that a stream had left already, which repeated the detour.

Change: after an unusual pause the engines of the path that no other stream moves through are asked; a dead one is replaced within its failure domain, else the stream is resumed by a new run elsewhere. Paths pay more for the pipe, and none for the way to their first engine.

--- a/path/path.go
+++ b/path/path.go
@@ -34,16 +34,20 @@
 	Token float64     // seconds that one token's activation occupies the pipe between two failure domains
 }
 
-// Want is a stream that needs a path.
+// Want is a stream that needs a path, or a part of one.
 type Want struct {
-	Layers  int
-	Domain  int             // failure domain of this process
+	From    int             // first layer
+	Layers  int             // end of the layers, exclusive
+	Domain  int             // failure domain before the first hop
+	Next    int             // failure domain after the last hop, or Nowhere
 	Prompt  float64         // tokens to read
 	Answer  float64         // tokens to write
-	First   string          // name of the engine that must be first; empty for any
 	Without map[string]bool // engines that must not be on the path
 }
 
+// Nowhere is the next failure domain of a path that ends.
+const Nowhere = -1
+
 // Hop is a part of a path.
 type Hop struct {
 	Engine   int // index into the engines
@@ -62,9 +66,10 @@
 	// suspectCost in seconds makes a suspected engine the last resort.
 	suspectCost = 1e3
 	// pipeCost multiplies the time on the pipe between failure domains, which
-	// all streams share one transfer after another.
-	pipeCost = 4
-	// stepShare is the part of a pass that a token waits for on average until
+	// all streams share one transfer after another: a prompt of 800 tokens takes
+	// it for 15 ms, and a recovery moves many prompts at once.
+	pipeCost = 20
+	// waitShare is the part of a pass that a token waits for on average until
 	// the pass before it has ended.
 	waitShare = 0.5
 	// maxHops is the longest list that engines accept.
@@ -105,7 +110,7 @@
 	usable := make([]int, 0, len(engines))
 	ends := make([]bool, w.Layers+1)
 	for i, e := range engines {
-		if w.Without[e.Name] || e.From >= e.To || e.To > w.Layers {
+		if w.Without[e.Name] || e.From >= e.To || e.To <= w.From || e.From >= w.Layers {
 			continue
 		}
 		usable = append(usable, i)
@@ -128,21 +133,22 @@
 			if e.From > from {
 				break
 			}
-			if e.To <= from || (back < 0 && ((w.First != "" && e.Name != w.First) || e.Entered >= e.Slots)) {
+			if e.To <= from || (back < 0 && w.From == 0 && e.Entered >= e.Slots) {
 				continue
 			}
-			for to := from + 1; to <= e.To; to++ {
-				if to != e.To && !ends[to] {
+			end := min(e.To, w.Layers)
+			for to := from + 1; to <= end; to++ {
+				if to != end && !ends[to] {
 					continue
 				}
-				if x := cost + hopCost(w, e, l, last, to-from); !math.IsInf(x, 1) {
+				if x := cost + hopCost(w, e, l, last, to-from, back < 0 && w.From == 0); !math.IsInf(x, 1) {
 					relax(to*domains+e.Domain, state{cost: x, hops: hops + 1, back: back, hop: Hop{Engine: i, From: from, To: to}})
 				}
 			}
 		}
 	}
-	extend(0, -1, w.Domain, 0, 0)
-	for at := 1; at < w.Layers; at++ {
+	extend(w.From, -1, w.Domain, 0, 0)
+	for at := w.From + 1; at < w.Layers; at++ {
 		for d := range domains {
 			if s := states[at*domains+d]; !math.IsInf(s.cost, 1) && s.hops < maxHops {
 				extend(at, at*domains+d, d, s.hops, s.cost)
@@ -152,6 +158,9 @@
 	best := -1
 	for d := range domains {
 		i := w.Layers*domains + d
+		if w.Next != Nowhere && w.Next != d {
+			states[i].cost += transfer(w, l, d, w.Next)
+		}
 		if !math.IsInf(states[i].cost, 1) && (best < 0 || states[i].cost < states[best].cost) {
 			best = i
 		}
@@ -171,7 +180,7 @@
 
 // hopCost returns the seconds that a hop adds to the whole answer, or infinity
 // when the engine has no memory for the stream.
-func hopCost(w Want, e *Engine, l Links, last, layers int) float64 {
+func hopCost(w Want, e *Engine, l Links, last, layers int, first bool) float64 {
 	n := float64(layers)
 	pass := float64(e.To-e.From) * e.Step
 	cost := w.Answer*(n*e.Step+waitShare*pass) + w.Prompt*n*e.Read
@@ -185,13 +194,25 @@
 	case use > tightUse:
 		cost *= 1 + tightCost*(use-tightUse)/(fullUse-tightUse)
 	}
-	if last == e.Domain {
-		cost += w.Answer * l.Near
+	if first {
+		// The request itself is a few kilobytes and needs no pipe.
+		if last != e.Domain {
+			cost += l.Far[last][e.Domain]
+		}
 	} else {
-		cost += w.Answer*l.Far[last][e.Domain] + pipeCost*(w.Prompt+w.Answer)*l.Token
+		cost += transfer(w, l, last, e.Domain)
 	}
 	if e.Suspect {
 		cost += suspectCost
 	}
 	return cost
 }
+
+// transfer returns the seconds that the way between two engines adds to the
+// whole answer.
+func transfer(w Want, l Links, from, to int) float64 {
+	if from == to {
+		return w.Answer * l.Near
+	}
+	return w.Answer*l.Far[from][to] + pipeCost*(w.Prompt+w.Answer)*l.Token
+}
--- a/relay/report.go
+++ b/relay/report.go
@@ -2,17 +2,26 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 )
 
 const (
-	// reportTimeout bounds a read of an engine's report; engines answer
-	// reports without a slot.
-	reportTimeout = 400 * time.Millisecond
+	// reportTimeout bounds a read of an engine's report. Engines answer reports
+	// without a slot, so that an answer takes little more than the way.
+	reportTimeout = 30 * time.Millisecond
 	// reportAge is how long a report is shared by streams that wait at the same
 	// engine.
 	reportAge = 60 * time.Millisecond
+	// deadAfter is how many reads in a row without an answer make an engine
+	// count as dead: one answer may be lost or late.
+	deadAfter = 1
+	// pausedAfter is the time that shows that this process was paused during a
+	// read, so that a missing answer says nothing.
+	pausedAfter = 2 * reportTimeout
+	// keepReadings is how long the reads of an engine are remembered.
+	keepReadings = time.Second
 )
 
 // reports shares the reads of engine reports between streams. Its lock is not
@@ -24,42 +33,74 @@
 	last map[string]*reading
 }
 
+// reading is one read of a report.
 type reading struct {
-	done  chan struct{}
-	begun time.Time
-	value Report
-	err   error
+	done   chan struct{}
+	begun  time.Time
+	value  Report
+	err    error
+	failed int // reads in a row without an answer, this one included
 }
 
 func newReports(read func(ctx context.Context, address string) (Report, error)) *reports {
 	return &reports{read: read, last: map[string]*reading{}}
 }
 
-// get returns a report that was asked for not longer than reportAge ago.
-func (r *reports) get(ctx context.Context, address string) (Report, error) {
-	r.mu.Lock()
-	x := r.last[address]
-	if x == nil || time.Since(x.begun) > reportAge {
-		x = &reading{done: make(chan struct{}), begun: time.Now()}
-		r.last[address] = x
-		go r.fill(x, address)
+// sweep asks engines of a path and returns the addresses of those that are
+// dead, or that the first engine says the stream waits for.
+func (r *reports) sweep(ctx context.Context, id string, ask, path []Hop) map[string]bool {
+	all := make([]*reading, len(ask))
+	for i, h := range ask {
+		all[i] = r.begin(h.Address)
 	}
-	r.mu.Unlock()
-	select {
-	case <-x.done:
-		return x.value, x.err
-	case <-ctx.Done():
-		return Report{}, ctx.Err()
+	dead := map[string]bool{}
+	for i, x := range all {
+		select {
+		case <-x.done:
+		case <-ctx.Done():
+			return nil
+		}
+		switch {
+		case x.failed >= deadAfter:
+			dead[ask[i].Address] = true
+		case ask[i] == path[0] && x.err == nil:
+			// The report is late: it may name an engine that the stream has
+			// left since.
+			if address, ok := x.value.Stalled[id]; ok && passes(path, address) {
+				dead[address] = true
+			}
+		}
 	}
+	return dead
 }
 
-func (r *reports) fill(x *reading, address string) {
+// begin returns a read that was begun not longer than reportAge ago.
+func (r *reports) begin(address string) *reading {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	old := r.last[address]
+	if old != nil && time.Since(old.begun) <= reportAge {
+		return old
+	}
+	x := &reading{done: make(chan struct{}), begun: time.Now()}
+	r.last[address] = x
+	go r.fill(x, old, address)
+	return x
+}
+
+func (r *reports) fill(x, old *reading, address string) {
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 	defer cancel()
 	x.value, x.err = r.read(ctx, address)
+	if x.err != nil && time.Since(x.begun) < pausedAfter {
+		x.failed = 1
+		if old != nil && time.Since(old.begun) < keepReadings {
+			<-old.done
+			x.failed += old.failed
+		}
+	}
 	close(x.done)
-	// Readings of servers that are gone are not kept.
-	time.AfterFunc(time.Second, func() {
+	time.AfterFunc(keepReadings, func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		if r.last[address] == x {
@@ -67,3 +108,7 @@
 		}
 	})
 }
+
+func passes(path []Hop, address string) bool {
+	return slices.ContainsFunc(path, func(h Hop) bool { return h.Address == address })
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -3,8 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -16,19 +20,27 @@
 	// fullRetry is the time to come back when engines have no room: some
 	// streams end within it.
 	fullRetry = 900 * time.Millisecond
-	// firstCheck is the time without a first event after which the engine is
-	// asked whether the stream waits for a dead one.
-	firstCheck = 250 * time.Millisecond
-	// gapCheck is the same between two events.
-	gapCheck = 110 * time.Millisecond
+	// firstCheck is the time without a first event after which the engines of the
+	// path are asked whether they live.
+	firstCheck = 200 * time.Millisecond
+	// leastGap and mostGap bound the same between two events.
+	leastGap = 40 * time.Millisecond
+	mostGap  = 120 * time.Millisecond
+	// gapFactor is the pause in units of the stream's usual pause that is
+	// unusual.
+	gapFactor = 1.8
+	// signOfLife is how old an event of another stream may be to show that an
+	// engine lives.
+	signOfLife = 35 * time.Millisecond
+	// askFirst is the number of checks in a row after which the first engine is
+	// asked in any case.
+	askFirst = 3
 	// nextCheck is the pause between two such questions.
-	nextCheck = 130 * time.Millisecond
+	nextCheck = 90 * time.Millisecond
 	// deadAvoidance keeps streams away from an engine that others wait for. The
-	// registry drops a dead engine after three heartbeats.
-	deadAvoidance = 5 * time.Second
-	// maxSilence is how many questions without an answer make the first engine
-	// count as dead.
-	maxSilence = 2
+	// registry drops a dead engine after three heartbeats; a live one whose
+	// answer was lost is missed for less.
+	deadAvoidance = 2 * time.Second
 	// maxRepaths bounds the changes of path of one stream.
 	maxRepaths = 6
 )
@@ -42,6 +54,36 @@
 	started bool   // the caller has the header
 	last    string // identifier of the last event that the caller has
 	sent    int    // attempts that a server took
+	pace    pace
+}
+
+// pace measures an answer against the times that callers expect.
+type pace struct {
+	first   time.Duration // from the arrival of the request to the first event
+	gap     time.Duration // longest pause between two events
+	gapFrom time.Time     // start of that pause
+	moved   time.Time     // of the last event
+}
+
+func (p *pace) event(arrived time.Time) {
+	now := time.Now()
+	if p.moved.IsZero() {
+		p.first = now.Sub(arrived)
+	} else if gap := now.Sub(p.moved); gap > p.gap {
+		p.gap, p.gapFrom = gap, p.moved
+	}
+	p.moved = now
+}
+
+// report logs an answer that callers found slow, with the path that it took.
+func (j *journey) report(t *track) {
+	rq := j.rq
+	if j.pace.first <= rq.Route.Target() && j.pace.gap <= rq.Route.Gap() {
+		return
+	}
+	j.relay.cfg.Count("late")
+	j.relay.cfg.Log.Info().Str("id", rq.ID).Dur("first", j.pace.first).Dur("gap", j.pace.gap).Dur("gapat", j.pace.gapFrom.Sub(rq.Arrived)).
+		Dur("took", time.Since(rq.Arrived)).Int("attempts", j.sent).Str("path", t.String()).Msg("stream was slow")
 }
 
 // stream serves a request that is answered by events.
@@ -70,8 +112,8 @@
 // whether another attempt may follow.
 func (j *journey) attempt(ctx context.Context, without map[string]bool) (again bool, err error) {
 	r, rq := j.relay, j.rq
-	t, ok := r.findTrack(rq, "", without)
-	if !ok {
+	t, ok := r.findTrack(rq, without)
+	if !ok || t.first == nil {
 		r.cfg.Log.Info().Str("id", rq.ID).Str("service", rq.Service.Name).Int("servers", len(r.cfg.Servers.Servers(rq.Service.Name))).
 			Int("prompt", rq.Prompt).Int("attempt", j.sent+1).Msg("no path")
 		if j.started {
@@ -86,7 +128,7 @@
 	}
 	actx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	w := newStallWatch(actx, cancel, r, rq, t, without)
+	w := newStallWatch(actx, cancel, j, t, without)
 	defer w.stop()
 	ans, err := r.send(actx, rq, Attempt{Server: t.first, Path: t.hops, LastEvent: j.last, Kept: true})
 	if err != nil {
@@ -102,6 +144,7 @@
 	begun := time.Now()
 	err = j.copy(ans, w)
 	if err == nil {
+		j.report(t)
 		t.first.Answered(time.Since(begun))
 		return false, nil
 	}
@@ -187,6 +230,7 @@
 			if last != "" {
 				j.last = last
 			}
+			j.pace.event(j.rq.Arrived)
 			w.moved()
 		}
 		if err != nil {
@@ -206,37 +250,50 @@
 	return j.sink.Flush()
 }
 
-// stallWatch asks the first engine of a path what a stream waits for when no
-// event comes, and moves the stream to another path.
+// stallWatch asks the engines of a path whether they live when no event comes,
+// and moves the stream off dead ones.
 type stallWatch struct {
 	relay   *Relay
 	rq      *Request
+	journey *journey
 	ctx     context.Context
 	cancel  context.CancelFunc
-	without map[string]bool
 
 	mu      sync.Mutex
 	track   *track
+	without map[string]bool // dead engines, for the next attempt
 	timer   *time.Timer
 	stopped bool
-	silent  int // questions without an answer
 	repaths int
+	checks  int
+
+	usual time.Duration // smoothed pause between events; used by the copying goroutine
+	last  time.Time
 }
 
-func newStallWatch(ctx context.Context, cancel context.CancelFunc, r *Relay, rq *Request, t *track, without map[string]bool) *stallWatch {
-	w := &stallWatch{relay: r, rq: rq, ctx: ctx, cancel: cancel, track: t, without: without}
+func newStallWatch(ctx context.Context, cancel context.CancelFunc, j *journey, t *track, without map[string]bool) *stallWatch {
+	w := &stallWatch{relay: j.relay, rq: j.rq, journey: j, ctx: ctx, cancel: cancel, track: t, without: without}
 	if len(t.hops) > 0 {
 		w.timer = time.AfterFunc(firstCheck, w.check)
 	}
 	return w
 }
 
+// resumable tells whether the stream may go on with another attempt.
+func (w *stallWatch) resumable() bool { return w.rq.Route.Repeatable() && w.journey.more() }
+
 // moved records that an event arrived.
 func (w *stallWatch) moved() {
 	if w.timer == nil {
 		return
 	}
-	w.timer.Reset(gapCheck)
+	w.track.moved()
+	now := time.Now()
+	if !w.last.IsZero() {
+		w.usual += (now.Sub(w.last) - w.usual) / 4
+	}
+	w.last = now
+	w.timer.Reset(min(max(time.Duration(gapFactor*float64(w.usual)), leastGap), mostGap))
 }
 
 func (w *stallWatch) stop() {
@@ -249,50 +306,64 @@
 	w.timer.Stop()
 }
 
-// check runs on a goroutine of its own while the stream waits.
+// check runs on a goroutine of its own while the stream waits. It asks the
+// engines of the path through which no other stream moves: a dead one does not
+// answer. The first engine also tells what it waits for, some hundred
+// milliseconds late.
 func (w *stallWatch) check() {
-	first := w.track.first
-	rep, err := w.relay.reports.get(w.ctx, first.Address())
+	hops := w.track.path()
+	ask := w.track.silent(signOfLife)
+	w.mu.Lock()
+	w.checks++
+	if w.checks%askFirst == 0 && !slices.Contains(ask, hops[0]) {
+		ask = append(ask, hops[0])
+	}
+	w.mu.Unlock()
+	dead := w.relay.reports.sweep(w.ctx, w.rq.ID, ask, hops)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.stopped || w.ctx.Err() != nil {
 		return
 	}
 	defer func() { w.timer.Reset(nextCheck) }()
-	if err != nil {
-		if w.silent++; w.silent >= maxSilence {
-			w.relay.cfg.Log.Info().Str("id", w.rq.ID).Str("server", first.ID()).Err(err).Msg("first engine does not answer; leaving it")
-			first.Avoid(deadAvoidance)
-			w.cancel()
-		}
+	if len(dead) == 0 {
 		return
 	}
-	w.silent = 0
-	address, ok := rep.Stalled[w.rq.ID]
-	if !ok {
+	for address := range dead {
+		w.without[address] = true
+		if s := w.relay.cfg.Servers.At(address); s != nil {
+			s.Avoid(deadAvoidance)
+		}
+	}
+	if dead[hops[0].Address] {
+		w.relay.cfg.Log.Info().Str("id", w.rq.ID).Str("address", hops[0].Address).Msg("first engine does not answer; leaving it")
+		w.cancel()
 		return
 	}
-	w.move(address)
+	w.move(dead)
 }
 
-// move takes the stream off a dead engine.
-func (w *stallWatch) move(address string) {
+// move takes the stream off dead engines: over others of the same failure domain,
+// else by a new run elsewhere that resumes the stream, else by a detour over the
+// pipe.
+func (w *stallWatch) move(dead map[string]bool) {
 	r := w.relay
-	if s := r.cfg.Servers.At(address); s != nil {
-		s.Avoid(deadAvoidance)
-	}
-	without := map[string]bool{address: true}
-	for range 2 {
-		if w.repaths++; w.repaths > maxRepaths {
+	for w.repaths < maxRepaths {
+		w.repaths++
+		t, ok := r.detour(w.rq, w.track, dead, true)
+		if !ok && w.resumable() {
+			r.cfg.Log.Info().Str("id", w.rq.ID).Strs("dead", names(dead)).Msg("no engine nearby takes over; resuming the stream elsewhere")
 			break
 		}
-		t, ok := r.findTrack(w.rq, w.track.first.Address(), without)
 		if !ok {
-			r.cfg.Log.Info().Str("id", w.rq.ID).Str("stalled", address).Msg("no other path for a stalled stream")
+			t, ok = r.detour(w.rq, w.track, dead, false)
+		}
+		if !ok {
+			r.cfg.Log.Info().Str("id", w.rq.ID).Strs("dead", names(dead)).Msg("no other path for a stalled stream")
 			break
 		}
-		err := r.cfg.Repath(w.ctx, t.first.Address(), w.rq.ID, t.hops)
-		r.cfg.Log.Info().Str("id", w.rq.ID).Str("stalled", address).Int("hops", len(t.hops)).Err(err).Msg("stream moved to another path")
+		err := r.cfg.Repath(w.ctx, w.track.first.Address(), w.rq.ID, t.path())
+		r.cfg.Log.Info().Str("id", w.rq.ID).Strs("dead", names(dead)).Str("path", t.String()).Err(err).Msg("stream moved to another path")
 		if err == nil {
 			r.cfg.Count("repath")
 			w.track.replace(t)
@@ -300,14 +371,16 @@
 		}
 		t.end()
 		var missing *MissingPart
-		if !errors.As(err, &missing) {
+		if !errors.As(err, &missing) || dead[missing.Address] {
 			break
 		}
-		without[missing.Address] = true
+		dead[missing.Address] = true
 	}
 	w.cancel()
 }
 
+func names(set map[string]bool) []string { return slices.Sorted(maps.Keys(set)) }
+
 // MissingPart reports that an engine of a new path lacks its layers or memory.
 type MissingPart struct{ Address string }
 
@@ -320,8 +393,31 @@
 	first *server.Server
 	hops  []Hop
 
-	mu   sync.Mutex
-	ends []func()
+	mu      sync.Mutex
+	servers []*server.Server
+	ends    []func()
+}
+
+// moved records that an event passed through every engine of the path.
+func (t *track) moved() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.servers {
+		s.Moved()
+	}
+}
+
+// silent returns the hops whose engines have shown no sign of life for a time.
+func (t *track) silent(longer time.Duration) []Hop {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Hop
+	for _, h := range t.hops {
+		if !slices.ContainsFunc(t.servers, func(s *server.Server) bool { return s.Address() == h.Address && s.Silent() <= longer }) {
+			out = append(out, h)
+		}
+	}
+	return out
 }
 
 func (t *track) end() {
@@ -333,10 +429,29 @@
 	t.ends = nil
 }
 
+// path returns the hops.
+func (t *track) path() []Hop {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.hops
+}
+
+// String returns the hops as address=from-to.
+func (t *track) String() string {
+	var b strings.Builder
+	for i, h := range t.path() {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		fmt.Fprintf(&b, "%s=%d-%d", h.Address, h.From, h.To)
+	}
+	return b.String()
+}
+
 // replace takes over the path and the counts of another track.
 func (t *track) replace(by *track) {
 	t.end()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.hops, t.ends = by.hops, by.ends
+	t.hops, t.servers, t.ends = by.hops, by.servers, by.ends
 }
--- a/relay/track.go
+++ b/relay/track.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"maps"
+	"math/rand/v2"
 	"sort"
 
 	"github.com/cranberrybay/cranberrybay/config"
@@ -12,6 +14,8 @@
 	// nearTransfer is the time in seconds that a token takes to the next engine
 	// of the same failure domain.
 	nearTransfer = 0.15e-3
+	// spread is the largest random addition to the times of a failure domain.
+	spread = 0.15
 	// answerShare is the part of the largest possible answer that a stream is
 	// expected to write when the caller gives no estimate.
 	answerShare = 0.5
@@ -29,33 +33,140 @@
 }
 
 // findTrack chooses a path for a stream and counts the stream at its engines.
-// First names the engine that must be first, if any.
-func (r *Relay) findTrack(rq *Request, first string, without map[string]bool) (*track, bool) {
+func (r *Relay) findTrack(rq *Request, without map[string]bool) (*track, bool) {
 	all := r.cfg.Servers.Servers(rq.Service.Name)
 	e := rq.Service.Engine
 	if e == nil || e.Layers == 0 {
 		return r.whole(rq, all, without)
 	}
-	domains, names := domainsOf(all, r.cfg.Domain)
-	engines := make([]path.Engine, len(all))
+	m := r.survey(rq, all)
+	hops, ok := m.choose(path.Want{Layers: e.Layers, Domain: m.domains[r.cfg.Domain], Next: path.Nowhere, Without: without})
+	if !ok {
+		return nil, false
+	}
+	return m.track(hops), true
+}
+
+// detour replaces the hops of a track over dead engines. The other hops stay, so
+// that their engines keep what they have read. With near set, a hop is replaced
+// only by engines of the failure domain before it: otherwise the activations of
+// all tokens so far cross the pipe, which takes 15 ms for each stream.
+func (r *Relay) detour(rq *Request, t *track, dead map[string]bool, near bool) (*track, bool) {
+	m := r.survey(rq, r.cfg.Servers.Servers(rq.Service.Name))
+	without := map[string]bool{}
+	for address := range dead {
+		without[address] = true
+	}
+	old := t.path()
+	for _, h := range old {
+		without[h.Address] = true
+	}
+	var hops []Hop
+	for i, h := range old {
+		if !dead[h.Address] {
+			hops = append(hops, h)
+			continue
+		}
+		if i == 0 {
+			return nil, false // a path can't change its first engine
+		}
+		want := path.Want{From: h.From, Layers: h.To, Domain: m.domainAt(old[i-1].Address), Next: path.Nowhere, Without: without}
+		if i+1 < len(old) {
+			want.Next = m.domainAt(old[i+1].Address)
+		}
+		if near {
+			want.Without = m.others(want.Domain, without)
+		}
+		part, ok := m.choose(want)
+		if !ok {
+			return nil, false
+		}
+		for _, p := range part {
+			without[p.Address] = true
+		}
+		hops = append(hops, part...)
+	}
+	return m.track(hops), true
+}
+
+// survey is the view of the engines for one choice.
+type survey struct {
+	relay   *Relay
+	rq      *Request
+	servers []*server.Server
+	engines []path.Engine
+	domains map[string]int
+	links   path.Links
+}
+
+func (r *Relay) survey(rq *Request, all []*server.Server) *survey {
+	e := rq.Service.Engine
+	m := &survey{relay: r, rq: rq, servers: all, engines: make([]path.Engine, len(all))}
+	var names []string
+	m.domains, names = domainsOf(all, r.cfg.Domain)
+	m.links = links(e, names)
+	// Processes that choose at the same moment do not see each other's choice.
+	lean := make([]float64, len(names))
+	for i := range lean {
+		lean[i] = 1 + spread*rand.Float64()
+	}
 	for i, s := range all {
-		engines[i] = r.candidate(s, e, domains)
+		m.engines[i] = r.candidate(s, e, m.domains)
+		m.engines[i].Step *= lean[m.engines[i].Domain]
 	}
-	want := path.Want{
-		Layers: e.Layers, Domain: domains[r.cfg.Domain], Prompt: float64(rq.Prompt), Answer: rq.expected(e),
-		First: first, Without: without,
+	return m
+}
+
+// domainAt returns the failure domain of the engine at an address.
+func (m *survey) domainAt(address string) int {
+	for i, s := range m.servers {
+		if s.Address() == address {
+			return m.engines[i].Domain
+		}
+	}
+	return m.domains[m.relay.cfg.Domain]
+}
+
+// others returns a set with the engines outside of a failure domain added.
+func (m *survey) others(domain int, without map[string]bool) map[string]bool {
+	out := maps.Clone(without)
+	for _, e := range m.engines {
+		if e.Domain != domain {
+			out[e.Name] = true
+		}
 	}
-	hops, _, ok := path.Choose(want, engines, links(e, names))
+	return out
+}
+
+func (m *survey) choose(w path.Want) ([]Hop, bool) {
+	w.Prompt, w.Answer = float64(m.rq.Prompt), m.rq.expected(m.rq.Service.Engine)
+	found, _, ok := path.Choose(w, m.engines, m.links)
 	if !ok {
 		return nil, false
 	}
-	t := &track{first: all[hops[0].Engine]}
+	hops := make([]Hop, 0, len(found))
+	for _, h := range found {
+		hops = append(hops, Hop{Address: m.servers[h.Engine].Address(), From: h.From, To: h.To})
+	}
+	return hops, true
+}
+
+// track counts the stream at the engines of a path.
+func (m *survey) track(hops []Hop) *track {
+	tokens := float64(m.rq.Prompt) + m.rq.expected(m.rq.Service.Engine)
+	t := &track{hops: hops}
 	for _, h := range hops {
-		s := all[h.Engine]
-		t.hops = append(t.hops, Hop{Address: s.Address(), From: h.From, To: h.To})
-		t.ends = append(t.ends, s.Begin(int64((want.Prompt+want.Answer)*float64(h.To-h.From))))
+		s := m.relay.cfg.Servers.At(h.Address)
+		if s == nil {
+			continue // it left a moment ago
+		}
+		if t.first == nil {
+			t.first = s
+		}
+		t.servers = append(t.servers, s)
+		t.ends = append(t.ends, s.Begin(int64(tokens*float64(h.To-h.From))))
 	}
-	return t, true
+	return t
 }
 
 // whole chooses one engine that holds the whole model.
--- a/server/server.go
+++ b/server/server.go
@@ -9,10 +9,16 @@
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"github.com/cranberrybay/cranberrybay/clock"
 )
 
+// epoch is the zero of now.
+var epoch = time.Now()
+
+// now returns the monotonic time. What this process has seen of a server is
+// worth little after a suspension in any case, so that the clock that counts
+// suspensions, which takes a system call, is not needed.
+func now() time.Duration { return time.Since(epoch) }
+
 // Entry is what the registry says of one backend server.
 type Entry struct {
 	ID       string
@@ -39,7 +45,8 @@
 type record struct {
 	inflight atomic.Int64 // requests of this process
 	claimed  atomic.Int64 // layer tokens of KV cache of this process's streams
-	suspect  atomic.Int64 // clock.Now until which the server is avoided
+	suspect  atomic.Int64 // now() until which the server is avoided
+	moved    atomic.Int64 // now() of the last sign of life
 
 	mu       sync.Mutex
 	seconds  float64 // smoothed time to an answer
@@ -82,8 +89,14 @@
 	}
 }
 
+// Moved records a sign of life: an event passed through the server.
+func (s *Server) Moved() { s.moved.Store(int64(now())) }
+
+// Silent returns the time since the last sign of life.
+func (s *Server) Silent() time.Duration { return now() - time.Duration(s.moved.Load()) }
+
 // Suspected tells whether the server is avoided now.
-func (s *Server) Suspected() bool { return int64(clock.Now()) < s.suspect.Load() }
+func (s *Server) Suspected() bool { return int64(now()) < s.suspect.Load() }
 
 const (
 	firstAvoidance   = 300 * time.Millisecond // after one failure: most are of a single request
@@ -103,7 +116,7 @@
 
 // Avoid keeps new work away from the server for a time.
 func (s *Server) Avoid(d time.Duration) {
-	until := int64(clock.Now() + d)
+	until := int64(now() + d)
 	for {
 		old := s.suspect.Load()
 		if old >= until || s.suspect.CompareAndSwap(old, until) {
@@ -120,29 +133,29 @@
 
 // Answered records the time to a good answer.
 func (s *Server) Answered(took time.Duration) {
-	now := clock.Now()
+	at := now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.failures = 0
 	x := took.Seconds()
-	mean := s.faded(now)
+	mean := s.faded(at)
 	if x > mean {
 		mean += riseWeight * (x - mean)
 	} else {
 		mean += fallWeight * (x - mean)
 	}
-	s.seconds, s.at = mean, now
+	s.seconds, s.at = mean, at
 }
 
 // Reported records the load that came with an answer.
 func (s *Server) Reported(running, waiting int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.running, s.waiting, s.reported = running, waiting, clock.Now()
+	s.running, s.waiting, s.reported = running, waiting, now()
 }
 
-func (s *record) faded(now time.Duration) float64 {
-	age := now - s.at
+func (s *record) faded(at time.Duration) float64 {
+	age := at - s.at
 	if s.at == 0 || age > 3*fading {
 		return 0
 	}
@@ -155,13 +168,13 @@
 // Cost returns a measure of the time that one more request takes, for the
 // comparison of servers of a plain service.
 func (s *Server) Cost() float64 {
-	now := clock.Now()
+	at := now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	load := float64(s.inflight.Load())
-	if now-s.reported < reportAge && s.reported > 0 {
+	if at-s.reported < reportAge && s.reported > 0 {
 		load = max(load, float64(s.running+s.waiting))
 	}
 	const unmeasured = 1e-3 // seconds: a server without a time is tried early
-	return (load + 1) / float64(max(s.entry.Slots, 1)) * (unmeasured + s.faded(now))
+	return (load + 1) / float64(max(s.entry.Slots, 1)) * (unmeasured + s.faded(at))
 }
