relay: take the repeat from the budget before a running attempt is given up

A stream over a dead engine was given up for a new run elsewhere, and then the process's share of the budget, three repeats on 76 machines, was spent: the caller's answer was cut. The repeat is now taken first; without one the stream takes the detour over the pipe, or waits for its engine.

--- a/relay/stream.go
+++ b/relay/stream.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cranberrybay/cranberrybay/fault"
@@ -29,6 +30,10 @@
 	// gapFactor is the pause in units of the stream's usual pause that is
 	// unusual.
 	gapFactor = 1.8
+	// loneGap is the least pause after which engines are asked when this process
+	// has no other stream over them: a pause of a single stream is most often
+	// that of a long prompt before it.
+	loneGap = 100 * time.Millisecond
 	// signOfLife is how old an event of another stream may be to show that an
 	// engine lives.
 	signOfLife = 35 * time.Millisecond
@@ -55,6 +60,9 @@
 	last    string // identifier of the last event that the caller has
 	sent    int    // attempts that a server took
 	pace    pace
+	// reserved tells that a repeat was taken from the budget before the running
+	// attempt was given up.
+	reserved atomic.Bool
 }
 
 // pace measures an answer against the times that callers expect.
@@ -97,7 +105,7 @@
 		if err == nil {
 			return nil
 		}
-		if !again || ctx.Err() != nil || !r.cfg.Budget(rq.Service.Name).Repeat() {
+		if !again || ctx.Err() != nil || !j.repeat() {
 			break
 		}
 		r.cfg.Count("repeat")
@@ -108,6 +116,14 @@
 	return err
 }
 
+// repeat takes a repeat from the budget, unless one was taken already.
+func (j *journey) repeat() bool {
+	if j.reserved.Swap(false) {
+		return true
+	}
+	return j.relay.cfg.Budget(j.rq.Service.Name).Repeat()
+}
+
 // attempt sends the stream over one path and passes its events on. It reports
 // whether another attempt may follow.
 func (j *journey) attempt(ctx context.Context, without map[string]bool) (again bool, err error) {
@@ -279,8 +295,15 @@
 	return w
 }
 
-// resumable tells whether the stream may go on with another attempt.
-func (w *stallWatch) resumable() bool { return w.rq.Route.Repeatable() && w.journey.more() }
+// reserve tells whether the stream may go on with another attempt, and takes the
+// repeat for it from the budget. A running attempt is not given up without one.
+func (w *stallWatch) reserve() bool {
+	if !w.rq.Route.Repeatable() || !w.journey.more() || !w.journey.repeat() {
+		return false
+	}
+	w.journey.reserved.Store(true)
+	return true
+}
 
 // moved records that an event arrived.
 func (w *stallWatch) moved() {
@@ -293,7 +316,11 @@
 		w.usual += (now.Sub(w.last) - w.usual) / 4
 	}
 	w.last = now
-	w.timer.Reset(min(max(time.Duration(gapFactor*float64(w.usual)), leastGap), mostGap))
+	least := leastGap
+	if w.track.first.Inflight() <= 1 {
+		least = loneGap
+	}
+	w.timer.Reset(min(max(time.Duration(gapFactor*float64(w.usual)), least), mostGap))
 }
 
 func (w *stallWatch) stop() {
@@ -336,6 +363,7 @@
 		}
 	}
 	if dead[hops[0].Address] {
+		w.reserve()
 		w.relay.cfg.Log.Info().Str("id", w.rq.ID).Str("address", hops[0].Address).Msg("first engine does not answer; leaving it")
 		w.cancel()
 		return
@@ -351,15 +379,15 @@
 	for w.repaths < maxRepaths {
 		w.repaths++
 		t, ok := r.detour(w.rq, w.track, dead, true)
-		if !ok && w.resumable() {
+		if !ok && w.reserve() {
 			r.cfg.Log.Info().Str("id", w.rq.ID).Strs("dead", names(dead)).Msg("no engine nearby takes over; resuming the stream elsewhere")
-			break
+			w.cancel()
+			return
 		}
 		if !ok {
 			t, ok = r.detour(w.rq, w.track, dead, false)
 		}
 		if !ok {
-			r.cfg.Log.Info().Str("id", w.rq.ID).Strs("dead", names(dead)).Msg("no other path for a stalled stream")
 			break
 		}
 		err := r.cfg.Repath(w.ctx, w.track.first.Address(), w.rq.ID, t.path())
@@ -376,7 +404,12 @@
 		}
 		dead[missing.Address] = true
 	}
-	w.cancel()
+	if w.reserve() {
+		w.cancel()
+		return
+	}
+	// The engine itself ends the stream when it does not come back.
+	r.cfg.Log.Info().Str("id", w.rq.ID).Strs("dead", names(dead)).Msg("no other path for a stalled stream")
 }
 
 func names(set map[string]bool) []string { return slices.Sorted(maps.Keys(set)) }
