--- /dev/null
+++ b/beat/beat_test.go
@@ -0,0 +1,152 @@
+package beat_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/cranberrybay/cranberrybay/beat"
+	"github.com/cranberrybay/cranberrybay/clock"
+)
+
+// net connects rings without a network.
+type net struct {
+	rings map[string]*beat.Ring
+	cut   map[string]bool // receives and sends nothing
+}
+
+func (n *net) join(name, domain string, state beat.State, work ...beat.Work) *beat.Ring {
+	self := beat.Peer{Name: name, Address: name, Callers: name + ":80", Domain: domain}
+	r := beat.New(beat.Config{
+		Self: self, Incarnation: 1, Log: zerolog.Nop(),
+		State: func() beat.State { return state },
+		Work:  func() []beat.Work { return work },
+		Send: func(address string, b []byte) error {
+			if to := n.rings[address]; to != nil && !n.cut[name] && !n.cut[address] {
+				to.Receive(b)
+			}
+			return nil
+		},
+	})
+	n.rings[name] = r
+	return r
+}
+
+func (n *net) run(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(400 * time.Millisecond) {
+		for _, r := range n.rings {
+			r.Beat()
+		}
+	}
+}
+
+func peers(names ...string) []beat.Peer {
+	var out []beat.Peer
+	for _, n := range names {
+		out = append(out, beat.Peer{Name: n, Address: n, Callers: n + ":80", Domain: "d"})
+	}
+	return out
+}
+
+func virtual(t *testing.T, f func(t *testing.T, n *net)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		base := time.Now()
+		defer clock.Replace(func() time.Duration { return time.Since(base) + time.Hour })()
+		f(t, &net{rings: map[string]*beat.Ring{}, cut: map[string]bool{}})
+	})
+}
+
+func checkCallers(t *testing.T, r *beat.Ring, domain string, local int, want ...string) {
+	t.Helper()
+	got, n := r.Callers(domain)
+	assert.DeepEqual(t, got, want)
+	assert.Equal(t, n, local)
+}
+
+// Guards against callers that are sent to a process that is silent or not ready.
+func TestCallers(t *testing.T) {
+	virtual(t, func(t *testing.T, n *net) {
+		ready := beat.State{Ready: true}
+		a := n.join("a", "d", ready)
+		n.join("b", "d", ready)
+		n.join("c", "e", ready)
+		n.join("x", "d", beat.State{})
+		n.join("y", "d", beat.State{Ready: true, Leaving: true})
+		for _, r := range n.rings {
+			r.Listed(peers("a", "b", "x", "y"))
+		}
+		n.run(time.Second)
+		checkCallers(t, a, "d", 1, "b:80", "c:80")
+		n.cut["b"] = true
+		n.run(3 * time.Second)
+		checkCallers(t, a, "d", 0, "c:80")
+		n.cut["b"] = false
+		n.run(time.Second)
+		checkCallers(t, a, "d", 1, "b:80", "c:80")
+	})
+}
+
+// Guards against a new process that the others learn of only when they read the
+// table again.
+func TestNewProcessMakesItselfKnown(t *testing.T) {
+	virtual(t, func(t *testing.T, n *net) {
+		a := n.join("a", "d", beat.State{Ready: true})
+		b := n.join("b", "d", beat.State{Ready: true})
+		b.Listed(peers("a", "b"))
+		n.run(time.Second)
+		checkCallers(t, a, "d", 1, "b:80")
+		assert.Equal(t, a.Size(), 2)
+	})
+}
+
+// Guards against choices that ignore what other processes have at a server, and
+// against work of a process that is gone.
+func TestWorkOfOthers(t *testing.T) {
+	virtual(t, func(t *testing.T, n *net) {
+		a := n.join("a", "d", beat.State{})
+		n.join("b", "d", beat.State{}, beat.Work{Server: "s", Streams: 3, Tokens: 900})
+		n.join("c", "d", beat.State{}, beat.Work{Server: "s", Streams: 1, Tokens: 100})
+		for _, r := range n.rings {
+			r.Listed(peers("a", "b", "c"))
+		}
+		n.run(time.Second)
+		streams, tokens := a.Others("s")
+		assert.Equal(t, streams, 4)
+		assert.Equal(t, tokens, int64(1000))
+		n.cut["b"] = true
+		n.run(5 * time.Second)
+		streams, _ = a.Others("s")
+		assert.Equal(t, streams, 1)
+	})
+}
+
+// Guards against a process that reads the lease row of a holder that lives, and
+// against one that never does after the holder died.
+func TestHolderIsKnown(t *testing.T) {
+	virtual(t, func(t *testing.T, n *net) {
+		a := n.join("a", "d", beat.State{})
+		n.join("b", "d", beat.State{Holder: true})
+		for _, r := range n.rings {
+			r.Listed(peers("a", "b"))
+		}
+		n.run(time.Second)
+		assert.Assert(t, a.Held())
+		n.cut["b"] = true
+		n.run(3 * time.Second)
+		assert.Assert(t, !a.Held())
+	})
+}
+
+// Guards against a panic on bytes of a stranger.
+func FuzzReceive(f *testing.F) {
+	f.Add([]byte{})
+	f.Add([]byte("\x0a\x01b\x10\x01"))
+	f.Fuzz(func(_ *testing.T, raw []byte) {
+		n := &net{rings: map[string]*beat.Ring{}, cut: map[string]bool{}}
+		n.join("a", "d", beat.State{}).Receive(raw)
+	})
+}
--- a/clock/clock.go
+++ b/clock/clock.go
@@ -4,6 +4,7 @@
 package clock
 
 import (
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -12,8 +13,23 @@
 // start is the zero of Now; it keeps the values small in logs.
 var start = boot()
 
+// source is the clock of Now; tests replace it.
+var source atomic.Pointer[func() time.Duration]
+
 // Now returns the time since the process started, suspensions included.
-func Now() time.Duration { return boot() - start }
+func Now() time.Duration {
+	if f := source.Load(); f != nil {
+		return (*f)()
+	}
+	return boot() - start
+}
+
+// Replace makes Now read another clock, as the virtual one of a test. The
+// function that it returns undoes this.
+func Replace(f func() time.Duration) (undo func()) {
+	old := source.Swap(&f)
+	return func() { source.Store(old) }
+}
 
 func boot() time.Duration {
 	var t unix.Timespec
--- /dev/null
+++ b/relay/stream_test.go
@@ -0,0 +1,206 @@
+package relay_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cranberrybay/cranberrybay/config"
+	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/relay"
+)
+
+// checkTiles fails unless the hops run layers 0 to 8 once and in order.
+func checkTiles(t *testing.T, path []relay.Hop) {
+	t.Helper()
+	at := 0
+	for _, h := range path {
+		assert.Equal(t, h.From, at, "%v", path)
+		at = h.To
+	}
+	assert.Equal(t, at, 8, "%v", path)
+}
+
+// Guards against a gap or a repeat in a stream that goes on at another server,
+// and against half an event of the first.
+func TestStreamResumes(t *testing.T) {
+	w := newWorld(t, engine("a", "near", 0, 8), engine("b", "near", 0, 8))
+	w.send = func(_ context.Context, n int, _ *relay.Request, a relay.Attempt) (*relay.Answer, error) {
+		checkTiles(t, a.Path)
+		if n == 1 {
+			ans := answer(http.StatusOK, "")
+			ans.Body = &torn{strings.NewReader(events(1, 3) + "id: 4\nda")}
+			return ans, nil
+		}
+		assert.Equal(t, a.LastEvent, "3")
+		return answer(http.StatusOK, events(3, 6)), nil // sends event 3 again
+	}
+	checkServed(t, w.serve(t.Context(), request(config.Stream, 2)), events(1, 6))
+}
+
+// torn ends with a reset.
+type torn struct{ from *strings.Reader }
+
+func (x *torn) Read(b []byte) (int, error) {
+	if x.from.Len() == 0 {
+		return 0, lost()
+	}
+	return x.from.Read(b)
+}
+
+func (x *torn) Close() error { return nil }
+
+// Guards against an answer that looks complete although no server could end it.
+func TestBrokenStreamIsAnError(t *testing.T) {
+	w := newWorld(t, engine("a", "near", 0, 8), engine("b", "near", 0, 8))
+	w.send = func(context.Context, int, *relay.Request, relay.Attempt) (*relay.Answer, error) {
+		ans := answer(http.StatusOK, "")
+		ans.Body = &torn{strings.NewReader(events(1, 2))}
+		return ans, nil
+	}
+	got := w.serve(t.Context(), request(config.Stream, 2))
+	checkVerdict(t, got, fault.MayHaveRun)
+	assert.Equal(t, w.count(), 2)
+}
+
+// Guards against a stream that waits for a dead engine until its first engine
+// reports it, 200 ms late: callers expect pauses of at most 200 ms.
+func TestDeadEngineIsReplacedNearby(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, engine("a", "near", 0, 4), engine("b", "near", 4, 8), engine("c", "near", 4, 8))
+		var moved time.Duration
+		begun := time.Now()
+		more := make(chan struct{})
+		w.send = func(ctx context.Context, _ int, _ *relay.Request, a relay.Attempt) (*relay.Answer, error) {
+			w.kill(a.Path[1].Address)
+			ans := answer(http.StatusOK, "")
+			ans.Body = &resuming{first: strings.NewReader(events(1, 2)), then: strings.NewReader(events(3, 4)), more: more, ctx: ctx}
+			return ans, nil
+		}
+		w.repathed = func(path []relay.Hop) error {
+			checkTiles(t, path)
+			assert.Assert(t, !w.dead[path[1].Address])
+			moved = time.Since(begun)
+			close(more)
+			return nil
+		}
+		checkServed(t, w.serve(t.Context(), request(config.Stream, 2)), events(1, 4))
+		assert.Assert(t, moved < 180*time.Millisecond, "moved after %v", moved)
+		assert.Equal(t, w.count(), 1)
+	})
+}
+
+// resuming gives some events, waits, and gives others.
+type resuming struct {
+	first, then *strings.Reader
+	more        chan struct{}
+	ctx         context.Context
+}
+
+func (x *resuming) Read(b []byte) (int, error) {
+	if x.first.Len() > 0 {
+		return x.first.Read(b)
+	}
+	select {
+	case <-x.more:
+		return x.then.Read(b)
+	case <-x.ctx.Done():
+		return 0, x.ctx.Err()
+	}
+}
+
+func (x *resuming) Close() error { return nil }
+
+// Guards against activations of all tokens on the pipe between failure domains:
+// without an engine nearby the stream is resumed on a whole path elsewhere.
+func TestDeadEngineResumesElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, engine("a", "near", 0, 4), engine("b", "near", 4, 8), slow(engine("c", "far", 0, 8)))
+		w.send = func(ctx context.Context, n int, _ *relay.Request, a relay.Attempt) (*relay.Answer, error) {
+			if n == 1 {
+				assert.Equal(t, len(a.Path), 2)
+				w.kill("b:1")
+				return stallingAnswer(ctx, events(1, 2)), nil
+			}
+			assert.Equal(t, a.Path[0].Address, "c:1")
+			return answer(http.StatusOK, events(3, 4)), nil
+		}
+		w.repathed = func([]relay.Hop) error { t.Error("path changed over the pipe"); return nil }
+		got := w.serve(t.Context(), request(config.Stream, 2))
+		checkServed(t, got, events(1, 4))
+		assert.Assert(t, got.took < 300*time.Millisecond, "%v", got.took)
+	})
+}
+
+// Guards against a running answer that is given up without a repeat left, which
+// cuts it off (LOST on three days of the grown deployment).
+func TestNoRepeatLeftTakesTheDetour(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, engine("a", "near", 0, 4), engine("b", "near", 4, 8), slow(engine("c", "far", 0, 8)))
+		for w.budget.Repeat() {
+		}
+		more := make(chan struct{})
+		w.send = func(ctx context.Context, _ int, _ *relay.Request, _ relay.Attempt) (*relay.Answer, error) {
+			w.kill("b:1")
+			ans := answer(http.StatusOK, "")
+			ans.Body = &resuming{first: strings.NewReader(events(1, 2)), then: strings.NewReader(events(3, 4)), more: more, ctx: ctx}
+			return ans, nil
+		}
+		w.repathed = func(path []relay.Hop) error {
+			checkTiles(t, path)
+			assert.Equal(t, path[1].Address, "c:1")
+			close(more)
+			return nil
+		}
+		checkServed(t, w.serve(t.Context(), request(config.Stream, 2)), events(1, 4))
+	})
+}
+
+// Guards against a stream that goes on at a server after its caller has left.
+func TestCallerLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, engine("a", "near", 0, 8))
+		stopped := false
+		w.send = func(ctx context.Context, _ int, _ *relay.Request, _ relay.Attempt) (*relay.Answer, error) {
+			context.AfterFunc(ctx, func() { stopped = true })
+			return stallingAnswer(ctx, events(1, 2)), nil
+		}
+		ctx, leave := context.WithCancel(t.Context())
+		time.AfterFunc(300*time.Millisecond, leave)
+		got := w.serve(ctx, request(config.Stream, 2))
+		synctest.Wait()
+		assert.Assert(t, got.err != nil && stopped)
+		assert.Equal(t, w.count(), 1)
+	})
+}
+
+// Guards against a request that waits when no engines hold all layers.
+func TestNoPathIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, engine("a", "near", 0, 4))
+		got := w.serve(t.Context(), request(config.Stream, 2))
+		checkVerdict(t, got, fault.NotRun)
+		assert.Equal(t, got.took, time.Duration(0))
+	})
+}
+
+// Guards against a refusal of one path that ends a request which another path
+// would take.
+func TestRefusedPathIsAvoided(t *testing.T) {
+	w := newWorld(t, engine("a", "near", 0, 8), engine("b", "far", 0, 8))
+	w.send = func(_ context.Context, n int, _ *relay.Request, a relay.Attempt) (*relay.Answer, error) {
+		if n == 1 {
+			ans := refusedAnswer()
+			ans.Culprit = a.Path[0].Address
+			return ans, nil
+		}
+		return answer(http.StatusOK, events(1, 1)), nil
+	}
+	checkServed(t, w.serve(t.Context(), request(config.Stream, 2)), events(1, 1))
+	assert.Assert(t, w.sends[0].Path[0] != w.sends[1].Path[0])
+}
--- a/server/server.go
+++ b/server/server.go
@@ -11,8 +11,9 @@
 	"time"
 )
 
-// epoch is the zero of now.
-var epoch = time.Now()
+// epoch is the zero of now. It lies before the start of the virtual clock of
+// tests, so that times are positive there too.
+var epoch = time.Now().AddDate(-50, 0, 0)
 
 // now returns the monotonic time. What this process has seen of a server is
 // worth little after a suspension in any case, so that the clock that counts
--- /dev/null
+++ b/shard/shard_test.go
@@ -0,0 +1,155 @@
+package shard_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/cranberrybay/cranberrybay/shard"
+)
+
+var model = shard.Model{Layers: 80, Layer: 1750, Token: 0.005325}
+
+// card is a kind of accelerator with the number of engines in a failure domain.
+type card struct {
+	memory, pace float64
+	count        int
+}
+
+func fleet(domains map[string][]card) []shard.Engine {
+	var out []shard.Engine
+	for name, cards := range domains {
+		for k, c := range cards {
+			for i := range c.count {
+				out = append(out, shard.Engine{ID: fmt.Sprintf("%s-%d-%02d", name, k, i), Domain: name, Memory: c.memory, Pace: c.pace})
+			}
+		}
+	}
+	return out
+}
+
+// present is a fleet of the users' size: three failure domains, three cards.
+func present() []shard.Engine {
+	a, l, t := card{36000, 3.1, 0}, card{21600, 16, 0}, card{14400, 15, 0}
+	mix := func(x, y, z int) []card {
+		a.count, l.count, t.count = x, y, z
+		return []card{a, l, t}
+	}
+	return fleet(map[string][]card{"thamel": mix(2, 5, 8), "patan": mix(1, 7, 5), "bhaktapur": mix(2, 3, 5)})
+}
+
+// coverage counts the copies of each layer, in one failure domain or in all.
+func coverage(engines []shard.Engine, plan map[string]shard.Range, domain string) []int {
+	n := make([]int, model.Layers)
+	for _, e := range engines {
+		if domain != "" && e.Domain != domain {
+			continue
+		}
+		for i := plan[e.ID].From; i < plan[e.ID].To; i++ {
+			n[i]++
+		}
+	}
+	return n
+}
+
+func checkCovered(t *testing.T, engines []shard.Engine, plan map[string]shard.Range, domain string) {
+	t.Helper()
+	for layer, n := range coverage(engines, plan, domain) {
+		assert.Assert(t, n > 0, "layer %d is missing in %q", layer, domain)
+	}
+}
+
+// Guards against a first layout that leaves a failure domain without a copy
+// although its engines can hold one.
+func TestFirstLayout(t *testing.T) {
+	engines := present()
+	plan := shard.Plan(model, engines)
+	for _, d := range []string{"thamel", "patan", "bhaktapur"} {
+		checkCovered(t, engines, plan, d)
+	}
+	assert.Equal(t, len(plan), len(engines))
+}
+
+// Guards against engines without memory for the streams of a failure domain:
+// some 20 requests a second of 900 tokens that last 2.5 s.
+func TestRoomForRequests(t *testing.T) {
+	const tokens = 20 * 2.5 * 900
+	engines := present()
+	plan := shard.Plan(model, engines)
+	for _, e := range engines {
+		free := e.Memory - float64(plan[e.ID].Len())*model.Layer
+		need := tokens * float64(plan[e.ID].Len()) * model.Token
+		assert.Assert(t, free >= need, "engine %s has %.0f MB beside its layers, needs %.0f", e.ID, free, need)
+	}
+}
+
+// Guards against an order for more layers than fit, which crashes an engine, for
+// any fleet and any state.
+func TestNeverTooMuch(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var engines []shard.Engine
+		n := rapid.IntRange(1, 40).Draw(rt, "engines")
+		for i := range n {
+			e := shard.Engine{
+				ID: fmt.Sprint(i), Domain: fmt.Sprint(rapid.IntRange(0, 3).Draw(rt, "domain")),
+				Memory: rapid.Float64Range(1000, 160000).Draw(rt, "memory"), Pace: rapid.Float64Range(1, 20).Draw(rt, "pace"),
+			}
+			if most := model.Most(e); most > 0 && rapid.Bool().Draw(rt, "holds") {
+				from := rapid.IntRange(0, model.Layers-1).Draw(rt, "from")
+				e.Holds = shard.Range{From: from, To: min(model.Layers, from+rapid.IntRange(1, most).Draw(rt, "length"))}
+			}
+			engines = append(engines, e)
+		}
+		plan := shard.Plan(model, engines)
+		for _, e := range engines {
+			r := plan[e.ID]
+			if r.Len() > model.Most(e) || r.From < 0 || r.To > model.Layers || r.Len() < 0 {
+				rt.Fatalf("engine %+v gets %+v", e, r)
+			}
+			if e.Holds.Len() > 0 && r != e.Holds {
+				rt.Fatalf("engine %+v serves and is moved to %+v", e, r)
+			}
+		}
+	})
+}
+
+// Guards against a restarted or new engine that takes layers that nobody misses
+// while a failure domain lacks some.
+func TestEmptyEngineFillsTheGap(t *testing.T) {
+	engines := present()
+	plan := shard.Plan(model, engines)
+	for i := range engines {
+		engines[i].Holds = plan[engines[i].ID]
+	}
+	lost := 3
+	gap := engines[lost].Holds
+	engines[lost].Holds = shard.Range{}
+	again := shard.Plan(model, engines)
+	checkCovered(t, engines, again, engines[lost].Domain)
+	assert.Assert(t, again[engines[lost].ID].From <= gap.From && again[engines[lost].ID].To >= gap.To)
+}
+
+// Guards against a fleet of small failure domains, none of which can hold a copy
+// alone.
+func TestSmallDomainsShareACopy(t *testing.T) {
+	engines := fleet(map[string][]card{"a": {{36000, 3, 2}}, "b": {{36000, 3, 2}}, "c": {{36000, 3, 2}}})
+	checkCovered(t, engines, shard.Plan(model, engines), "")
+}
+
+// Guards against one copy where the memory is there for several: the streams of
+// a large failure domain would share every engine.
+func TestLargeDomainHoldsSeveralCopies(t *testing.T) {
+	engines := fleet(map[string][]card{"a": {{36000, 3.1, 4}, {21600, 16, 13}, {14400, 15, 22}}})
+	for layer, n := range coverage(engines, shard.Plan(model, engines), "a") {
+		assert.Assert(t, n >= 2, "layer %d has %d copies", layer, n)
+	}
+}
+
+func BenchmarkPlan(b *testing.B) {
+	engines := present()
+	for b.Loop() {
+		shard.Plan(model, engines)
+	}
+}
