shard, relay: close gaps of a failure domain, and leave engines that drain

Change: spare engines and neighbours close a gap, after 2.5 s all engines of the domain shift; a stream changes its path when an engine of it drains, and is resumed elsewhere when that is its first engine.

--- a/edge/placer.go
+++ b/edge/placer.go
@@ -24,6 +24,9 @@
 	// given again; an order may be carried out seconds late.
 	loadSlack    = 3 * time.Second
 	minOrderWait = 2 * time.Second // until an order that takes no load is given again
+	// shiftAfter is how long a failure domain lacks layers until all its engines
+	// move: an engine that crashed is back within some seconds.
+	shiftAfter = 2500 * time.Millisecond
 	// settleTime without a new engine begins the first layout. Engines write
 	// their first entries within one heartbeat.
 	settleTime = 1500 * time.Millisecond
@@ -45,6 +48,7 @@
 	orders  map[string]accepted // by server, the orders that it has accepted; used by Run only
 	done    chan ordered
 	held    bool
+	short   time.Time     // since when a failure domain lacks layers; zero when none does
 	seen    int           // engines at the last look, before any holds layers
 	since   time.Duration // clock.Now since when there are as many
 }
@@ -160,7 +164,15 @@
 		return
 	}
 	loading := 0
-	for id, want := range shard.Plan(model, engines) {
+	plan, short := shard.Plan(model, engines, !p.short.IsZero() && time.Since(p.short) > shiftAfter)
+	switch {
+	case !short:
+		p.short = time.Time{}
+	case p.short.IsZero():
+		p.short = time.Now()
+		p.log.Warn().Int("engines", len(engines)).Msg("a failure domain lacks layers")
+	}
+	for id, want := range plan {
 		entry := byID[id].Entry()
 		if entry.From == want.From && entry.To == want.To {
 			continue
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -283,6 +283,9 @@
 	repaths int
 	checks  int
 
+	evacuating  atomic.Bool
+	evacuations int // used by the copying goroutine
+
 	usual time.Duration // smoothed pause between events; used by the copying goroutine
 	last  time.Time
 }
@@ -311,6 +314,10 @@
 		return
 	}
 	w.track.moved()
+	if leaving := w.track.leaving(); len(leaving) > 0 && w.evacuations < maxRepaths && w.evacuating.CompareAndSwap(false, true) {
+		w.evacuations++
+		go w.evacuate(leaving)
+	}
 	now := time.Now()
 	if !w.last.IsZero() {
 		w.usual += (now.Sub(w.last) - w.usual) / 4
@@ -323,6 +330,30 @@
 	w.timer.Reset(min(max(time.Duration(gapFactor*float64(w.usual)), least), mostGap))
 }
 
+// evacuate takes a stream off engines that leave. They serve on for a while, but
+// a long stream would lose them in the middle.
+func (w *stallWatch) evacuate(leaving map[string]bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	defer w.evacuating.Store(false)
+	if w.stopped || w.ctx.Err() != nil {
+		return
+	}
+	first := w.track.path()[0].Address
+	if !leaving[first] {
+		w.move(leaving, false)
+		return
+	}
+	if w.journey.relay.cfg.Servers.At(first) == nil {
+		return // its end is near; the connection tells
+	}
+	if w.reserve() {
+		w.relay.cfg.Log.Info().Str("id", w.rq.ID).Str("address", first).Msg("first engine leaves; resuming the stream elsewhere")
+		w.without[first] = true
+		w.cancel()
+	}
+}
+
 func (w *stallWatch) stop() {
 	if w.timer == nil {
 		return
@@ -368,18 +399,21 @@
 		w.cancel()
 		return
 	}
-	w.move(dead)
+	w.move(dead, true)
 }
 
 // move takes the stream off dead engines: over others of the same failure domain,
 // else by a new run elsewhere that resumes the stream, else by a detour over the
 // pipe.
-func (w *stallWatch) move(dead map[string]bool) {
+//
+// With stalled false the engines only leave: the stream goes on, so that a detour
+// that does not exist costs nothing and no new run is begun.
+func (w *stallWatch) move(dead map[string]bool, stalled bool) {
 	r := w.relay
 	for w.repaths < maxRepaths {
 		w.repaths++
 		t, ok := r.detour(w.rq, w.track, dead, true)
-		if !ok && w.reserve() {
+		if !ok && stalled && w.reserve() {
 			r.cfg.Log.Info().Str("id", w.rq.ID).Strs("dead", names(dead)).Msg("no engine nearby takes over; resuming the stream elsewhere")
 			w.cancel()
 			return
@@ -404,6 +438,9 @@
 		}
 		dead[missing.Address] = true
 	}
+	if !stalled {
+		return
+	}
 	if w.reserve() {
 		w.cancel()
 		return
@@ -440,6 +477,22 @@
 	}
 }
 
+// leaving returns the addresses of engines of the path that leave.
+func (t *track) leaving() map[string]bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out map[string]bool
+	for _, s := range t.servers {
+		if s.Leaving() {
+			if out == nil {
+				out = map[string]bool{}
+			}
+			out[s.Address()] = true
+		}
+	}
+	return out
+}
+
 // silent returns the hops whose engines have shown no sign of life for a time.
 func (t *track) silent(longer time.Duration) []Hop {
 	t.mu.Lock()
--- a/server/server.go
+++ b/server/server.go
@@ -48,6 +48,7 @@
 	claimed  atomic.Int64 // layer tokens of KV cache of this process's streams
 	suspect  atomic.Int64 // now() until which the server is avoided
 	moved    atomic.Int64 // now() of the last sign of life
+	leaving  atomic.Bool  // drains, or has left the registry
 
 	mu       sync.Mutex
 	seconds  float64 // smoothed time to an answer
@@ -90,6 +91,9 @@
 	}
 }
 
+// Leaving tells whether the server drains or has left the registry.
+func (s *Server) Leaving() bool { return s.leaving.Load() }
+
 // Moved records a sign of life: an event passed through the server.
 func (s *Server) Moved() { s.moved.Store(int64(now())) }
 
--- a/server/table.go
+++ b/server/table.go
@@ -143,6 +143,7 @@
 	if s == nil {
 		return
 	}
+	s.leaving.Store(true)
 	t.cfg.Log.Info().Str("server", id).Str("address", s.entry.Address).Str("reason", reason).Msg("backend server left")
 	t.gone(s.entry.Address)
 }
@@ -172,6 +173,7 @@
 			t.cfg.Log.Info().Str("server", e.ID).Bool("draining", e.Draining).Int("from", e.From).Int("to", e.To).Msg("backend server changed")
 		}
 	}
+	s.leaving.Store(e.Draining)
 	t.servers[e.ID] = s
 }
 
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -4,8 +4,9 @@
 // their context beside the weights: each failure domain holds whole copies of
 // the model, so that no token has to cross a pipe; within a copy the faster
 // cards hold more layers, up to a bound that leaves memory for requests. Once
-// engines hold layers, a plan only gives layers to empty engines, where they are
-// missed most, since a load takes seconds in which the engine serves nobody.
+// engines hold layers, a plan changes little, since a load takes seconds: empty
+// engines take the layers that are missed most, and a gap that remains is closed
+// by spare engines and by the neighbours of the gap.
 package shard
 
 import (
@@ -54,11 +55,13 @@
 func (m Model) Most(e Engine) int { return m.fits(e, 0) }
 
 // Plan returns the range that each engine should hold. Engines that are to stay
-// as they are have the range that they hold.
-func Plan(m Model, engines []Engine) map[string]Range {
-	plan := make(map[string]Range, len(engines))
+// as they are have the range that they hold. With shift set, a gap that nothing
+// else closes moves the ranges of all engines of its failure domain; short
+// should tell whether there is one.
+func Plan(m Model, engines []Engine, shift bool) (plan map[string]Range, short bool) {
+	plan = make(map[string]Range, len(engines))
 	if m.Layers <= 0 {
-		return plan
+		return plan, false
 	}
 	sorted := append([]Engine(nil), engines...)
 	sort.Slice(sorted, func(i, j int) bool { return sorted[i].ID < sorted[j].ID })
@@ -75,7 +78,15 @@
 		}
 	}
 	fill(m, sorted, plan)
-	return plan
+	for _, group := range groups(m, sorted) {
+		if repair(m, group, plan) {
+			continue
+		}
+		if short = true; shift {
+			shiftAll(m, group, plan)
+		}
+	}
+	return plan, short
 }
 
 // groups returns sets of engines that can hold a copy of the model each: the
@@ -189,6 +200,141 @@
 	return low
 }
 
+// repairTokens is the context, in tokens on every layer, that an engine keeps
+// beside the layers that it takes over for others: some 25 streams. A domain with
+// a gap serves nobody without the pipe, which carries fewer.
+const repairTokens = 22_000
+
+// repair closes gaps of a failure domain that no empty engine fills, as when
+// engines leave or crash: engines whose layers all have another copy move there,
+// then the neighbours of a gap take more layers. It reports whether no gap is
+// left.
+func repair(m Model, group []Engine, plan map[string]Range) bool {
+	for range len(group) + m.Layers {
+		gap := firstGap(m, group, plan)
+		if gap.Len() == 0 {
+			return true
+		}
+		if !moveSpare(m, group, plan, gap) && !extend(m, group, plan, gap) {
+			return false
+		}
+	}
+	return false
+}
+
+// shiftAll spreads one copy over the engines of a group in the order of what they
+// hold, so that each gives up and loads little.
+func shiftAll(m Model, group []Engine, plan map[string]Range) {
+	ordered := append([]Engine(nil), group...)
+	sort.SliceStable(ordered, func(i, j int) bool { return plan[ordered[i].ID].From < plan[ordered[j].ID].From })
+	if capacity(m, ordered, 0) < m.Layers {
+		return
+	}
+	layoutCopy(m, ordered, plan)
+}
+
+// copies counts the engines of a group that hold each layer.
+func copies(m Model, group []Engine, plan map[string]Range) []int {
+	n := make([]int, m.Layers)
+	for _, e := range group {
+		for i := plan[e.ID].From; i < plan[e.ID].To; i++ {
+			n[i]++
+		}
+	}
+	return n
+}
+
+// firstGap returns the first range of layers that no engine of a group holds.
+func firstGap(m Model, group []Engine, plan map[string]Range) Range {
+	n := copies(m, group, plan)
+	for from := range n {
+		if n[from] > 0 {
+			continue
+		}
+		to := from
+		for to < m.Layers && n[to] == 0 {
+			to++
+		}
+		return Range{From: from, To: to}
+	}
+	return Range{}
+}
+
+func inDomain(group []Engine, domain string) []Engine {
+	var out []Engine
+	for _, e := range group {
+		if e.Domain == domain {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// moveSpare moves an engine to a gap when each of its layers has another copy in
+// its failure domain.
+func moveSpare(m Model, group []Engine, plan map[string]Range, gap Range) bool {
+	domains := map[string][]int{}
+	for _, e := range group {
+		if domains[e.Domain] == nil {
+			domains[e.Domain] = copies(m, inDomain(group, e.Domain), plan)
+		}
+	}
+	best, most := "", 0
+	var to Range
+	for _, e := range group {
+		r, ok := plan[e.ID]
+		if !ok || r.Len() == 0 || !spare(domains[e.Domain], r) {
+			continue
+		}
+		take := min(gap.Len(), m.fits(e, minTokens))
+		if take > most {
+			best, most, to = e.ID, take, Range{From: gap.From, To: gap.From + take}
+		}
+	}
+	if best == "" {
+		return false
+	}
+	plan[best] = to
+	return true
+}
+
+func spare(n []int, r Range) bool {
+	for i := r.From; i < r.To; i++ {
+		if n[i] < 2 {
+			return false
+		}
+	}
+	return true
+}
+
+// extend gives a layer at the edge of a gap to the neighbour with the most memory
+// to spare.
+func extend(m Model, group []Engine, plan map[string]Range, gap Range) bool {
+	best, room := "", 0.0
+	var to Range
+	for _, e := range group {
+		r, ok := plan[e.ID]
+		switch {
+		case !ok || r.Len() >= m.fits(e, repairTokens):
+			continue
+		case r.To == gap.From:
+			r.To++
+		case r.From == gap.To:
+			r.From--
+		default:
+			continue
+		}
+		if x := e.Memory / float64(r.Len()); x > room {
+			best, room, to = e.ID, x, r
+		}
+	}
+	if best == "" {
+		return false
+	}
+	plan[best] = to
+	return true
+}
+
 // Weights of a missing layer for the choice of what an empty engine takes.
 const (
 	missingEverywhere = 1e4 // no stream can be served
