--- a/relay/stream.go
+++ b/relay/stream.go
@@ -46,6 +46,13 @@
 	// registry drops a dead engine after three heartbeats; a live one whose
 	// answer was lost is missed for less.
 	deadAvoidance = 2 * time.Second
+	// maxRefusals bounds the refused attempts of a started stream that do not
+	// count against the route's bound.
+	maxRefusals = 2
+	// evacuateAfter is how long a stream stays on an engine that leaves. Engines
+	// serve on for two seconds and more; most streams end within that time, and
+	// each change of path is a pause.
+	evacuateAfter = 1800 * time.Millisecond
 	// maxRepaths bounds the changes of path of one stream.
 	maxRepaths = 6
 )
@@ -59,7 +66,9 @@
 	started bool   // the caller has the header
 	last    string // identifier of the last event that the caller has
 	sent    int    // attempts that a server took
-	pace    pace
+	// refusals counts refused attempts to go on with a started stream.
+	refusals int
+	pace     pace
 	// reserved tells that a repeat was taken from the budget before the running
 	// attempt was given up.
 	reserved atomic.Bool
@@ -203,6 +212,12 @@
 	if r.cfg.Servers.At(t.first.Address()) == nil {
 		j.sent-- // a server that has ended does not count
 	}
+	if j.started && fault.Of(err) == fault.NotRun && j.refusals < maxRefusals {
+		// The caller has a part of the answer: a server that did not run the
+		// rest must not end it.
+		j.refusals++
+		j.sent--
+	}
 	if fault.Of(err) != fault.NotRun && !j.rq.Route.Repeatable() {
 		return false
 	}
@@ -284,7 +299,8 @@
 	checks  int
 
 	evacuating  atomic.Bool
-	evacuations int // used by the copying goroutine
+	evacuations int       // used by the copying goroutine
+	leftAt      time.Time // when the stream gives up engines that leave; used by the copying goroutine
 
 	usual time.Duration // smoothed pause between events; used by the copying goroutine
 	last  time.Time
@@ -314,11 +330,16 @@
 		return
 	}
 	w.track.moved()
-	if leaving := w.track.leaving(); len(leaving) > 0 && w.evacuations < maxRepaths && w.evacuating.CompareAndSwap(false, true) {
+	now := time.Now()
+	switch leaving := w.track.leaving(); {
+	case len(leaving) == 0:
+		w.leftAt = time.Time{}
+	case w.leftAt.IsZero():
+		w.leftAt = now.Add(evacuateAfter)
+	case now.After(w.leftAt) && w.evacuations < maxRepaths && w.evacuating.CompareAndSwap(false, true):
 		w.evacuations++
 		go w.evacuate(leaving)
 	}
-	now := time.Now()
 	if !w.last.IsZero() {
 		w.usual += (now.Sub(w.last) - w.usual) / 4
 	}
--- a/relay/stream_test.go
+++ b/relay/stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -13,6 +14,7 @@
 	"github.com/cranberrybay/cranberrybay/config"
 	"github.com/cranberrybay/cranberrybay/fault"
 	"github.com/cranberrybay/cranberrybay/relay"
+	"github.com/cranberrybay/cranberrybay/server"
 )
 
 // checkTiles fails unless the hops run layers 0 to 8 once and in order.
@@ -204,3 +206,70 @@
 	checkServed(t, w.serve(t.Context(), request(config.Stream, 2)), events(1, 1))
 	assert.Assert(t, w.sends[0].Path[0] != w.sends[1].Path[0])
 }
+
+// Guards against a started stream that ends because one server refused to go on
+// with it (LOST on a day with three releases at once).
+func TestStartedStreamOutlivesARefusal(t *testing.T) {
+	w := newWorld(t, engine("a", "near", 0, 8), engine("b", "near", 0, 8), engine("c", "near", 0, 8))
+	w.send = func(_ context.Context, n int, _ *relay.Request, a relay.Attempt) (*relay.Answer, error) {
+		switch n {
+		case 1:
+			ans := answer(http.StatusOK, "")
+			ans.Body = &torn{strings.NewReader(events(1, 2))}
+			return ans, nil
+		case 2:
+			ans := refusedAnswer()
+			ans.Culprit = a.Path[0].Address
+			return ans, nil
+		default:
+			return answer(http.StatusOK, events(3, 4)), nil
+		}
+	}
+	checkServed(t, w.serve(t.Context(), request(config.Stream, 2)), events(1, 4))
+	assert.Equal(t, w.count(), 3)
+}
+
+// Guards against a stream that loses an engine which drains, and against a pause
+// for each stream that would have ended before that.
+func TestLongStreamLeavesADrainingEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, c := engine("b", "near", 4, 8), engine("c", "near", 4, 8)
+		w := newWorld(t, engine("a", "near", 0, 4), b, c)
+		begun := time.Now()
+		var moved time.Duration
+		w.send = func(ctx context.Context, _ int, _ *relay.Request, a relay.Attempt) (*relay.Answer, error) {
+			for _, e := range []server.Entry{b, c} {
+				if e.Address == a.Path[1].Address {
+					e.Draining = true
+					w.table.Apply([]server.Change{{ID: e.ID, Entry: e}}, false, 0)
+				}
+			}
+			ans := answer(http.StatusOK, "")
+			ans.Body = &paced{ctx: ctx, left: 200}
+			return ans, nil
+		}
+		w.repathed = func(path []relay.Hop) error { moved = time.Since(begun); checkTiles(t, path); return nil }
+		checkServed(t, w.serve(t.Context(), request(config.Stream, 2)), events(1, 200))
+		assert.Equal(t, w.repaths, 1)
+		assert.Assert(t, moved > time.Second && moved < 2*time.Second, "%v", moved)
+	})
+}
+
+// paced gives an event every 20 ms.
+type paced struct {
+	ctx  context.Context
+	sent int
+	left int
+}
+
+func (p *paced) Read(b []byte) (int, error) {
+	if p.left == 0 {
+		return 0, io.EOF
+	}
+	time.Sleep(20 * time.Millisecond)
+	p.left--
+	p.sent++
+	return copy(b, events(p.sent, p.sent)), nil
+}
+
+func (p *paced) Close() error { return nil }
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -12,6 +12,7 @@
 import (
 	"errors"
 	"math"
+	"slices"
 	"sort"
 )
 
@@ -28,6 +29,10 @@
 	Memory float64 // MB
 	Pace   float64 // factor on the time of a step
 	Holds  Range   // held, being loaded or ordered
+	// Fresh tells that the engine joined a short while ago. It takes missing
+	// layers at once, but waits before it becomes a spare copy: in a release, the
+	// engine that it replaces leaves within seconds.
+	Fresh bool
 }
 
 // Model gives the sizes of a model.
@@ -351,6 +356,9 @@
 	}
 	sort.SliceStable(empty, func(i, j int) bool { return empty[i].Memory/empty[i].Pace > empty[j].Memory/empty[j].Pace })
 	for _, e := range empty {
+		if e.Fresh && firstGap(m, inDomain(engines, e.Domain), plan).Len() == 0 {
+			continue
+		}
 		if r := place(m, e, engines, plan); r.Len() > 0 {
 			plan[e.ID] = r
 		}
@@ -363,6 +371,14 @@
 	for i := range value {
 		value[i] = need(i, e, engines, plan, m)
 	}
+	if slices.Max(value) >= missingHere {
+		// Layers that have a copy would only take memory from the missing ones.
+		for i := range value {
+			if value[i] < missingHere {
+				value[i] = 0
+			}
+		}
+	}
 	limit := max(m.fits(e, minTokens), min(1, m.Most(e)))
 	best, most := Range{}, 0.0
 	for n := 1; n <= limit; n++ {
--- a/shard/shard_test.go
+++ b/shard/shard_test.go
@@ -196,6 +196,22 @@
 	assert.Assert(t, again["fresh"] != fresh.Holds || fresh.Holds.From <= old.Holds.From && fresh.Holds.To >= old.Holds.To)
 }
 
+// Guards against a load that is given up at once: an engine that comes before the
+// one that it replaces leaves should wait for the gap.
+func TestFreshEngineWaitsForAGap(t *testing.T) {
+	engines := present()
+	now := plan(engines)
+	for i := range engines {
+		engines[i].Holds = now[engines[i].ID]
+	}
+	engines = append(engines, shard.Engine{ID: "fresh", Domain: engines[4].Domain, Memory: 21600, Pace: 16, Fresh: true})
+	assert.Equal(t, plan(engines)["fresh"].Len(), 0)
+	old := engines[4].Holds
+	engines = append(engines[:4:4], engines[5:]...)
+	got := plan(engines)["fresh"]
+	assert.Assert(t, got.From >= old.From && got.To <= old.To && got.Len() > 0, "%v for %v", got, old)
+}
+
 func BenchmarkPlan(b *testing.B) {
 	engines := present()
 	for b.Loop() {
