--- /dev/null
+++ b/edge/settings_test.go
@@ -0,0 +1,72 @@
+package edge
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const settings = `name = "front-1"
+domain = "thamel"
+region = "bagmati"
+address = "10.1.0.40"
+[listen]
+callers = "10.1.0.40:8227"
+ready = "10.1.0.40:8220"
+directory = "10.1.0.40:8224"
+beats = "10.1.0.40:7340"
+[store]
+address = "10.200.1.7:8223"
+[bounds]
+grace = 8
+revoke = 5000
+ttl = 5
+ratio = 0.2
+slack = 200
+window = 10
+`
+
+func checkSettings(t *testing.T, text, problem string) {
+	t.Helper()
+	_, err := ParseSettings([]byte(text))
+	if problem == "" {
+		assert.NilError(t, err)
+		return
+	}
+	assert.ErrorContains(t, err, problem)
+}
+
+// Guards against a process that starts with settings that it can't work with.
+func TestSettings(t *testing.T) {
+	checkSettings(t, settings, "")
+	checkSettings(t, strings.Replace(settings, `name = "front-1"`, "", 1), "name is empty")
+	checkSettings(t, strings.Replace(settings, `"10.200.1.7:8223"`, `"store"`, 1), "store.address")
+	checkSettings(t, strings.Replace(settings, "grace = 8", "grace = 0", 1), "bounds.grace")
+	checkSettings(t, settings+"[other]\nkey = 1\n", "unknown keys")
+	checkSettings(t, "name = ", "expected")
+}
+
+// Guards against a template with keys that the settings do not have.
+func TestTemplateKeys(t *testing.T) {
+	raw, err := os.ReadFile("../deploy/settings.toml")
+	assert.NilError(t, err)
+	text := ""
+	for line := range strings.Lines(string(raw)) {
+		key, value, ok := strings.Cut(line, " = ")
+		switch {
+		case !ok:
+			text += line
+		case strings.Contains(value, "{{ip}}:"):
+			text += key + " = \"10.0.0.1:1\"\n"
+		case strings.Contains(value, "listen.") || strings.Contains(value, "platform.address"):
+			text += key + " = \"10.0.0.1:1\"\n"
+		case strings.Contains(value, "bounds.") || strings.Contains(value, "limits.") || strings.Contains(value, "rowBytes"):
+			text += key + " = 1\n"
+		default:
+			text += key + " = \"x\"\n"
+		}
+	}
+	checkSettings(t, text, "")
+}
