watch, beat, edge: one process of a failure domain polls the platform for the others

The process with the most processor time of each failure domain polls; it tells the others in heartbeats up to which moment of the store's clock they know all changes, and sends the changes themselves. A process polls for itself when nothing newer than 1.8 s is told or a change is missing.

--- a/beat/beat.go
+++ b/beat/beat.go
@@ -17,6 +17,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/cranberrybay/cranberrybay/clock"
+	"github.com/cranberrybay/cranberrybay/watch"
 	"github.com/cranberrybay/cranberrybay/wire"
 )
 
@@ -34,6 +35,23 @@
 	Leaving bool
 	Holder  bool // holds the lease for placing layers
 	Version uint64
+	Seen    []Seen // what this process's own polls of the platform showed
+}
+
+// Seen says that a process knows all changes of a table up to a moment of the
+// platform's clock.
+type Seen struct {
+	Table   string
+	Changed uint64 // revision of the table's last change
+	Clock   time.Duration
+}
+
+// Page holds the changes of a table.
+type Page struct {
+	Seen
+	After    uint64 // revision of the table's last change before them
+	Revision uint64 // of the platform when the page was made
+	Rows     []watch.Row
 }
 
 // Work is what a process has in flight at a backend server.
@@ -50,12 +68,21 @@
 	State       func() State
 	Work        func() []Work
 	Send        func(address string, b []byte) error
+	Weight      int        // thousandths of a core
+	Heard       func(Seen) // takes what readers know; may be nil
+	Offer       func(Page) // takes changes that readers polled; may be nil
 	Log         zerolog.Logger
 }
 
 const (
 	// interval between two heartbeats while there are few processes.
 	interval = 400 * time.Millisecond
+	// readerInterval is that of processes that poll the platform for the others:
+	// the age of the configuration at the others grows with it.
+	readerInterval = 500 * time.Millisecond
+	// maxPage bounds the changes that are relayed, in bytes; the others read
+	// larger ones themselves.
+	maxPage = 32 << 10
 	// fewPeers is the number of peers up to which every heartbeat goes to each;
 	// with more, the interval grows so that the rate of datagrams stays.
 	fewPeers = 16
@@ -92,6 +119,8 @@
 	ready       bool
 	leaving     bool
 	holder      bool
+	reader      bool
+	weight      uint32
 	version     uint64
 	silent      bool
 	work        []*wire.Inflight
@@ -141,11 +170,18 @@
 }
 
 func (r *Ring) interval() time.Duration {
+	if r.isReader() {
+		return min(readerInterval, interval*time.Duration(max(fewPeers, len(r.peers)))/fewPeers)
+	}
+	return r.slowInterval()
+}
+
+func (r *Ring) slowInterval() time.Duration {
 	return interval * time.Duration(max(fewPeers, len(r.peers))) / fewPeers
 }
 
 func (r *Ring) deadline() time.Duration {
-	return time.Duration(missed * float64(r.interval()))
+	return time.Duration(missed * float64(r.slowInterval()))
 }
 
 // Run sends heartbeats until the context ends.
@@ -162,10 +198,34 @@
 
 // Beat sends one heartbeat to each peer and notes those that fell silent.
 func (r *Ring) Beat() {
+	raw, targets := r.compose(nil)
+	r.send(raw, targets)
+}
+
+// Share sends changes that this process polled to all peers at once.
+func (r *Ring) Share(p Page) {
+	x := &wire.Page{Table: p.Table, After: p.After, Changed: p.Changed, Revision: p.Revision, Clock: p.Clock.Milliseconds()}
+	size := 0
+	for _, row := range p.Rows {
+		x.Rows = append(x.Rows, &wire.Row{Key: row.Key, Value: row.Value, Revision: row.Revision, Deleted: row.Deleted})
+		size += len(row.Key) + len(row.Value)
+	}
+	if size > maxPage {
+		x = nil // the peers hear of the new revision and read it
+	}
+	raw, targets := r.compose(x)
+	r.send(raw, targets)
+}
+
+// compose encodes a heartbeat, with a page if there is one.
+func (r *Ring) compose(page *wire.Page) (raw []byte, targets []string) {
 	s := r.cfg.State()
 	b := &wire.Beat{
 		Name: r.cfg.Self.Name, Incarnation: r.cfg.Incarnation, Domain: r.cfg.Self.Domain, Callers: r.cfg.Self.Callers,
-		Ready: s.Ready, Leaving: s.Leaving, Holder: s.Holder, Version: s.Version, Address: r.cfg.Self.Address,
+		Ready: s.Ready, Leaving: s.Leaving, Holder: s.Holder, Version: s.Version, Address: r.cfg.Self.Address, Weight: uint32(r.cfg.Weight),
+	}
+	if page != nil {
+		b.Pages = append(b.Pages, page)
 	}
 	for _, w := range r.cfg.Work() {
 		b.Work = append(b.Work, &wire.Inflight{Server: xxhash.Sum64String(w.Server), Streams: uint32(w.Streams), Tokens: uint64(w.Tokens)})
@@ -173,7 +233,11 @@
 	r.mu.Lock()
 	r.sequence++
 	b.Sequence = r.sequence
-	var targets []string
+	if b.Reader = r.isReader(); b.Reader {
+		for _, x := range s.Seen {
+			b.Seen = append(b.Seen, &wire.Seen{Table: x.Table, Changed: x.Changed, Clock: x.Clock.Milliseconds()})
+		}
+	}
 	for _, m := range r.peers {
 		targets = append(targets, m.peer.Address)
 	}
@@ -182,8 +246,12 @@
 	raw, err := proto.Marshal(b)
 	if err != nil {
 		r.cfg.Log.Error().Err(err).Msg("encode heartbeat")
-		return
+		return nil, nil
 	}
+	return raw, targets
+}
+
+func (r *Ring) send(raw []byte, targets []string) {
 	for _, address := range targets {
 		if err := r.cfg.Send(address, raw); err != nil {
 			r.cfg.Log.Debug().Err(err).Str("address", address).Msg("heartbeat not sent")
@@ -214,6 +282,32 @@
 		r.cfg.Log.Debug().Err(err).Int("bytes", len(raw)).Msg("datagram is no heartbeat")
 		return
 	}
+	if r.note(&b) {
+		r.relay(&b)
+	}
+}
+
+// relay hands on what a reader knows.
+func (r *Ring) relay(b *wire.Beat) {
+	for _, p := range b.Pages {
+		if r.cfg.Offer == nil {
+			break
+		}
+		page := Page{Seen: Seen{Table: p.Table, Changed: p.Changed, Clock: time.Duration(p.Clock) * time.Millisecond}, After: p.After, Revision: p.Revision}
+		for _, row := range p.Rows {
+			page.Rows = append(page.Rows, watch.Row{Key: row.Key, Value: row.Value, Revision: row.Revision, Deleted: row.Deleted})
+		}
+		r.cfg.Offer(page)
+	}
+	for _, x := range b.Seen {
+		if r.cfg.Heard != nil {
+			r.cfg.Heard(Seen{Table: x.Table, Changed: x.Changed, Clock: time.Duration(x.Clock) * time.Millisecond})
+		}
+	}
+}
+
+// note takes what a peer says of itself and reports whether it is news.
+func (r *Ring) note(b *wire.Beat) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	m := r.peers[b.Name]
@@ -224,14 +318,37 @@
 		r.cfg.Log.Info().Str("peer", b.Name).Str("address", b.Address).Msg("peer heard")
 	}
 	if m.incarnation == b.Incarnation && b.Sequence <= m.sequence {
-		return
+		return len(b.Pages) > 0 // datagrams overtake each other
 	}
 	if m.silent {
 		r.cfg.Log.Info().Str("peer", b.Name).Msg("peer is back")
 	}
 	m.incarnation, m.sequence, m.heard, m.silent = b.Incarnation, b.Sequence, clock.Now(), false
 	m.ready, m.leaving, m.holder, m.version, m.work = b.Ready, b.Leaving, b.Holder, b.Version, b.Work
+	m.reader, m.weight = b.Reader, b.Weight
 	r.sum()
+	return true
+}
+
+// Reader tells whether this process polls the platform for its failure domain:
+// the one with the most processor time does, so that the calls do not grow with
+// the number of processes.
+func (r *Ring) Reader() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.isReader()
+}
+
+func (r *Ring) isReader() bool {
+	for name, m := range r.peers {
+		if m.silent || !m.ready || m.leaving || m.heard == 0 || m.peer.Domain != r.cfg.Self.Domain {
+			continue
+		}
+		if m.weight > uint32(r.cfg.Weight) || (m.weight == uint32(r.cfg.Weight) && name < r.cfg.Self.Name) {
+			return false
+		}
+	}
+	return true
 }
 
 // sum adds up the work of all peers.
--- a/beat/beat_test.go
+++ b/beat/beat_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/cranberrybay/cranberrybay/beat"
 	"github.com/cranberrybay/cranberrybay/clock"
+	"github.com/cranberrybay/cranberrybay/watch"
 )
 
 // net connects rings without a network.
@@ -150,3 +151,54 @@
 		n.join("a", "d", beat.State{}).Receive(raw)
 	})
 }
+
+// Guards against a failure domain without a process that polls the platform, and
+// against polls of all.
+func TestOneReaderForADomain(t *testing.T) {
+	virtual(t, func(t *testing.T, n *net) {
+		for _, name := range []string{"a", "b", "c"} {
+			n.join(name, "d", beat.State{Ready: true})
+		}
+		n.join("x", "e", beat.State{Ready: true})
+		for _, r := range n.rings {
+			r.Listed(peers("a", "b", "c"))
+		}
+		readers := func() (names string) {
+			for _, name := range []string{"a", "b", "c", "x"} {
+				if !n.cut[name] && n.rings[name].Reader() {
+					names += name
+				}
+			}
+			return names
+		}
+		n.run(time.Second)
+		assert.Equal(t, readers(), "ax")
+		n.cut["a"] = true
+		n.run(3 * time.Second)
+		assert.Equal(t, readers(), "bx")
+	})
+}
+
+// Guards against changes that a reader polled and that do not reach the others.
+func TestShare(t *testing.T) {
+	virtual(t, func(t *testing.T, n *net) {
+		var got []beat.Page
+		a := n.join("a", "d", beat.State{Ready: true})
+		n.rings["b"] = beat.New(beat.Config{
+			Self: beat.Peer{Name: "b", Address: "b", Domain: "d"}, Log: zerolog.Nop(),
+			State: func() beat.State { return beat.State{Ready: true} }, Work: func() []beat.Work { return nil },
+			Send: func(string, []byte) error { return nil }, Offer: func(p beat.Page) { got = append(got, p) },
+		})
+		a.Listed(peers("a", "b"))
+		n.run(time.Second)
+		page := beat.Page{
+			Seen: beat.Seen{Table: "servers", Changed: 9, Clock: 3 * time.Second}, After: 5, Revision: 11,
+			Rows: []watch.Row{{Key: "i-1", Value: []byte("v"), Revision: 9}, {Key: "i-2", Revision: 8, Deleted: true}},
+		}
+		a.Share(page)
+		assert.DeepEqual(t, got, []beat.Page{page})
+		page.Rows[0].Value = make([]byte, 100<<10)
+		a.Share(page)
+		assert.Equal(t, len(got), 1) // too long for a datagram; the others read it
+	})
+}
--- a/edge/app.go
+++ b/edge/app.go
@@ -31,7 +31,7 @@
 	lapse = 2200 * time.Millisecond
 	// pollWait is the wait of one poll of the feed. It bounds the age of the
 	// configuration while nothing changes.
-	pollWait = 2 * time.Second
+	pollWait = time.Second
 	// pollSlack is added until a poll counts as lost. A slow store takes some
 	// 0.3 s; a silent connection shows only by this.
 	pollSlack = 700 * time.Millisecond
@@ -122,8 +122,20 @@
 			if c := h.Current(); c != nil {
 				b.Version = c.Version()
 			}
+			b.Seen = d.seen()
 			return b
 		},
+		Weight: int(thousand * s.Limits.Share * max(s.Limits.Cores, 1)),
+		Heard: func(x beat.Seen) {
+			if f := d.follower(x.Table); f != nil {
+				f.Hear(watch.Seen{Changed: x.Changed, Clock: x.Clock})
+			}
+		},
+		Offer: func(p beat.Page) {
+			if f := d.follower(p.Table); f != nil {
+				f.Offer(watch.Page{Rows: p.Rows, Revision: p.Revision, Clock: p.Clock}, p.After, p.Changed)
+			}
+		},
 		Work: func() []beat.Work {
 			var out []beat.Work
 			for _, x := range t.All() {
@@ -145,6 +157,9 @@
 	}), nil
 }
 
+// thousand makes a weight of a share of a core.
+const thousand = 1000
+
 func newRelay(s Settings, t *server.Table, b *platform.Backend, g *beat.Ring, u *budgets, c *counters, l *logs.Maker) *relay.Relay {
 	return relay.New(relay.Config{
 		Servers: t, Send: b.Send, Report: b.Report, Repath: b.Repath, Budget: u.of, Others: g.Others,
@@ -167,9 +182,16 @@
 }
 
 // follow keeps the configuration and the registry up to date.
-func follow(st *platform.Store, h *config.Holder, t *server.Table, l *logs.Maker, lc fx.Lifecycle) {
+func follow(st *platform.Store, h *config.Holder, t *server.Table, g *beat.Ring, d *deskState, l *logs.Maker, lc fx.Lifecycle) {
 	log := l.Part("watch")
+	relayed := func() bool { return !g.Reader() }
+	share := func(name string) func(p watch.Page, after, changed uint64) {
+		return func(p watch.Page, after, changed uint64) {
+			g.Share(beat.Page{Seen: beat.Seen{Table: name, Changed: changed, Clock: p.Clock}, After: after, Revision: p.Revision, Rows: p.Rows})
+		}
+	}
 	conf := watch.New(watch.Config{
+		Relayed: relayed, Share: share(platform.TableConfig),
 		Name: platform.TableConfig, Wait: pollWait, Slack: pollSlack, Log: log, Confirm: h.Confirm,
 		Read: func(ctx context.Context) (watch.Page, error) { return st.Read(ctx, platform.TableConfig) },
 		Poll: func(ctx context.Context, after uint64, wait time.Duration) (watch.Page, error) {
@@ -186,6 +208,7 @@
 		},
 	})
 	registry := watch.New(watch.Config{
+		Relayed: relayed, Share: share(platform.TableServers),
 		Name: platform.TableServers, Wait: pollWait, Slack: pollSlack, Settle: settle, Log: log, Confirm: func(time.Duration) {},
 		Read: func(ctx context.Context) (watch.Page, error) { return st.Read(ctx, platform.TableServers) },
 		Poll: func(ctx context.Context, after uint64, wait time.Duration) (watch.Page, error) {
@@ -193,6 +216,7 @@
 		},
 		Apply: func(p watch.Page, outage time.Duration) { t.Apply(platform.Servers(p.Rows, log), p.Whole, outage) },
 	})
+	d.followers.Store(&map[string]*watch.Follower{platform.TableConfig: conf, platform.TableServers: registry})
 	run(lc, conf.Run, registry.Run, every(expireEvery, func(context.Context) { t.Expire() }))
 }
 
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -8,6 +8,7 @@
 	stdlog "log"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -17,6 +18,7 @@
 	"github.com/cranberrybay/cranberrybay/config"
 	"github.com/cranberrybay/cranberrybay/logs"
 	"github.com/cranberrybay/cranberrybay/relay"
+	"github.com/cranberrybay/cranberrybay/watch"
 )
 
 // deskState is what the desk shares with the heartbeats, which are made first.
@@ -25,6 +27,31 @@
 	placer  *Placer
 	packets net.PacketConn
 	left    func(ctx context.Context) // takes this process off the platform's table
+
+	followers atomic.Pointer[map[string]*watch.Follower] // by table; set once
+}
+
+// follower returns the follower of a table, or nil.
+func (d *deskState) follower(name string) *watch.Follower {
+	if all := d.followers.Load(); all != nil {
+		return (*all)[name]
+	}
+	return nil
+}
+
+// seen returns what this process's polls of the platform showed.
+func (d *deskState) seen() []beat.Seen {
+	all := d.followers.Load()
+	if all == nil {
+		return nil
+	}
+	var out []beat.Seen
+	for name, f := range *all {
+		if s, ok := f.Seen(); ok {
+			out = append(out, beat.Seen{Table: name, Changed: s.Changed, Clock: s.Clock})
+		}
+	}
+	return out
 }
 
 func (d *deskState) ready() bool { return d.desk != nil && d.desk.ready() }
--- /dev/null
+++ b/watch/relay.go
@@ -0,0 +1,137 @@
+package watch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cranberrybay/cranberrybay/clock"
+)
+
+// Seen says that a process knows all changes of a table up to a moment of the
+// platform's clock.
+type Seen struct {
+	Changed uint64 // revision of the table's last change
+	Clock   time.Duration
+}
+
+const (
+	// relaySilence is the age of what others tell after which a process polls
+	// the platform itself. Readers poll each second and tell it twice a second;
+	// a change must be known within two seconds also when they are cut off.
+	relaySilence = 1800 * time.Millisecond
+	// pageWait is how long a process waits for the changes behind a revision
+	// that another one tells, before it asks the platform for them.
+	pageWait = 150 * time.Millisecond
+	// relayTick is the interval of looking at the age.
+	relayTick = 200 * time.Millisecond
+	// maxPages bounds the relayed pages that wait.
+	maxPages = 64
+)
+
+// relay is what other processes tell of the table.
+type relay struct {
+	wake chan struct{}
+
+	mu    sync.Mutex
+	own   Seen          // of this process's last poll
+	heard Seen          // the newest that others told
+	ahead time.Duration // clock.Now since when heard is ahead of this process; 0 when it is not
+	pages []sharedPage
+}
+
+type sharedPage struct {
+	page           Page
+	after, changed uint64
+}
+
+func (r *relay) polled(p Page, changed uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if p.Clock > 0 {
+		r.own = Seen{Changed: changed, Clock: p.Clock}
+	}
+}
+
+// Seen returns what this process's last poll showed; false before the first.
+func (f *Follower) Seen() (Seen, bool) {
+	f.relay.mu.Lock()
+	defer f.relay.mu.Unlock()
+	return f.relay.own, f.relay.own.Clock > 0
+}
+
+// Hear takes what another process knows.
+func (f *Follower) Hear(s Seen) {
+	f.relay.mu.Lock()
+	if s.Clock > f.relay.heard.Clock {
+		f.relay.heard = s
+	}
+	f.relay.mu.Unlock()
+	f.wake()
+}
+
+// Offer takes changes that another process polled.
+// After and changed are the table's last changes before and with them.
+func (f *Follower) Offer(p Page, after, changed uint64) {
+	f.relay.mu.Lock()
+	if len(f.relay.pages) < maxPages {
+		f.relay.pages = append(f.relay.pages, sharedPage{page: p, after: after, changed: changed})
+	}
+	f.relay.mu.Unlock()
+	f.Hear(Seen{Changed: changed, Clock: p.Clock})
+}
+
+func (f *Follower) wake() {
+	select {
+	case f.relay.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (f *Follower) relayed() bool { return f.cfg.Relayed != nil && f.cfg.Relayed() }
+
+// follow waits for what other processes tell and applies it. It returns false
+// when this process has to poll the platform itself.
+func (f *Follower) follow(ctx context.Context) bool {
+	if !f.relayed() || !f.skew.known {
+		return false
+	}
+	t := time.NewTimer(relayTick)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return true
+	case <-f.relay.wake:
+	case <-t.C:
+	}
+	f.relay.mu.Lock()
+	pages, heard := f.relay.pages, f.relay.heard
+	f.relay.pages = nil
+	f.relay.mu.Unlock()
+	for _, x := range pages {
+		// The rows hold the state at the page's revision, so that those known
+		// already change nothing.
+		if x.after <= f.changed && x.changed > f.changed {
+			f.revision, f.changed = max(f.revision, x.page.Revision), x.changed
+			f.cfg.Apply(x.page, 0)
+		}
+	}
+	now := clock.Now()
+	if heard.Changed > f.changed {
+		if f.relay.ahead == 0 {
+			f.relay.ahead = now
+		}
+		if now-f.relay.ahead > pageWait {
+			f.relay.ahead = 0
+			return false
+		}
+		return true
+	}
+	f.relay.ahead = 0
+	at := heard.Clock + f.skew.offset
+	if at > f.answered {
+		f.answered = at
+	}
+	f.cfg.Confirm(at)
+	return now-max(at, f.answered) < relaySilence
+}
--- /dev/null
+++ b/watch/relay_test.go
@@ -0,0 +1,133 @@
+package watch_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/cranberrybay/cranberrybay/clock"
+	"github.com/cranberrybay/cranberrybay/watch"
+)
+
+// relayed follows a table of which other processes tell.
+type relayed struct {
+	follower *watch.Follower
+	base     time.Time
+	changed  uint64 // last change of the platform's table
+	polls    int
+	applied  []string
+	fresh    time.Duration
+}
+
+// platformAhead is the difference of the platform's clock.
+const platformAhead = 100 * time.Second
+
+func (r *relayed) clock() time.Duration { return time.Since(r.base) + platformAhead }
+
+func follow(t *testing.T, f func(t *testing.T, r *relayed)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		r := &relayed{base: time.Now(), changed: 5}
+		defer clock.Replace(func() time.Duration { return time.Since(r.base) + time.Hour })()
+		row := func() watch.Row { return watch.Row{Key: "k", Value: []byte("polled"), Revision: r.changed} }
+		r.follower = watch.New(watch.Config{
+			Name: "op", Wait: time.Second, Slack: time.Second, Log: zerolog.Nop(),
+			Relayed: func() bool { return true },
+			Read: func(context.Context) (watch.Page, error) {
+				return watch.Page{Whole: true, Rows: []watch.Row{row()}, Revision: r.changed, Clock: r.clock()}, nil
+			},
+			Poll: func(_ context.Context, after uint64, _ time.Duration) (watch.Page, error) {
+				r.polls++
+				p := watch.Page{Revision: max(after, r.changed), Clock: r.clock()}
+				if after < r.changed {
+					p.Rows = []watch.Row{row()}
+				}
+				return p, nil
+			},
+			Apply: func(p watch.Page, _ time.Duration) {
+				for _, x := range p.Rows {
+					r.applied = append(r.applied, string(x.Value))
+				}
+			},
+			Confirm: func(at time.Duration) { r.fresh = at },
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { r.follower.Run(ctx); close(done) }()
+		synctest.Wait()
+		defer func() { cancel(); <-done }()
+		f(t, r)
+	})
+}
+
+// tell says for a time what a reader knows, as heartbeats do.
+func (r *relayed) tell(changed uint64, during time.Duration) {
+	for end := time.Now().Add(during); time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
+		r.follower.Hear(watch.Seen{Changed: changed, Clock: r.clock()})
+	}
+	synctest.Wait()
+}
+
+// Guards against a poll of each process while readers tell all that there is.
+func TestRelayedNeedsNoPolls(t *testing.T) {
+	follow(t, func(t *testing.T, r *relayed) {
+		r.tell(5, 10*time.Second)
+		assert.Equal(t, r.polls, 0)
+		age := clock.Now() - r.fresh
+		assert.Assert(t, age <= 700*time.Millisecond, "%v", age)
+	})
+}
+
+// Guards against a relayed change that is not put into effect.
+func TestRelayedChange(t *testing.T) {
+	follow(t, func(t *testing.T, r *relayed) {
+		r.changed = 9
+		r.follower.Offer(watch.Page{Rows: []watch.Row{{Key: "k", Value: []byte("relayed"), Revision: 9}}, Revision: 12, Clock: r.clock()}, 5, 9)
+		synctest.Wait()
+		assert.DeepEqual(t, r.applied, []string{"polled", "relayed"})
+		r.tell(9, 3*time.Second)
+		assert.Equal(t, r.polls, 0)
+	})
+}
+
+// Guards against a change whose datagram was lost.
+func TestLostChangeIsPolled(t *testing.T) {
+	follow(t, func(t *testing.T, r *relayed) {
+		r.changed = 9
+		r.tell(9, 1200*time.Millisecond)
+		assert.Equal(t, r.polls, 1)
+		assert.Equal(t, len(r.applied), 2)
+	})
+}
+
+// Guards against changes that do not follow on what is known.
+func TestChangeWithAGapIsPolled(t *testing.T) {
+	follow(t, func(t *testing.T, r *relayed) {
+		r.changed = 9
+		r.follower.Offer(watch.Page{Rows: []watch.Row{{Key: "k", Value: []byte("relayed"), Revision: 9}}, Revision: 9, Clock: r.clock()}, 7, 9)
+		time.Sleep(600 * time.Millisecond)
+		synctest.Wait()
+		assert.DeepEqual(t, r.applied, []string{"polled", "polled"})
+	})
+}
+
+// Guards against readers that are cut off from the platform: a change must be in
+// effect within two seconds here.
+func TestSilentReaders(t *testing.T) {
+	follow(t, func(t *testing.T, r *relayed) {
+		r.tell(5, time.Second)
+		cut := r.clock()
+		r.changed = 9
+		for range 4 { // heartbeats go on, the platform's clock in them stands still
+			time.Sleep(490 * time.Millisecond)
+			r.follower.Hear(watch.Seen{Changed: 5, Clock: cut})
+		}
+		time.Sleep(40 * time.Millisecond)
+		synctest.Wait()
+		assert.Equal(t, len(r.applied), 2, "the change is not known after 2 s")
+	})
+}
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -48,7 +48,14 @@
 	Apply func(p Page, outage time.Duration)
 	// Confirm is told that all changes up to a time of package clock are known.
 	Confirm func(at time.Duration)
-	Wait    time.Duration // of one poll
+	// Relayed tells whether other processes poll the platform for this one; nil
+	// for never.
+	Relayed func() bool
+	// Share is told the changes that this process polled, for the others; nil
+	// for nobody. After and changed are the table's last changes before and
+	// with them.
+	Share func(p Page, after, changed uint64)
+	Wait  time.Duration // of one poll
 	// Settle is the pause after changes, so that changes that come one by one
 	// share a poll.
 	Settle time.Duration
@@ -65,12 +72,15 @@
 // Follower follows one table.
 type Follower struct {
 	cfg      Config
-	revision uint64
+	revision uint64 // of the platform, from which the next poll goes on
+	changed  uint64 // of the newest row of this table; other tables move the platform's revision
 	known    bool
 	answered time.Duration // clock.Now of the last answer
 	lost     bool
 	failing  bool // the last call failed
 	skew     skew
+
+	relay relay
 }
 
 // skew relates the platform's clock to package clock. The least difference seen
@@ -92,13 +102,18 @@
 }
 
 // New returns a Follower.
-func New(cfg Config) *Follower { return &Follower{cfg: cfg} }
+func New(cfg Config) *Follower {
+	return &Follower{cfg: cfg, relay: relay{wake: make(chan struct{}, 1)}}
+}
 
 // Run follows the table until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	f.answered = clock.Now()
 	pause := firstPause
 	for ctx.Err() == nil {
+		if f.known && !f.failing && f.follow(ctx) {
+			continue
+		}
 		asked := clock.Now()
 		page, err := f.call(ctx)
 		if err == nil && !f.stale(page) {
@@ -140,8 +155,8 @@
 		return f.cfg.Read(ctx)
 	}
 	wait := f.cfg.Wait
-	if f.failing {
-		wait = 0 // the first answer after a failure should confirm at once
+	if f.failing || f.relayed() {
+		wait = 0 // the answer should confirm at once
 	}
 	return f.cfg.Poll(ctx, f.revision, wait)
 }
@@ -159,13 +174,30 @@
 		f.cfg.Log.Info().Str("table", f.cfg.Name).Dur("outage", outage).Msg("platform table regained")
 	}
 	f.lost, f.failing, f.answered = false, false, now
-	f.known, f.revision = true, p.Revision
+	after := f.changed
+	f.known, f.revision, f.changed = true, p.Revision, max(f.changed, lastChange(p))
+	f.relay.polled(p, f.changed)
+	if f.cfg.Share != nil && !p.Whole && f.changed > after && !f.relayed() {
+		f.cfg.Share(p, after, f.changed)
+	}
 	if p.Whole || len(p.Rows) > 0 || outage > 0 {
 		f.cfg.Apply(p, outage)
 	}
 	f.cfg.Confirm(asked)
 }
 
+// lastChange returns the revision of the newest row of a page.
+func lastChange(p Page) uint64 {
+	last := uint64(0)
+	for _, r := range p.Rows {
+		if r.Revision == 0 {
+			return p.Revision
+		}
+		last = max(last, r.Revision)
+	}
+	return last
+}
+
 func (f *Follower) failed(err error) {
 	f.failing = true
 	if f.lost || clock.Now()-f.answered < lostAfter {
