logs, cmds: explain, the story of one request

cranberrybay explain ID [FILE...] prints the lines about a request in order, with what changed at its process then. Lines have milliseconds.

--- a/edge/desk.go
+++ b/edge/desk.go
@@ -10,6 +10,7 @@
 
 	"github.com/cranberrybay/cranberrybay/config"
 	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/logs"
 	"github.com/cranberrybay/cranberrybay/platform"
 	"github.com/cranberrybay/cranberrybay/relay"
 )
@@ -39,7 +40,7 @@
 	relay    *relay.Relay
 	revoke   time.Duration
 	log      zerolog.Logger
-	sample   sampler
+	sample   logs.Sampler
 	count    *counters
 	leaving  atomic.Int64 // Unix nanoseconds of the stop; 0 while running
 	state    *deskState
@@ -149,10 +150,10 @@
 	d.count.request(outcome, took)
 	e := d.log.Info()
 	if err == nil {
-		if !d.sample.take() {
+		if !d.sample.Take() {
 			return
 		}
-		e = e.Uint64("unlogged", d.sample.skipped())
+		e = e.Uint64("unlogged", d.sample.Skipped())
 	}
 	e = e.Str("id", c.ID).Str("outcome", outcome).Dur("took", took).Dur("age", d.holder.Age())
 	if rq != nil {
@@ -167,24 +168,3 @@
 	}
 	e.Msg("request ended")
 }
-
-// sampler takes one of sampleEvery.
-type sampler struct {
-	seen   atomic.Uint64
-	unsaid atomic.Uint64
-}
-
-// sampleEvery served requests one is logged: an entry process serves some ten
-// requests a second, and failures are always logged.
-const sampleEvery = 32
-
-func (s *sampler) take() bool {
-	if s.seen.Add(1)%sampleEvery == 1 {
-		return true
-	}
-	s.unsaid.Add(1)
-	return false
-}
-
-// skipped returns and clears the number of requests left out.
-func (s *sampler) skipped() uint64 { return s.unsaid.Swap(0) }
--- a/edge/desk_test.go
+++ b/edge/desk_test.go
@@ -12,6 +12,7 @@
 	"github.com/cranberrybay/cranberrybay/clock"
 	"github.com/cranberrybay/cranberrybay/config"
 	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/logs"
 	"github.com/cranberrybay/cranberrybay/platform"
 	"github.com/cranberrybay/cranberrybay/relay"
 	"github.com/cranberrybay/cranberrybay/retry"
@@ -132,11 +133,11 @@
 	for range calls {
 		d.ended(context.Background(), c, nil, nil)
 	}
-	assert.Equal(t, lines, calls/sampleEvery)
+	assert.Equal(t, lines, calls/logs.SampleEvery)
 	for range 10 {
 		d.ended(context.Background(), c, nil, refuse(fault.Overload, "full", time.Second))
 	}
-	assert.Equal(t, lines, calls/sampleEvery+10)
+	assert.Equal(t, lines, calls/logs.SampleEvery+10)
 }
 
 type writer func(b []byte)
--- a/logs/logs.go
+++ b/logs/logs.go
@@ -7,6 +7,7 @@
 	"io"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/rs/zerolog"
 )
@@ -30,6 +31,11 @@
 	levels map[string]zerolog.Level
 }
 
+func init() {
+	zerolog.TimeFieldFormat = timeFormat
+	zerolog.TimestampFunc = func() time.Time { return time.Now().UTC() }
+}
+
 // New returns a maker. It fails for an unknown part or level.
 func New(cfg Config) (*Maker, error) {
 	m := &Maker{base: zerolog.New(cfg.Out).With().Timestamp().Str("node", cfg.Node).Logger(), levels: map[string]zerolog.Level{}}
--- /dev/null
+++ b/logs/story_test.go
@@ -0,0 +1,45 @@
+package logs_test
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"github.com/cranberrybay/cranberrybay/logs"
+)
+
+// Guards against a story that lacks a line about the request, mixes in another
+// request, or is out of order.
+func TestStory(t *testing.T) {
+	f, err := os.Open("testdata/lines.log")
+	assert.NilError(t, err)
+	defer func() { _ = f.Close() }()
+	other := strings.NewReader(`{"node":"c","part":"edge","id":"r1","time":"2026-06-11T00:32:12.105Z","message":"request ended"}`)
+	var b strings.Builder
+	n, err := logs.Story(&b, "r1", f, other)
+	assert.NilError(t, err)
+	assert.Equal(t, n, 3)
+	golden.Assert(t, b.String(), "story.golden")
+}
+
+// Guards against a story of a request that no line names.
+func TestNoStory(t *testing.T) {
+	n, err := logs.Story(&strings.Builder{}, "r9", strings.NewReader("{}\n"))
+	assert.NilError(t, err)
+	assert.Equal(t, n, 0)
+}
+
+// Guards against lines without milliseconds, whose order nobody can tell.
+func TestLineTime(t *testing.T) {
+	var b strings.Builder
+	m, err := logs.New(logs.Config{Out: &b, Node: "a"})
+	assert.NilError(t, err)
+	log := m.Part("edge")
+	log.Info().Msg("x")
+	at := strings.Index(b.String(), `"time":"`)
+	assert.Assert(t, at > 0)
+	assert.Equal(t, b.String()[at+8+19], byte('.'), b.String())
+}
