--- a/edge/app.go
+++ b/edge/app.go
@@ -250,15 +250,7 @@
 	}
 }
 
-func place(p *Placer, lc fx.Lifecycle) {
-	run(lc, p.Run)
-	lc.Append(fx.Hook{OnStop: func(ctx context.Context) error {
-		if err := p.lease.Release(ctx); err != nil {
-			p.log.Warn().Err(err).Msg("lease not released; a successor waits for its end")
-		}
-		return nil
-	}})
-}
+func place(p *Placer, lc fx.Lifecycle) { run(lc, p.Run) }
 
 // maxDatagram is the longest heartbeat.
 const maxDatagram = 64 << 10
--- a/edge/placer.go
+++ b/edge/placer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -52,6 +53,7 @@
 	orders  map[string]accepted // by server, the orders that it has accepted; used by Run only
 	done    chan ordered
 	held    bool
+	leaving atomic.Bool   // the process stops
 	short   time.Time     // since when a failure domain lacks layers; zero when none does
 	seen    int           // engines at the last look, before any holds layers
 	since   time.Duration // clock.Now since when there are as many
@@ -87,7 +89,7 @@
 		if clock.Now() >= next {
 			next = clock.Now() + p.step(ctx)
 		}
-		if p.held {
+		if p.held && !p.leaving.Load() {
 			p.plan(ctx)
 		}
 		select {
@@ -100,9 +102,18 @@
 	}
 }
 
+// release hands the lease on; this process takes it no more. It takes a send
+// timeout, so that it is begun first when the process stops.
+func (p *Placer) release(ctx context.Context) {
+	p.leaving.Store(true)
+	if err := p.lease.Release(ctx); err != nil {
+		p.log.Warn().Err(err).Msg("lease not released; a successor waits for its end")
+	}
+}
+
 // step takes or renews the lease and returns the time to the next step.
 func (p *Placer) step(ctx context.Context) time.Duration {
-	if !p.held && p.others() {
+	if p.leaving.Load() || (!p.held && p.others()) {
 		return planEvery // the row need not be read
 	}
 	if err := p.lease.Step(ctx); err != nil {
--- a/edge/placer_test.go
+++ b/edge/placer_test.go
@@ -263,6 +263,23 @@
 	})
 }
 
+// Guards against a planned stop that outlasts its time since the lease is handed
+// on last, and against a successor that waits although it was.
+func TestPlannedStopHandsTheLeaseOn(t *testing.T) {
+	play(t, func(t *testing.T, e *engines, r *rows, run func(p *Placer) func()) {
+		a := newTestPlacer(t, "a", e, r)
+		run(a)
+		time.Sleep(time.Second)
+		run(newTestPlacer(t, "b", e, r))
+		time.Sleep(7 * time.Second)
+		go a.release(context.Background())
+		e.leave("e2")
+		time.Sleep(sendTimeout + observeEvery + 2*time.Second)
+		assert.Assert(t, e.covered())
+		assert.Equal(t, e.highest(), uint64(2))
+	})
+}
+
 // Guards against orders of a process that lost the store and with it the lease.
 func TestNoOrdersWithoutTheLease(t *testing.T) {
 	play(t, func(t *testing.T, e *engines, r *rows, run func(p *Placer) func()) {
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -127,6 +127,9 @@
 	if d.state.left != nil {
 		go d.state.left(ctx)
 	}
+	if d.state.placer != nil {
+		go d.state.placer.release(ctx)
+	}
 	time.Sleep(time.Until(begun.Add(lingerWhileLeaving)))
 	for d.inflight.Load() > 0 && time.Now().Before(end) {
 		time.Sleep(drainPoll)
