--- /dev/null
+++ b/edge/metrics_test.go
@@ -0,0 +1,44 @@
+package edge
+
+import (
+	"io"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/cranberrybay/cranberrybay/server"
+)
+
+// Guards against metrics that docs/OPERATIONS.md names and that do not exist.
+func TestMetrics(t *testing.T) {
+	c := newCounters()
+	c.request("served", 30*time.Millisecond)
+	c.event("late")
+	c.gauge("inflight", func() float64 { return 3 })
+	x := server.NewTable(server.Config{Log: zerolog.Nop()})
+	var all []server.Change
+	for _, e := range []server.Entry{
+		{ID: "a", Service: "s", Address: "a:1", Card: "l4", From: 0, To: 4},
+		{ID: "b", Service: "s", Address: "b:1", Card: "l4", From: 2, To: 4},
+		{ID: "c", Service: "s", Address: "c:1", Card: "l4", From: 0, To: 4, Draining: true},
+		{ID: "d", Service: "desk", Address: "d:1"},
+	} {
+		all = append(all, server.Change{ID: e.ID, Entry: e})
+	}
+	x.Apply(all, true, 0)
+	x.At("d:1").Avoid(time.Hour)
+	c.more = func(w io.Writer) { writeServers(w, x.All()) }
+	w := httptest.NewRecorder()
+	c.ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	for _, want := range []string{
+		`cranberrybay_requests_total{outcome="served"} 1`, `cranberrybay_request_seconds_count{outcome="served"} 1`,
+		`cranberrybay_events_total{event="late"} 1`, `cranberrybay_inflight 3`,
+		`cranberrybay_servers{service="s",state="ready"} 2`, `cranberrybay_servers{service="s",state="draining"} 1`,
+		`cranberrybay_servers{service="desk",state="avoided"} 1`, `cranberrybay_layers_least{service="s"} 1`,
+	} {
+		assert.Assert(t, contains(w.Body.String(), want), "%s is missing in\n%s", want, w.Body.String())
+	}
+}
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -16,8 +16,11 @@
 
 	"github.com/cranberrybay/cranberrybay/beat"
 	"github.com/cranberrybay/cranberrybay/config"
+	"github.com/cranberrybay/cranberrybay/link"
 	"github.com/cranberrybay/cranberrybay/logs"
+	"github.com/cranberrybay/cranberrybay/platform"
 	"github.com/cranberrybay/cranberrybay/relay"
+	"github.com/cranberrybay/cranberrybay/server"
 	"github.com/cranberrybay/cranberrybay/watch"
 )
 
@@ -148,7 +151,12 @@
 	closeTime = 200 * time.Millisecond // for connections that have just got their answer
 )
 
-func gauges(h *config.Holder, g *beat.Ring, p *Placer, c *counters, d *Desk, q *logs.Queue) {
+func gauges(h *config.Holder, g *beat.Ring, p *Placer, c *counters, d *Desk, q *logs.Queue, st *platform.Store, t *server.Table, lk *link.Client) {
+	for result, name := range []string{platform.CallDone: "done", platform.CallConflict: "conflict", platform.CallRefused: "refused", platform.CallLost: "lost"} {
+		c.gauge(fmt.Sprintf("store_calls_total{result=%q}", name), func() float64 { return float64(st.Calls(result)) })
+	}
+	c.gauge("connections_opened_total", func() float64 { return float64(lk.Opened()) })
+	c.more = func(w io.Writer) { writeServers(w, t.All()) }
 	c.gauge("config_version", func() float64 {
 		if conf := h.Current(); conf != nil {
 			return float64(conf.Version())
