--- a/beat/beat.go
+++ b/beat/beat.go
@@ -5,7 +5,10 @@
 package beat
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
+	"io"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -89,7 +92,7 @@
 	maxAlerts = 1000
 	// maxPage bounds the changes that are relayed, in bytes; the others read
 	// larger ones themselves.
-	maxPage = 32 << 10
+	maxPage = 48 << 10
 	// fewPeers is the number of peers up to which every heartbeat goes to each;
 	// with more, the interval grows so that the rate of datagrams stays.
 	fewPeers = 16
@@ -109,6 +112,7 @@
 	mu       sync.Mutex
 	peers    map[string]*member
 	sequence uint64
+	lastFar  time.Duration            // clock.Now of the last heartbeat to all
 	totals   map[uint64]total         // work of all peers
 	alerts   map[uint64]time.Duration // clock.Now at which a backend server was last told dead
 }
@@ -170,26 +174,39 @@
 	r.cfg.Log.Info().Str("peer", name).Msg("peer forgotten")
 }
 
-// Interval returns the time between two heartbeats of this process.
+// Interval returns the time between two heartbeats of this process to the peers of
+// its failure domain.
 func (r *Ring) Interval() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.interval()
-}
-
-func (r *Ring) interval() time.Duration {
+	near, _ := r.intervals()
 	if r.isReader() {
-		return min(readerInterval, interval*time.Duration(max(fewPeers, len(r.peers)))/fewPeers)
+		return min(readerInterval, near)
 	}
-	return r.slowInterval()
+	return near
 }
 
-func (r *Ring) slowInterval() time.Duration {
-	return interval * time.Duration(max(fewPeers, len(r.peers))) / fewPeers
+// intervals returns the time between two heartbeats to a peer of the same failure
+// domain, and to any other. They grow with the number of peers, so that the rate
+// of datagrams stays; near ones are more frequent, since callers are sent to them.
+func (r *Ring) intervals() (near, far time.Duration) {
+	n := 0
+	for _, m := range r.peers {
+		if m.peer.Domain == r.cfg.Self.Domain {
+			n++
+		}
+	}
+	scale := func(n int) time.Duration { return interval * time.Duration(max(fewPeers, n)) / fewPeers }
+	return scale(n), scale(len(r.peers))
 }
 
-func (r *Ring) deadline() time.Duration {
-	return time.Duration(missed * float64(r.slowInterval()))
+// deadline returns the silence after which a peer counts as gone.
+func (r *Ring) deadline(m *member) time.Duration {
+	near, far := r.intervals()
+	if m.peer.Domain == r.cfg.Self.Domain {
+		return time.Duration(missed * float64(near))
+	}
+	return time.Duration(missed * float64(far))
 }
 
 // Run sends heartbeats until the context ends.
@@ -204,10 +221,19 @@
 	}
 }
 
-// Beat sends one heartbeat to each peer and notes those that fell silent.
+// Beat sends one heartbeat to each peer whose turn it is and notes those that fell
+// silent.
 func (r *Ring) Beat() {
-	raw, targets := r.compose(nil, nil)
-	r.send(raw, targets)
+	r.mu.Lock()
+	_, far := r.intervals()
+	now := clock.Now()
+	all := now-r.lastFar >= far*9/10
+	if all {
+		r.lastFar = now
+	}
+	r.judge()
+	r.mu.Unlock()
+	r.send(r.compose(nil, nil), all)
 }
 
 // Hash returns the hash of a backend server's name, as heartbeats carry it.
@@ -224,8 +250,7 @@
 	}
 	r.alerts[h] = now
 	r.mu.Unlock()
-	raw, targets := r.compose(nil, []uint64{h})
-	r.send(raw, targets)
+	r.send(r.compose(nil, []uint64{h}), true)
 }
 
 // alerted hands on what a peer found dead.
@@ -247,23 +272,55 @@
 	}
 }
 
-// Share sends changes that this process polled to all peers at once.
+// Share sends changes that this process polled to the peers of its failure domain
+// at once. The other domains have readers of their own.
 func (r *Ring) Share(p Page) {
 	x := &wire.Page{Table: p.Table, After: p.After, Changed: p.Changed, Revision: p.Revision, Clock: p.Clock.Milliseconds()}
 	size := 0
 	for _, row := range p.Rows {
-		x.Rows = append(x.Rows, &wire.Row{Key: row.Key, Value: row.Value, Revision: row.Revision, Deleted: row.Deleted})
-		size += len(row.Key) + len(row.Value)
+		value, packed := pack(row.Value)
+		x.Rows = append(x.Rows, &wire.Row{Key: row.Key, Value: value, Packed: packed, Revision: row.Revision, Deleted: row.Deleted})
+		size += len(row.Key) + len(value)
 	}
 	if size > maxPage {
-		x = nil // the peers hear of the new revision and read it
+		x = nil // the peers hear of the change and read it
 	}
-	raw, targets := r.compose(x, nil)
-	r.send(raw, targets)
+	r.send(r.compose(x, nil), false)
+}
+
+// packFrom is the length from which a value is compressed: a configuration has
+// some 60 KB and shrinks to a tenth.
+const packFrom = 1 << 10
+
+func pack(value []byte) (out []byte, packed bool) {
+	if len(value) < packFrom {
+		return value, false
+	}
+	var b bytes.Buffer
+	w := gzip.NewWriter(&b)
+	_, err := w.Write(value)
+	if cerr := w.Close(); err != nil || cerr != nil {
+		return value, false // a buffer takes everything
+	}
+	return b.Bytes(), true
+}
+
+// maxValue bounds an unpacked value: the platform's own bound on a row and more.
+const maxValue = 4 << 20
+
+func unpack(x *wire.Row) ([]byte, error) {
+	if !x.Packed {
+		return x.Value, nil
+	}
+	r, err := gzip.NewReader(bytes.NewReader(x.Value))
+	if err != nil {
+		return nil, err
+	}
+	return io.ReadAll(io.LimitReader(r, maxValue))
 }
 
 // compose encodes a heartbeat, with a page and dead servers if there are any.
-func (r *Ring) compose(page *wire.Page, dead []uint64) (raw []byte, targets []string) {
+func (r *Ring) compose(page *wire.Page, dead []uint64) []byte {
 	s := r.cfg.State()
 	b := &wire.Beat{
 		Name: r.cfg.Self.Name, Incarnation: r.cfg.Incarnation, Domain: r.cfg.Self.Domain, Callers: r.cfg.Self.Callers,
@@ -283,20 +340,28 @@
 			b.Seen = append(b.Seen, &wire.Seen{Table: x.Table, Changed: x.Changed, Clock: x.Clock.Milliseconds()})
 		}
 	}
-	for _, m := range r.peers {
-		targets = append(targets, m.peer.Address)
-	}
-	r.judge()
 	r.mu.Unlock()
 	raw, err := proto.Marshal(b)
 	if err != nil {
 		r.cfg.Log.Error().Err(err).Msg("encode heartbeat")
-		return nil, nil
+		return nil
 	}
-	return raw, targets
+	return raw
 }
 
-func (r *Ring) send(raw []byte, targets []string) {
+// send sends a datagram to all peers, or to those of the same failure domain.
+func (r *Ring) send(raw []byte, all bool) {
+	if raw == nil {
+		return
+	}
+	r.mu.Lock()
+	var targets []string
+	for _, m := range r.peers {
+		if all || m.peer.Domain == r.cfg.Self.Domain {
+			targets = append(targets, m.peer.Address)
+		}
+	}
+	r.mu.Unlock()
 	for _, address := range targets {
 		if err := r.cfg.Send(address, raw); err != nil {
 			r.cfg.Log.Debug().Err(err).Str("address", address).Msg("heartbeat not sent")
@@ -308,7 +373,7 @@
 func (r *Ring) judge() {
 	now := clock.Now()
 	for name, m := range r.peers {
-		silent := now-max(m.heard, m.listed) > r.deadline()
+		silent := now-max(m.heard, m.listed) > r.deadline(m)
 		if silent && !m.silent {
 			r.cfg.Log.Warn().Str("peer", name).Dur("silent", now-m.heard).Msg("peer is silent")
 		}
@@ -340,8 +405,9 @@
 			break
 		}
 		page := Page{Seen: Seen{Table: p.Table, Changed: p.Changed, Clock: time.Duration(p.Clock) * time.Millisecond}, After: p.After, Revision: p.Revision}
-		for _, row := range p.Rows {
-			page.Rows = append(page.Rows, watch.Row{Key: row.Key, Value: row.Value, Revision: row.Revision, Deleted: row.Deleted})
+		if err := readRows(p, &page); err != nil {
+			r.cfg.Log.Warn().Err(err).Str("peer", b.Name).Str("table", p.Table).Msg("relayed changes can't be read")
+			continue // the followers miss them and poll
 		}
 		r.cfg.Offer(page)
 	}
@@ -352,6 +418,17 @@
 	}
 }
 
+func readRows(p *wire.Page, page *Page) error {
+	for _, row := range p.Rows {
+		value, err := unpack(row)
+		if err != nil {
+			return err
+		}
+		page.Rows = append(page.Rows, watch.Row{Key: row.Key, Value: value, Revision: row.Revision, Deleted: row.Deleted})
+	}
+	return nil
+}
+
 // note takes what a peer says of itself and reports whether it is news.
 func (r *Ring) note(b *wire.Beat) bool {
 	r.mu.Lock()
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -33,13 +33,13 @@
 	// loneGap is the least pause after which engines are asked when this process
 	// has no other stream over them: a pause of a single stream is most often
 	// that of a long prompt before it.
-	loneGap = 100 * time.Millisecond
+	loneGap = 110 * time.Millisecond
 	// signOfLife is how old an event of another stream may be to show that an
 	// engine lives.
 	signOfLife = 35 * time.Millisecond
-	// askFirst is the number of checks in a row after which the first engine is
-	// asked in any case.
-	askFirst = 3
+	// askAll is the number of checks in a pause of which one asks all engines;
+	// the others ask the first one, which tells what the stream waits for.
+	askAll = 8
 	// nextCheck is the pause between two such questions.
 	nextCheck = 90 * time.Millisecond
 	// maxRefusals bounds the refused attempts of a started stream that do not
@@ -336,6 +336,7 @@
 		return
 	}
 	w.track.moved()
+	w.resetChecks()
 	now := time.Now()
 	switch leaving := w.track.leaving(); {
 	case len(leaving) == 0:
@@ -357,6 +358,12 @@
 	w.timer.Reset(min(max(time.Duration(gapFactor*float64(w.usual)), least), mostGap))
 }
 
+func (w *stallWatch) resetChecks() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.checks = 0
+}
+
 // evacuate takes a stream off engines that leave. They serve on for a while, but
 // a long stream would lose them in the middle.
 func (w *stallWatch) evacuate(leaving map[string]bool) {
@@ -397,11 +404,10 @@
 // milliseconds late.
 func (w *stallWatch) check() {
 	hops := w.track.path()
-	ask := w.track.silent(signOfLife)
+	ask := hops[:1]
 	w.mu.Lock()
-	w.checks++
-	if w.checks%askFirst == 0 && !slices.Contains(ask, hops[0]) {
-		ask = append(ask, hops[0])
+	if w.checks++; w.checks%askAll == 1 {
+		ask = w.track.silent(signOfLife) // none when another stream moves over each
 	}
 	w.mu.Unlock()
 	dead := w.relay.reports.sweep(w.ctx, w.rq.ID, ask, hops)
