--- a/edge/app.go
+++ b/edge/app.go
@@ -39,9 +39,10 @@
 	// settle is the pause after changes of the registry: engines change one by
 	// one when they start or load. It is short beside the bound on drains.
 	settle = 250 * time.Millisecond
-	// peersEvery is the interval of reading the rows of the entry processes. New
-	// processes make themselves known by heartbeats.
-	peersEvery = 20 * time.Second
+	// peersEvery is the interval of reading the rows of the entry processes. Of
+	// two that start, the one that reads later makes itself known to the other
+	// by heartbeats.
+	peersEvery = time.Minute
 	// expireEvery is the interval of looking for entries that did not come back.
 	expireEvery = 200 * time.Millisecond
 	// addressTTL is how long callers keep an answer with addresses. A process
--- a/edge/nodes.go
+++ b/edge/nodes.go
@@ -43,20 +43,17 @@
 }
 
 const (
-	secondRead = time.Second // until the second read: processes that start together miss each other's rows
 	rereadWait = time.Second // after a failed read
 	maxNodes   = 500         // rows of one read
 )
 
 // run writes the row of this process and reads all rows in an interval.
 func (n *nodes) run(ctx context.Context) {
-	for i := 0; ctx.Err() == nil; i++ {
+	for ctx.Err() == nil {
 		wait := peersEvery
 		if err := n.step(ctx); err != nil {
 			n.log.Warn().Err(err).Msg("rows of the entry processes not read")
 			wait = rereadWait
-		} else if i == 0 {
-			wait = secondRead
 		}
 		select {
 		case <-ctx.Done():
--- a/edge/placer.go
+++ b/edge/placer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -25,6 +26,8 @@
 	// given again; an order may be carried out seconds late.
 	loadSlack    = 3 * time.Second
 	minOrderWait = 2 * time.Second // until an order that takes no load is given again
+	// firstStep bounds the time from the start to the first look at the lease.
+	firstStep = 800 * time.Millisecond
 	// shiftAfter is how long a failure domain lacks layers until all its engines
 	// move: an engine that crashed is back within some seconds.
 	shiftAfter = 2500 * time.Millisecond
@@ -82,7 +85,8 @@
 // Run steps the lease and places layers until the context ends.
 func (p *Placer) Run(ctx context.Context) {
 	p.pending, p.joined, p.orders, p.done = map[string]*pending{}, map[string]joined{}, map[string]accepted{}, make(chan ordered, 64)
-	var next time.Duration
+	// By then a holder has told that it has the lease.
+	next := clock.Now() + rand.N(firstStep)
 	tick := time.NewTicker(planEvery)
 	defer tick.Stop()
 	for {
--- a/relay/report.go
+++ b/relay/report.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -14,9 +16,6 @@
 	// reportAge is how long a report is shared by streams that wait at the same
 	// engine.
 	reportAge = 60 * time.Millisecond
-	// deadAfter is how many reads in a row without an answer make an engine
-	// count as dead: one answer may be lost or late.
-	deadAfter = 1
 	// pausedAfter is the time that shows that this process was paused during a
 	// read, so that a missing answer says nothing.
 	pausedAfter = 2 * reportTimeout
@@ -35,11 +34,12 @@
 
 // reading is one read of a report.
 type reading struct {
-	done   chan struct{}
-	begun  time.Time
-	value  Report
-	err    error
-	failed int // reads in a row without an answer, this one included
+	done    chan struct{}
+	begun   time.Time
+	value   Report
+	err     error
+	silent  bool // no answer came
+	refused bool // the connection was refused: nobody listens there
 }
 
 func newReports(read func(ctx context.Context, address string) (Report, error)) *reports {
@@ -47,21 +47,31 @@
 }
 
 // sweep asks engines of a path and returns the addresses of those that are
-// dead, or that the first engine says the stream waits for.
-func (r *reports) sweep(ctx context.Context, id string, ask, path []Hop) map[string]bool {
+// dead, or that the first engine says the stream waits for, and how many did not
+// answer.
+//
+// An engine is dead when it refuses the connection, or when it does not answer
+// although at least half of those asked do. Otherwise the link of this process may
+// be slow, and silence says nothing.
+func (r *reports) sweep(ctx context.Context, id string, ask, path []Hop) (dead map[string]bool, silent int) {
 	all := make([]*reading, len(ask))
 	for i, h := range ask {
 		all[i] = r.begin(h.Address)
 	}
-	dead := map[string]bool{}
-	for i, x := range all {
+	for _, x := range all {
 		select {
 		case <-x.done:
 		case <-ctx.Done():
-			return nil
+			return nil, 0
+		}
+		if x.silent {
+			silent++
 		}
+	}
+	dead = map[string]bool{}
+	for i, x := range all {
 		switch {
-		case x.failed >= deadAfter:
+		case x.refused || (x.silent && 2*silent <= len(ask)):
 			dead[ask[i].Address] = true
 		case ask[i] == path[0] && x.err == nil:
 			// The report is late: it may name an engine that the stream has
@@ -71,7 +81,7 @@
 			}
 		}
 	}
-	return dead
+	return dead, silent
 }
 
 // begin returns a read that was begun not longer than reportAge ago.
@@ -84,21 +94,16 @@
 	}
 	x := &reading{done: make(chan struct{}), begun: time.Now()}
 	r.last[address] = x
-	go r.fill(x, old, address)
+	go r.fill(x, address)
 	return x
 }
 
-func (r *reports) fill(x, old *reading, address string) {
+func (r *reports) fill(x *reading, address string) {
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 	defer cancel()
 	x.value, x.err = r.read(ctx, address)
-	if x.err != nil && time.Since(x.begun) < pausedAfter {
-		x.failed = 1
-		if old != nil && time.Since(old.begun) < keepReadings {
-			<-old.done
-			x.failed += old.failed
-		}
-	}
+	x.refused = errors.Is(x.err, syscall.ECONNREFUSED)
+	x.silent = x.err != nil && !x.refused && time.Since(x.begun) < pausedAfter
 	close(x.done)
 	time.AfterFunc(keepReadings, func() {
 		r.mu.Lock()
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -24,16 +24,17 @@
 	// firstCheck is the time without a first event after which the engines of the
 	// path are asked whether they live.
 	firstCheck = 200 * time.Millisecond
-	// leastGap and mostGap bound the same between two events.
+	// leastGap is the least pause between two events after which engines are
+	// asked.
 	leastGap = 40 * time.Millisecond
-	mostGap  = 120 * time.Millisecond
 	// gapFactor is the pause in units of the stream's usual pause that is
 	// unusual.
 	gapFactor = 1.8
-	// loneGap is the least pause after which engines are asked when this process
-	// has no other stream over them: a pause of a single stream is most often
-	// that of a long prompt before it.
-	loneGap = 110 * time.Millisecond
+	// loneShare is the part of the pause that callers accept after which engines
+	// are asked in any case, and sooner only when this process has other streams
+	// over them: a pause of a single one is most often that of a long prompt
+	// before it.
+	loneShare = 0.6
 	// signOfLife is how old an event of another stream may be to show that an
 	// engine lives.
 	signOfLife = 35 * time.Millisecond
@@ -205,7 +206,7 @@
 		culprit.Failed()
 		without[culprit.Address()] = true
 		// An engine that refuses may be full or dead: its report tells.
-		go r.askCulprit(culprit)
+		go r.askCulprit(t.first, culprit)
 	}
 	if r.cfg.Servers.At(t.first.Address()) == nil {
 		j.sent-- // a server that has ended does not count
@@ -222,10 +223,14 @@
 	return j.more()
 }
 
-// askCulprit finds out whether an engine that caused a failure is dead.
-func (r *Relay) askCulprit(s *server.Server) {
-	hop := []Hop{{Address: s.Address()}}
-	if r.reports.sweep(context.Background(), "", hop, hop)[s.Address()] {
+// askCulprit finds out whether an engine that caused a failure is dead. The first
+// engine of the path shows whether answers arrive at all.
+func (r *Relay) askCulprit(first, s *server.Server) {
+	ask := []Hop{{Address: s.Address()}}
+	if first != s {
+		ask = append(ask, Hop{Address: first.Address()})
+	}
+	if dead, _ := r.reports.sweep(context.Background(), "", ask, ask); dead[s.Address()] {
 		r.dead(s)
 	}
 }
@@ -351,11 +356,12 @@
 		w.usual += (now.Sub(w.last) - w.usual) / 4
 	}
 	w.last = now
+	lone := time.Duration(loneShare * float64(w.rq.Route.Gap()))
 	least := leastGap
 	if w.track.first.Inflight() <= 1 {
-		least = loneGap
+		least = max(lone, leastGap)
 	}
-	w.timer.Reset(min(max(time.Duration(gapFactor*float64(w.usual)), least), mostGap))
+	w.timer.Reset(min(max(time.Duration(gapFactor*float64(w.usual)), least), max(lone, leastGap)))
 }
 
 func (w *stallWatch) resetChecks() {
@@ -410,9 +416,12 @@
 		ask = w.track.silent(signOfLife) // none when another stream moves over each
 	}
 	w.mu.Unlock()
-	dead := w.relay.reports.sweep(w.ctx, w.rq.ID, ask, hops)
+	dead, silent := w.relay.reports.sweep(w.ctx, w.rq.ID, ask, hops)
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if silent > 0 {
+		w.checks = 0 // asks all engines next, which tells a dead one from a slow link
+	}
 	if w.stopped || w.ctx.Err() != nil {
 		return
 	}
--- a/relay/stream_test.go
+++ b/relay/stream_test.go
@@ -74,19 +74,19 @@
 // reports it, 200 ms late: callers expect pauses of at most 200 ms.
 func TestDeadEngineIsReplacedNearby(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, engine("a", "near", 0, 4), engine("b", "near", 4, 8), engine("c", "near", 4, 8))
+		w := newWorld(t, engine("a", "near", 0, 2), engine("a2", "near", 2, 4), engine("b", "near", 4, 8), engine("c", "near", 4, 8))
 		var moved time.Duration
 		begun := time.Now()
 		more := make(chan struct{})
 		w.send = func(ctx context.Context, _ int, _ *relay.Request, a relay.Attempt) (*relay.Answer, error) {
-			w.kill(a.Path[1].Address)
+			w.kill(a.Path[2].Address)
 			ans := answer(http.StatusOK, "")
 			ans.Body = &resuming{first: strings.NewReader(events(1, 2)), then: strings.NewReader(events(3, 4)), more: more, ctx: ctx}
 			return ans, nil
 		}
 		w.repathed = func(path []relay.Hop) error {
 			checkTiles(t, path)
-			assert.Assert(t, !w.dead[path[1].Address])
+			assert.Assert(t, !w.dead[path[2].Address])
 			moved = time.Since(begun)
 			close(more)
 			return nil
@@ -279,14 +279,14 @@
 func TestDeadCulpritIsTold(t *testing.T) {
 	for _, dead := range []bool{true, false} {
 		synctest.Test(t, func(t *testing.T) {
-			w := newWorld(t, engine("a", "near", 0, 8), engine("b", "near", 0, 8))
+			w := newWorld(t, engine("a", "near", 0, 4), engine("b", "near", 4, 8), engine("c", "near", 4, 8))
 			w.send = func(_ context.Context, n int, _ *relay.Request, a relay.Attempt) (*relay.Answer, error) {
 				if n == 1 {
 					if dead {
-						w.kill(a.Path[0].Address)
+						w.kill(a.Path[1].Address)
 					}
 					ans := refusedAnswer()
-					ans.Culprit = a.Path[0].Address
+					ans.Culprit = a.Path[1].Address
 					return ans, nil
 				}
 				return answer(http.StatusOK, events(1, 1)), nil
@@ -298,3 +298,25 @@
 		})
 	}
 }
+
+// Guards against a process with a slow link that takes all engines for dead, gives
+// its streams up and tells the others so (a day of the grown deployment, where a
+// body of 4 MB takes a link of 20 Mbit/s for 1.7 s).
+func TestSlowLinkIsNoDeadEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, engine("a", "near", 0, 2), engine("b", "near", 2, 5), engine("c", "near", 5, 8))
+		more := make(chan struct{})
+		w.send = func(ctx context.Context, _ int, _ *relay.Request, _ relay.Attempt) (*relay.Answer, error) {
+			for _, address := range []string{"a:1", "b:1", "c:1"} {
+				w.kill(address)
+			}
+			time.AfterFunc(time.Second, func() { close(more) })
+			ans := answer(http.StatusOK, "")
+			ans.Body = &resuming{first: strings.NewReader(events(1, 2)), then: strings.NewReader(events(3, 4)), more: more, ctx: ctx}
+			return ans, nil
+		}
+		w.repathed = func([]relay.Hop) error { t.Error("path changed"); return nil }
+		checkServed(t, w.serve(t.Context(), request(config.Stream, 2)), events(1, 4))
+		assert.Equal(t, len(w.alerts), 0)
+	})
+}
