--- /dev/null
+++ b/cmds/entry_test.go
@@ -0,0 +1,41 @@
+package cmds
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func checkRun(t *testing.T, code int, want string, args ...string) {
+	t.Helper()
+	var out, errs bytes.Buffer
+	got := Run(args, &out, &errs)
+	assert.Equal(t, got, code, "%s%s", out.String(), errs.String())
+	assert.Assert(t, strings.Contains(out.String()+errs.String(), want), "%s%s", out.String(), errs.String())
+}
+
+// Guards against settings of the platform that are checked as those of serve, and
+// against a process that starts with wrong ones.
+func TestEntrySettings(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.toml")
+	good := "name = \"n\"\ndomain = \"d\"\n[listen]\ncallers = \"127.0.0.1:1\"\nready = \"127.0.0.1:2\"\ndirectory = \"127.0.0.1:3\"\nbeats = \"127.0.0.1:4\"\n" +
+		"[store]\naddress = \"127.0.0.1:5\"\n[bounds]\ngrace = 8\nrevoke = 5000\nttl = 5\nwindow = 10\n"
+	assert.NilError(t, os.WriteFile(path, []byte(good), 0o600))
+	checkRun(t, 0, "ok", "check", path)
+	assert.NilError(t, os.WriteFile(path, []byte(good+"[other]\nx = 1\n"), 0o600))
+	checkRun(t, 2, "unknown keys", "check", path)
+	checkRun(t, 2, "unknown keys", "entry", "--config", path)
+	t.Setenv("CRANBERRYBAY_BOOT", filepath.Join(t.TempDir(), "missing"))
+	checkRun(t, 2, "read settings", "entry")
+}
+
+// Guards against an empty answer for a request that no line names.
+func TestExplain(t *testing.T) {
+	checkRun(t, 0, "request ended", "explain", "r1", "../logs/testdata/lines.log")
+	checkRun(t, 1, "no line about", "explain", "r9", "../logs/testdata/lines.log")
+	checkRun(t, 2, "no such file", "explain", "r1", "missing.log")
+}
--- a/cmds/serve.go
+++ b/cmds/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"os/signal"
 	"runtime/debug"
 	"strings"
@@ -10,6 +11,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/cranberrybay/cranberrybay/edge"
 	"github.com/cranberrybay/cranberrybay/node"
 	"github.com/cranberrybay/cranberrybay/spec"
 )
@@ -52,10 +54,28 @@
 	return app.Stop(stopCtx)
 }
 
+// storeTable begins the table that only settings of entry processes on the
+// platform have.
+const storeTable = "\n[store]"
+
+func checkSettings(path string) error {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return fmt.Errorf("read settings: %w", err)
+	}
+	if strings.Contains(string(raw), storeTable) {
+		_, err = edge.ReadSettings(path)
+	} else {
+		_, err = node.ReadSettings(path)
+	}
+	return err
+}
+
 func newCheck() *cobra.Command {
 	return &cobra.Command{
 		Use:   "check FILE...",
 		Short: "Check settings files and documents without starting",
+		Long:  "Checks documents, settings files of serve, and settings files of entry, which have a table [store].",
 		Args:  cobra.MinimumNArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
 			for _, path := range args {
@@ -63,7 +83,7 @@
 					if _, err := readFile(path); err != nil {
 						return usageError{err}
 					}
-				} else if _, err := node.ReadSettings(path); err != nil {
+				} else if err := checkSettings(path); err != nil {
 					return usageError{err}
 				}
 				_, _ = fmt.Fprintf(c.OutOrStdout(), "%s: ok\n", path)
