--- a/watch/relay.go
+++ b/watch/relay.go
@@ -111,13 +111,14 @@
 	for _, x := range pages {
 		// The rows hold the state at the page's revision, so that those known
 		// already change nothing.
-		if x.after <= f.changed && x.changed > f.changed {
-			f.revision, f.changed = max(f.revision, x.page.Revision), x.changed
+		if x.after <= f.complete && x.changed > f.complete {
+			f.revision, f.changed = max(f.revision, x.page.Revision), max(f.changed, x.changed)
+			f.complete = x.changed
 			f.cfg.Apply(x.page, 0)
 		}
 	}
 	now := clock.Now()
-	if heard.Changed > f.changed {
+	if heard.Changed > f.complete {
 		if f.relay.ahead == 0 {
 			f.relay.ahead = now
 		}
--- a/watch/relay_test.go
+++ b/watch/relay_test.go
@@ -131,3 +131,36 @@
 		assert.Equal(t, len(r.applied), 2, "the change is not known after 2 s")
 	})
 }
+
+// Guards against a row that was deleted while the platform dropped its history: the
+// reader reads the whole table, which does not name the row, and the others must
+// do so too (a crashed engine stayed on the lists of a grown day).
+func TestWholeReadOfAReaderIsAChange(t *testing.T) {
+	base := time.Now()
+	defer clock.Replace(func() time.Duration { return time.Since(base) + time.Hour })()
+	polls := 0
+	reader := watch.New(watch.Config{
+		Name: "servers", Wait: time.Millisecond, Slack: time.Second, Log: zerolog.Nop(), Confirm: func(time.Duration) {},
+		Read: func(context.Context) (watch.Page, error) {
+			return watch.Page{Whole: true, Rows: []watch.Row{{Key: "k", Revision: 3}}, Revision: uint64(10 + polls), Clock: time.Second}, nil
+		},
+		Poll: func(_ context.Context, after uint64, _ time.Duration) (watch.Page, error) {
+			polls++
+			if polls == 2 {
+				return watch.Page{}, watch.ErrGap
+			}
+			time.Sleep(time.Millisecond)
+			return watch.Page{Revision: after, Clock: time.Second}, nil
+		},
+		Apply: func(watch.Page, time.Duration) {},
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { reader.Run(ctx); close(done) }()
+	time.Sleep(50 * time.Millisecond)
+	s, ok := reader.Seen()
+	cancel()
+	<-done
+	assert.Assert(t, ok)
+	assert.Equal(t, s.Changed, uint64(12), "others are not told to read again")
+}
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -73,7 +73,8 @@
 type Follower struct {
 	cfg      Config
 	revision uint64 // of the platform, from which the next poll goes on
-	changed  uint64 // of the newest row of this table; other tables move the platform's revision
+	changed  uint64 // of the last change of this table, as told to others; other tables move the platform's revision
+	complete uint64 // all changes of this table up to it are known
 	known    bool
 	answered time.Duration // clock.Now of the last answer
 	lost     bool
@@ -175,7 +176,8 @@
 	}
 	f.lost, f.failing, f.answered = false, false, now
 	after := f.changed
-	f.known, f.revision, f.changed = true, p.Revision, max(f.changed, lastChange(p))
+	f.known, f.revision, f.complete = true, p.Revision, p.Revision
+	f.changed = max(f.changed, lastChange(p))
 	f.relay.polled(p, f.changed)
 	if f.cfg.Share != nil && !p.Whole && f.changed > after && !f.relayed() {
 		f.cfg.Share(p, after, f.changed)
@@ -186,8 +188,12 @@
 	f.cfg.Confirm(asked)
 }
 
-// lastChange returns the revision of the newest row of a page.
+// lastChange returns the revision of the last change that a page shows. A whole
+// table does not show which rows were deleted, so that it counts as changed.
 func lastChange(p Page) uint64 {
+	if p.Whole {
+		return p.Revision
+	}
 	last := uint64(0)
 	for _, r := range p.Rows {
 		if r.Revision == 0 {
