--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -24,10 +24,9 @@
 
 // callers send requests to the entry processes and check the answers.
 type callers struct {
-	servers  *servers
-	nodes    []*process
-	key      atomic.Pointer[string]
-	stopping func(p *process) bool
+	servers *servers
+	nodes   []*process
+	key     atomic.Pointer[string]
 
 	mu      sync.Mutex
 	list    []string // addresses that callers know
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net"
-	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -88,13 +87,3 @@
 		return false
 	}
 }
-
-func (p *process) isReady() bool {
-	client := &http.Client{Timeout: 500 * time.Millisecond}
-	rs, err := client.Get("http://" + p.ready + "/-/ready")
-	if err != nil {
-		return false
-	}
-	_ = rs.Body.Close()
-	return rs.StatusCode == http.StatusOK
-}
