server, soak: lapsed entries are the last resort

Lapsed entries now get work only where others are missing. The stand-in announced the drain although its store took no calls; the platform acknowledges nothing then, so it now waits.

--- a/server/table.go
+++ b/server/table.go
@@ -129,6 +129,8 @@
 	if now < t.until && !s.entry.Draining {
 		if !t.lapsed[id] {
 			t.lapsed[id] = true
+			// It may also have left: it gets work only where others are missing.
+			s.Avoid(t.until - now)
 			t.cfg.Log.Info().Str("server", id).Dur("left", t.until-now).Msg("entry lapsed during an outage; waiting for it to come back")
 		}
 		return
@@ -155,8 +157,11 @@
 }
 
 func (t *Table) put(e Entry) {
-	delete(t.lapsed, e.ID)
 	old := t.servers[e.ID]
+	if t.lapsed[e.ID] {
+		delete(t.lapsed, e.ID)
+		old.suspect.Store(0)
+	}
 	s := &Server{entry: e}
 	switch {
 	case old == nil:
--- a/soak/server_test.go
+++ b/soak/server_test.go
@@ -102,6 +102,10 @@
 
 // drain announces that a server leaves, and ends it some seconds later.
 func (v *servers) drain(b *backend) {
+	// A server can't announce it while the store is away.
+	for v.store.away() {
+		time.Sleep(20 * time.Millisecond)
+	}
 	v.mu.Lock()
 	b.left = time.Now().Add(time.Hour) // set to the acknowledgement below
 	b.left = v.list(b)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -30,7 +30,9 @@
 )
 
 // regressions are seeds that failed once, with their cause.
-var regressions = []int64{}
+var regressions = []int64{
+	20, // a server left while the store was away; its entry counted as lapsed and it got work for 2.2 s
+}
 
 const (
 	processes = 4
@@ -193,7 +195,7 @@
 		case 5:
 			u.replace("llm", u.servers.crash)
 		case 6:
-			u.replace("llm", u.servers.drain)
+			u.replace("llm", func(b *backend) { u.later(func() { u.servers.drain(b) }) })
 		case 7:
 			fail := []string{"refuse", "lose"}[u.rand.Intn(2)]
 			b := u.pick("desk")
--- a/soak/store_test.go
+++ b/soak/store_test.go
@@ -70,6 +70,13 @@
 	s.fault = f
 }
 
+// away tells whether the store takes no calls.
+func (s *store) away() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fault == storeBusy || s.fault == storeSilent
+}
+
 func (s *store) faulty(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
