shard, edge: shift one failure domain at a time

Each failure domain lacked layers, all three shifted at once, 32 engines loaded together and for 7 s no path existed.

--- a/edge/placer.go
+++ b/edge/placer.go
@@ -148,9 +148,16 @@
 		return
 	}
 	byService := map[string][]*server.Server{}
+	listed := map[string]bool{}
 	for _, s := range p.servers.All() {
+		listed[s.ID()] = true
 		byService[s.Entry().Service] = append(byService[s.Entry().Service], s)
 	}
+	for id := range p.pending {
+		if !listed[id] {
+			delete(p.pending, id) // it left before its order was done
+		}
+	}
 	for name, all := range byService {
 		service, ok := conf.Service(name)
 		if !ok || service.Engine == nil || service.Engine.Layers == 0 {
@@ -184,7 +191,8 @@
 		return
 	}
 	loading := 0
-	plan, short := shard.Plan(model, engines, !p.short.IsZero() && time.Since(p.short) > shiftAfter)
+	shift := !p.short.IsZero() && time.Since(p.short) > shiftAfter && len(p.pending) == 0
+	plan, short := shard.Plan(model, engines, shift)
 	switch {
 	case !short:
 		p.short = time.Time{}
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -87,8 +87,12 @@
 		if repair(m, group, plan) {
 			continue
 		}
-		if short = true; shift {
+		short = true
+		if shift {
+			// One failure domain at a time: while its engines load, the others
+			// have to serve.
 			shiftAll(m, group, plan)
+			shift = false
 		}
 	}
 	return plan, short
--- a/shard/shard_test.go
+++ b/shard/shard_test.go
@@ -176,6 +176,33 @@
 	}
 }
 
+// Guards against a shift of several failure domains at once, which leaves none that
+// serves (6 engines cut off from the registry: no path for 7 s).
+func TestShiftsOneDomainAtATime(t *testing.T) {
+	engines := present()
+	now := plan(engines)
+	for i := range engines {
+		engines[i].Holds = now[engines[i].ID]
+	}
+	var left []shard.Engine
+	lost := map[string]int{}
+	for _, e := range engines {
+		if lost[e.Domain]++; lost[e.Domain] > 1 { // the first engine of each domain has left
+			left = append(left, e)
+		}
+	}
+	still := plan(left)
+	again, short := shard.Plan(model, left, true)
+	assert.Assert(t, short)
+	moved := map[string]bool{}
+	for _, e := range left {
+		if again[e.ID] != still[e.ID] {
+			moved[e.Domain] = true
+		}
+	}
+	assert.Equal(t, len(moved), 1, "%v", moved)
+}
+
 // Guards against a spare engine that stays where it is while its failure domain
 // lacks layers: in a release the new engine comes before the old one leaves.
 func TestSpareEngineMovesToTheGap(t *testing.T) {
