--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -32,6 +32,9 @@
 
 // regressions are seeds that failed once, with their cause.
 var regressions = []int64{
+	// Of the run itself: two changes of keys overlapped and left the callers with a
+	// key that no configuration held.
+	1796364914,
 	20, // a server left while the store was away; its entry counted as lapsed and it got work for 2.2 s
 }
 
