relay: a stream that may have run is not refused as not run

Cause, found by reading: after an attempt that may have run, a second one that was refused or found no path was answered 503, which promises that the request has not run. Test: TestStreamUnclearGoesBeforeRefused, failing before.

--- a/relay/stream.go
+++ b/relay/stream.go
@@ -28,6 +28,7 @@
 	sink  Sink
 
 	started bool   // the caller has the header
+	begun   bool   // an attempt may have run
 	last    string // identifier of the last event that the caller has
 	sent    int    // attempts that a server took
 	// refusals counts refused attempts to go on with a started stream.
@@ -105,7 +106,7 @@
 	if !ok || t.first == nil {
 		r.cfg.Log.Info().Str("id", rq.ID).Str("service", rq.Service.Name).Int("servers", len(r.cfg.Servers.Servers(rq.Service.Name))).
 			Int("prompt", rq.Prompt).Int("attempt", j.sent+1).Msg("no path")
-		if j.started {
+		if j.begun {
 			return false, unclear(reasonNoPath, nil)
 		}
 		return false, refusal(reasonNoPath, fullRetry, nil)
@@ -121,8 +122,10 @@
 	defer w.stop()
 	ans, err := r.send(actx, rq, Attempt{Server: t.first, Path: t.hops, LastEvent: j.last, Kept: true})
 	if err != nil {
+		j.begun = j.begun || fault.Of(err) != fault.NotRun
 		return j.failed(ctx, t, ans, err, without), j.verdict(err)
 	}
+	j.begun = true
 	defer func() { _ = ans.Body.Close() }()
 	if ans.Status != http.StatusOK {
 		if j.started {
@@ -144,9 +147,9 @@
 	return j.failed(ctx, t, nil, err, without), unclear(reasonUnclear, err)
 }
 
-// verdict keeps the proof of a refusal only while no attempt has begun.
+// verdict keeps the proof of a refusal only while no attempt may have run.
 func (j *journey) verdict(err error) error {
-	if fault.Of(err) != fault.NotRun || j.started {
+	if j.begun {
 		return unclear(reasonUnclear, err)
 	}
 	return refusal(reasonRefused, fullRetry, err)
--- a/relay/stream_test.go
+++ b/relay/stream_test.go
@@ -320,3 +320,26 @@
 		assert.Equal(t, len(w.alerts), 0)
 	})
 }
+
+// Guards against "not run" for a stream of which one attempt may have run and
+// another was refused, or found no path.
+func TestStreamUnclearGoesBeforeRefused(t *testing.T) {
+	for _, x := range []struct {
+		name    string
+		servers []server.Entry
+	}{
+		{"refused", []server.Entry{engine("a", "near", 0, 8), engine("b", "near", 0, 8)}},
+		{"no path", []server.Entry{engine("a", "near", 0, 8)}},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			w := newWorld(t, x.servers...)
+			w.send = func(_ context.Context, n int, _ *relay.Request, _ relay.Attempt) (*relay.Answer, error) {
+				if n == 1 {
+					return nil, lost()
+				}
+				return refusedAnswer(), nil
+			}
+			checkVerdict(t, w.serve(t.Context(), request(config.Stream, 2)), fault.MayHaveRun)
+		})
+	}
+}
