--- a/clock/clock.go
+++ b/clock/clock.go
@@ -1,4 +1,4 @@
-// Package clock reads the clock that goes on while a machine is suspended.
+// Package clock reads the clock that goes on while a VM is suspended.
 // Bounds on the age of knowledge use it, since the monotonic clock of the
 // runtime stands still during a suspension.
 package clock
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -55,7 +55,7 @@
 	return min(int(e.Memory/(m.Layer+m.Token*tokens)), m.Layers)
 }
 
-// Most returns how many layers fit into an engine at all. A worker that is
+// Most returns how many layers fit into an engine at all. An engine that is
 // ordered to hold more fails.
 func (m Model) Most(e Engine) int { return m.fits(e, 0) }
 
