watch, platform, edge: a whole table has time to be read; only readers look at the lease

The whole read of a table had the time of one poll, 1.7 s; with all processes at once it was given up and begun again.

--- a/edge/app.go
+++ b/edge/app.go
@@ -179,7 +179,8 @@
 func newPlacer(i incarnation, g *beat.Ring, d *deskState, st *platform.Store, h *config.Holder, t *server.Table, b *platform.Backend, c *counters, l *logs.Maker) *Placer {
 	log := l.Part("place")
 	p := &Placer{
-		others: g.Held,
+		// Besides the holder, only the readers look at the lease's row.
+		others: func() bool { return g.Held() || !g.Reader() },
 		lease: lease.New(lease.Config{
 			Rows: st.Table(), Name: "place", Holder: i.text, Term: leaseTerm, Send: sendTimeout,
 			Violated: func(reason string) { log.Error().Str("reason", reason).Msg("lease invariant does not hold") },
--- a/edge/placer.go
+++ b/edge/placer.go
@@ -42,7 +42,7 @@
 // Placer gives orders to engines while this process holds the lease.
 type Placer struct {
 	lease   *lease.Holder
-	others  func() bool // tells whether another process says that it holds the lease
+	others  func() bool // tells whether the lease is left to other processes
 	holder  *config.Holder
 	servers *server.Table
 	place   func(ctx context.Context, address string, r shard.Range, fence, accepted uint64) error
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -66,7 +66,11 @@
 const (
 	firstPause  = 50 * time.Millisecond  // before the first repeat of a failed call
 	longestWait = 400 * time.Millisecond // between repeats: well below the bound on the age of a revoked key
-	lostAfter   = time.Second            // without an answer the platform counts as lost
+	// readTimeout bounds the read of a whole table. When all processes start at
+	// once they share the platform's link, and a read that is given up early is
+	// begun again.
+	readTimeout = 15 * time.Second
+	lostAfter   = time.Second // without an answer the platform counts as lost
 )
 
 // Follower follows one table.
@@ -150,11 +154,13 @@
 func (f *Follower) stale(p Page) bool { return p.Revision < f.revision }
 
 func (f *Follower) call(ctx context.Context) (Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, f.cfg.Wait+f.cfg.Slack)
-	defer cancel()
 	if !f.known {
+		ctx, cancel := context.WithTimeout(ctx, readTimeout)
+		defer cancel()
 		return f.cfg.Read(ctx)
 	}
+	ctx, cancel := context.WithTimeout(ctx, f.cfg.Wait+f.cfg.Slack)
+	defer cancel()
 	wait := f.cfg.Wait
 	if f.failing || f.relayed() {
 		wait = 0 // the answer should confirm at once
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -30,7 +30,11 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	w := watch.New(watch.Config{
 		Name: "servers", Wait: 2 * time.Second, Slack: 500 * time.Millisecond, Settle: 100 * time.Millisecond, Log: zerolog.Nop(),
-		Read: func(context.Context) (watch.Page, error) { f.reads++; return f.read() },
+		Read: func(ctx context.Context) (watch.Page, error) {
+			f.reads++
+			p, err := f.read()
+			return p, errors.Join(err, ctx.Err())
+		},
 		Poll: func(ctx context.Context, after uint64, wait time.Duration) (watch.Page, error) {
 			f.polls++
 			return f.poll(after, wait)
@@ -117,3 +121,19 @@
 		assert.Assert(t, f.polls <= 11, "%d polls in 1 s", f.polls)
 	})
 }
+
+// Guards against a read of a large table that is given up and begun again while
+// all processes start at once (30 s until 300 processes served again).
+func TestSlowReadOfAWholeTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &feed{}
+		f.read = func() (watch.Page, error) { time.Sleep(5 * time.Second); return whole(1, "a"), nil }
+		f.poll = func(after uint64, wait time.Duration) (watch.Page, error) {
+			time.Sleep(wait)
+			return watch.Page{Revision: after}, nil
+		}
+		f.run(t, 6*time.Second)
+		assert.Equal(t, f.reads, 1)
+		assert.Equal(t, len(f.pages), 1)
+	})
+}
