--- a/config/config.go
+++ b/config/config.go
@@ -198,7 +198,6 @@
 	services map[string]Service
 	keys     map[string]*Account
 	accounts int
-	routes   int
 }
 
 // New checks the parts and returns a Config.
@@ -213,7 +212,6 @@
 		}
 		host := strings.ToLower(r.cfg.Host)
 		c.hosts[host] = append(c.hosts[host], r)
-		c.routes++
 	}
 	for _, all := range c.hosts {
 		sort.SliceStable(all, func(i, j int) bool { return len(all[i].cfg.Prefix) > len(all[j].cfg.Prefix) })
--- a/link/link.go
+++ b/link/link.go
@@ -103,7 +103,6 @@
 	address string
 	reader  *bufio.Reader
 	expires time.Time // of the idle time
-	used    bool      // carried an answer before
 }
 
 // Answer is the answer of a server. Its body must be closed.
@@ -292,7 +291,6 @@
 	if !watched || !x.keep || !x.whole || !wrote || x.limit <= 0 || x.conn.reader.Buffered() > 0 {
 		return x.conn.Close()
 	}
-	x.conn.used = true
 	x.conn.expires = time.Now().Add(x.limit)
 	x.client.put(x.conn)
 	return nil
--- a/path/path.go
+++ b/path/path.go
@@ -21,7 +21,6 @@
 	Read     float64 // seconds that one layer takes for one prompt token
 	Room     float64 // layer tokens of KV cache in all
 	Used     float64 // layer tokens in use
-	Streams  int     // streams that pass through it now
 	Slots    int     // streams that it takes as the first engine
 	Entered  int     // streams that entered at it
 	Suspect  bool    // failed a short while ago
--- a/relay/track.go
+++ b/relay/track.go
@@ -245,7 +245,7 @@
 		Step:    step * card.Pace / float64(e.Layers),
 		Room:    Room(e, card, entry.To-entry.From),
 		Used:    float64(tokens),
-		Streams: streams, Slots: max(entry.Slots, 1),
+		Slots:   max(entry.Slots, 1),
 		Suspect: s.Suspected(),
 	}
 	if e.ReadRate > 0 {
