member: calls and answers from before a pause prove nothing

Cause: TestPause failed once in about 150 runs because a process that wakes reads what waited in its sockets. A ping or news of a member that died during the pause, and the answer of one that had answered before it, were taken as a sign of life, and the dead member was listed until its next three pings failed. Calls within two seconds of a wake (askTimeout, after which peers give a call up) no longer prove anything, nor does an answer whose ping began before the pause; the process pings the members itself.

Ruled out: the list itself, which throws away its proofs at the wake before it answers.

Before: TestBacklog/ping and TestAnsweredBeforePause, which play both orders on purpose, fail.

--- a/member/member_test.go
+++ b/member/member_test.go
@@ -128,14 +128,90 @@
 				w.kill(name(6))
 				time.Sleep(50 * time.Second)
 				p.resume()
-				listed := slices.ContainsFunc(p.Live(), func(m member.Member) bool { return m.Name == name(6) })
-				assert.Equal(t, listed, hidden)
+				assert.Equal(t, lists(p, name(6)), hidden)
 				settled(t, w)
 			})
 		})
 	}
 }
 
+// TestBacklog guards against a process that wakes from a pause and takes the
+// calls that waited in its sockets as a sign that their senders, dead by now,
+// are alive.
+func TestBacklog(t *testing.T) {
+	calls := map[string]func(p *proc, dead member.Member){
+		"ping": func(p *proc, dead member.Member) {
+			p.HandlePing(dead.Name, dead.Incarnation, member.Health{Self: &dead})
+		},
+		"news of itself": func(p *proc, dead member.Member) {
+			p.HandleNews(context.Background(), dead.Name, dead.Incarnation, member.News{Events: []member.Event{{Kind: member.Joined, Member: dead}}})
+		},
+		"news by another": func(p *proc, dead member.Member) {
+			p.HandleNews(context.Background(), "stranger", "stranger/1", member.News{Events: []member.Event{{Kind: member.Joined, Member: dead}}})
+		},
+	}
+	for what, call := range calls {
+		t.Run(what, func(t *testing.T) {
+			run(t, 8, func(t *testing.T, w *world) {
+				p, dead := w.all()[4], w.all()[6].Self()
+				p.pause()
+				settled(t, w)
+				w.kill(dead.Name)
+				time.Sleep(50 * time.Second)
+				p.resume()
+				call(p, dead)
+				assert.Assert(t, !lists(p, dead.Name))
+				settled(t, w)
+			})
+		})
+	}
+}
+
+// TestAnsweredBeforePause guards against an answer that a member gave before
+// this process was paused, and that it reads when it wakes, as proof that the
+// member is still alive.
+func TestAnsweredBeforePause(t *testing.T) {
+	run(t, 0, func(t *testing.T, w *world) {
+		armed := make(chan struct{}, 1)
+		w.fault = func(c *member.Config) {
+			ping := c.Ping
+			c.Ping = func(ctx context.Context, to member.Member, h member.Health) (member.Health, error) {
+				out, err := ping(ctx, to, h)
+				if c.Self.Name == name(4) && to.Name == name(6) {
+					select {
+					case <-armed:
+						p := w.all()[4]
+						p.pause()
+						p.gate()
+					default:
+					}
+				}
+				return out, err
+			}
+		}
+		for i := range 8 {
+			w.start(i)
+		}
+		settled(t, w)
+		p := w.all()[4]
+		armed <- struct{}{}
+		for !p.paused() {
+			time.Sleep(10 * time.Millisecond)
+		}
+		w.kill(name(6))
+		time.Sleep(50 * time.Second)
+		p.resume()
+		synctest.Wait()
+		assert.Assert(t, !lists(p, name(6)))
+		settled(t, w)
+	})
+}
+
+// lists tells whether a process has a member in its list.
+func lists(p *proc, name string) bool {
+	return slices.ContainsFunc(p.Live(), func(m member.Member) bool { return m.Name == name })
+}
+
 // TestSuperseded guards against an old incarnation that wakes and goes on to
 // use its name after its VM was replaced.
 func TestSuperseded(t *testing.T) {
--- a/member/news.go
+++ b/member/news.go
@@ -31,7 +31,7 @@
 	var from Member
 	if e != nil {
 		t.states(e, h)
-		t.proved(e)
+		t.called(e)
 		from = e.member
 	}
 	t.mu.Unlock()
@@ -49,7 +49,7 @@
 	t.pulse.Beat()
 	t.mu.Lock()
 	if e := t.current(Member{Name: name, Incarnation: incarnation}); e != nil {
-		t.proved(e)
+		t.called(e)
 	}
 	t.mu.Unlock()
 	out := Verdicts{Alive: make([]bool, len(n.Events))}
@@ -64,7 +64,7 @@
 		case Stopped:
 			t.stopped(e.Member)
 		case Joined, Leaving:
-			t.joined(e.Member, e.Member.Incarnation == incarnation)
+			t.announced(e.Member, e.Member.Incarnation == incarnation)
 		default:
 			continue
 		}
@@ -157,20 +157,37 @@
 	}
 }
 
-// joined adds a member. What another process says of a member that gives no
-// answer here is checked with a ping first.
-func (t *Table) joined(m Member, direct bool) {
+// announced adds a member of which a call tells. Right after a pause the call
+// may be old, so the member is pinged before it is listed.
+func (t *Table) announced(m Member, direct bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.merge(m)
 	switch {
 	case e == nil:
+	case t.backlogged():
+		t.doubted(e)
 	case direct:
 		t.proved(e)
-	case e.state == lost:
-		e.state, e.misses = unproven, 0
-	case e.state == unproven:
+	default:
+		t.vouched(e)
+	}
+}
+
+// vouched records that a live member has e in its list. A member that gives no
+// answer here is pinged first. It needs the lock.
+func (t *Table) vouched(e *entry) {
+	if e.state == unproven {
 		e.state = live
+		return
+	}
+	t.doubted(e)
+}
+
+// doubted has a lost member pinged again. It needs the lock.
+func (t *Table) doubted(e *entry) {
+	if e.state == lost {
+		e.state, e.misses = unproven, 0
 	}
 }
 
@@ -183,8 +200,12 @@
 	if err != nil || t.pulse.Beat() != epoch {
 		return false
 	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	for _, m := range v.Members {
-		t.joined(m, false)
+		if e := t.merge(m); e != nil {
+			t.vouched(e)
+		}
 	}
 	return true
 }
--- a/member/probe.go
+++ b/member/probe.go
@@ -17,6 +17,11 @@
 	staleCount   = 4               // members whose row stands still that are pinged at once
 	probeRate    = 32              // pings of random members a second of all processes together
 	freshTime    = 2 * time.Second // an answer this recent refutes a death
+
+	// backlogTime is how long after a pause calls are taken for old ones. A
+	// peer gives up a call after at most askTimeout, so by then the calls that
+	// waited in sockets have been read.
+	backlogTime = askTimeout
 )
 
 // youngTime is how long after its start a process pings every member that it
@@ -124,7 +129,7 @@
 		return err == nil
 	}
 	e.pinging = false
-	if err != nil {
+	if err != nil || !same { // an answer from before a pause proves nothing
 		if same && ctx.Err() == nil {
 			t.missed(e, errors.Is(err, ErrGone))
 		}
--- a/member/table.go
+++ b/member/table.go
@@ -76,6 +76,7 @@
 	entries    map[string]*entry
 	superseded bool
 	scanned    time.Time // last scan that worked
+	awoke      time.Time // when a pause was last noticed; zero before the first
 	started    time.Time
 	probe      time.Time   // next ping of a random member
 	deaths     []time.Time // deaths found by this process, for the width of the watch
@@ -244,6 +245,7 @@
 // of others proves nothing until they are heard again.
 func (t *Table) woke(gap time.Duration) {
 	t.mu.Lock()
+	t.awoke = time.Now()
 	for _, e := range t.entries {
 		if e.state == live {
 			e.state = unproven
@@ -289,7 +291,23 @@
 	return e
 }
 
-// proved records that a member answered or called. It needs the lock.
+// called records that a member called this process. A call that waited in a
+// socket during a pause may come from a member that has died since, so it
+// proves nothing. It needs the lock.
+func (t *Table) called(e *entry) {
+	if !t.backlogged() {
+		t.proved(e)
+	}
+}
+
+// backlogged tells whether calls that arrive now may have been sent before
+// this process woke. It needs the lock.
+func (t *Table) backlogged() bool {
+	return !t.awoke.IsZero() && time.Since(t.awoke) < backlogTime
+}
+
+// proved records that a member answered, or called outside the time after a
+// pause. It needs the lock.
 func (t *Table) proved(e *entry) {
 	e.heard, e.misses, e.judging = time.Now(), 0, false
 	if e.state != live {
