relay, edge: metrics of wait, first event, pauses, attempts, budget and broken invariants

Three promises are now checked while requests are served: no request that may have run is refused as one that did not, none that may run once is sent again, a stream passes events on once and in order.

--- a/edge/app.go
+++ b/edge/app.go
@@ -172,7 +172,8 @@
 func newRelay(s Settings, t *server.Table, b *platform.Backend, g *beat.Ring, u *budgets, c *counters, l *logs.Maker) *relay.Relay {
 	return relay.New(relay.Config{
 		Servers: t, Send: b.Send, Report: b.Report, Repath: b.Repath, Budget: u.of, Others: g.Others, Alert: func(x *server.Server) { g.Alert(x.ID()) },
-		Domain: s.Domain, Log: l.Part("relay"), Count: c.event,
+		Domain: s.Domain, Log: l.Part("relay"), Count: c.event, Observe: c.observe,
+		Violated: func(i relay.Invariant) { c.violation(string(i)) },
 	})
 }
 
@@ -183,7 +184,10 @@
 		others: func() bool { return g.Held() || !g.Reader() },
 		lease: lease.New(lease.Config{
 			Rows: st.Table(), Name: "place", Holder: i.text, Term: leaseTerm, Send: sendTimeout,
-			Violated: func(reason string) { log.Error().Str("reason", reason).Msg("lease invariant does not hold") },
+			Violated: func(reason string) {
+				log.Error().Str("reason", reason).Msg("lease invariant does not hold")
+				c.violation("lease")
+			},
 		}),
 		holder: h, servers: t, place: b.Place, accepted: b.Accepted, log: log, count: c,
 	}
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -8,6 +8,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/cranberrybay/cranberrybay/relay"
 	"github.com/cranberrybay/cranberrybay/server"
 )
 
@@ -28,6 +29,16 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf("cranberrybay_events_total{event=%q}", name)).Inc()
 }
 
+// observe records a measurement of the relay.
+func (c *counters) observe(m relay.Measure, value float64) {
+	c.set.GetOrCreateHistogram("cranberrybay_" + string(m)).Update(value)
+}
+
+// violation counts a promise that was found broken while the process served.
+func (c *counters) violation(invariant string) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("cranberrybay_violations_total{invariant=%q}", invariant)).Inc()
+}
+
 func (c *counters) gauge(name string, f func() float64) {
 	c.set.GetOrCreateGauge("cranberrybay_"+name, f)
 }
@@ -39,6 +50,15 @@
 	}
 }
 
+// write writes the repeats that each service may still make now.
+func (u *budgets) write(w io.Writer) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for service, b := range u.services {
+		metrics.WriteGaugeFloat64(w, fmt.Sprintf("cranberrybay_budget_left{service=%q}", service), b.Left())
+	}
+}
+
 // writeServers writes the number of backend servers by state, and for each
 // service with layers the copies of the layer that has the fewest.
 func writeServers(w io.Writer, all []*server.Server) {
--- a/edge/metrics_test.go
+++ b/edge/metrics_test.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
+	"github.com/cranberrybay/cranberrybay/relay"
 	"github.com/cranberrybay/cranberrybay/server"
 )
 
@@ -30,13 +31,19 @@
 	}
 	x.Apply(all, true, 0)
 	x.At("d:1").Avoid(time.Hour)
-	c.more = func(w io.Writer) { writeServers(w, x.All()) }
+	c.observe(relay.MeasureGap, 0.2)
+	c.violation("refusal")
+	u := newBudgets(Settings{Bounds: Bounds{Ratio: 0.2, Slack: 80 / budgetShare}})
+	u.of("s")
+	c.more = func(w io.Writer) { writeServers(w, x.All()); u.write(w) }
 	w := httptest.NewRecorder()
 	c.ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
 	for _, want := range []string{
 		`cranberrybay_requests_total{outcome="served"} 1`, `cranberrybay_request_seconds_count{outcome="served"} 1`,
 		`cranberrybay_events_total{event="late"} 1`, `cranberrybay_inflight 3`,
 		`cranberrybay_servers{service="s",state="ready"} 2`, `cranberrybay_servers{service="s",state="draining"} 1`,
+		`cranberrybay_gap_seconds_count 1`, `cranberrybay_violations_total{invariant="refusal"} 1`,
+		`cranberrybay_budget_left{service="s"} 10`,
 		`cranberrybay_servers{service="desk",state="avoided"} 1`, `cranberrybay_layers_least{service="s"} 1`,
 	} {
 		assert.Assert(t, contains(w.Body.String(), want), "%s is missing in\n%s", want, w.Body.String())
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -151,12 +151,12 @@
 	closeTime = 200 * time.Millisecond // for connections that have just got their answer
 )
 
-func gauges(h *config.Holder, g *beat.Ring, p *Placer, c *counters, d *Desk, q *logs.Queue, st *platform.Store, t *server.Table, lk *link.Client) {
+func gauges(h *config.Holder, g *beat.Ring, p *Placer, c *counters, d *Desk, u *budgets, q *logs.Queue, st *platform.Store, t *server.Table, lk *link.Client) {
 	for result, name := range []string{platform.CallDone: "done", platform.CallConflict: "conflict", platform.CallRefused: "refused", platform.CallLost: "lost"} {
 		c.gauge(fmt.Sprintf("store_calls_total{result=%q}", name), func() float64 { return float64(st.Calls(result)) })
 	}
 	c.gauge("connections_opened_total", func() float64 { return float64(lk.Opened()) })
-	c.more = func(w io.Writer) { writeServers(w, t.All()) }
+	c.more = func(w io.Writer) { writeServers(w, t.All()); u.write(w) }
 	c.gauge("config_version", func() float64 {
 		if conf := h.Current(); conf != nil {
 			return float64(conf.Version())
--- a/relay/event.go
+++ b/relay/event.go
@@ -105,6 +105,17 @@
 	return b
 }
 
+// follows tells whether an event comes after the one before it. Identifiers that
+// are no numbers tell nothing.
+func follows(before, id string) bool {
+	x, err := strconv.ParseInt(before, 10, 64)
+	if err != nil {
+		return true
+	}
+	y, err := strconv.ParseInt(id, 10, 64)
+	return err != nil || y > x
+}
+
 // firstEnd returns the end of the first whole event.
 func firstEnd(b []byte) int {
 	a, c := bytes.Index(b, []byte("\n\n")), bytes.Index(b, []byte("\n\r\n"))
--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -40,6 +40,13 @@
 
 func newWorld(t *testing.T, entries ...server.Entry) *world {
 	t.Helper()
+	w, _ := newMeasuredWorld(t, entries...)
+	return w
+}
+
+func newMeasuredWorld(t *testing.T, entries ...server.Entry) (*world, *measured) {
+	t.Helper()
+	m := &measured{observed: map[relay.Measure][]float64{}, violated: map[relay.Invariant]int{}}
 	w := &world{dead: map[string]bool{}, budget: retry.New(retry.Config{Share: 0.2, Burst: repeats, Start: repeats})}
 	w.table = server.NewTable(server.Config{Log: zerolog.Nop(), Lapse: time.Second})
 	var all []server.Change
@@ -49,6 +56,16 @@
 	w.table.Apply(all, true, 0)
 	w.relay = relay.New(relay.Config{
 		Servers: w.table, Domain: "near", Log: zerolog.Nop(), Budget: func(string) *retry.Budget { return w.budget },
+		Observe: func(name relay.Measure, v float64) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			m.observed[name] = append(m.observed[name], v)
+		},
+		Violated: func(i relay.Invariant) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			m.violated[i]++
+		},
 		Alert: func(s *server.Server) {
 			w.mu.Lock()
 			defer w.mu.Unlock()
@@ -78,7 +95,7 @@
 			return w.repathed(path)
 		},
 	})
-	return w
+	return w, m
 }
 
 func (w *world) kill(address string) {
@@ -187,6 +204,20 @@
 
 func (s *stalling) Close() error { return nil }
 
+// parts is a body that gives one part with each read.
+type parts struct{ all []string }
+
+func (p *parts) Read(b []byte) (int, error) {
+	if len(p.all) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(b, p.all[0])
+	p.all = p.all[1:]
+	return n, nil
+}
+
+func (p *parts) Close() error { return nil }
+
 func stallingAnswer(ctx context.Context, body string) *relay.Answer {
 	a := answer(http.StatusOK, "")
 	a.Body, a.Length = &stalling{ctx: ctx, give: strings.NewReader(body)}, -1
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -10,6 +10,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -39,6 +40,9 @@
 	Prompt    int    // tokens
 	Answer    int    // tokens at most
 	Hint      int    // tokens of the answer as the caller expects them; 0 when not told
+
+	sent atomic.Int32 // attempts
+	ran  atomic.Bool  // an attempt may have run
 }
 
 // Hop is an engine on the path of a stream, with the layers that it runs.
@@ -99,6 +103,11 @@
 	Log    zerolog.Logger
 	// Count counts an outcome for the metrics; it may be nil.
 	Count func(name string)
+	// Observe takes a measurement for the metrics; it may be nil.
+	Observe func(m Measure, value float64)
+	// Violated counts an invariant that did not hold; it may be nil. It is
+	// logged besides.
+	Violated func(i Invariant)
 }
 
 // Relay serves requests.
@@ -112,6 +121,12 @@
 	if cfg.Count == nil {
 		cfg.Count = func(string) {}
 	}
+	if cfg.Observe == nil {
+		cfg.Observe = func(Measure, float64) {}
+	}
+	if cfg.Violated == nil {
+		cfg.Violated = func(Invariant) {}
+	}
 	if cfg.Alert == nil {
 		cfg.Alert = func(*server.Server) {}
 	}
@@ -129,12 +144,26 @@
 	ctx, cancel := context.WithDeadline(ctx, rq.By)
 	defer cancel()
 	r.cfg.Budget(rq.Service.Name).Request()
+	err := r.carry(ctx, rq, sink)
+	if fault.Of(err) == fault.NotRun && rq.ran.Load() {
+		r.violated(InvariantRefusal, rq)
+	}
+	r.cfg.Observe(MeasureAttempts, float64(rq.sent.Load()))
+	return err
+}
+
+func (r *Relay) carry(ctx context.Context, rq *Request, sink Sink) error {
 	if rq.Route.Kind() == config.Stream {
 		return r.stream(ctx, rq, sink)
 	}
 	return r.plain(ctx, rq, sink)
 }
 
+func (r *Relay) violated(i Invariant, rq *Request) {
+	r.cfg.Log.Error().Str("id", rq.ID).Str("invariant", string(i)).Msg("invariant does not hold")
+	r.cfg.Violated(i)
+}
+
 // dead keeps work of all entry processes away from a server that does not answer.
 func (r *Relay) dead(s *server.Server) {
 	s.Avoid(DeadAvoidance)
@@ -182,6 +211,20 @@
 // send makes one attempt and checks the header of its answer. A refusal and a
 // damaged answer are errors; any other answer of the server is returned.
 func (r *Relay) send(ctx context.Context, rq *Request, a Attempt) (*Answer, error) {
+	if rq.sent.Add(1) == 1 {
+		r.cfg.Observe(MeasureWait, time.Since(rq.Arrived).Seconds())
+	}
+	if rq.ran.Load() && !rq.Route.Repeatable() {
+		r.violated(InvariantAttempts, rq)
+	}
+	ans, err := r.exchange(ctx, rq, a)
+	if err == nil || fault.Of(err) != fault.NotRun {
+		rq.ran.Store(true)
+	}
+	return ans, err
+}
+
+func (r *Relay) exchange(ctx context.Context, rq *Request, a Attempt) (*Answer, error) {
 	ans, err := r.cfg.Send(ctx, rq, a)
 	if err != nil {
 		return nil, err
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -57,6 +57,15 @@
 	p.moved = now
 }
 
+// observe measures what the caller has got of the answer.
+func (j *journey) observe() {
+	if j.pace.moved.IsZero() {
+		return
+	}
+	j.relay.cfg.Observe(MeasureFirst, j.pace.first.Seconds())
+	j.relay.cfg.Observe(MeasureGap, j.pace.gap.Seconds())
+}
+
 // report logs an answer that callers found slow, with the path that it took.
 func (j *journey) report(t *track) {
 	rq := j.rq
@@ -71,6 +80,7 @@
 // stream serves a request that is answered by events.
 func (r *Relay) stream(ctx context.Context, rq *Request, sink Sink) error {
 	j := &journey{relay: r, rq: rq, sink: sink, last: rq.LastEvent}
+	defer j.observe()
 	without := map[string]bool{}
 	var err error
 	for {
@@ -240,6 +250,9 @@
 				return &callerGone{cause: werr}
 			}
 			if last != "" {
+				if !follows(j.last, last) {
+					j.relay.violated(InvariantOrder, j.rq)
+				}
 				j.last = last
 			}
 			j.pace.event(j.rq.Arrived)
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -44,6 +44,13 @@
 	return true
 }
 
+// Left returns the repeats that are saved up now.
+func (b *Budget) Left() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.left
+}
+
 // Bound sets the number of repeats saved up at most.
 func (b *Budget) Bound(burst float64) {
 	b.mu.Lock()
