edge: unknown keys and routes are refused with 503 while the configuration may be old

Cause: a process whose configuration was 2 to 4.2 s old answered 401 or 404 for a key or route that may have been added since; callers do not repeat those. From 2 s on (readers confirm every second or faster) it answers 503 with a time to come back, and another process decides. TestAdmitWithOldConfig failed before.

--- a/edge/desk.go
+++ b/edge/desk.go
@@ -20,6 +20,9 @@
 	// without the store no longer takes requests with a key. The rest covers a
 	// request on its way to a backend server.
 	staleShare = 0.84
+	// doubtShare is the part after which an unknown key or route may be one that
+	// was added since: readers confirm the configuration every second or faster.
+	doubtShare = 0.4
 	// unreadyShare is the part after which it tells callers to go elsewhere.
 	unreadyShare = 0.66
 	// defaultWait bounds a request whose caller and route state no time.
@@ -99,7 +102,7 @@
 	}
 	route := conf.Match(c.Host, c.Path)
 	if route == nil {
-		if age > d.part(staleShare) {
+		if age > d.part(doubtShare) {
 			return nil, refuse(fault.Unavailable, "the configuration may be old", staleRetry)
 		}
 		return nil, refuse(fault.Unknown, "no route for this path", 0)
@@ -110,6 +113,9 @@
 			return nil, refuse(fault.Unavailable, "the keys may be old", staleRetry)
 		}
 		if account = conf.Account(c.Key); account == nil {
+			if age > d.part(doubtShare) {
+				return nil, refuse(fault.Unavailable, "the key may be newer than the configuration", staleRetry)
+			}
 			return nil, refuse(fault.Unauthorized, "the key is unknown", 0)
 		}
 	}
--- a/edge/desk_test.go
+++ b/edge/desk_test.go
@@ -62,6 +62,17 @@
 	assert.Equal(t, comes, want == fault.Unavailable || want == fault.Leaving)
 }
 
+// Guards against 401 and 404 from a process that has missed a change of the
+// configuration: another process may know the key or the route.
+func TestAdmitWithOldConfig(t *testing.T) {
+	d, now := newTestDesk(t)
+	apply(t, d, 1, "k")
+	*now += 2500 * time.Millisecond
+	checkAdmit(t, d, "/x/1", "k", "")
+	checkAdmit(t, d, "/x/1", "other", fault.Unavailable)
+	checkAdmit(t, d, "/z/1", "k", fault.Unavailable)
+}
+
 // Guards against 401 and 404 from a process that knows no configuration, which
 // callers do not repeat, and against requests that no configuration allows.
 func TestAdmit(t *testing.T) {
