relay, server, edge: streams leave an engine that was found dead elsewhere without asking it

Cause: an alert of another entry process kept new work away from a dead engine, but each stream over it still waited for its own pause of 40 to 120 ms and asked up to five engines, each over a new connection.

Now a stream that pauses moves at the alert, unless an event passed through the engine here less than 35 ms ago. The same holds for the other streams of the process that found out.

--- a/edge/app.go
+++ b/edge/app.go
@@ -149,8 +149,8 @@
 		},
 		Dead: func(all []uint64) {
 			for _, x := range t.All() {
-				if slices.Contains(all, beat.Hash(x.ID())) {
-					x.Avoid(relay.DeadAvoidance)
+				if d.desk != nil && slices.Contains(all, beat.Hash(x.ID())) {
+					d.desk.relay.Told(x)
 				}
 			}
 		},
--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -30,6 +30,7 @@
 	mu       sync.Mutex
 	sends    []relay.Attempt
 	repaths  int
+	reports  int // reads of reports
 	alerts   []string
 	dead     map[string]bool // by address: do not answer reports
 	send     func(ctx context.Context, n int, rq *relay.Request, a relay.Attempt) (*relay.Answer, error)
@@ -80,6 +81,7 @@
 		},
 		Report: func(ctx context.Context, address string) (relay.Report, error) {
 			w.mu.Lock()
+			w.reports++
 			dead := w.dead[address]
 			w.mu.Unlock()
 			if dead {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -10,6 +10,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -114,6 +115,9 @@
 type Relay struct {
 	cfg     Config
 	reports *reports
+
+	mu      sync.Mutex
+	watches map[*stallWatch]struct{} // of the streams that run
 }
 
 // New returns a Relay.
@@ -133,7 +137,7 @@
 	if cfg.Others == nil {
 		cfg.Others = func(string) (int, int64) { return 0, 0 }
 	}
-	r := &Relay{cfg: cfg}
+	r := &Relay{cfg: cfg, watches: map[*stallWatch]struct{}{}}
 	r.reports = newReports(cfg.Report)
 	return r
 }
@@ -164,16 +168,46 @@
 	r.cfg.Violated(i)
 }
 
-// dead keeps work of all entry processes away from a server that does not answer.
+// dead keeps work of all entry processes away from a server that does not
+// answer, and has them move their streams.
 func (r *Relay) dead(s *server.Server) {
-	s.Avoid(DeadAvoidance)
+	r.Told(s)
 	r.cfg.Alert(s)
 }
 
-// DeadAvoidance keeps streams away from an engine that does not answer. The
+// Told keeps work away from a server that was found dead, here or by another
+// entry process. The streams over it that pause now move without asking it
+// again.
+func (r *Relay) Told(s *server.Server) {
+	s.Avoid(deadAvoidance)
+	s.Told()
+	if s.Silent() <= signOfLife {
+		return // it moves streams here; one that pauses later asks
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for w := range r.watches {
+		w.hurry(s.Address())
+	}
+}
+
+// watched and unwatched keep the set of running streams.
+func (r *Relay) watched(w *stallWatch) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.watches[w] = struct{}{}
+}
+
+func (r *Relay) unwatched(w *stallWatch) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.watches, w)
+}
+
+// deadAvoidance keeps streams away from an engine that does not answer. The
 // registry drops a dead engine after three heartbeats; a live one whose answer
 // was lost is missed for less.
-const DeadAvoidance = 2 * time.Second
+const deadAvoidance = 2 * time.Second
 
 // Reasons that callers and logs see.
 const (
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -70,6 +70,7 @@
 	w := &stallWatch{relay: j.relay, rq: j.rq, journey: j, ctx: ctx, cancel: cancel, track: t, without: without}
 	if len(t.hops) > 0 {
 		w.timer = time.AfterFunc(firstCheck, w.check)
+		w.relay.watched(w)
 	}
 	return w
 }
@@ -147,6 +148,7 @@
 	if w.timer == nil {
 		return
 	}
+	w.relay.unwatched(w)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.stopped = true
@@ -158,31 +160,24 @@
 // answer. The first engine also tells what it waits for, some hundred
 // milliseconds late.
 func (w *stallWatch) check() {
-	hops := w.track.path()
-	ask := hops[:1]
-	w.mu.Lock()
-	if w.checks++; w.checks%askAll == 1 {
-		ask = w.track.silent(signOfLife) // none when another stream moves over each
+	dead := w.track.foundDead()
+	if len(dead) == 0 {
+		dead = w.ask()
 	}
-	w.mu.Unlock()
-	dead, silent := w.relay.reports.sweep(w.ctx, w.rq.ID, ask, hops)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if silent > 0 {
-		w.checks = 0 // asks all engines next, which tells a dead one from a slow link
-	}
 	if w.stopped || w.ctx.Err() != nil {
 		return
 	}
 	defer func() { w.timer.Reset(nextCheck) }()
+	hops := w.track.path()
+	// Another check may have moved the stream meanwhile.
+	maps.DeleteFunc(dead, func(address string, _ bool) bool { return !passes(hops, address) })
 	if len(dead) == 0 {
 		return
 	}
 	for address := range dead {
 		w.without[address] = true
-		if s := w.relay.cfg.Servers.At(address); s != nil {
-			w.relay.dead(s)
-		}
 	}
 	if dead[hops[0].Address] {
 		w.reserve()
@@ -193,6 +188,38 @@
 	w.move(dead, true)
 }
 
+// ask finds dead engines of the path by their reports, and tells the other
+// streams and entry processes.
+func (w *stallWatch) ask() map[string]bool {
+	hops := w.track.path()
+	ask := hops[:1]
+	w.mu.Lock()
+	if w.checks++; w.checks%askAll == 1 {
+		ask = w.track.silent(signOfLife) // none when another stream moves over each
+	}
+	w.mu.Unlock()
+	dead, silent := w.relay.reports.sweep(w.ctx, w.rq.ID, ask, hops)
+	if silent > 0 {
+		w.resetChecks() // asks all engines next, which tells a dead one from a slow link
+	}
+	if w.ctx.Err() != nil {
+		return nil
+	}
+	for address := range dead {
+		if s := w.relay.cfg.Servers.At(address); s != nil {
+			w.relay.dead(s)
+		}
+	}
+	return dead
+}
+
+// hurry has a stream over an engine that was found dead checked at once.
+func (w *stallWatch) hurry(address string) {
+	if passes(w.track.path(), address) {
+		w.timer.Reset(0)
+	}
+}
+
 // move takes the stream off dead engines: over others of the same failure domain,
 // else by a new run elsewhere that resumes the stream, else by a detour over the
 // pipe.
--- a/relay/stream_test.go
+++ b/relay/stream_test.go
@@ -97,6 +97,48 @@
 	})
 }
 
+// Guards against a stream that asks an engine which another process has just
+// found dead, and against one that leaves an engine which serves it.
+func TestToldStreamMovesWithoutAsking(t *testing.T) {
+	const told = 25 * time.Millisecond
+	t.Run("dead", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t, engine("a", "near", 0, 4), engine("b", "near", 4, 8), engine("c", "near", 4, 8))
+			begun, more := time.Now(), make(chan struct{})
+			w.send = func(ctx context.Context, _ int, _ *relay.Request, a relay.Attempt) (*relay.Answer, error) {
+				second := w.table.At(a.Path[1].Address)
+				time.AfterFunc(told+signOfLife, func() { w.relay.Told(second) })
+				ans := answer(http.StatusOK, "")
+				ans.Body = &resuming{first: strings.NewReader(events(1, 2)), then: strings.NewReader(events(3, 4)), more: more, ctx: ctx}
+				return ans, nil
+			}
+			w.repathed = func(path []relay.Hop) error { checkTiles(t, path); close(more); return nil }
+			checkServed(t, w.serve(t.Context(), request(config.Stream, 2)), events(1, 4))
+			assert.Equal(t, w.repaths, 1)
+			assert.Equal(t, w.reports, 0)
+			took := time.Since(begun)
+			assert.Assert(t, took <= told+signOfLife+time.Millisecond, "%v", took)
+		})
+	})
+	t.Run("serving", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t, engine("a", "near", 0, 4), engine("b", "near", 4, 8), engine("c", "near", 4, 8))
+			w.send = func(ctx context.Context, _ int, _ *relay.Request, a relay.Attempt) (*relay.Answer, error) {
+				second := w.table.At(a.Path[1].Address)
+				time.AfterFunc(told, func() { w.relay.Told(second) })
+				ans := answer(http.StatusOK, "")
+				ans.Body = &paced{ctx: ctx, left: 20}
+				return ans, nil
+			}
+			checkServed(t, w.serve(t.Context(), request(config.Stream, 2)), events(1, 20))
+			assert.Equal(t, w.repaths, 0)
+		})
+	})
+}
+
+// signOfLife is more than the age of an event that shows that an engine lives.
+const signOfLife = 40 * time.Millisecond
+
 // resuming gives some events, waits, and gives others.
 type resuming struct {
 	first, then *strings.Reader
--- a/relay/track.go
+++ b/relay/track.go
@@ -306,6 +306,23 @@
 	return out
 }
 
+// foundDead returns the addresses of engines of the path that were found dead a
+// moment ago and through which no other stream moves; nil when there are none.
+func (t *track) foundDead() map[string]bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out map[string]bool
+	for _, s := range t.servers {
+		if s.FoundDead(deadAvoidance) && s.Silent() > signOfLife {
+			if out == nil {
+				out = map[string]bool{}
+			}
+			out[s.Address()] = true
+		}
+	}
+	return out
+}
+
 // silent returns the hops whose engines have shown no sign of life for a time.
 func (t *track) silent(longer time.Duration) []Hop {
 	t.mu.Lock()
--- a/server/server.go
+++ b/server/server.go
@@ -48,6 +48,7 @@
 	claimed  atomic.Int64 // layer tokens of KV cache of this process's streams
 	suspect  atomic.Int64 // now() until which the server is avoided
 	moved    atomic.Int64 // now() of the last sign of life
+	told     atomic.Int64 // now() when it was last found dead, here or by another process
 	leaving  atomic.Bool  // drains, or has left the registry
 
 	mu       sync.Mutex
@@ -100,6 +101,16 @@
 // Silent returns the time since the last sign of life.
 func (s *Server) Silent() time.Duration { return now() - time.Duration(s.moved.Load()) }
 
+// Told records that the server was found dead.
+func (s *Server) Told() { s.told.Store(int64(now())) }
+
+// FoundDead tells whether the server was found dead within a time and has shown
+// no sign of life since.
+func (s *Server) FoundDead(within time.Duration) bool {
+	at := s.told.Load()
+	return at > 0 && at > s.moved.Load() && now()-time.Duration(at) < within
+}
+
 // Suspected tells whether the server is avoided now.
 func (s *Server) Suspected() bool { return int64(now()) < s.suspect.Load() }
 
