relay: a crowd of streams that leaves dead engines is spread over similar engines

Choices after a death now multiply each engine's times by a random 1 to 2. TestDetoursSpread: one of three engines took more than half of 80 detours before.

--- a/relay/stream_test.go
+++ b/relay/stream_test.go
@@ -140,6 +140,30 @@
 // signOfLife is more than the age of an event that shows that an engine lives.
 const signOfLife = 40 * time.Millisecond
 
+// Guards against the streams of many entry processes that all leave a dead engine
+// for the same other one, which then reads all their prompts one by one.
+func TestDetoursSpread(t *testing.T) {
+	const processes = 80
+	chosen := map[string]int{}
+	for range processes {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t, engine("a", "near", 0, 4), engine("b", "near", 4, 8), engine("c", "near", 4, 8), engine("d", "near", 4, 8), engine("e", "near", 4, 8))
+			more := make(chan struct{})
+			w.send = func(ctx context.Context, _ int, _ *relay.Request, a relay.Attempt) (*relay.Answer, error) {
+				w.kill(a.Path[1].Address)
+				ans := answer(http.StatusOK, "")
+				ans.Body = &resuming{first: strings.NewReader(events(1, 2)), then: strings.NewReader(events(3, 4)), more: more, ctx: ctx}
+				return ans, nil
+			}
+			w.repathed = func(path []relay.Hop) error { chosen[path[1].Address]++; close(more); return nil }
+			checkServed(t, w.serve(t.Context(), request(config.Stream, 2)), events(1, 4))
+		})
+	}
+	for address, n := range chosen {
+		assert.Assert(t, n <= processes/2, "%s has %d of %d streams", address, n, processes)
+	}
+}
+
 // resuming gives some events, waits, and gives others.
 type resuming struct {
 	first, then *strings.Reader
--- a/relay/track.go
+++ b/relay/track.go
@@ -21,6 +21,10 @@
 	nearTransfer = 0.15e-3
 	// spread is the largest random addition to the times of a failure domain.
 	spread = 0.15
+	// crowdSpread is that to the times of each engine when engines have died: all
+	// streams over them choose within milliseconds, and the prompts of 70 streams
+	// that one engine reads take it 100 to 200 ms.
+	crowdSpread = 1.0
 	// answerShare is the part of the largest possible answer that a stream is
 	// expected to write when the caller gives no estimate.
 	answerShare = 0.5
@@ -44,7 +48,7 @@
 	if e == nil || e.Layers == 0 {
 		return r.whole(rq, all, without)
 	}
-	m := r.survey(rq, all)
+	m := r.survey(rq, all, len(without) > 0)
 	hops, ok := m.choose(path.Want{Layers: e.Layers, Domain: m.domains[r.cfg.Domain], Next: path.Nowhere, Without: without})
 	if !ok {
 		return nil, false
@@ -57,7 +61,7 @@
 // only by engines of the failure domain before it: otherwise the activations of
 // all tokens so far cross the pipe, which takes 15 ms for each stream.
 func (r *Relay) detour(rq *Request, t *track, dead map[string]bool, near bool) (*track, bool) {
-	m := r.survey(rq, r.cfg.Servers.Servers(rq.Service.Name))
+	m := r.survey(rq, r.cfg.Servers.Servers(rq.Service.Name), true)
 	without := map[string]bool{}
 	for address := range dead {
 		without[address] = true
@@ -104,7 +108,9 @@
 	links   path.Links
 }
 
-func (r *Relay) survey(rq *Request, all []*server.Server) *survey {
+// survey describes the engines. A crowd of streams that choose at the same moment
+// is spread over engines with similar times.
+func (r *Relay) survey(rq *Request, all []*server.Server, crowd bool) *survey {
 	e := rq.Service.Engine
 	m := &survey{relay: r, rq: rq, servers: all, engines: make([]path.Engine, len(all))}
 	var names []string
@@ -118,6 +124,11 @@
 	for i, s := range all {
 		m.engines[i] = r.candidate(s, e, m.domains)
 		m.engines[i].Step *= lean[m.engines[i].Domain]
+		if crowd {
+			x := 1 + crowdSpread*rand.Float64()
+			m.engines[i].Step *= x
+			m.engines[i].Read *= x
+		}
 	}
 	return m
 }
