relay: a silent engine is asked twice before other processes are told

Real deaths are silent too (the crashes of seconds 15 and 25 refused no connection), so that silence can't be left out.

TestSilentEngineIsAskedTwiceBeforeAnAlert: an alert after one late answer before, none now.

--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -33,12 +33,16 @@
 	reports  int // reads of reports
 	alerts   []string
 	dead     map[string]bool // by address: do not answer reports
+	late     map[string]int  // by address: answers that come too late
 	send     func(ctx context.Context, n int, rq *relay.Request, a relay.Attempt) (*relay.Answer, error)
 	repathed func(path []relay.Hop) error
 }
 
 const repeats = 20
 
+// questionTime is more than the time after which an engine counts as silent.
+const questionTime = 40 * time.Millisecond
+
 func newWorld(t *testing.T, entries ...server.Entry) *world {
 	t.Helper()
 	w, _ := newMeasuredWorld(t, entries...)
@@ -47,8 +51,9 @@
 
 func newMeasuredWorld(t *testing.T, entries ...server.Entry) (*world, *measured) {
 	t.Helper()
+	t.Cleanup(func() { time.Sleep(2 * questionTime) }) // an engine may still be asked
 	m := &measured{observed: map[relay.Measure][]float64{}, violated: map[relay.Invariant]int{}}
-	w := &world{dead: map[string]bool{}, budget: retry.New(retry.Config{Share: 0.2, Burst: repeats, Start: repeats})}
+	w := &world{dead: map[string]bool{}, late: map[string]int{}, budget: retry.New(retry.Config{Share: 0.2, Burst: repeats, Start: repeats})}
 	w.table = server.NewTable(server.Config{Log: zerolog.Nop(), Lapse: time.Second})
 	var all []server.Change
 	for _, e := range entries {
@@ -82,7 +87,8 @@
 		Report: func(ctx context.Context, address string) (relay.Report, error) {
 			w.mu.Lock()
 			w.reports++
-			dead := w.dead[address]
+			dead := w.dead[address] || w.late[address] > 0
+			w.late[address]--
 			w.mu.Unlock()
 			if dead {
 				<-ctx.Done()
@@ -106,6 +112,12 @@
 	w.dead[address] = true
 }
 
+func (w *world) isDead(address string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.dead[address]
+}
+
 func (w *world) count() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -168,11 +168,20 @@
 	r.cfg.Violated(i)
 }
 
-// dead keeps work of all entry processes away from a server that does not
-// answer, and has them move their streams.
-func (r *Relay) dead(s *server.Server) {
-	r.Told(s)
-	r.cfg.Alert(s)
+// suspect keeps new work of this process away from a server that does not
+// answer, and asks it once more before the other streams and entry processes are
+// told: a single answer that is late would move all streams over it.
+func (r *Relay) suspect(s *server.Server) {
+	s.Avoid(deadAvoidance)
+	if s.FoundDead(deadAvoidance) {
+		return
+	}
+	go func() {
+		if r.reports.gone(s.Address()) {
+			r.Told(s)
+			r.cfg.Alert(s)
+		}
+	}()
 }
 
 // Told keeps work away from a server that was found dead, here or by another
--- a/relay/report.go
+++ b/relay/report.go
@@ -28,8 +28,9 @@
 type reports struct {
 	read func(ctx context.Context, address string) (Report, error)
 
-	mu   sync.Mutex
-	last map[string]*reading
+	mu      sync.Mutex
+	last    map[string]*reading
+	confirm map[string]bool // engines that are asked once more
 }
 
 // reading is one read of a report.
@@ -43,7 +44,7 @@
 }
 
 func newReports(read func(ctx context.Context, address string) (Report, error)) *reports {
-	return &reports{read: read, last: map[string]*reading{}}
+	return &reports{read: read, last: map[string]*reading{}, confirm: map[string]bool{}}
 }
 
 // sweep asks engines of a path and returns the addresses of those that are
@@ -98,6 +99,24 @@
 	return x
 }
 
+// gone asks an engine that did not answer once more and tells whether that fails
+// too. It returns false to all but the first of those who ask at the same time.
+func (r *reports) gone(address string) bool {
+	r.mu.Lock()
+	if r.confirm[address] {
+		r.mu.Unlock()
+		return false
+	}
+	r.confirm[address] = true
+	x := &reading{done: make(chan struct{}), begun: time.Now()}
+	r.mu.Unlock()
+	r.fill(x, address)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.confirm, address)
+	return x.silent || x.refused
+}
+
 func (r *reports) fill(x *reading, address string) {
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 	defer cancel()
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -197,8 +197,7 @@
 	w.move(dead, true)
 }
 
-// ask finds dead engines of the path by their reports, and tells the other
-// streams and entry processes.
+// ask finds dead engines of the path by their reports.
 func (w *stallWatch) ask() map[string]bool {
 	hops := w.track.path()
 	ask := hops[:1]
@@ -216,7 +215,7 @@
 	}
 	for address := range dead {
 		if s := w.relay.cfg.Servers.At(address); s != nil {
-			w.relay.dead(s)
+			w.relay.suspect(s)
 		}
 	}
 	return dead
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -211,7 +211,7 @@
 		ask = append(ask, Hop{Address: first.Address()})
 	}
 	if dead, _ := r.reports.sweep(context.Background(), "", ask, ask); dead[s.Address()] {
-		r.dead(s)
+		r.suspect(s)
 	}
 }
 
--- a/relay/stream_test.go
+++ b/relay/stream_test.go
@@ -87,7 +87,7 @@
 		}
 		w.repathed = func(path []relay.Hop) error {
 			checkTiles(t, path)
-			assert.Assert(t, !w.dead[path[2].Address])
+			assert.Assert(t, !w.isDead(path[2].Address))
 			moved = time.Since(begun)
 			close(more)
 			return nil
@@ -378,6 +378,34 @@
 
 func (p *paced) Close() error { return nil }
 
+// Guards against an engine whose one late answer moves the streams of all entry
+// processes (300 moves in a second without a crash on a grown day), and against a
+// dead one that they are not told of.
+func TestSilentEngineIsAskedTwiceBeforeAnAlert(t *testing.T) {
+	for _, dead := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t, engine("a", "near", 0, 4), engine("b", "near", 4, 8), engine("c", "near", 4, 8))
+			more := make(chan struct{})
+			w.send = func(ctx context.Context, _ int, _ *relay.Request, a relay.Attempt) (*relay.Answer, error) {
+				if dead {
+					w.kill(a.Path[1].Address)
+				}
+				w.mu.Lock()
+				w.late[a.Path[1].Address] = 1
+				w.mu.Unlock()
+				ans := answer(http.StatusOK, "")
+				ans.Body = &resuming{first: strings.NewReader(events(1, 2)), then: strings.NewReader(events(3, 4)), more: more, ctx: ctx}
+				return ans, nil
+			}
+			w.repathed = func([]relay.Hop) error { close(more); return nil }
+			checkServed(t, w.serve(t.Context(), request(config.Stream, 2)), events(1, 4))
+			time.Sleep(100 * time.Millisecond)
+			synctest.Wait()
+			assert.Equal(t, len(w.alerts) == 1, dead, "%v", w.alerts)
+		})
+	}
+}
+
 // Guards against a dead engine that other processes are not told of, and against
 // an alert for one that refuses and lives.
 func TestDeadCulpritIsTold(t *testing.T) {
