relay: streams begin at engines with free slots

Cause: the path search knew the slots of a first engine but was never told how many streams had entered there, so that it could give one engine more than its slots while others were free. Streams over an engine that holds the first layer entered there. When all are full the bound is left out: engines queue a few more, and a refusal would be early.

TestSlotsOfFirstEngines: five streams at one engine with two slots before.

--- a/relay/stream_test.go
+++ b/relay/stream_test.go
@@ -98,6 +98,34 @@
 	})
 }
 
+// Guards against a first engine that gets more streams than its slots while
+// another has some free, and against a refusal when all have a queue.
+func TestSlotsOfFirstEngines(t *testing.T) {
+	a, b := engine("a", "near", 0, 8), engine("b", "near", 0, 8)
+	a.Slots, b.Slots = 2, 2
+	w := newWorld(t, a, slow(b))
+	first := map[string]int{}
+	release := make(chan struct{})
+	arrived := make(chan struct{})
+	w.send = func(_ context.Context, _ int, _ *relay.Request, x relay.Attempt) (*relay.Answer, error) {
+		w.mu.Lock()
+		first[x.Path[0].Address]++
+		w.mu.Unlock()
+		arrived <- struct{}{}
+		<-release
+		return answer(http.StatusOK, events(1, 1)), nil
+	}
+	var wg sync.WaitGroup
+	for range 5 {
+		wg.Go(func() { checkServed(t, w.serve(t.Context(), request(config.Stream, 1)), events(1, 1)) })
+		<-arrived
+	}
+	close(release)
+	wg.Wait()
+	assert.Assert(t, first["a:1"] >= 2 && first["b:1"] >= 2, "%v", first)
+	assert.Equal(t, first["a:1"]+first["b:1"], 5)
+}
+
 // Guards against a stream that asks an engine which another process has just
 // found dead, and against one that leaves an engine which serves it.
 func TestToldStreamMovesWithoutAsking(t *testing.T) {
--- a/relay/track.go
+++ b/relay/track.go
@@ -49,7 +49,15 @@
 		return r.whole(rq, all, without)
 	}
 	m := r.survey(rq, all, len(without) > 0)
-	hops, ok := m.choose(path.Want{Layers: e.Layers, Domain: m.domains[r.cfg.Domain], Next: path.Nowhere, Without: without})
+	want := path.Want{Layers: e.Layers, Domain: m.domains[r.cfg.Domain], Next: path.Nowhere, Without: without}
+	hops, ok := m.choose(want)
+	if !ok {
+		// Engines queue a few streams beyond their slots.
+		for i := range m.engines {
+			m.engines[i].Entered = 0
+		}
+		hops, ok = m.choose(want)
+	}
 	if !ok {
 		return nil, false
 	}
@@ -259,6 +267,9 @@
 		Slots:   max(entry.Slots, 1),
 		Suspect: s.Suspected(),
 	}
+	if entry.From == 0 {
+		out.Entered = streams // a path begins at the first layer
+	}
 	if e.ReadRate > 0 {
 		out.Read = card.Read / e.ReadRate / float64(e.Layers)
 	}
