--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -26,6 +26,7 @@
 	table  *server.Table
 	relay  *relay.Relay
 	budget *retry.Budget
+	log    lines
 
 	mu       sync.Mutex
 	sends    []relay.Attempt
@@ -38,6 +39,24 @@
 	repathed func(path []relay.Hop) error
 }
 
+// lines keeps log lines.
+type lines struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (l *lines) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(b)
+}
+
+func (l *lines) contains(want string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Contains(l.text.String(), want)
+}
+
 const repeats = 20
 
 // questionTime is more than the time after which an engine counts as silent.
@@ -61,7 +80,7 @@
 	}
 	w.table.Apply(all, true, 0)
 	w.relay = relay.New(relay.Config{
-		Servers: w.table, Domain: "near", Log: zerolog.Nop(), Budget: func(string) *retry.Budget { return w.budget },
+		Servers: w.table, Domain: "near", Log: zerolog.New(&w.log), Budget: func(string) *retry.Budget { return w.budget },
 		Observe: func(name relay.Measure, v float64) {
 			w.mu.Lock()
 			defer w.mu.Unlock()
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -47,7 +47,7 @@
 			return false
 		}
 		s := r.pick(rq, tried)
-		if s == nil || (sent > 0 && !r.cfg.Budget(rq.Service.Name).Repeat()) {
+		if s == nil || (sent > 0 && !r.repeat(rq)) {
 			return false
 		}
 		tried[s.ID()] = true
--- a/relay/plain_test.go
+++ b/relay/plain_test.go
@@ -108,6 +108,8 @@
 	}
 	most := calls + repeats + calls/5
 	assert.Assert(t, w.count() <= most, "%d sends of %d requests", w.count(), calls)
+	// An engineer has to see why a request was not repeated.
+	assert.Assert(t, w.log.contains("no repeat left"))
 }
 
 // Guards against a request that waits to its deadline when nobody can serve it.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -168,6 +168,16 @@
 	r.cfg.Violated(i)
 }
 
+// repeat takes a repeat from the budget of a request's service.
+func (r *Relay) repeat(rq *Request) bool {
+	b := r.cfg.Budget(rq.Service.Name)
+	if b.Repeat() {
+		return true
+	}
+	r.cfg.Log.Info().Str("id", rq.ID).Str("service", rq.Service.Name).Float64("left", b.Left()).Msg("no repeat left")
+	return false
+}
+
 // suspect keeps new work of this process away from a server that does not
 // answer, and asks it once more before the other streams and entry processes are
 // told: a single answer that is late would move all streams over it.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -105,7 +105,7 @@
 	if j.reserved.Swap(false) {
 		return true
 	}
-	return j.relay.cfg.Budget(j.rq.Service.Name).Repeat()
+	return j.relay.repeat(j.rq)
 }
 
 // attempt sends the stream over one path and passes its events on. It reports
