soak: links that delay, reset, answer one way only and fall silent

Backend servers are listed with the address of a proxy on the loopback interface, whose fault changes at random beside the other faults. Its draws are its own, so that older seeds keep their plan.

--- a/soak/server_test.go
+++ b/soak/server_test.go
@@ -40,6 +40,7 @@
 	id, address, zone, service string
 	born                       int64
 	server                     *http.Server
+	link                       *link // address is that of the link
 
 	// Under the lock of servers.
 	from, to int
@@ -62,7 +63,8 @@
 func (v *servers) start(name, zone, service string) *backend {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(v.t, err)
-	b := &backend{id: name, address: ln.Addr().String(), zone: zone, service: service, born: time.Now().UnixMilli()}
+	l := newLink(v.t, ln.Addr().String())
+	b := &backend{id: name, address: l.address(), zone: zone, service: service, born: time.Now().UnixMilli(), link: l}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /-/report", func(w http.ResponseWriter, r *http.Request) { v.report(b, w, r) })
 	mux.HandleFunc("POST /-/order", func(w http.ResponseWriter, r *http.Request) { v.order(b, w, r) })
@@ -97,6 +99,7 @@
 	b.dead = true
 	v.mu.Unlock()
 	_ = b.server.Close()
+	b.link.close()
 	time.AfterFunc(time.Second, func() { v.store.put("servers", b.id, nil) })
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -50,6 +50,7 @@
 type run struct {
 	t       *testing.T
 	rand    *rand.Rand
+	links   *rand.Rand // of the links, so that older seeds keep their plan
 	store   *store
 	servers *servers
 	callers *callers
@@ -88,7 +89,7 @@
 		dir = filepath.Join(*keepFlag, fmt.Sprint(seed))
 		assert.NilError(t, os.MkdirAll(dir, 0o750))
 	}
-	u := &run{t: t, rand: rand.New(rand.NewSource(seed)), store: newStore(t)}
+	u := &run{t: t, rand: rand.New(rand.NewSource(seed)), links: rand.New(rand.NewSource(-seed)), store: newStore(t)}
 	u.servers = newServers(t, u.store)
 	u.configure(shopKey)
 	for i := range engines {
@@ -123,6 +124,7 @@
 	u.waitServing("at the start", 15*time.Second)
 	for range steps {
 		u.fault()
+		u.linkFault()
 		time.Sleep(time.Duration(500+u.rand.Intn(1500)) * time.Millisecond)
 	}
 	u.store.set(storeSound)
@@ -215,6 +217,15 @@
 	}
 }
 
+// linkFault disturbs the links of up to two backend servers for a while.
+func (u *run) linkFault() {
+	for range u.links.Intn(3) {
+		b := u.pickBy(u.links, []string{"llm", "desk"}[u.links.Intn(2)])
+		f, d := linkSound+1+linkFault(u.links.Intn(int(linkFaults)-1)), time.Duration(200+u.links.Intn(1500))*time.Millisecond
+		u.later(func() { b.link.set(f); time.Sleep(d); b.link.set(linkSound) })
+	}
+}
+
 // later runs a part of a fault that takes a while beside the next ones.
 func (u *run) later(f func()) {
 	u.wg.Add(1)
@@ -234,7 +245,10 @@
 	p.start(u.t)
 }
 
-func (u *run) pick(service string) *backend {
+func (u *run) pick(service string) *backend { return u.pickBy(u.rand, service) }
+
+// pickBy picks a server that serves.
+func (u *run) pickBy(r *rand.Rand, service string) *backend {
 	u.servers.mu.Lock()
 	defer u.servers.mu.Unlock()
 	var all []*backend
@@ -243,7 +257,7 @@
 			all = append(all, b)
 		}
 	}
-	return all[u.rand.Intn(len(all))]
+	return all[r.Intn(len(all))]
 }
 
 // replace ends an engine and starts another one in its failure domain.
