beat, wire, edge: remove what no process reads, one description of a followed table

Cause: heartbeats carried the version of the configuration and a mark of readers, which the receiver stored and nothing read; the hash of a server's name was written out beside beat.Hash; the two followed tables repeated eight lines of the same settings and calls.

Behaviour stays: an older process that still sends the fields is understood. No figure was measured; a heartbeat is a few bytes shorter.

--- a/beat/beat.go
+++ b/beat/beat.go
@@ -1,7 +1,7 @@
 // Package beat exchanges heartbeats between entry processes. A heartbeat tells
-// that a process is alive and ready, which configuration it has, and what it has
-// in flight at each backend server, so that processes that choose at the same
-// time see each other's load without asking the backend servers.
+// that a process is alive and ready and what it has in flight at each backend
+// server, so that processes that choose at the same time see each other's load
+// without asking the backend servers.
 package beat
 
 import (
@@ -12,7 +12,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 
@@ -33,8 +32,7 @@
 type State struct {
 	Ready   bool
 	Leaving bool
-	Holder  bool // holds the lease for placing layers
-	Version uint64
+	Holder  bool   // holds the lease for placing layers
 	Seen    []Seen // what this process's own polls of the platform showed
 }
 
@@ -129,9 +127,7 @@
 	ready       bool
 	leaving     bool
 	holder      bool
-	reader      bool
 	weight      uint32
-	version     uint64
 	silent      bool
 	work        []*wire.Inflight
 }
@@ -239,19 +235,19 @@
 	s := r.cfg.State()
 	b := &wire.Beat{
 		Name: r.cfg.Self.Name, Incarnation: r.cfg.Incarnation, Domain: r.cfg.Self.Domain, Callers: r.cfg.Self.Callers,
-		Ready: s.Ready, Leaving: s.Leaving, Holder: s.Holder, Version: s.Version, Address: r.cfg.Self.Address, Weight: uint32(r.cfg.Weight), Dead: dead,
+		Ready: s.Ready, Leaving: s.Leaving, Holder: s.Holder, Address: r.cfg.Self.Address, Weight: uint32(r.cfg.Weight), Dead: dead,
 	}
 	if page != nil {
 		b.Pages = append(b.Pages, page)
 	}
 	for _, w := range r.cfg.Work() {
-		b.Work = append(b.Work, &wire.Inflight{Server: xxhash.Sum64String(w.Server), Streams: uint32(w.Streams), Tokens: uint64(w.Tokens)})
+		b.Work = append(b.Work, &wire.Inflight{Server: Hash(w.Server), Streams: uint32(w.Streams), Tokens: uint64(w.Tokens)})
 	}
 	r.mu.Lock()
 	r.ready = s.Ready
 	r.sequence++
 	b.Sequence = r.sequence
-	if b.Reader = r.isReader(); b.Reader {
+	if r.isReader() {
 		for _, x := range s.Seen {
 			b.Seen = append(b.Seen, &wire.Seen{Table: x.Table, Changed: x.Changed, Clock: x.Clock.Milliseconds()})
 		}
@@ -332,8 +328,7 @@
 		r.cfg.Log.Info().Str("peer", b.Name).Msg("peer is back")
 	}
 	m.incarnation, m.sequence, m.heard, m.silent = b.Incarnation, b.Sequence, clock.Now(), false
-	m.ready, m.leaving, m.holder, m.version, m.work = b.Ready, b.Leaving, b.Holder, b.Version, b.Work
-	m.reader, m.weight = b.Reader, b.Weight
+	m.ready, m.leaving, m.holder, m.weight, m.work = b.Ready, b.Leaving, b.Holder, b.Weight, b.Work
 	r.sum()
 	return true
 }
@@ -384,7 +379,7 @@
 func (r *Ring) Others(server string) (streams int, tokens int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	t := r.totals[xxhash.Sum64String(server)]
+	t := r.totals[Hash(server)]
 	return t.streams, t.tokens
 }
 
--- a/edge/app.go
+++ b/edge/app.go
@@ -110,7 +110,7 @@
 	return server.NewTable(server.Config{Log: l.Part("server"), Lapse: lapse, Gone: c.Drop})
 }
 
-func newRing(s Settings, i incarnation, h *config.Holder, t *server.Table, d *deskState, l *logs.Maker) (*beat.Ring, error) {
+func newRing(s Settings, i incarnation, t *server.Table, d *deskState, l *logs.Maker) (*beat.Ring, error) {
 	conn, err := net.ListenPacket("udp4", s.Listen.Beats)
 	if err != nil {
 		return nil, fmt.Errorf("listen for heartbeats: %w", err)
@@ -120,12 +120,7 @@
 		Self:        beat.Peer{Name: s.Name, Address: s.Listen.Beats, Callers: s.Listen.Callers, Domain: s.Domain},
 		Incarnation: i.number,
 		State: func() beat.State {
-			b := beat.State{Ready: d.ready(), Leaving: d.leaving(), Holder: d.holder()}
-			if c := h.Current(); c != nil {
-				b.Version = c.Version()
-			}
-			b.Seen = d.seen()
-			return b
+			return beat.State{Ready: d.ready(), Leaving: d.leaving(), Holder: d.holder(), Seen: d.seen()}
 		},
 		Weight: int(thousand * s.Limits.Share * max(s.Limits.Cores, 1)),
 		Heard: func(x beat.Seen) {
@@ -198,38 +193,35 @@
 // follow keeps the configuration and the registry up to date.
 func follow(st *platform.Store, h *config.Holder, t *server.Table, g *beat.Ring, d *deskState, l *logs.Maker, lc fx.Lifecycle) {
 	log := l.Part("watch")
-	relayed := func() bool { return !g.Reader() }
-	share := func(name string) func(p watch.Page, after, changed uint64) {
-		return func(p watch.Page, after, changed uint64) {
-			g.Share(beat.Page{Seen: beat.Seen{Table: name, Changed: changed, Clock: p.Clock}, After: after, Revision: p.Revision, Rows: p.Rows})
+	table := func(name string) watch.Config {
+		return watch.Config{
+			Name: name, Wait: pollWait, Slack: pollSlack, Log: log,
+			Relayed: func() bool { return !g.Reader() },
+			Share: func(p watch.Page, after, changed uint64) {
+				g.Share(beat.Page{Seen: beat.Seen{Table: name, Changed: changed, Clock: p.Clock}, After: after, Revision: p.Revision, Rows: p.Rows})
+			},
+			Read: func(ctx context.Context) (watch.Page, error) { return st.Read(ctx, name) },
+			Poll: func(ctx context.Context, after uint64, wait time.Duration) (watch.Page, error) {
+				return st.Poll(ctx, name, after, wait)
+			},
 		}
 	}
-	conf := watch.New(watch.Config{
-		Relayed: relayed, Share: share(platform.TableConfig),
-		Name: platform.TableConfig, Wait: pollWait, Slack: pollSlack, Log: log, Confirm: h.Confirm,
-		Read: func(ctx context.Context) (watch.Page, error) { return st.Read(ctx, platform.TableConfig) },
-		Poll: func(ctx context.Context, after uint64, wait time.Duration) (watch.Page, error) {
-			return st.Poll(ctx, platform.TableConfig, after, wait)
-		},
-		Apply: func(p watch.Page, _ time.Duration) {
-			c, err := platform.Config(p.Rows)
-			if err != nil {
-				log.Error().Err(err).Msg("configuration can't be read; the one in effect stays")
-			}
-			if c != nil && h.Apply(c) {
-				log.Info().Uint64("version", c.Version()).Uint64("revision", p.Revision).Msg("configuration in effect")
-			}
-		},
-	})
-	registry := watch.New(watch.Config{
-		Relayed: relayed, Share: share(platform.TableServers),
-		Name: platform.TableServers, Wait: pollWait, Slack: pollSlack, Settle: settle, Log: log, Confirm: func(time.Duration) {},
-		Read: func(ctx context.Context) (watch.Page, error) { return st.Read(ctx, platform.TableServers) },
-		Poll: func(ctx context.Context, after uint64, wait time.Duration) (watch.Page, error) {
-			return st.Poll(ctx, platform.TableServers, after, wait)
-		},
-		Apply: func(p watch.Page, outage time.Duration) { t.Apply(platform.Servers(p.Rows, log), p.Whole, outage) },
-	})
+	c := table(platform.TableConfig)
+	c.Confirm = h.Confirm
+	c.Apply = func(p watch.Page, _ time.Duration) {
+		c, err := platform.Config(p.Rows)
+		if err != nil {
+			log.Error().Err(err).Msg("configuration can't be read; the one in effect stays")
+		}
+		if c != nil && h.Apply(c) {
+			log.Info().Uint64("version", c.Version()).Uint64("revision", p.Revision).Msg("configuration in effect")
+		}
+	}
+	r := table(platform.TableServers)
+	r.Settle = settle
+	r.Confirm = func(time.Duration) {}
+	r.Apply = func(p watch.Page, outage time.Duration) { t.Apply(platform.Servers(p.Rows, log), p.Whole, outage) }
+	conf, registry := watch.New(c), watch.New(r)
 	d.followers.Store(&map[string]*watch.Follower{platform.TableConfig: conf, platform.TableServers: registry})
 	run(lc, conf.Run, registry.Run, every(expireEvery, func(context.Context) { t.Expire() }))
 }
