relay, server, path: one way to widen a set of engines, no search without a chance

Cause: detour and second attempt each had a loop that adds engines to a set; a request that found no path searched again for engines with a queue also when none was full, on the path that an overload takes most; a first attempt copied an empty set. server.Config.Changed was never set. Seven tests built the same pausing answer.

Change: survey.with serves both, survey.ignoreSlots tells whether a second search can find more, the seam is gone, and tests share resumingAnswer. Choices and assertions stay as they were; the search is a function of its input, so the one left out had the same result.

--- a/path/path.go
+++ b/path/path.go
@@ -9,6 +9,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 )
 
@@ -173,9 +174,7 @@
 	for i := best; i >= 0; i = states[i].back {
 		hops = append(hops, states[i].hop)
 	}
-	for i, j := 0, len(hops)-1; i < j; i, j = i+1, j-1 {
-		hops[i], hops[j] = hops[j], hops[i]
-	}
+	slices.Reverse(hops)
 	return hops, states[best].cost, true
 }
 
--- a/relay/stream_test.go
+++ b/relay/stream_test.go
@@ -81,9 +81,7 @@
 		more := make(chan struct{})
 		w.send = func(ctx context.Context, _ int, _ *relay.Request, a relay.Attempt) (*relay.Answer, error) {
 			w.kill(a.Path[2].Address)
-			ans := answer(http.StatusOK, "")
-			ans.Body = &resuming{first: strings.NewReader(events(1, 2)), then: strings.NewReader(events(3, 4)), more: more, ctx: ctx}
-			return ans, nil
+			return resumingAnswer(ctx, more), nil
 		}
 		w.repathed = func(path []relay.Hop) error {
 			checkTiles(t, path)
@@ -160,9 +158,7 @@
 			w.send = func(ctx context.Context, _ int, _ *relay.Request, a relay.Attempt) (*relay.Answer, error) {
 				second := w.table.At(a.Path[1].Address)
 				time.AfterFunc(told, func() { w.relay.Told(second) })
-				ans := answer(http.StatusOK, "")
-				ans.Body = &resuming{first: strings.NewReader(events(1, 2)), then: strings.NewReader(events(3, 4)), more: more, ctx: ctx}
-				return ans, nil
+				return resumingAnswer(ctx, more), nil
 			}
 			w.repathed = func(path []relay.Hop) error { checkTiles(t, path); close(more); return nil }
 			checkServed(t, w.serve(t.Context(), request(config.Stream, 2)), events(1, 4))
@@ -212,9 +208,7 @@
 				}
 				assert.Equal(t, a.Path[1].Address, "b:1")
 				w.kill("b:1")
-				ans := answer(http.StatusOK, "")
-				ans.Body = &resuming{first: strings.NewReader(events(1, 2)), then: strings.NewReader(events(3, 4)), more: more, ctx: ctx}
-				return ans, nil
+				return resumingAnswer(ctx, more), nil
 			}
 			w.repathed = func(path []relay.Hop) error {
 				if path[2].Address == "c:1" {
@@ -240,9 +234,7 @@
 			more := make(chan struct{})
 			w.send = func(ctx context.Context, _ int, _ *relay.Request, a relay.Attempt) (*relay.Answer, error) {
 				w.kill(a.Path[1].Address)
-				ans := answer(http.StatusOK, "")
-				ans.Body = &resuming{first: strings.NewReader(events(1, 2)), then: strings.NewReader(events(3, 4)), more: more, ctx: ctx}
-				return ans, nil
+				return resumingAnswer(ctx, more), nil
 			}
 			w.repathed = func(path []relay.Hop) error { chosen[path[1].Address]++; close(more); return nil }
 			checkServed(t, w.serve(t.Context(), request(config.Stream, 2)), events(1, 4))
@@ -274,6 +266,13 @@
 
 func (x *resuming) Close() error { return nil }
 
+// resumingAnswer gives events 1 and 2, and 3 and 4 once more is closed.
+func resumingAnswer(ctx context.Context, more chan struct{}) *relay.Answer {
+	ans := answer(http.StatusOK, "")
+	ans.Body = &resuming{first: strings.NewReader(events(1, 2)), then: strings.NewReader(events(3, 4)), more: more, ctx: ctx}
+	return ans
+}
+
 // Guards against activations of all tokens on the pipe between failure domains:
 // without an engine nearby the stream is resumed on a whole path elsewhere.
 func TestDeadEngineResumesElsewhere(t *testing.T) {
@@ -305,9 +304,7 @@
 		more := make(chan struct{})
 		w.send = func(ctx context.Context, _ int, _ *relay.Request, _ relay.Attempt) (*relay.Answer, error) {
 			w.kill("b:1")
-			ans := answer(http.StatusOK, "")
-			ans.Body = &resuming{first: strings.NewReader(events(1, 2)), then: strings.NewReader(events(3, 4)), more: more, ctx: ctx}
-			return ans, nil
+			return resumingAnswer(ctx, more), nil
 		}
 		w.repathed = func(path []relay.Hop) error {
 			checkTiles(t, path)
@@ -445,9 +442,7 @@
 				w.mu.Lock()
 				w.late[a.Path[1].Address] = 1
 				w.mu.Unlock()
-				ans := answer(http.StatusOK, "")
-				ans.Body = &resuming{first: strings.NewReader(events(1, 2)), then: strings.NewReader(events(3, 4)), more: more, ctx: ctx}
-				return ans, nil
+				return resumingAnswer(ctx, more), nil
 			}
 			w.repathed = func([]relay.Hop) error { close(more); return nil }
 			checkServed(t, w.serve(t.Context(), request(config.Stream, 2)), events(1, 4))
@@ -495,9 +490,7 @@
 				w.kill(address)
 			}
 			time.AfterFunc(time.Second, func() { close(more) })
-			ans := answer(http.StatusOK, "")
-			ans.Body = &resuming{first: strings.NewReader(events(1, 2)), then: strings.NewReader(events(3, 4)), more: more, ctx: ctx}
-			return ans, nil
+			return resumingAnswer(ctx, more), nil
 		}
 		w.repathed = func([]relay.Hop) error { t.Error("path changed"); return nil }
 		checkServed(t, w.serve(t.Context(), request(config.Stream, 2)), events(1, 4))
--- a/relay/track.go
+++ b/relay/track.go
@@ -55,11 +55,7 @@
 		want.Without = without
 		hops, ok = m.choose(want)
 	}
-	if !ok {
-		// Engines queue a few streams beyond their slots.
-		for i := range m.engines {
-			m.engines[i].Entered = 0
-		}
+	if !ok && m.ignoreSlots() {
 		hops, ok = m.choose(want)
 	}
 	if !ok {
@@ -96,7 +92,7 @@
 			want.Next = m.domainAt(old[i+1].Address)
 		}
 		if near {
-			want.Without = m.others(want.Domain, without)
+			want.Without = m.with(without, func(e path.Engine) bool { return e.Domain != want.Domain })
 		}
 		part, ok := m.choose(want)
 		if !ok {
@@ -155,34 +151,43 @@
 	return m.domains[m.relay.cfg.Domain]
 }
 
-// others returns a set with the engines outside of a failure domain added.
-func (m *survey) others(domain int, without map[string]bool) map[string]bool {
-	out := maps.Clone(without)
+// with returns a set with some engines added.
+func (m *survey) with(set map[string]bool, added func(e path.Engine) bool) map[string]bool {
+	out := maps.Clone(set)
 	for _, e := range m.engines {
-		if e.Domain != domain {
+		if added(e) {
 			out[e.Name] = true
 		}
 	}
 	return out
 }
 
+// ignoreSlots lets full engines be the first of a path, as engines queue a few
+// streams beyond their slots. It tells whether there were any.
+func (m *survey) ignoreSlots() bool {
+	full := false
+	for i := range m.engines {
+		e := &m.engines[i]
+		full = full || (e.Slots > 0 && e.Entered >= e.Slots)
+		e.Entered = 0
+	}
+	return full
+}
+
 // neighbours returns a set with all engines of the failure domains of its members.
 // Engines of a domain often die together, and the first refusal names one of
 // them.
 func (m *survey) neighbours(without map[string]bool) map[string]bool {
+	if len(without) == 0 {
+		return without
+	}
 	domains := map[int]bool{}
 	for _, e := range m.engines {
 		if without[e.Name] {
 			domains[e.Domain] = true
 		}
 	}
-	out := maps.Clone(without)
-	for _, e := range m.engines {
-		if domains[e.Domain] {
-			out[e.Name] = true
-		}
-	}
-	return out
+	return m.with(without, func(e path.Engine) bool { return domains[e.Domain] })
 }
 
 func (m *survey) choose(w path.Want) ([]Hop, bool) {
--- a/server/table.go
+++ b/server/table.go
@@ -23,8 +23,6 @@
 	// Lapse is how long after an outage of the registry a missing entry may
 	// still come back: entries expire while servers can't write.
 	Lapse time.Duration
-	// Changed is told after each change. It may be nil.
-	Changed func()
 	// Gone is told the address of a server that was removed or restarted.
 	Gone func(address string)
 }
@@ -74,6 +72,7 @@
 // server. Outage is the time without the registry before them; 0 for none.
 func (t *Table) Apply(changes []Change, whole bool, outage time.Duration) {
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	now := clock.Now()
 	if outage > 0 {
 		t.until = now + t.cfg.Lapse
@@ -97,28 +96,20 @@
 		}
 	}
 	t.publish()
-	t.mu.Unlock()
-	if t.cfg.Changed != nil {
-		t.cfg.Changed()
-	}
 }
 
 // Expire removes entries that did not come back after an outage. It is called
 // a few times a second.
 func (t *Table) Expire() {
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	if len(t.lapsed) == 0 || clock.Now() < t.until {
-		t.mu.Unlock()
 		return
 	}
 	for id := range t.lapsed {
 		t.drop(id, "did not come back after an outage of the registry")
 	}
 	t.publish()
-	t.mu.Unlock()
-	if t.cfg.Changed != nil {
-		t.cfg.Changed()
-	}
 }
 
 func (t *Table) remove(id string, now time.Duration) {
