relay: a stream leaves its first engine only when another has accepted it

An engine drained, the stream's sound run was closed first, the next engine refused (not run), no repeat was left, and the caller's stream was cut beside a change of the configuration. Ruled out: the engine's own end; it served on for seconds. A refusal costs nothing but the repeat, planned moves leave 0.4 of the repeats to failures, and a run that breaks off waits for a successor that is under way. The timer of a stall watch was set without its lock (found by the race detector).

--- a/relay/stall.go
+++ b/relay/stall.go
@@ -39,6 +39,8 @@
 	// serve on for two seconds and more; most streams end within that time, and
 	// each change of path is a pause.
 	evacuateAfter = 1800 * time.Millisecond
+	// nextEvacuation is the pause between two tries to leave an engine.
+	nextEvacuation = 400 * time.Millisecond
 	// maxRepaths bounds the changes of path of one stream.
 	maxRepaths = 6
 )
@@ -49,7 +51,8 @@
 	relay   *Relay
 	rq      *Request
 	journey *journey
-	ctx     context.Context
+	parent  context.Context // of the stream
+	ctx     context.Context // of the run
 	cancel  context.CancelFunc
 
 	mu      sync.Mutex
@@ -69,10 +72,12 @@
 	last  time.Time
 }
 
-func newStallWatch(ctx context.Context, cancel context.CancelFunc, j *journey, t *track, without map[string]bool) *stallWatch {
-	w := &stallWatch{relay: j.relay, rq: j.rq, journey: j, ctx: ctx, cancel: cancel, track: t, without: without}
-	if len(t.hops) > 0 {
+func newStallWatch(parent context.Context, j *journey, x *run, without map[string]bool) *stallWatch {
+	w := &stallWatch{relay: j.relay, rq: j.rq, journey: j, parent: parent, ctx: x.ctx, cancel: x.cancel, track: x.track, without: without}
+	if len(x.track.hops) > 0 {
+		w.mu.Lock()
 		w.timer = time.AfterFunc(firstCheck, w.check)
+		w.mu.Unlock()
 		w.relay.watched(w)
 	}
 	return w
@@ -101,9 +106,9 @@
 		w.leftAt = time.Time{}
 	case w.leftAt.IsZero():
 		w.leftAt = now.Add(evacuateAfter)
-	case now.After(w.leftAt) && w.evacuations < maxRepaths && w.evacuating.CompareAndSwap(false, true):
-		w.evacuations++
-		go w.evacuate(leaving)
+	case now.After(w.leftAt) && w.evacuations < maxRepaths:
+		w.leftAt = now.Add(nextEvacuation)
+		w.evacuate(leaving)
 	}
 	if !w.last.IsZero() {
 		w.usual += (now.Sub(w.last) - w.usual) / 4
@@ -125,26 +130,31 @@
 }
 
 // evacuate takes a stream off engines that leave. They serve on for a while, but
-// a long stream would lose them in the middle.
+// a long stream would lose them in the middle. It is called by the copying
+// goroutine.
 func (w *stallWatch) evacuate(leaving map[string]bool) {
+	if !leaving[w.track.path()[0].Address] {
+		if w.evacuating.CompareAndSwap(false, true) {
+			w.evacuations++
+			go w.leave(leaving)
+		}
+		return
+	}
+	w.evacuations++
+	without := maps.Clone(leaving)
+	w.mu.Lock()
+	maps.Copy(without, w.without)
+	w.mu.Unlock()
+	w.handOver(without)
+}
+
+// leave moves the stream off engines that leave but for the first one.
+func (w *stallWatch) leave(leaving map[string]bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	defer w.evacuating.Store(false)
-	if w.stopped || w.ctx.Err() != nil {
-		return
-	}
-	first := w.track.path()[0].Address
-	if !leaving[first] {
+	if !w.stopped && w.ctx.Err() == nil {
 		w.move(leaving, false)
-		return
-	}
-	if w.journey.relay.cfg.Servers.At(first) == nil {
-		return // its end is near; the connection tells
-	}
-	if w.reserve() {
-		w.relay.cfg.Log.Info().Str("id", w.rq.ID).Str("address", first).Msg("first engine leaves; resuming the stream elsewhere")
-		w.without[first] = true
-		w.cancel()
 	}
 }
 
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -37,6 +37,9 @@
 	// reserved tells that a repeat was taken from the budget before the running
 	// attempt was given up.
 	reserved atomic.Bool
+	// successor is the run that is to go on with the stream when its first engine
+	// leaves; nil when there is none. Used by the copying goroutine.
+	successor *handover
 }
 
 // pace measures an answer against the times that callers expect.
@@ -81,19 +84,31 @@
 func (r *Relay) stream(ctx context.Context, rq *Request, sink Sink) error {
 	j := &journey{relay: r, rq: rq, sink: sink, last: rq.LastEvent}
 	defer j.observe()
+	ctx, cancel := context.WithCancel(ctx)
+	defer func() {
+		cancel()
+		if j.successor != nil {
+			go j.successor.drop()
+		}
+	}()
 	without := map[string]bool{}
 	var err error
+	var next *run // that takes over from the one before
 	for {
 		var again bool
-		again, err = j.attempt(ctx, without)
+		again, err = j.attempt(ctx, next, without)
 		if err == nil {
 			return nil
 		}
-		if !again || ctx.Err() != nil || !j.repeat() {
+		next = j.takeOver()
+		if ctx.Err() != nil || (next == nil && !(again && j.more() && j.repeat())) {
 			break
 		}
 		r.cfg.Count("repeat")
 	}
+	if next != nil {
+		next.end()
+	}
 	if ctx.Err() != nil && !j.started && fault.Of(err) != fault.NotRun {
 		return unclear(reasonUnclear, ctx.Err())
 	}
@@ -108,53 +123,99 @@
 	return j.relay.repeat(j.rq)
 }
 
-// attempt sends the stream over one path and passes its events on. It reports
-// whether another attempt may follow.
-func (j *journey) attempt(ctx context.Context, without map[string]bool) (again bool, err error) {
+// run is one attempt of a stream.
+type run struct {
+	ctx    context.Context
+	cancel context.CancelFunc
+	track  *track
+	last   string  // event after which it goes on
+	answer *Answer // nil until the header has arrived
+}
+
+// end gives up what is left of the run.
+func (x *run) end() {
+	x.cancel()
+	if x.answer != nil {
+		_ = x.answer.Body.Close()
+	}
+	x.track.end()
+}
+
+// plan chooses the path of a run.
+func (j *journey) plan(ctx context.Context, without map[string]bool) (*run, bool) {
+	t, ok := j.relay.findTrack(j.rq, without)
+	if !ok {
+		return nil, false
+	}
+	if t.first == nil {
+		t.end()
+		return nil, false
+	}
+	x := &run{track: t, last: j.last}
+	x.ctx, x.cancel = context.WithCancel(ctx)
+	return x, true
+}
+
+// send sends a run and waits for the header of its answer.
+func (j *journey) send(x *run) (*Answer, error) {
+	ans, err := j.relay.send(x.ctx, j.rq, Attempt{Server: x.track.first, Path: x.track.hops, LastEvent: x.last, Kept: true})
+	if err == nil {
+		x.answer = ans
+	}
+	return ans, err
+}
+
+// attempt sends the stream over one path, or goes on with a run that was sent
+// before, and passes its events on. It reports whether the failure allows another
+// attempt.
+func (j *journey) attempt(ctx context.Context, x *run, without map[string]bool) (again bool, err error) {
 	r, rq := j.relay, j.rq
-	t, ok := r.findTrack(rq, without)
-	if !ok || t.first == nil {
-		r.cfg.Log.Info().Str("id", rq.ID).Str("service", rq.Service.Name).Int("servers", len(r.cfg.Servers.Servers(rq.Service.Name))).
-			Int("prompt", rq.Prompt).Int("attempt", j.sent+1).Msg("no path")
-		if j.begun {
-			return false, unclear(reasonNoPath, nil)
+	if x == nil {
+		var ok bool
+		if x, ok = j.plan(ctx, without); !ok {
+			r.cfg.Log.Info().Str("id", rq.ID).Str("service", rq.Service.Name).Int("servers", len(r.cfg.Servers.Servers(rq.Service.Name))).
+				Int("prompt", rq.Prompt).Int("attempt", j.sent+1).Msg("no path")
+			if j.begun {
+				return false, unclear(reasonNoPath, nil)
+			}
+			return false, refusal(reasonNoPath, fullRetry, nil)
+		}
+		j.sent++
+		if j.sent > 1 {
+			r.cfg.Log.Info().Str("id", rq.ID).Str("last", j.last).Int("attempt", j.sent).Str("first", x.track.first.ID()).Msg("stream sent again")
 		}
-		return false, refusal(reasonNoPath, fullRetry, nil)
-	}
-	defer func() { t.end() }()
-	j.sent++
-	if j.sent > 1 {
-		r.cfg.Log.Info().Str("id", rq.ID).Str("last", j.last).Int("attempt", j.sent).Str("first", t.first.ID()).Msg("stream sent again")
 	}
-	actx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	w := newStallWatch(actx, cancel, j, t, without)
+	defer func() { x.end() }()
+	w := newStallWatch(ctx, j, x, without)
 	defer w.stop()
-	ans, err := r.send(actx, rq, Attempt{Server: t.first, Path: t.hops, LastEvent: j.last, Kept: true})
-	if err != nil {
-		j.begun = j.begun || fault.Of(err) != fault.NotRun
-		return j.failed(ctx, t, ans, err, without), j.verdict(err)
+	if x.answer == nil {
+		if ans, err := j.send(x); err != nil {
+			j.begun = j.begun || fault.Of(err) != fault.NotRun
+			return j.failed(ctx, x.track, ans, err, without), j.verdict(err)
+		}
 	}
 	j.begun = true
-	defer func() { _ = ans.Body.Close() }()
-	if ans.Status != http.StatusOK {
+	if x.answer.Status != http.StatusOK {
 		if j.started {
-			return j.more(), unclear(reasonBadReply, nil)
+			return true, unclear(reasonBadReply, nil)
 		}
-		return false, j.pass(ans)
+		return false, j.pass(x.answer)
 	}
 	begun := time.Now()
-	err = j.copy(ans, w)
+	err = j.copy(x.answer, w)
 	if err == nil {
-		j.report(t)
-		t.first.Answered(time.Since(begun))
+		j.report(x.track)
+		x.track.first.Answered(time.Since(begun))
 		return false, nil
 	}
 	var gone *callerGone
 	if errors.As(err, &gone) {
 		return false, fault.New(fault.Config{Verdict: fault.MayHaveRun, Code: fault.Cancelled, Reason: "the caller went away", Cause: err})
 	}
-	return j.failed(ctx, t, nil, err, without), unclear(reasonUnclear, err)
+	if j.successor.pending() && x.ctx.Err() != nil {
+		return true, unclear(reasonUnclear, err) // the run was given up for another one
+	}
+	return j.failed(ctx, x.track, nil, err, without), unclear(reasonUnclear, err)
 }
 
 // verdict keeps the proof of a refusal only while no attempt may have run.
@@ -168,7 +229,7 @@
 // more tells whether another attempt is within the route's bound.
 func (j *journey) more() bool { return j.sent < j.rq.Route.Attempts() }
 
-// failed records a failed attempt and reports whether another may follow.
+// failed records a failed attempt and reports whether the failure allows another.
 func (j *journey) failed(ctx context.Context, t *track, ans *Answer, err error, without map[string]bool) bool {
 	r := j.relay
 	e := r.cfg.Log.Info().Str("id", j.rq.ID).Int("attempt", j.sent).Str("first", t.first.ID()).Str("last", j.last).
@@ -191,16 +252,18 @@
 	if r.cfg.Servers.At(t.first.Address()) == nil {
 		j.sent-- // a server that has ended does not count
 	}
+	j.refused(err)
+	return fault.Of(err) == fault.NotRun || j.rq.Route.Repeatable()
+}
+
+// refused takes a refused attempt to go on with a started stream back from those
+// that count: the caller has a part of the answer, and a server that did not run
+// the rest must not end it.
+func (j *journey) refused(err error) {
 	if j.started && fault.Of(err) == fault.NotRun && j.refusals < maxRefusals {
-		// The caller has a part of the answer: a server that did not run the
-		// rest must not end it.
 		j.refusals++
 		j.sent--
 	}
-	if fault.Of(err) != fault.NotRun && !j.rq.Route.Repeatable() {
-		return false
-	}
-	return j.more()
 }
 
 // askCulprit finds out whether an engine that caused a failure is dead. The first
--- a/relay/stream_test.go
+++ b/relay/stream_test.go
@@ -408,18 +408,25 @@
 	})
 }
 
-// paced gives an event every 20 ms.
+// paced gives an event every 20 ms until its context ends.
 type paced struct {
 	ctx  context.Context
 	sent int
 	left int
+	end  error // after the last event; nil for io.EOF
 }
 
 func (p *paced) Read(b []byte) (int, error) {
+	if p.left == 0 && p.end != nil {
+		return 0, p.end
+	}
 	if p.left == 0 {
 		return 0, io.EOF
 	}
 	time.Sleep(20 * time.Millisecond)
+	if p.ctx.Err() != nil {
+		return 0, p.ctx.Err()
+	}
 	p.left--
 	p.sent++
 	return copy(b, events(p.sent, p.sent)), nil
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -34,10 +34,14 @@
 const tolerance = 1e-9
 
 // Repeat takes one repeat and tells whether there was one.
-func (b *Budget) Repeat() bool {
+func (b *Budget) Repeat() bool { return b.RepeatBeyond(0) }
+
+// RepeatBeyond takes one repeat unless that would leave less than a share of the
+// repeats saved up at most, and tells whether it did.
+func (b *Budget) RepeatBeyond(share float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.left < 1-tolerance {
+	if b.left-share*b.cfg.Burst < 1-tolerance {
 		return false
 	}
 	b.left = max(0, b.left-1)
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -38,3 +38,14 @@
 		assert.Assert(t, !b.Repeat())
 	})
 }
+
+// Guards against planned work that uses up what is saved for failures.
+func TestRepeatBeyond(t *testing.T) {
+	b := retry.New(retry.Config{Share: 0.1, Burst: 10, Start: 10})
+	n := 0
+	for b.RepeatBeyond(0.4) {
+		n++
+	}
+	assert.Equal(t, n, 6)
+	assert.Assert(t, b.Repeat())
+}
