--- a/watch/relay.go
+++ b/watch/relay.go
@@ -125,11 +125,36 @@
 	case <-f.relay.wake:
 	case <-t.C:
 	}
+	now := clock.Now()
+	known := f.hear(now)
+	silence, page := f.patience()
+	switch {
+	case known:
+		f.relay.ahead = 0
+		return now < f.due || now-f.answered < silence
+	case f.relay.ahead == 0:
+		f.relay.ahead = now
+	case now-f.relay.ahead > page && now >= f.due:
+		f.relay.ahead = 0
+		return false
+	}
+	return true
+}
+
+// overtaken tells whether what other processes told makes a call needless.
+func (f *Follower) overtaken(now time.Duration) bool {
+	known := f.hear(now)
+	silence, _ := f.patience()
+	return known && f.relayed() && now-f.answered < silence
+}
+
+// hear applies what other processes told. It returns false when they know of changes
+// that this process does not know.
+func (f *Follower) hear(now time.Duration) bool {
 	f.relay.mu.Lock()
 	pages, heard := f.relay.pages, f.relay.heard
 	f.relay.pages = nil
 	f.relay.mu.Unlock()
-	now := clock.Now()
 	at := heard.Clock + f.skew.offset
 	outage := time.Duration(0)
 	if at > f.answered && now-at < lostAfter {
@@ -150,22 +175,11 @@
 		f.apply(Page{}, outage)
 	}
 	if heard.Changed > f.complete {
-		if f.relay.ahead == 0 {
-			f.relay.ahead = now
-		}
-		if _, wait := f.patience(); now-f.relay.ahead > wait && now >= f.due {
-			f.relay.ahead = 0
-			return false
-		}
-		return true
-	}
-	f.relay.ahead = 0
-	if at > f.answered {
-		f.answered = at
+		return false
 	}
+	f.answered = max(f.answered, at)
 	f.confirm(at)
-	silence, _ := f.patience()
-	return now < f.due || now-f.answered < silence
+	return true
 }
 
 // patience returns the age of what others tell, and the wait for changes that they
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -18,7 +18,10 @@
 // ErrGap reports that the feed no longer holds the changes after a revision.
 var ErrGap = errors.New("feed does not reach back to the revision")
 
-var errStale = errors.New("answer is older than what is known")
+var (
+	errStale     = errors.New("answer is older than what is known")
+	errOvertaken = errors.New("other processes told what the call asked for")
+)
 
 // Row is a row of the table, or the record that it was deleted.
 type Row struct {
@@ -147,8 +150,11 @@
 		if f.known && f.follow(ctx) {
 			continue
 		}
-		asked := clock.Now()
+		asked, revision := clock.Now(), f.revision
 		page, err := f.call(ctx)
+		if errors.Is(err, errOvertaken) || (err == nil && f.revision > max(revision, page.Revision)) {
+			continue // others told what this call asked for
+		}
 		if err == nil && !f.stale(page) {
 			f.accept(page, asked)
 			f.pause, f.due = firstPause, 0
@@ -265,19 +271,40 @@
 // stale tells whether a page is older than what is known.
 func (f *Follower) stale(p Page) bool { return p.Revision < f.revision }
 
+// call makes one call to the platform. Meanwhile it takes what other processes tell: a
+// call may wait long for an answer that never comes. It ends with errOvertaken when
+// that makes the call needless.
 func (f *Follower) call(ctx context.Context) (Page, error) {
-	if !f.known {
-		ctx, cancel := context.WithTimeout(ctx, readTimeout)
-		defer cancel()
-		return f.cfg.Read(ctx)
+	timeout, ask := readTimeout, f.cfg.Read
+	if f.known {
+		revision, wait := f.revision, f.cfg.Wait
+		if f.failing || f.relayed() {
+			wait = 0 // the answer should confirm at once
+		}
+		timeout = wait + f.cfg.Slack
+		ask = func(ctx context.Context) (Page, error) { return f.cfg.Poll(ctx, revision, wait) }
 	}
-	ctx, cancel := context.WithTimeout(ctx, f.cfg.Wait+f.cfg.Slack)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	wait := f.cfg.Wait
-	if f.failing || f.relayed() {
-		wait = 0 // the answer should confirm at once
+	var page Page
+	var err error
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		page, err = ask(ctx)
+	}()
+	for {
+		select {
+		case <-done:
+			return page, err
+		case <-f.relay.wake:
+			if f.known && f.skew.known && f.overtaken(clock.Now()) {
+				cancel()
+				<-done
+				return Page{}, errOvertaken
+			}
+		}
 	}
-	return f.cfg.Poll(ctx, f.revision, wait)
 }
 
 // accept applies a page. Without the platform's clock, the call's start is the
