quota, link, relay, platform: bounds on bytes without end

Cause: servers in trouble may send bytes that are no answer without end, in a head or a body.

Change: link bounds a head at 16 KB, 100 lines and 2 s; an event of a stream at 64 KB and 2 s; a stream that sends bytes that are no event with a number, an event twice, or more events than the answer has tokens is left as failed; an answer without a length, the store's answers and refusals count against one quota sized from the memory of the VM. The verdict stays the one of an answer that was cut off: an order is not sent again, a stream resumes elsewhere, a lookup is repeated.

--- a/cmds/entry_test.go
+++ b/cmds/entry_test.go
@@ -23,7 +23,7 @@
 func TestEntrySettings(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "settings.toml")
 	good := "name = \"n\"\ndomain = \"d\"\n[listen]\ncallers = \"127.0.0.1:1\"\nready = \"127.0.0.1:2\"\ndirectory = \"127.0.0.1:3\"\nbeats = \"127.0.0.1:4\"\n" +
-		"[store]\naddress = \"127.0.0.1:5\"\n[bounds]\ngrace = 8\nrevoke = 5000\nttl = 5\nwindow = 10\n"
+		"[store]\naddress = \"127.0.0.1:5\"\n[bounds]\ngrace = 8\nrevoke = 5000\nttl = 5\nwindow = 10\n[limits]\nmemory = 284\n"
 	assert.NilError(t, os.WriteFile(path, []byte(good), 0o600))
 	checkRun(t, 0, "ok", "check", path)
 	assert.NilError(t, os.WriteFile(path, []byte(good+"[other]\nx = 1\n"), 0o600))
--- a/edge/app.go
+++ b/edge/app.go
@@ -22,6 +22,7 @@
 	"github.com/cranberrybay/cranberrybay/link"
 	"github.com/cranberrybay/cranberrybay/logs"
 	"github.com/cranberrybay/cranberrybay/platform"
+	"github.com/cranberrybay/cranberrybay/quota"
 	"github.com/cranberrybay/cranberrybay/relay"
 	"github.com/cranberrybay/cranberrybay/seal"
 	"github.com/cranberrybay/cranberrybay/server"
@@ -73,10 +74,11 @@
 			func(q *logs.Queue) (*logs.Maker, error) {
 				return logs.New(logs.Config{Out: q, Node: s.Name, Level: s.Log.Level, Levels: s.Log.Parts})
 			},
-			func() *platform.Store { return platform.NewStore(s.Store.Address) },
+			func() *quota.Quota { return quota.ForVM(s.Limits.Memory) },
+			func(q *quota.Quota) *platform.Store { return platform.NewStore(s.Store.Address, q) },
 			func() *config.Holder { return &config.Holder{} },
 			func() *link.Client { return link.New(link.Config{}) },
-			func(c *link.Client) *platform.Backend { return &platform.Backend{Client: c} },
+			func(c *link.Client, q *quota.Quota) *platform.Backend { return &platform.Backend{Client: c, Quota: q} },
 			func() *deskState { return &deskState{} },
 			func() *seal.Sealer { return &seal.Sealer{} },
 			self,
@@ -190,9 +192,9 @@
 // thousand makes a weight of a share of a core.
 const thousand = 1000
 
-func newRelay(s Settings, t *server.Table, b *platform.Backend, g *beat.Ring, u *budgets, c *counters, l *logs.Maker) *relay.Relay {
+func newRelay(s Settings, q *quota.Quota, t *server.Table, b *platform.Backend, g *beat.Ring, u *budgets, c *counters, l *logs.Maker) *relay.Relay {
 	return relay.New(relay.Config{
-		Servers: t, Send: b.Send, Report: b.Report, Repath: b.Repath, Budget: u.of, Others: g.Others, Alert: func(x *server.Server) { g.Alert(x.ID()) },
+		Servers: t, Send: b.Send, Report: b.Report, Repath: b.Repath, Budget: u.of, Quota: q, Others: g.Others, Alert: func(x *server.Server) { g.Alert(x.ID()) },
 		Domain: s.Domain, Log: l.Part("relay"), Count: c.event, Observe: c.observe,
 		Violated: func(i relay.Invariant) { c.violation(string(i)) },
 	})
@@ -338,9 +340,9 @@
 	run(lc, receive, g.Run, n.run)
 }
 
-func listen(s Settings, d *Desk, g *beat.Ring, c *counters, l *logs.Maker, lc fx.Lifecycle) {
+func listen(s Settings, d *Desk, q *quota.Quota, g *beat.Ring, c *counters, l *logs.Maker, lc fx.Lifecycle) {
 	log := l.Part("edge")
-	front := &platform.Front{Serve: d.Serve, MaxBody: d.maxBody, Leaving: d.isLeaving}
+	front := &platform.Front{Serve: d.Serve, MaxBody: d.maxBody, Leaving: d.isLeaving, Quota: q}
 	find := func(domain string) ([]string, time.Duration) { return d.addresses(s, g, domain), addressTTL }
 	callers := newServer(front)
 	serve(lc, log, "callers", s.Listen.Callers, callers)
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -126,6 +126,7 @@
 		{"bounds.revoke", float64(s.Bounds.Revoke)},
 		{"bounds.ttl", s.Bounds.TTL},
 		{"bounds.window", s.Bounds.Window},
+		{"limits.memory", float64(s.Limits.Memory)},
 	} {
 		if x.value <= 0 {
 			all = append(all, fmt.Errorf("%s must be positive", x.key))
--- a/edge/settings_test.go
+++ b/edge/settings_test.go
@@ -26,6 +26,8 @@
 ratio = 0.2
 slack = 200
 window = 10
+[limits]
+memory = 284
 `
 
 func checkSettings(t *testing.T, text, problem string) {
@@ -44,6 +46,7 @@
 	checkSettings(t, strings.Replace(settings, `name = "front-1"`, "", 1), "name is empty")
 	checkSettings(t, strings.Replace(settings, `"10.200.1.7:8223"`, `"store"`, 1), "store.address")
 	checkSettings(t, strings.Replace(settings, "grace = 8", "grace = 0", 1), "bounds.grace")
+	checkSettings(t, strings.Replace(settings, "memory = 284", "memory = 0", 1), "limits.memory")
 	checkSettings(t, settings+"[other]\nkey = 1\n", "unknown keys")
 	checkSettings(t, "name = ", "expected")
 }
--- a/link/link.go
+++ b/link/link.go
@@ -16,6 +16,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -60,6 +61,21 @@
 	inlineBody     = 16 << 10               // bytes of a body that fit into the buffers of a connection
 	bufferSize     = 2 << 10                // bytes; an event of a stream is shorter
 	idleMargin     = 500 * time.Millisecond // kept back from the idle time that a server states
+	// maxHead bounds the heads of an answer and of what comes before it, in bytes, and
+	// maxLines the lines of one: servers in trouble send header lines without end.
+	// Servers of the users send under 1 KB and 20 lines.
+	maxHead  = 16 << 10
+	maxLines = 100
+	// headTime bounds the time from the first byte of a head to its end: a server may
+	// send a byte a second for ever.
+	headTime = 2 * time.Second
+)
+
+// Errors of answers that meet a bound. The connection is closed.
+var (
+	errLongHead  = errors.New("head of the answer is too long")
+	errManyLines = errors.New("head of the answer has too many lines")
+	errSlowHead  = errors.New("head of the answer did not end in time")
 )
 
 // Client keeps connections. Its lock is not held during calls.
@@ -101,8 +117,64 @@
 type conn struct {
 	net.Conn
 	address string
-	reader  *bufio.Reader
-	expires time.Time // of the idle time
+	source  *source
+	reader  *bufio.Reader // of source
+	expires time.Time     // of the idle time
+}
+
+func newConn(c net.Conn, address string) *conn {
+	s := &source{Conn: c, left: unbounded}
+	return &conn{Conn: c, address: address, source: s, reader: bufio.NewReaderSize(s, bufferSize)}
+}
+
+// unbounded is the value of source.left while a body is read: its reader has bounds of
+// its own.
+const unbounded = -1
+
+// source is the reading side of a connection. It bounds the bytes and the time of a
+// head.
+type source struct {
+	net.Conn
+	left  int64     // bytes that the head may still take
+	until time.Time // end of the time for the head; zero before its first byte
+	timed bool      // the connection has that deadline
+}
+
+// head begins the reading of heads.
+func (s *source) head() { s.left, s.until, s.timed = maxHead, time.Time{}, false }
+
+// body ends it.
+func (s *source) body() error {
+	s.left = unbounded
+	if !s.timed {
+		return nil
+	}
+	return s.SetReadDeadline(time.Time{})
+}
+
+func (s *source) Read(b []byte) (int, error) {
+	if s.left == unbounded {
+		return s.Conn.Read(b)
+	}
+	if s.left == 0 {
+		return 0, errLongHead
+	}
+	if !s.until.IsZero() && !s.timed {
+		// Most heads come with the first read, and need no timer.
+		s.timed = true
+		if err := s.SetReadDeadline(s.until); err != nil {
+			return 0, err
+		}
+	}
+	n, err := s.Conn.Read(b[:min(int64(len(b)), s.left)])
+	s.left -= int64(n)
+	if n > 0 && s.until.IsZero() {
+		s.until = time.Now().Add(headTime)
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		err = errSlowHead
+	}
+	return n, err
 }
 
 // Answer is the answer of a server. Its body must be closed.
@@ -111,6 +183,8 @@
 	Header http.Header
 	Body   io.ReadCloser
 	Length int64 // of the body, -1 when it is not known
+	// Until bounds the time in which the body is read.
+	Until func(t time.Time) error
 }
 
 // Do sends a request to an address. The verdict of an error says whether the
@@ -129,7 +203,7 @@
 		return nil, failed(fault.NotRun, "the server can't be reached", err)
 	}
 	c.opened.Add(1)
-	return c.exchange(ctx, &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, bufferSize)}, rq)
+	return c.exchange(ctx, newConn(raw, address), rq)
 }
 
 func failed(v fault.Verdict, reason string, cause error) error {
@@ -159,7 +233,7 @@
 	x.body = rs.Body
 	x.keep = !rs.Close && rs.StatusCode != http.StatusSwitchingProtocols
 	x.limit = idleLimit(rs.Header, c.cfg.Idle)
-	return &Answer{Status: rs.StatusCode, Header: rs.Header, Body: x, Length: rs.ContentLength}, nil
+	return &Answer{Status: rs.StatusCode, Header: rs.Header, Body: x, Length: rs.ContentLength, Until: x.readUntil}, nil
 }
 
 // cause prefers the end of the context over the error of the connection that
@@ -183,6 +257,12 @@
 	whole   bool          // the body was read to its end
 	sent    chan struct{} // closed when a long body was written; nil for a short one
 	closed  bool
+	bounded bool // the time for the body is
+}
+
+func (x *exchange) readUntil(t time.Time) error {
+	x.bounded = true
+	return x.conn.SetReadDeadline(t)
 }
 
 func (x *exchange) send(rq *Request) error {
@@ -218,20 +298,32 @@
 }
 
 func (x *exchange) receive(rq *Request) (*http.Response, error) {
+	x.conn.source.head()
 	for range maxStrays {
 		rs, err := http.ReadResponse(x.conn.reader, &http.Request{Method: rq.Method})
 		if err != nil {
 			return nil, err
 		}
+		lines := 0
+		for _, values := range rs.Header {
+			lines += len(values)
+		}
+		if lines > maxLines {
+			return nil, errManyLines
+		}
 		if rs.StatusCode < http.StatusOK && rs.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
+		if err := x.conn.source.body(); err != nil {
+			return nil, err
+		}
 		if rq.Mine == nil || rq.Mine(rs.Header) {
 			return rs, nil
 		}
 		if n, err := io.Copy(io.Discard, io.LimitReader(rs.Body, maxStrayBody)); err != nil || n == maxStrayBody || rs.Close {
 			return nil, fmt.Errorf("answer to another request: %w", io.ErrUnexpectedEOF)
 		}
+		x.conn.source.head()
 	}
 	return nil, errors.New("answers to other requests on the connection")
 }
@@ -291,6 +383,9 @@
 	if !watched || !x.keep || !x.whole || !wrote || x.limit <= 0 || x.conn.reader.Buffered() > 0 {
 		return x.conn.Close()
 	}
+	if x.bounded && x.conn.SetReadDeadline(time.Time{}) != nil {
+		return x.conn.Close()
+	}
 	x.conn.expires = time.Now().Add(x.limit)
 	x.client.put(x.conn)
 	return nil
--- a/relay/event.go
+++ b/relay/event.go
@@ -5,19 +5,60 @@
 	"errors"
 	"io"
 	"strconv"
+	"time"
+
+	"github.com/cranberrybay/cranberrybay/quota"
 )
 
-// maxEvent bounds one event of a stream.
-const maxEvent = 256 << 10
+const (
+	// maxEvent bounds one event of a stream, in bytes; those of the users have 700 at
+	// most. Servers in trouble send bytes without end.
+	maxEvent = 64 << 10
+	// eventTime bounds the time from the first byte of an event to its end: a server
+	// may send a byte a second for ever.
+	eventTime = 2 * time.Second
+)
 
-var errLongEvent = errors.New("event of a stream is too long")
+var (
+	errLongEvent  = errors.New("event of a stream is too long")
+	errSlowEvent  = errors.New("event of a stream did not end in time")
+	errNoEvent    = errors.New("stream has bytes that are no event with a number")
+	errOrder      = errors.New("stream has an event twice or out of order")
+	errManyEvents = errors.New("stream has more events than the answer has tokens")
+)
 
 // events cuts a stream into whole events. A server may stop in the middle of
 // one, which is then not passed on.
 type events struct {
-	from io.Reader
-	buf  []byte
-	used int // bytes at the start of buf that were returned
+	from  io.Reader
+	quota *quota.Quota // of the bytes of events that have not ended; nil for no bound
+	buf   []byte
+	used  int       // bytes at the start of buf that were returned
+	since time.Time // of the first byte of an event that has not ended
+	held  int64     // bytes taken from the quota
+}
+
+// close gives the memory of an event that has not ended back.
+func (e *events) close() {
+	e.quota.Give(e.held)
+	e.held = 0
+}
+
+// grow makes room for another read.
+func (e *events) grow() error {
+	n := len(e.buf)
+	if cap(e.buf)-n >= chunkSize/2 {
+		return nil
+	}
+	if more := int64(cap(e.buf)); more > 0 {
+		// Beyond the first buffer, which every stream has.
+		if !e.quota.Take(chunkSize) {
+			return quota.ErrFull
+		}
+		e.held += chunkSize
+	}
+	e.buf = append(make([]byte, 0, cap(e.buf)+chunkSize), e.buf...)
+	return nil
 }
 
 // chunkSize is the size of one read.
@@ -29,6 +70,7 @@
 func (e *events) next() (whole []byte, last string, err error) {
 	e.buf = append(e.buf[:0], e.buf[e.used:]...)
 	e.used = 0
+	e.since = time.Time{}
 	for {
 		if end := lastEnd(e.buf); end > 0 {
 			e.used = end
@@ -37,10 +79,17 @@
 		if len(e.buf) > maxEvent {
 			return nil, "", errLongEvent
 		}
-		n := len(e.buf)
-		if cap(e.buf)-n < chunkSize/2 {
-			e.buf = append(make([]byte, 0, cap(e.buf)+chunkSize), e.buf...)
+		switch now := time.Now(); {
+		case len(e.buf) == 0:
+		case e.since.IsZero():
+			e.since = now
+		case now.Sub(e.since) > eventTime:
+			return nil, "", errSlowEvent
+		}
+		if err := e.grow(); err != nil {
+			return nil, "", err
 		}
+		n := len(e.buf)
 		m, rerr := e.from.Read(e.buf[n:cap(e.buf)])
 		e.buf = e.buf[:n+m]
 		if rerr != nil {
@@ -105,6 +154,25 @@
 	return b
 }
 
+// check tells whether whole events have numbers that grow, beginning after one. Events
+// of another kind are bytes that no server of the users sends.
+func check(whole []byte, before string) (count int, err error) {
+	for len(whole) > 0 {
+		end := firstEnd(whole)
+		id := lastID(whole[:end])
+		if _, err := strconv.ParseInt(id, 10, 64); err != nil {
+			return count, errNoEvent
+		}
+		if !follows(before, id) {
+			return count, errOrder
+		}
+		before = id
+		whole = whole[end:]
+		count++
+	}
+	return count, nil
+}
+
 // follows tells whether an event comes after the one before it. Identifiers that
 // are no numbers tell nothing.
 func follows(before, id string) bool {
--- a/relay/measure.go
+++ b/relay/measure.go
@@ -20,6 +20,7 @@
 	// InvariantAttempts is that a request that may run once only is not sent
 	// again after an attempt that may have run.
 	InvariantAttempts Invariant = "attempts"
-	// InvariantOrder is that a stream passes on each event once and in order.
+	// InvariantOrder is that a stream has each event once and in order. One that has
+	// not is cut off before the caller gets it.
 	InvariantOrder Invariant = "order"
 )
--- a/relay/measure_test.go
+++ b/relay/measure_test.go
@@ -52,8 +52,10 @@
 			a.Body = &parts{all: []string{events(1, 3), events(3, 4), events(2, 2)}}
 			return a, nil
 		}
-		w.serve(t.Context(), request(config.Stream, 1))
+		got := w.serve(t.Context(), request(config.Stream, 1))
 		checkViolated(t, m, relay.InvariantOrder)
+		assert.Equal(t, got.body, events(1, 3)) // nothing twice
+		assert.Assert(t, got.err != nil)
 	})
 	t.Run("attempts and refusal", func(t *testing.T) {
 		w, m := newMeasuredWorld(t, plain("a"))
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -18,7 +17,8 @@
 	// leastHedge keeps services with very short targets from being hedged for
 	// the variance of their work.
 	leastHedge = 25 * time.Millisecond
-	// maxAnswer bounds an answer that is held until it is whole.
+	// maxAnswer bounds an answer that is held until it is whole, in bytes. Callers may
+	// send 4 MB; answers of the users' services have 5 KB.
 	maxAnswer = 8 << 20
 	// shortRetry is the time to come back when servers refused: a slot frees
 	// within the time of a request.
@@ -30,6 +30,7 @@
 	server *server.Server
 	answer *Answer
 	body   []byte
+	free   func() // gives the memory of the body back
 	err    error
 	took   time.Duration
 }
@@ -41,7 +42,19 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	tried := map[string]bool{}
+	var held []result
 	sent, open := 0, 0
+	defer func() {
+		for _, x := range held {
+			x.free()
+		}
+		go func(open int) { // attempts that still run end with the context
+			for range open {
+				x := <-results
+				x.free()
+			}
+		}(open)
+	}()
 	start := func(reason string) bool {
 		if sent >= rq.Route.Attempts() {
 			return false
@@ -76,6 +89,7 @@
 			start("slow")
 		case x := <-results:
 			open--
+			held = append(held, x)
 			if x.err == nil && (x.answer.Status < http.StatusInternalServerError || rq.Route.Kind() == config.Once) {
 				return deliver(x, sink)
 			}
@@ -127,9 +141,9 @@
 	end := s.Begin(0)
 	defer end()
 	ans, err := r.send(ctx, rq, Attempt{Server: s, Kept: rq.Route.Repeatable()})
-	x := result{server: s, answer: ans, err: err}
+	x := result{server: s, answer: ans, err: err, free: func() {}}
 	if err == nil {
-		x.body, x.err = io.ReadAll(io.LimitReader(ans.Body, maxAnswer))
+		x.body, x.free, x.err = r.cfg.Quota.Read(ans.Body, maxAnswer)
 		_ = ans.Body.Close()
 		if x.err != nil && fault.Of(x.err) != fault.MayHaveRun {
 			x.err = unclear(reasonBadReply, x.err)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -18,6 +18,7 @@
 
 	"github.com/cranberrybay/cranberrybay/config"
 	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/quota"
 	"github.com/cranberrybay/cranberrybay/retry"
 	"github.com/cranberrybay/cranberrybay/server"
 )
@@ -70,6 +71,8 @@
 	Refused bool   // the server states that it did not run the request
 	Culprit string // address of the server on the path that caused a refusal
 	Load    *Load  // nil when the server does not tell it
+	// Until bounds the time in which the body is read; it may be nil.
+	Until func(t time.Time) error
 }
 
 // Load is the load that a server tells with an answer.
@@ -94,6 +97,8 @@
 	Report  func(ctx context.Context, address string) (Report, error)
 	Repath  func(ctx context.Context, address, id string, path []Hop) error
 	Budget  func(service string) *retry.Budget
+	// Quota bounds the bytes of answers that are held; nil for no bound.
+	Quota *quota.Quota
 	// Others returns the streams and layer tokens that other entry processes
 	// have at a server.
 	Others func(id string) (streams int, tokens int64)
@@ -296,8 +301,11 @@
 		a.Server.Reported(ans.Load.Running, ans.Load.Waiting)
 	}
 	if ans.Refused {
-		// The body is read to its end so that the connection can be kept.
-		_, _ = io.Copy(io.Discard, io.LimitReader(ans.Body, maxRefusal))
+		// The body is read to its end so that the connection can be kept. One that does
+		// not end costs the connection.
+		if ans.Until == nil || ans.Until(time.Now().Add(refusalTime)) == nil {
+			_, _ = io.Copy(io.Discard, io.LimitReader(ans.Body, maxRefusal))
+		}
 		_ = ans.Body.Close()
 		return ans, fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Overload, Reason: reasonRefused, Cause: errRefused})
 	}
@@ -308,5 +316,9 @@
 	return ans, nil
 }
 
-// maxRefusal bounds the bytes of a refusal that are read to keep a connection.
-const maxRefusal = 4 << 10
+const (
+	// maxRefusal bounds the bytes of a refusal that are read to keep a connection.
+	maxRefusal = 4 << 10
+	// refusalTime bounds the time for it: the next server is tried after it.
+	refusalTime = 20 * time.Millisecond
+)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -16,6 +16,9 @@
 	// fullRetry is the time to come back when engines have no room: some
 	// streams end within it.
 	fullRetry = 900 * time.Millisecond
+	// moreEvents is how many events an answer may have beyond its tokens: an event
+	// holds one or more, and the last may hold none.
+	moreEvents = 16
 	// maxRefusals bounds the refused attempts of a started stream that do not
 	// count against the route's bound.
 	maxRefusals = 2
@@ -31,6 +34,7 @@
 	begun   bool   // an attempt may have run
 	last    string // identifier of the last event that the caller has
 	sent    int    // attempts that a server took
+	events  int    // that the caller has got
 	// refusals counts refused attempts to go on with a started stream.
 	refusals int
 	pace     pace
@@ -287,10 +291,11 @@
 
 // pass hands an answer other than 200 to the caller as it is.
 func (j *journey) pass(ans *Answer) error {
-	body, err := io.ReadAll(io.LimitReader(ans.Body, maxAnswer))
+	body, free, err := j.relay.cfg.Quota.Read(ans.Body, maxAnswer)
 	if err != nil {
 		return unclear(reasonBadReply, err)
 	}
+	defer free()
 	return deliver(result{answer: ans, body: body}, j.sink)
 }
 
@@ -302,7 +307,8 @@
 
 // copy passes events on until the stream ends.
 func (j *journey) copy(ans *Answer, w *stallWatch) error {
-	ev := events{from: ans.Body}
+	ev := events{from: ans.Body, quota: j.relay.cfg.Quota}
+	defer ev.close()
 	resumed := j.last
 	for {
 		whole, last, err := ev.next()
@@ -315,14 +321,23 @@
 				resumed = ""
 			}
 		}
+		if err == nil {
+			n, err := check(whole, j.last)
+			if j.events += n; err == nil && j.rq.Answer > 0 && j.events > j.rq.Answer+moreEvents {
+				err = errManyEvents
+			}
+			if errors.Is(err, errOrder) {
+				j.relay.violated(InvariantOrder, j.rq)
+			}
+			if err != nil {
+				return err
+			}
+		}
 		if len(whole) > 0 || (err == io.EOF && !j.started) { //nolint:errorlint // as above
 			if werr := j.write(ans, whole); werr != nil {
 				return &callerGone{cause: werr}
 			}
 			if last != "" {
-				if !follows(j.last, last) {
-					j.relay.violated(InvariantOrder, j.rq)
-				}
 				j.last = last
 			}
 			j.pace.event(j.rq.Arrived)
--- a/relay/stream_test.go
+++ b/relay/stream_test.go
@@ -565,7 +565,11 @@
 		}
 		var wg sync.WaitGroup
 		for range streams {
-			wg.Go(func() { checkServed(t, w.serve(t.Context(), request(config.Stream, 2)), events(1, 10*pauses)) })
+			wg.Go(func() {
+				rq := request(config.Stream, 2)
+				rq.Answer = 10 * pauses
+				checkServed(t, w.serve(t.Context(), rq), events(1, 10*pauses))
+			})
 		}
 		wg.Wait()
 		// One question to each of two engines at each pause would be 120.
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -49,7 +49,7 @@
 		callers: reserve(t), ready: reserve(t), directory: reserve(t), beats: reserve(t), settings: filepath.Join(dir, fmt.Sprintf("n%d.toml", n)),
 	}
 	text := fmt.Sprintf("name = %q\ndomain = %q\n[listen]\ncallers = %q\nready = %q\ndirectory = %q\nbeats = %q\n[store]\naddress = %q\n"+
-		"[bounds]\ngrace = 8\nrevoke = 5000\nttl = 5\nratio = 0.2\nslack = 200\nwindow = 10\n", p.name, zone, p.callers, p.ready, p.directory, p.beats, store)
+		"[bounds]\ngrace = 8\nrevoke = 5000\nttl = 5\nratio = 0.2\nslack = 200\nwindow = 10\n[limits]\nmemory = 284\nshare = 0.4\ncores = 1\n", p.name, zone, p.callers, p.ready, p.directory, p.beats, store)
 	assert.NilError(t, os.WriteFile(p.settings, []byte(text), 0o600))
 	return p
 }
