--- a/edge/placer.go
+++ b/edge/placer.go
@@ -68,7 +68,6 @@
 	count    *counters
 
 	pending map[string]*pending // by server; used by Run only
-	joined  map[string]joined   // by server; used by Run only
 	orders  map[string]accepted // by server, the orders that it has accepted; used by Run only
 	done    chan ordered
 	held    bool
@@ -102,7 +101,7 @@
 
 // Run steps the lease and places layers until the context ends.
 func (p *Placer) Run(ctx context.Context) {
-	p.pending, p.joined, p.orders, p.done = map[string]*pending{}, map[string]joined{}, map[string]accepted{}, make(chan ordered, 64)
+	p.pending, p.orders, p.done = map[string]*pending{}, map[string]accepted{}, make(chan ordered, 64)
 	// By then a holder has told that it has the lease.
 	next := clock.Now() + rand.N(firstStep)
 	tick := time.NewTicker(planEvery)
@@ -220,7 +219,7 @@
 		byID[entry.ID] = s
 		engines = append(engines, shard.Engine{
 			ID: entry.ID, Domain: entry.Domain, Memory: card.Memory, Pace: card.Pace, Holds: p.holds(entry),
-			Fresh: p.fresh(entry), Streams: p.streams(s),
+			Fresh: s.Known() < freshTime, Streams: p.streams(s),
 		})
 	}
 	for _, x := range engines {
@@ -253,23 +252,6 @@
 	}
 }
 
-// fresh tells whether an engine joined, as far as this process has seen, less
-// than freshTime ago.
-func (p *Placer) fresh(e server.Entry) bool {
-	x, ok := p.joined[e.ID]
-	if !ok || x.born != e.Born {
-		x = joined{born: e.Born, until: clock.Now() + freshTime}
-		p.joined[e.ID] = x
-	}
-	return clock.Now() < x.until
-}
-
-// joined is when an incarnation of an engine stops counting as fresh.
-type joined struct {
-	born  int64
-	until time.Duration // clock.Now
-}
-
 // settled tells whether the list of engines has stopped growing. The first
 // layout is made for all engines at once, and they register one after the other
 // at the start.
--- a/edge/placer_test.go
+++ b/edge/placer_test.go
@@ -283,6 +283,29 @@
 	})
 }
 
+// Guards against a successor that takes all engines for new ones: engines without layers
+// waited 4 s more for their first order after it had taken the lease (inc-bdf1).
+func TestSuccessorKnowsWhenEnginesJoined(t *testing.T) {
+	play(t, func(t *testing.T, e *engines, r *rows, run func(p *Placer) func()) {
+		kill := run(newTestPlacer(t, "a", e, r))
+		time.Sleep(time.Second)
+		b := newTestPlacer(t, "b", e, r)
+		run(b)
+		time.Sleep(8 * time.Second)
+		kill()
+		for i := range 4 {
+			e.join(fmt.Sprintf("spare%d", i))
+		}
+		time.Sleep(freshTime)
+		before := e.given()
+		for held := false; !held; _, _, held = b.lease.Held() {
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		assert.Assert(t, e.given() > before, "no order to engines that joined long ago")
+	})
+}
+
 // Guards against a planned stop that outlasts its time since the lease is handed
 // on last, and against a successor that waits although it was.
 func TestPlannedStopHandsTheLeaseOn(t *testing.T) {
--- a/server/server.go
+++ b/server/server.go
@@ -44,6 +44,8 @@
 
 // record is what this process has seen of one incarnation.
 type record struct {
+	joined time.Duration // now() when this process first heard of the incarnation
+
 	inflight atomic.Int64 // requests of this process
 	claimed  atomic.Int64 // layer tokens of KV cache of this process's streams
 	suspect  atomic.Int64 // now() until which the server is avoided
@@ -75,6 +77,9 @@
 // Holds tells whether the server holds layers, by what the registry says.
 func (s *Server) Holds(from, to int) bool { return s.entry.From <= from && s.entry.To >= to }
 
+// Known returns the time since this process first heard of the server's incarnation.
+func (s *Server) Known() time.Duration { return now() - s.joined }
+
 // Inflight returns the requests of this process at the server.
 func (s *Server) Inflight() int { return int(s.inflight.Load()) }
 
--- a/server/table.go
+++ b/server/table.go
@@ -167,7 +167,7 @@
 	s := &Server{entry: e}
 	switch {
 	case old == nil:
-		s.record = &record{}
+		s.record = &record{joined: now()}
 		level := zerolog.InfoLevel
 		if quiet {
 			level = zerolog.DebugLevel
@@ -175,7 +175,7 @@
 		t.cfg.Log.WithLevel(level).Str("server", e.ID).Str("address", e.Address).Str("service", e.Service).Str("domain", e.Domain).
 			Int("from", e.From).Int("to", e.To).Bool("draining", e.Draining).Msg("backend server joined")
 	case old.entry.Born != e.Born || old.entry.Address != e.Address:
-		s.record = &record{}
+		s.record = &record{joined: now()}
 		t.cfg.Log.Info().Str("server", e.ID).Str("address", e.Address).Int64("born", e.Born).Msg("backend server started again")
 		t.gone(old.entry.Address)
 	default:
