beat, edge: hubs look at a lease whose renewal is overdue

The row was newer than the word (killed between a renewal and its next heartbeat), so that the successors counted term and send timeout from their first look at the row, which they took only when the word had ended. Ruled out: the store (no call failed), hubs (each failure domain had one).

Change: hubs look once a renewal is 0.6 s overdue.

--- a/beat/beat.go
+++ b/beat/beat.go
@@ -307,11 +307,11 @@
 	return r.lease, r.lease.Fence > 0
 }
 
-// Held tells whether another process said that it holds the lease, for a time that has
-// not passed.
-func (r *Ring) Held() bool {
+// Held tells whether another process said that it holds the lease, for longer than a
+// time from now.
+func (r *Ring) Held(left time.Duration) bool {
 	l, ok := r.Lease()
-	return ok && !l.Ended && clock.Now() < l.Until
+	return ok && !l.Ended && clock.Now()+left < l.Until
 }
 
 // Size returns the number of entry processes, this one included.
--- a/edge/app.go
+++ b/edge/app.go
@@ -206,7 +206,7 @@
 		// Besides the holder, only the hubs look at the lease's row.
 		others: func() bool {
 			hub, since := g.HubPeer()
-			return g.Held() || hub.Name != me.Name || since < hubSteady || !d.settled()
+			return g.Held(doubtLeft) || hub.Name != me.Name || since < hubSteady || !d.settled()
 		},
 		behind: d.behind,
 		streams: func(s *server.Server) int {
--- a/edge/placer.go
+++ b/edge/placer.go
@@ -33,6 +33,11 @@
 	// given again; an order may be carried out seconds late.
 	loadSlack    = 3 * time.Second
 	minOrderWait = 2 * time.Second // until an order that takes no load is given again
+	// doubtLeft is the time that a holder's word leaves below which the hubs look at the
+	// lease's row: a renewal is half a second overdue. A holder that was killed between a
+	// renewal and its next heartbeat leaves a row that is newer than its word, and a
+	// successor counts the term from its first look at that row.
+	doubtLeft = leaseTerm - renewEvery - 600*time.Millisecond
 	// hubSteady is how long a process is the hub before it looks at the lease: at the
 	// start each one takes itself for the hub until it has heard of others.
 	hubSteady = time.Second
--- a/edge/placer_test.go
+++ b/edge/placer_test.go
@@ -283,6 +283,31 @@
 	})
 }
 
+// Guards against nine seconds without a giver of orders after a holder was killed right
+// after a renewal of which nobody heard (inc-bdf1): the row is newer than its word.
+func TestSuccessorLooksAtTheRowInTime(t *testing.T) {
+	play(t, func(t *testing.T, e *engines, r *rows, run func(p *Placer) func()) {
+		a, b := newTestPlacer(t, "a", e, r), newTestPlacer(t, "b", e, r)
+		kill := run(a)
+		time.Sleep(8 * time.Second)
+		word, ok := a.lease.Say()
+		assert.Assert(t, ok)
+		heard := func() (lease.Word, bool) { return word, true }
+		b.lease = lease.New(lease.Config{Rows: r.client(), Name: "place", Holder: "b", Term: leaseTerm, Send: sendTimeout, Heard: heard})
+		b.others = func() bool { return time.Until(word.Until) > doubtLeft }
+		run(b)
+		for w, _ := a.lease.Say(); w.Revision == word.Revision; w, _ = a.lease.Say() {
+			time.Sleep(10 * time.Millisecond)
+		}
+		kill()
+		killed := time.Now()
+		for held := false; !held; _, _, held = b.lease.Held() {
+			time.Sleep(10 * time.Millisecond)
+		}
+		assert.Assert(t, time.Since(killed) < leaseTerm+sendTimeout+1500*time.Millisecond, "%v", time.Since(killed))
+	})
+}
+
 // Guards against a successor that takes all engines for new ones: engines without layers
 // waited 4 s more for their first order after it had taken the lease (inc-bdf1).
 func TestSuccessorKnowsWhenEnginesJoined(t *testing.T) {
