soak: answers without an end, forged datagrams, all processes killed at once

New faults draw from a source of their own, so that older seeds keep their plan. Checked besides: an answer without an end is closed within the callers' wait and a second, and no process has more memory than its VM. TestWildChecksFail shows that the first can fail. Two restarts of one process no longer overlap.

--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -19,6 +19,8 @@
 	name, zone, callers, ready, directory, beats, settings string
 	binary, log                                            string
 
+	restarting sync.Mutex
+
 	mu  sync.Mutex
 	cmd *exec.Cmd
 	end chan struct{} // closed when cmd has ended
--- a/soak/server_test.go
+++ b/soak/server_test.go
@@ -200,9 +200,18 @@
 	v.admit(b, r)
 	fail := b.fail
 	v.mu.Unlock()
-	if fail == "refuse" {
+	switch fail {
+	case "refuse":
 		refuse(w, http.StatusServiceUnavailable, "")
 		return
+	case endlessHead, endlessBody, endlessDrip:
+		if b.service == "desk" {
+			v.mu.Lock()
+			v.runs[r.Header.Get(idHeader)]++
+			v.mu.Unlock()
+		}
+		v.endless(b, w, r.Header.Get(idHeader), fail)
+		return
 	}
 	if b.service == "desk" {
 		v.book(b, w, r, fail)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -51,6 +51,7 @@
 	t       *testing.T
 	rand    *rand.Rand
 	links   *rand.Rand // of the links, so that older seeds keep their plan
+	wild    *rand.Rand // of the faults of wild_test.go, for the same reason
 	store   *store
 	servers *servers
 	callers *callers
@@ -59,6 +60,8 @@
 	spare   int
 	wg      sync.WaitGroup
 
+	killed bool // all processes at once
+
 	revoking atomic.Bool
 }
 
@@ -89,7 +92,7 @@
 		dir = filepath.Join(*keepFlag, fmt.Sprint(seed))
 		assert.NilError(t, os.MkdirAll(dir, 0o750))
 	}
-	u := &run{t: t, rand: rand.New(rand.NewSource(seed)), links: rand.New(rand.NewSource(-seed)), store: newStore(t)}
+	u := &run{t: t, rand: rand.New(rand.NewSource(seed)), links: rand.New(rand.NewSource(-seed)), wild: rand.New(rand.NewSource(^seed << 1)), store: newStore(t)}
 	u.servers = newServers(t, u.store)
 	u.configure(shopKey)
 	for i := range engines {
@@ -121,14 +124,18 @@
 		u.wg.Add(1)
 		go func() { defer u.wg.Done(); u.callers.run(ctx, r) }()
 	}
+	u.wg.Add(1)
+	go func() { defer u.wg.Done(); u.forge(ctx, rand.New(rand.NewSource(seed))) }()
 	u.waitServing("at the start", 15*time.Second)
 	for range steps {
 		u.fault()
 		u.linkFault()
+		u.wildFault()
 		time.Sleep(time.Duration(500+u.rand.Intn(1500)) * time.Millisecond)
 	}
 	u.store.set(storeSound)
 	u.waitServing("after the faults", 12*time.Second)
+	u.checkMemory()
 	cancel()
 	u.wg.Wait()
 	u.check()
@@ -234,6 +241,8 @@
 
 // restart stops a process and starts it again. A planned stop must end in time.
 func (u *run) restart(p *process, s syscall.Signal) {
+	p.restarting.Lock()
+	defer p.restarting.Unlock()
 	p.signal(s)
 	if !p.wait(8*time.Second + slack) {
 		if s == syscall.SIGTERM {
