--- a/cmds/cmds.go
+++ b/cmds/cmds.go
@@ -95,6 +95,6 @@
 		SilenceErrors: true,
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
-	root.AddCommand(newServe(), newEntry(), newExplain(), newCheck(), newPublish(), newStatus(), newAudit(), newDrain(), newVersion(), newStandin(), newDemo(), newBench(), newDocs())
+	root.AddCommand(newServe(), newEntry(), newExplain(), newSummary(), newCheck(), newPublish(), newStatus(), newAudit(), newDrain(), newVersion(), newStandin(), newDemo(), newBench(), newDocs())
 	return root
 }
--- a/cmds/entry_test.go
+++ b/cmds/entry_test.go
@@ -37,5 +37,8 @@
 func TestExplain(t *testing.T) {
 	checkRun(t, 0, "request ended", "explain", "r1", "../logs/testdata/lines.log")
 	checkRun(t, 1, "no line about", "explain", "r9", "../logs/testdata/lines.log")
+	checkRun(t, 0, "2  left", "summary", "../logs/testdata/day.log")
+	checkRun(t, 1, "no line about", "summary", os.DevNull)
+	checkRun(t, 2, "must be positive", "summary", "--window", "0s", "../logs/testdata/day.log")
 	checkRun(t, 2, "no such file", "explain", "r1", "missing.log")
 }
--- a/cmds/explain.go
+++ b/cmds/explain.go
@@ -18,18 +18,11 @@
 			"the request with the given id in the order of their times, with what else changed at their processes then.",
 		Args: cobra.MinimumNArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			var from []io.Reader
-			for _, name := range args[1:] {
-				f, err := os.Open(name)
-				if err != nil {
-					return usageError{err}
-				}
-				defer func() { _ = f.Close() }()
-				from = append(from, f)
-			}
-			if len(from) == 0 {
-				from = append(from, c.InOrStdin())
+			from, done, err := inputs(c, args[1:])
+			if err != nil {
+				return err
 			}
+			defer done()
 			n, err := logs.Story(c.OutOrStdout(), args[0], from...)
 			if err != nil {
 				return err
@@ -41,3 +34,25 @@
 		},
 	}
 }
+
+// inputs opens log files; without names it returns the standard input. Done closes them.
+func inputs(c *cobra.Command, names []string) (from []io.Reader, done func(), err error) {
+	var files []*os.File
+	done = func() {
+		for _, f := range files {
+			_ = f.Close()
+		}
+	}
+	for _, name := range names {
+		f, err := os.Open(name)
+		if err != nil {
+			done()
+			return nil, nil, usageError{err}
+		}
+		files, from = append(files, f), append(from, f)
+	}
+	if len(from) == 0 {
+		from = append(from, c.InOrStdin())
+	}
+	return from, done, nil
+}
