--- a/logs/story.go
+++ b/logs/story.go
@@ -61,6 +61,20 @@
 	return out, scan.Err()
 }
 
+// gather returns the lines of all readers in the order of their times.
+func gather(from []io.Reader) ([]line, error) {
+	var all []line
+	for _, r := range from {
+		lines, err := read(r)
+		if err != nil {
+			return nil, fmt.Errorf("read logs: %w", err)
+		}
+		all = append(all, lines...)
+	}
+	slices.SortStableFunc(all, func(a, b line) int { return a.at.Compare(b.at) })
+	return all, nil
+}
+
 // word takes a field out of a line.
 func word(f map[string]any, name string) string {
 	s, _ := f[name].(string)
@@ -73,15 +87,10 @@
 // that tell what changed at that time. It returns the number of lines about the
 // request.
 func Story(w io.Writer, id string, from ...io.Reader) (int, error) {
-	var all []line
-	for _, r := range from {
-		lines, err := read(r)
-		if err != nil {
-			return 0, fmt.Errorf("read logs: %w", err)
-		}
-		all = append(all, lines...)
+	all, err := gather(from)
+	if err != nil {
+		return 0, err
 	}
-	slices.SortStableFunc(all, func(a, b line) int { return a.at.Compare(b.at) })
 	var first, last time.Time
 	nodes := map[string]bool{}
 	found := 0
--- a/logs/summary.go
+++ b/logs/summary.go
@@ -54,18 +54,10 @@
 // other lines by their message. Requests that were refused did not run; failed ones may
 // have. It returns the number of lines about ends of requests.
 func Summary(w io.Writer, window time.Duration, from ...io.Reader) (int, error) {
-	var all []line
-	for _, r := range from {
-		lines, err := read(r)
-		if err != nil {
-			return 0, fmt.Errorf("read logs: %w", err)
-		}
-		all = append(all, lines...)
-	}
-	if len(all) == 0 {
-		return 0, nil
+	all, err := gather(from)
+	if err != nil || len(all) == 0 {
+		return 0, err
 	}
-	slices.SortStableFunc(all, func(a, b line) int { return a.at.Compare(b.at) })
 	begin := all[0].at
 	causes, changes := map[cause]int{}, map[string]*change{}
 	windows := make([]tally, int(all[len(all)-1].at.Sub(begin)/window)+1)
