relay: log the parts of a prompt and the events of a run with each failed attempt

A cut stream's log line did not tell which parts its prompt had, nor whether the run had begun to write, so the request that crashed an engine looked like the dozens that were cut with it.

The platform's header of prompt parts is decoded into Call.PromptParts and Request.PromptParts; failed attempts and ended requests log them, failed attempts of streams also the events of that run. Nothing else changes.

--- a/edge/handler.go
+++ b/edge/handler.go
@@ -139,6 +139,7 @@
 		Method: c.Method, Target: c.Target, Host: c.Host, Header: c.Header, Body: c.Body,
 		Arrived: c.Arrived, Deadline: c.Arrived.Add(h.timeout(c, route)),
 		LastEventID: c.LastEventID, PromptTokens: c.PromptTokens, MaxAnswerTokens: c.MaxAnswerTokens, AnswerTokensHint: c.ExpectedAnswerTokens,
+		PromptParts: c.PromptParts,
 	}, nil
 }
 
@@ -177,7 +178,7 @@
 	e = e.Str("id", c.ID).Str("outcome", outcome).Dur("took", took).Dur("age", h.tracker.Age())
 	if rq != nil {
 		e = e.Str("route", rq.Route.Name()).Str("kind", rq.Route.Kind().String()).Str("service", rq.Service.Name).
-			Uint64("version", rq.Version).Dur("left", time.Until(rq.Deadline))
+			Uint64("version", rq.Version).Dur("left", time.Until(rq.Deadline)).Strs("parts", rq.PromptParts)
 	}
 	if err != nil {
 		e = e.Err(err).Str("verdict", fault.VerdictOf(err).String())
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -42,6 +42,9 @@
 	PromptTokens     int    // length of the prompt
 	MaxAnswerTokens  int    // bound on the answer, in tokens; 0 for none
 	AnswerTokensHint int    // caller's estimate of the answer, in tokens; 0 if not given
+	// PromptParts identifies the parts of the prompt, in order. Requests share parts, but for the
+	// last one, which belongs to the request or its session.
+	PromptParts []string
 
 	attempts   atomic.Int32 // attempts sent so far
 	mayHaveRun atomic.Bool  // set once an attempt may have been executed
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -35,6 +35,7 @@
 	lastEventID string // identifier of the last event sent to the caller
 	attempts    int    // attempts that count against the route's bound
 	eventCount  int    // events sent to the caller
+	runEvents   int    // events of the present run
 	// refusals counts refused attempts to resume the stream that were not counted as attempts.
 	refusals int
 	timing   eventTiming
@@ -197,6 +198,7 @@
 		}
 	}
 	defer rn.end()
+	st.runEvents = 0
 	m := newStallMonitor(ctx, st, rn, excluded)
 	defer m.stop()
 	defer rn.close()
@@ -247,6 +249,7 @@
 func (st *streamState) attemptFailed(ctx context.Context, t *activePath, ans *Answer, err error, excluded map[string]bool) bool {
 	r := st.relay
 	e := r.cfg.Log.Info().Str("id", st.req.ID).Int("attempt", st.attempts).Str("first", t.first.ID()).Str("path", t.String()).Str("last", st.lastEventID).
+		Int("events", st.runEvents).Strs("parts", st.req.PromptParts).
 		Str("verdict", fault.VerdictOf(err).String()).Err(err).Dur("since", time.Since(st.req.Arrived))
 	failedServer := t.first
 	if ans != nil && ans.RefusedBy != "" {
@@ -326,6 +329,7 @@
 		}
 		if err == nil {
 			n, err := validateEvents(complete, st.lastEventID)
+			st.runEvents += n
 			if st.eventCount += n; err == nil && st.req.MaxAnswerTokens > 0 && st.eventCount > st.req.MaxAnswerTokens+extraEvents {
 				err = errTooManyEvents
 			}
