--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -37,6 +37,8 @@
 	lateReports   map[string]int  // by address: report queries still to be answered too late
 	onSend        func(ctx context.Context, n int, req *relay.Request, a relay.Attempt) (*relay.Answer, error)
 	onRepath      func(path []relay.Hop) error
+	// onReport answers the queries for reports if it is set; dead and lateReports don't count then.
+	onReport func(ctx context.Context, address string) (relay.Report, error)
 }
 
 // logBuffer collects log lines.
@@ -109,6 +111,9 @@
 			dead := cl.dead[address] || cl.lateReports[address] > 0
 			cl.lateReports[address]--
 			cl.mu.Unlock()
+			if cl.onReport != nil {
+				return cl.onReport(ctx, address)
+			}
 			if dead {
 				<-ctx.Done()
 				return relay.Report{}, ctx.Err()
