--- a/beat/beat.go
+++ b/beat/beat.go
@@ -21,6 +21,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cranberrybay/cranberrybay/clock"
+	"github.com/cranberrybay/cranberrybay/poison"
 	"github.com/cranberrybay/cranberrybay/seal"
 	"github.com/cranberrybay/cranberrybay/watch"
 	"github.com/cranberrybay/cranberrybay/wire"
@@ -82,6 +83,7 @@
 	State       func() State
 	Clock       func() time.Duration // of the platform; 0 when unknown
 	Work        func() []Work
+	Suspects    func() Suspects // may be nil
 	Send        func(address string, b []byte) error
 	Sealer      *seal.Sealer
 	OnWatermark func(Watermark) // called with watermarks of other processes; may be nil
@@ -89,6 +91,8 @@
 	// OnDead is called with the hashes of backend servers that a peer reported dead;
 	// may be nil.
 	OnDead func(servers []uint64)
+	// OnSuspects is called with what other processes know of parts of prompts; may be nil.
+	OnSuspects func(records []poison.Record)
 	// OnNewerKey is called when a message refers to a key that this process does not
 	// have; may be nil.
 	OnNewerKey func()
@@ -177,6 +181,9 @@
 	if cfg.OnNewerKey == nil {
 		cfg.OnNewerKey = func() {}
 	}
+	if cfg.Suspects == nil {
+		cfg.Suspects = func() Suspects { return Suspects{} }
+	}
 	now := clock.Now()
 	return &Membership{
 		cfg: cfg, members: map[string]*member{}, others: map[string]*member{}, hub: cfg.Self.Name, hubSince: now, lastHeard: now, lastSent: now,
--- a/beat/beat_test.go
+++ b/beat/beat_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/cranberrybay/cranberrybay/beat"
 	"github.com/cranberrybay/cranberrybay/clock"
+	"github.com/cranberrybay/cranberrybay/poison"
 	"github.com/cranberrybay/cranberrybay/seal"
 	"github.com/cranberrybay/cranberrybay/watch"
 )
@@ -38,6 +39,7 @@
 	pages      []beat.Page
 	dead       []uint64
 	drops      map[string]int
+	poison     *poison.Tracker
 }
 
 func (n *net) platform() time.Duration { return time.Hour + time.Since(n.base) }
@@ -54,6 +56,7 @@
 func (n *net) start(x *node) {
 	name := x.peer.Name
 	x.frozen = false
+	x.poison = poison.New(poison.Config{Log: zerolog.Nop(), Announce: func(all []poison.Record) { x.membership.ReportSuspects(all) }})
 	x.membership = beat.New(beat.Config{
 		Self: x.peer, Incarnation: rand.Uint64(), Sealer: n.sealer, Log: zerolog.Nop(),
 		State:     func() beat.State { return x.state },
@@ -62,6 +65,10 @@
 		OnPage:    func(p beat.Page) { x.pages = append(x.pages, p) },
 		OnDead:    func(all []uint64) { x.dead = append(x.dead, all...) },
 		OnDropped: func(reason string) { x.drops[reason]++ },
+		Suspects: func() beat.Suspects {
+			return beat.Suspects{Own: x.poison.Recent(true), Changed: x.poison.Recent(false), All: x.poison.Records()}
+		},
+		OnSuspects: func(all []poison.Record) { x.poison.Merge(all) },
 		Send: func(address string, b []byte) error {
 			x.sent += len(b)
 			if n.capture != nil {
@@ -402,3 +409,74 @@
 		}
 	})
 }
+
+// crash lets a server crash on a request at this process.
+func (x *node) crash(server uint64) {
+	x.poison.RecordCut(server, server, poison.PartsOf("s", []string{"deadly", "own"}))
+	x.poison.RecordCrash(server)
+}
+
+func checkBlocked(t *testing.T, nodes ...*node) {
+	t.Helper()
+	for _, x := range nodes {
+		_, left, ok := x.poison.Blocked([]poison.Part{{Service: "s", ID: "deadly"}})
+		assert.Assert(t, ok, "process %s does not know that the part is quarantined", x.peer.Name)
+		assert.Assert(t, left > 9*time.Minute && left <= 10*time.Minute, "%v", left)
+	}
+}
+
+// Guards against evidence that stays in the process that saw a crash: it must reach all others at
+// once, by way of the hubs.
+func TestReportSuspects(t *testing.T) {
+	runVirtual(t, func(t *testing.T, n *net) {
+		a, b, c, x := startTwoDomains(n)
+		for i, y := range []*node{b, c, x} {
+			y.crash(uint64(i))
+			time.Sleep(200 * time.Millisecond)
+		}
+		checkBlocked(t, a, b, c, x)
+	})
+}
+
+// Guards against evidence that is lost with a datagram, with the hub that should pass it on, or
+// because a process was away when it was told.
+func TestLostSuspectsAreRepeated(t *testing.T) {
+	for name, report := range map[string]func(n *net, hub, member *node, crashes func()){
+		"datagrams": func(n *net, _, _ *node, crashes func()) {
+			n.cut = func(string, string) bool { return true }
+			crashes()
+			n.cut = nil
+		},
+		"hub": func(_ *net, hub, _ *node, crashes func()) {
+			hub.frozen = true
+			crashes()
+		},
+		"member away": func(n *net, _, member *node, crashes func()) {
+			member.frozen = true
+			crashes()
+			n.run(10 * time.Second)
+			member.frozen = false
+		},
+		"member started later": func(n *net, hub, member *node, crashes func()) {
+			member.frozen = true
+			crashes()
+			n.run(10 * time.Second)
+			n.start(member)
+			member.membership.AddPeers([]beat.Peer{hub.peer})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runVirtual(t, func(t *testing.T, n *net) {
+				a, b, c, x := startTwoDomains(n)
+				report(n, a, c, func() {
+					for i := range 3 {
+						b.crash(uint64(i))
+						time.Sleep(200 * time.Millisecond)
+					}
+				})
+				n.run(4 * time.Second)
+				checkBlocked(t, b, c, x)
+			})
+		})
+	}
+}
--- a/beat/page.go
+++ b/beat/page.go
@@ -42,7 +42,7 @@
 	}
 	ms.deadReports[h] = now
 	ms.mu.Unlock()
-	ms.broadcast(nil, []uint64{h})
+	ms.broadcast(notice{dead: []uint64{h}})
 }
 
 // applyDeadReports records servers that another process reported dead.
@@ -72,7 +72,7 @@
 		return
 	}
 	if len(x.Rows) <= maxPageBytes { // for larger ones the others see the watermark and read the platform
-		ms.broadcast([]*wire.Page{x}, nil)
+		ms.broadcast(notice{pages: []*wire.Page{x}})
 	}
 }
 
--- a/beat/receive.go
+++ b/beat/receive.go
@@ -71,10 +71,10 @@
 	}
 	p := processOf(hub.peer)
 	p.Ready, p.Leaving, p.Settled = hub.ready, hub.leaving, hub.settled
-	notice := ms.newNotice(nil, nil)
-	notice.Domains = ms.encodeProcesses(&wire.Domains{Processes: []*wire.Process{p}})
+	out := ms.newNotice(notice{})
+	out.Domains = ms.encodeProcesses(&wire.Domains{Processes: []*wire.Process{p}})
 	ms.mu.Unlock()
-	ms.send(notice, []string{b.From.Address})
+	ms.send(out, []string{b.From.Address})
 }
 
 // recordSender updates the state of the sender and reports whether the message is new.
@@ -185,10 +185,15 @@
 	}
 }
 
-// forward relays pages and reports of dead servers: a hub sends those of a member to
-// all processes, and those of another hub to its members.
+// forward relays the contents of notices: a hub sends those of a member to all processes,
+// and those of another hub to its members. Suspects in heartbeats are not relayed, since
+// the hub's own heartbeats hold what it took from them.
 func (ms *Membership) forward(b *wire.Beat) {
-	if len(b.Pages) == 0 && len(b.Dead) == 0 {
+	x := notice{pages: b.Pages, dead: b.Dead}
+	if b.Loads == nil {
+		x.suspects = b.Suspects
+	}
+	if x.isEmpty() {
 		return
 	}
 	sameDomain := b.From.Domain == ms.cfg.Self.Domain
@@ -197,11 +202,11 @@
 		ms.mu.Unlock()
 		return
 	}
-	notice := ms.newNotice(b.Pages, b.Dead)
+	out := ms.newNotice(x)
 	ms.mu.Unlock()
-	ms.send(notice, ms.toMembers())
+	ms.send(out, ms.toMembers())
 	if sameDomain {
-		ms.send(notice, ms.toHubs())
+		ms.send(out, ms.toHubs())
 	}
 }
 
@@ -224,4 +229,7 @@
 		}
 	}
 	ms.applyDeadReports(b.Dead)
+	if len(b.Suspects) > 0 && ms.cfg.OnSuspects != nil {
+		ms.cfg.OnSuspects(DecodeSuspects(b.Suspects, 0))
+	}
 }
--- a/beat/send.go
+++ b/beat/send.go
@@ -13,7 +13,7 @@
 // SendHeartbeat detects silent processes and sends this process's heartbeat: a member's
 // goes to the hub, a hub's to its members and to the other hubs.
 func (ms *Membership) SendHeartbeat() {
-	own, state := ms.ownLoads(), ms.cfg.State()
+	own, state, suspects := ms.ownLoads(), ms.cfg.State(), ms.cfg.Suspects()
 	ms.mu.Lock()
 	now := clock.Now()
 	ms.updateState(state)
@@ -29,6 +29,7 @@
 	if !ms.isHub() {
 		ms.reportedLoads = own
 		b := ms.newHeartbeat(own)
+		b.Suspects = EncodeSuspects(suspects.Own)
 		ms.mu.Unlock()
 		ms.send(b, ms.toHub())
 		return
@@ -42,10 +43,13 @@
 	addLoads(hubLoads, own)
 	memberBeat, hubBeat := ms.newHeartbeat(memberLoads), ms.newHeartbeat(hubLoads)
 	memberBeat.Size, hubBeat.Size = uint32(ms.size()), uint32(ms.domainSize())
+	memberBeat.Suspects = EncodeSuspects(suspects.Changed)
 	if ms.membersChanged || now-ms.lastListed >= listInterval {
 		ms.membersChanged, ms.lastListed = false, now
 		memberBeat.Domains, hubBeat.Domains = ms.encodeProcessList(true), ms.encodeProcessList(false)
+		memberBeat.Suspects = EncodeSuspects(suspects.All)
 	}
+	hubBeat.Suspects = memberBeat.Suspects
 	ms.mu.Unlock()
 	ms.send(memberBeat, ms.toMembers())
 	ms.send(hubBeat, ms.toHubs())
@@ -131,19 +135,27 @@
 	return Compress(raw)
 }
 
-// newNotice builds a message without loads that carries pages and reports of dead
-// servers. The caller holds mu.
-func (ms *Membership) newNotice(pages []*wire.Page, dead []uint64) *wire.Beat {
+// notice is the content of a message that is sent at once, without loads.
+type notice struct {
+	pages    []*wire.Page
+	dead     []uint64 // backend servers, as in ServerHash
+	suspects []*wire.Suspect
+}
+
+func (n notice) isEmpty() bool { return len(n.pages) == 0 && len(n.dead) == 0 && len(n.suspects) == 0 }
+
+// newNotice builds the message of a notice. The caller holds mu.
+func (ms *Membership) newNotice(n notice) *wire.Beat {
 	b := ms.newHeartbeat(nil)
-	b.Loads, b.Pages, b.Dead = nil, pages, dead
+	b.Loads, b.Pages, b.Dead, b.Suspects = nil, n.pages, n.dead, n.suspects
 	return b
 }
 
 // broadcast sends a notice to all processes. A member sends it to the hub, which
 // forwards it.
-func (ms *Membership) broadcast(pages []*wire.Page, dead []uint64) {
+func (ms *Membership) broadcast(n notice) {
 	ms.mu.Lock()
-	b, hub := ms.newNotice(pages, dead), ms.isHub()
+	b, hub := ms.newNotice(n), ms.isHub()
 	ms.mu.Unlock()
 	if !hub {
 		ms.send(b, ms.toHub())
--- /dev/null
+++ b/beat/suspect.go
@@ -0,0 +1,79 @@
+package beat
+
+import (
+	"time"
+
+	"github.com/cranberrybay/cranberrybay/poison"
+	"github.com/cranberrybay/cranberrybay/wire"
+)
+
+// maxSuspectAge bounds the ages in a message, so that sums with the clock of records stay positive.
+const maxSuspectAge = 8 * time.Hour
+
+// Suspects holds records of parts of prompts that may crash backend servers, for heartbeats.
+type Suspects struct {
+	Own     []poison.Record // that this process itself changed lately
+	Changed []poison.Record // that changed lately for any reason
+	All     []poison.Record
+}
+
+// ReportSuspects tells all processes at once what this one has seen of parts of prompts.
+func (ms *Membership) ReportSuspects(records []poison.Record) {
+	ms.broadcast(notice{suspects: EncodeSuspects(records)})
+}
+
+// EncodeSuspects converts records to their wire form.
+func EncodeSuspects(records []poison.Record) []*wire.Suspect {
+	now := poison.Now()
+	var out []*wire.Suspect
+	for _, r := range records {
+		x := &wire.Suspect{Service: r.Part.Service, Part: r.Part.ID}
+		for _, c := range r.Crashes {
+			x.Servers = append(x.Servers, c.Server)
+			x.Requests = append(x.Requests, c.Request)
+			x.Ages = append(x.Ages, ageOf(c.At, now))
+		}
+		if r.ProvenAt > 0 {
+			age := ageOf(r.ProvenAt, now)
+			x.Proven = &age
+		}
+		if r.Terms > 0 {
+			x.Terms, x.Since, x.Left = uint32(r.Terms), ageOf(r.Since, now), (r.Until - now).Milliseconds()
+		}
+		out = append(out, x)
+	}
+	return out
+}
+
+// ageOf returns the age of a time in milliseconds.
+func ageOf(at, now time.Duration) uint32 {
+	return uint32(min(max(now-at, 0), maxSuspectAge).Milliseconds())
+}
+
+// DecodeSuspects converts records from their wire form, of which held is the age. A record whose
+// lists differ in length is left out.
+func DecodeSuspects(suspects []*wire.Suspect, held time.Duration) []poison.Record {
+	now := poison.Now() - held
+	at := func(age uint32) time.Duration {
+		return now - min(time.Duration(age)*time.Millisecond, maxSuspectAge)
+	}
+	var out []poison.Record
+	for _, x := range suspects {
+		if len(x.Servers) != len(x.Requests) || len(x.Servers) != len(x.Ages) {
+			continue
+		}
+		r := poison.Record{Part: poison.Part{Service: x.Service, ID: x.Part}}
+		for i, age := range x.Ages {
+			r.Crashes = append(r.Crashes, poison.Crash{Server: x.Servers[i], Request: x.Requests[i], At: at(age)})
+		}
+		if x.Proven != nil {
+			r.ProvenAt = at(*x.Proven)
+		}
+		if x.Terms > 0 {
+			left := min(max(time.Duration(x.Left)*time.Millisecond, -maxSuspectAge), poison.MaxTerm)
+			r.Terms, r.Since, r.Until = int(x.Terms), at(x.Since), now+left
+		}
+		out = append(out, r)
+	}
+	return out
+}
--- a/edge/app.go
+++ b/edge/app.go
@@ -22,6 +22,7 @@
 	"github.com/cranberrybay/cranberrybay/link"
 	"github.com/cranberrybay/cranberrybay/logs"
 	"github.com/cranberrybay/cranberrybay/platform"
+	"github.com/cranberrybay/cranberrybay/poison"
 	"github.com/cranberrybay/cranberrybay/quota"
 	"github.com/cranberrybay/cranberrybay/relay"
 	"github.com/cranberrybay/cranberrybay/seal"
@@ -86,6 +87,7 @@
 			func() *seal.Sealer { return &seal.Sealer{} },
 			self,
 			newCounters,
+			newPoisonTracker,
 			newServerTable,
 			newMembers,
 			newStateFetcher,
@@ -113,8 +115,19 @@
 // logFlushTimeout bounds the writing of queued log lines when the process stops.
 const logFlushTimeout = 200 * time.Millisecond
 
-func newServerTable(client *link.Client, factory *logs.Factory) *server.Table {
-	return server.NewTable(server.Config{Log: factory.Logger("server"), OutageGrace: missingEntryGrace, OnRemoved: client.CloseIdle})
+func newPoisonTracker(state *sharedState, factory *logs.Factory) *poison.Tracker {
+	return poison.New(poison.Config{
+		Log:          factory.Logger("poison"),
+		Announce:     func(records []poison.Record) { state.announceSuspects(records) },
+		OnQuarantine: func() { state.onQuarantine() },
+	})
+}
+
+func newServerTable(client *link.Client, t *poison.Tracker, factory *logs.Factory) *server.Table {
+	return server.NewTable(server.Config{
+		Log: factory.Logger("server"), OutageGrace: missingEntryGrace, OnRemoved: client.CloseIdle,
+		OnDied: func(s *server.Server) { go t.RecordCrash(s.Incarnation()) }, // announces it, so not under the table's lock
+	})
 }
 
 // self returns the description of this process that the other processes get.
@@ -127,25 +140,26 @@
 
 // newStateFetcher returns a fetcher of the tables that entry processes follow. It logs as
 // part "beat", like the rest of the messages between entry processes.
-func newStateFetcher(self beat.Peer, sealer *seal.Sealer, members *beat.Membership, state *sharedState, factory *logs.Factory) *stateFetcher {
-	return &stateFetcher{self: self, sealer: sealer, members: members, follower: state.follower, tables: []string{platform.TableConfig, platform.TableServers}, log: factory.Logger("beat")}
+func newStateFetcher(self beat.Peer, sealer *seal.Sealer, members *beat.Membership, t *poison.Tracker, state *sharedState, factory *logs.Factory) *stateFetcher {
+	return &stateFetcher{self: self, sealer: sealer, members: members, poison: t, follower: state.follower, tables: []string{platform.TableConfig, platform.TableServers}, log: factory.Logger("beat")}
 }
 
-func newProcessRegistrar(s Settings, self beat.Peer, store *platform.Store, members *beat.Membership, sealer *seal.Sealer, f *stateFetcher, b *retryBudgets, state *sharedState, factory *logs.Factory) *registrar {
+func newProcessRegistrar(s Settings, self beat.Peer, store *platform.Store, members *beat.Membership, sealer *seal.Sealer, f *stateFetcher, b *retryBudgets, t *poison.Tracker, state *sharedState, factory *logs.Factory) *registrar {
 	m := newRegistrar(registrarConfig{
-		Self: self, Bootstrap: s.Bootstrap, Rows: store.Table(), Members: members, Sealer: sealer, Fetch: f.fetch, OnSize: b.resize, HoldsLease: state.holdsLease, Log: factory.Logger("beat"),
+		Self: self, Bootstrap: s.Bootstrap, Rows: store.Table(), Members: members, Sealer: sealer, Fetch: f.fetch, OnSize: b.resize, HoldsLease: state.holdsLease, Poison: t, Log: factory.Logger("beat"),
 	})
 	state.onUnknownKey = func() { m.unknownKey.Store(true) }
+	state.onQuarantine = m.quarantineChanged
 	return m
 }
 
-func newMembers(s Settings, self beat.Peer, i incarnation, sealer *seal.Sealer, servers *server.Table, state *sharedState, c *counters, factory *logs.Factory) (*beat.Membership, error) {
+func newMembers(s Settings, self beat.Peer, i incarnation, sealer *seal.Sealer, servers *server.Table, t *poison.Tracker, state *sharedState, c *counters, factory *logs.Factory) (*beat.Membership, error) {
 	conn, err := net.ListenPacket("udp4", s.Listen.Heartbeats)
 	if err != nil {
 		return nil, fmt.Errorf("listen for heartbeats: %w", err)
 	}
 	state.packets = conn
-	return beat.New(beat.Config{
+	members := beat.New(beat.Config{
 		Self: self, Incarnation: i.number, Sealer: sealer, Clock: state.clock,
 		State: func() beat.State {
 			return beat.State{Ready: state.ready(), Leaving: state.leaving(), Settled: state.hasConfig(), Lease: state.lease(), Watermarks: state.seen()}
@@ -155,7 +169,11 @@
 				state.onUnknownKey()
 			}
 		},
-		OnDropped: c.droppedHeartbeat,
+		OnDropped:  c.droppedHeartbeat,
+		OnSuspects: t.Merge,
+		Suspects: func() beat.Suspects {
+			return beat.Suspects{Own: t.Recent(true), Changed: t.Recent(false), All: t.Records()}
+		},
 		OnWatermark: func(seen beat.Watermark) {
 			if f := state.follower(seen.Table); f != nil {
 				f.ObserveWatermark(watch.Watermark{Changed: seen.Changed, Clock: seen.Clock})
@@ -191,15 +209,17 @@
 			return err
 		},
 		Log: factory.Logger("beat"),
-	}), nil
+	})
+	state.announceSuspects = members.ReportSuspects
+	return members, nil
 }
 
 // weightPerCore is the weight of a process that may use one whole core.
 const weightPerCore = 1000
 
-func newRelay(s Settings, q *quota.Quota, servers *server.Table, backend *platform.Backend, members *beat.Membership, budgets *retryBudgets, c *counters, factory *logs.Factory) *relay.Relay {
+func newRelay(s Settings, q *quota.Quota, servers *server.Table, backend *platform.Backend, members *beat.Membership, budgets *retryBudgets, t *poison.Tracker, c *counters, factory *logs.Factory) *relay.Relay {
 	return relay.New(relay.Config{
-		Servers: servers, Send: backend.Send, FetchReport: backend.Report, Repath: backend.Repath, Budget: budgets.of, Quota: q, PeerLoad: members.PeerLoad, AnnounceDead: func(srv *server.Server) { members.ReportDead(srv.ID()) },
+		Servers: servers, Send: backend.Send, FetchReport: backend.Report, Repath: backend.Repath, Budget: budgets.of, Quota: q, PeerLoad: members.PeerLoad, Poison: t, AnnounceDead: func(srv *server.Server) { members.ReportDead(srv.ID()) },
 		Domain: s.Domain, Log: factory.Logger("relay"), Count: c.event, Observe: c.observe,
 		CountViolation: func(i relay.Invariant) { c.violation(string(i)) },
 	})
--- a/edge/fetch.go
+++ b/edge/fetch.go
@@ -17,6 +17,7 @@
 
 	"github.com/cranberrybay/cranberrybay/beat"
 	"github.com/cranberrybay/cranberrybay/clock"
+	"github.com/cranberrybay/cranberrybay/poison"
 	"github.com/cranberrybay/cranberrybay/seal"
 	"github.com/cranberrybay/cranberrybay/watch"
 	"github.com/cranberrybay/cranberrybay/wire"
@@ -47,8 +48,9 @@
 // snapshot is the state of another process: the platform's tables and the entry
 // processes that it knows.
 type snapshot struct {
-	tables map[string]watch.State
-	peers  []beat.Peer
+	tables   map[string]watch.State
+	peers    []beat.Peer
+	suspects []poison.Record // parts of prompts that may crash backend servers
 }
 
 var errNotSettled = errors.New("the process does not know the platform's tables yet")
@@ -59,6 +61,7 @@
 	self     beat.Peer
 	sealer   *seal.Sealer
 	members  *beat.Membership
+	poison   *poison.Tracker
 	follower func(table string) *watch.Follower
 	tables   []string
 	log      zerolog.Logger
@@ -152,6 +155,7 @@
 	for _, p := range w.Processes {
 		out.peers = append(out.peers, beat.Peer{Name: p.Name, Address: p.Address, CallerAddress: p.Callers, Domain: p.Domain, Weight: p.Weight})
 	}
+	out.suspects = beat.DecodeSuspects(w.Suspects, time.Duration(max(s.Held, 0))*time.Millisecond)
 	return out, nil
 }
 
@@ -232,6 +236,7 @@
 	for _, p := range f.members.Peers() {
 		w.Processes = append(w.Processes, &wire.Process{Name: p.Name, Address: p.Address, Callers: p.CallerAddress, Domain: p.Domain, Weight: p.Weight})
 	}
+	w.Suspects = beat.EncodeSuspects(f.poison.Records())
 	raw, err = proto.Marshal(w)
 	if err != nil {
 		return nil, 0, fmt.Errorf("encode snapshot: %w", err)
--- a/edge/registrar.go
+++ b/edge/registrar.go
@@ -14,6 +14,7 @@
 
 	"github.com/cranberrybay/cranberrybay/beat"
 	"github.com/cranberrybay/cranberrybay/clock"
+	"github.com/cranberrybay/cranberrybay/poison"
 	"github.com/cranberrybay/cranberrybay/seal"
 	"github.com/cranberrybay/cranberrybay/table"
 	"github.com/cranberrybay/cranberrybay/watch"
@@ -25,6 +26,7 @@
 	rowPrefix    = "nodes/"
 	hubRowPrefix = rowPrefix + "hub/"
 	sealKeyRow   = rowPrefix + "key"
+	poisonRow    = rowPrefix + "poison" // quarantined parts of prompts
 )
 
 // hubRow is the value of a hub's row.
@@ -79,6 +81,8 @@
 	joined     chan struct{} // closed when initial is set
 	initial    map[string]watch.State
 	unknownKey atomic.Bool // another process uses a key that this process does not have
+	// quarantine has an element when the set of quarantined parts has changed.
+	quarantine chan struct{}
 }
 
 // registrarConfig holds the dependencies of a registrar.
@@ -96,11 +100,12 @@
 	// HoldsLease reports whether this process holds the placement lease. The holder
 	// also replaces the key.
 	HoldsLease func() bool
+	Poison     *poison.Tracker
 	Log        zerolog.Logger
 }
 
 func newRegistrar(cfg registrarConfig) *registrar {
-	return &registrar{cfg: cfg, joined: make(chan struct{})}
+	return &registrar{cfg: cfg, joined: make(chan struct{}), quarantine: make(chan struct{}, 1)}
 }
 
 // sharedRows is the decoded content of the rows that entry processes share.
@@ -109,6 +114,9 @@
 	hubRevisions map[string]uint64    // of the hubs' rows, by failure domain
 	key          sealKey
 	keyRevision  uint64 // of the row with the key
+
+	quarantines        []quarantineRow
+	quarantineRevision uint64 // of the row with the quarantined parts
 }
 
 // run joins the other processes and then maintains the rows.
@@ -185,6 +193,7 @@
 	}
 	reg.initial = s.tables
 	reg.cfg.Members.AddPeers(s.peers)
+	reg.cfg.Poison.Merge(s.suspects)
 	reg.cfg.Log.Info().Str("peer", p.Name).Int("peers", len(s.peers)).Msg("fetched the state of another process")
 	return true
 }
@@ -223,8 +232,14 @@
 				return out, fmt.Errorf("decode key: %w", err)
 			}
 			out.keyRevision = r.Revision()
+		case r.Key() == poisonRow:
+			out.quarantineRevision = r.Revision()
+			if err := json.Unmarshal(r.Value(), &out.quarantines); err != nil {
+				reg.cfg.Log.Warn().Err(err).Msg("row of quarantined parts can't be decoded")
+			}
 		}
 	}
+	reg.cfg.Poison.Merge(recordsOf(out.quarantines))
 	if out.key.Number == 0 {
 		if out.key, err = reg.writeKey(ctx, 1, out.keyRevision); err != nil {
 			return out, err
@@ -271,6 +286,8 @@
 	writtenHub := "" // name in the hub's row, as far as this process knows
 	nextUpdate := clock.Now() + rowsInterval
 	lastKeyRead := clock.Now()
+	unwritten := false            // the row of quarantined parts may be out of date
+	nextWrite := time.Duration(0) // clock.Now after which that row is written
 	for ctx.Err() == nil {
 		reg.cfg.OnSize(reg.cfg.Members.Size())
 		hub, since := reg.cfg.Members.HubPeer()
@@ -280,6 +297,10 @@
 		case hub.Name == reg.cfg.Self.Name && since > hubRowDelay && (writtenHub != hub.Name || now > nextUpdate):
 			writtenHub, err = reg.update(ctx)
 			nextUpdate = now + rowsInterval
+		case unwritten && now > nextWrite && reg.cfg.Members.IsPoller():
+			err = reg.writeQuarantines(ctx)
+			unwritten = err != nil
+			nextWrite = now + quarantineRetryDelay
 		case reg.unknownKey.Load() && now-lastKeyRead > sealKeyReadInterval:
 			lastKeyRead = now
 			reg.unknownKey.Store(false)
@@ -291,7 +312,12 @@
 		if err != nil {
 			reg.cfg.Log.Warn().Err(err).Msg("failed to maintain the rows of the entry processes")
 		}
-		sleep(ctx, hubCheckInterval/2+rand.N(hubCheckInterval))
+		select {
+		case <-ctx.Done():
+		case <-reg.quarantine:
+			unwritten = true
+		case <-time.After(hubCheckInterval/2 + rand.N(hubCheckInterval)):
+		}
 	}
 }
 
--- a/edge/registrar_test.go
+++ b/edge/registrar_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/cranberrybay/cranberrybay/beat"
 	"github.com/cranberrybay/cranberrybay/clock"
+	"github.com/cranberrybay/cranberrybay/poison"
 	"github.com/cranberrybay/cranberrybay/seal"
 	"github.com/cranberrybay/cranberrybay/table"
 	"github.com/cranberrybay/cranberrybay/watch"
@@ -33,10 +34,22 @@
 	fetches int
 	reads   int
 	writes  int
+
+	trackers map[string]*poison.Tracker // by process
+}
+
+// tracker returns the tracker of a process, which it creates at the first call.
+func (s *cluster) tracker(name string) *poison.Tracker {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.trackers[name] == nil {
+		s.trackers[name] = poison.New(poison.Config{Log: zerolog.Nop()})
+	}
+	return s.trackers[name]
 }
 
 func newCluster() *cluster {
-	return &cluster{rows: &fakeTable{all: map[string]table.Row{}}, settled: map[string]bool{}, dead: map[string]bool{}}
+	return &cluster{rows: &fakeTable{all: map[string]table.Row{}}, settled: map[string]bool{}, dead: map[string]bool{}, trackers: map[string]*poison.Tracker{}}
 }
 
 // countingClient returns a client of the rows that counts its calls.
@@ -96,7 +109,7 @@
 	me := beat.Peer{Name: name, Address: name, Domain: domain, Weight: weight}
 	x := &seal.Sealer{}
 	n = newRegistrar(registrarConfig{
-		Self: me, Bootstrap: bootstrap, Rows: s.countingClient(), Sealer: x, Fetch: s.fetch, OnSize: func(int) {}, HoldsLease: func() bool { return true }, Log: zerolog.Nop(),
+		Self: me, Bootstrap: bootstrap, Rows: s.countingClient(), Sealer: x, Fetch: s.fetch, OnSize: func(int) {}, HoldsLease: func() bool { return true }, Poison: s.tracker(name), Log: zerolog.Nop(),
 		Members: beat.New(beat.Config{
 			Self: me, Sealer: x, Log: zerolog.Nop(), Clock: func() time.Duration { return 0 },
 			State: func() beat.State { return beat.State{Settled: true} }, Work: func() []beat.Work { return nil }, Send: func(string, []byte) error { return nil },
@@ -181,7 +194,7 @@
 		s.mu.Unlock()
 		_, fetched := s.join(t.Context(), "late", "d0", 192, false)
 		assert.Assert(t, fetched, "the hub of the other failure domain has the state")
-		b, err := newRegistrar(registrarConfig{Rows: s.countingClient(), Sealer: &seal.Sealer{}, Log: zerolog.Nop()}).readRows(t.Context())
+		b, err := newRegistrar(registrarConfig{Rows: s.countingClient(), Sealer: &seal.Sealer{}, Poison: s.tracker("reader"), Log: zerolog.Nop()}).readRows(t.Context())
 		assert.NilError(t, err)
 		assert.Equal(t, b.hubs["d0"].Name, "late")
 	})
@@ -260,7 +273,7 @@
 		}
 		return &stateFetcher{
 			self: me, sealer: x, tables: []string{"op", "servers"}, log: zerolog.Nop(), follower: func(name string) *watch.Follower { return followers[name] },
-			members: beat.New(beat.Config{Self: me, Sealer: x, Log: zerolog.Nop()}),
+			members: beat.New(beat.Config{Self: me, Sealer: x, Log: zerolog.Nop()}), poison: quarantineOf("deadly"),
 		}
 	}
 	a, b, otherKey := newFetcher(key, "a"), newFetcher(key, "b"), newFetcher(seal.NewKey(1), "c")
@@ -278,6 +291,9 @@
 	at := s.tables["op"].At
 	assert.Assert(t, at < before+50*time.Millisecond && at > before-time.Second, "%v before %v", at, before)
 	assert.DeepEqual(t, s.peers, []beat.Peer{{Name: "a", Domain: "d", Address: "a"}})
+	late := poison.New(poison.Config{Log: zerolog.Nop()})
+	late.Merge(s.suspects)
+	checkQuarantined(t, late, "deadly", 9*time.Minute)
 
 	_, err = otherKey.fetch(ctx, ln.Addr().String(), true)
 	assert.Assert(t, err != nil)
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -20,6 +20,7 @@
 	"github.com/cranberrybay/cranberrybay/link"
 	"github.com/cranberrybay/cranberrybay/logs"
 	"github.com/cranberrybay/cranberrybay/platform"
+	"github.com/cranberrybay/cranberrybay/poison"
 	"github.com/cranberrybay/cranberrybay/relay"
 	"github.com/cranberrybay/cranberrybay/server"
 	"github.com/cranberrybay/cranberrybay/watch"
@@ -34,6 +35,9 @@
 	packets       net.PacketConn
 	onUnknownKey  func() // called when another process uses a message key that this process does not have
 	sendHeartbeat func() // sends a heartbeat at once
+	// announceSuspects tells the other processes about parts of prompts.
+	announceSuspects func(records []poison.Record)
+	onQuarantine     func() // called when the set of quarantined parts changes
 
 	followers atomic.Pointer[map[string]*watch.Follower] // by table; set once
 }
@@ -193,7 +197,7 @@
 
 // registerGauges registers the metrics that are read from other components at each
 // scrape.
-func registerGauges(tracker *config.Tracker, members *beat.Membership, p *Placer, c *counters, h *Handler, budgets *retryBudgets, queue *logs.AsyncWriter, store *platform.Store, servers *server.Table, client *link.Client) {
+func registerGauges(tracker *config.Tracker, members *beat.Membership, p *Placer, c *counters, h *Handler, budgets *retryBudgets, queue *logs.AsyncWriter, store *platform.Store, servers *server.Table, t *poison.Tracker, client *link.Client) {
 	for result, name := range []string{platform.CallDone: "done", platform.CallConflict: "conflict", platform.CallRefused: "refused", platform.CallLost: "lost"} {
 		c.gauge(fmt.Sprintf("store_calls_total{result=%q}", name), func() float64 { return float64(store.Calls(result)) })
 	}
@@ -207,6 +211,8 @@
 	})
 	c.gauge("config_age_seconds", func() float64 { return tracker.Age().Seconds() })
 	c.gauge("processes", func() float64 { return float64(members.Size()) })
+	c.gauge(`prompt_parts{state="suspected"}`, func() float64 { n, _ := t.Counts(); return float64(n) })
+	c.gauge(`prompt_parts{state="quarantined"}`, func() float64 { _, n := t.Counts(); return float64(n) })
 	c.gauge("inflight", func() float64 { return float64(h.inflight.Load()) })
 	c.gauge("log_lines_lost", func() float64 { return float64(queue.Dropped()) })
 	c.gauge("lease_held", func() float64 {
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -48,6 +48,7 @@
 	Limited        Code = "limited"      // the client account is over its limit
 	Overload       Code = "overload"     // the deadline can't be met
 	Leaving        Code = "leaving"      // this process is draining
+	Quarantined    Code = "quarantined"  // requests like this one crashed backend servers
 	Unavailable    Code = "unavailable"  // no backend server or platform part answers
 	Timeout        Code = "timeout"      // the deadline passed
 	Conflict       Code = "conflict"     // another write or another use of the key came first
--- /dev/null
+++ b/poison/tracker.go
@@ -0,0 +1,409 @@
+// Package poison finds parts of prompts that crash the backend servers which begin to answer
+// them, and quarantines them: requests with such a part are refused instead of being sent to one
+// server after the other.
+//
+// Evidence against a part is a crash of a server that had just been given a request with the
+// part. Many requests are on a server when it crashes, so a part is quarantined only if no request
+// with it has been answered since, if several servers crashed at different moments under different
+// requests, and, where a server answered a request with it not long before, after more crashes. Any
+// answer to a request with the part clears it.
+//
+// Each process judges by the evidence of all: a process announces what it sees, and records are
+// merged in any order and number of times. The package knows no transport.
+//
+// A Tracker has one lock. No function outside the package is called while it is held.
+package poison
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+const (
+	// cutAge is how long a cut run waits for the confirmation that its server crashed. Without a
+	// query the registry tells it, after three missed heartbeats or with the restart.
+	cutAge = 6 * time.Second
+	// maxCuts bounds the cut runs that wait.
+	maxCuts = 1000
+	// maxRecords bounds the parts with evidence. Beyond it new parts are not tracked.
+	maxRecords = 256
+	// provenAge is how long an answer shows that a part is sound, so that it is not blamed while
+	// the request also has parts without such an answer.
+	provenAge = 5 * time.Minute
+	// maxProven bounds the parts that are remembered as sound; beyond it all are forgotten.
+	maxProven = 4096
+	// recentAge is how long a change of a record is repeated with each heartbeat, since a datagram
+	// or the process that passes it on may be lost.
+	recentAge = 3 * time.Second
+	// provenRepeat is how long a record is kept after its part was proven, so that the other
+	// processes hear of it.
+	provenRepeat = time.Minute
+	// maxShared bounds the records in one message.
+	maxShared = 32
+)
+
+// Config holds the dependencies of a Tracker.
+type Config struct {
+	// Announce sends records to the other processes at once; may be nil.
+	Announce func(records []Record)
+	// OnQuarantine is called when the set of quarantined parts changes; may be nil.
+	OnQuarantine func()
+	Log          zerolog.Logger
+}
+
+// Tracker collects evidence and judges. It is safe for concurrent use.
+type Tracker struct {
+	cfg         Config
+	quarantined atomic.Int32 // number of records with a quarantine, an upper bound
+
+	mu      sync.Mutex
+	records map[Part]*entry
+	proven  map[Part]time.Duration // Now of the last answer
+	cuts    []cut
+	crashed map[uint64]time.Duration // by server, Now of a confirmed crash
+}
+
+// entry is a record and when it last changed in this process.
+type entry struct {
+	Record
+	changedAt time.Duration // Now
+	ownAt     time.Duration // Now of the last change by what this process saw itself
+	active    bool          // counted in quarantined
+}
+
+// cut is a run that was cut before it had proven its parts.
+type cut struct {
+	server  uint64
+	request uint64
+	parts   []Part
+	at      time.Duration // Now
+}
+
+// New returns a Tracker without evidence.
+func New(cfg Config) *Tracker {
+	if cfg.Announce == nil {
+		cfg.Announce = func([]Record) {}
+	}
+	if cfg.OnQuarantine == nil {
+		cfg.OnQuarantine = func() {}
+	}
+	return &Tracker{cfg: cfg, records: map[Part]*entry{}, proven: map[Part]time.Duration{}, crashed: map[uint64]time.Duration{}}
+}
+
+// Blocked returns the quarantined part among the given ones and how long its quarantine lasts.
+func (t *Tracker) Blocked(parts []Part) (p Part, left time.Duration, ok bool) {
+	if len(parts) == 0 || t.quarantined.Load() == 0 {
+		return Part{}, 0, false
+	}
+	now := Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range parts {
+		if e := t.records[p]; e != nil && e.Quarantined(now) {
+			return p, e.Until - now, true
+		}
+	}
+	return Part{}, 0, false
+}
+
+// RecordProven records that a server wrote an answer to a request with the parts.
+func (t *Tracker) RecordProven(parts []Part) {
+	if len(parts) == 0 {
+		return
+	}
+	now := Now()
+	var changed []Record
+	lifted := false
+	t.mu.Lock()
+	for _, p := range parts {
+		if len(t.proven) >= maxProven {
+			clear(t.proven)
+		}
+		t.proven[p] = now
+		e := t.records[p]
+		if e == nil || (len(e.Crashes) == 0 && e.Until == 0) {
+			continue
+		}
+		lifted = lifted || e.Quarantined(now)
+		e.prove(now)
+		t.update(e, now)
+		changed = append(changed, e.Record.clone())
+	}
+	t.mu.Unlock()
+	for _, r := range changed {
+		t.cfg.Log.Info().Str("service", r.Part.Service).Str("part", r.Part.ID).Msg("part of prompts is sound: a server answered a request with it")
+	}
+	if lifted {
+		t.cfg.OnQuarantine()
+	}
+	t.announce(changed)
+}
+
+// RecordCut records that a server cut a run before it had proven its parts. It counts once
+// RecordCrash says that the server crashed. request identifies the request with all its repeats.
+func (t *Tracker) RecordCut(server, request uint64, parts []Part) {
+	if len(parts) == 0 {
+		return
+	}
+	now := Now()
+	t.mu.Lock()
+	c := cut{server: server, request: request, parts: t.suspects(parts, now), at: now}
+	if _, ok := t.crashed[server]; ok {
+		changed, judged := t.blame(c, now)
+		t.mu.Unlock()
+		t.report(changed, judged)
+		return
+	}
+	t.cuts = slices.DeleteFunc(t.cuts, func(x cut) bool { return now-x.at > cutAge })
+	if len(t.cuts) < maxCuts {
+		t.cuts = append(t.cuts, c)
+	}
+	t.mu.Unlock()
+}
+
+// suspects returns the parts that a crash may be blamed on: the quarantined one if there is one,
+// else those without a recent answer, else all. The caller holds mu.
+func (t *Tracker) suspects(parts []Part, now time.Duration) []Part {
+	var unproven []Part
+	for _, p := range parts {
+		if e := t.records[p]; e != nil && e.Quarantined(now) {
+			return []Part{p}
+		}
+		if at, ok := t.proven[p]; !ok || now-at > provenAge {
+			unproven = append(unproven, p)
+		}
+	}
+	if len(unproven) == 0 {
+		return parts
+	}
+	return unproven
+}
+
+// RecordCrash records that a server crashed, which confirms the runs that it cut.
+func (t *Tracker) RecordCrash(server uint64) {
+	now := Now()
+	var changed, judged []Record
+	t.mu.Lock()
+	for s, at := range t.crashed {
+		if now-at > cutAge {
+			delete(t.crashed, s)
+		}
+	}
+	t.crashed[server] = now
+	t.cuts = slices.DeleteFunc(t.cuts, func(c cut) bool {
+		if c.server != server {
+			return false
+		}
+		if now-c.at <= cutAge {
+			a, b := t.blame(c, now)
+			changed, judged = append(changed, a...), append(judged, b...)
+		}
+		return true
+	})
+	t.mu.Unlock()
+	t.report(changed, judged)
+}
+
+// blame adds a confirmed crash to the records of its parts. It returns the records that changed
+// and those whose parts are quarantined now. The caller holds mu.
+func (t *Tracker) blame(c cut, now time.Duration) (changed, judged []Record) {
+	// The last of several parts is the most specific one. If its quarantine explains the crash, the
+	// parts before it, which more requests share, are not blamed.
+	for _, p := range slices.Backward(c.parts) {
+		e := t.entry(p, now)
+		if e == nil {
+			continue
+		}
+		e.add(Crash{Server: c.server, Request: c.request, At: c.at})
+		quarantined := e.judge(now)
+		t.update(e, now)
+		changed = append(changed, e.Record.clone())
+		if quarantined {
+			judged = append(judged, e.Record.clone())
+			break
+		}
+	}
+	return changed, judged
+}
+
+// entry returns the record of a part, which it creates if there is room. The caller holds mu.
+func (t *Tracker) entry(p Part, now time.Duration) *entry {
+	e := t.records[p]
+	if e != nil {
+		return e
+	}
+	if len(t.records) >= maxRecords {
+		t.expire(now)
+	}
+	if len(t.records) >= maxRecords {
+		return nil
+	}
+	e = &entry{Record: Record{Part: p, ProvenAt: t.proven[p]}}
+	t.records[p] = e
+	return e
+}
+
+// expire removes idle records. The caller holds mu.
+func (t *Tracker) expire(now time.Duration) {
+	for p, e := range t.records {
+		if e.idle(now) {
+			t.setActive(e, false)
+			delete(t.records, p)
+		}
+	}
+}
+
+// update notes a change of a record by what this process saw. The caller holds mu.
+func (t *Tracker) update(e *entry, now time.Duration) {
+	e.changedAt, e.ownAt = now, now
+	t.setActive(e, e.Quarantined(now))
+}
+
+// setActive maintains the number of quarantined parts. The caller holds mu.
+func (t *Tracker) setActive(e *entry, active bool) {
+	if e.active != active {
+		e.active = active
+		if active {
+			t.quarantined.Add(1)
+		} else {
+			t.quarantined.Add(-1)
+		}
+	}
+}
+
+// Merge adds what another process knows.
+func (t *Tracker) Merge(records []Record) {
+	if len(records) == 0 {
+		return
+	}
+	now := Now()
+	var judged []Record
+	lifted := false
+	t.mu.Lock()
+	for _, r := range records {
+		e := t.entry(r.Part, now)
+		if e == nil {
+			continue
+		}
+		before := e.Quarantined(now)
+		if e.merge(r) {
+			e.changedAt = now
+		}
+		if e.judge(now) || (!before && e.Quarantined(now)) {
+			judged = append(judged, e.Record.clone())
+		}
+		lifted = lifted || (before && !e.Quarantined(now))
+		t.setActive(e, e.Quarantined(now))
+	}
+	t.mu.Unlock()
+	t.logQuarantined(judged, "evidence of other processes")
+	if lifted {
+		t.cfg.OnQuarantine()
+	}
+}
+
+// Recent returns the records that changed lately, to be repeated with the next heartbeat: with
+// own only those that changed by what this process saw itself.
+func (t *Tracker) Recent(own bool) []Record {
+	now := Now()
+	return t.list(func(e *entry) bool {
+		at := e.changedAt
+		if own {
+			at = e.ownAt
+		}
+		return at > 0 && now-at < recentAge
+	})
+}
+
+// Records returns the records that other processes should know.
+func (t *Tracker) Records() []Record {
+	return t.list(func(*entry) bool { return true })
+}
+
+// Quarantines returns the records with a quarantine in force.
+func (t *Tracker) Quarantines() []Record {
+	now := Now()
+	return t.list(func(e *entry) bool { return e.Quarantined(now) })
+}
+
+// list returns at most maxShared records for which match returns true, quarantined ones first.
+func (t *Tracker) list(match func(e *entry) bool) []Record {
+	now := Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(now)
+	var out []Record
+	for _, e := range t.records {
+		if match(e) {
+			out = append(out, e.Record.clone())
+		}
+	}
+	slices.SortFunc(out, func(a, b Record) int {
+		return cmp.Or(cmp.Compare(b.Until, a.Until), cmp.Compare(len(b.Crashes), len(a.Crashes)))
+	})
+	return out[:min(len(out), maxShared)]
+}
+
+// Counts returns the number of parts with evidence against them and of those in quarantine.
+func (t *Tracker) Counts() (suspected, quarantined int) {
+	now := Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range t.records {
+		switch {
+		case e.Quarantined(now):
+			quarantined++
+		case len(e.Crashes) > 0:
+			suspected++
+		}
+	}
+	return suspected, quarantined
+}
+
+// report logs and announces the results of a confirmed crash.
+func (t *Tracker) report(changed, judged []Record) {
+	for _, r := range changed {
+		t.cfg.Log.Info().Str("service", r.Part.Service).Str("part", r.Part.ID).Int("crashes", len(r.Crashes)).Dur("proven", r.sinceProven()).
+			Msg("backend server crashed on a request with this part of a prompt")
+	}
+	t.logQuarantined(judged, "evidence of this process")
+	t.announce(changed)
+}
+
+// logQuarantined logs parts that are quarantined now.
+func (t *Tracker) logQuarantined(judged []Record, reason string) {
+	now := Now()
+	for _, r := range judged {
+		t.cfg.Log.Warn().Str("service", r.Part.Service).Str("part", r.Part.ID).Int("crashes", len(r.Crashes)).Int("term", r.Terms).
+			Dur("left", r.Until-now).Str("reason", reason).Msg("part of prompts quarantined")
+	}
+	if len(judged) > 0 {
+		t.cfg.OnQuarantine()
+	}
+}
+
+func (t *Tracker) announce(records []Record) {
+	if len(records) > 0 {
+		t.cfg.Announce(records)
+	}
+}
+
+// clone returns a copy that shares no memory.
+func (r *Record) clone() Record {
+	out := *r
+	out.Crashes = slices.Clone(r.Crashes)
+	return out
+}
+
+// sinceProven returns the time since the part was last proven, or 0 if it never was.
+func (r *Record) sinceProven() time.Duration {
+	if r.ProvenAt == 0 {
+		return 0
+	}
+	return Now() - r.ProvenAt
+}
--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/cranberrybay/cranberrybay/config"
 	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/poison"
 	"github.com/cranberrybay/cranberrybay/relay"
 	"github.com/cranberrybay/cranberrybay/retry"
 	"github.com/cranberrybay/cranberrybay/server"
@@ -75,14 +76,15 @@
 	t.Cleanup(func() { time.Sleep(2 * longQueryTime) }) // a report query may still be running
 	obs := &observations{observed: map[relay.Measure][]float64{}, violated: map[relay.Invariant]int{}}
 	cl := &testCluster{dead: map[string]bool{}, lateReports: map[string]int{}, budget: retry.New(retry.Config{RetriesPerRequest: 0.2, Burst: retryBurst, Initial: retryBurst})}
-	cl.table = server.NewTable(server.Config{Log: zerolog.Nop(), OutageGrace: time.Second})
+	tracker := poison.New(poison.Config{Log: zerolog.Nop()})
+	cl.table = server.NewTable(server.Config{Log: zerolog.Nop(), OutageGrace: time.Second, OnDied: func(s *server.Server) { tracker.RecordCrash(s.Incarnation()) }})
 	var all []server.Change
 	for _, e := range entries {
 		all = append(all, server.Change{ID: e.ID, Entry: e})
 	}
 	cl.table.Apply(all, true, 0)
 	cl.relay = relay.New(relay.Config{
-		Servers: cl.table, Domain: "near", Log: zerolog.New(&cl.log), Budget: func(string) *retry.Budget { return cl.budget },
+		Servers: cl.table, Poison: tracker, Domain: "near", Log: zerolog.New(&cl.log), Budget: func(string) *retry.Budget { return cl.budget },
 		Observe: func(name relay.Measure, v float64) {
 			cl.mu.Lock()
 			defer cl.mu.Unlock()
--- a/relay/handover.go
+++ b/relay/handover.go
@@ -70,7 +70,7 @@
 		return
 	}
 	st.awaitSuccessor() // accounts for an earlier handover that was refused
-	if !m.req.Route.Repeatable() || !st.attemptsLeft() {
+	if !m.req.Route.Repeatable() || !st.attemptsLeft() || m.relay.refuseQuarantined(m.req, true) != nil {
 		return
 	}
 	rn, ok := st.newRun(m.parent, excluded)
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -55,11 +55,15 @@
 			}
 		}(running)
 	}()
+	var quarantined error
 	start := func(reason string) bool {
 		if sent >= req.Route.Attempts() {
 			return false
 		}
 		srv := r.pickServer(req, tried)
+		if quarantined = r.refuseQuarantined(req, sent > 0); quarantined != nil {
+			return false
+		}
 		if srv == nil || (sent > 0 && !r.takeRetry(req)) {
 			return false
 		}
@@ -74,6 +78,9 @@
 		return true
 	}
 	if !start("first") {
+		if quarantined != nil {
+			return quarantined
+		}
 		return notRunError(reasonNoServer, noServerRetryAfter, nil)
 	}
 	var hedge <-chan time.Time
@@ -156,10 +163,12 @@
 	switch {
 	case res.err == nil && ans.Status < http.StatusInternalServerError:
 		srv.RecordAnswer(res.took)
+		r.cfg.Poison.RecordProven(req.parts)
 	case res.err == nil:
 		// An error of the service says nothing about the server's speed or health.
 	case ctx.Err() == nil:
 		srv.RecordFailure()
+		r.recordCut(req, srv, res.err)
 	}
 	return res
 }
--- /dev/null
+++ b/relay/poison.go
@@ -0,0 +1,46 @@
+package relay
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/poison"
+	"github.com/cranberrybay/cranberrybay/server"
+)
+
+const (
+	// provenEvents is the number of events after which a run shows that the server can answer the
+	// request: it wrote one and lived to write another. Runs with more events are not blamed, so
+	// that few sound requests are suspected when a server crashes.
+	provenEvents = 2
+	// returnSpread spreads the return of callers after a quarantine, relative to the time left.
+	returnSpread = 0.25
+)
+
+const reasonQuarantined = "a part of the prompt crashes backend servers"
+
+// refuseQuarantined returns the error for a request whose prompt has a quarantined part, or nil.
+// Requests that wait at a server when the quarantine begins are not cancelled.
+func (r *Relay) refuseQuarantined(req *Request, mayHaveRun bool) error {
+	p, left, ok := r.cfg.Poison.Blocked(req.parts)
+	if !ok {
+		return nil
+	}
+	r.cfg.Count("quarantined")
+	r.cfg.Log.Info().Str("id", req.ID).Str("service", p.Service).Str("part", p.ID).Dur("left", left).Bool("sent", mayHaveRun).Msg("part of the prompt is quarantined")
+	cfg := fault.Config{Verdict: fault.MayHaveRun, Code: fault.Quarantined, Reason: reasonQuarantined}
+	if !mayHaveRun {
+		cfg.Verdict = fault.NotRun
+		cfg.RetryAt = time.Now().Add(left + rand.N(time.Duration(returnSpread*float64(left))+1))
+	}
+	return fault.New(cfg)
+}
+
+// recordCut notes that a server ended a run before it had shown that it can answer the request.
+// The parts of its prompt are blamed if the server turns out to have crashed.
+func (r *Relay) recordCut(req *Request, s *server.Server, err error) {
+	if fault.VerdictOf(err) == fault.MayHaveRun {
+		r.cfg.Poison.RecordCut(s.Incarnation(), poison.RequestHash(req.PromptParts), req.parts)
+	}
+}
--- a/relay/poison_test.go
+++ b/relay/poison_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -14,6 +15,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/cranberrybay/cranberrybay/clock"
 	"github.com/cranberrybay/cranberrybay/config"
 	"github.com/cranberrybay/cranberrybay/fault"
 	"github.com/cranberrybay/cranberrybay/relay"
@@ -163,6 +165,8 @@
 // sound requests of the same beginning find none.
 func TestDeadlyPartReachesFewEngines(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		begun := time.Now()
+		defer clock.Replace(func() time.Duration { return time.Since(begun) })()
 		var entries []server.Entry
 		for i := range 6 {
 			entries = append(entries, engineEntry(fmt.Sprint("e", i), "near", 0, 8))
@@ -193,5 +197,44 @@
 		wg.Wait()
 		assert.Assert(t, fleet.lateSends() <= maxLateSends, "%d requests with the deadly part reached engines; %d crashes", fleet.lateSends(), len(fleet.crashes))
 		assert.Assert(t, 2*served >= asked, "%d of %d sound requests served", served, asked)
+
+		sent := len(fleet.sends)
+		got := cl.serve(t.Context(), poisonRequest(1000, deadlyPart))
+		checkVerdict(t, got, fault.NotRun)
+		assert.Equal(t, fault.CodeOf(got.err), fault.Quarantined)
+		assert.Equal(t, got.took, time.Duration(0), "a hopeless request was held")
+		assert.Equal(t, len(fleet.sends), sent)
+	})
+}
+
+// Guards against a plain request that is repeated at one server after the other although a part of
+// its prompt crashed them, and against a sound one that is refused.
+func TestDeadlyPartOfPlainRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		begun := time.Now()
+		defer clock.Replace(func() time.Duration { return time.Since(begun) })()
+		cl := newCluster(t, plainEntry("a"), plainEntry("b"), plainEntry("c"))
+		fleet := newPoisonFleet()
+		cl.onSend = func(_ context.Context, _ int, req *relay.Request, a relay.Attempt) (*relay.Answer, error) {
+			if !slices.Contains(req.PromptParts, deadlyPart) {
+				return signedAnswer(http.StatusOK, "ok"), nil
+			}
+			fleet.begin(a.Server.Address(), true)
+			fleet.crashes = append(fleet.crashes, time.Now())
+			e := a.Server.Entry()
+			e.Started++ // the server starts again
+			time.AfterFunc(time.Second, func() { cl.table.Apply([]server.Change{{ID: e.ID, Entry: e}}, false, 0) })
+			return nil, connectionReset()
+		}
+		for n := range 20 {
+			req := request(config.Idempotent, 2)
+			req.PromptParts = []string{"root", deadlyPart, fmt.Sprint("own", n)}
+			cl.serve(t.Context(), req)
+			sound := request(config.Idempotent, 2)
+			sound.PromptParts = []string{"root", fmt.Sprint("own", n)}
+			checkServed(t, cl.serve(t.Context(), sound), "ok")
+			time.Sleep(2 * time.Second)
+		}
+		assert.Assert(t, fleet.lateSends() <= maxLateSends, "%d requests with the deadly part reached servers; %d crashes", fleet.lateSends(), len(fleet.crashes))
 	})
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -18,6 +18,7 @@
 
 	"github.com/cranberrybay/cranberrybay/config"
 	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/poison"
 	"github.com/cranberrybay/cranberrybay/quota"
 	"github.com/cranberrybay/cranberrybay/retry"
 	"github.com/cranberrybay/cranberrybay/server"
@@ -48,6 +49,8 @@
 
 	attempts   atomic.Int32 // attempts sent so far
 	mayHaveRun atomic.Bool  // set once an attempt may have been executed
+
+	parts []poison.Part // of the prompt, which other requests may share; set by Serve
 }
 
 // Hop is an engine on the path of a stream and the layer range that it runs.
@@ -111,8 +114,11 @@
 	PeerLoad func(id string) (streams int, tokens int64)
 	// AnnounceDead tells the other entry processes that a server does not answer; it may be nil.
 	AnnounceDead func(s *server.Server)
-	Domain       string // failure domain of this process
-	Log          zerolog.Logger
+	// Poison knows the parts of prompts that crash servers; nil for one that this process shares
+	// with no other.
+	Poison *poison.Tracker
+	Domain string // failure domain of this process
+	Log    zerolog.Logger
 	// Count increments the counter of an outcome; it may be nil.
 	Count func(name string)
 	// Observe records a measurement; it may be nil.
@@ -145,6 +151,9 @@
 	if cfg.AnnounceDead == nil {
 		cfg.AnnounceDead = func(*server.Server) {}
 	}
+	if cfg.Poison == nil {
+		cfg.Poison = poison.New(poison.Config{Log: cfg.Log})
+	}
 	if cfg.PeerLoad == nil {
 		cfg.PeerLoad = func(string) (int, int64) { return 0, 0 }
 	}
@@ -161,6 +170,7 @@
 	defer cancel()
 	r.cfg.Budget(req.Service.Name).AddRequest()
 	r.reports.budget.AddRequest()
+	req.parts = poison.PartsOf(req.Service.Name, req.PromptParts)
 	err := r.serveByKind(ctx, req, sink)
 	if fault.VerdictOf(err) == fault.NotRun && req.mayHaveRun.Load() {
 		r.reportViolation(InvariantRefusal, req)
@@ -215,6 +225,7 @@
 func (r *Relay) MarkDead(s *server.Server) {
 	s.Avoid(avoidDeadFor)
 	s.MarkDead()
+	r.cfg.Poison.RecordCrash(s.Incarnation())
 	if wait := maxLiveEventAge + time.Millisecond - s.SilentFor(); wait > 0 {
 		time.AfterFunc(wait, func() { r.checkNow(s) })
 		return
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -183,6 +183,9 @@
 func (st *streamState) attempt(ctx context.Context, rn *run, excluded map[string]bool) (retry bool, err error) {
 	r, req := st.relay, st.req
 	if rn == nil {
+		if err := r.refuseQuarantined(req, st.mayHaveRun); err != nil {
+			return false, err
+		}
 		var ok bool
 		if rn, ok = st.newRun(ctx, excluded); !ok {
 			r.cfg.Log.Info().Str("id", req.ID).Str("service", req.Service.Name).Int("servers", len(r.cfg.Servers.Servers(req.Service.Name))).
@@ -205,7 +208,7 @@
 	if rn.answer == nil {
 		if ans, err := st.send(rn); err != nil {
 			st.mayHaveRun = st.mayHaveRun || fault.VerdictOf(err) != fault.NotRun
-			return st.attemptFailed(ctx, rn.path, ans, err, excluded), st.refusalVerdict(err)
+			return st.attemptFailed(ctx, rn, ans, err, excluded), st.refusalVerdict(err)
 		}
 	}
 	st.mayHaveRun = true
@@ -218,6 +221,7 @@
 	started := time.Now()
 	err = st.copyEvents(rn.answer, m)
 	if err == nil {
+		r.cfg.Poison.RecordProven(req.parts)
 		st.logSlow(rn.path)
 		rn.path.first.RecordAnswer(time.Since(started))
 		return false, nil
@@ -229,7 +233,7 @@
 	if st.successor.pending() && rn.ctx.Err() != nil {
 		return true, mayHaveRunError(reasonNoAnswer, err) // the run was cancelled and its successor is accepted or still awaited
 	}
-	return st.attemptFailed(ctx, rn.path, nil, err, excluded), mayHaveRunError(reasonNoAnswer, err)
+	return st.attemptFailed(ctx, rn, nil, err, excluded), mayHaveRunError(reasonNoAnswer, err)
 }
 
 // refusalVerdict returns a "not run" error for a failed attempt only if neither it nor an earlier
@@ -246,8 +250,8 @@
 
 // attemptFailed logs a failed attempt, excludes the engine that failed, and reports whether
 // another attempt is allowed.
-func (st *streamState) attemptFailed(ctx context.Context, t *activePath, ans *Answer, err error, excluded map[string]bool) bool {
-	r := st.relay
+func (st *streamState) attemptFailed(ctx context.Context, rn *run, ans *Answer, err error, excluded map[string]bool) bool {
+	r, t := st.relay, rn.path
 	e := r.cfg.Log.Info().Str("id", st.req.ID).Int("attempt", st.attempts).Str("first", t.first.ID()).Str("path", t.String()).Str("last", st.lastEventID).
 		Int("events", st.runEvents).Strs("parts", st.req.PromptParts).
 		Str("verdict", fault.VerdictOf(err).String()).Err(err).Dur("since", time.Since(st.req.Arrived))
@@ -260,6 +264,9 @@
 	if ctx.Err() != nil {
 		return false
 	}
+	if rn.ctx.Err() == nil && st.runEvents < provenEvents {
+		r.recordCut(st.req, t.first, err)
+	}
 	if failedServer != nil {
 		failedServer.RecordFailure()
 		excluded[failedServer.Address()] = true
@@ -329,6 +336,9 @@
 		}
 		if err == nil {
 			n, err := validateEvents(complete, st.lastEventID)
+			if st.runEvents < provenEvents && st.runEvents+n >= provenEvents {
+				st.relay.cfg.Poison.RecordProven(st.req.parts)
+			}
 			st.runEvents += n
 			if st.eventCount += n; err == nil && st.req.MaxAnswerTokens > 0 && st.eventCount > st.req.MaxAnswerTokens+extraEvents {
 				err = errTooManyEvents
--- a/server/server.go
+++ b/server/server.go
@@ -5,9 +5,12 @@
 package server
 
 import (
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // epoch is the origin of now. It lies before the start of the virtual clock of tests, so
@@ -67,6 +70,11 @@
 // ID returns the name of the server in the registry.
 func (s *Server) ID() string { return s.entry.ID }
 
+// Incarnation returns a hash that identifies this run of the server in every entry process.
+func (s *Server) Incarnation() uint64 {
+	return xxhash.Sum64String(s.entry.ID + " " + strconv.FormatInt(s.entry.Started, 10))
+}
+
 // Address returns IP:PORT.
 func (s *Server) Address() string { return s.entry.Address }
 
--- a/server/table.go
+++ b/server/table.go
@@ -26,6 +26,9 @@
 	// OnRemoved is called with the address of a server that was removed or restarted. It is
 	// called while the table is locked; may be nil.
 	OnRemoved func(address string)
+	// OnDied is called with a server that restarted, or whose entry was removed though it was not
+	// draining. It is called while the table is locked; may be nil.
+	OnDied func(s *Server)
 }
 
 // Table holds the servers. Lookups read an immutable view without a lock.
@@ -153,13 +156,16 @@
 	}
 	s.leaving.Store(true)
 	t.cfg.Log.Info().Str("server", id).Str("address", s.entry.Address).Str("reason", reason).Msg("backend server left")
-	t.notifyRemoved(s.entry.Address)
+	t.notifyRemoved(s, !s.entry.Draining)
 }
 
-// notifyRemoved calls OnRemoved.
-func (t *Table) notifyRemoved(address string) {
+// notifyRemoved calls OnRemoved, and OnDied if the server died.
+func (t *Table) notifyRemoved(s *Server, died bool) {
 	if t.cfg.OnRemoved != nil {
-		t.cfg.OnRemoved(address)
+		t.cfg.OnRemoved(s.entry.Address)
+	}
+	if died && t.cfg.OnDied != nil {
+		t.cfg.OnDied(s)
 	}
 }
 
@@ -184,7 +190,7 @@
 	case old.entry.Started != e.Started || old.entry.Address != e.Address:
 		s.record = &record{joined: now()}
 		t.cfg.Log.Info().Str("server", e.ID).Str("address", e.Address).Int64("born", e.Started).Msg("backend server started again")
-		t.notifyRemoved(old.entry.Address)
+		t.notifyRemoved(old, true)
 	default:
 		s.record = old.record
 		if old.entry.Draining != e.Draining || old.entry.From != e.From || old.entry.To != e.To {
--- a/server/table_test.go
+++ b/server/table_test.go
@@ -110,3 +110,18 @@
 		assert.Equal(t, s.RecordFailure(), first)
 	})
 }
+
+// Guards against a crash that nobody hears of, and against a planned end that counts as one.
+func TestDiedServers(t *testing.T) {
+	var died []string
+	tb := server.NewTable(server.Config{Log: zerolog.Nop(), OnDied: func(s *server.Server) { died = append(died, s.ID()) }})
+	entry := func(id string, started int64, draining bool) server.Change {
+		return server.Change{ID: id, Entry: server.Entry{ID: id, Service: "s", Address: id + ":1", Started: started, Draining: draining}}
+	}
+	tb.Apply([]server.Change{entry("restarted", 1, false), entry("gone", 1, false), entry("drained", 1, false)}, true, 0)
+	before := tb.ByAddress("restarted:1").Incarnation()
+	tb.Apply([]server.Change{entry("restarted", 2, false), {ID: "gone", Removed: true}, entry("drained", 1, true)}, false, 0)
+	tb.Apply([]server.Change{{ID: "drained", Removed: true}}, false, 0)
+	assert.DeepEqual(t, died, []string{"restarted", "gone"})
+	assert.Assert(t, tb.ByAddress("restarted:1").Incarnation() != before)
+}
