relay: a stream that ends inside an event was broken off

Cause: eventReader returned the bytes after the last blank line together with io.EOF, and copyEvents passed them on and ended the answer as complete. So half an event of a server that crashed reached the caller, as a success. A connection that ended before the first event passed for a whole, empty answer; it would also have proven the parts of a deadly prompt.

Change: such an end is a failure with the verdict may-have-run. The stream resumes after its last whole event, or its connection is cut. link tells whether an answer's end is marked (Unframed); only there an end before the first event counts as broken off. The product's own interface is not affected: its engines end each answer with a stop reason (engine.Answer).

TestStreamThatEndsInsideAnEvent and TestStreamThatEndsBeforeItsFirstEvent failed before.

--- a/link/link.go
+++ b/link/link.go
@@ -199,6 +199,8 @@
 	Header http.Header
 	Body   io.ReadCloser
 	Length int64 // of the body; -1 if it is not known
+	// Unframed means that the body has neither a length nor chunks and ends with the connection.
+	Unframed bool
 	// SetReadDeadline sets the time after which reads of the body fail.
 	SetReadDeadline func(t time.Time) error
 }
@@ -251,7 +253,7 @@
 	x.body = rs.Body
 	x.reusable = !rs.Close && rs.StatusCode != http.StatusSwitchingProtocols
 	x.idleLimit = keepAlive(rs.Header, c.cfg.IdleTimeout)
-	return &Answer{Status: rs.StatusCode, Header: rs.Header, Body: x, Length: rs.ContentLength, SetReadDeadline: x.setReadDeadline}, nil
+	return &Answer{Status: rs.StatusCode, Header: rs.Header, Body: x, Length: rs.ContentLength, Unframed: rs.ContentLength < 0 && len(rs.TransferEncoding) == 0, SetReadDeadline: x.setReadDeadline}, nil
 }
 
 // contextCause returns the error of the context if it has ended, because that closed the
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -261,3 +261,17 @@
 		t.Fatal("the connection stays open")
 	}
 }
+
+// Guards against an answer that ends with its connection and passes for one whose end is marked.
+func TestUnframedAnswer(t *testing.T) {
+	for head, want := range map[string]bool{"": true, "Content-Length: 2\r\n": false, "Transfer-Encoding: chunked\r\n": false} {
+		address := listen(t, func(_ int, c net.Conn, r *bufio.Reader) {
+			receive(r)
+			_, _ = fmt.Fprint(c, "HTTP/1.1 200 OK\r\nId: 1\r\n"+head+"\r\n")
+		})
+		ans, err := link.New(link.Config{}).Do(t.Context(), address, request("1", true))
+		assert.NilError(t, err)
+		assert.Equal(t, ans.Unframed, want, "%q", head)
+		assert.NilError(t, ans.Body.Close())
+	}
+}
--- a/relay/event.go
+++ b/relay/event.go
@@ -25,6 +25,8 @@
 	errNoEventNumber = errors.New("stream has bytes that are no event with a number")
 	errEventOrder    = errors.New("stream has an event twice or out of order")
 	errTooManyEvents = errors.New("stream has more events than the answer has tokens")
+	errEventCut      = errors.New("stream ended inside an event")
+	errNoEvents      = errors.New("stream ended with its connection before the first event")
 )
 
 // eventReader splits a server-sent event stream into complete events. A server may fail in the
@@ -65,8 +67,8 @@
 const readSize = 4 << 10
 
 // next blocks until at least one complete event has arrived. It returns all complete events and the
-// identifier of the last event that has one. At the end of the stream it returns io.EOF, together
-// with any trailing bytes that no blank line ends.
+// identifier of the last event that has one. At the end of the stream it returns io.EOF, or
+// errEventCut if the stream ends with bytes that no blank line ends.
 func (e *eventReader) next() (complete []byte, lastID string, err error) {
 	e.buf = append(e.buf[:0], e.buf[e.consumed:]...)
 	e.consumed = 0
@@ -98,8 +100,8 @@
 				return e.buf[:end], lastEventID(e.buf[:end]), nil
 			}
 			e.consumed = len(e.buf)
-			if rerr == io.EOF { //nolint:errorlint // readers return io.EOF itself
-				return e.buf, "", io.EOF
+			if rerr == io.EOF && len(bytes.TrimRight(e.buf, "\r\n")) > 0 { //nolint:errorlint // readers return io.EOF itself
+				return nil, "", errEventCut
 			}
 			return nil, "", rerr
 		}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -73,6 +73,7 @@
 	Header    http.Header // of the server's answer; forwarded to the caller
 	Body      io.ReadCloser
 	Length    int64  // -1 if unknown
+	Unframed  bool   // the answer has neither a length nor chunks and ends with its connection
 	Signed    bool   // the answer carries a valid server signature
 	Refused   bool   // the server states that it did not run the request
 	RefusedBy string // address of the server on the path that refused; "" if not stated
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -328,6 +328,9 @@
 		if err != nil && err != io.EOF { //nolint:errorlint // next returns io.EOF itself
 			return err
 		}
+		if err == io.EOF && ans.Unframed && st.lastEventID == "" { //nolint:errorlint // as above
+			return errNoEvents
+		}
 		if resumed != "" && len(complete) > 0 {
 			complete = eventsAfter(complete, resumed)
 			if len(complete) > 0 {
--- a/relay/stream_test.go
+++ b/relay/stream_test.go
@@ -649,3 +649,49 @@
 		assert.Assert(t, cl.reportQueries <= 90, "%d queries for %d gaps", cl.reportQueries, pauses)
 	})
 }
+
+// Guards against a stream that breaks off inside an event, or between two reads of one, and looks
+// complete to its caller: its answer may have neither a length nor chunks, so the connection that
+// ends is the only sign.
+func TestStreamThatEndsInsideAnEvent(t *testing.T) {
+	for name, tail := range map[string]string{"in the data": "id: 4\ndata: 4", "before the blank line": "id: 4\ndata: 4\n", "in the number": "id:"} {
+		t.Run(name, func(t *testing.T) {
+			cl := newCluster(t, engineEntry("a", "near", 0, 8), engineEntry("b", "near", 0, 8))
+			cl.onSend = func(_ context.Context, n int, _ *relay.Request, a relay.Attempt) (*relay.Answer, error) {
+				ans := signedAnswer(http.StatusOK, events(1, 3)+tail)
+				if n == 2 {
+					assert.Equal(t, a.LastEventID, "3")
+					ans = signedAnswer(http.StatusOK, events(4, 6))
+				}
+				ans.Length = -1
+				return ans, nil
+			}
+			checkServed(t, cl.serve(t.Context(), request(config.Stream, 2)), events(1, 6))
+			assert.Equal(t, cl.attemptCount(), 2)
+
+			// Without a second attempt the caller must not get half an event, nor a success.
+			cl.attempts = nil
+			cl.onSend = func(context.Context, int, *relay.Request, relay.Attempt) (*relay.Answer, error) {
+				return signedAnswer(http.StatusOK, events(1, 3)+tail), nil
+			}
+			got := cl.serve(t.Context(), request(config.Stream, 1))
+			checkVerdict(t, got, fault.MayHaveRun)
+			assert.Equal(t, got.body, events(1, 3))
+		})
+	}
+}
+
+// Guards against a server that ends its connection before the first event and passes for one that
+// has nothing to say.
+func TestStreamThatEndsBeforeItsFirstEvent(t *testing.T) {
+	cl := newCluster(t, engineEntry("a", "near", 0, 8), engineEntry("b", "near", 0, 8))
+	cl.onSend = func(_ context.Context, n int, _ *relay.Request, _ relay.Attempt) (*relay.Answer, error) {
+		ans := signedAnswer(http.StatusOK, "")
+		if n == 2 {
+			ans = signedAnswer(http.StatusOK, events(1, 6))
+		}
+		ans.Length, ans.Unframed = -1, true
+		return ans, nil
+	}
+	checkServed(t, cl.serve(t.Context(), request(config.Stream, 2)), events(1, 6))
+}
