--- a/beat/beat_test.go
+++ b/beat/beat_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"bytes"
+	"fmt"
+	"math"
 	"math/rand"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"github.com/cranberrybay/cranberrybay/beat"
@@ -15,6 +18,7 @@
 	"github.com/cranberrybay/cranberrybay/poison"
 	"github.com/cranberrybay/cranberrybay/seal"
 	"github.com/cranberrybay/cranberrybay/watch"
+	"github.com/cranberrybay/cranberrybay/wire"
 )
 
 // net delivers datagrams between memberships in memory.
@@ -480,3 +484,33 @@
 		})
 	}
 }
+
+// Guards against heartbeats that exceed the traffic of a process: the records of as many parts as a
+// message holds, sent every two seconds, must stay under half of its 13 KB a second.
+func TestSuspectsFitIntoHeartbeats(t *testing.T) {
+	size := func(parts, crashes int) int {
+		var all []poison.Record
+		for i := range parts {
+			r := poison.Record{Part: poison.Part{Service: "dele69a", ID: fmt.Sprintf("%012x", i)}, ProvenAt: poison.Now(), Since: poison.Now(), Until: poison.Now() + time.Hour, Terms: 1}
+			for range crashes {
+				r.Crashes = append(r.Crashes, poison.Crash{Server: rand.Uint64(), Request: rand.Uint64(), At: poison.Now() - time.Minute})
+			}
+			all = append(all, r)
+		}
+		return proto.Size(&wire.Beat{Suspects: beat.EncodeSuspects(all)})
+	}
+	t.Logf("bytes of one part with three crashes: %d; of 32 parts with eight: %d", size(1, 3), size(32, 8))
+	assert.Assert(t, size(32, 8)/2 < 13_000/2, "%d bytes", size(32, 8))
+}
+
+// Guards against records of a wrong form, which any process of the system could send after a change
+// of the format.
+func TestMalformedSuspectsAreLeftOut(t *testing.T) {
+	got := beat.DecodeSuspects([]*wire.Suspect{
+		{Service: "s", Part: "short", Servers: []uint64{1, 2}, Requests: []uint64{1}, Ages: []uint32{1, 2}},
+		{Service: "s", Part: "old", Servers: []uint64{1}, Requests: []uint64{1}, Ages: []uint32{math.MaxUint32}, Terms: 1, Left: math.MaxInt32},
+	}, 0)
+	assert.Equal(t, len(got), 1)
+	assert.Assert(t, got[0].Crashes[0].At > 0)
+	assert.Assert(t, got[0].Until-poison.Now() <= poison.MaxTerm)
+}
