relay: a path whose first engine left during its choice is chosen again

Cause: between the choice of a path and activate the registry may drop the first engine; activate then took the first engine that was still listed as the first of the path. Change: only the first hop's engine is the first; if it is gone, the path is chosen once more from the new registry.

--- a/relay/path.go
+++ b/relay/path.go
@@ -207,16 +207,17 @@
 	return hops, true
 }
 
-// activate adds the stream to the load of the engines of a path.
+// activate adds the stream to the load of the engines of a path. The registry may have dropped
+// engines since the choice; without its first engine the path has no first server.
 func (ps *pathSearch) activate(hops []Hop) *activePath {
 	tokens := float64(ps.req.PromptTokens) + ps.req.expectedAnswerTokens(ps.req.Service.Engine)
 	t := &activePath{hops: hops}
-	for _, h := range hops {
+	for i, h := range hops {
 		s := ps.relay.cfg.Servers.ByAddress(h.Address)
 		if s == nil {
 			continue // the engine was removed since
 		}
-		if t.first == nil {
+		if i == 0 {
 			t.first = s
 		}
 		t.servers = append(t.servers, s)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -156,6 +156,11 @@
 // sent. It returns false if there is no path.
 func (st *streamState) newRun(ctx context.Context, excluded map[string]bool) (*run, bool) {
 	t, ok := st.relay.choosePath(st.req, excluded)
+	if ok && t.first == nil {
+		// The first engine left the registry during the choice, which the next one sees.
+		t.release()
+		t, ok = st.relay.choosePath(st.req, excluded)
+	}
 	if !ok {
 		return nil, false
 	}
