quota: a growing buffer is charged for its copy

Cause: Read charged the new buffer less the old one, though both are in memory during the copy, and the old one was free for others to use before it was collected. Change: both are charged until the copy is done, so that less is allocated at once and less garbage is left.

TestBodiesShareAQuota: its quota of 150,000 bytes was sized for one body and a part of another without the copy, so the first body no longer fitted. With 180,000 it checks the same: one body of 90,000 bytes is held, a second one is refused, and the memory comes back.

--- a/quota/quota.go
+++ b/quota/quota.go
@@ -61,12 +61,14 @@
 				release()
 				return nil, release, ErrTooLong
 			}
-			if !q.TryAcquire(size - held) {
+			// Both buffers are in memory during the copy.
+			if !q.TryAcquire(size) {
 				release()
 				return nil, release, ErrExhausted
 			}
-			held = size
 			b = append(make([]byte, 0, size), b...)
+			q.Release(held)
+			held = size
 		}
 		n, err := r.Read(b[len(b):cap(b)])
 		b = b[:len(b)+n]
