poison: names and comments of the field

Behaviour is unchanged: startQuarantine, attributeCrash, candidates and answered in place of judge, blame, suspects and proven.

--- a/beat/beat_test.go
+++ b/beat/beat_test.go
@@ -491,7 +491,7 @@
 	size := func(parts, crashes int) int {
 		var all []poison.Record
 		for i := range parts {
-			r := poison.Record{Part: poison.Part{Service: "dele69a", ID: fmt.Sprintf("%012x", i)}, ProvenAt: poison.Now(), Since: poison.Now(), Until: poison.Now() + time.Hour, Terms: 1}
+			r := poison.Record{Part: poison.Part{Service: "dele69a", ID: fmt.Sprintf("%012x", i)}, AnsweredAt: poison.Now(), Since: poison.Now(), Until: poison.Now() + time.Hour, Terms: 1}
 			for range crashes {
 				r.Crashes = append(r.Crashes, poison.Crash{Server: rand.Uint64(), Request: rand.Uint64(), At: poison.Now() - time.Minute})
 			}
--- a/beat/suspect.go
+++ b/beat/suspect.go
@@ -33,9 +33,9 @@
 			x.Requests = append(x.Requests, c.Request)
 			x.Ages = append(x.Ages, ageOf(c.At, now))
 		}
-		if r.ProvenAt > 0 {
-			age := ageOf(r.ProvenAt, now)
-			x.Proven = &age
+		if r.AnsweredAt > 0 {
+			age := ageOf(r.AnsweredAt, now)
+			x.Answered = &age
 		}
 		if r.Terms > 0 {
 			x.Terms, x.Since, x.Left = uint32(r.Terms), ageOf(r.Since, now), (r.Until - now).Milliseconds()
@@ -66,8 +66,8 @@
 		for i, age := range x.Ages {
 			r.Crashes = append(r.Crashes, poison.Crash{Server: x.Servers[i], Request: x.Requests[i], At: at(age)})
 		}
-		if x.Proven != nil {
-			r.ProvenAt = at(*x.Proven)
+		if x.Answered != nil {
+			r.AnsweredAt = at(*x.Answered)
 		}
 		if x.Terms > 0 {
 			left := min(max(time.Duration(x.Left)*time.Millisecond, -maxSuspectAge), poison.MaxTerm)
--- a/edge/quarantine_test.go
+++ b/edge/quarantine_test.go
@@ -43,7 +43,7 @@
 		checkQuarantined(t, s.tracker("b"), "deadly", 8*time.Minute)
 
 		// The part was answered; a process that starts now must not refuse it.
-		a.cfg.Poison.RecordProven([]poison.Part{{Service: "s", ID: "deadly"}})
+		a.cfg.Poison.RecordAnswered([]poison.Part{{Service: "s", ID: "deadly"}})
 		assert.NilError(t, a.writeQuarantines(t.Context()))
 		s.join(t.Context(), "c", "d0", 800, false)
 		_, _, ok := s.tracker("c").Blocked([]poison.Part{{Service: "s", ID: "deadly"}})
--- a/poison/record.go
+++ b/poison/record.go
@@ -61,12 +61,12 @@
 
 // Record is the evidence about one part. All times are those of Now.
 type Record struct {
-	Part     Part
-	Crashes  []Crash       // since the part was last proven, by time; at most maxCrashes
-	ProvenAt time.Duration // when a server last wrote an answer to a request with the part; 0 for never known
-	Since    time.Duration // last crash of the evidence on which the quarantine is based
-	Until    time.Duration // end of the quarantine; 0 if there was none
-	Terms    int           // number of quarantines, each twice as long as the one before
+	Part       Part
+	Crashes    []Crash       // since the part was last answered, by time; at most maxCrashes
+	AnsweredAt time.Duration // when a server last wrote an answer to a request with the part; 0 for never known
+	Since      time.Duration // last crash of the evidence on which the quarantine is based
+	Until      time.Duration // end of the quarantine; 0 if there was none
+	Terms      int           // number of quarantines, each twice as long as the one before
 }
 
 const (
@@ -77,10 +77,10 @@
 	// under minRequests different requests.
 	minCrashes  = 3
 	minRequests = 2
-	// minCrashesOfProven is the number of crashes after which a part is quarantined that was
-	// proven within provenAge before. While first engines crash several times a second, a popular
+	// minCrashesOfAnswered is the number of crashes after which a part is quarantined that was
+	// answered within answeredAge before. While first engines crash several times a second, a popular
 	// sound part is on each of them.
-	minCrashesOfProven = 6
+	minCrashesOfAnswered = 6
 	// minCrashesOfOne is the number of crashes after which a part is quarantined that only a
 	// single request had. A sound request that other crashes hit is tried four times at most: two
 	// attempts, and those of one repeat of its caller.
@@ -100,9 +100,9 @@
 // Quarantined reports whether requests with the part are refused at a time.
 func (r *Record) Quarantined(now time.Duration) bool { return now < r.Until }
 
-// add adds a crash unless it is known or the part was proven since, and reports whether it did.
+// add adds a crash unless it is known or the part was answered since, and reports whether it did.
 func (r *Record) add(c Crash) bool {
-	if c.At <= r.ProvenAt || slices.ContainsFunc(r.Crashes, func(x Crash) bool { return x.Server == c.Server }) {
+	if c.At <= r.AnsweredAt || slices.ContainsFunc(r.Crashes, func(x Crash) bool { return x.Server == c.Server }) {
 		return false
 	}
 	if len(r.Crashes) >= maxCrashes && c.At <= r.Crashes[0].At {
@@ -116,12 +116,12 @@
 	return true
 }
 
-// prove records that a server wrote an answer to a request with the part. Older evidence no longer
+// recordAnswer records that a server wrote an answer to a request with the part. Older evidence no longer
 // counts, and a quarantine that is based on it ends.
-func (r *Record) prove(at time.Duration) {
-	r.ProvenAt = max(r.ProvenAt, at)
-	r.Crashes = slices.DeleteFunc(r.Crashes, func(c Crash) bool { return c.At <= r.ProvenAt })
-	if r.ProvenAt >= r.Since {
+func (r *Record) recordAnswer(at time.Duration) {
+	r.AnsweredAt = max(r.AnsweredAt, at)
+	r.Crashes = slices.DeleteFunc(r.Crashes, func(c Crash) bool { return c.At <= r.AnsweredAt })
+	if r.AnsweredAt >= r.Since {
 		r.Since, r.Until, r.Terms = 0, 0, 0
 	}
 }
@@ -136,10 +136,10 @@
 		r.Since, r.Until, r.Terms = o.Since, o.Until, max(r.Terms, o.Terms)
 		changed = true
 	}
-	if o.ProvenAt > r.ProvenAt+sameTime {
+	if o.AnsweredAt > r.AnsweredAt+sameTime {
 		changed = true
 	}
-	r.prove(o.ProvenAt)
+	r.recordAnswer(o.AnsweredAt)
 	return changed
 }
 
@@ -147,8 +147,8 @@
 // on the way.
 const sameTime = time.Second
 
-// judge starts a quarantine if the evidence suffices, and reports whether it did.
-func (r *Record) judge(now time.Duration) bool {
+// startQuarantine starts a quarantine if the evidence suffices, and reports whether it did.
+func (r *Record) startQuarantine(now time.Duration) bool {
 	if r.Quarantined(now) {
 		return false
 	}
@@ -166,10 +166,10 @@
 			counted, last = counted+1, c.At
 		}
 	}
-	provenBefore := r.ProvenAt > 0 && first-r.ProvenAt < provenAge
+	answeredBefore := r.AnsweredAt > 0 && first-r.AnsweredAt < answeredAge
 	switch {
 	case r.Terms > 0 && counted > 0:
-	case provenBefore && counted < minCrashesOfProven:
+	case answeredBefore && counted < minCrashesOfAnswered:
 		return false
 	case counted >= minCrashesOfOne:
 	case counted >= minCrashes && len(requests) >= minRequests:
@@ -190,7 +190,7 @@
 	if r.Quarantined(now) || (r.Terms > 0 && now-r.Until < MaxTerm) {
 		return false
 	}
-	if r.Until == 0 && r.ProvenAt > 0 && now-r.ProvenAt < provenRepeat {
+	if r.Until == 0 && r.AnsweredAt > 0 && now-r.AnsweredAt < answeredRepeat {
 		return false
 	}
 	return !slices.ContainsFunc(r.Crashes, func(c Crash) bool { return now-c.At <= evidenceAge })
--- a/poison/tracker.go
+++ b/poison/tracker.go
@@ -8,7 +8,7 @@
 // requests, and, where a server answered a request with it not long before, after more crashes. Any
 // answer to a request with the part clears it.
 //
-// Each process judges by the evidence of all: a process announces what it sees, and records are
+// Each process decides by the evidence of all: a process announces what it sees, and records are
 // merged in any order and number of times. The package knows no transport.
 //
 // A Tracker has one lock. No function outside the package is called while it is held.
@@ -32,17 +32,17 @@
 	maxCuts = 1000
 	// maxRecords bounds the parts with evidence. Beyond it new parts are not tracked.
 	maxRecords = 256
-	// provenAge is how long an answer shows that a part is sound, so that it is not blamed while
+	// answeredAge is how long an answer shows that a part is sound, so that it is not blamed while
 	// the request also has parts without such an answer.
-	provenAge = 5 * time.Minute
-	// maxProven bounds the parts that are remembered as sound; beyond it all are forgotten.
-	maxProven = 4096
+	answeredAge = 5 * time.Minute
+	// maxAnswered bounds the parts that are remembered as sound; beyond it all are forgotten.
+	maxAnswered = 4096
 	// recentAge is how long a change of a record is repeated with each heartbeat, since a datagram
 	// or the process that passes it on may be lost.
 	recentAge = 3 * time.Second
-	// provenRepeat is how long a record is kept after its part was proven, so that the other
+	// answeredRepeat is how long a record is kept after its part was answered, so that the other
 	// processes hear of it.
-	provenRepeat = time.Minute
+	answeredRepeat = time.Minute
 	// maxShared bounds the records in one message.
 	maxShared = 32
 )
@@ -56,16 +56,16 @@
 	Log          zerolog.Logger
 }
 
-// Tracker collects evidence and judges. It is safe for concurrent use.
+// Tracker collects evidence and starts and ends quarantines. It is safe for concurrent use.
 type Tracker struct {
 	cfg         Config
 	quarantined atomic.Int32 // number of records with a quarantine, an upper bound
 
-	mu      sync.Mutex
-	records map[Part]*entry
-	proven  map[Part]time.Duration // Now of the last answer
-	cuts    []cut
-	crashed map[uint64]time.Duration // by server, Now of a confirmed crash
+	mu       sync.Mutex
+	records  map[Part]*entry
+	answered map[Part]time.Duration // Now of the last answer
+	cuts     []cut
+	crashed  map[uint64]time.Duration // by server, Now of a confirmed crash
 }
 
 // entry is a record and when it last changed in this process.
@@ -76,7 +76,7 @@
 	active    bool          // counted in quarantined
 }
 
-// cut is a run that was cut before it had proven its parts.
+// cut is a run that was cut before its server had shown that it can answer the request.
 type cut struct {
 	server  uint64
 	request uint64
@@ -92,7 +92,7 @@
 	if cfg.OnQuarantine == nil {
 		cfg.OnQuarantine = func() {}
 	}
-	return &Tracker{cfg: cfg, records: map[Part]*entry{}, proven: map[Part]time.Duration{}, crashed: map[uint64]time.Duration{}}
+	return &Tracker{cfg: cfg, records: map[Part]*entry{}, answered: map[Part]time.Duration{}, crashed: map[uint64]time.Duration{}}
 }
 
 // Blocked returns the quarantined part among the given ones and how long its quarantine lasts.
@@ -111,8 +111,8 @@
 	return Part{}, 0, false
 }
 
-// RecordProven records that a server wrote an answer to a request with the parts.
-func (t *Tracker) RecordProven(parts []Part) {
+// RecordAnswered records that a server wrote an answer to a request with the parts.
+func (t *Tracker) RecordAnswered(parts []Part) {
 	if len(parts) == 0 {
 		return
 	}
@@ -121,16 +121,16 @@
 	lifted := false
 	t.mu.Lock()
 	for _, p := range parts {
-		if len(t.proven) >= maxProven {
-			clear(t.proven)
+		if len(t.answered) >= maxAnswered {
+			clear(t.answered)
 		}
-		t.proven[p] = now
+		t.answered[p] = now
 		e := t.records[p]
 		if e == nil || (len(e.Crashes) == 0 && e.Until == 0) {
 			continue
 		}
 		lifted = lifted || e.Quarantined(now)
-		e.prove(now)
+		e.recordAnswer(now)
 		t.update(e, now)
 		changed = append(changed, e.Record.clone())
 	}
@@ -144,7 +144,7 @@
 	t.announce(changed)
 }
 
-// RecordCut records that a server cut a run before it had proven its parts. It counts once
+// RecordCut records that a server cut a run before it had answered the request. It counts once
 // RecordCrash says that the server crashed. request identifies the request with all its repeats.
 func (t *Tracker) RecordCut(server, request uint64, parts []Part) {
 	if len(parts) == 0 {
@@ -152,11 +152,11 @@
 	}
 	now := Now()
 	t.mu.Lock()
-	c := cut{server: server, request: request, parts: t.suspects(parts, now), at: now}
+	c := cut{server: server, request: request, parts: t.candidates(parts, now), at: now}
 	if _, ok := t.crashed[server]; ok {
-		changed, judged := t.blame(c, now)
+		changed, started := t.attributeCrash(c, now)
 		t.mu.Unlock()
-		t.report(changed, judged)
+		t.report(changed, started)
 		return
 	}
 	t.cuts = slices.DeleteFunc(t.cuts, func(x cut) bool { return now-x.at > cutAge })
@@ -166,28 +166,28 @@
 	t.mu.Unlock()
 }
 
-// suspects returns the parts that a crash may be blamed on: the quarantined one if there is one,
+// candidates returns the parts that a crash may be blamed on: the quarantined one if there is one,
 // else those without a recent answer, else all. The caller holds mu.
-func (t *Tracker) suspects(parts []Part, now time.Duration) []Part {
-	var unproven []Part
+func (t *Tracker) candidates(parts []Part, now time.Duration) []Part {
+	var unanswered []Part
 	for _, p := range parts {
 		if e := t.records[p]; e != nil && e.Quarantined(now) {
 			return []Part{p}
 		}
-		if at, ok := t.proven[p]; !ok || now-at > provenAge {
-			unproven = append(unproven, p)
+		if at, ok := t.answered[p]; !ok || now-at > answeredAge {
+			unanswered = append(unanswered, p)
 		}
 	}
-	if len(unproven) == 0 {
+	if len(unanswered) == 0 {
 		return parts
 	}
-	return unproven
+	return unanswered
 }
 
 // RecordCrash records that a server crashed, which confirms the runs that it cut.
 func (t *Tracker) RecordCrash(server uint64) {
 	now := Now()
-	var changed, judged []Record
+	var changed, started []Record
 	t.mu.Lock()
 	for s, at := range t.crashed {
 		if now-at > cutAge {
@@ -200,18 +200,18 @@
 			return false
 		}
 		if now-c.at <= cutAge {
-			a, b := t.blame(c, now)
-			changed, judged = append(changed, a...), append(judged, b...)
+			a, b := t.attributeCrash(c, now)
+			changed, started = append(changed, a...), append(started, b...)
 		}
 		return true
 	})
 	t.mu.Unlock()
-	t.report(changed, judged)
+	t.report(changed, started)
 }
 
-// blame adds a confirmed crash to the records of its parts. It returns the records that changed
+// attributeCrash adds a confirmed crash to the records of its parts. It returns the records that changed
 // and those whose parts are quarantined now. The caller holds mu.
-func (t *Tracker) blame(c cut, now time.Duration) (changed, judged []Record) {
+func (t *Tracker) attributeCrash(c cut, now time.Duration) (changed, started []Record) {
 	// The last of several parts is the most specific one. If its quarantine explains the crash, the
 	// parts before it, which more requests share, are not blamed.
 	for _, p := range slices.Backward(c.parts) {
@@ -220,15 +220,15 @@
 			continue
 		}
 		e.add(Crash{Server: c.server, Request: c.request, At: c.at})
-		quarantined := e.judge(now)
+		quarantined := e.startQuarantine(now)
 		t.update(e, now)
 		changed = append(changed, e.Record.clone())
 		if quarantined {
-			judged = append(judged, e.Record.clone())
+			started = append(started, e.Record.clone())
 			break
 		}
 	}
-	return changed, judged
+	return changed, started
 }
 
 // entry returns the record of a part, which it creates if there is room. The caller holds mu.
@@ -243,7 +243,7 @@
 	if len(t.records) >= maxRecords {
 		return nil
 	}
-	e = &entry{Record: Record{Part: p, ProvenAt: t.proven[p]}}
+	e = &entry{Record: Record{Part: p, AnsweredAt: t.answered[p]}}
 	t.records[p] = e
 	return e
 }
@@ -282,7 +282,7 @@
 		return
 	}
 	now := Now()
-	var judged []Record
+	var started []Record
 	lifted := false
 	t.mu.Lock()
 	for _, r := range records {
@@ -294,14 +294,14 @@
 		if e.merge(r) {
 			e.changedAt = now
 		}
-		if e.judge(now) || (!before && e.Quarantined(now)) {
-			judged = append(judged, e.Record.clone())
+		if e.startQuarantine(now) || (!before && e.Quarantined(now)) {
+			started = append(started, e.Record.clone())
 		}
 		lifted = lifted || (before && !e.Quarantined(now))
 		t.setActive(e, e.Quarantined(now))
 	}
 	t.mu.Unlock()
-	t.logQuarantined(judged, "evidence of other processes")
+	t.logQuarantined(started, "evidence of other processes")
 	if lifted {
 		t.cfg.OnQuarantine()
 	}
@@ -366,23 +366,23 @@
 }
 
 // report logs and announces the results of a confirmed crash.
-func (t *Tracker) report(changed, judged []Record) {
+func (t *Tracker) report(changed, started []Record) {
 	for _, r := range changed {
-		t.cfg.Log.Info().Str("service", r.Part.Service).Str("part", r.Part.ID).Int("crashes", len(r.Crashes)).Dur("proven", r.sinceProven()).
+		t.cfg.Log.Info().Str("service", r.Part.Service).Str("part", r.Part.ID).Int("crashes", len(r.Crashes)).Dur("answered", r.sinceAnswered()).
 			Msg("backend server crashed on a request with this part of a prompt")
 	}
-	t.logQuarantined(judged, "evidence of this process")
+	t.logQuarantined(started, "evidence of this process")
 	t.announce(changed)
 }
 
 // logQuarantined logs parts that are quarantined now.
-func (t *Tracker) logQuarantined(judged []Record, reason string) {
+func (t *Tracker) logQuarantined(started []Record, reason string) {
 	now := Now()
-	for _, r := range judged {
+	for _, r := range started {
 		t.cfg.Log.Warn().Str("service", r.Part.Service).Str("part", r.Part.ID).Int("crashes", len(r.Crashes)).Int("term", r.Terms).
 			Dur("left", r.Until-now).Str("reason", reason).Msg("part of prompts quarantined")
 	}
-	if len(judged) > 0 {
+	if len(started) > 0 {
 		t.cfg.OnQuarantine()
 	}
 }
@@ -400,10 +400,10 @@
 	return out
 }
 
-// sinceProven returns the time since the part was last proven, or 0 if it never was.
-func (r *Record) sinceProven() time.Duration {
-	if r.ProvenAt == 0 {
+// sinceAnswered returns the time since the part was last answered, or 0 if it never was.
+func (r *Record) sinceAnswered() time.Duration {
+	if r.AnsweredAt == 0 {
 		return 0
 	}
-	return Now() - r.ProvenAt
+	return Now() - r.AnsweredAt
 }
--- a/poison/tracker_test.go
+++ b/poison/tracker_test.go
@@ -49,8 +49,8 @@
 	f.trackers[process].RecordCrash(server)
 }
 
-func (f *fleet) prove(process int, parts ...string) {
-	f.trackers[process].RecordProven(poison.PartsOf("s", append(parts, "own")))
+func (f *fleet) answer(process int, parts ...string) {
+	f.trackers[process].RecordAnswered(poison.PartsOf("s", append(parts, "own")))
 }
 
 // checkBlocked fails unless exactly the wanted parts are quarantined in all processes.
@@ -78,7 +78,7 @@
 func TestEvidenceOfAllProcessesCounts(t *testing.T) {
 	virtually(t, func(t *testing.T) {
 		f := newFleet(4)
-		f.prove(3, "root")
+		f.answer(3, "root")
 		for i := range 3 {
 			f.checkBlocked(t, false, "root", "deadly")
 			f.crash(i, uint64(i), uint64(i), "root", "deadly")
@@ -100,7 +100,7 @@
 				f.crash(0, uint64(i), uint64(i), "p")
 				time.Sleep(time.Second)
 				if i%2 == 1 {
-					f.prove(1, "p")
+					f.answer(1, "p")
 				}
 			}
 		},
@@ -117,12 +117,12 @@
 			}
 		},
 		"popular part in a fast series": func(f *fleet) {
-			f.prove(0, "p")
+			f.answer(0, "p")
 			for i := range 5 {
 				f.crash(i%3, uint64(i), uint64(i), "p")
 				time.Sleep(200 * time.Millisecond)
 			}
-			f.prove(2, "p")
+			f.answer(2, "p")
 		},
 		"cut runs of servers that live": func(f *fleet) {
 			for i := range 10 {
@@ -154,7 +154,7 @@
 // Guards against blaming the shared beginning of prompts of which only the deadly part is new.
 func TestMostSpecificPartIsBlamed(t *testing.T) {
 	virtually(t, func(t *testing.T) {
-		f := newFleet(2) // neither part was ever proven
+		f := newFleet(2) // neither part was ever answered
 		for i := range 4 {
 			f.crash(0, uint64(i), uint64(i), "root", "deadly")
 			time.Sleep(time.Second)
@@ -173,7 +173,7 @@
 			time.Sleep(300 * time.Millisecond)
 			f.crash(1, uint64(2*i+1), uint64(2*i+1), "root", "two")
 			time.Sleep(300 * time.Millisecond)
-			f.prove(0, "root")
+			f.answer(0, "root")
 		}
 		f.checkBlocked(t, true, "one", "two")
 		f.checkBlocked(t, false, "root")
@@ -184,7 +184,7 @@
 func TestPartThatBecomesDeadly(t *testing.T) {
 	virtually(t, func(t *testing.T) {
 		f := newFleet(2)
-		f.prove(0, "p")
+		f.answer(0, "p")
 		time.Sleep(time.Second)
 		for i := range 6 {
 			f.checkBlocked(t, false, "p")
@@ -242,7 +242,7 @@
 		old := f.trackers[1].Records()
 		f.checkBlocked(t, true, "p")
 		assert.Equal(t, f.changes, 1)
-		f.prove(2, "p") // a run that was sent before the quarantine
+		f.answer(2, "p") // a run that was sent before the quarantine
 		f.checkBlocked(t, false, "p")
 		assert.Equal(t, f.changes, 2)
 		for _, x := range f.trackers {
@@ -258,7 +258,7 @@
 		f := newFleet(1)
 		for i := range 5000 {
 			f.crash(0, uint64(i), uint64(i), fmt.Sprint("p", i))
-			f.prove(0, fmt.Sprint("q", i))
+			f.answer(0, fmt.Sprint("q", i))
 		}
 		suspected, _ := f.trackers[0].Counts()
 		assert.Assert(t, suspected <= 256, "%d records", suspected)
@@ -286,11 +286,11 @@
 			case 1:
 				f.crash(process, uint64(i), uint64(i), "root")
 			default:
-				f.prove(process, "root")
+				f.answer(process, "root")
 			}
 		}
 		now += time.Second
-		f.prove(0, "root")
+		f.answer(0, "root")
 		f.cut = nil
 		for range 2 {
 			for _, x := range f.trackers {
@@ -321,7 +321,7 @@
 			for b.Loop() {
 				parts := poison.PartsOf("s", ids)
 				t.Blocked(parts)
-				t.RecordProven(parts)
+				t.RecordAnswered(parts)
 			}
 		})
 	}
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -163,7 +163,7 @@
 	switch {
 	case res.err == nil && ans.Status < http.StatusInternalServerError:
 		srv.RecordAnswer(res.took)
-		r.cfg.Poison.RecordProven(req.parts)
+		r.cfg.Poison.RecordAnswered(req.parts)
 	case res.err == nil:
 		// An error of the service says nothing about the server's speed or health.
 	case ctx.Err() == nil:
--- a/relay/poison.go
+++ b/relay/poison.go
@@ -10,10 +10,10 @@
 )
 
 const (
-	// provenEvents is the number of events after which a run shows that the server can answer the
+	// answeredEvents is the number of events after which a run shows that the server can answer the
 	// request: it wrote one and lived to write another. Runs with more events are not blamed, so
 	// that few sound requests are suspected when a server crashes.
-	provenEvents = 2
+	answeredEvents = 2
 	// returnSpread spreads the return of callers after a quarantine, relative to the time left.
 	returnSpread = 0.25
 )
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -226,7 +226,7 @@
 	started := time.Now()
 	err = st.copyEvents(rn.answer, m)
 	if err == nil {
-		r.cfg.Poison.RecordProven(req.parts)
+		r.cfg.Poison.RecordAnswered(req.parts)
 		st.logSlow(rn.path)
 		rn.path.first.RecordAnswer(time.Since(started))
 		return false, nil
@@ -269,7 +269,7 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	if rn.ctx.Err() == nil && st.runEvents < provenEvents {
+	if rn.ctx.Err() == nil && st.runEvents < answeredEvents {
 		r.recordCut(st.req, t.first, err)
 	}
 	if failedServer != nil {
@@ -344,8 +344,8 @@
 		}
 		if err == nil {
 			n, err := validateEvents(complete, st.lastEventID)
-			if st.runEvents < provenEvents && st.runEvents+n >= provenEvents {
-				st.relay.cfg.Poison.RecordProven(st.req.parts)
+			if st.runEvents < answeredEvents && st.runEvents+n >= answeredEvents {
+				st.relay.cfg.Poison.RecordAnswered(st.req.parts)
 			}
 			st.runEvents += n
 			if st.eventCount += n; err == nil && st.req.MaxAnswerTokens > 0 && st.eventCount > st.req.MaxAnswerTokens+extraEvents {
