pacer: log the rates that backend servers name

Cause: a server in need names the requests per second that it takes in its answers. Nothing decoded the header, so neither logs nor metrics could tell who knew of a limit and which requests exceeded it.

Change: answers and reports carry the rate, values that are no decimal number apart; package pacer logs its begin, its end and the requests sent meanwhile. Requests go where they went before.

--- a/edge/app.go
+++ b/edge/app.go
@@ -21,6 +21,7 @@
 	"github.com/cranberrybay/cranberrybay/lease"
 	"github.com/cranberrybay/cranberrybay/link"
 	"github.com/cranberrybay/cranberrybay/logs"
+	"github.com/cranberrybay/cranberrybay/pacer"
 	"github.com/cranberrybay/cranberrybay/platform"
 	"github.com/cranberrybay/cranberrybay/poison"
 	"github.com/cranberrybay/cranberrybay/quota"
@@ -88,6 +89,7 @@
 			self,
 			newCounters,
 			newPoisonTracker,
+			newPacer,
 			newServerTable,
 			newMembers,
 			newStateFetcher,
@@ -123,6 +125,10 @@
 	})
 }
 
+func newPacer(factory *logs.Factory) *pacer.Pacer {
+	return pacer.New(pacer.Config{Log: factory.Logger("pacer")})
+}
+
 func newServerTable(client *link.Client, t *poison.Tracker, factory *logs.Factory) *server.Table {
 	return server.NewTable(server.Config{
 		Log: factory.Logger("server"), OutageGrace: missingEntryGrace, OnRemoved: client.CloseIdle,
@@ -217,9 +223,9 @@
 // weightPerCore is the weight of a process that may use one whole core.
 const weightPerCore = 1000
 
-func newRelay(s Settings, q *quota.Quota, servers *server.Table, backend *platform.Backend, members *beat.Membership, budgets *retryBudgets, t *poison.Tracker, c *counters, factory *logs.Factory) *relay.Relay {
+func newRelay(s Settings, q *quota.Quota, servers *server.Table, backend *platform.Backend, members *beat.Membership, budgets *retryBudgets, t *poison.Tracker, p *pacer.Pacer, c *counters, factory *logs.Factory) *relay.Relay {
 	return relay.New(relay.Config{
-		Servers: servers, Send: backend.Send, FetchReport: backend.Report, Repath: backend.Repath, Budget: budgets.of, Quota: q, PeerLoad: members.PeerLoad, Poison: t, AnnounceDead: func(srv *server.Server) { members.ReportDead(srv.ID()) },
+		Servers: servers, Send: backend.Send, FetchReport: backend.Report, Repath: backend.Repath, Budget: budgets.of, Quota: q, PeerLoad: members.PeerLoad, Poison: t, Pacer: p, AnnounceDead: func(srv *server.Server) { members.ReportDead(srv.ID()) },
 		Domain: s.Domain, Log: factory.Logger("relay"), Count: c.event, Observe: c.observe,
 		CountViolation: func(i relay.Invariant) { c.violation(string(i)) },
 	})
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -18,6 +18,7 @@
 
 	"github.com/cranberrybay/cranberrybay/config"
 	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/pacer"
 	"github.com/cranberrybay/cranberrybay/poison"
 	"github.com/cranberrybay/cranberrybay/quota"
 	"github.com/cranberrybay/cranberrybay/retry"
@@ -78,16 +79,28 @@
 	Refused   bool   // the server states that it did not run the request
 	RefusedBy string // address of the server on the path that refused; "" if not stated
 	Load      *Load  // nil if the server does not report it
+	// Misdirected means that another server has the address, or that the server lacks its part of
+	// the path.
+	Misdirected bool
+	Rate        NamedRate
 	// SetReadDeadline sets the deadline for reading the body; it may be nil.
 	SetReadDeadline func(t time.Time) error
 }
 
+// NamedRate is what an answer says of the rate of its server.
+type NamedRate struct {
+	Named      bool
+	Value      float64 // requests per second that the server takes from all entry processes together
+	Unreadable string  // value that is no decimal number; "" if there is none
+}
+
 // Load is the load that a server reports with an answer.
 type Load struct{ Running, Waiting, Slots int }
 
 // Report is the state that an engine reports about its requests.
 type Report struct {
 	Stalled map[string]string // request ID to address of the engine that it waits for
+	Rate    NamedRate
 }
 
 // Sink receives the answer to a request: Start at most once, then any number of Write and Flush.
@@ -118,6 +131,8 @@
 	// Poison knows the parts of prompts that crash servers; nil for one that this process shares
 	// with no other.
 	Poison *poison.Tracker
+	// Pacer knows the rates that servers name; nil for one of this process alone.
+	Pacer  *pacer.Pacer
 	Domain string // failure domain of this process
 	Log    zerolog.Logger
 	// Count increments the counter of an outcome; it may be nil.
@@ -155,11 +170,14 @@
 	if cfg.Poison == nil {
 		cfg.Poison = poison.New(poison.Config{Log: cfg.Log})
 	}
+	if cfg.Pacer == nil {
+		cfg.Pacer = pacer.New(pacer.Config{Log: cfg.Log})
+	}
 	if cfg.PeerLoad == nil {
 		cfg.PeerLoad = func(string) (int, int64) { return 0, 0 }
 	}
 	r := &Relay{cfg: cfg, monitors: map[*stallMonitor]struct{}{}, firstEventTimes: firstEventTimes{byService: map[string]time.Duration{}}}
-	r.reports = newReportCache(cfg.FetchReport)
+	r.reports = newReportCache(r.fetchReport)
 	return r
 }
 
@@ -321,10 +339,17 @@
 
 // exchange is send without the bookkeeping of attempts.
 func (r *Relay) exchange(ctx context.Context, req *Request, a Attempt) (*Answer, error) {
+	incarnation, sentAt := a.Server.Incarnation(), pacer.Now()
+	r.cfg.Pacer.CountSent(incarnation, req.attempts.Load() > 1)
 	ans, err := r.cfg.Send(ctx, req, a)
 	if err != nil {
 		return nil, err
 	}
+	// A misdirected answer may come from another server, and one without a signature may have lost
+	// its header.
+	if !ans.Misdirected && (ans.Signed || ans.Rate.Named) {
+		r.observeRate(a.Server, ans.Rate, sentAt)
+	}
 	if ans.Load != nil {
 		a.Server.RecordLoad(ans.Load.Running, ans.Load.Waiting)
 	}
@@ -344,6 +369,22 @@
 	return ans, nil
 }
 
+// observeRate takes what an answer of a server says of its rate.
+func (r *Relay) observeRate(s *server.Server, n NamedRate, sentAt time.Duration) {
+	r.cfg.Pacer.Observe(pacer.Statement{Server: s.Incarnation(), ID: s.ID(), Named: n.Named, Rate: n.Value, Unreadable: n.Unreadable, SentAt: sentAt})
+}
+
+// fetchReport queries an engine for its report. Reports lag, so one without a rate does not end a
+// limit.
+func (r *Relay) fetchReport(ctx context.Context, address string) (Report, error) {
+	sentAt, s := pacer.Now(), r.cfg.Servers.ByAddress(address)
+	report, err := r.cfg.FetchReport(ctx, address)
+	if err == nil && s != nil && report.Rate.Named {
+		r.observeRate(s, report.Rate, sentAt)
+	}
+	return report, err
+}
+
 const (
 	// maxRefusalBytes bounds how much of a refusal's body is drained to reuse the connection.
 	maxRefusalBytes = 4 << 10
