pacer: share and keep the rates that backend servers name

Cause: a statement of a server about all processes together reached each of them within 0.7 s and changed nothing; there was no owner of such a limit. Ruled out: repeats and hedges (73 first attempts, no other, in 4.3 s) and load that moves when processes stop (the excess begins with the trouble).

Change: package pacer keeps what each run of a server last said, newest word first, and shares it over the processes: each failure domain by its number of processes, within it to as many as still get about a request a second. A request takes its right when the server is chosen, first attempts, repeats, resumed streams, hedges and handovers alike; it may wait for half of its target time, and is refused as not run otherwise, with the time at which this process has a request left. Heartbeats, notices and the state of a starting process carry the rates.

Tests, all failing before: relay.TestNamedRateIsExceeded (241 requests in 4 s where 17 are allowed), relay.TestRequestsOverTheRateAreRefusedAtOnce. Those of package beat play starts, freezes and cuts.

--- a/beat/beat.go
+++ b/beat/beat.go
@@ -21,6 +21,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cranberrybay/cranberrybay/clock"
+	"github.com/cranberrybay/cranberrybay/pacer"
 	"github.com/cranberrybay/cranberrybay/poison"
 	"github.com/cranberrybay/cranberrybay/seal"
 	"github.com/cranberrybay/cranberrybay/watch"
@@ -93,6 +94,10 @@
 	OnDead func(servers []uint64)
 	// OnSuspects is called with what other processes know of parts of prompts; may be nil.
 	OnSuspects func(records []poison.Record)
+	// Rates returns what backend servers said of their rates; may be nil.
+	Rates func() Rates
+	// OnRates is called with what other processes know of the rates of backend servers; may be nil.
+	OnRates func(records []pacer.Record)
 	// OnNewerKey is called when a message refers to a key that this process does not
 	// have; may be nil.
 	OnNewerKey func()
@@ -152,6 +157,10 @@
 	lastSent       time.Duration            // clock.Now of this process's last heartbeat
 	lastListed     time.Duration            // clock.Now when the process list was last sent
 	membersChanged bool                     // a process joined, left or changed since then
+	sharesFrom     time.Duration            // clock.Now from which this process takes part in what processes share
+	sizePeak       int                      // largest number of processes since sizePeakSince
+	oldSizePeak    int                      // the same for the sizeMemory before
+	sizePeakSince  time.Duration            // clock.Now
 	lease          Lease                    // newest announcement of another process
 	deadReports    map[uint64]time.Duration // by ServerHash, clock.Now of the last report
 	dropLoggedAt   map[string]time.Duration // by reason, clock.Now of the last log line
@@ -184,9 +193,13 @@
 	if cfg.Suspects == nil {
 		cfg.Suspects = func() Suspects { return Suspects{} }
 	}
+	if cfg.Rates == nil {
+		cfg.Rates = func() Rates { return Rates{} }
+	}
 	now := clock.Now()
 	return &Membership{
 		cfg: cfg, members: map[string]*member{}, others: map[string]*member{}, hub: cfg.Self.Name, hubSince: now, lastHeard: now, lastSent: now,
+		sharesFrom: now + sharesAfter, sizePeakSince: now,
 		deadReports: map[uint64]time.Duration{}, dropLoggedAt: map[string]time.Duration{},
 	}
 }
--- a/beat/beat_test.go
+++ b/beat/beat_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/cranberrybay/cranberrybay/beat"
 	"github.com/cranberrybay/cranberrybay/clock"
+	"github.com/cranberrybay/cranberrybay/pacer"
 	"github.com/cranberrybay/cranberrybay/poison"
 	"github.com/cranberrybay/cranberrybay/seal"
 	"github.com/cranberrybay/cranberrybay/watch"
@@ -44,6 +45,7 @@
 	dead       []uint64
 	drops      map[string]int
 	poison     *poison.Tracker
+	pacer      *pacer.Pacer
 }
 
 func (n *net) platform() time.Duration { return time.Hour + time.Since(n.base) }
@@ -61,6 +63,9 @@
 	name := x.peer.Name
 	x.frozen = false
 	x.poison = poison.New(poison.Config{Log: zerolog.Nop(), Announce: func(all []poison.Record) { x.membership.ReportSuspects(all) }})
+	x.pacer = pacer.New(pacer.Config{
+		Log: zerolog.Nop(), Fleet: func() pacer.Fleet { return x.membership.Fleet() }, Announce: func(all []pacer.Record) { x.membership.ReportRates(all) },
+	})
 	x.membership = beat.New(beat.Config{
 		Self: x.peer, Incarnation: rand.Uint64(), Sealer: n.sealer, Log: zerolog.Nop(),
 		State:     func() beat.State { return x.state },
@@ -72,6 +77,10 @@
 		Suspects: func() beat.Suspects {
 			return beat.Suspects{Own: x.poison.Recent(true), Changed: x.poison.Recent(false), All: x.poison.Records()}
 		},
+		Rates: func() beat.Rates {
+			return beat.Rates{Own: x.pacer.Recent(true), Changed: x.pacer.Recent(false), All: x.pacer.Records()}
+		},
+		OnRates: func(all []pacer.Record) { x.pacer.Merge(all) },
 		OnSuspects: func(all []poison.Record) { x.poison.Merge(all) },
 		Send: func(address string, b []byte) error {
 			x.sent += len(b)
--- a/beat/receive.go
+++ b/beat/receive.go
@@ -58,7 +58,7 @@
 	}
 	ms.redirect(&b)
 	ms.forward(&b)
-	ms.deliver(&b)
+	ms.deliver(&b, max(own-time.Duration(b.Clock)*time.Millisecond, 0))
 }
 
 // redirect tells a process that wrongly treats this one as the hub which process is.
@@ -186,12 +186,12 @@
 }
 
 // forward relays the contents of notices: a hub sends those of a member to all processes,
-// and those of another hub to its members. Suspects in heartbeats are not relayed, since
+// and those of another hub to its members. Suspects and rates in heartbeats are not relayed, since
 // the hub's own heartbeats hold what it took from them.
 func (ms *Membership) forward(b *wire.Beat) {
 	x := notice{pages: b.Pages, dead: b.Dead}
 	if b.Loads == nil {
-		x.suspects = b.Suspects
+		x.suspects, x.rates = b.Suspects, b.Rates
 	}
 	if x.isEmpty() {
 		return
@@ -210,8 +210,9 @@
 	}
 }
 
-// deliver passes the contents of a message to the callbacks.
-func (ms *Membership) deliver(b *wire.Beat) {
+// deliver passes the contents of a message to the callbacks. held is the age of the message, which is
+// seconds if this process was paused after the datagram had arrived.
+func (ms *Membership) deliver(b *wire.Beat, held time.Duration) {
 	for _, p := range b.Pages {
 		if ms.cfg.OnPage == nil {
 			break
@@ -232,4 +233,7 @@
 	if len(b.Suspects) > 0 && ms.cfg.OnSuspects != nil {
 		ms.cfg.OnSuspects(DecodeSuspects(b.Suspects, 0))
 	}
+	if len(b.Rates) > 0 && ms.cfg.OnRates != nil {
+		ms.cfg.OnRates(DecodeRates(b.Rates, held))
+	}
 }
--- a/beat/send.go
+++ b/beat/send.go
@@ -13,7 +13,7 @@
 // SendHeartbeat detects silent processes and sends this process's heartbeat: a member's
 // goes to the hub, a hub's to its members and to the other hubs.
 func (ms *Membership) SendHeartbeat() {
-	own, state, suspects := ms.ownLoads(), ms.cfg.State(), ms.cfg.Suspects()
+	own, state, suspects, rates := ms.ownLoads(), ms.cfg.State(), ms.cfg.Suspects(), ms.cfg.Rates()
 	ms.mu.Lock()
 	now := clock.Now()
 	ms.updateState(state)
@@ -21,15 +21,16 @@
 		// The heartbeats were missed because this process was paused, so they prove
 		// nothing about the other processes.
 		ms.cfg.Log.Warn().Dur("pause", now-ms.lastSent).Msg("this process was paused")
-		ms.hubSince, ms.lastHeard = now, now
+		ms.hubSince, ms.lastHeard, ms.sharesFrom = now, now, now+sharesAfter
 	}
 	ms.lastSent = now
+	ms.recordSize(now)
 	ms.rounds++
 	ms.detectSilent(now)
 	if !ms.isHub() {
 		ms.reportedLoads = own
 		b := ms.newHeartbeat(own)
-		b.Suspects = EncodeSuspects(suspects.Own)
+		b.Suspects, b.Rates = EncodeSuspects(suspects.Own), EncodeRates(rates.Own)
 		ms.mu.Unlock()
 		ms.send(b, ms.toHub())
 		return
@@ -43,13 +44,13 @@
 	addLoads(hubLoads, own)
 	memberBeat, hubBeat := ms.newHeartbeat(memberLoads), ms.newHeartbeat(hubLoads)
 	memberBeat.Size, hubBeat.Size = uint32(ms.size()), uint32(ms.domainSize())
-	memberBeat.Suspects = EncodeSuspects(suspects.Changed)
+	memberBeat.Suspects, memberBeat.Rates = EncodeSuspects(suspects.Changed), EncodeRates(rates.Changed)
 	if ms.membersChanged || now-ms.lastListed >= listInterval {
 		ms.membersChanged, ms.lastListed = false, now
 		memberBeat.Domains, hubBeat.Domains = ms.encodeProcessList(true), ms.encodeProcessList(false)
-		memberBeat.Suspects = EncodeSuspects(suspects.All)
+		memberBeat.Suspects, memberBeat.Rates = EncodeSuspects(suspects.All), EncodeRates(rates.All)
 	}
-	hubBeat.Suspects = memberBeat.Suspects
+	hubBeat.Suspects, hubBeat.Rates = memberBeat.Suspects, memberBeat.Rates
 	ms.mu.Unlock()
 	ms.send(memberBeat, ms.toMembers())
 	ms.send(hubBeat, ms.toHubs())
@@ -140,14 +141,17 @@
 	pages    []*wire.Page
 	dead     []uint64 // backend servers, as in ServerHash
 	suspects []*wire.Suspect
+	rates    []*wire.Rate
 }
 
-func (n notice) isEmpty() bool { return len(n.pages) == 0 && len(n.dead) == 0 && len(n.suspects) == 0 }
+func (n notice) isEmpty() bool {
+	return len(n.pages) == 0 && len(n.dead) == 0 && len(n.suspects) == 0 && len(n.rates) == 0
+}
 
 // newNotice builds the message of a notice. The caller holds mu.
 func (ms *Membership) newNotice(n notice) *wire.Beat {
 	b := ms.newHeartbeat(nil)
-	b.Loads, b.Pages, b.Dead, b.Suspects = nil, n.pages, n.dead, n.suspects
+	b.Loads, b.Pages, b.Dead, b.Suspects, b.Rates = nil, n.pages, n.dead, n.suspects, n.rates
 	return b
 }
 
--- a/edge/app.go
+++ b/edge/app.go
@@ -125,8 +125,12 @@
 	})
 }
 
-func newPacer(factory *logs.Factory) *pacer.Pacer {
-	return pacer.New(pacer.Config{Log: factory.Logger("pacer")})
+func newPacer(state *sharedState, factory *logs.Factory) *pacer.Pacer {
+	return pacer.New(pacer.Config{
+		Log:      factory.Logger("pacer"),
+		Fleet:    func() pacer.Fleet { return state.fleet() },
+		Announce: func(records []pacer.Record) { state.announceRates(records) },
+	})
 }
 
 func newServerTable(client *link.Client, t *poison.Tracker, factory *logs.Factory) *server.Table {
@@ -146,20 +150,20 @@
 
 // newStateFetcher returns a fetcher of the tables that entry processes follow. It logs as
 // part "beat", like the rest of the messages between entry processes.
-func newStateFetcher(self beat.Peer, sealer *seal.Sealer, members *beat.Membership, t *poison.Tracker, state *sharedState, factory *logs.Factory) *stateFetcher {
-	return &stateFetcher{self: self, sealer: sealer, members: members, poison: t, follower: state.follower, tables: []string{platform.TableConfig, platform.TableServers}, log: factory.Logger("beat")}
+func newStateFetcher(self beat.Peer, sealer *seal.Sealer, members *beat.Membership, t *poison.Tracker, p *pacer.Pacer, state *sharedState, factory *logs.Factory) *stateFetcher {
+	return &stateFetcher{self: self, sealer: sealer, members: members, poison: t, pacer: p, follower: state.follower, tables: []string{platform.TableConfig, platform.TableServers}, log: factory.Logger("beat")}
 }
 
-func newProcessRegistrar(s Settings, self beat.Peer, store *platform.Store, members *beat.Membership, sealer *seal.Sealer, f *stateFetcher, b *retryBudgets, t *poison.Tracker, state *sharedState, factory *logs.Factory) *registrar {
+func newProcessRegistrar(s Settings, self beat.Peer, store *platform.Store, members *beat.Membership, sealer *seal.Sealer, f *stateFetcher, b *retryBudgets, t *poison.Tracker, p *pacer.Pacer, state *sharedState, factory *logs.Factory) *registrar {
 	m := newRegistrar(registrarConfig{
-		Self: self, Bootstrap: s.Bootstrap, Rows: store.Table(), Members: members, Sealer: sealer, Fetch: f.fetch, OnSize: b.resize, HoldsLease: state.holdsLease, Poison: t, Log: factory.Logger("beat"),
+		Self: self, Bootstrap: s.Bootstrap, Rows: store.Table(), Members: members, Sealer: sealer, Fetch: f.fetch, OnSize: b.resize, HoldsLease: state.holdsLease, Poison: t, Pacer: p, Log: factory.Logger("beat"),
 	})
 	state.onUnknownKey = func() { m.unknownKey.Store(true) }
 	state.onQuarantine = m.quarantineChanged
 	return m
 }
 
-func newMembers(s Settings, self beat.Peer, i incarnation, sealer *seal.Sealer, servers *server.Table, t *poison.Tracker, state *sharedState, c *counters, factory *logs.Factory) (*beat.Membership, error) {
+func newMembers(s Settings, self beat.Peer, i incarnation, sealer *seal.Sealer, servers *server.Table, t *poison.Tracker, p *pacer.Pacer, state *sharedState, c *counters, factory *logs.Factory) (*beat.Membership, error) {
 	conn, err := net.ListenPacket("udp4", s.Listen.Heartbeats)
 	if err != nil {
 		return nil, fmt.Errorf("listen for heartbeats: %w", err)
@@ -180,6 +184,10 @@
 		Suspects: func() beat.Suspects {
 			return beat.Suspects{Own: t.Recent(true), Changed: t.Recent(false), All: t.Records()}
 		},
+		OnRates: p.Merge,
+		Rates: func() beat.Rates {
+			return beat.Rates{Own: p.Recent(true), Changed: p.Recent(false), All: p.Records()}
+		},
 		OnWatermark: func(seen beat.Watermark) {
 			if f := state.follower(seen.Table); f != nil {
 				f.ObserveWatermark(watch.Watermark{Changed: seen.Changed, Clock: seen.Clock})
@@ -216,7 +224,7 @@
 		},
 		Log: factory.Logger("beat"),
 	})
-	state.announceSuspects = members.ReportSuspects
+	state.announceSuspects, state.announceRates, state.fleet = members.ReportSuspects, members.ReportRates, members.Fleet
 	return members, nil
 }
 
--- a/edge/fetch.go
+++ b/edge/fetch.go
@@ -17,6 +17,7 @@
 
 	"github.com/cranberrybay/cranberrybay/beat"
 	"github.com/cranberrybay/cranberrybay/clock"
+	"github.com/cranberrybay/cranberrybay/pacer"
 	"github.com/cranberrybay/cranberrybay/poison"
 	"github.com/cranberrybay/cranberrybay/seal"
 	"github.com/cranberrybay/cranberrybay/watch"
@@ -51,6 +52,7 @@
 	tables   map[string]watch.State
 	peers    []beat.Peer
 	suspects []poison.Record // parts of prompts that may crash backend servers
+	rates    []pacer.Record  // rates that backend servers name
 }
 
 var errNotSettled = errors.New("the process does not know the platform's tables yet")
@@ -62,6 +64,7 @@
 	sealer   *seal.Sealer
 	members  *beat.Membership
 	poison   *poison.Tracker
+	pacer    *pacer.Pacer
 	follower func(table string) *watch.Follower
 	tables   []string
 	log      zerolog.Logger
@@ -155,7 +158,8 @@
 	for _, p := range w.Processes {
 		out.peers = append(out.peers, beat.Peer{Name: p.Name, Address: p.Address, CallerAddress: p.Callers, Domain: p.Domain, Weight: p.Weight})
 	}
-	out.suspects = beat.DecodeSuspects(w.Suspects, time.Duration(max(s.Held, 0))*time.Millisecond)
+	held := time.Duration(max(s.Held, 0)) * time.Millisecond
+	out.suspects, out.rates = beat.DecodeSuspects(w.Suspects, held), beat.DecodeRates(w.Rates, held)
 	return out, nil
 }
 
@@ -236,7 +240,7 @@
 	for _, p := range f.members.Peers() {
 		w.Processes = append(w.Processes, &wire.Process{Name: p.Name, Address: p.Address, Callers: p.CallerAddress, Domain: p.Domain, Weight: p.Weight})
 	}
-	w.Suspects = beat.EncodeSuspects(f.poison.Records())
+	w.Suspects, w.Rates = beat.EncodeSuspects(f.poison.Records()), beat.EncodeRates(f.pacer.Records())
 	raw, err = proto.Marshal(w)
 	if err != nil {
 		return nil, 0, fmt.Errorf("encode snapshot: %w", err)
--- a/edge/registrar.go
+++ b/edge/registrar.go
@@ -14,6 +14,7 @@
 
 	"github.com/cranberrybay/cranberrybay/beat"
 	"github.com/cranberrybay/cranberrybay/clock"
+	"github.com/cranberrybay/cranberrybay/pacer"
 	"github.com/cranberrybay/cranberrybay/poison"
 	"github.com/cranberrybay/cranberrybay/seal"
 	"github.com/cranberrybay/cranberrybay/table"
@@ -101,6 +102,7 @@
 	// also replaces the key.
 	HoldsLease func() bool
 	Poison     *poison.Tracker
+	Pacer      *pacer.Pacer
 	Log        zerolog.Logger
 }
 
@@ -194,6 +196,7 @@
 	reg.initial = s.tables
 	reg.cfg.Members.AddPeers(s.peers)
 	reg.cfg.Poison.Merge(s.suspects)
+	reg.cfg.Pacer.Merge(s.rates)
 	reg.cfg.Log.Info().Str("peer", p.Name).Int("peers", len(s.peers)).Msg("fetched the state of another process")
 	return true
 }
--- a/edge/registrar_test.go
+++ b/edge/registrar_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/cranberrybay/cranberrybay/beat"
 	"github.com/cranberrybay/cranberrybay/clock"
+	"github.com/cranberrybay/cranberrybay/pacer"
 	"github.com/cranberrybay/cranberrybay/poison"
 	"github.com/cranberrybay/cranberrybay/seal"
 	"github.com/cranberrybay/cranberrybay/table"
@@ -273,7 +274,7 @@
 		}
 		return &stateFetcher{
 			self: me, sealer: x, tables: []string{"op", "servers"}, log: zerolog.Nop(), follower: func(name string) *watch.Follower { return followers[name] },
-			members: beat.New(beat.Config{Self: me, Sealer: x, Log: zerolog.Nop()}), poison: quarantineOf("deadly"),
+			members: beat.New(beat.Config{Self: me, Sealer: x, Log: zerolog.Nop()}), poison: quarantineOf("deadly"), pacer: namedRate(limitedServer, 3),
 		}
 	}
 	a, b, otherKey := newFetcher(key, "a"), newFetcher(key, "b"), newFetcher(seal.NewKey(1), "c")
@@ -294,6 +295,9 @@
 	late := poison.New(poison.Config{Log: zerolog.Nop()})
 	late.Merge(s.suspects)
 	checkQuarantined(t, late, "deadly", 9*time.Minute)
+	assert.Equal(t, len(s.rates), 1)
+	assert.Equal(t, s.rates[0].Server, uint64(limitedServer))
+	assert.Equal(t, s.rates[0].Rate, 3.0)
 
 	_, err = otherKey.fetch(ctx, ln.Addr().String(), true)
 	assert.Assert(t, err != nil)
@@ -344,3 +348,12 @@
 		})
 	}
 }
+
+const limitedServer = 77 // hash of an incarnation
+
+// namedRate returns a pacer that knows the rate of a server.
+func namedRate(server uint64, rate float64) *pacer.Pacer {
+	p := pacer.New(pacer.Config{Log: zerolog.Nop()})
+	p.Observe(pacer.Statement{Server: server, Named: true, Rate: rate, SentAt: pacer.Now()})
+	return p
+}
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -38,7 +38,10 @@
 	sendHeartbeat func() // sends a heartbeat at once
 	// announceSuspects tells the other processes about parts of prompts.
 	announceSuspects func(records []poison.Record)
-	onQuarantine     func() // called when the set of quarantined parts changes
+	// announceRates tells the other processes what backend servers said of their rates.
+	announceRates func(records []pacer.Record)
+	fleet         func() pacer.Fleet // the processes that share rates
+	onQuarantine  func()             // called when the set of quarantined parts changes
 
 	followers atomic.Pointer[map[string]*watch.Follower] // by table; set once
 }
--- a/path/path.go
+++ b/path/path.go
@@ -25,6 +25,7 @@
 	Slots        int     // streams that it accepts as the first engine
 	FirstStreams int     // streams of which it is the first engine
 	Suspect      bool    // failed recently
+	FirstWait    float64 // seconds until it takes a stream as the first engine; infinite if it does not
 }
 
 // LinkCosts holds the costs of transfers between engines.
@@ -201,6 +202,7 @@
 	}
 	if first {
 		// The request itself is only a few kilobytes and does not load the link.
+		cost += e.FirstWait
 		if lastDomain != e.Domain {
 			cost += links.CrossDomain[lastDomain][e.Domain]
 		}
--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/cranberrybay/cranberrybay/config"
 	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/pacer"
 	"github.com/cranberrybay/cranberrybay/poison"
 	"github.com/cranberrybay/cranberrybay/relay"
 	"github.com/cranberrybay/cranberrybay/retry"
@@ -28,6 +29,8 @@
 	relay  *relay.Relay
 	budget *retry.Budget
 	log    logBuffer
+	pacer  *pacer.Pacer
+	fleet  pacer.Fleet // processes that share the rates
 
 	mu            sync.Mutex
 	attempts      []relay.Attempt
@@ -83,8 +86,10 @@
 		all = append(all, server.Change{ID: e.ID, Entry: e})
 	}
 	cl.table.Apply(all, true, 0)
+	cl.pacer = pacer.New(pacer.Config{Log: zerolog.New(&cl.log), Fleet: func() pacer.Fleet { return cl.fleet }})
+	cl.fleet = pacer.Fleet{Self: "p", Domain: "near", Members: []string{"p"}, Domains: []string{"near"}, Size: 1}
 	cl.relay = relay.New(relay.Config{
-		Servers: cl.table, Poison: tracker, Domain: "near", Log: zerolog.New(&cl.log), Budget: func(string) *retry.Budget { return cl.budget },
+		Servers: cl.table, Poison: tracker, Pacer: cl.pacer, Domain: "near", Log: zerolog.New(&cl.log), Budget: func(string) *retry.Budget { return cl.budget },
 		Observe: func(name relay.Measure, v float64) {
 			cl.mu.Lock()
 			defer cl.mu.Unlock()
--- a/relay/path.go
+++ b/relay/path.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sort"
@@ -42,16 +43,33 @@
 	return e.MeanAnswerTokens
 }
 
-// choosePath chooses a path for a stream and adds the stream to the load of its engines. It
-// avoids the failure domains of excluded engines if it can, and starts at an engine without free
-// slots only if there is no other path.
-func (r *Relay) choosePath(req *Request, excluded map[string]bool) (*activePath, bool) {
+// choosePath chooses a path for a stream, adds the stream to the load of its engines, and takes the
+// right to send it from the rate that the first engine names. It may be sent at sendAt of the path,
+// at most maxWait from now.
+func (r *Relay) choosePath(req *Request, excluded map[string]bool, maxWait time.Duration) (*activePath, bool) {
+	for range maxChoices {
+		t, ok := r.searchPath(req, excluded, maxWait)
+		if !ok || t.first == nil {
+			return t, ok
+		}
+		if t.sendAt, ok = r.reserve(t.first, maxWait); ok {
+			return t, true
+		}
+		t.release()
+	}
+	return nil, false
+}
+
+// searchPath is choosePath without the rates. It avoids the failure domains of excluded engines if
+// it can, and starts at an engine without free slots only if there is no other path.
+func (r *Relay) searchPath(req *Request, excluded map[string]bool, maxWait time.Duration) (*activePath, bool) {
 	all := r.cfg.Servers.Servers(req.Service.Name)
 	e := req.Service.Engine
 	if e == nil || e.Layers == 0 {
-		return r.chooseSingleEngine(req, all, excluded)
+		return r.chooseSingleEngine(req, all, excluded, maxWait)
 	}
 	ps := r.newPathSearch(req, all, len(excluded) > 0)
+	ps.addRateWaits(maxWait)
 	want := path.Request{To: e.Layers, Domain: ps.domains[r.cfg.Domain], NextDomain: path.NoDomain, Excluded: ps.domainPeers(excluded)}
 	hops, ok := ps.choose(want)
 	if !ok && len(excluded) > 0 {
@@ -144,6 +162,18 @@
 	return ps
 }
 
+// addRateWaits adds the time that a stream waits for each engine as the first one because of the rate
+// that it names. Engines for which that is longer than maxWait can't be the first one.
+func (ps *pathSearch) addRateWaits(maxWait time.Duration) {
+	for i, s := range ps.servers {
+		if wait := ps.relay.cfg.Pacer.Wait(s.Incarnation()); wait > maxWait {
+			ps.engines[i].FirstWait = math.Inf(1)
+		} else {
+			ps.engines[i].FirstWait = wait.Seconds()
+		}
+	}
+}
+
 // domainAt returns the failure domain of the engine at an address, or that of this process if
 // there is none.
 func (ps *pathSearch) domainAt(address string) int {
@@ -227,14 +257,14 @@
 }
 
 // chooseSingleEngine chooses an engine that holds the whole model.
-func (r *Relay) chooseSingleEngine(req *Request, all []*server.Server, excluded map[string]bool) (*activePath, bool) {
+func (r *Relay) chooseSingleEngine(req *Request, all []*server.Server, excluded map[string]bool, maxWait time.Duration) (*activePath, bool) {
 	tried := map[string]bool{}
 	for _, s := range all {
 		if excluded[s.Address()] {
 			tried[s.ID()] = true
 		}
 	}
-	s := r.pickServer(req, tried)
+	s := r.pickServer(req, tried, maxWait)
 	if s == nil {
 		return nil, false
 	}
@@ -332,8 +362,9 @@
 
 // activePath is a path in use, which counts as load on its engines.
 type activePath struct {
-	first *server.Server
-	hops  []Hop
+	first  *server.Server
+	hops   []Hop
+	sendAt time.Time // when the first engine takes the stream
 
 	mu       sync.Mutex
 	servers  []*server.Server
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -56,11 +56,11 @@
 		}(running)
 	}()
 	var quarantined error
-	start := func(reason string) bool {
+	start := func(reason string, maxWait time.Duration) bool {
 		if sent >= req.Route.Attempts() {
 			return false
 		}
-		srv := r.pickServer(req, tried)
+		srv, sendAt := r.pickAndReserve(req, tried, maxWait)
 		if quarantined = r.refuseQuarantined(req, sent > 0); quarantined != nil {
 			return false
 		}
@@ -74,13 +74,16 @@
 			r.cfg.Count("repeat")
 			r.cfg.Log.Info().Str("id", req.ID).Str("server", srv.ID()).Int("attempt", sent).Str("reason", reason).Msg("request repeated")
 		}
-		go func() { results <- r.attemptOnce(ctx, req, srv) }()
+		go func() { results <- r.attemptOnce(ctx, req, srv, sendAt) }()
 		return true
 	}
-	if !start("first") {
+	if !start("first", rateWait(req)) {
 		if quarantined != nil {
 			return quarantined
 		}
+		if err := r.refuseOverRate(req, refusedRetryAfter); err != nil {
+			return err
+		}
 		return notRunError(reasonNoServer, noServerRetryAfter, nil)
 	}
 	var hedge <-chan time.Time
@@ -93,7 +96,7 @@
 	for running > 0 {
 		select {
 		case <-hedge:
-			start("slow")
+			start("slow", 0)
 		case res := <-results:
 			running--
 			completed = append(completed, res)
@@ -102,7 +105,7 @@
 			}
 			failed = r.worseFailure(req, failed, res)
 			if r.mayRetry(req, res) {
-				start("failed")
+				start("failed", rateWait(req))
 			}
 		}
 	}
@@ -145,8 +148,11 @@
 	}
 }
 
-// attemptOnce makes one attempt and reads the whole answer.
-func (r *Relay) attemptOnce(ctx context.Context, req *Request, srv *server.Server) attemptResult {
+// attemptOnce makes one attempt, at sendAt, and reads the whole answer.
+func (r *Relay) attemptOnce(ctx context.Context, req *Request, srv *server.Server, sendAt time.Time) attemptResult {
+	if err := sleepUntil(ctx, sendAt); err != nil {
+		return attemptResult{server: srv, err: notRunError(reasonRateUsedUp, refusedRetryAfter, err), release: func() {}}
+	}
 	start := time.Now()
 	end := srv.Begin(0)
 	defer end()
@@ -182,16 +188,35 @@
 	return nil
 }
 
+// pickAndReserve returns a server and the time at which the request may be sent there, or nil.
+func (r *Relay) pickAndReserve(req *Request, tried map[string]bool, maxWait time.Duration) (*server.Server, time.Time) {
+	for range maxChoices {
+		srv := r.pickServer(req, tried, maxWait)
+		if srv == nil {
+			return nil, time.Time{}
+		}
+		if sendAt, ok := r.reserve(srv, maxWait); ok {
+			return srv, sendAt
+		}
+	}
+	return nil, time.Time{}
+}
+
 // pickServer returns the server with the least expected time among those not tried, or nil.
-// Avoided servers are used only if there is no other.
-func (r *Relay) pickServer(req *Request, tried map[string]bool) *server.Server {
+// Avoided servers are used only if there is no other. The rate of a server may make the request wait,
+// at most for maxWait.
+func (r *Relay) pickServer(req *Request, tried map[string]bool, maxWait time.Duration) *server.Server {
 	var best *server.Server
 	cost, avoided := 0.0, false
 	for _, srv := range r.cfg.Servers.Servers(req.Service.Name) {
 		if tried[srv.ID()] {
 			continue
 		}
-		c, isAvoided := srv.Cost(), srv.IsAvoided()
+		wait := r.cfg.Pacer.Wait(srv.Incarnation())
+		if wait > maxWait {
+			continue
+		}
+		c, isAvoided := srv.Cost()+wait.Seconds(), srv.IsAvoided()
 		if best == nil || (avoided && !isAvoided) || (avoided == isAvoided && c < cost) {
 			best, cost, avoided = srv, c, isAvoided
 		}
--- /dev/null
+++ b/relay/rate.go
@@ -0,0 +1,73 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/pacer"
+	"github.com/cranberrybay/cranberrybay/server"
+)
+
+const (
+	// rateWaitShare is the share of the route's target time that a request may wait for a server
+	// whose rate is used up. The rest is for the answer.
+	rateWaitShare = 0.5
+	// rateWaitTimeShare is the share of the time left that it may wait.
+	rateWaitTimeShare = 0.25
+	// maxRateRetryAfter bounds the time to come back that callers get when the rates of all servers
+	// are used up. Another process may have a request left sooner.
+	maxRateRetryAfter = 4 * time.Second
+	// maxChoices bounds how often a server is chosen again because other requests took what its rate
+	// allowed meanwhile.
+	maxChoices = 3
+)
+
+const reasonRateUsedUp = "the backend servers take no more requests now"
+
+// rateWait returns how long a request may wait for a server whose rate is used up.
+func rateWait(req *Request) time.Duration {
+	return min(time.Duration(rateWaitShare*float64(req.Route.TargetLatency())), time.Duration(rateWaitTimeShare*float64(time.Until(req.Deadline))))
+}
+
+// reserve takes the right to send a request to a server that names a rate, and returns when it may be
+// sent. It returns false if that is later than limit from now.
+func (r *Relay) reserve(s *server.Server, limit time.Duration) (sendAt time.Time, ok bool) {
+	wait, ok := r.cfg.Pacer.Reserve(s.Incarnation(), limit)
+	return time.Now().Add(wait), ok
+}
+
+// sleepUntil waits for a time or the end of the context, whose error it returns.
+func sleepUntil(ctx context.Context, at time.Time) error {
+	wait := time.Until(at)
+	if wait <= 0 {
+		return ctx.Err()
+	}
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// refuseOverRate returns the error for a request that no server can take, if one could but for the
+// rate that it names, or nil. refused is how long servers that are only full need.
+func (r *Relay) refuseOverRate(req *Request, refused time.Duration) error {
+	limited, wait := 0, pacer.Never
+	for _, s := range r.cfg.Servers.Servers(req.Service.Name) {
+		if w := r.cfg.Pacer.Wait(s.Incarnation()); w > 0 && (req.Service.Engine == nil || s.Entry().From == 0) {
+			limited, wait = limited+1, min(wait, w)
+		}
+	}
+	if limited == 0 {
+		return nil
+	}
+	r.cfg.Count("over rate")
+	r.cfg.Log.Info().Str("id", req.ID).Str("service", req.Service.Name).Int("limited", limited).Dur("wait", wait).Msg("rates of the backend servers are used up")
+	return fault.New(fault.Config{
+		Verdict: fault.NotRun, Code: fault.Overload, Reason: reasonRateUsedUp, RetryAt: jitteredRetryTime(min(max(wait, refused), maxRateRetryAfter)),
+	})
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -153,13 +153,14 @@
 }
 
 // newRun chooses a path without the excluded engines and returns a run over it that has not been
-// sent. It returns false if there is no path.
-func (st *streamState) newRun(ctx context.Context, excluded map[string]bool) (*run, bool) {
-	t, ok := st.relay.choosePath(st.req, excluded)
+// sent. It may be sent at sendAt of the path, at most maxWait from now. It returns false if there is
+// no path.
+func (st *streamState) newRun(ctx context.Context, excluded map[string]bool, maxWait time.Duration) (*run, bool) {
+	t, ok := st.relay.choosePath(st.req, excluded, maxWait)
 	if ok && t.first == nil {
 		// The first engine left the registry during the choice, which the next one sees.
 		t.release()
-		t, ok = st.relay.choosePath(st.req, excluded)
+		t, ok = st.relay.choosePath(st.req, excluded, maxWait)
 	}
 	if !ok {
 		return nil, false
@@ -192,14 +193,21 @@
 			return false, err
 		}
 		var ok bool
-		if rn, ok = st.newRun(ctx, excluded); !ok {
+		if rn, ok = st.newRun(ctx, excluded, rateWait(req)); !ok {
 			r.cfg.Log.Info().Str("id", req.ID).Str("service", req.Service.Name).Int("servers", len(r.cfg.Servers.Servers(req.Service.Name))).
 				Int("prompt", req.PromptTokens).Int("attempt", st.attempts+1).Msg("no path")
 			if st.mayHaveRun {
 				return false, mayHaveRunError(reasonNoPath, nil)
 			}
+			if err := r.refuseOverRate(req, noPathRetryAfter); err != nil {
+				return false, err
+			}
 			return false, notRunError(reasonNoPath, noPathRetryAfter, nil)
 		}
+		if err := sleepUntil(rn.ctx, rn.path.sendAt); err != nil {
+			rn.end()
+			return false, st.refusalVerdict(err)
+		}
 		st.attempts++
 		if st.attempts > 1 {
 			r.cfg.Log.Info().Str("id", req.ID).Str("last", st.lastEventID).Int("attempt", st.attempts).Str("first", rn.path.first.ID()).Msg("stream sent again")
