--- a/beat/beat_test.go
+++ b/beat/beat_test.go
@@ -80,7 +80,7 @@
 		Rates: func() beat.Rates {
 			return beat.Rates{Own: x.pacer.Recent(true), Changed: x.pacer.Recent(false), All: x.pacer.Records()}
 		},
-		OnRates: func(all []pacer.Record) { x.pacer.Merge(all) },
+		OnRates:    func(all []pacer.Record) { x.pacer.Merge(all) },
 		OnSuspects: func(all []poison.Record) { x.poison.Merge(all) },
 		Send: func(address string, b []byte) error {
 			x.sent += len(b)
--- a/relay/rate_test.go
+++ b/relay/rate_test.go
@@ -65,10 +65,10 @@
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	for begun := time.Now(); time.Since(begun) < d; sent++ {
-		cl := f.processes[sent%len(f.processes)]
+		cl, id := f.processes[sent%len(f.processes)], fmt.Sprint(sent)
 		wg.Go(func() {
 			req := request(kind, 2)
-			req.ID = fmt.Sprint(sent)
+			req.ID = id
 			got := cl.serve(t.Context(), req)
 			mu.Lock()
 			defer mu.Unlock()
