platform: read the era of the store and log when it rises

Cause: each answer of the store states an era, which rises when the store returns from an older copy. Nothing decoded it, so that the logs could not tell a gap of the feed from a drill, nor which answers belong together.

Change: the client of the store keeps the highest era; part watch logs when it rises, metric cranberrybay_store_era. Decisions are unchanged.

--- a/edge/app.go
+++ b/edge/app.go
@@ -80,7 +80,7 @@
 				return logs.New(logs.Config{Out: q, Node: s.Name, Level: s.Log.Level, Levels: s.Log.Parts})
 			},
 			func() *quota.Quota { return quota.ForVM(s.Limits.Memory) },
-			func(q *quota.Quota) *platform.Store { return platform.NewStore(s.Store.Address, q) },
+			newStore,
 			func() *config.Tracker { return &config.Tracker{} },
 			func() *link.Client { return link.New(link.Config{}) },
 			func(c *link.Client, q *quota.Quota) *platform.Backend { return &platform.Backend{Client: c, Quota: q} },
@@ -125,6 +125,16 @@
 	})
 }
 
+func newStore(s Settings, q *quota.Quota, factory *logs.Factory) *platform.Store {
+	store, log := platform.NewStore(s.Store.Address, q), factory.Logger("watch")
+	store.OnEra = func(was, is uint64) {
+		if was > 0 {
+			log.Warn().Uint64("was", was).Uint64("era", is).Msg("platform store returned from an older copy")
+		}
+	}
+	return store
+}
+
 func newPacer(state *sharedState, factory *logs.Factory) *pacer.Pacer {
 	return pacer.New(pacer.Config{
 		Log:      factory.Logger("pacer"),
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -207,6 +207,7 @@
 	}
 	c.gauge("connections_opened_total", func() float64 { return float64(client.Opened()) })
 	c.onScrape = func(w io.Writer) { writeServers(w, servers.All()); budgets.writeMetrics(w) }
+	c.gauge("store_era", func() float64 { return float64(store.Era()) })
 	c.gauge("config_version", func() float64 {
 		if conf := tracker.Current(); conf != nil {
 			return float64(conf.Version())
