platform: order the revisions of the store by its eras

Cause: row versions were taken for one growing order. A process that knew version 107 refused everything below it until the counter had passed (hypothesis 1); one whose version had been given out again polled after it and never saw what was written below (hypothesis 2). Class: an identifier that is unique within one life of its issuer only, compared across lives. Ruled out: slow or refused calls after the return (hypothesis 4), all got 200 or 410.

Watermarks of an earlier era confirm nothing.

--- a/watch/relay.go
+++ b/watch/relay.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cranberrybay/cranberrybay/clock"
+	"github.com/cranberrybay/cranberrybay/table"
 )
 
 // Watermark states the time on the platform's clock up to which a process knows all
@@ -188,6 +189,9 @@
 	if newest.Changed > f.complete {
 		return false
 	}
+	if table.Era(newest.Changed) < table.Era(f.complete) {
+		return true // its sender does not know yet that the platform returned from an older copy
+	}
 	f.lastAnswer = max(f.lastAnswer, at)
 	f.confirm(at)
 	return true
