watch: keep what is newer than the copy from which the store returned

Change: on the first whole table of an era, a row that this process knew in a newer state keeps it, and one that it saw deleted stays deleted, until the row changes. Writers' own numbers decide, which no drill sets back: the operator's version of a configuration, start and heartbeat of a server. Held rows of servers count after the time in which the registry drops a silent one, since then their writers live; a configuration never goes back. Rows that the copy lacks count as after an outage (servers), or stay (configuration). The settings tell the heartbeat of the servers.

--- a/edge/app.go
+++ b/edge/app.go
@@ -281,7 +281,7 @@
 }
 
 // followTables keeps the configuration and the registry of backend servers up to date.
-func followTables(store *platform.Store, tracker *config.Tracker, servers *server.Table, members *beat.Membership, m *registrar, state *sharedState, factory *logs.Factory, lc fx.Lifecycle) {
+func followTables(s Settings, store *platform.Store, tracker *config.Tracker, servers *server.Table, members *beat.Membership, m *registrar, state *sharedState, factory *logs.Factory, lc fx.Lifecycle) {
 	log := factory.Logger("watch")
 	tableConfig := func(name string) watch.Config {
 		return watch.Config{
@@ -303,6 +303,7 @@
 	}
 	configTable := tableConfig(platform.TableConfig)
 	configTable.Confirm = tracker.Confirm
+	configTable.IsNewer, configTable.KeepMissing = platform.IsNewerConfig, true
 	configTable.Apply = func(p watch.Page, _ time.Duration) {
 		c, err := platform.DecodeConfig(p.Rows)
 		if err != nil {
@@ -314,6 +315,7 @@
 	}
 	serverTable := tableConfig(platform.TableServers)
 	serverTable.BatchDelay = registrySettle
+	serverTable.IsNewer, serverTable.CopyGrace = platform.IsNewerServer, s.entryLifetime()+missingEntryGrace
 	serverTable.Confirm = func(time.Duration) {}
 	serverTable.Apply = func(p watch.Page, outage time.Duration) {
 		servers.Apply(platform.DecodeServers(p.Rows, log), p.Whole, outage)
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -57,6 +57,8 @@
 	RetryRatio    float64 `toml:"ratio"`  // retries for each request
 	RetrySlack    float64 `toml:"slack"`  // retries in a window in addition to RetryRatio
 	RetryWindow   float64 `toml:"window"` // s, the window of RetrySlack
+	// Heartbeat is the time between two entries of a backend server, in ms; 0 for defaultHeartbeat.
+	Heartbeat int64 `toml:"heartbeat"`
 }
 
 // Limits holds the resources of the VM that the process may use.
@@ -72,6 +74,22 @@
 	Parts map[string]string `toml:"parts"`
 }
 
+const (
+	// defaultHeartbeat is the time between two entries of a backend server, in ms.
+	defaultHeartbeat = 1200
+	// missedEntries is the number of missed heartbeats after which the registry drops an entry.
+	missedEntries = 3
+)
+
+// entryLifetime returns the time after which the registry drops the entry of a silent server.
+func (s *Settings) entryLifetime() time.Duration {
+	heartbeat := s.Bounds.Heartbeat
+	if heartbeat <= 0 {
+		heartbeat = defaultHeartbeat
+	}
+	return missedEntries * time.Duration(heartbeat) * time.Millisecond
+}
+
 // ReadSettings reads and validates a settings file.
 func ReadSettings(path string) (Settings, error) {
 	raw, err := os.ReadFile(path)
--- a/edge/settings_test.go
+++ b/edge/settings_test.go
@@ -68,7 +68,7 @@
 			text += key + " = \"10.0.0.1:1\"\n"
 		case strings.Contains(value, "bootstrap"):
 			text += key + " = true\n"
-		case strings.Contains(value, "bounds.") || strings.Contains(value, "limits.") || strings.Contains(value, "rowBytes"):
+		case strings.Contains(value, "bounds.") || strings.Contains(value, "limits.") || strings.Contains(value, "rowBytes") || strings.Contains(value, "heartbeatMs"):
 			text += key + " = 1\n"
 		default:
 			text += key + " = \"x\"\n"
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -62,6 +62,15 @@
 	Poll func(ctx context.Context, after uint64, wait time.Duration) (Page, error)
 	// Apply is called with each page. outage is the time without an answer before it.
 	Apply func(p Page, outage time.Duration)
+	// IsNewer reports whether a row that this process knew is newer than the row with the same key in
+	// a platform that returned from an older copy. It is called with a row that this process saw
+	// deleted too. nil means never.
+	IsNewer func(known, copied Row) bool
+	// KeepMissing keeps the rows that a platform lacks when it returns from an older copy.
+	KeepMissing bool
+	// CopyGrace is the time after the return of the platform from which a copied row counts although
+	// this process knew a newer one, because its writer has not written it again; 0 for never.
+	CopyGrace time.Duration
 	// Confirm is called when all changes up to a time of package clock are known.
 	Confirm func(at time.Duration)
 	// PolledByPeers reports whether other processes poll the platform for this one;
@@ -107,7 +116,8 @@
 	retryAt    time.Duration // clock.Now of that retry while others poll for this process
 	clockSkew  clockSkew
 
-	relay relay
+	relay    relay
+	restored restored // only used by the goroutine of Run
 
 	mu    sync.Mutex
 	rows  map[string]Row
@@ -134,7 +144,7 @@
 
 // New returns a Follower.
 func New(cfg Config) *Follower {
-	return &Follower{cfg: cfg, relay: relay{wake: make(chan struct{}, 1)}}
+	return &Follower{cfg: cfg, relay: relay{wake: make(chan struct{}, 1)}, restored: newRestored()}
 }
 
 // Run follows the table until the context is done.
@@ -147,6 +157,7 @@
 		}
 	}
 	for ctx.Err() == nil {
+		f.releaseHeld(clock.Now())
 		if f.known && f.followPeers(ctx) {
 			continue
 		}
@@ -187,6 +198,7 @@
 
 // apply stores the rows of a page and passes it to the callback.
 func (f *Follower) apply(p Page, outage time.Duration) {
+	p = f.mergeCopied(p, clock.Now())
 	f.mu.Lock()
 	if p.Whole || f.rows == nil {
 		f.rows = make(map[string]Row, len(p.Rows))
@@ -315,6 +327,10 @@
 		startedAt = max(startedAt, f.clockSkew.toLocal(p.Clock, now))
 	}
 	outage := f.endOutage(now)
+	if f.isRestored(p) {
+		// What others wrote since the copy is missing until they write it again.
+		outage = max(outage, now-f.lastAnswer, time.Nanosecond)
+	}
 	f.failing, f.lastAnswer = false, now
 	after := f.changed
 	f.known, f.revision, f.complete = true, p.Revision, p.Revision
