watch: one log line for the rows of an older copy

A row that equals the known one is no older row; comparing the servers' own numbers alone held all rows of the registry and wrote a line for each, 4,000 on the largest fleet. The counts of older and missing rows are in one line.

--- a/watch/restore.go
+++ b/watch/restore.go
@@ -1,6 +1,7 @@
 package watch
 
 import (
+	"bytes"
 	"time"
 
 	"github.com/cranberrybay/cranberrybay/table"
@@ -64,6 +65,7 @@
 			out.Rows = append(out.Rows, r)
 		}
 	}
+	kept := 0
 	for key, known := range f.rows {
 		switch {
 		case !p.Whole || listed[key]:
@@ -72,9 +74,13 @@
 		case f.cfg.KeepMissing:
 			known.Revision = p.Revision
 			out.Rows = append(out.Rows, known)
-			f.cfg.Log.Warn().Str("table", f.cfg.Name).Str("key", key).Msg("row is missing in the older copy, keeping the known one")
+			kept++
 		}
 	}
+	if first {
+		f.cfg.Log.Warn().Str("table", f.cfg.Name).Uint64("revision", p.Revision).Int("rows", len(p.Rows)).Int("older", len(f.restored.held)).Int("missing", kept).
+			Msg("table of an older copy; rows known in a newer state keep it")
+	}
 	return out
 }
 
@@ -94,26 +100,18 @@
 	delete(f.restored.held, r.Key)
 	switch {
 	case !first && !isHeld:
-	case exists && f.cfg.IsNewer(known, r):
-		f.hold(r, isHeld, "keeping the known one")
+	case exists && !bytes.Equal(known.Value, r.Value) && f.cfg.IsNewer(known, r):
+		f.restored.held[r.Key] = r
 		known.Revision = r.Revision
 		return known, true
 	case !exists && wasDeleted && now-deleted.at < deletedMemory && (isHeld || f.cfg.IsNewer(deleted.row, r)):
-		f.hold(r, isHeld, "it was deleted since")
+		f.restored.held[r.Key] = r
 		return r, false
 	}
 	delete(f.restored.deleted, r.Key)
 	return r, true
 }
 
-// hold keeps a copied row from counting. again is set if it was held before.
-func (f *Follower) hold(r Row, again bool, reason string) {
-	f.restored.held[r.Key] = r
-	if !again {
-		f.cfg.Log.Info().Str("table", f.cfg.Name).Str("key", r.Key).Uint64("revision", r.Revision).Str("reason", reason).Msg("row of the older copy does not count")
-	}
-}
-
 // rememberDeleted remembers the last state of a row that was deleted.
 func (f *Follower) rememberDeleted(r Row, now time.Duration) {
 	if len(f.restored.deleted) >= maxDeleted {
