lease: order holders across a table that returns from an older copy

What callers saw: 5 s without orders to engines after a drill (the lease lost at 18.3 s, taken again at 23.1 s), against none with a store that is only away.

Cause: a row of an older copy was believed. The holder found an older row and gave up; a successor may take a lease at once that the copy shows as released or never written, while a later holder still sends; and it would take the same fencing number, which engines can't tell apart.

Change: a row tells in which era it was written. A row of an earlier era, or a missing one, says nothing of later holders: its holder writes it again within its deadline, a successor waits a whole term and a send timeout whatever the row and announcements say. Fencing numbers of a later era are above all of the eras before. A write that crosses a return of the table gives no lease.

The stand-in of the table can be restored from a copy.

--- a/edge/app.go
+++ b/edge/app.go
@@ -263,7 +263,7 @@
 			return n + s.Inflight()
 		},
 		lease: lease.New(lease.Config{
-			Table: store.Table(), Name: "place", Holder: i.text, Term: leaseTerm, SendTimeout: sendTimeout,
+			Table: store.Table(), Name: "place", Holder: i.text, Term: leaseTerm, SendTimeout: sendTimeout, Era: store.Era,
 			SendsInFlight: func() bool { return state.placer.sending.Load() > 0 },
 			PeerAnnouncement: func() (lease.Announcement, bool) {
 				l, ok := members.Lease()
--- a/fakes/table.go
+++ b/fakes/table.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"maps"
 	"sort"
 	"strings"
 	"sync"
@@ -38,7 +39,8 @@
 	mu       sync.Mutex
 	rows     map[string]table.Row
 	previous map[string]table.Row // rows that the last commit replaced, for stale reads
-	revision uint64
+	revision uint64               // number within the era
+	era      uint64               // 0 until the first Restore
 	counts   Counts
 	shared   TableLink // faults that apply to all callers
 }
@@ -269,10 +271,42 @@
 	for _, w := range b.Writes {
 		t.previous[w.Key] = t.row(w.Key, false)
 		v := append([]byte(nil), w.Value...)
-		t.rows[w.Key] = table.NewRow(w.Key, v, t.revision)
+		t.rows[w.Key] = table.NewRow(w.Key, v, table.NewRevision(t.era, t.revision))
 	}
 	for _, k := range b.Deletes {
 		delete(t.rows, k)
 	}
-	return t.revision, nil
+	return table.NewRevision(t.era, t.revision), nil
+}
+
+// TableCopy is the content of a table at one moment.
+type TableCopy struct {
+	rows     map[string]table.Row
+	revision uint64
+}
+
+// Copy returns the content of the table.
+func (t *Table) Copy() TableCopy {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return TableCopy{rows: maps.Clone(t.rows), revision: t.revision}
+}
+
+// Restore replaces the content by that of a copy. What was committed since is lost, and its revisions
+// are given out again in a new era.
+func (t *Table) Restore(c TableCopy) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.era = max(t.era, 1) + 1
+	t.rows, t.previous, t.revision = map[string]table.Row{}, nil, c.revision
+	for key, r := range c.rows {
+		t.rows[key] = table.NewRow(key, r.Value(), table.NewRevision(t.era, table.Number(r.Revision())))
+	}
+}
+
+// Era returns the era of the table, which rises with each Restore.
+func (t *Table) Era() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.era
 }
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -33,6 +33,9 @@
 	// SendsInFlight reports whether anything sent under the lease is in flight; nil
 	// when that is unknown.
 	SendsInFlight func() bool
+	// Era returns the era of the table service, which rises when the service returns from an older copy;
+	// nil for a service that never does.
+	Era func() uint64
 	// OnViolation is called when an invariant does not hold; nil panics.
 	OnViolation func(reason string)
 }
@@ -58,9 +61,11 @@
 	endedAt         time.Time // when it was given up
 	highestFence    uint64    // highest fencing number seen in the row
 	revision        uint64    // of the row when last seen
+	seenAt          uint64    // revision as of which the row was last seen, also without a row
 	writtenRevision uint64    // of the row when this process last wrote it as holder
 	firstSeen       time.Time // when this process first saw that revision
 	lastRow         row       // value of the row at that revision
+	copied          bool      // the row stems from an older copy of the table and says nothing of later holders
 	known           bool      // revision and firstSeen are set
 }
 
@@ -71,10 +76,18 @@
 	Write  string    `json:"write"` // unique for each write; recognizes it after a lost reply
 	Term   int64     `json:"term"`  // milliseconds
 	Until  time.Time `json:"until"`
+	Era    uint64    `json:"era,omitempty"` // of the table when the row was written
 }
 
+// fencesPerEra is the number of fencing numbers of an era of the table. Those of a later era are
+// greater than all before, as the row may return from an older copy.
+const fencesPerEra = 1_000_000
+
 // New returns a Holder that does not hold the lease.
 func New(cfg Config) *Holder {
+	if cfg.Era == nil {
+		cfg.Era = func() uint64 { return 0 }
+	}
 	if cfg.OnViolation == nil {
 		cfg.OnViolation = func(reason string) { panic("lease " + cfg.Name + ": " + reason) }
 	}
@@ -214,7 +227,13 @@
 // write commits a row value if the row has the given revision, and returns the new
 // revision. After a lost reply it reads the row back to find out whether it was applied.
 func (h *Holder) write(ctx context.Context, revision uint64, r row) (uint64, error) {
-	r.Write, r.Term = uuid.NewString(), h.cfg.Term.Milliseconds()
+	h.mu.Lock()
+	seenAt := h.seenAt
+	h.mu.Unlock()
+	r.Write, r.Term, r.Era = uuid.NewString(), h.cfg.Term.Milliseconds(), table.Era(revision)
+	if revision == table.Absent {
+		r.Era = table.Era(seenAt)
+	}
 	r.Until = time.Now().Add(h.cfg.Term).UTC()
 	value, err := json.Marshal(r)
 	if err != nil {
@@ -223,6 +242,9 @@
 	b := table.Batch{}
 	b.Expect(h.key(), revision).Put(h.key(), value)
 	got, err := h.cfg.Table.Commit(ctx, b)
+	if err == nil && table.Era(got) > r.Era {
+		return 0, errCrossedEras
+	}
 	if !errors.Is(err, table.ErrUnknown) {
 		return got, err
 	}
@@ -236,9 +258,16 @@
 		// acquires a new fencing number.
 		return 0, err
 	}
+	if table.Era(back.Revision()) > r.Era {
+		return 0, errCrossedEras
+	}
 	return back.Revision(), nil
 }
 
+// errCrossedEras reports that the row was written after the table had returned from an older copy: the
+// condition says nothing of the row that the write replaced.
+var errCrossedEras = errors.New("the table returned from an older copy before the lease row was written")
+
 // read returns the row and its decoded value.
 func (h *Holder) read(ctx context.Context) (table.Row, row, error) {
 	var v row
@@ -254,40 +283,55 @@
 	return r, v, nil
 }
 
-// renew extends the lease that this process holds.
+// renew extends the lease that this process holds. If the table has returned from an older copy, it
+// writes the row again, once.
 func (h *Holder) renew(ctx context.Context) error {
-	h.mu.Lock()
-	revision, fence := h.revision, h.fence
-	h.mu.Unlock()
-	start := time.Now()
-	got, err := h.write(ctx, revision, row{Holder: h.cfg.Holder, Fence: fence})
-	if errors.Is(err, table.ErrConflict) {
-		// Another process acquired the lease, or an earlier renewal with a lost
-		// reply was applied late.
-		return h.resolveConflict(ctx)
-	}
-	if err != nil {
-		return fmt.Errorf("renew lease %s: %w", h.cfg.Name, err)
+	for range 2 {
+		h.mu.Lock()
+		revision, fence := h.revision, h.fence
+		h.mu.Unlock()
+		start := time.Now()
+		got, err := h.write(ctx, revision, row{Holder: h.cfg.Holder, Fence: fence})
+		if err == nil {
+			h.recordWrite(got, fence, start)
+			return nil
+		}
+		if errors.Is(err, errCrossedEras) {
+			h.Drop()
+		}
+		if !errors.Is(err, table.ErrConflict) {
+			return fmt.Errorf("renew lease %s: %w", h.cfg.Name, err)
+		}
+		// Another process acquired the lease, an earlier renewal with a lost reply was applied
+		// late, or the row is the one of an older copy.
+		again, err := h.resolveConflict(ctx)
+		if err != nil || !again {
+			return err
+		}
 	}
-	h.recordWrite(got, fence, start)
 	return nil
 }
 
-// resolveConflict determines the owner of the row after a conflict. A row of this process
-// with the same fencing number stems from an earlier renewal: its revision is taken over,
-// and the deadline stays as it is until the next renewal.
-func (h *Holder) resolveConflict(ctx context.Context) error {
+// resolveConflict determines the owner of the row after a conflict, and reports whether the row must be
+// written again. A row of this process with the same fencing number stems from an earlier renewal: its
+// revision is taken over, and the deadline stays as it is until the next renewal. So does the lease
+// when the row stems from an older copy, from before this process acquired it: a successor waits a
+// whole term from when it first saw that row.
+func (h *Holder) resolveConflict(ctx context.Context) (again bool, err error) {
 	r, v, err := h.read(ctx)
 	if err != nil {
-		return err
+		return false, err
 	}
 	h.observe(r, v)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if v.Holder != h.cfg.Holder || v.Fence != h.fence {
+	switch {
+	case h.copied && v.Fence <= h.fence:
+		return isBefore(time.Now(), h.deadline), nil
+	case v.Holder != h.cfg.Holder || v.Fence != h.fence:
 		h.abandon()
 	}
-	return nil
+	return false, nil
 }
 
 // recordWrite records a confirmed write. The term counts from before the write was sent.
@@ -298,8 +342,8 @@
 		h.cfg.OnViolation(fmt.Sprintf("fencing number %d after %d", fence, h.highestFence))
 	}
 	h.highestFence = fence
-	h.revision, h.known = revision, true
-	h.lastRow = row{Holder: h.cfg.Holder, Fence: fence}
+	h.revision, h.seenAt, h.known, h.copied = revision, revision, true, false
+	h.lastRow = row{Holder: h.cfg.Holder, Fence: fence, Era: table.Era(revision)}
 	h.firstSeen = start
 	if fence <= h.endedFence {
 		return // given up while the write was in flight
@@ -313,17 +357,34 @@
 func (h *Holder) observe(r table.Row, v row) time.Time {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.known && r.Revision() <= h.revision {
+	seenAt := r.Revision()
+	if !r.Exists() {
+		seenAt = table.NewRevision(h.cfg.Era(), 0)
+	}
+	if h.known && seenAt <= h.seenAt {
 		return h.firstSeen
 	}
-	if v.Fence < h.highestFence {
+	copied := table.Era(seenAt) > v.Era
+	if !r.Exists() {
+		copied = table.Era(seenAt) > 1 // in its first era the table has lost nothing
+	}
+	if v.Fence < h.highestFence && !copied {
 		h.cfg.OnViolation(fmt.Sprintf("row shows fencing number %d after %d", v.Fence, h.highestFence))
 	}
-	h.highestFence = v.Fence
-	h.revision, h.firstSeen, h.lastRow, h.known = r.Revision(), time.Now(), v, true
+	h.highestFence = max(h.highestFence, v.Fence)
+	h.revision, h.seenAt, h.firstSeen, h.lastRow, h.known, h.copied = r.Revision(), seenAt, time.Now(), v, true, copied
 	return h.firstSeen
 }
 
+// nextFence returns the fencing number for a new holder. The caller holds mu.
+func (h *Holder) nextFence() uint64 {
+	floor := uint64(0)
+	if era := table.Era(h.seenAt); era > 1 {
+		floor = (era - 1) * fencesPerEra
+	}
+	return max(h.lastRow.Fence, h.highestFence, floor) + 1
+}
+
 // acquire takes the lease when it is free for this process.
 func (h *Holder) acquire(ctx context.Context) error {
 	r, v, err := h.read(ctx)
@@ -332,12 +393,11 @@
 	}
 	unchangedSince := h.observe(r, v)
 	h.mu.Lock()
-	revision, last := h.revision, h.lastRow
+	revision, last, copied, fence := h.revision, h.lastRow, h.copied, h.nextFence()
 	h.mu.Unlock()
-	if !h.mayAcquire(last, revision, unchangedSince) {
+	if !h.mayAcquire(last, revision, unchangedSince, copied) {
 		return nil
 	}
-	fence := last.Fence + 1
 	start := time.Now()
 	got, err := h.write(ctx, revision, row{Holder: h.cfg.Holder, Fence: fence})
 	if errors.Is(err, table.ErrConflict) {
@@ -354,7 +414,12 @@
 // row, which this process has seen unchanged since unchangedSince. If no announcement of
 // the holder shows that the lease has ended, it is free after the longer of the terms in the
 // row and in the settings, plus SendTimeout: the terms differ while settings are changed.
-func (h *Holder) mayAcquire(last row, revision uint64, since time.Time) bool {
+// A copied row does not name holders that came after the copy, so only the time counts.
+func (h *Holder) mayAcquire(last row, revision uint64, since time.Time, copied bool) bool {
+	term := max(time.Duration(last.Term)*time.Millisecond, h.cfg.Term)
+	if copied {
+		return !time.Now().Before(since.Add(term + h.cfg.SendTimeout))
+	}
 	if last.Holder == "" || last.Holder == h.cfg.Holder {
 		// Never held, released, or held by this process: nothing sent by another
 		// process can be in flight.
@@ -363,6 +428,5 @@
 	if ann, ok := h.peerAnnouncement(); ok && ann.Fence == last.Fence && (ann.Ended || (ann.Revision == revision && !time.Now().Before(ann.Until))) {
 		return true
 	}
-	term := max(time.Duration(last.Term)*time.Millisecond, h.cfg.Term)
 	return !time.Now().Before(since.Add(term + h.cfg.SendTimeout))
 }
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -67,6 +67,7 @@
 	unchecked   bool               // injected fault: sends under its last fencing number without a check
 	last        uint64             // highest fencing number that MaySend returned; used when unchecked
 	silenced    bool               // its announcements are lost
+	copy        fakes.TableCopy    // of the table, for a drill
 	observed    lease.Announcement // newest announcement of another contender
 	inFlight    int                // sends in flight
 	step        time.Duration      // between two calls of Step
@@ -244,6 +245,14 @@
 	}
 })
 
+// restoreSteps adds drills in which the table returns from an older copy.
+var restoreSteps = rapid.Custom(func(t *rapid.T) step {
+	if rapid.IntRange(0, 2).Draw(t, "drill") == 0 {
+		return step{Kind: rapid.SampledFrom([]string{"table-copy", "table-restore", "table-restore"}).Draw(t, "kind"), Wait: rapid.IntRange(0, 12).Draw(t, "wait")}
+	}
+	return steps.Draw(t, "step")
+})
+
 func (p *contender) apply(s step, t *fakes.Table) {
 	if s.Kind == "release" {
 		_ = p.holder.Release(context.Background())
@@ -255,6 +264,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	switch s.Kind {
+	case "table-copy":
+		p.copy = t.Copy()
+	case "table-restore":
+		t.Restore(p.copy)
 	case "delay-writes", "prompt-writes":
 		p.delayed = s.Kind == "delay-writes"
 	case "stale", "fresh":
@@ -297,7 +310,7 @@
 			p := &contender{index: i, rand: rand.New(rand.NewSource(int64(i))), step: term / 8, delay: 2 * time.Second}
 			cfg := lease.Config{
 				Table: p.rows(tb.Client()), Name: "place", Holder: fmt.Sprint("p/", i), Term: term, SendTimeout: send,
-				PeerAnnouncement: p.peerAnnouncement, SendsInFlight: p.sendsInFlight,
+				PeerAnnouncement: p.peerAnnouncement, SendsInFlight: p.sendsInFlight, Era: tb.Era,
 				OnViolation: func(reason string) {
 					recv.mu.Lock()
 					defer recv.mu.Unlock()
@@ -355,6 +368,82 @@
 	})
 }
 
+// TestRandomRestores guards against two holders, and against a fencing number that is used again, after
+// the table returned from an older copy without the rows of later holders.
+func TestRandomRestores(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		schedule := rapid.SliceOfN(restoreSteps, 4, 20).Draw(rt, "schedule")
+		effects, err := simulate(t, schedule, func(*contender, *lease.Config) {})
+		if err != nil {
+			rt.Fatalf("%v", err)
+		}
+		if effects == 0 {
+			rt.Fatalf("no process holds the lease after all faults ended")
+		}
+	})
+}
+
+// TestRestoreOfAReleasedLease guards against a successor that takes the lease at once from a row that was
+// released before the copy was made, while a later holder still sends.
+func TestRestoreOfAReleasedLease(t *testing.T) {
+	for _, lostRow := range []bool{false, true} {
+		t.Run(fmt.Sprint("row lost ", lostRow), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tb := fakes.NewTable()
+				cut := tb.Link()
+				newHolder := func(name string, c *table.Client) *lease.Holder {
+					return lease.New(lease.Config{Table: c, Name: "place", Holder: name, Term: term, SendTimeout: send, Era: tb.Era})
+				}
+				a, b, c := newHolder("a", tb.Client()), newHolder("b", cut.Client()), newHolder("c", tb.Client())
+				older := tb.Copy()
+				if !lostRow {
+					assert.NilError(t, a.Step(t.Context()))
+					assert.NilError(t, a.Release(t.Context()))
+					older = tb.Copy()
+				}
+				assert.NilError(t, b.Step(t.Context()))
+				last, ok := b.MaySend()
+				assert.Assert(t, ok)
+				cut.SetFaults(fakes.PlatformFaults{Down: true})
+				tb.Restore(older)
+				for {
+					assert.NilError(t, c.Step(t.Context()))
+					fence, held := c.MaySend()
+					if _, still := b.MaySend(); held {
+						assert.Assert(t, !still, "two holders")
+						assert.Assert(t, fence > last, "fencing number %d after %d", fence, last)
+						return
+					}
+					time.Sleep(100 * time.Millisecond)
+				}
+			})
+		})
+	}
+}
+
+// TestHolderOutlivesARestore guards against a holder that gives up its lease because the table returned
+// from a copy that is older than the lease.
+func TestHolderOutlivesARestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tb := fakes.NewTable()
+		a := lease.New(lease.Config{Table: tb.Client(), Name: "place", Holder: "a", Term: term, SendTimeout: send, Era: tb.Era})
+		b := lease.New(lease.Config{Table: tb.Client(), Name: "place", Holder: "b", Term: term, SendTimeout: send, Era: tb.Era})
+		assert.NilError(t, a.Step(t.Context()))
+		assert.NilError(t, a.Release(t.Context()))
+		older := tb.Copy()
+		assert.NilError(t, b.Step(t.Context()))
+		fence, _, _ := b.Held()
+		tb.Restore(older)
+		for range 3 * int(term/time.Second) {
+			time.Sleep(time.Second)
+			assert.NilError(t, a.Step(t.Context()))
+			assert.NilError(t, b.Step(t.Context()))
+			now, ok := b.MaySend()
+			assert.Assert(t, ok && now == fence, "lease lost")
+		}
+	})
+}
+
 // holderPaused returns a schedule that pauses whichever process holds the lease for longer
 // than a term.
 func holderPaused() []step {
