edge: write again the rows that a restored store lacks

Cause: hubs read their rows each minute only, and a missing key was made anew under the same number. After a drill that lost the key, a process that starts makes another key number 1 and exchanges no message with the others; a lost hub's row or quarantine is missing for up to a minute, or until it changes.

Change: when the era of the store rises, hubs read the rows at once and write what is missing or older: the newest key that they know, their own row; the pollers the quarantined parts. A key that another process made under the same number is replaced by the next number.

Tests: edge.TestRowsAreWrittenAgainAfterARestore (before: another secret, and an older number), edge.TestKeyWithTheSameNumberIsReplaced (before: two secrets with one number), edge.TestLiftedQuarantineStaysLifted (passed before, too).

--- a/edge/app.go
+++ b/edge/app.go
@@ -125,11 +125,12 @@
 	})
 }
 
-func newStore(s Settings, q *quota.Quota, factory *logs.Factory) *platform.Store {
+func newStore(s Settings, q *quota.Quota, state *sharedState, factory *logs.Factory) *platform.Store {
 	store, log := platform.NewStore(s.Store.Address, q), factory.Logger("watch")
 	store.OnEra = func(was, is uint64) {
 		if was > 0 {
 			log.Warn().Uint64("was", was).Uint64("era", is).Msg("platform store returned from an older copy")
+			state.onStoreRestored()
 		}
 	}
 	return store
@@ -169,7 +170,7 @@
 		Self: self, Bootstrap: s.Bootstrap, Rows: store.Table(), Members: members, Sealer: sealer, Fetch: f.fetch, OnSize: b.resize, HoldsLease: state.holdsLease, Poison: t, Pacer: p, Log: factory.Logger("beat"),
 	})
 	state.onUnknownKey = func() { m.unknownKey.Store(true) }
-	state.onQuarantine = m.quarantineChanged
+	state.onQuarantine, state.onStoreRestored = m.quarantineChanged, m.storeRestored
 	return m
 }
 
--- a/edge/registrar.go
+++ b/edge/registrar.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -82,6 +83,9 @@
 	joined     chan struct{} // closed when initial is set
 	initial    map[string]watch.State
 	unknownKey atomic.Bool // another process uses a key that this process does not have
+	// restored has an element when the store has returned from an older copy, in which rows of this
+	// system may be missing.
+	restored chan struct{}
 	// quarantine has an element when the set of quarantined parts has changed.
 	quarantine chan struct{}
 }
@@ -107,7 +111,16 @@
 }
 
 func newRegistrar(cfg registrarConfig) *registrar {
-	return &registrar{cfg: cfg, joined: make(chan struct{}), quarantine: make(chan struct{}, 1)}
+	return &registrar{cfg: cfg, joined: make(chan struct{}), quarantine: make(chan struct{}, 1), restored: make(chan struct{}, 1)}
+}
+
+// storeRestored makes the hubs and pollers write again what an older copy of the store lacks. It never
+// blocks.
+func (reg *registrar) storeRestored() {
+	select {
+	case reg.restored <- struct{}{}:
+	default:
+	}
 }
 
 // sharedRows is the decoded content of the rows that entry processes share.
@@ -243,7 +256,21 @@
 		}
 	}
 	reg.cfg.Poison.Merge(recordsOf(out.quarantines))
-	if out.key.Number == 0 {
+	newest := reg.cfg.Sealer.NewestKey()
+	switch {
+	case newest.Number > out.key.Number:
+		// The store returned from a copy that is older than the key.
+		out.key = sealKey{Number: newest.Number, Secret: newest.Secret, Made: time.Now().UTC()}
+		if err := reg.writeRow(ctx, sealKeyRow, out.keyRevision, out.key); err != nil {
+			return out, fmt.Errorf("write key %d again: %w", newest.Number, err)
+		}
+		reg.cfg.Log.Info().Uint32("number", newest.Number).Msg("message key written again")
+	case newest.Number > 0 && newest.Number == out.key.Number && !bytes.Equal(newest.Secret, out.key.Secret):
+		// A process that started meanwhile made another key with the same number.
+		if out.key, err = reg.writeKey(ctx, newest.Number+1, out.keyRevision); err != nil {
+			return out, err
+		}
+	case out.key.Number == 0:
 		if out.key, err = reg.writeKey(ctx, 1, out.keyRevision); err != nil {
 			return out, err
 		}
@@ -290,6 +317,7 @@
 	nextUpdate := clock.Now() + rowsInterval
 	lastKeyRead := clock.Now()
 	unwritten := false            // the row of quarantined parts may be out of date
+	restored := false             // the store returned from an older copy since the rows were read
 	nextWrite := time.Duration(0) // clock.Now after which that row is written
 	for ctx.Err() == nil {
 		reg.cfg.OnSize(reg.cfg.Members.Size())
@@ -297,9 +325,10 @@
 		now := clock.Now()
 		var err error
 		switch {
-		case hub.Name == reg.cfg.Self.Name && since > hubRowDelay && (writtenHub != hub.Name || now > nextUpdate):
+		case hub.Name == reg.cfg.Self.Name && since > hubRowDelay && (writtenHub != hub.Name || now > nextUpdate || restored):
 			writtenHub, err = reg.update(ctx)
 			nextUpdate = now + rowsInterval
+			restored = err != nil
 		case unwritten && now > nextWrite && reg.cfg.Members.IsPoller():
 			err = reg.writeQuarantines(ctx)
 			unwritten = err != nil
@@ -319,6 +348,8 @@
 		case <-ctx.Done():
 		case <-reg.quarantine:
 			unwritten = true
+		case <-reg.restored:
+			unwritten, restored = true, hub.Name == reg.cfg.Self.Name
 		case <-time.After(hubCheckInterval/2 + rand.N(hubCheckInterval)):
 		}
 	}
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -42,6 +42,8 @@
 	announceRates func(records []pacer.Record)
 	fleet         func() pacer.Fleet // the processes that share rates
 	onQuarantine  func()             // called when the set of quarantined parts changes
+	// onStoreRestored is called when the store returned from an older copy.
+	onStoreRestored func()
 
 	followers atomic.Pointer[map[string]*watch.Follower] // by table; set once
 }
--- a/seal/seal.go
+++ b/seal/seal.go
@@ -106,9 +106,17 @@
 
 // Newest returns the number of the newest known key; 0 when there is none.
 func (s *Sealer) Newest() uint32 {
+	return s.NewestKey().Number
+}
+
+// NewestKey returns the newest known key; its number is 0 when there is none.
+func (s *Sealer) NewestKey() Key {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	return max(s.current.Number, s.next.Number)
+	if s.next.Number > s.current.Number {
+		return s.next
+	}
+	return s.current
 }
 
 // sealingKey returns the key for sealing.
