edge: fetch the configuration from a process that has a newer one

Cause: a process that was cut off or frozen while the configuration changed read the older copy after the drill and took it for the newest state: routes missing, revoked keys accepted, until the operator writes again. The other processes keep the newer one, and nothing told it so.

Change: heartbeats tell the version in effect.

--- a/beat/beat.go
+++ b/beat/beat.go
@@ -42,6 +42,7 @@
 	Ready      bool
 	Leaving    bool
 	Settled    bool        // has a configuration, which is required of a hub
+	Config     uint64      // version of the configuration in effect; 0 for none
 	Lease      Lease       // of this process; fencing number 0 when it has none to announce
 	Watermarks []Watermark // how far this process knows each platform table
 }
@@ -98,6 +99,9 @@
 	Rates func() Rates
 	// OnRates is called with what other processes know of the rates of backend servers; may be nil.
 	OnRates func(records []pacer.Record)
+	// OnConfig is called with the version of the configuration that another process has in effect; may
+	// be nil.
+	OnConfig func(version uint64, from Peer)
 	// OnNewerKey is called when a message refers to a key that this process does not
 	// have; may be nil.
 	OnNewerKey func()
--- a/beat/receive.go
+++ b/beat/receive.go
@@ -229,6 +229,9 @@
 			ms.cfg.OnWatermark(Watermark{Table: x.Table, Changed: x.Changed, Clock: time.Duration(x.Clock) * time.Millisecond})
 		}
 	}
+	if ms.cfg.OnConfig != nil {
+		ms.cfg.OnConfig(b.Config, peerOf(b.From))
+	}
 	ms.applyDeadReports(b.Dead)
 	if len(b.Suspects) > 0 && ms.cfg.OnSuspects != nil {
 		ms.cfg.OnSuspects(DecodeSuspects(b.Suspects, 0))
--- a/beat/send.go
+++ b/beat/send.go
@@ -66,7 +66,7 @@
 func (ms *Membership) newHeartbeat(loads map[uint32]load) *wire.Beat {
 	ms.sequence++
 	b := &wire.Beat{
-		From: ms.selfProcess(), Sequence: ms.sequence, Clock: ms.cfg.Clock().Milliseconds(), Hub: ms.isHub(), Loads: packLoads(loads, ms.rounds),
+		From: ms.selfProcess(), Config: ms.state.Config, Sequence: ms.sequence, Clock: ms.cfg.Clock().Milliseconds(), Hub: ms.isHub(), Loads: packLoads(loads, ms.rounds),
 	}
 	if l := ms.newestLease(); l.Fence > 0 {
 		b.Lease = &wire.Lease{Fence: l.Fence, Revision: l.Revision, Left: (l.Until - clock.Now()).Milliseconds(), Ended: l.Ended}
--- a/edge/app.go
+++ b/edge/app.go
@@ -165,10 +165,15 @@
 	return &stateFetcher{self: self, sealer: sealer, members: members, poison: t, pacer: p, follower: state.follower, tables: []string{platform.TableConfig, platform.TableServers}, log: factory.Logger("beat")}
 }
 
-func newProcessRegistrar(s Settings, self beat.Peer, store *platform.Store, members *beat.Membership, sealer *seal.Sealer, f *stateFetcher, b *retryBudgets, t *poison.Tracker, p *pacer.Pacer, state *sharedState, factory *logs.Factory) *registrar {
+func newProcessRegistrar(s Settings, self beat.Peer, store *platform.Store, members *beat.Membership, sealer *seal.Sealer, f *stateFetcher, b *retryBudgets, t *poison.Tracker, p *pacer.Pacer, tracker *config.Tracker, state *sharedState, factory *logs.Factory) *registrar {
 	m := newRegistrar(registrarConfig{
 		Self: self, Bootstrap: s.Bootstrap, Rows: store.Table(), Members: members, Sealer: sealer, Fetch: f.fetch, OnSize: b.resize, HoldsLease: state.holdsLease, Poison: t, Pacer: p, Log: factory.Logger("beat"),
 	})
+	state.newerConfig = &newerConfig{tracker: tracker, fetch: f.fetch, log: factory.Logger("watch"), offer: func(rows []watch.Row) {
+		if follower := state.follower(platform.TableConfig); follower != nil {
+			follower.OfferRows(rows)
+		}
+	}}
 	state.onUnknownKey = func() { m.unknownKey.Store(true) }
 	state.onQuarantine, state.onStoreRestored = m.quarantineChanged, m.storeRestored
 	return m
@@ -183,7 +188,7 @@
 	members := beat.New(beat.Config{
 		Self: self, Incarnation: i.number, Sealer: sealer, Clock: state.clock,
 		State: func() beat.State {
-			return beat.State{Ready: state.ready(), Leaving: state.leaving(), Settled: state.hasConfig(), Lease: state.lease(), Watermarks: state.seen()}
+			return beat.State{Ready: state.ready(), Leaving: state.leaving(), Settled: state.hasConfig(), Config: state.configVersion(), Lease: state.lease(), Watermarks: state.seen()}
 		},
 		OnNewerKey: func() {
 			if state.onUnknownKey != nil {
@@ -196,6 +201,11 @@
 			return beat.Suspects{Own: t.Recent(true), Changed: t.Recent(false), All: t.Records()}
 		},
 		OnRates: p.Merge,
+		OnConfig: func(version uint64, from beat.Peer) {
+			if state.newerConfig != nil {
+				state.newerConfig.observe(version, from)
+			}
+		},
 		Rates: func() beat.Rates {
 			return beat.Rates{Own: p.Recent(true), Changed: p.Recent(false), All: p.Records()}
 		},
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -42,6 +42,7 @@
 	announceRates func(records []pacer.Record)
 	fleet         func() pacer.Fleet // the processes that share rates
 	onQuarantine  func()             // called when the set of quarantined parts changes
+	newerConfig   *newerConfig
 	// onStoreRestored is called when the store returned from an older copy.
 	onStoreRestored func()
 
@@ -75,6 +76,14 @@
 // hasConfig reports whether this process has a configuration.
 func (s *sharedState) hasConfig() bool { return s.handler != nil && s.handler.tracker.Current() != nil }
 
+// configVersion returns the version of the configuration in effect, or 0 if there is none.
+func (s *sharedState) configVersion() uint64 {
+	if !s.hasConfig() {
+		return 0
+	}
+	return s.handler.tracker.Current().Version()
+}
+
 // clock returns the platform's clock, or 0 if it is not known.
 func (s *sharedState) clock() time.Duration {
 	f := s.follower(platform.TableConfig)
--- a/watch/relay.go
+++ b/watch/relay.go
@@ -52,6 +52,8 @@
 	// Only the goroutine of Run uses it.
 	aheadSince time.Duration
 	pages      []relayedPage
+	// offered holds rows of other processes that may be newer than those of the platform.
+	offered []Row
 }
 
 // relayedPage is a page that another process polled.
@@ -110,6 +112,15 @@
 	f.ObserveWatermark(Watermark{Changed: changed, Clock: p.Clock})
 }
 
+// OfferRows takes rows that another process keeps in a newer state than the platform, which returned from
+// an older copy.
+func (f *Follower) OfferRows(rows []Row) {
+	f.relay.mu.Lock()
+	f.relay.offered = rows
+	f.relay.mu.Unlock()
+	f.wake()
+}
+
 // wake makes the Run loop look at relayed data.
 func (f *Follower) wake() {
 	select {
@@ -164,9 +175,10 @@
 // lacks.
 func (f *Follower) applyRelayed(now time.Duration) bool {
 	f.relay.mu.Lock()
-	pages, newest := f.relay.pages, f.relay.peerWatermark
-	f.relay.pages = nil
+	pages, newest, offered := f.relay.pages, f.relay.peerWatermark, f.relay.offered
+	f.relay.pages, f.relay.offered = nil, nil
 	f.relay.mu.Unlock()
+	f.adoptOffered(offered)
 	at := newest.Clock + f.clockSkew.offset
 	outage := time.Duration(0)
 	if at > f.lastAnswer && now-at < lostAfter {
--- a/watch/restore.go
+++ b/watch/restore.go
@@ -112,6 +112,30 @@
 	return r, true
 }
 
+// adoptOffered takes the rows of another process that are newer than the known ones. The rows of the
+// platform do not count until they change.
+func (f *Follower) adoptOffered(rows []Row) {
+	if f.cfg.IsNewer == nil || !f.known {
+		return
+	}
+	var newer []Row
+	for _, r := range rows {
+		known, ok := f.rows[r.Key]
+		if r.Deleted || !ok || !f.cfg.IsNewer(r, known) {
+			continue
+		}
+		f.cfg.Log.Info().Str("table", f.cfg.Name).Str("key", r.Key).Uint64("revision", known.Revision).Msg("row of another process is newer than that of the platform")
+		newer = append(newer, Row{Key: r.Key, Value: r.Value, Revision: known.Revision})
+	}
+	if len(newer) == 0 {
+		return
+	}
+	f.apply(Page{Rows: newer}, 0)
+	for _, r := range newer {
+		f.restored.held[r.Key] = r
+	}
+}
+
 // rememberDeleted remembers the last state of a row that was deleted.
 func (f *Follower) rememberDeleted(r Row, now time.Duration) {
 	if len(f.restored.deleted) >= maxDeleted {
