--- a/edge/newerconfig_test.go
+++ b/edge/newerconfig_test.go
@@ -20,7 +20,11 @@
 func TestNewerConfigIsFetched(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		tracker, fetches, offered := &config.Tracker{}, 0, []watch.Row(nil)
-		apply := func(version uint64) { tracker.Apply(config.New(config.Content{Version: version})) }
+		apply := func(version uint64) {
+			c, err := config.New(config.Content{Version: version})
+			assert.NilError(t, err)
+			tracker.Apply(c)
+		}
 		n := &newerConfig{tracker: tracker, log: zerolog.Nop(), offer: func(rows []watch.Row) { offered = rows }}
 		n.fetch = func(_ context.Context, address string, _ bool) (snapshot, error) {
 			fetches++
