edge: TestNewerConfigIsFetched waits for the fetch

The race detector found the test reading what the goroutine of the fetch had written, without synctest.Wait between them. The checks are the same.

--- a/edge/newerconfig_test.go
+++ b/edge/newerconfig_test.go
@@ -43,9 +43,11 @@
 		observe(6)
 		apply(6) // arrives before it is fetched
 		time.Sleep(2 * newerConfigDelay)
+		synctest.Wait()
 		assert.Equal(t, fetches, 0)
 		observe(7)
 		time.Sleep(2 * newerConfigDelay)
+		synctest.Wait()
 		assert.Equal(t, fetches, 1)
 		assert.Equal(t, string(offered[0].Value), "version 7")
 	})
