--- a/soak/server_test.go
+++ b/soak/server_test.go
@@ -52,6 +52,8 @@
 	drainAcked           time.Time // when the store acknowledged that the server leaves; zero before
 	drainVersion         uint64    // version of the row with state "draining"
 	failMode             string    // fault of the next answers: "", "refuse", "lose" or an endless answer
+	entries              int       // written to the registry
+	rate                 namedRate
 }
 
 func newServers(t *testing.T, s *store) *servers {
@@ -84,7 +86,8 @@
 
 // register writes the entry of a server to the store. The caller holds v.mu.
 func (v *servers) register(b *backend) (time.Time, uint64) {
-	e := map[string]any{"service": b.service, "address": b.address, "zone": b.zone, "version": "v1", "slots": 64, "state": "ready", "born": b.startedMs}
+	e := map[string]any{"service": b.service, "address": b.address, "zone": b.zone, "version": "v1", "slots": 64, "state": "ready", "born": b.startedMs, "sequence": b.entries}
+	b.entries++
 	if !b.drainAcked.IsZero() {
 		e["state"] = "draining"
 	}
@@ -207,6 +210,7 @@
 	w.Header().Set(idHeader, r.Header.Get(idHeader))
 	v.mu.Lock()
 	v.checkRequest(b, r)
+	v.checkRate(b, w)
 	fail := b.failMode
 	v.mu.Unlock()
 	switch fail {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -53,11 +53,15 @@
 	rand         *rand.Rand
 	linkRand     *rand.Rand // link faults; a source of its own, so that older seeds keep their plan
 	extraRand    *rand.Rand // faults of extra_faults_test.go; a source of its own for the same reason
+	drillRand    *rand.Rand // faults of drill_test.go; a source of its own for the same reason
 	store        *store
 	servers      *servers
 	callers      *callers
 	processes    []*process
 	version      uint64
+	configMu     sync.Mutex
+	config       map[string]any // the last configuration; guarded by configMu
+	copies       []storeCopy    // of the store, one for each round of faults
 	replacements int
 	wg           sync.WaitGroup
 
@@ -93,7 +97,7 @@
 		dir = filepath.Join(*keepFlag, fmt.Sprint(seed))
 		assert.NilError(t, os.MkdirAll(dir, 0o750))
 	}
-	run := &soakRun{t: t, rand: rand.New(rand.NewSource(seed)), linkRand: rand.New(rand.NewSource(-seed)), extraRand: rand.New(rand.NewSource(^seed << 1)), store: newStore(t)}
+	run := &soakRun{t: t, rand: rand.New(rand.NewSource(seed)), linkRand: rand.New(rand.NewSource(-seed)), extraRand: rand.New(rand.NewSource(^seed << 1)), drillRand: rand.New(rand.NewSource(^seed<<1 + 1)), store: newStore(t)}
 	run.servers = newServers(t, run.store)
 	run.configure(shopKey)
 	for i := range engineCount {
@@ -132,9 +136,11 @@
 		run.injectFault()
 		run.injectLinkFault()
 		run.injectExtraFault()
+		run.injectDrill()
 		time.Sleep(time.Duration(500+run.rand.Intn(1500)) * time.Millisecond)
 	}
 	run.store.set(storeHealthy)
+	run.servers.endRates()
 	run.waitServing("after the faults", 12*time.Second)
 	run.checkMemory()
 	cancel()
@@ -154,7 +160,9 @@
 			"targetGapMs": 200, "priority": 1, "service": name, "maxAttempts": 2, "resumable": kind == "streaming",
 		}
 	}
-	run.store.put("op", "config", map[string]any{
+	run.configMu.Lock()
+	defer run.configMu.Unlock()
+	run.config = map[string]any{
 		"version": run.version,
 		"routes":  []any{route("llm", "streaming", 10000), route("desk", "non_idempotent", 2000)},
 		"services": []any{
@@ -167,7 +175,8 @@
 		},
 		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants": []any{map[string]any{"name": "shop", "apiKeys": keys, "priority": 1}},
-	})
+	}
+	run.store.put("op", "config", run.config)
 }
 
 // served returns the numbers of streams and orders served so far.
--- a/soak/store_test.go
+++ b/soak/store_test.go
@@ -38,6 +38,7 @@
 	faultChanged  time.Time            // when fault was last changed
 	firstSent     map[uint64]time.Time // time of the first answer with a row, by version of the row
 	lostReplies   int                  // number of commits whose reply is to be lost
+	era           int                  // rises with each return from an older copy
 }
 
 // storeFault is a fault of the store.
@@ -52,7 +53,7 @@
 
 func newStore(t *testing.T) *store {
 	t.Helper()
-	s := &store{started: time.Now(), rows: map[string]row{}, firstSent: map[uint64]time.Time{}, changed: make(chan struct{})}
+	s := &store{started: time.Now(), rows: map[string]row{}, firstSent: map[uint64]time.Time{}, era: 1, changed: make(chan struct{})}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	s.address = ln.Addr().String()
@@ -101,6 +102,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		f := s.fault
+		w.Header().Set("Store-Era", strconv.Itoa(s.era))
 		s.mu.Unlock()
 		switch f {
 		case storeBusy:
@@ -231,7 +233,8 @@
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
-		if after < s.oldestVersion {
+		w.Header().Set("Store-Era", strconv.Itoa(s.era)) // may have risen during the wait
+		if after < s.oldestVersion || after > s.version {
 			w.WriteHeader(http.StatusGone)
 			s.mu.Unlock()
 			return
