soak: drills that lose many versions, and checks of what follows

Now rates are judged from 3 s on and are lower, each round uses up 50 versions of the store, and 5 s after a drill each process without other trouble has to be ready.

--- a/soak/drill_test.go
+++ b/soak/drill_test.go
@@ -23,6 +23,11 @@
 	// entryLifetime that in which it drops the entries of servers that are gone.
 	rewriteDelay  = time.Second
 	entryLifetime = 3 * time.Second
+	// otherWrites is the number of versions that others use up in each round of faults.
+	otherWrites = 50
+	// drillBound is the time after a drill by which processes without other trouble are ready: a store
+	// that was only away delays them no longer.
+	drillBound = 5 * time.Second
 )
 
 // namedRate is the rate of requests that a server names, guarded by servers.mu.
@@ -40,11 +45,14 @@
 	}
 	w.Header().Set("Server-Limit", strconv.FormatFloat(n.perSecond, 'f', 1, 64))
 	now := time.Now()
+	if now.Sub(n.since) < rateSettle {
+		return
+	}
 	n.requests = append(n.requests, now)
 	for len(n.requests) > 0 && now.Sub(n.requests[0]) >= rateWindow {
 		n.requests = n.requests[1:]
 	}
-	if allowed := int(rateFactor*n.perSecond*rateWindow.Seconds()) + rateAllowance; now.Sub(n.since) > rateSettle+rateWindow && len(n.requests) > allowed {
+	if allowed := int(rateFactor*n.perSecond*rateWindow.Seconds()) + rateAllowance; len(n.requests) > allowed {
 		v.addViolation("%s names %.1f requests per second and got %d in %v, %d are allowed", b.id, n.perSecond, len(n.requests), rateWindow, allowed)
 	}
 }
@@ -93,13 +101,16 @@
 // that returns from an older copy, or a server that names a rate.
 func (run *soakRun) injectDrill() {
 	run.copies = append(run.copies, run.store.copy())
+	for range otherWrites {
+		run.store.put("other", "row", 1)
+	}
 	switch run.drillRand.Intn(3) {
 	case 0:
 		older := run.copies[max(len(run.copies)-1-run.drillRand.Intn(3), 0)]
 		away, delay := time.Duration(200+run.drillRand.Intn(1500))*time.Millisecond, time.Duration(run.drillRand.Int63n(int64(rewriteDelay)))
 		run.runAsync(func() { run.drill(older, away, delay) })
 	case 1:
-		b, rate := run.pickServerWith(run.drillRand, []string{"llm", "desk"}[run.drillRand.Intn(2)]), 1+5*run.drillRand.Float64()
+		b, rate := run.pickServerWith(run.drillRand, []string{"llm", "desk"}[run.drillRand.Intn(2)]), 0.5+2.5*run.drillRand.Float64()
 		run.servers.setRate(b, rate)
 		if d := time.Duration(run.drillRand.Int63n(int64(12 * time.Second))); d > rateSettle {
 			time.AfterFunc(d, func() { run.servers.setRate(b, 0) })
@@ -114,6 +125,8 @@
 	time.Sleep(away)
 	run.store.restore(older)
 	run.store.set(storeHealthy)
+	back := time.Now()
+	defer func() { run.checkReady(back) }()
 	time.Sleep(delay)
 	run.configMu.Lock()
 	run.store.put("op", "config", run.config)
@@ -137,6 +150,29 @@
 	}
 }
 
+// checkReady records a violation for each process that is not ready drillBound after the store came back
+// from a copy, unless the process or the store had other trouble meanwhile.
+func (run *soakRun) checkReady(back time.Time) {
+	time.Sleep(time.Until(back.Add(drillBound)))
+	client := http.Client{Timeout: time.Second}
+	for _, p := range run.processes {
+		answer, err := client.Get("http://" + p.readyAddress + "/-/ready")
+		ready := err == nil && answer.StatusCode == http.StatusOK
+		if err == nil {
+			_ = answer.Body.Close()
+		}
+		p.mu.Lock()
+		disturbed := p.disturbedAt.After(back.Add(-drillBound))
+		p.mu.Unlock()
+		run.store.mu.Lock()
+		disturbed = disturbed || run.store.fault != storeHealthy || run.store.faultChanged.After(back)
+		run.store.mu.Unlock()
+		if !ready && !disturbed {
+			run.callers.addViolation("%s is not ready %v after the store came back from an older copy", p.name, drillBound)
+		}
+	}
+}
+
 // TestRateCheckFails guards against a check of named rates that can't fail.
 func TestRateCheckFails(t *testing.T) {
 	v := newServers(t, newStore(t))
@@ -144,7 +180,7 @@
 	v.setRate(b, 1)
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	b.rate.since = time.Now().Add(-rateSettle - 2*rateWindow)
+	b.rate.since = time.Now().Add(-rateSettle)
 	for range int(rateFactor*rateWindow.Seconds()) + rateAllowance {
 		v.checkRate(b, httptest.NewRecorder())
 	}
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -24,6 +24,8 @@
 	mu   sync.Mutex
 	cmd  *exec.Cmd
 	done chan struct{} // closed when cmd has exited
+	// disturbedAt is the time of the last start or signal.
+	disturbedAt time.Time
 }
 
 // build builds cranberrybay and returns the path of the binary.
@@ -68,7 +70,7 @@
 	done := make(chan struct{})
 	go func() { _ = cmd.Wait(); _ = f.Close(); close(done) }()
 	p.mu.Lock()
-	p.cmd, p.done = cmd, done
+	p.cmd, p.done, p.disturbedAt = cmd, done, time.Now()
 	p.mu.Unlock()
 }
 
@@ -76,6 +78,7 @@
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.disturbedAt = time.Now()
 	_ = p.cmd.Process.Signal(s) // the process may have exited
 }
 
