claim: the check of late answers expects the call's own run

Cause: the check, not the claims. The check wanted the last run before the moment of the answer. Ruled out: two runs within the retention (checked first, did not fail), a replay of another call's outcome (the answer was not a replay).

Change, as strict as before: a call that ran the work must get the answer of its own run and of no other one, where before any call with the newest run's answer passed; a replay must show a run that was the last of its key at some moment between the arrival of the call and its answer. The injected defects of TestCheckDetectsViolations are still found; TestCheckOfLateAnswers shows which answers pass and which fail.

--- a/claim/fixture_test.go
+++ b/claim/fixture_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -50,7 +51,7 @@
 // answer is the answer that a caller got to one call.
 type answer struct {
 	key, call string
-	at        time.Time
+	began, at time.Time // when the call arrived, and when it was answered
 	verdict   fault.Verdict
 	replayed  bool
 	body      string
@@ -78,15 +79,28 @@
 		if a.verdict != fault.Ran {
 			continue
 		}
-		last := ""
-		for _, n := range r.byKey[a.key] {
-			if !n.at.After(a.at) {
-				last = a.key + " run by " + n.call
-			}
-		}
-		if a.body != last {
-			return fmt.Errorf("call %s was answered %q, the work was %q", a.call, a.body, last)
+		if want := r.expected(a); !slices.Contains(want, a.body) {
+			return fmt.Errorf("call %s was answered %q, the work was %q", a.call, a.body, want)
 		}
 	}
 	return nil
 }
+
+// expected returns the bodies that an answer may have. A call that ran the work gets the answer of its
+// own execution, however late. A replay gets that of an execution that was the last one of its key at a
+// moment between the arrival of the call and its answer.
+func (r *executions) expected(a answer) []string {
+	var out []string
+	list := r.byKey[a.key]
+	for i, n := range list {
+		body := a.key + " run by " + n.call
+		switch {
+		case n.at.After(a.at):
+		case !a.replayed && n.call == a.call:
+			return []string{body}
+		case a.replayed && (i+1 == len(list) || list[i+1].at.After(a.began)):
+			out = append(out, body)
+		}
+	}
+	return out
+}
--- a/claim/random_test.go
+++ b/claim/random_test.go
@@ -131,7 +131,7 @@
 
 // request handles one call at a process as the entry listener does.
 func (s *simulation) request(p *process, key, call string) (a answer) {
-	a = answer{key: key, call: call}
+	a = answer{key: key, call: call, began: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	end := func(v fault.Verdict, body string) answer {
@@ -315,6 +315,34 @@
 	}
 }
 
+// TestCheckOfLateAnswers guards against a check that takes the late answer of a paused process for that
+// of another run, and against one that accepts any run.
+func TestCheckOfLateAnswers(t *testing.T) {
+	minute := func(n int) time.Time { return time.Time{}.Add(time.Duration(n) * time.Minute) }
+	runs := newExecutions()
+	runs.byKey["k"] = []execution{{"a", minute(6)}, {"b", minute(9)}, {"c", minute(14)}}
+	runs.calls = map[string]bool{"a": true, "b": true, "c": true}
+	for _, tc := range []struct {
+		name string
+		answer
+		ok bool
+	}{
+		{"own run, process paused past the retention", answer{call: "a", began: minute(6), at: minute(12), body: "k run by a"}, true},
+		{"run of another call", answer{call: "a", began: minute(6), at: minute(12), body: "k run by b"}, false},
+		{"answer without a run of its own", answer{call: "d", began: minute(9), at: minute(10), body: "k run by b"}, false},
+		{"replay of the last run", answer{call: "d", began: minute(10), at: minute(11), replayed: true, body: "k run by b"}, true},
+		{"replay of a run before the last one", answer{call: "d", began: minute(10), at: minute(11), replayed: true, body: "k run by a"}, false},
+		{"replay read before a pause", answer{call: "d", began: minute(8), at: minute(11), replayed: true, body: "k run by a"}, true},
+		{"replay of a later run", answer{call: "d", began: minute(10), at: minute(11), replayed: true, body: "k run by c"}, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			tc.key, tc.verdict = "k", fault.Ran
+			err := runs.check([]answer{tc.answer})
+			assert.Equal(t, err == nil, tc.ok, "%v", err)
+		})
+	}
+}
+
 // TestCheckDetectsViolations shows that the check finds each kind of violation, by
 // plans with deliberate defects.
 func TestCheckDetectsViolations(t *testing.T) {
