relay: a process without a share of a rate sends callers elsewhere soon

Cause: a refusal because of a named rate told callers to come back after 4 s where this process may send nothing at all, although another one, to which they go then, has a request left.

Change: such a refusal names the short delay of full servers.

--- a/relay/rate.go
+++ b/relay/rate.go
@@ -54,8 +54,9 @@
 }
 
 // refuseOverRate returns the error for a request that no server can take, if one could but for the
-// rate that it names, or nil. refused is how long servers that are only full need.
-func (r *Relay) refuseOverRate(req *Request, refused time.Duration) error {
+// rate that it names, or nil. The time to come back is that of this process's next request. If it has
+// no share of any rate, that is shortDelay: another process has one.
+func (r *Relay) refuseOverRate(req *Request, shortDelay time.Duration) error {
 	limited, wait := 0, pacer.Never
 	for _, s := range r.cfg.Servers.Servers(req.Service.Name) {
 		if w := r.cfg.Pacer.Wait(s.Incarnation()); w > 0 && (req.Service.Engine == nil || s.Entry().From == 0) {
@@ -65,9 +66,12 @@
 	if limited == 0 {
 		return nil
 	}
+	delay := min(max(wait, shortDelay), maxRateRetryAfter)
+	if wait == pacer.Never {
+		delay = shortDelay
+	}
 	r.cfg.Count("over rate")
-	r.cfg.Log.Info().Str("id", req.ID).Str("service", req.Service.Name).Int("limited", limited).Dur("wait", wait).Msg("rates of the backend servers are used up")
-	return fault.New(fault.Config{
-		Verdict: fault.NotRun, Code: fault.Overload, Reason: reasonRateUsedUp, RetryAt: jitteredRetryTime(min(max(wait, refused), maxRateRetryAfter)),
-	})
+	r.cfg.Log.Info().Str("id", req.ID).Str("service", req.Service.Name).Int("limited", limited).Bool("share", wait != pacer.Never).Dur("delay", delay).
+		Msg("rates of the backend servers are used up")
+	return fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Overload, Reason: reasonRateUsedUp, RetryAt: jitteredRetryTime(delay)})
 }
--- a/relay/rate_test.go
+++ b/relay/rate_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/cranberrybay/cranberrybay/clock"
 	"github.com/cranberrybay/cranberrybay/config"
+	"github.com/cranberrybay/cranberrybay/fault"
 	"github.com/cranberrybay/cranberrybay/pacer"
 	"github.com/cranberrybay/cranberrybay/relay"
 	"github.com/cranberrybay/cranberrybay/server"
@@ -152,3 +153,32 @@
 		})
 	}
 }
+
+// Guards against callers that are kept away for long by a process without a share, although another one
+// has a request left.
+func TestRefusalWithoutAShareSendsCallersElsewhereSoon(t *testing.T) {
+	runVirtual(t, func(t *testing.T) {
+		cl := newCluster(t, plainEntry("a"))
+		cl.onSend = func(context.Context, int, *relay.Request, relay.Attempt) (*relay.Answer, error) {
+			ans := signedAnswer(http.StatusOK, "done")
+			ans.Rate = relay.NamedRate{Named: true, Value: 0.2}
+			return ans, nil
+		}
+		checkServed(t, cl.serve(t.Context(), request(config.Idempotent, 1)), "done")
+		for _, tc := range []struct {
+			name          string
+			fleet         pacer.Fleet
+			atLeast, most time.Duration
+		}{
+			{"share", cl.fleet, time.Second, 6 * time.Second},
+			{"no share", pacer.Fleet{}, 0, time.Second},
+		} {
+			cl.fleet = tc.fleet
+			time.Sleep(time.Second)
+			got := cl.serve(t.Context(), request(config.Idempotent, 1))
+			checkVerdict(t, got, fault.NotRun)
+			at, _ := fault.RetryAt(got.err)
+			assert.Assert(t, time.Until(at) >= tc.atLeast && time.Until(at) <= tc.most, "%s: %v", tc.name, time.Until(at))
+		}
+	})
+}
