--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -1,6 +1,7 @@
-// Package pacer keeps the requests to backend servers within the rates that these name. A server in
-// need names the requests per second that it takes from all entry processes together, in each of
-// its answers, for as long as that holds. Processes tell each other the rates and share them.
+// Package pacer keeps the requests to backend servers within the rates that these name. An
+// overloaded server names in each of its answers how many requests per second it takes from all
+// entry processes together; the limit holds for as long as its answers name it. Processes tell each
+// other the rates and share them.
 //
 // A Pacer has one lock. Config.Fleet is called while it is held; nothing else is.
 package pacer
@@ -56,13 +57,14 @@
 	announceInterval = 500 * time.Millisecond
 	// shareAge is how long a share is used before it is computed again.
 	shareAge = 500 * time.Millisecond
-	// silentAfter is the time without a word from the server after which a limit lapses by steps:
-	// all processes together send probesPerSecond beside their shares, until an answer tells.
+	// silentAfter is the time without an answer of the server after which the limit may be out of
+	// date: all processes together then send probesPerSecond beside their shares, until an answer
+	// confirms or ends it.
 	silentAfter     = time.Minute
 	probesPerSecond = 1.0
 	// recentAge is how long a change is repeated with each heartbeat.
 	recentAge = 3 * time.Second
-	// forgetAfter is how long a record is kept without a word from its server.
+	// forgetAfter is how long a record is kept without an answer of its server.
 	forgetAfter = 10 * time.Minute
 	// maxEntries bounds the servers that are known. It is twice the servers of the largest fleet.
 	maxEntries = 8192
@@ -187,7 +189,7 @@
 	return e
 }
 
-// forget removes the entries without a word from their servers for long. The caller holds mu.
+// forget removes the entries of servers that have not answered for long. The caller holds mu.
 func (p *Pacer) forget(now time.Duration) {
 	for server, e := range p.entries {
 		if now-e.At > forgetAfter {
--- a/pacer/pacer_test.go
+++ b/pacer/pacer_test.go
@@ -156,7 +156,7 @@
 }
 
 // Guards against a limit that never ends because no process of a failure domain may ask the server.
-func TestLimitLapsesWithoutAWordFromTheServer(t *testing.T) {
+func TestLimitLapsesWithoutAnswers(t *testing.T) {
 	runVirtual(t, func(t *testing.T) {
 		const size = 10
 		members := make([]string, size)
--- a/relay/path.go
+++ b/relay/path.go
@@ -43,9 +43,9 @@
 	return e.MeanAnswerTokens
 }
 
-// choosePath chooses a path for a stream, adds the stream to the load of its engines, and takes the
-// right to send it from the rate that the first engine names. It may be sent at sendAt of the path,
-// at most maxWait from now.
+// choosePath chooses a path for a stream, adds the stream to the load of its engines, and takes one
+// request from this process's share of the first engine's rate. The stream may be sent at sendAt of
+// the path, at most maxWait from now.
 func (r *Relay) choosePath(req *Request, excluded map[string]bool, maxWait time.Duration) (*activePath, bool) {
 	for range maxChoices {
 		t, ok := r.searchPath(req, excluded, maxWait)
--- a/relay/rate.go
+++ b/relay/rate.go
@@ -30,8 +30,8 @@
 	return min(time.Duration(rateWaitShare*float64(req.Route.TargetLatency())), time.Duration(rateWaitTimeShare*float64(time.Until(req.Deadline))))
 }
 
-// reserve takes the right to send a request to a server that names a rate, and returns when it may be
-// sent. It returns false if that is later than limit from now.
+// reserve takes one request from this process's share of a server's rate, and returns when it may be
+// sent. It returns false if that is later than limit from now. Servers without a rate have no bound.
 func (r *Relay) reserve(s *server.Server, limit time.Duration) (sendAt time.Time, ok bool) {
 	wait, ok := r.cfg.Pacer.Reserve(s.Incarnation(), limit)
 	return time.Now().Add(wait), ok
