soak: entry processes listen below the ports of outgoing connections

Cause, from its log: n2 ended 35 ms after its start, "listen for directory: bind: address already in use". The test chose a port that was free, closed it, and an outgoing connection of another program took it before the process listened. Ruled out: the drill; n2 never followed the store.

Change: ports come from 12000 to 29999, below the kernel's range for outgoing connections (32768 to 60999).

--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -37,13 +38,30 @@
 	return path
 }
 
+const (
+	// firstPort and portCount are the ports of entry processes. They lie below those that the kernel
+	// gives to outgoing connections: one of these may take a port between two starts of a process.
+	firstPort = 12000
+	portCount = 18000
+)
+
+// nextPort counts the ports that were tried. It begins at another one in each run of the test.
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(int64(os.Getpid()) * 97) }
+
 // freeAddress returns a loopback address on which nothing listens.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String()
+	for range portCount {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%portCount)
+		if ln, err := net.Listen("tcp", address); err == nil {
+			assert.NilError(t, ln.Close())
+			return address
+		}
+	}
+	t.Fatal("no port is free")
+	return ""
 }
 
 // newProcess writes the settings of an entry process, which start starts.
