relay: no hashing of incarnations while no server names a rate

Found while reading the change: each choice of a server or path asked the pacer for every server by its incarnation, a string that is built and hashed, before the pacer could tell that there is no limit at all. On the large fleets that is hundreds of allocations for each request. One function asks now, and looks at the number of limited servers first. Answers are the same: the pacer returns 0 for every server then.

--- a/relay/path.go
+++ b/relay/path.go
@@ -166,7 +166,7 @@
 // that it names. Engines for which that is longer than maxWait can't be the first one.
 func (ps *pathSearch) addRateWaits(maxWait time.Duration) {
 	for i, s := range ps.servers {
-		if wait := ps.relay.cfg.Pacer.Wait(s.Incarnation()); wait > maxWait {
+		if wait := ps.relay.waitForRate(s); wait > maxWait {
 			ps.engines[i].FirstWait = math.Inf(1)
 		} else {
 			ps.engines[i].FirstWait = wait.Seconds()
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -212,7 +212,7 @@
 		if tried[srv.ID()] {
 			continue
 		}
-		wait := r.cfg.Pacer.Wait(srv.Incarnation())
+		wait := r.waitForRate(srv)
 		if wait > maxWait {
 			continue
 		}
--- a/relay/rate.go
+++ b/relay/rate.go
@@ -37,6 +37,16 @@
 	return time.Now().Add(wait), ok
 }
 
+// waitForRate returns how long a request to a server would have to wait because of the rate that it
+// names. Without any limit it does not hash the incarnations, which every choice of a path would do
+// for all servers.
+func (r *Relay) waitForRate(s *server.Server) time.Duration {
+	if r.cfg.Pacer.Limited() == 0 {
+		return 0
+	}
+	return r.cfg.Pacer.Wait(s.Incarnation())
+}
+
 // sleepUntil waits for a time or the end of the context, whose error it returns.
 func sleepUntil(ctx context.Context, at time.Time) error {
 	wait := time.Until(at)
@@ -59,7 +69,7 @@
 func (r *Relay) refuseOverRate(req *Request, shortDelay time.Duration) error {
 	limited, wait := 0, pacer.Never
 	for _, s := range r.cfg.Servers.Servers(req.Service.Name) {
-		if w := r.cfg.Pacer.Wait(s.Incarnation()); w > 0 && (req.Service.Engine == nil || s.Entry().From == 0) {
+		if w := r.waitForRate(s); w > 0 && (req.Service.Engine == nil || s.Entry().From == 0) {
 			limited, wait = limited+1, min(wait, w)
 		}
 	}
