poison: evidence older than an answer is not taken from other processes

What callers saw: sound requests could be refused for the term of a quarantine at a process that had itself just seen such a request answered.

Cause: RecordAnswered leaves out records without evidence, so a record that existed kept an older time of its last answer. Evidence of other processes from between the two times was then taken. A record that was created by the evidence was right, since it starts from the map of answers.

Change: the time of the last answer is applied before the evidence of another process is.

--- a/poison/tracker.go
+++ b/poison/tracker.go
@@ -291,6 +291,8 @@
 			continue
 		}
 		before := e.Quarantined(now)
+		// RecordAnswered leaves out records without evidence.
+		e.recordAnswer(t.answered[r.Part])
 		if e.merge(r) {
 			e.changedAt = now
 		}
--- a/poison/tracker_test.go
+++ b/poison/tracker_test.go
@@ -1,6 +1,7 @@
 package poison_test
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -14,6 +15,11 @@
 	"github.com/cranberrybay/cranberrybay/poison"
 )
 
+func init() {
+	testing.Init()
+	_ = flag.Set("rapid.seed", "5575289837441384531") // fixed, so that a failure can be reproduced
+}
+
 // fleet is a set of processes that share what they announce.
 type fleet struct {
 	trackers []*poison.Tracker
@@ -252,6 +258,25 @@
 	})
 }
 
+// Guards against evidence that arrives after an answer which the receiving process saw later than it.
+func TestLateEvidenceIsOlderThanTheAnswer(t *testing.T) {
+	virtually(t, func(t *testing.T) {
+		f := newFleet(2)
+		f.crash(1, 1, 1, "p") // process 0 has a record of the part
+		f.answer(0, "p")
+		f.cut = func(from, _ int) bool { return from == 1 }
+		for i := range 6 {
+			time.Sleep(time.Second)
+			f.crash(1, uint64(10+i), uint64(10+i), "p")
+		}
+		time.Sleep(time.Second)
+		f.answer(0, "p")
+		f.trackers[0].Merge(f.trackers[1].Records())
+		_, _, ok := f.trackers[0].Blocked([]poison.Part{{Service: "s", ID: "p"}})
+		assert.Assert(t, !ok, "process 0 blocks a part that was answered")
+	})
+}
+
 // Guards against memory that grows with the number of parts that callers name.
 func TestRecordsAreBounded(t *testing.T) {
 	virtually(t, func(t *testing.T) {
