relay, edge, platform: tell silence from death, cut answers from failed ones, and panics

The three hypotheses (a silent server taken for a dead one, a process that ends by itself, a panic in a handler) left the same lines or none.

"request ended" has cut=true when a part of the answer was sent; counter cut. "backend server that was found dead goes on" names the server and how long it was silent.

No decision changes.

--- a/edge/app.go
+++ b/edge/app.go
@@ -409,7 +409,7 @@
 // listen starts the HTTP servers of the process.
 func listen(s Settings, h *Handler, q *quota.Quota, members *beat.Membership, c *counters, factory *logs.Factory, lc fx.Lifecycle) {
 	log := factory.Logger("edge")
-	front := &platform.CallerHandler{Serve: h.Serve, MaxBody: h.maxBody, Leaving: h.isLeaving, Quota: q}
+	front := &platform.CallerHandler{Serve: h.Serve, MaxBody: h.maxBody, Leaving: h.isLeaving, Quota: q, OnPanic: h.logPanic}
 	find := func(domain string) ([]string, time.Duration) { return h.addresses(s, members, domain), addressTTL }
 	callers := newHTTPServer(front)
 	serveHTTP(lc, log, "callers", s.Listen.Callers, callers)
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -93,14 +94,26 @@
 func (h *Handler) Serve(ctx context.Context, c *platform.Call, sink relay.Sink) error {
 	h.inflight.Add(1)
 	defer h.inflight.Add(-1)
+	started := false
+	start := sink.Start
+	sink.Start = func(status int, header http.Header, length int64) {
+		started = true
+		start(status, header, length)
+	}
 	rq, err := h.admit(c)
 	if err == nil {
 		err = h.relay.Serve(ctx, rq, sink)
 	}
-	h.logOutcome(ctx, c, rq, err)
+	h.logOutcome(ctx, c, rq, err, started)
 	return err
 }
 
+// logPanic records a panic while a call was handled.
+func (h *Handler) logPanic(id string, value any, stack []byte) {
+	h.counters.event("panic")
+	h.log.Error().Str("id", id).Interface("panic", value).Bytes("stack", stack).Msg("panic while a request was handled")
+}
+
 // admit checks the key of a call and returns the request to relay.
 func (h *Handler) admit(c *platform.Call) (*relay.Request, error) {
 	conf, age := h.tracker.Current(), h.tracker.Age()
@@ -157,8 +170,8 @@
 }
 
 // logOutcome counts a call and logs its outcome: every failure, and a sample of the
-// calls that succeeded.
-func (h *Handler) logOutcome(ctx context.Context, c *platform.Call, rq *relay.Request, err error) {
+// calls that succeeded. started means that a part of the answer was sent.
+func (h *Handler) logOutcome(ctx context.Context, c *platform.Call, rq *relay.Request, err error, started bool) {
 	took := time.Since(c.Arrived)
 	outcome := "served"
 	if err != nil {
@@ -181,6 +194,10 @@
 			Uint64("version", rq.Version).Dur("left", time.Until(rq.Deadline)).Strs("parts", rq.PromptParts)
 	}
 	if err != nil {
+		if started && ctx.Err() == nil {
+			h.counters.event("cut")
+			e = e.Bool("cut", true)
+		}
 		e = e.Err(err).Str("verdict", fault.VerdictOf(err).String())
 		if at, ok := fault.RetryAt(err); ok {
 			e = e.Dur("retry", time.Until(at))
--- a/edge/handler_test.go
+++ b/edge/handler_test.go
@@ -145,11 +145,11 @@
 	const calls = 3200
 	c := &platform.Call{ID: "r", Arrived: time.Now()}
 	for range calls {
-		h.logOutcome(context.Background(), c, nil, nil)
+		h.logOutcome(context.Background(), c, nil, nil, false)
 	}
 	assert.Equal(t, lines, calls/logs.SampleEvery)
 	for range 10 {
-		h.logOutcome(context.Background(), c, nil, refuse(fault.Overload, "full", time.Second))
+		h.logOutcome(context.Background(), c, nil, refuse(fault.Overload, "full", time.Second), false)
 	}
 	assert.Equal(t, lines, calls/logs.SampleEvery+10)
 }
--- a/relay/path.go
+++ b/relay/path.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/cranberrybay/cranberrybay/config"
 	"github.com/cranberrybay/cranberrybay/path"
 	"github.com/cranberrybay/cranberrybay/server"
@@ -371,12 +373,15 @@
 	releases []func()
 }
 
-// recordProgress records that an event passed through every engine of the path.
-func (t *activePath) recordProgress() {
+// recordProgress records that an event passed through every engine of the path. It logs those that
+// were found dead before.
+func (t *activePath) recordProgress(log *zerolog.Logger) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, s := range t.servers {
-		s.RecordProgress()
+		if silence, wasDead := s.RecordProgress(); wasDead {
+			log.Info().Str("server", s.ID()).Dur("silence", silence).Msg("backend server that was found dead goes on")
+		}
 	}
 }
 
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -126,7 +126,7 @@
 	if m.timer == nil {
 		return
 	}
-	m.path.recordProgress()
+	m.path.recordProgress(&m.relay.cfg.Log)
 	m.checksSinceFull.Store(0)
 	checked := m.checksInGap.Swap(0) > 0
 	now := time.Now()
--- a/server/server.go
+++ b/server/server.go
@@ -110,8 +110,13 @@
 // Leaving reports whether the server is draining or was removed from the registry.
 func (s *Server) Leaving() bool { return s.leaving.Load() }
 
-// RecordProgress records that an event passed through the server, a sign that it is alive.
-func (s *Server) RecordProgress() { s.progressAt.Store(int64(now())) }
+// RecordProgress records that an event passed through the server, a sign that it is alive. If the
+// server was found dead since the last event, it returns the time between the two events.
+func (s *Server) RecordProgress() (silence time.Duration, wasDead bool) {
+	at := now()
+	last := s.progressAt.Swap(int64(at))
+	return at - time.Duration(last), last > 0 && s.deadAt.Load() > last
+}
 
 // SilentFor returns the time since the last event passed through the server.
 func (s *Server) SilentFor() time.Duration { return now() - time.Duration(s.progressAt.Load()) }
