relay: a run continues until another one has taken over

Cause: a missing answer was taken for death. stallMonitor.check cancelled a run as soon as its first engine answered no query, whether or not another run could take over; with no retry, attempt or path left, or with a refusal by the next engine, the stream ended. The paths of later engines did the same after they had reserved a retry. Class: a failure detector whose suspicion is acted on as if it were proof.

Change: a silent engine starts a handover, as a leaving one does. The old run goes on until the new one is accepted, and whichever has events serves the caller; resumption drops events that came twice. Only an engine that refuses the connection is gone; a stream that nothing can take over then ends at once, as before. The fields that the timer's goroutine shares with the serving one have a lock. "not run" is never said when a run that was to take over may have run. The log says why no run takes over (no attempt, retry or path left).

--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -33,6 +34,7 @@
 	simCrash     = 4 * time.Second         // after the start of the simulation
 	simEnd       = 6500 * time.Millisecond // end of new calls
 	simDead      = 4                       // engines that fail at the same time
+	simSilence   = 1300 * time.Millisecond // of a sound engine
 )
 
 var simEngineFigures = &config.Engine{
@@ -53,8 +55,11 @@
 	active      int
 	busyUntil   time.Time // when it has read all prompts given to it
 	dead        bool
+	silentUntil time.Time // it answers nothing and makes no progress until then
 }
 
+func (e *simEngine) silent() bool { return time.Now().Before(e.silentUntil) }
+
 // sim simulates entry processes, engines and callers in virtual time.
 type sim struct {
 	t   *testing.T
@@ -66,6 +71,7 @@
 	streams   map[string]*simStream
 	loads     map[string][2]int64 // streams and layer tokens of all processes by server ID, as of the last heartbeat
 	announce  bool                // processes announce dead engines to each other
+	fault     func()              // happens simCrash after the start
 
 	total, onTime, late, lost int
 }
@@ -110,7 +116,8 @@
 	return out
 }
 
-func newSim(t *testing.T, announce bool) *sim {
+// newSim returns a simulation whose processes have saved up a number of retries each.
+func newSim(t *testing.T, announce bool, retries float64) *sim {
 	s := &sim{
 		t: t, rng: rand.New(rand.NewSource(1)), engines: map[string]*simEngine{}, streams: map[string]*simStream{},
 		loads: map[string][2]int64{}, announce: announce,
@@ -123,7 +130,7 @@
 	for i := range simProcesses {
 		p := &simProcess{table: server.NewTable(server.Config{Log: zerolog.Nop(), OutageGrace: time.Second})}
 		p.table.Apply(all, true, 0)
-		budget := retry.New(retry.Config{RetriesPerRequest: 0.14, Burst: 10, Initial: 10})
+		budget := retry.New(retry.Config{RetriesPerRequest: 0.14, Burst: 10, Initial: retries})
 		p.relay = relay.New(relay.Config{
 			Servers: p.table, Domain: fmt.Sprint("d", i%simDomains), Log: zerolog.Nop(), Budget: func(string) *retry.Budget { return budget },
 			Send: s.send, FetchReport: s.report, Repath: s.repath, AnnounceDead: s.announceDead,
@@ -164,6 +171,22 @@
 	})
 }
 
+// awaitVoice waits while an engine is silent and reports whether it spoke before the context ended.
+func (s *sim) awaitVoice(ctx context.Context, address string) bool {
+	s.mu.Lock()
+	wait := time.Until(s.engines[address].silentUntil)
+	s.mu.Unlock()
+	if wait <= 0 {
+		return true
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(wait):
+		return true
+	}
+}
+
 // firstDead returns the first engine of a path that is dead. The caller holds s.mu.
 func (s *sim) firstDead(path []relay.Hop) string {
 	for _, h := range path {
@@ -188,6 +211,9 @@
 
 func (s *sim) send(ctx context.Context, req *relay.Request, a relay.Attempt) (*relay.Answer, error) {
 	time.Sleep(time.Millisecond)
+	if !s.awaitVoice(ctx, a.Path[0].Address) {
+		return nil, ctx.Err()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if at := s.firstDead(a.Path); at != "" {
@@ -216,7 +242,7 @@
 	s.mu.Lock()
 	dead := s.engines[address].dead
 	s.mu.Unlock()
-	if dead {
+	if dead || !s.awaitVoice(ctx, address) {
 		<-ctx.Done()
 		return relay.Report{}, ctx.Err()
 	}
@@ -224,7 +250,10 @@
 	return relay.Report{}, nil
 }
 
-func (s *sim) repath(_ context.Context, _, id string, path []relay.Hop) error {
+func (s *sim) repath(ctx context.Context, address, id string, path []relay.Hop) error {
+	if !s.awaitVoice(ctx, address) {
+		return ctx.Err()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	x := s.streams[id]
@@ -254,7 +283,7 @@
 func (x *simStream) next() (time.Duration, bool) {
 	x.sim.mu.Lock()
 	defer x.sim.mu.Unlock()
-	if x.sim.firstDead(x.path) != "" {
+	if x.sim.firstDead(x.path) != "" || slices.ContainsFunc(x.path, func(h relay.Hop) bool { return x.sim.engines[h.Address].silent() }) {
 		return 0, false
 	}
 	var token time.Duration
@@ -340,6 +369,20 @@
 	}
 }
 
+// silence makes engines of one failure domain answer nothing for a while: those that hold the first
+// layer, or simDead others.
+func (s *sim) silence(first bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	silenced := 0
+	for _, x := range simFleet() {
+		if e := s.engines[x.Address]; e.entry.Domain == "d0" && e.entry.To > 0 && (e.entry.From == 0) == first && silenced < simDead {
+			e.silentUntil = time.Now().Add(simSilence)
+			silenced++
+		}
+	}
+}
+
 // crash kills simDead engines of one failure domain at the same time, none of which holds the first
 // layer.
 func (s *sim) crash() {
@@ -371,7 +414,7 @@
 			}
 		}
 	})
-	time.AfterFunc(simCrash, s.crash)
+	time.AfterFunc(simCrash, s.fault)
 	var callers sync.WaitGroup
 	for n := 0; time.Since(start) < simEnd; n++ {
 		p := s.processes[s.rng.Intn(len(s.processes))]
@@ -391,7 +434,8 @@
 func TestCrashUnderLoad(t *testing.T) {
 	for _, announce := range []bool{true, false} {
 		synctest.Test(t, func(t *testing.T) {
-			s := newSim(t, announce)
+			s := newSim(t, announce, 10)
+			s.fault = s.crash
 			s.run()
 			t.Logf("announcements %v: %d streams, %d on time, %d late, %d lost", announce, s.total, s.onTime, s.late, s.lost)
 			if announce {
@@ -401,3 +445,21 @@
 		})
 	}
 }
+
+// TestSilentEnginesLoseNoStream guards against streams that are cut because a live engine is silent for a
+// second.
+func TestSilentEnginesLoseNoStream(t *testing.T) {
+	for _, first := range []bool{true, false} {
+		for _, retries := range []float64{0, 10} {
+			t.Run(fmt.Sprintf("first=%v,retries=%v", first, retries), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					s := newSim(t, true, retries)
+					s.fault = func() { s.silence(first) }
+					s.run()
+					t.Logf("%d streams, %d on time, %d late, %d lost", s.total, s.onTime, s.late, s.lost)
+					assert.Equal(t, s.lost, 0)
+				})
+			})
+		}
+	}
+}
--- a/relay/handover.go
+++ b/relay/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -16,12 +17,12 @@
 	plannedMoveReserve = 0.4
 )
 
-// handover is a new run of a stream whose first engine is leaving. The old run continues until
-// the new one is accepted: otherwise a refusal, for example by another leaving engine, would cut
-// a healthy stream.
+// handover is a new run of a stream whose engine is leaving or does not answer. The old run continues
+// until the new one is accepted: otherwise a refusal, for example by another leaving engine, would
+// cut a healthy stream, and so would the lack of a path or of a retry.
 type handover struct {
 	done chan struct{}
-	run  *run  // nil if the run was not accepted; valid once done is closed
+	run  *run  // nil if there is no run or it was not accepted; valid once done is closed
 	err  error // reason if run is nil
 }
 
@@ -47,14 +48,29 @@
 	}
 }
 
+// hasSuccessor reports whether a handover is in progress or was accepted.
+func (st *streamState) hasSuccessor() bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.successor.pending()
+}
+
+// takeSuccessor removes the handover and returns it, or nil if there is none.
+func (st *streamState) takeSuccessor() *handover {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	h := st.successor
+	st.successor = nil
+	return h
+}
+
 // awaitSuccessor waits for a handover in progress and returns its run. It returns nil if there is
 // no handover or the run was not accepted.
 func (st *streamState) awaitSuccessor() *run {
-	h := st.successor
+	h := st.takeSuccessor()
 	if h == nil {
 		return nil
 	}
-	st.successor = nil
 	<-h.done
 	if h.run == nil {
 		st.uncountRefusal(h.err)
@@ -62,33 +78,89 @@
 	return h.run
 }
 
+// addSuccessor adds a handover and returns it, or nil if another one is in progress.
+func (st *streamState) addSuccessor() *handover {
+	h := &handover{done: make(chan struct{})}
+	st.mu.Lock()
+	old := st.successor
+	if old.pending() {
+		st.mu.Unlock()
+		return nil
+	}
+	st.successor = h
+	st.mu.Unlock()
+	if old != nil {
+		st.uncountRefusal(old.err)
+	}
+	return h
+}
+
+// move is the reason of a handover.
+type move int
+
+const (
+	plannedMove move = iota // an engine leaves
+	stalledMove             // an engine does not answer
+)
+
+// Reasons why no other run can take over.
+var (
+	errNotRepeatable = errors.New("the request can't be repeated")
+	errNoAttemptLeft = errors.New("no attempt left")
+	errNoRetryLeft   = errors.New("no retry left")
+	errNoPath        = errors.New(reasonNoPath)
+)
+
 // startHandover starts a new run on a path without the excluded engines. The current run is
-// cancelled when the new one is accepted. It is called by the goroutine that runs copyEvents.
-func (m *stallMonitor) startHandover(excluded map[string]bool) {
-	st := m.stream
-	if st.successor.pending() {
-		return
+// cancelled when the new one is accepted. It returns nil if a handover is in progress, else the
+// reason why there is none.
+func (m *stallMonitor) startHandover(excluded map[string]bool, why move) error {
+	if !m.req.Route.Repeatable() {
+		return errNotRepeatable
 	}
-	st.awaitSuccessor() // accounts for an earlier handover that was refused
-	if !m.req.Route.Repeatable() || !st.attemptsLeft() || m.relay.refuseQuarantined(m.req, true) != nil {
-		return
+	h := m.stream.addSuccessor()
+	if h == nil {
+		return nil
+	}
+	rn, err := m.newSuccessor(excluded, why)
+	if err != nil {
+		h.err = err
+		close(h.done)
+		return err
 	}
-	rn, ok := st.newRun(m.parent, excluded, 0)
+	m.relay.cfg.Count("handover")
+	go m.startRun(h, rn, why, m.stream.addAttempt(1))
+	return nil
+}
+
+// newSuccessor returns a run that may take over, for which it takes a retry from the budget.
+func (m *stallMonitor) newSuccessor(excluded map[string]bool, why move) (*run, error) {
+	budget, reserve := m.relay.cfg.Budget(m.req.Service.Name), 0.0
+	if why == plannedMove {
+		reserve = plannedMoveReserve
+	}
+	switch {
+	case !m.stream.attemptsLeft():
+		return nil, errNoAttemptLeft
+	case budget.Available() < 1:
+		return nil, errNoRetryLeft
+	}
+	if err := m.relay.refuseQuarantined(m.req, true); err != nil {
+		return nil, err
+	}
+	rn, ok := m.stream.newRun(m.parent, excluded, 0)
 	if !ok {
-		return
+		return nil, errNoPath
 	}
-	if !m.relay.cfg.Budget(m.req.Service.Name).TryRetryReserving(plannedMoveReserve) {
+	if !budget.TryRetryReserving(reserve) {
 		rn.end()
-		return
+		return nil, errNoRetryLeft
 	}
-	st.attempts++
-	m.relay.cfg.Count("handover")
-	st.successor = &handover{done: make(chan struct{})}
-	go m.startRun(st.successor, rn, st.attempts)
+	return rn, nil
 }
 
 // startRun sends the new run of a handover and records whether it was accepted.
-func (m *stallMonitor) startRun(h *handover, rn *run, attempt int) {
+func (m *stallMonitor) startRun(h *handover, rn *run, why move, attempt int) {
 	timer := time.AfterFunc(handoverTimeout, rn.cancel)
 	ans, err := m.stream.send(rn)
 	switch {
@@ -98,8 +170,11 @@
 	case ans.Status != http.StatusOK:
 		err = fmt.Errorf("new run was answered with status %d", ans.Status)
 	}
-	m.relay.cfg.Log.Info().Err(err).Str("id", m.req.ID).Str("last", rn.resumeAfter).Int("attempt", attempt).Str("first", rn.path.first.ID()).
-		Msg("first engine leaves; stream handed over")
+	msg := "first engine leaves; stream handed over"
+	if why == stalledMove {
+		msg = "engine does not answer; stream handed over"
+	}
+	m.relay.cfg.Log.Info().Err(err).Str("id", m.req.ID).Str("last", rn.resumeAfter).Int("attempt", attempt).Str("first", rn.path.first.ID()).Msg(msg)
 	if err != nil {
 		rn.end()
 		h.err = err
--- a/relay/report.go
+++ b/relay/report.go
@@ -56,14 +56,14 @@
 	return &reportCache{read: read, budget: retry.New(retry.Config{RetriesPerRequest: queriesPerRequest, Burst: queryBurst, Initial: queryBurst}), reads: map[string]*reportRead{}, confirming: map[string]bool{}}
 }
 
-// findDead queries engines of a path. It returns the addresses of those that are dead or that the
-// first engine names as the one the stream waits for, and the number of engines that did not
-// answer.
+// findDead queries engines of a path. It returns the addresses of those that seem dead or that the
+// first engine names as the one the stream waits for, those of them that are certainly gone, and the
+// number of engines that did not answer.
 //
-// An engine is dead if it refuses the connection, or if it does not answer while at least half of
-// the queried engines do. If fewer answer, this process's own network link may be slow, and a
-// missing answer proves nothing.
-func (r *reportCache) findDead(ctx context.Context, id string, query, path []Hop) (dead map[string]bool, unanswered int) {
+// An engine is gone if it refuses the connection. It seems dead if it does not answer while at least
+// half of the queried engines do. If fewer answer, this process's own network link may be slow, and
+// a missing answer proves nothing.
+func (r *reportCache) findDead(ctx context.Context, id string, query, path []Hop) (dead, gone map[string]bool, unanswered int) {
 	reads := make([]*reportRead, len(query))
 	for i, h := range query {
 		reads[i] = r.cached(h.Address)
@@ -73,7 +73,7 @@
 		select {
 		case <-rd.done:
 		case <-ctx.Done():
-			return nil, 0
+			return nil, nil, 0
 		}
 		if rd.silent {
 			unanswered++
@@ -82,10 +82,12 @@
 			sent++
 		}
 	}
-	dead = map[string]bool{}
+	dead, gone = map[string]bool{}, map[string]bool{}
 	for i, rd := range reads {
 		switch {
-		case rd.refused || (rd.silent && 2*unanswered <= sent):
+		case rd.refused:
+			dead[query[i].Address], gone[query[i].Address] = true, true
+		case rd.silent && 2*unanswered <= sent:
 			dead[query[i].Address] = true
 		case query[i] == path[0] && rd.err == nil && !rd.skipped:
 			// Reports lag behind: this one may name an engine that the stream has left since.
@@ -94,7 +96,7 @@
 			}
 		}
 	}
-	return dead, unanswered
+	return dead, gone, unanswered
 }
 
 // cached returns a query that was started at most reportMaxAge ago, or starts one. Once the
--- a/relay/report_test.go
+++ b/relay/report_test.go
@@ -35,13 +35,13 @@
 			if i%(calls/requests) == 0 {
 				cache.budget.AddRequest()
 			}
-			dead, unanswered := cache.findDead(t.Context(), "", path, path)
+			dead, _, unanswered := cache.findDead(t.Context(), "", path, path)
 			assert.Equal(t, len(dead)+unanswered, 0)
 			time.Sleep(2 * reportMaxAge)
 		}
 		assert.Assert(t, queries.Load() <= 3*requests, "%d queries", queries.Load())
 		cache.budget.AddRequest()
-		dead, _ := cache.findDead(t.Context(), "", []Hop{{Address: deadAddress}}, path)
+		dead, _, _ := cache.findDead(t.Context(), "", []Hop{{Address: deadAddress}}, path)
 		assert.Assert(t, dead[deadAddress])
 		time.Sleep(2 * reportRetention)
 	})
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -109,17 +109,6 @@
 	return m
 }
 
-// reserveRetry takes a retry from the budget so that the stream can be resumed by another
-// attempt, and reports whether that is allowed. A running attempt is not given up without a
-// reserved retry, unless its first engine is dead.
-func (m *stallMonitor) reserveRetry() bool {
-	if !m.req.Route.Repeatable() || !m.stream.attemptsLeft() || !m.stream.takeRetry() {
-		return false
-	}
-	m.stream.retryReserved.Store(true)
-	return true
-}
-
 // eventReceived records that an event has arrived and schedules the next check. It also starts the
 // move off leaving engines when it is due.
 func (m *stallMonitor) eventReceived() {
@@ -214,7 +203,7 @@
 	m.mu.Lock()
 	maps.Copy(excluded, m.excluded)
 	m.mu.Unlock()
-	m.startHandover(excluded)
+	_ = m.startHandover(excluded, plannedMove) // without one the stream stays until the next try
 }
 
 // leaveLaterEngines moves the stream off leaving engines other than the first one, which needs a
@@ -245,10 +234,13 @@
 // engine of the path is known to be dead, it queries the engines through which no other stream has
 // had an event lately, or only the first one; a dead engine does not answer. The first engine also
 // reports which engine it waits for, with a delay of some hundred milliseconds.
+//
+// An engine that does not answer may be alive and go on later, so the run continues until another
+// one has taken over, unless its first engine is gone.
 func (m *stallMonitor) check() {
-	dead := m.path.knownDead()
+	dead, gone := m.path.knownDead(), map[string]bool(nil)
 	if len(dead) == 0 {
-		dead = m.findDeadEngines()
+		dead, gone = m.findDeadEngines()
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -256,6 +248,9 @@
 		return
 	}
 	defer func() { m.timer.Reset(recheckDelay(int(m.checksInGap.Add(1)))) }()
+	if m.stream.hasSuccessor() {
+		return
+	}
 	hops := m.path.currentHops()
 	// The stream may have been moved meanwhile.
 	maps.DeleteFunc(dead, func(address string, _ bool) bool { return !containsAddress(hops, address) })
@@ -265,10 +260,12 @@
 	for address := range dead {
 		m.excluded[address] = true
 	}
-	if dead[hops[0].Address] {
-		m.reserveRetry()
-		m.relay.cfg.Log.Info().Str("id", m.req.ID).Str("address", hops[0].Address).Msg("first engine does not answer; leaving it")
-		m.cancel()
+	if first := hops[0].Address; dead[first] {
+		err := m.startHandover(m.excluded, stalledMove)
+		m.relay.cfg.Log.Info().Err(err).Str("id", m.req.ID).Str("address", first).Bool("gone", gone[first]).Msg("first engine does not answer")
+		if gone[first] && err != nil {
+			m.cancel()
+		}
 		return
 	}
 	m.replaceEngines(dead, true)
@@ -280,26 +277,27 @@
 	return time.Duration(min(d, float64(maxRecheckDelay)))
 }
 
-// findDeadEngines queries engines of the path and returns the dead ones.
-func (m *stallMonitor) findDeadEngines() map[string]bool {
+// findDeadEngines queries engines of the path and returns the dead ones, and those of them that are
+// certainly gone.
+func (m *stallMonitor) findDeadEngines() (dead, gone map[string]bool) {
 	hops := m.path.currentHops()
 	query := hops[:1]
 	if m.checksSinceFull.Add(1)%checksPerFullQuery == 1 {
 		query = m.path.silentHops(maxLiveEventAge) // none if other streams have had recent events through all of them
 	}
-	dead, unanswered := m.relay.reports.findDead(m.ctx, m.req.ID, query, hops)
+	dead, gone, unanswered := m.relay.reports.findDead(m.ctx, m.req.ID, query, hops)
 	if unanswered > 0 {
 		m.checksSinceFull.Store(0) // query all engines next time, to tell a dead engine from a slow link of this process
 	}
 	if m.ctx.Err() != nil {
-		return nil
+		return nil, nil
 	}
 	for address := range dead {
 		if s := m.relay.cfg.Servers.ByAddress(address); s != nil {
 			m.relay.suspect(s)
 		}
 	}
-	return dead
+	return dead, gone
 }
 
 // checkNow checks the stream immediately if its path contains an engine that was found dead.
@@ -326,12 +324,11 @@
 	for m.repaths < maxRepaths {
 		m.repaths++
 		t, ok := r.detour(m.req, m.path, dead, true)
-		if (!ok || anotherRejected) && stalled && m.reserveRetry() {
+		if (!ok || anotherRejected) && stalled && m.startHandover(m.excluded, stalledMove) == nil {
 			if ok {
 				t.release()
 			}
 			r.cfg.Log.Info().Str("id", m.req.ID).Strs("dead", sortedAddresses(dead)).Bool("detour", ok).Msg("resuming the stream elsewhere")
-			m.cancel()
 			return
 		}
 		if !ok {
@@ -358,12 +355,12 @@
 	if !stalled {
 		return
 	}
-	if m.reserveRetry() {
-		m.cancel()
+	err := m.startHandover(m.excluded, stalledMove)
+	if err == nil {
 		return
 	}
 	// The first engine ends the stream itself if the dead engine does not come back.
-	r.cfg.Log.Info().Str("id", m.req.ID).Strs("dead", sortedAddresses(dead)).Msg("no other path for a stalled stream")
+	r.cfg.Log.Info().Err(err).Str("id", m.req.ID).Strs("dead", sortedAddresses(dead)).Msg("no other path for a stalled stream")
 }
 
 // sortedAddresses returns the members of a set in order.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -5,7 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/cranberrybay/cranberrybay/fault"
@@ -24,29 +24,58 @@
 	maxUncountedRefusals = 2
 )
 
-// streamState is the state of one stream over all its attempts.
+// streamState is the state of one stream over all its attempts. Its lock is held for short
+// accesses only, and no other lock is acquired while it is held.
 type streamState struct {
 	relay *Relay
 	req   *Request
 	sink  Sink
 
+	eventCount int // events sent to the caller
+	runEvents  int // events of the present run
+	timing     eventTiming
+
+	// The check of a stalled stream uses the following fields as well.
+	mu          sync.Mutex
 	headerSent  bool   // the caller has the response header
-	mayHaveRun  bool   // set once an attempt may have been executed
 	lastEventID string // identifier of the last event sent to the caller
 	attempts    int    // attempts that count against the route's bound
-	eventCount  int    // events sent to the caller
-	runEvents   int    // events of the present run
 	// refusals counts refused attempts to resume the stream that were not counted as attempts.
 	refusals int
-	timing   eventTiming
-	// retryReserved is set if a retry was taken from the budget before the running attempt was
-	// cancelled.
-	retryReserved atomic.Bool
-	// successor is the handover to the run that takes over when the first engine leaves; nil if
-	// there is none. It is used by the goroutine that runs serveStream and copyEvents.
+	// successor is the handover to the run that takes over from the present one; nil if there is none.
 	successor *handover
 }
 
+// headerIsSent reports whether the caller has the response header.
+func (st *streamState) headerIsSent() bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.headerSent
+}
+
+// lastEvent returns the identifier of the last event sent to the caller, or that of the request if
+// there is none.
+func (st *streamState) lastEvent() string {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.lastEventID
+}
+
+// attemptCount returns the number of attempts that count against the route's bound.
+func (st *streamState) attemptCount() int {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.attempts
+}
+
+// addAttempt adds n to the attempts that count and returns their number.
+func (st *streamState) addAttempt(n int) int {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.attempts += n
+	return st.attempts
+}
+
 // eventTiming records the times for which routes have targets.
 type eventTiming struct {
 	first       time.Duration // from the arrival of the request to the first event
@@ -82,7 +111,7 @@
 	}
 	st.relay.cfg.Count("late")
 	st.relay.cfg.Log.Info().Str("id", req.ID).Dur("first", st.timing.first).Dur("gap", st.timing.gap).Dur("gapat", st.timing.gapStart.Sub(req.Arrived)).
-		Dur("took", time.Since(req.Arrived)).Int("attempts", st.attempts).Str("path", t.String()).Msg("stream was slow")
+		Dur("took", time.Since(req.Arrived)).Int("attempts", st.attemptCount()).Str("path", t.String()).Msg("stream was slow")
 }
 
 // serveStream serves a request that is answered by a stream of events.
@@ -92,8 +121,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer func() {
 		cancel()
-		if st.successor != nil {
-			go st.successor.abandon()
+		if h := st.takeSuccessor(); h != nil {
+			go h.abandon()
 		}
 	}()
 	excluded := map[string]bool{}
@@ -106,7 +135,7 @@
 			return nil
 		}
 		next = st.awaitSuccessor()
-		if ctx.Err() != nil || (next == nil && !(retry && st.attemptsLeft() && st.takeRetry())) {
+		if ctx.Err() != nil || (next == nil && !(retry && st.attemptsLeft() && r.takeRetry(req))) {
 			break
 		}
 		r.cfg.Count("repeat")
@@ -114,20 +143,15 @@
 	if next != nil {
 		next.end()
 	}
-	if ctx.Err() != nil && !st.headerSent && fault.VerdictOf(err) != fault.NotRun {
+	if fault.VerdictOf(err) == fault.NotRun && req.mayHaveRun.Load() {
+		err = mayHaveRunError(reasonNoAnswer, err) // a run that was to take over may have run meanwhile
+	}
+	if ctx.Err() != nil && !st.headerIsSent() && fault.VerdictOf(err) != fault.NotRun {
 		return mayHaveRunError(reasonNoAnswer, ctx.Err())
 	}
 	return err
 }
 
-// takeRetry takes a retry from the budget, unless one is reserved already.
-func (st *streamState) takeRetry() bool {
-	if st.retryReserved.Swap(false) {
-		return true
-	}
-	return st.relay.takeRetry(st.req)
-}
-
 // run is one attempt to serve a stream.
 type run struct {
 	ctx         context.Context
@@ -169,7 +193,7 @@
 		t.release()
 		return nil, false
 	}
-	rn := &run{path: t, resumeAfter: st.lastEventID}
+	rn := &run{path: t, resumeAfter: st.lastEvent()}
 	rn.ctx, rn.cancel = context.WithCancel(ctx)
 	return rn, true
 }
@@ -189,14 +213,14 @@
 func (st *streamState) attempt(ctx context.Context, rn *run, excluded map[string]bool) (retry bool, err error) {
 	r, req := st.relay, st.req
 	if rn == nil {
-		if err := r.refuseQuarantined(req, st.mayHaveRun); err != nil {
+		if err := r.refuseQuarantined(req, req.mayHaveRun.Load()); err != nil {
 			return false, err
 		}
 		var ok bool
 		if rn, ok = st.newRun(ctx, excluded, rateWait(req)); !ok {
 			r.cfg.Log.Info().Str("id", req.ID).Str("service", req.Service.Name).Int("servers", len(r.cfg.Servers.Servers(req.Service.Name))).
-				Int("prompt", req.PromptTokens).Int("attempt", st.attempts+1).Msg("no path")
-			if st.mayHaveRun {
+				Int("prompt", req.PromptTokens).Int("attempt", st.attemptCount()+1).Msg("no path")
+			if req.mayHaveRun.Load() {
 				return false, mayHaveRunError(reasonNoPath, nil)
 			}
 			if err := r.refuseOverRate(req, noPathRetryAfter); err != nil {
@@ -208,9 +232,8 @@
 			rn.end()
 			return false, st.refusalVerdict(err)
 		}
-		st.attempts++
-		if st.attempts > 1 {
-			r.cfg.Log.Info().Str("id", req.ID).Str("last", st.lastEventID).Int("attempt", st.attempts).Str("first", rn.path.first.ID()).Msg("stream sent again")
+		if n := st.addAttempt(1); n > 1 {
+			r.cfg.Log.Info().Str("id", req.ID).Str("last", rn.resumeAfter).Int("attempt", n).Str("first", rn.path.first.ID()).Msg("stream sent again")
 		}
 	}
 	defer rn.end()
@@ -220,13 +243,11 @@
 	defer rn.close()
 	if rn.answer == nil {
 		if ans, err := st.send(rn); err != nil {
-			st.mayHaveRun = st.mayHaveRun || fault.VerdictOf(err) != fault.NotRun
 			return st.attemptFailed(ctx, rn, ans, err, excluded), st.refusalVerdict(err)
 		}
 	}
-	st.mayHaveRun = true
 	if rn.answer.Status != http.StatusOK {
-		if st.headerSent {
+		if st.headerIsSent() {
 			return true, mayHaveRunError(reasonBadReply, nil)
 		}
 		return false, st.passThrough(rn.answer)
@@ -243,7 +264,7 @@
 	if errors.As(err, &gone) {
 		return false, fault.New(fault.Config{Verdict: fault.MayHaveRun, Code: fault.Cancelled, Reason: "the caller went away", Cause: err})
 	}
-	if st.successor.pending() && rn.ctx.Err() != nil {
+	if st.hasSuccessor() && rn.ctx.Err() != nil {
 		return true, mayHaveRunError(reasonNoAnswer, err) // the run was cancelled and its successor is accepted or still awaited
 	}
 	return st.attemptFailed(ctx, rn, nil, err, excluded), mayHaveRunError(reasonNoAnswer, err)
@@ -252,20 +273,20 @@
 // refusalVerdict returns a "not run" error for a failed attempt only if neither it nor an earlier
 // attempt may have run.
 func (st *streamState) refusalVerdict(err error) error {
-	if st.mayHaveRun {
+	if st.req.mayHaveRun.Load() {
 		return mayHaveRunError(reasonNoAnswer, err)
 	}
 	return notRunError(reasonRefused, noPathRetryAfter, err)
 }
 
 // attemptsLeft reports whether the route allows another attempt.
-func (st *streamState) attemptsLeft() bool { return st.attempts < st.req.Route.Attempts() }
+func (st *streamState) attemptsLeft() bool { return st.attemptCount() < st.req.Route.Attempts() }
 
 // attemptFailed logs a failed attempt, excludes the engine that failed, and reports whether
 // another attempt is allowed.
 func (st *streamState) attemptFailed(ctx context.Context, rn *run, ans *Answer, err error, excluded map[string]bool) bool {
 	r, t := st.relay, rn.path
-	e := r.cfg.Log.Info().Str("id", st.req.ID).Int("attempt", st.attempts).Str("first", t.first.ID()).Str("path", t.String()).Str("last", st.lastEventID).
+	e := r.cfg.Log.Info().Str("id", st.req.ID).Int("attempt", st.attemptCount()).Str("first", t.first.ID()).Str("path", t.String()).Str("last", st.lastEvent()).
 		Int("events", st.runEvents).Strs("parts", st.req.PromptParts).
 		Str("verdict", fault.VerdictOf(err).String()).Err(err).Dur("since", time.Since(st.req.Arrived))
 	failedServer := t.first
@@ -287,7 +308,7 @@
 		go r.probeFailed(t.first, failedServer)
 	}
 	if r.cfg.Servers.ByAddress(t.first.Address()) == nil {
-		st.attempts-- // an attempt on a server that is no longer registered does not count
+		st.addAttempt(-1) // an attempt on a server that is no longer registered does not count
 	}
 	st.uncountRefusal(err)
 	return fault.VerdictOf(err) == fault.NotRun || st.req.Route.Repeatable()
@@ -297,6 +318,8 @@
 // caller already has a part of the answer, and a server that did not run the rest must not end
 // it.
 func (st *streamState) uncountRefusal(err error) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
 	if st.headerSent && fault.VerdictOf(err) == fault.NotRun && st.refusals < maxUncountedRefusals {
 		st.refusals++
 		st.attempts--
@@ -310,7 +333,7 @@
 	if first != s {
 		queried = append(queried, Hop{Address: first.Address()})
 	}
-	if dead, _ := r.reports.findDead(context.Background(), "", queried, queried); dead[s.Address()] {
+	if dead, _, _ := r.reports.findDead(context.Background(), "", queried, queried); dead[s.Address()] {
 		r.suspect(s)
 	}
 }
@@ -335,13 +358,14 @@
 func (st *streamState) copyEvents(ans *Answer, m *stallMonitor) error {
 	ev := eventReader{src: ans.Body, quota: st.relay.cfg.Quota}
 	defer ev.close()
-	resumed := st.lastEventID
+	lastSent := st.lastEvent()
+	resumed := lastSent
 	for {
 		complete, lastID, err := ev.next()
 		if err != nil && err != io.EOF { //nolint:errorlint // next returns io.EOF itself
 			return err
 		}
-		if err == io.EOF && ans.Unframed && st.lastEventID == "" { //nolint:errorlint // as above
+		if err == io.EOF && ans.Unframed && lastSent == "" { //nolint:errorlint // as above
 			return errNoEvents
 		}
 		if resumed != "" && len(complete) > 0 {
@@ -351,7 +375,7 @@
 			}
 		}
 		if err == nil {
-			n, err := validateEvents(complete, st.lastEventID)
+			n, err := validateEvents(complete, lastSent)
 			if st.runEvents < answeredEvents && st.runEvents+n >= answeredEvents {
 				st.relay.cfg.Poison.RecordAnswered(st.req.parts)
 			}
@@ -366,12 +390,12 @@
 				return err
 			}
 		}
-		if len(complete) > 0 || (err == io.EOF && !st.headerSent) { //nolint:errorlint // as above
-			if werr := st.write(ans, complete); werr != nil {
-				return &callerGoneError{cause: werr}
-			}
+		if len(complete) > 0 || (err == io.EOF && !st.headerIsSent()) { //nolint:errorlint // as above
 			if lastID != "" {
-				st.lastEventID = lastID
+				lastSent = lastID
+			}
+			if werr := st.write(ans, complete, lastSent); werr != nil {
+				return &callerGoneError{cause: werr}
 			}
 			st.timing.recordEvent(st.req.Arrived)
 			m.eventReceived()
@@ -382,10 +406,14 @@
 	}
 }
 
-// write writes events to the caller, preceded by the response header if it was not sent yet.
-func (st *streamState) write(ans *Answer, b []byte) error {
-	if !st.headerSent {
-		st.headerSent = true
+// write writes events to the caller, preceded by the response header if it was not sent yet. lastID
+// identifies the last of them.
+func (st *streamState) write(ans *Answer, b []byte, lastID string) error {
+	st.mu.Lock()
+	first := !st.headerSent
+	st.headerSent, st.lastEventID = true, lastID
+	st.mu.Unlock()
+	if first {
 		st.sink.Start(ans.Status, ans.Header, ans.Length)
 	}
 	if err := st.sink.Write(b); err != nil {
