relay: the checks of a run end before its failure is handled

What callers saw, if it came to it: all requests of one process end in the same moment without an answer, since the runtime ends a process that writes a map from two goroutines.

Cause: when a run failed, the serving goroutine added the failed engine to the map of excluded engines while the timer's goroutine, which was still looking for dead engines, added those that it had found. Both happen when an engine crashes. The lock of the check was held by one of them only.

Evidence: relay.TestFailureDuringACheck reports the data race before ("Read/write in attemptFailed, previous write in stallMonitor.check") and none now. The fault itself was never seen in a run; other tests hid it, because their log buffers order the two goroutines by accident.

Change: a failed run is closed and its checks are stopped first. What was read from the context of the run afterwards, that something had cancelled it, is noted before.

--- a/relay/stall.go
+++ b/relay/stall.go
@@ -230,6 +230,13 @@
 	m.timer.Stop()
 }
 
+// endRun ends a run that failed and its checks, and notes whether it had been cancelled before.
+func (m *stallMonitor) endRun(rn *run) {
+	rn.cancelled = rn.ctx.Err() != nil
+	rn.close()
+	m.stop()
+}
+
 // check looks for dead engines while the stream waits. It runs on the timer's goroutine. If no
 // engine of the path is known to be dead, it queries the engines through which no other stream has
 // had an event lately, or only the first one; a dead engine does not answer. The first engine also
--- a/relay/stall_test.go
+++ b/relay/stall_test.go
@@ -2,17 +2,21 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
 	"github.com/cranberrybay/cranberrybay/config"
 	"github.com/cranberrybay/cranberrybay/fault"
 	"github.com/cranberrybay/cranberrybay/relay"
+	"github.com/cranberrybay/cranberrybay/retry"
 	"github.com/cranberrybay/cranberrybay/server"
 )
 
@@ -93,3 +97,52 @@
 		assert.Assert(t, got.took < time.Second, "ended after %v", got.took)
 	})
 }
+
+// Guards against a data race, which may end the process, between a check of a stream and the failure of its
+// run.
+func TestFailureDuringACheck(t *testing.T) {
+	table := server.NewTable(server.Config{Log: zerolog.Nop()})
+	for _, e := range []server.Entry{engineEntry("a", "near", 0, 4), engineEntry("b", "near", 4, 8), engineEntry("c", "near", 4, 8)} {
+		table.Apply([]server.Change{{ID: e.ID, Entry: e}}, false, 0)
+	}
+	budget := retry.New(retry.Config{RetriesPerRequest: 0.2, Burst: 5, Initial: 5})
+	var sent atomic.Bool
+	r := relay.New(relay.Config{
+		Servers: table, Domain: "near", Log: zerolog.Nop(), Budget: func(string) *retry.Budget { return budget },
+		// The first choice after the stream was sent is that of a detour, within the check.
+		PeerLoad: func(string) (int, int64) {
+			if sent.Load() {
+				time.Sleep(100 * time.Millisecond)
+			}
+			return 0, 0
+		},
+		Send: func(context.Context, *relay.Request, relay.Attempt) (*relay.Answer, error) {
+			if sent.Swap(true) {
+				return nil, connectionReset()
+			}
+			ans := signedAnswer(http.StatusOK, "")
+			ans.Body = io.NopCloser(&failingBody{after: 250 * time.Millisecond})
+			return ans, nil
+		},
+		FetchReport: func(ctx context.Context, address string) (relay.Report, error) {
+			if address == "b:1" || address == "c:1" {
+				return relay.Report{}, syscall.ECONNREFUSED
+			}
+			return relay.Report{}, nil
+		},
+		Repath: func(context.Context, string, string, []relay.Hop) error { return io.ErrUnexpectedEOF },
+	})
+	err := r.Serve(t.Context(), request(config.Stream, 2), relay.Sink{
+		Start: func(int, http.Header, int64) {}, Write: func([]byte) error { return nil }, Flush: func() error { return nil },
+	})
+	assert.Equal(t, fault.VerdictOf(err), fault.MayHaveRun)
+	time.Sleep(2 * longQueryTime) // a report query may still be running
+}
+
+// failingBody fails some time after its first read.
+type failingBody struct{ after time.Duration }
+
+func (f *failingBody) Read([]byte) (int, error) {
+	time.Sleep(f.after)
+	return 0, io.ErrUnexpectedEOF
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -159,6 +159,7 @@
 	path        *activePath
 	resumeAfter string  // event after which the run resumes; "" to start
 	answer      *Answer // nil until the response header has arrived
+	cancelled   bool    // it was cancelled because another run takes over or its engine is gone
 }
 
 // end closes the answer, cancels the run and releases its path.
@@ -243,6 +244,7 @@
 	defer rn.close()
 	if rn.answer == nil {
 		if ans, err := st.send(rn); err != nil {
+			m.endRun(rn)
 			return st.attemptFailed(ctx, rn, ans, err, excluded), st.refusalVerdict(err)
 		}
 	}
@@ -264,7 +266,8 @@
 	if errors.As(err, &gone) {
 		return false, fault.New(fault.Config{Verdict: fault.MayHaveRun, Code: fault.Cancelled, Reason: "the caller went away", Cause: err})
 	}
-	if st.hasSuccessor() && rn.ctx.Err() != nil {
+	m.endRun(rn)
+	if st.hasSuccessor() && rn.cancelled {
 		return true, mayHaveRunError(reasonNoAnswer, err) // the run was cancelled and its successor is accepted or still awaited
 	}
 	return st.attemptFailed(ctx, rn, nil, err, excluded), mayHaveRunError(reasonNoAnswer, err)
@@ -298,7 +301,7 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	if rn.ctx.Err() == nil && st.runEvents < answeredEvents {
+	if !rn.cancelled && st.runEvents < answeredEvents {
 		r.recordCut(st.req, t.first, err)
 	}
 	if failedServer != nil {
