relay: log the identity of a request with each failed attempt

Nothing in the logs tied an arrival of a request to those before it: each has an id of its own, and plain requests name no parts. Failed attempts now have "request", a hash of method, host, path and query, account and body. No decision uses it yet.

--- a/poison/record.go
+++ b/poison/record.go
@@ -2,6 +2,9 @@
 
 import (
 	"cmp"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
 	"slices"
 	"strconv"
 	"time"
@@ -23,6 +26,26 @@
 	ID      string
 }
 
+// requestMark begins the ID of a request. Part identifiers of callers that begin with it are
+// replaced by their hash.
+const requestMark = "="
+
+// identityBytes is the length of the hash that identifies a request.
+const identityBytes = 16
+
+// RequestPart returns the Part of a request that callers send again with the same method, host,
+// target (path and query), client account and body. Nothing else has to be equal.
+func RequestPart(method, host, target, account string, body []byte) Part {
+	h := sha256.New()
+	for _, field := range []string{method, host, target, account} {
+		// The length keeps fields from running into each other.
+		h.Write(binary.AppendUvarint(nil, uint64(len(field))))
+		h.Write([]byte(field))
+	}
+	h.Write(body)
+	return Part{ID: requestMark + hex.EncodeToString(h.Sum(nil)[:identityBytes])}
+}
+
 // maxIDBytes bounds the identifier of a part. Callers choose it, and a longer one is replaced by
 // its hash.
 const maxIDBytes = 64
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -132,7 +132,7 @@
 // succeeds. An error answer of the service takes precedence over a failure that may have run, and
 // that over a refusal.
 func (r *Relay) worseFailure(req *Request, old, res attemptResult) attemptResult {
-	e := r.cfg.Log.Info().Str("id", req.ID).Str("server", res.server.ID()).Dur("took", res.took).Strs("parts", req.PromptParts)
+	e := r.cfg.Log.Info().Str("id", req.ID).Str("server", res.server.ID()).Dur("took", res.took).Strs("parts", req.PromptParts).Str("request", req.identity().ID)
 	if res.err != nil {
 		e.Err(res.err).Str("verdict", fault.VerdictOf(res.err).String()).Msg("attempt failed")
 	} else {
--- a/relay/poison.go
+++ b/relay/poison.go
@@ -20,6 +20,15 @@
 
 const reasonQuarantined = "a part of the prompt crashes backend servers"
 
+// newIdentity returns the identity of a request that callers may send again.
+func (req *Request) newIdentity() poison.Part {
+	account := ""
+	if req.Account != nil {
+		account = req.Account.Name
+	}
+	return poison.RequestPart(req.Method, req.Host, req.Target, account, req.Body)
+}
+
 // refuseQuarantined returns the error for a request whose prompt has a quarantined part, or nil.
 // Requests that wait at a server when the quarantine begins are not cancelled.
 func (r *Relay) refuseQuarantined(req *Request, mayHaveRun bool) error {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -51,7 +51,8 @@
 	attempts   atomic.Int32 // attempts sent so far
 	mayHaveRun atomic.Bool  // set once an attempt may have been executed
 
-	parts []poison.Part // of the prompt, which other requests may share; set by Serve
+	parts    []poison.Part      // of the prompt, which other requests may share; set by Serve
+	identity func() poison.Part // of the request, which callers may send again; set by Serve
 }
 
 // Hop is an engine on the path of a stream and the layer range that it runs.
@@ -190,6 +191,7 @@
 	r.cfg.Budget(req.Service.Name).AddRequest()
 	r.reports.budget.AddRequest()
 	req.parts = poison.PartsOf(req.Service.Name, req.PromptParts)
+	req.identity = sync.OnceValue(req.newIdentity)
 	err := r.serveByKind(ctx, req, sink)
 	if fault.VerdictOf(err) == fault.NotRun && req.mayHaveRun.Load() {
 		r.reportViolation(InvariantRefusal, req)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -290,7 +290,7 @@
 func (st *streamState) attemptFailed(ctx context.Context, rn *run, ans *Answer, err error, excluded map[string]bool) bool {
 	r, t := st.relay, rn.path
 	e := r.cfg.Log.Info().Str("id", st.req.ID).Int("attempt", st.attemptCount()).Str("first", t.first.ID()).Str("path", t.String()).Str("last", st.lastEvent()).
-		Int("events", st.runEvents).Strs("parts", st.req.PromptParts).
+		Int("events", st.runEvents).Strs("parts", st.req.PromptParts).Str("request", st.req.identity().ID).
 		Str("verdict", fault.VerdictOf(err).String()).Err(err).Dur("since", time.Since(st.req.Arrived))
 	failedServer := t.first
 	if ans != nil && ans.RefusedBy != "" {
