--- a/beat/suspect.go
+++ b/beat/suspect.go
@@ -37,6 +37,10 @@
 			age := ageOf(r.AnsweredAt, now)
 			x.Answered = &age
 		}
+		if r.TriedAt > 0 {
+			age := ageOf(r.TriedAt, now)
+			x.Tried = &age
+		}
 		if r.Terms > 0 {
 			x.Terms, x.Since, x.Left = uint32(r.Terms), ageOf(r.Since, now), (r.Until - now).Milliseconds()
 		}
@@ -69,6 +73,9 @@
 		if x.Answered != nil {
 			r.AnsweredAt = at(*x.Answered)
 		}
+		if x.Tried != nil {
+			r.TriedAt = at(*x.Tried)
+		}
 		if x.Terms > 0 {
 			left := min(max(time.Duration(x.Left)*time.Millisecond, -maxSuspectAge), poison.MaxTerm)
 			r.Terms, r.Since, r.Until = int(x.Terms), at(x.Since), now+left
--- a/edge/app.go
+++ b/edge/app.go
@@ -252,9 +252,9 @@
 // weightPerCore is the weight of a process that may use one whole core.
 const weightPerCore = 1000
 
-func newRelay(s Settings, q *quota.Quota, servers *server.Table, backend *platform.Backend, members *beat.Membership, budgets *retryBudgets, t *poison.Tracker, p *pacer.Pacer, c *counters, factory *logs.Factory) *relay.Relay {
+func newRelay(s Settings, q *quota.Quota, servers *server.Table, client *link.Client, backend *platform.Backend, members *beat.Membership, budgets *retryBudgets, t *poison.Tracker, p *pacer.Pacer, c *counters, factory *logs.Factory) *relay.Relay {
 	return relay.New(relay.Config{
-		Servers: servers, Send: backend.Send, FetchReport: backend.Report, Repath: backend.Repath, Budget: budgets.of, Quota: q, PeerLoad: members.PeerLoad, Poison: t, Pacer: p, AnnounceDead: func(srv *server.Server) { members.ReportDead(srv.ID()) },
+		Servers: servers, Send: backend.Send, FetchReport: backend.Report, Repath: backend.Repath, Probe: client.Probe, Budget: budgets.of, Quota: q, PeerLoad: members.PeerLoad, Poison: t, Pacer: p, AnnounceDead: func(srv *server.Server) { members.ReportDead(srv.ID()) },
 		Domain: s.Domain, Log: factory.Logger("relay"), Count: c.event, Observe: c.observe,
 		CountViolation: func(i relay.Invariant) { c.violation(string(i)) },
 	})
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -227,8 +227,10 @@
 	})
 	c.gauge("config_age_seconds", func() float64 { return tracker.Age().Seconds() })
 	c.gauge("processes", func() float64 { return float64(members.Size()) })
-	c.gauge(`prompt_parts{state="suspected"}`, func() float64 { n, _ := t.Counts(); return float64(n) })
-	c.gauge(`prompt_parts{state="quarantined"}`, func() float64 { _, n := t.Counts(); return float64(n) })
+	for metric, requests := range map[string]bool{"prompt_parts": false, "deadly_requests": true} {
+		c.gauge(metric+`{state="suspected"}`, func() float64 { n, _ := t.Counts(requests); return float64(n) })
+		c.gauge(metric+`{state="quarantined"}`, func() float64 { _, n := t.Counts(requests); return float64(n) })
+	}
 	c.gauge("servers_limited", func() float64 { return float64(pace.Limited()) })
 	c.gauge("inflight", func() float64 { return float64(h.inflight.Load()) })
 	c.gauge("log_lines_lost", func() float64 { return float64(queue.Dropped()) })
--- a/link/link.go
+++ b/link/link.go
@@ -225,6 +225,16 @@
 	return c.exchange(ctx, newConn(raw, address), rq)
 }
 
+// Probe opens and closes a connection to an address.
+func (c *Client) Probe(ctx context.Context, address string) error {
+	k, err := c.cfg.Dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	c.opened.Add(1)
+	return k.Close()
+}
+
 // newError returns an error with a verdict, whose code depends on the cause.
 func newError(v fault.Verdict, reason string, cause error) error {
 	code := fault.Unavailable
--- a/poison/record.go
+++ b/poison/record.go
@@ -7,6 +7,7 @@
 	"encoding/hex"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -20,9 +21,10 @@
 // Now returns the time on the clock of records, which includes suspensions of the VM.
 func Now() time.Duration { return clock.Now() + origin }
 
-// Part identifies a part of a prompt at the service that answers it.
+// Part identifies what may crash servers: a part of a prompt at the service that answers it, or a
+// whole request.
 type Part struct {
-	Service string
+	Service string // empty for a request, which its route may send to several services
 	ID      string
 }
 
@@ -46,6 +48,9 @@
 	return Part{ID: requestMark + hex.EncodeToString(h.Sum(nil)[:identityBytes])}
 }
 
+// IsRequest reports whether the part is a whole request.
+func (p Part) IsRequest() bool { return strings.HasPrefix(p.ID, requestMark) }
+
 // maxIDBytes bounds the identifier of a part. Callers choose it, and a longer one is replaced by
 // its hash.
 const maxIDBytes = 64
@@ -58,7 +63,7 @@
 	}
 	out := make([]Part, 0, len(ids)-1)
 	for _, id := range ids[:len(ids)-1] {
-		if len(id) > maxIDBytes {
+		if len(id) > maxIDBytes || strings.HasPrefix(id, requestMark) {
 			id = "#" + strconv.FormatUint(xxhash.Sum64String(id), 16)
 		}
 		out = append(out, Part{Service: service, ID: id})
@@ -82,14 +87,24 @@
 	At      time.Duration // Now
 }
 
+// restartTime is less than a server takes to crash, start and crash again. Processes see the same
+// crash at times that differ by less.
+const restartTime = 2 * time.Second
+
+// same reports whether two processes saw the same crash.
+func (c Crash) same(o Crash) bool {
+	return c.Server == o.Server && (c.At-o.At).Abs() < restartTime
+}
+
 // Record is the evidence about one part. All times are those of Now.
 type Record struct {
 	Part       Part
 	Crashes    []Crash       // since the part was last answered, by time; at most maxCrashes
 	AnsweredAt time.Duration // when a server last wrote an answer to a request with the part; 0 for never known
+	TriedAt    time.Duration // when the last trial of a request began in any process; 0 for never
 	Since      time.Duration // last crash of the evidence on which the quarantine is based
 	Until      time.Duration // end of the quarantine; 0 if there was none
-	Terms      int           // number of quarantines, each twice as long as the one before
+	Terms      int           // number of quarantines, each twice as long as the one before; the first of a request is its suspension
 }
 
 const (
@@ -108,6 +123,15 @@
 	// single request had. A sound request that other crashes hit is tried four times at most: two
 	// attempts, and those of one repeat of its caller.
 	minCrashesOfOne = 5
+	// minCrashesOfRequest is the number of crashes after which a request is suspended for
+	// suspension, so that the servers that it crashed are back before it may crash another one.
+	minCrashesOfRequest = 2
+	suspension          = 10 * time.Second
+	// minCrashesOfDeadly is the number of crashes after which a request is quarantined at once.
+	minCrashesOfDeadly = 3
+	// settleTime is how long after a crash all processes know what was on the server: they find the
+	// crash with a query of 30 ms at most and tell each other over two hubs.
+	settleTime = 80 * time.Millisecond
 	// maxCrashes bounds the crashes that a record holds.
 	maxCrashes = 8
 	// evidenceAge is how long a crash counts.
@@ -117,15 +141,30 @@
 	firstTerm = 10 * time.Minute
 )
 
+// MaxTrial bounds the trial of a request. Engines begin to answer within a tenth of a second, plain
+// services take less; a server that is slower must not hold up the trials of other requests.
+const MaxTrial = time.Second
+
 // MaxTerm is the length of the longest quarantine.
 const MaxTerm = 4 * time.Hour
 
 // Quarantined reports whether requests with the part are refused at a time.
 func (r *Record) Quarantined(now time.Duration) bool { return now < r.Until }
 
+// Suspension reports whether the last quarantine was the short one of a request that may be sound.
+func (r *Record) Suspension() bool { return r.Part.IsRequest() && r.Terms == 1 }
+
+// settlesIn returns the time until the evidence of all processes about the last crash is known.
+func (r *Record) settlesIn(now time.Duration) time.Duration {
+	if len(r.Crashes) == 0 {
+		return 0
+	}
+	return r.Crashes[len(r.Crashes)-1].At + settleTime - now
+}
+
 // add adds a crash unless it is known or the part was answered since, and reports whether it did.
 func (r *Record) add(c Crash) bool {
-	if c.At <= r.AnsweredAt || slices.ContainsFunc(r.Crashes, func(x Crash) bool { return x.Server == c.Server }) {
+	if c.At <= r.AnsweredAt || slices.ContainsFunc(r.Crashes, c.same) {
 		return false
 	}
 	if len(r.Crashes) >= maxCrashes && c.At <= r.Crashes[0].At {
@@ -162,6 +201,7 @@
 	if o.AnsweredAt > r.AnsweredAt+sameTime {
 		changed = true
 	}
+	r.TriedAt = max(r.TriedAt, o.TriedAt)
 	r.recordAnswer(o.AnsweredAt)
 	return changed
 }
@@ -170,47 +210,95 @@
 // on the way.
 const sameTime = time.Second
 
-// startQuarantine starts a quarantine if the evidence suffices, and reports whether it did.
-func (r *Record) startQuarantine(now time.Duration) bool {
-	if r.Quarantined(now) {
+// startQuarantine starts a quarantine if the evidence suffices, and reports whether it did. leads
+// means that no other request shares the last crash and has as many; it counts for requests only.
+func (r *Record) startQuarantine(now time.Duration, leads bool) bool {
+	if r.Quarantined(now) && !r.Suspension() {
 		return false
 	}
-	counted, first, last := 0, time.Duration(0), time.Duration(0)
-	requests := map[uint64]bool{}
-	for _, c := range r.Crashes {
-		if c.At <= r.Until || now-c.At > evidenceAge {
-			continue
-		}
-		requests[c.Request] = true
-		if counted == 0 {
-			first = c.At
+	terms, length := r.nextTerm(r.countCrashes(now), leads)
+	if length == 0 {
+		return false
+	}
+	r.Terms, r.Since, r.Until = terms, r.Crashes[len(r.Crashes)-1].At, now+length
+	return true
+}
+
+// nextTerm returns the number of quarantines with the next one and its length, or 0 and 0 if the
+// crashes do not suffice for one.
+func (r *Record) nextTerm(n crashCount, leads bool) (terms int, length time.Duration) {
+	switch {
+	case !r.Part.IsRequest():
+		if !r.suffices(n) {
+			return 0, 0
 		}
-		if counted == 0 || c.At-last >= crashSpacing {
-			counted, last = counted+1, c.At
+		return r.Terms + 1, doubled(firstTerm, r.Terms)
+	case !leads || n.counted == 0:
+		return 0, 0
+	case r.Terms > 1 || n.counted >= minCrashesOfDeadly:
+		terms = max(r.Terms, 1) + 1
+		return terms, doubled(firstTerm, terms-2)
+	case r.Terms == 0 && n.counted >= minCrashesOfRequest:
+		return 1, suspension
+	default:
+		return 0, 0
+	}
+}
+
+// doubled returns a time doubled a number of times, but MaxTerm at most.
+func doubled(d time.Duration, times int) time.Duration {
+	for range times {
+		if d = min(2*d, MaxTerm); d == MaxTerm {
+			break
 		}
 	}
-	answeredBefore := r.AnsweredAt > 0 && first-r.AnsweredAt < answeredAge
+	return d
+}
+
+// suffices reports whether crashes suffice to quarantine a part of prompts.
+func (r *Record) suffices(n crashCount) bool {
+	answeredBefore := r.AnsweredAt > 0 && n.first-r.AnsweredAt < answeredAge
 	switch {
-	case r.Terms > 0 && counted > 0:
-	case answeredBefore && counted < minCrashesOfAnswered:
+	case r.Terms > 0 && n.counted > 0:
+		return true
+	case answeredBefore && n.counted < minCrashesOfAnswered:
 		return false
-	case counted >= minCrashesOfOne:
-	case counted >= minCrashes && len(requests) >= minRequests:
 	default:
-		return false
+		return n.counted >= minCrashesOfOne || (n.counted >= minCrashes && n.requests >= minRequests)
 	}
-	term := MaxTerm
-	if r.Terms < 8 { // beyond that the shift exceeds MaxTerm
-		term = min(firstTerm<<r.Terms, MaxTerm)
+}
+
+// crashCount sums up the crashes that count since the last quarantine, or during and before the
+// suspension of a request.
+type crashCount struct {
+	counted  int           // at separate moments
+	requests int           // different requests
+	first    time.Duration // Now of the first one
+}
+
+func (r *Record) countCrashes(now time.Duration) crashCount {
+	var out crashCount
+	last := time.Duration(0)
+	requests := map[uint64]bool{}
+	for _, c := range r.Crashes {
+		if (c.At <= r.Until && !r.Suspension()) || now-c.At > evidenceAge {
+			continue
+		}
+		requests[c.Request] = true
+		if out.counted == 0 {
+			out.first = c.At
+		}
+		if out.counted == 0 || c.At-last >= crashSpacing {
+			out.counted, last = out.counted+1, c.At
+		}
 	}
-	r.Since, r.Until = r.Crashes[len(r.Crashes)-1].At, now+term
-	r.Terms++
-	return true
+	out.requests = len(requests)
+	return out
 }
 
 // idle reports whether the record holds nothing that still counts.
 func (r *Record) idle(now time.Duration) bool {
-	if r.Quarantined(now) || (r.Terms > 0 && now-r.Until < MaxTerm) {
+	if r.Quarantined(now) || (r.Terms > 0 && !r.Suspension() && now-r.Until < MaxTerm) {
 		return false
 	}
 	if r.Until == 0 && r.AnsweredAt > 0 && now-r.AnsweredAt < answeredRepeat {
--- /dev/null
+++ b/poison/request_test.go
@@ -0,0 +1,209 @@
+package poison_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cranberrybay/cranberrybay/poison"
+)
+
+// requestPart returns the identity of a request of one caller.
+func requestPart(name string) poison.Part {
+	return poison.RequestPart("POST", "host", "/path", "account", []byte(name))
+}
+
+// crashUnder lets a server crash under requests at one process.
+func (f *fleet) crashUnder(process int, server uint64, names ...string) {
+	for _, name := range names {
+		f.trackers[process].RecordCut(server, server, []poison.Part{requestPart(name)})
+	}
+	f.trackers[process].RecordCrash(server)
+}
+
+// checkRequest fails unless a request is refused in all processes, for a time between two bounds; 0 if
+// it may be sent.
+func (f *fleet) checkRequest(t *testing.T, name string, least, most time.Duration) {
+	t.Helper()
+	for i, x := range f.trackers {
+		_, left, ok := x.Blocked([]poison.Part{requestPart(name)})
+		assert.Equal(t, ok, most > 0, "process %d, request %s", i, name)
+		assert.Assert(t, left >= least && left <= most, "process %d, request %s: %v", i, name, left)
+	}
+}
+
+// Guards against a request that is never quarantined, and against one that is before its servers had a
+// chance to come back.
+func TestRequestIsSuspendedThenQuarantined(t *testing.T) {
+	virtually(t, func(t *testing.T) {
+		f := newFleet(3)
+		f.crashUnder(0, 1, "deadly")
+		time.Sleep(time.Second)
+		f.checkRequest(t, "deadly", 0, 0)
+		f.crashUnder(1, 2, "deadly")
+		time.Sleep(time.Second)
+		f.checkRequest(t, "deadly", 8*time.Second, 10*time.Second)
+		time.Sleep(10 * time.Second)
+		f.checkRequest(t, "deadly", 0, 0)
+		f.crashUnder(2, 3, "deadly")
+		time.Sleep(time.Second)
+		f.checkRequest(t, "deadly", 9*time.Minute, 10*time.Minute)
+		time.Sleep(11 * time.Minute)
+		f.crashUnder(0, 4, "deadly")
+		time.Sleep(time.Second)
+		f.checkRequest(t, "deadly", 19*time.Minute, 20*time.Minute)
+	})
+}
+
+// Guards against a suspension that ignores the servers that crash on runs sent before it.
+func TestCrashesDuringASuspensionCount(t *testing.T) {
+	virtually(t, func(t *testing.T) {
+		f := newFleet(2)
+		for i := range 3 {
+			f.crashUnder(i%2, uint64(i), "deadly")
+			time.Sleep(time.Second)
+			f.decide("deadly")
+		}
+		f.checkRequest(t, "deadly", 9*time.Minute, 10*time.Minute)
+	})
+}
+
+// decide lets the first process decide on a request.
+func (f *fleet) decide(name string) {
+	f.trackers[0].Blocked([]poison.Part{requestPart(name)})
+}
+
+// Guards against sound requests that are refused because they were on servers that a deadly one crashed,
+// also when the processes learn of the crashes in different orders.
+func TestSoundRequestsBesideADeadlyOne(t *testing.T) {
+	for name, run := range map[string]func(f *fleet){
+		"on one crashed server": func(f *fleet) {
+			f.crashUnder(0, 1, "deadly", "sound")
+			time.Sleep(time.Second)
+			f.crashUnder(0, 2, "deadly")
+		},
+		"on all crashed servers, at one process": func(f *fleet) {
+			for i := range 3 {
+				f.crashUnder(0, uint64(i), "sound", "deadly")
+				time.Sleep(time.Second)
+			}
+			f.crashUnder(0, 3, "deadly")
+		},
+		"on all crashed servers, at another process": func(f *fleet) {
+			for i := range 3 {
+				f.crashUnder(0, uint64(i), "deadly")
+				f.crashUnder(1, uint64(i), "sound")
+				time.Sleep(time.Second)
+			}
+			f.crashUnder(0, 3, "deadly")
+		},
+		"answered after two crashes": func(f *fleet) {
+			for i := range 2 {
+				f.crashUnder(0, uint64(i), "sound")
+				time.Sleep(10 * time.Millisecond)
+			}
+			f.trackers[1].RecordAnswered([]poison.Part{requestPart("sound")})
+			f.crashUnder(0, 10, "deadly")
+			time.Sleep(time.Second)
+			f.crashUnder(0, 11, "deadly")
+		},
+		"a rack at once": func(f *fleet) {
+			for i := range 5 {
+				f.crashUnder(0, uint64(i), "sound")
+				time.Sleep(5 * time.Millisecond)
+			}
+			f.crashUnder(0, 10, "deadly")
+			time.Sleep(time.Second)
+			f.crashUnder(0, 11, "deadly")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			virtually(t, func(t *testing.T) {
+				f := newFleet(3)
+				run(f)
+				time.Sleep(time.Second)
+				f.checkRequest(t, "sound", 0, 0)
+				f.checkRequest(t, "deadly", time.Second, 10*time.Minute)
+			})
+		})
+	}
+}
+
+// Guards against a request whose quarantine outlives the answer that shows it is sound.
+func TestAnswerEndsASuspension(t *testing.T) {
+	virtually(t, func(t *testing.T) {
+		f := newFleet(2)
+		for i := range 2 {
+			f.crashUnder(0, uint64(i), "sound")
+			time.Sleep(time.Second)
+		}
+		f.checkRequest(t, "sound", time.Second, 10*time.Second)
+		f.trackers[1].RecordAnswered([]poison.Part{requestPart("sound")})
+		f.checkRequest(t, "sound", 0, 0)
+	})
+}
+
+// Guards against a request that several processes try at the same time.
+func TestOneTrialInAllProcesses(t *testing.T) {
+	virtually(t, func(t *testing.T) {
+		f := newFleet(3)
+		f.crashUnder(0, 1, "deadly")
+		assert.Assert(t, f.trackers[1].TryAlone(requestPart("deadly")) > 0, "the evidence of other processes is not awaited")
+		time.Sleep(time.Second)
+		assert.Equal(t, f.trackers[0].TryAlone(requestPart("deadly")), time.Duration(0))
+		assert.Equal(t, f.trackers[0].TryAlone(requestPart("deadly")), time.Duration(0))
+		for _, x := range f.trackers[1:] {
+			assert.Assert(t, x.TryAlone(requestPart("deadly")) > 0)
+		}
+		time.Sleep(poison.MaxTrial)
+		assert.Equal(t, f.trackers[2].TryAlone(requestPart("deadly")), time.Duration(0))
+		assert.Assert(t, f.trackers[0].TryAlone(requestPart("deadly")) > 0)
+	})
+}
+
+// Guards against a caller that gets another one's request refused by naming it as a part of its prompt.
+func TestPartIsNoRequest(t *testing.T) {
+	id := requestPart("x").ID
+	for _, p := range poison.PartsOf("s", []string{id, "own"}) {
+		assert.Assert(t, !p.IsRequest())
+	}
+	assert.Assert(t, requestPart("x").IsRequest())
+}
+
+// Guards against fields of a request that run into each other.
+func TestFieldsOfTheIdentityAreSeparate(t *testing.T) {
+	a := poison.RequestPart("GET", "host", "/p", "account", []byte("body"))
+	for i, b := range []poison.Part{
+		poison.RequestPart("GET", "host/", "p", "account", []byte("body")),
+		poison.RequestPart("GET", "host", "/pa", "ccount", []byte("body")),
+		poison.RequestPart("GET", "host", "/p", "accountb", []byte("ody")),
+	} {
+		assert.Assert(t, a != b, "case %d", i)
+	}
+}
+
+// Guards against memory that grows with the number of requests on crashed servers, and against
+// requests that leave no room for parts of prompts.
+func TestRequestRecordsAreBounded(t *testing.T) {
+	virtually(t, func(t *testing.T) {
+		f := newFleet(1)
+		for i := range 5000 {
+			f.crashUnder(0, uint64(i), fmt.Sprint("r", i))
+		}
+		suspected, _ := f.trackers[0].Counts(true)
+		assert.Assert(t, suspected <= 1024, "%d records", suspected)
+		f.crash(0, 9000, 9000, "p")
+		parts, _ := f.trackers[0].Counts(false)
+		assert.Equal(t, parts, 1)
+	})
+}
+
+// The cost of the identity of a request with a usual body.
+func BenchmarkRequestPart(b *testing.B) {
+	body := make([]byte, 800)
+	for b.Loop() {
+		poison.RequestPart("POST", "host.example", "/path/1", "account", body)
+	}
+}
--- a/poison/tracker.go
+++ b/poison/tracker.go
@@ -1,13 +1,16 @@
-// Package poison finds parts of prompts that crash the backend servers which begin to answer
-// them, and quarantines them: requests with such a part are refused instead of being sent to one
-// server after the other.
+// Package poison finds requests, and parts of their prompts, that crash the backend servers which
+// begin to answer them, and quarantines them: requests that come again, or have such a part, are
+// refused instead of being sent to one server after the other.
 //
-// Evidence against a part is a crash of a server that had just been given a request with the
-// part. Many requests are on a server when it crashes, so a part is quarantined only if no request
-// with it has been answered since, if several servers crashed at different moments under different
+// Evidence against a part is a crash of a server that had just been given a request with the part.
+// Many requests are on a server when it crashes, so a part is quarantined only if no request with
+// it has been answered since, if several servers crashed at different moments under different
 // requests, and, where a server answered a request with it not long before, after more crashes. Any
 // answer to a request with the part clears it.
 //
+// A request is suspended for some seconds after two crashes and quarantined after the third, if no
+// other request was on the server that crashed last and on as many others.
+//
 // Each process decides by the evidence of all: a process announces what it sees, and records are
 // merged in any order and number of times. The package knows no transport.
 //
@@ -30,8 +33,10 @@
 	cutAge = 6 * time.Second
 	// maxCuts bounds the cut runs that wait.
 	maxCuts = 1000
-	// maxRecords bounds the parts with evidence. Beyond it new parts are not tracked.
-	maxRecords = 256
+	// maxRecords bounds the parts of prompts with evidence, and maxRequests the requests. Beyond it
+	// new ones are not tracked. A crash of an engine cuts about 20 requests without an event.
+	maxRecords  = 256
+	maxRequests = 1024
 	// answeredAge is how long an answer shows that a part is sound, so that it is not blamed while
 	// the request also has parts without such an answer.
 	answeredAge = 5 * time.Minute
@@ -60,6 +65,7 @@
 type Tracker struct {
 	cfg         Config
 	quarantined atomic.Int32 // number of records with a quarantine, an upper bound
+	requests    atomic.Int32 // number of records of requests
 
 	mu       sync.Mutex
 	records  map[Part]*entry
@@ -74,6 +80,7 @@
 	changedAt time.Duration // Now
 	ownAt     time.Duration // Now of the last change by what this process saw itself
 	active    bool          // counted in quarantined
+	triedHere bool          // the last trial was in this process
 }
 
 // cut is a run that was cut before its server had shown that it can answer the request.
@@ -97,18 +104,72 @@
 
 // Blocked returns the quarantined part among the given ones and how long its quarantine lasts.
 func (t *Tracker) Blocked(parts []Part) (p Part, left time.Duration, ok bool) {
-	if len(parts) == 0 || t.quarantined.Load() == 0 {
+	if len(parts) == 0 || (t.quarantined.Load() == 0 && !t.TracksRequests()) {
 		return Part{}, 0, false
 	}
+	p, left, ok, started := t.blocked(parts)
+	t.logQuarantined(started, "evidence of all processes")
+	t.announce(started)
+	return p, left, ok
+}
+
+// blocked is Blocked. It also returns the records whose quarantine it started.
+func (t *Tracker) blocked(parts []Part) (p Part, left time.Duration, ok bool, started []Record) {
 	now := Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, p := range parts {
-		if e := t.records[p]; e != nil && e.Quarantined(now) {
-			return p, e.Until - now, true
+		e := t.records[p]
+		if e == nil {
+			continue
 		}
+		if p.IsRequest() && e.settlesIn(now) <= 0 && e.startQuarantine(now, t.leads(e)) {
+			t.update(e, now)
+			started = append(started, e.Record.clone())
+		}
+		if e.Quarantined(now) {
+			return p, e.Until - now, true, started
+		}
+	}
+	return Part{}, 0, false, started
+}
+
+// TracksRequests reports whether there is evidence against any request.
+func (t *Tracker) TracksRequests() bool { return t.requests.Load() > 0 }
+
+// Suspected reports whether a server crashed on a part and none answered it since.
+func (t *Tracker) Suspected(p Part) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.records[p]
+	return e != nil && len(e.Crashes) > 0
+}
+
+// TryAlone begins the trial of a suspected request, which it tells the other processes, and returns 0.
+// It returns how long to wait instead if the evidence of its last crash is not known to all processes
+// yet, or if another process may be trying the request.
+func (t *Tracker) TryAlone(p Part) time.Duration {
+	now := Now()
+	t.mu.Lock()
+	e := t.records[p]
+	if e == nil || len(e.Crashes) == 0 {
+		t.mu.Unlock()
+		return 0
+	}
+	wait := e.settlesIn(now)
+	if e.TriedAt > 0 && !e.triedHere {
+		wait = max(wait, e.TriedAt+MaxTrial-now)
 	}
-	return Part{}, 0, false
+	if wait > 0 {
+		t.mu.Unlock()
+		return wait
+	}
+	e.TriedAt, e.triedHere = now, true
+	e.changedAt, e.ownAt = now, now
+	record := e.Record.clone()
+	t.mu.Unlock()
+	t.announce([]Record{record})
+	return 0
 }
 
 // RecordAnswered records that a server wrote an answer to a request with the parts.
@@ -121,10 +182,12 @@
 	lifted := false
 	t.mu.Lock()
 	for _, p := range parts {
-		if len(t.answered) >= maxAnswered {
-			clear(t.answered)
+		if !p.IsRequest() { // a request comes once, or has a record
+			if len(t.answered) >= maxAnswered {
+				clear(t.answered)
+			}
+			t.answered[p] = now
 		}
-		t.answered[p] = now
 		e := t.records[p]
 		if e == nil || (len(e.Crashes) == 0 && e.Until == 0) {
 			continue
@@ -136,7 +199,7 @@
 	}
 	t.mu.Unlock()
 	for _, r := range changed {
-		t.cfg.Log.Info().Str("service", r.Part.Service).Str("part", r.Part.ID).Msg("part of prompts is sound: a server answered a request with it")
+		t.cfg.Log.Info().Str("service", r.Part.Service).Str("part", r.Part.ID).Msg(r.describe("part of prompts is sound: a server answered a request with it", "request is sound: a server answered it"))
 	}
 	if lifted {
 		t.cfg.OnQuarantine()
@@ -167,13 +230,18 @@
 }
 
 // candidates returns the parts that a crash may be blamed on: the quarantined one if there is one,
-// else those without a recent answer, else all. The caller holds mu.
+// else the request, and those parts of its prompt without a recent answer, or all if there are none.
+// The caller holds mu.
 func (t *Tracker) candidates(parts []Part, now time.Duration) []Part {
-	var unanswered []Part
+	var unanswered, requests []Part
 	for _, p := range parts {
 		if e := t.records[p]; e != nil && e.Quarantined(now) {
 			return []Part{p}
 		}
+		if p.IsRequest() {
+			requests = append(requests, p)
+			continue
+		}
 		if at, ok := t.answered[p]; !ok || now-at > answeredAge {
 			unanswered = append(unanswered, p)
 		}
@@ -181,7 +249,7 @@
 	if len(unanswered) == 0 {
 		return parts
 	}
-	return unanswered
+	return append(unanswered, requests...)
 }
 
 // RecordCrash records that a server crashed, which confirms the runs that it cut.
@@ -213,14 +281,15 @@
 // and those whose parts are quarantined now. The caller holds mu.
 func (t *Tracker) attributeCrash(c cut, now time.Duration) (changed, started []Record) {
 	// The last of several parts is the most specific one. If its quarantine explains the crash, the
-	// parts before it, which more requests share, are not blamed.
+	// parts before it, which more requests share, are not blamed. Whether the request is blamed is
+	// decided when it comes again.
 	for _, p := range slices.Backward(c.parts) {
 		e := t.entry(p, now)
 		if e == nil {
 			continue
 		}
 		e.add(Crash{Server: c.server, Request: c.request, At: c.at})
-		quarantined := e.startQuarantine(now)
+		quarantined := e.startQuarantine(now, false)
 		t.update(e, now)
 		changed = append(changed, e.Record.clone())
 		if quarantined {
@@ -231,29 +300,59 @@
 	return changed, started
 }
 
+// leads reports whether no other request that shares the last crash of a record has as many crashes.
+// The crash of a server cuts many sound requests, but few of them twice. The caller holds mu.
+func (t *Tracker) leads(e *entry) bool {
+	if !e.Part.IsRequest() || len(e.Crashes) == 0 {
+		return false
+	}
+	last := e.Crashes[len(e.Crashes)-1]
+	for p, o := range t.records {
+		if o != e && p.IsRequest() && len(o.Crashes) >= len(e.Crashes) && slices.ContainsFunc(o.Crashes, last.same) {
+			return false
+		}
+	}
+	return true
+}
+
 // entry returns the record of a part, which it creates if there is room. The caller holds mu.
 func (t *Tracker) entry(p Part, now time.Duration) *entry {
 	e := t.records[p]
 	if e != nil {
 		return e
 	}
-	if len(t.records) >= maxRecords {
+	if !t.hasRoom(p) {
 		t.expire(now)
-	}
-	if len(t.records) >= maxRecords {
-		return nil
+		if !t.hasRoom(p) {
+			return nil
+		}
 	}
 	e = &entry{Record: Record{Part: p, AnsweredAt: t.answered[p]}}
 	t.records[p] = e
+	if p.IsRequest() {
+		t.requests.Add(1)
+	}
 	return e
 }
 
+// hasRoom reports whether another record of the kind of a part may be created. The caller holds mu.
+func (t *Tracker) hasRoom(p Part) bool {
+	requests := int(t.requests.Load())
+	if p.IsRequest() {
+		return requests < maxRequests
+	}
+	return len(t.records)-requests < maxRecords
+}
+
 // expire removes idle records. The caller holds mu.
 func (t *Tracker) expire(now time.Duration) {
 	for p, e := range t.records {
 		if e.idle(now) {
 			t.setActive(e, false)
 			delete(t.records, p)
+			if p.IsRequest() {
+				t.requests.Add(-1)
+			}
 		}
 	}
 }
@@ -293,10 +392,15 @@
 		before := e.Quarantined(now)
 		// RecordAnswered leaves out records without evidence.
 		e.recordAnswer(t.answered[r.Part])
+		// A trial of this process comes back with a later time, as each datagram adds its own.
+		if r.TriedAt > e.TriedAt+MaxTrial/2 {
+			e.triedHere = false
+			e.changedAt = now
+		}
 		if e.merge(r) {
 			e.changedAt = now
 		}
-		if e.startQuarantine(now) || (!before && e.Quarantined(now)) {
+		if e.startQuarantine(now, false) || (!before && e.Quarantined(now)) {
 			started = append(started, e.Record.clone())
 		}
 		lifted = lifted || (before && !e.Quarantined(now))
@@ -327,10 +431,10 @@
 	return t.list(func(*entry) bool { return true })
 }
 
-// Quarantines returns the records with a quarantine in force.
+// Quarantines returns the records with a quarantine in force that is longer than a suspension.
 func (t *Tracker) Quarantines() []Record {
 	now := Now()
-	return t.list(func(e *entry) bool { return e.Quarantined(now) })
+	return t.list(func(e *entry) bool { return e.Quarantined(now) && !e.Suspension() })
 }
 
 // list returns at most maxShared records for which match returns true, quarantined ones first.
@@ -351,13 +455,15 @@
 	return out[:min(len(out), maxShared)]
 }
 
-// Counts returns the number of parts with evidence against them and of those in quarantine.
-func (t *Tracker) Counts() (suspected, quarantined int) {
+// Counts returns the number of parts of prompts, or of requests, with evidence against them and of
+// those in quarantine.
+func (t *Tracker) Counts(requests bool) (suspected, quarantined int) {
 	now := Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, e := range t.records {
+	for p, e := range t.records {
 		switch {
+		case p.IsRequest() != requests:
 		case e.Quarantined(now):
 			quarantined++
 		case len(e.Crashes) > 0:
@@ -371,7 +477,7 @@
 func (t *Tracker) report(changed, started []Record) {
 	for _, r := range changed {
 		t.cfg.Log.Info().Str("service", r.Part.Service).Str("part", r.Part.ID).Int("crashes", len(r.Crashes)).Dur("answered", r.sinceAnswered()).
-			Msg("backend server crashed on a request with this part of a prompt")
+			Msg(r.describe("backend server crashed on a request with this part of a prompt", "backend server crashed on this request"))
 	}
 	t.logQuarantined(started, "evidence of this process")
 	t.announce(changed)
@@ -382,7 +488,7 @@
 	now := Now()
 	for _, r := range started {
 		t.cfg.Log.Warn().Str("service", r.Part.Service).Str("part", r.Part.ID).Int("crashes", len(r.Crashes)).Int("term", r.Terms).
-			Dur("left", r.Until-now).Str("reason", reason).Msg("part of prompts quarantined")
+			Dur("left", r.Until-now).Str("reason", reason).Msg(r.describe("part of prompts quarantined", "request quarantined"))
 	}
 	if len(started) > 0 {
 		t.cfg.OnQuarantine()
@@ -395,6 +501,14 @@
 	}
 }
 
+// describe returns the message for a part of prompts or for a request.
+func (r *Record) describe(part, request string) string {
+	if r.Part.IsRequest() {
+		return request
+	}
+	return part
+}
+
 // clone returns a copy that shares no memory.
 func (r *Record) clone() Record {
 	out := *r
--- a/poison/tracker_test.go
+++ b/poison/tracker_test.go
@@ -285,7 +285,7 @@
 			f.crash(0, uint64(i), uint64(i), fmt.Sprint("p", i))
 			f.answer(0, fmt.Sprint("q", i))
 		}
-		suspected, _ := f.trackers[0].Counts()
+		suspected, _ := f.trackers[0].Counts(false)
 		assert.Assert(t, suspected <= 256, "%d records", suspected)
 		assert.Assert(t, len(f.trackers[0].Records()) <= 32)
 		long := poison.PartsOf("s", []string{string(make([]byte, 10_000)), "own"})
--- /dev/null
+++ b/relay/deadly_test.go
@@ -0,0 +1,267 @@
+package relay_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/cranberrybay/cranberrybay/clock"
+	"github.com/cranberrybay/cranberrybay/config"
+	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/poison"
+	"github.com/cranberrybay/cranberrybay/relay"
+	"github.com/cranberrybay/cranberrybay/retry"
+	"github.com/cranberrybay/cranberrybay/server"
+)
+
+const (
+	deadlyBody = "deadly"
+	// deadlyCrashes is the number of crashes after which the arrivals of a deadly request count.
+	deadlyCrashes = 3
+	// announceDelay is how long what one process tells takes to reach the others.
+	announceDelay = 3 * time.Millisecond
+)
+
+// deadlyFleet is a fleet of entry processes before servers that crash when they begin to run a
+// deadly request.
+type deadlyFleet struct {
+	*poisonFleet
+	tables    []*server.Table
+	processes []*relay.Relay
+	rng       *rand.Rand
+}
+
+func newDeadlyFleet(processes int, entries ...server.Entry) *deadlyFleet {
+	f := &deadlyFleet{poisonFleet: newPoisonFleet(), rng: rand.New(rand.NewSource(1))}
+	var all []server.Change
+	for _, e := range entries {
+		all = append(all, server.Change{ID: e.ID, Entry: e})
+	}
+	var trackers []*poison.Tracker
+	for i := range processes {
+		tracker := poison.New(poison.Config{Log: zerolog.Nop(), Announce: func(records []poison.Record) {
+			time.AfterFunc(announceDelay, func() {
+				for j, o := range trackers {
+					if j != i {
+						o.Merge(records)
+					}
+				}
+			})
+		}})
+		trackers = append(trackers, tracker)
+		table := server.NewTable(server.Config{Log: zerolog.Nop()})
+		table.Apply(all, true, 0)
+		budget := retry.New(retry.Config{RetriesPerRequest: 0.2, Burst: 20, Initial: 20})
+		f.tables = append(f.tables, table)
+		f.processes = append(f.processes, relay.New(relay.Config{
+			Servers: table, Poison: tracker, Domain: "near", Log: zerolog.Nop(), Budget: func(string) *retry.Budget { return budget },
+			Send: func(ctx context.Context, req *relay.Request, a relay.Attempt) (*relay.Answer, error) {
+				return f.serveRun(ctx, req, a)
+			},
+			FetchReport: f.report,
+			Probe: func(_ context.Context, address string) error {
+				if f.isDown(address) {
+					return syscall.ECONNREFUSED
+				}
+				return nil
+			},
+		}))
+	}
+	return f
+}
+
+// serveRun answers an attempt: a stream, or the whole answer of a plain service after some time.
+func (f *deadlyFleet) serveRun(ctx context.Context, req *relay.Request, a relay.Attempt) (*relay.Answer, error) {
+	address, deadly := a.Server.Address(), string(req.Body) == deadlyBody
+	if f.isDown(address) {
+		return nil, fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Unavailable, Reason: "refused", Cause: syscall.ECONNREFUSED})
+	}
+	run := &poisonRun{fleet: f.poisonFleet, ctx: ctx, address: address, deadly: deadly, cut: f.begin(address, deadly), next: 1}
+	ans := signedAnswer(200, "")
+	if req.Route.Kind() == config.Stream {
+		ans.Body = run
+		return ans, nil
+	}
+	run.next = 2
+	if _, err := run.Read(make([]byte, 64)); err != nil {
+		return nil, err
+	}
+	return ans, nil
+}
+
+// call serves a request at a random process.
+func (f *deadlyFleet) call(ctx context.Context, req *relay.Request) error {
+	f.mu.Lock()
+	r := f.processes[f.rng.Intn(len(f.processes))]
+	f.mu.Unlock()
+	return r.Serve(ctx, req, discard())
+}
+
+// callWithRepeat is call of a caller that repeats its request once, as it is told.
+func (f *deadlyFleet) callWithRepeat(ctx context.Context, newRequest func() *relay.Request) error {
+	err := f.call(ctx, newRequest())
+	if err == nil {
+		return nil
+	}
+	if at, ok := fault.RetryAt(err); ok {
+		time.Sleep(min(time.Until(at), 3*time.Second))
+	}
+	return f.call(ctx, newRequest())
+}
+
+// lateArrivals returns how many arrivals of the deadly request reached servers later than
+// poisonWindow after its third crash.
+func (f *deadlyFleet) lateArrivals() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.crashes) < deadlyCrashes {
+		return 0
+	}
+	limit := f.crashes[deadlyCrashes-1].Add(poisonWindow)
+	return len(slices.DeleteFunc(slices.Clone(f.sends), func(at time.Time) bool { return !at.After(limit) }))
+}
+
+// discard returns a sink that takes everything.
+func discard() relay.Sink {
+	return relay.Sink{Start: func(int, http.Header, int64) {}, Write: func([]byte) error { return nil }, Flush: func() error { return nil }}
+}
+
+// deadlyRequest returns an arrival of the deadly request, or a sound one of the same caller, path and
+// parts.
+func deadlyRequest(kind config.Kind, n int, deadly bool) *relay.Request {
+	req := request(kind, 2)
+	req.ID, req.Account = fmt.Sprint("r", n), &config.Account{Name: "account"}
+	req.Body = []byte(fmt.Sprint("sound ", n))
+	own := req.ID
+	if deadly {
+		req.Body, own = []byte(deadlyBody), "own"
+	}
+	if kind == config.Stream {
+		req.PromptParts = []string{"root", own}
+	}
+	return req
+}
+
+// Guards against one request that comes again and again and crashes server after server, and against
+// sound requests of its caller, path and parts that are refused or lost because of it.
+func TestDeadlyRequestReachesFewServers(t *testing.T) {
+	for name, kind := range map[string]config.Kind{"stream": config.Stream, "idempotent": config.Idempotent, "at most once": config.AtMostOnce} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				begun := time.Now()
+				defer clock.Replace(func() time.Duration { return time.Since(begun) })()
+				var entries []server.Entry
+				for i := range 6 {
+					e := engineEntry(fmt.Sprint("e", i), "near", 0, 8)
+					if kind != config.Stream {
+						e = plainEntry(e.ID)
+					}
+					entries = append(entries, e)
+				}
+				f := newDeadlyFleet(4, entries...)
+				var mu sync.Mutex
+				refused, lost, sound := 0, 0, 0
+				var wg sync.WaitGroup
+				for n := range 750 { // 25 a second for 30 s, every 25th one deadly
+					time.Sleep(40 * time.Millisecond)
+					wg.Go(func() {
+						deadly := n%25 == 0
+						err := f.callWithRepeat(t.Context(), func() *relay.Request { return deadlyRequest(kind, n, deadly) })
+						if deadly {
+							return
+						}
+						mu.Lock()
+						defer mu.Unlock()
+						sound++
+						switch {
+						case err == nil:
+						case fault.CodeOf(err) == fault.Quarantined:
+							refused++
+						default:
+							lost++
+						}
+					})
+				}
+				wg.Wait()
+				t.Logf("%d crashes, %d late arrivals; of %d sound requests %d refused, %d lost", len(f.crashes), f.lateArrivals(), sound, refused, lost)
+				assert.Assert(t, f.lateArrivals() <= maxLateSends, "%d arrivals at servers later than %v after the third crash; %d crashes", f.lateArrivals(), poisonWindow, len(f.crashes))
+				assert.Equal(t, refused, 0)
+				assert.Assert(t, lost <= sound/50, "%d of %d sound requests lost", lost, sound)
+
+				sent := len(f.sends)
+				err := f.call(t.Context(), deadlyRequest(kind, 1000, true))
+				assert.Equal(t, fault.CodeOf(err), fault.Quarantined)
+				assert.Equal(t, fault.VerdictOf(err), fault.NotRun)
+				at, ok := fault.RetryAt(err)
+				assert.Assert(t, ok && time.Until(at) > time.Minute, "no time to come back")
+				assert.Equal(t, len(f.sends), sent)
+			})
+		})
+	}
+}
+
+// Guards against a request that holds several servers at once after a server crashed on it.
+func TestSuspectHoldsOneServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		begun := time.Now()
+		defer clock.Replace(func() time.Duration { return time.Since(begun) })()
+		var entries []server.Entry
+		for i := range 6 {
+			entries = append(entries, plainEntry(fmt.Sprint("e", i)))
+		}
+		f := newDeadlyFleet(4, entries...)
+		assert.Assert(t, f.call(t.Context(), deadlyRequest(config.AtMostOnce, 0, true)) != nil)
+		assert.Equal(t, len(f.crashes), 1)
+		time.Sleep(10 * announceDelay)
+		var wg sync.WaitGroup
+		for n := range 40 {
+			wg.Go(func() { _ = f.call(t.Context(), deadlyRequest(config.Idempotent, 1+n, true)) })
+		}
+		wg.Wait()
+		assert.Equal(t, len(f.crashes), 2)
+	})
+}
+
+// Guards against requests that are told from each other by less than a caller would repeat.
+func TestIdentityOfRequests(t *testing.T) {
+	base := func() *relay.Request { return deadlyRequest(config.Idempotent, 1, true) }
+	for name, change := range map[string]func(req *relay.Request){
+		"body":    func(req *relay.Request) { req.Body = []byte("other") },
+		"account": func(req *relay.Request) { req.Account = &config.Account{Name: "other"} },
+		"path":    func(req *relay.Request) { req.Target = "/x/2" },
+		"query":   func(req *relay.Request) { req.Target += "?page=2" },
+		"host":    func(req *relay.Request) { req.Host = "other" },
+		"method":  func(req *relay.Request) { req.Method = "PUT" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				begun := time.Now()
+				defer clock.Replace(func() time.Duration { return time.Since(begun) })()
+				f := newDeadlyFleet(1, plainEntry("a"), plainEntry("b"), plainEntry("c"), plainEntry("d"))
+				for range 3 {
+					_ = f.call(t.Context(), base())
+					time.Sleep(11 * time.Second)
+				}
+				assert.Equal(t, fault.CodeOf(f.call(t.Context(), base())), fault.Quarantined)
+				other := base()
+				change(other)
+				if strings.Contains(string(other.Body), deadlyBody) {
+					other.Method += "X" // keeps the servers alive
+					other.Body = []byte("sound")
+				}
+				assert.NilError(t, f.call(t.Context(), other))
+			})
+		})
+	}
+}
--- a/relay/handover.go
+++ b/relay/handover.go
@@ -109,6 +109,7 @@
 	errNoAttemptLeft = errors.New("no attempt left")
 	errNoRetryLeft   = errors.New("no retry left")
 	errNoPath        = errors.New(reasonNoPath)
+	errSuspect       = errors.New("a request on which a server crashed has one server at a time")
 )
 
 // startHandover starts a new run on a path without the excluded engines. The current run is
@@ -144,6 +145,8 @@
 		return nil, errNoAttemptLeft
 	case budget.Available() < 1:
 		return nil, errNoRetryLeft
+	case m.relay.isSuspect(m.req):
+		return nil, errSuspect
 	}
 	if err := m.relay.refuseQuarantined(m.req, true); err != nil {
 		return nil, err
@@ -164,6 +167,8 @@
 	timer := time.AfterFunc(handoverTimeout, rn.cancel)
 	ans, err := m.stream.send(rn)
 	switch {
+	case err != nil && rn.ctx.Err() == nil:
+		m.relay.recordCut(rn.ctx, m.req, rn.path.first, err)
 	case err != nil:
 	case !timer.Stop():
 		err = context.DeadlineExceeded
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -55,16 +55,18 @@
 			}
 		}(running)
 	}()
-	var quarantined error
+	var refused error // by the evidence of crashes
 	start := func(reason string, maxWait time.Duration) bool {
-		if sent >= req.Route.Attempts() {
+		if sent >= req.Route.Attempts() || (running > 0 && r.isSuspect(req)) {
 			return false
 		}
-		srv, sendAt := r.pickAndReserve(req, tried, maxWait)
-		if quarantined = r.refuseQuarantined(req, sent > 0); quarantined != nil {
+		endTrial, err := r.tryAlone(ctx, req)
+		if refused = err; err != nil {
 			return false
 		}
+		srv, sendAt := r.pickAndReserve(req, tried, maxWait)
 		if srv == nil || (sent > 0 && !r.takeRetry(req)) {
+			endTrial()
 			return false
 		}
 		tried[srv.ID()] = true
@@ -74,12 +76,15 @@
 			r.cfg.Count("repeat")
 			r.cfg.Log.Info().Str("id", req.ID).Str("server", srv.ID()).Int("attempt", sent).Str("reason", reason).Msg("request repeated")
 		}
-		go func() { results <- r.attemptOnce(ctx, req, srv, sendAt) }()
+		go func() {
+			defer endTrial()
+			results <- r.attemptOnce(ctx, req, srv, sendAt)
+		}()
 		return true
 	}
 	if !start("first", rateWait(req)) {
-		if quarantined != nil {
-			return quarantined
+		if refused != nil {
+			return refused
 		}
 		if err := r.refuseOverRate(req, refusedRetryAfter); err != nil {
 			return err
@@ -169,12 +174,13 @@
 	switch {
 	case res.err == nil && ans.Status < http.StatusInternalServerError:
 		srv.RecordAnswer(res.took)
-		r.cfg.Poison.RecordAnswered(req.parts)
+		r.recordAnswered(req)
 	case res.err == nil:
-		// An error of the service says nothing about the server's speed or health.
+		// An error of the service says nothing about the server's speed, but the server survived.
+		r.recordAnswered(req)
 	case ctx.Err() == nil:
 		srv.RecordFailure()
-		r.recordCut(req, srv, res.err)
+		r.recordCut(ctx, req, srv, res.err)
 	}
 	return res
 }
--- a/relay/poison.go
+++ b/relay/poison.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cranberrybay/cranberrybay/fault"
@@ -18,7 +20,10 @@
 	returnSpread = 0.25
 )
 
-const reasonQuarantined = "a part of the prompt crashes backend servers"
+const (
+	reasonQuarantined = "a part of the prompt crashes backend servers"
+	reasonDeadly      = "the request crashed backend servers"
+)
 
 // newIdentity returns the identity of a request that callers may send again.
 func (req *Request) newIdentity() poison.Part {
@@ -29,16 +34,30 @@
 	return poison.RequestPart(req.Method, req.Host, req.Target, account, req.Body)
 }
 
-// refuseQuarantined returns the error for a request whose prompt has a quarantined part, or nil.
-// Requests that wait at a server when the quarantine begins are not cancelled.
+// suspectParts returns the parts of a request's prompt and, if there is evidence against any request,
+// its identity, which costs a hash of the body.
+func (r *Relay) suspectParts(req *Request) []poison.Part {
+	if !r.cfg.Poison.TracksRequests() {
+		return req.parts
+	}
+	return append(slices.Clip(req.parts), req.identity())
+}
+
+// refuseQuarantined returns the error for a request that is quarantined or whose prompt has a
+// quarantined part, or nil. Requests that wait at a server when the quarantine begins are not
+// cancelled.
 func (r *Relay) refuseQuarantined(req *Request, mayHaveRun bool) error {
-	p, left, ok := r.cfg.Poison.Blocked(req.parts)
+	p, left, ok := r.cfg.Poison.Blocked(r.suspectParts(req))
 	if !ok {
 		return nil
 	}
 	r.cfg.Count("quarantined")
-	r.cfg.Log.Info().Str("id", req.ID).Str("service", p.Service).Str("part", p.ID).Dur("left", left).Bool("sent", mayHaveRun).Msg("part of the prompt is quarantined")
-	cfg := fault.Config{Verdict: fault.MayHaveRun, Code: fault.Quarantined, Reason: reasonQuarantined}
+	msg, reason := "part of the prompt is quarantined", reasonQuarantined
+	if p.IsRequest() {
+		msg, reason = "request is quarantined", reasonDeadly
+	}
+	r.cfg.Log.Info().Str("id", req.ID).Str("service", p.Service).Str("part", p.ID).Dur("left", left).Bool("sent", mayHaveRun).Msg(msg)
+	cfg := fault.Config{Verdict: fault.MayHaveRun, Code: fault.Quarantined, Reason: reason}
 	if !mayHaveRun {
 		cfg.Verdict = fault.NotRun
 		cfg.RetryAt = time.Now().Add(left + rand.N(time.Duration(returnSpread*float64(left))+1))
@@ -46,10 +65,20 @@
 	return fault.New(cfg)
 }
 
-// recordCut notes that a server ended a run before it had shown that it can answer the request.
-// The parts of its prompt are blamed if the server turns out to have crashed.
-func (r *Relay) recordCut(req *Request, s *server.Server, err error) {
+// recordCut notes that a server ended a run before it had shown that it can answer the request, and
+// waits until it is known whether the server still listens.
+func (r *Relay) recordCut(ctx context.Context, req *Request, s *server.Server, err error) {
 	if fault.VerdictOf(err) == fault.MayHaveRun {
-		r.cfg.Poison.RecordCut(s.Incarnation(), poison.RequestHash(req.PromptParts), req.parts)
+		r.recordUnanswered(req, s)
+		r.confirmCrash(ctx, req, s)
 	}
 }
+
+// recordUnanswered notes that a server had a request and has not shown that it can answer it. The
+// request and the parts of its prompt are blamed if the server turns out to have crashed.
+func (r *Relay) recordUnanswered(req *Request, s *server.Server) {
+	r.cfg.Poison.RecordCut(s.Incarnation(), poison.RequestHash(req.PromptParts), append(slices.Clip(req.parts), req.identity()))
+}
+
+// recordAnswered notes that a server answered a request.
+func (r *Relay) recordAnswered(req *Request) { r.cfg.Poison.RecordAnswered(r.suspectParts(req)) }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -132,6 +132,9 @@
 	// Poison knows the parts of prompts that crash servers; nil for one that this process shares
 	// with no other.
 	Poison *poison.Tracker
+	// Probe opens and closes a connection to an address. ECONNREFUSED shows that the server there has
+	// ended. nil if the servers of plain services can't be probed.
+	Probe func(ctx context.Context, address string) error
 	// Pacer knows the rates that servers name; nil for one of this process alone.
 	Pacer  *pacer.Pacer
 	Domain string // failure domain of this process
@@ -149,6 +152,7 @@
 	cfg             Config
 	reports         *reportCache
 	firstEventTimes firstEventTimes
+	trials          trials
 
 	mu       sync.Mutex
 	monitors map[*stallMonitor]struct{} // of the running streams
@@ -246,7 +250,6 @@
 func (r *Relay) MarkDead(s *server.Server) {
 	s.Avoid(avoidDeadFor)
 	s.MarkDead()
-	r.cfg.Poison.RecordCrash(s.Incarnation())
 	if wait := maxLiveEventAge + time.Millisecond - s.SilentFor(); wait > 0 {
 		time.AfterFunc(wait, func() { r.checkNow(s) })
 		return
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -266,6 +266,7 @@
 	}
 	for address := range dead {
 		m.excluded[address] = true
+		m.recordUnanswered(address, gone[address])
 	}
 	if first := hops[0].Address; dead[first] {
 		err := m.startHandover(m.excluded, stalledMove)
@@ -278,6 +279,19 @@
 	m.replaceEngines(dead, true)
 }
 
+// recordUnanswered notes that the engine at an address may have crashed on the stream's request, which
+// it has if it is gone.
+func (m *stallMonitor) recordUnanswered(address string, gone bool) {
+	s := m.relay.cfg.Servers.ByAddress(address)
+	if s == nil || m.stream.runEvents.Load() >= answeredEvents {
+		return
+	}
+	m.relay.recordUnanswered(m.req, s)
+	if gone {
+		m.relay.cfg.Poison.RecordCrash(s.Incarnation())
+	}
+}
+
 // recheckDelay returns the delay after the nth check in one gap.
 func recheckDelay(n int) time.Duration {
 	d := float64(firstRecheckDelay) * math.Pow(recheckGrowth, float64(n-1))
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cranberrybay/cranberrybay/fault"
@@ -31,9 +32,10 @@
 	req   *Request
 	sink  Sink
 
-	eventCount int // events sent to the caller
-	runEvents  int // events of the present run
+	eventCount int          // events sent to the caller
+	runEvents  atomic.Int32 // events of the present run
 	timing     eventTiming
+	endTrial   func() // ends the trial of the present run, if it has one
 
 	// The check of a stalled stream uses the following fields as well.
 	mu          sync.Mutex
@@ -116,7 +118,7 @@
 
 // serveStream serves a request that is answered by a stream of events.
 func (r *Relay) serveStream(ctx context.Context, req *Request, sink Sink) error {
-	st := &streamState{relay: r, req: req, sink: sink, lastEventID: req.LastEventID}
+	st := &streamState{relay: r, req: req, sink: sink, lastEventID: req.LastEventID, endTrial: func() {}}
 	defer st.recordTimes()
 	ctx, cancel := context.WithCancel(ctx)
 	defer func() {
@@ -214,9 +216,10 @@
 func (st *streamState) attempt(ctx context.Context, rn *run, excluded map[string]bool) (retry bool, err error) {
 	r, req := st.relay, st.req
 	if rn == nil {
-		if err := r.refuseQuarantined(req, req.mayHaveRun.Load()); err != nil {
+		if st.endTrial, err = r.tryAlone(ctx, req); err != nil {
 			return false, err
 		}
+		defer st.endTrial()
 		var ok bool
 		if rn, ok = st.newRun(ctx, excluded, rateWait(req)); !ok {
 			r.cfg.Log.Info().Str("id", req.ID).Str("service", req.Service.Name).Int("servers", len(r.cfg.Servers.Servers(req.Service.Name))).
@@ -238,7 +241,7 @@
 		}
 	}
 	defer rn.end()
-	st.runEvents = 0
+	st.runEvents.Store(0)
 	m := newStallMonitor(ctx, st, rn, excluded)
 	defer m.stop()
 	defer rn.close()
@@ -257,7 +260,7 @@
 	started := time.Now()
 	err = st.copyEvents(rn.answer, m)
 	if err == nil {
-		r.cfg.Poison.RecordAnswered(req.parts)
+		r.recordAnswered(req)
 		st.logSlow(rn.path)
 		rn.path.first.RecordAnswer(time.Since(started))
 		return false, nil
@@ -290,7 +293,7 @@
 func (st *streamState) attemptFailed(ctx context.Context, rn *run, ans *Answer, err error, excluded map[string]bool) bool {
 	r, t := st.relay, rn.path
 	e := r.cfg.Log.Info().Str("id", st.req.ID).Int("attempt", st.attemptCount()).Str("first", t.first.ID()).Str("path", t.String()).Str("last", st.lastEvent()).
-		Int("events", st.runEvents).Strs("parts", st.req.PromptParts).Str("request", st.req.identity().ID).
+		Int32("events", st.runEvents.Load()).Strs("parts", st.req.PromptParts).Str("request", st.req.identity().ID).
 		Str("verdict", fault.VerdictOf(err).String()).Err(err).Dur("since", time.Since(st.req.Arrived))
 	failedServer := t.first
 	if ans != nil && ans.RefusedBy != "" {
@@ -301,8 +304,8 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	if !rn.cancelled && st.runEvents < answeredEvents {
-		r.recordCut(st.req, t.first, err)
+	if !rn.cancelled && st.runEvents.Load() < answeredEvents {
+		r.recordCut(ctx, st.req, t.first, err)
 	}
 	if failedServer != nil {
 		failedServer.RecordFailure()
@@ -379,10 +382,10 @@
 		}
 		if err == nil {
 			n, err := validateEvents(complete, lastSent)
-			if st.runEvents < answeredEvents && st.runEvents+n >= answeredEvents {
-				st.relay.cfg.Poison.RecordAnswered(st.req.parts)
+			if before := st.runEvents.Add(int32(n)) - int32(n); before < answeredEvents && before+int32(n) >= answeredEvents {
+				st.relay.recordAnswered(st.req)
+				st.endTrial()
 			}
-			st.runEvents += n
 			if st.eventCount += n; err == nil && st.req.MaxAnswerTokens > 0 && st.eventCount > st.req.MaxAnswerTokens+extraEvents {
 				err = errTooManyEvents
 			}
--- /dev/null
+++ b/relay/trial.go
@@ -0,0 +1,128 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cranberrybay/cranberrybay/poison"
+	"github.com/cranberrybay/cranberrybay/server"
+)
+
+// trials sends the requests on which servers crashed to one server at a time, for each service. Most
+// of them are sound and were on the server by chance; a trial shows which, and the deadly one takes
+// only one server with it.
+type trials struct {
+	mu       sync.Mutex
+	services map[string]chan struct{} // holds a value while a trial runs
+}
+
+// begin waits until no trial of a service runs and starts one. The returned function ends it, and
+// further calls of it have no effect. It returns an error if the context ends first.
+func (t *trials) begin(ctx context.Context, service string) (end func(), err error) {
+	t.mu.Lock()
+	if t.services == nil {
+		t.services = map[string]chan struct{}{}
+	}
+	running := t.services[service]
+	if running == nil {
+		running = make(chan struct{}, 1)
+		t.services[service] = running
+	}
+	t.mu.Unlock()
+	select {
+	case running <- struct{}{}:
+	case <-ctx.Done():
+		return func() {}, ctx.Err()
+	}
+	release := sync.OnceFunc(func() { <-running })
+	timer := time.AfterFunc(poison.MaxTrial, release)
+	return func() { timer.Stop(); release() }, nil
+}
+
+// maxTrialWait bounds how long a suspect waits for the trials of others. Callers leave a stream after
+// two seconds without an event.
+const maxTrialWait = time.Second
+
+// trialSpread spreads the trials of one request that several processes wait for, so that the first one
+// is known to the others in time.
+const trialSpread = 60 * time.Millisecond
+
+// tryAlone delays the next attempt of a request on which a server crashed until no other such request
+// is on trial and the evidence of all processes is known, and returns the error of a request that
+// is refused. The returned function ends its trial: a server answered, or the attempt failed.
+func (r *Relay) tryAlone(ctx context.Context, req *Request) (end func(), err error) {
+	end = func() {}
+	if r.isSuspect(req) {
+		wait, cancel := context.WithTimeout(ctx, maxTrialWait)
+		defer cancel()
+		if end, err = r.trials.begin(wait, req.Service.Name); err == nil {
+			err = r.awaitTrial(wait, req)
+		}
+		if err != nil {
+			end()
+			r.cfg.Log.Info().Str("id", req.ID).Str("part", req.identity().ID).Msg("no trial for a request on which a server crashed")
+			return end, r.failure(req, reasonTrials, noServerRetryAfter, err)
+		}
+	}
+	if err := r.refuseQuarantined(req, req.mayHaveRun.Load()); err != nil {
+		end()
+		return end, err
+	}
+	return end, nil
+}
+
+// awaitTrial waits until a suspected request may be tried. A quarantine ends the wait as well.
+func (r *Relay) awaitTrial(ctx context.Context, req *Request) error {
+	for {
+		if _, _, ok := r.cfg.Poison.Blocked(r.suspectParts(req)); ok {
+			return nil
+		}
+		wait := r.cfg.Poison.TryAlone(req.identity())
+		if wait <= 0 {
+			return nil
+		}
+		if err := sleepUntil(ctx, time.Now().Add(wait+rand.N(trialSpread))); err != nil {
+			return err
+		}
+	}
+}
+
+const reasonTrials = "requests on which backend servers crashed are tried one at a time"
+
+// failure returns the error for a request that is given up: not run, unless an attempt may have run.
+func (r *Relay) failure(req *Request, reason string, retryIn time.Duration, cause error) error {
+	if req.mayHaveRun.Load() {
+		return mayHaveRunError(reason, cause)
+	}
+	return notRunError(reason, retryIn, cause)
+}
+
+// isSuspect reports whether a server crashed on a request and none answered it since.
+func (r *Relay) isSuspect(req *Request) bool {
+	return r.cfg.Poison.TracksRequests() && r.cfg.Poison.Suspected(req.identity())
+}
+
+// confirmCrash finds out whether a server that cut a request has ended, before the request is sent
+// to another one.
+func (r *Relay) confirmCrash(ctx context.Context, req *Request, s *server.Server) {
+	refused := false
+	if req.Service.Engine != nil {
+		rd := r.reports.cached(s.Address())
+		select {
+		case <-rd.done:
+			refused = rd.refused
+		case <-ctx.Done():
+		}
+	} else if r.cfg.Probe != nil {
+		probe, cancel := context.WithTimeout(ctx, reportTimeout)
+		defer cancel()
+		refused = errors.Is(r.cfg.Probe(probe, s.Address()), syscall.ECONNREFUSED)
+	}
+	if refused {
+		r.cfg.Poison.RecordCrash(s.Incarnation())
+	}
+}
