link: an answer without an ID is believed on a new connection only

Callers saw 503 "not run" for requests that a server was running, or the request ran at a second server: a faulty server had written an earlier refusal once more on a kept connection, without its request ID. A signed answer of another request without an ID was delivered in the same way.

Change: link.Request.Origin replaces MatchAnswer. It says whether an answer names this request, another one (or several), or none. One that names none is accepted as the first answer on a connection, where it can't belong to an earlier request; on a connection that has carried answers the request fails as "may have run". A connection with an answer to another request is not used again.

Cost to sound servers: none, their answers carry the ID of the request. A server that leaves it out loses kept connections: its second request on each fails as "may have run". Failing at once rather than waiting for a further answer keeps such a server from holding requests until their deadline.

--- a/link/endless_test.go
+++ b/link/endless_test.go
@@ -221,27 +221,46 @@
 }
 
 // Arbitrary bytes from a server must neither cause a panic nor be accepted as the answer to
-// another request.
+// another request, whether or not the connection has carried a refusal of an earlier one.
 func FuzzAnswer(f *testing.F) {
+	const refusal, answer = "HTTP/1.1 503 x\r\nId: 0\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 4\r\n\r\nbody"
 	for _, s := range []string{
-		"", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 4\r\n\r\nbody", "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\n\r\nx",
+		"", answer, "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\n\r\nx",
 		"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n4;x\r\nbody\r\n0\r\nT: u\r\n\r\n", "\x00\x01\x02", "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 1\r\n\r\nxHTTP/1.1 200 OK\r\nId: 1\r\n\r\n",
+		refusal + answer, refusal + refusal + answer, answer + refusal, strings.Replace(refusal, "Id: 0\r\n", "", 1) + answer, refusal + "x" + answer,
 	} {
-		f.Add([]byte(s))
+		f.Add([]byte(s), true)
+		f.Add([]byte(s), false)
 	}
-	f.Fuzz(func(t *testing.T, raw []byte) {
+	f.Fuzz(func(t *testing.T, raw []byte, used bool) {
 		near, far := net.Pipe()
 		go func() {
 			r := bufio.NewReader(far)
-			if rq, _ := receive(r); rq != nil {
-				_, _ = far.Write(raw)
+			if rq, _ := receive(r); rq != nil && used {
+				_, _ = io.WriteString(far, refusal)
+				_, _ = receive(r)
 			}
+			_, _ = far.Write(raw)
 			_ = far.Close()
 		}()
 		c := link.New(link.Config{Dial: func(context.Context, string) (net.Conn, error) { return near, nil }})
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
-		ans, err := c.Do(ctx, "x", request("1", false))
+		if used {
+			ans, err := c.Do(ctx, "x", request("0", true))
+			assert.NilError(t, err)
+			assert.NilError(t, ans.Body.Close())
+		}
+		rq := request("1", used)
+		if isThis := rq.Origin; used {
+			rq.Origin = func(h http.Header) link.Origin {
+				if h.Get("Id") == "" {
+					return link.OriginUnknown
+				}
+				return isThis(h)
+			}
+		}
+		ans, err := c.Do(ctx, "x", rq)
 		if err != nil {
 			return
 		}
--- a/link/link.go
+++ b/link/link.go
@@ -36,14 +36,25 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// MatchAnswer reports whether an answer with this header belongs to the request. An
-	// answer that doesn't is discarded and the next one is read; nil accepts any.
-	MatchAnswer func(h http.Header) bool
+	// Origin returns to which request an answer with this header belongs. An answer to another
+	// request is discarded and the next one is read; nil accepts any.
+	Origin func(h http.Header) Origin
 	// AllowReuse allows the use of an idle connection. The server may close it just when
 	// the request is sent, and then it is unknown whether the request ran.
 	AllowReuse bool
 }
 
+// Origin states to which request an answer belongs.
+type Origin uint8
+
+const (
+	// OriginUnknown means that the answer names no request. It is accepted only as the first
+	// answer on a connection, where it can't belong to an earlier request.
+	OriginUnknown Origin = iota
+	OriginThis           // the answer names the request that was sent
+	OriginOther          // the answer names another request, or several
+)
+
 // Config holds the settings of a Client.
 type Config struct {
 	// Dial opens a connection; nil for TCP over IPv4.
@@ -77,11 +88,12 @@
 	headTimeout = 2 * time.Second
 )
 
-// Errors of answers that exceed a limit. The connection is closed.
+// Errors of answers that exceed a limit or can't be attributed. The connection is closed.
 var (
 	errHeadTooLong  = errors.New("head of the answer is too long")
 	errTooManyLines = errors.New("head of the answer has too many lines")
 	errHeadTimeout  = errors.New("head of the answer did not end in time")
+	errUnknown      = errors.New("answer names no request on a connection that has carried others")
 )
 
 // Client sends requests and pools idle connections. It is safe for concurrent use; its
@@ -134,6 +146,7 @@
 	limiter *headLimiter
 	reader  *bufio.Reader // of limiter
 	expires time.Time     // end of the idle timeout
+	used    bool          // an answer was read from the connection
 }
 
 func newConn(c net.Conn, address string) *conn {
@@ -251,7 +264,7 @@
 		return nil, newError(fault.MayHaveRun, "the server did not answer", contextCause(ctx, err))
 	}
 	x.body = rs.Body
-	x.reusable = !rs.Close && rs.StatusCode != http.StatusSwitchingProtocols
+	x.reusable = !rs.Close && !x.outOfStep && rs.StatusCode != http.StatusSwitchingProtocols
 	x.idleLimit = keepAlive(rs.Header, c.cfg.IdleTimeout)
 	return &Answer{Status: rs.StatusCode, Header: rs.Header, Body: x, Length: rs.ContentLength, Unframed: rs.ContentLength < 0 && len(rs.TransferEncoding) == 0, SetReadDeadline: x.setReadDeadline}, nil
 }
@@ -273,6 +286,7 @@
 	body          io.ReadCloser
 	idleLimit     time.Duration // how long the connection may stay idle
 	reusable      bool          // the server keeps the connection open
+	outOfStep     bool          // the server sent an answer to another request
 	complete      bool          // the body was read to its end
 	bodySent      chan struct{} // closed when a long request body was written; nil for a short one
 	closed        bool
@@ -339,9 +353,18 @@
 		if err := x.conn.limiter.endHead(); err != nil {
 			return nil, err
 		}
-		if rq.MatchAnswer == nil || rq.MatchAnswer(rs.Header) {
+		origin, used := OriginThis, x.conn.used
+		if rq.Origin != nil {
+			origin = rq.Origin(rs.Header)
+		}
+		x.conn.used = true
+		switch {
+		case origin == OriginThis, origin == OriginUnknown && !used:
 			return rs, nil
+		case origin == OriginUnknown:
+			return nil, errUnknown
 		}
+		x.outOfStep = true
 		if n, err := io.Copy(io.Discard, io.LimitReader(rs.Body, maxUnmatchedBody)); err != nil || n == maxUnmatchedBody || rs.Close {
 			return nil, fmt.Errorf("answer to another request: %w", io.ErrUnexpectedEOF)
 		}
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -61,7 +62,12 @@
 func request(id string, allowReuse bool) *link.Request {
 	return &link.Request{
 		Method: "POST", Target: "/x?a=%2F", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte("body"), AllowReuse: allowReuse,
-		MatchAnswer: func(h http.Header) bool { return h.Get("Id") == id },
+		Origin: func(h http.Header) link.Origin {
+			if h.Get("Id") == id {
+				return link.OriginThis
+			}
+			return link.OriginOther
+		},
 	}
 }
 
@@ -139,6 +145,28 @@
 	}
 }
 
+// Guards against reuse of a connection on which the server is out of step.
+func TestConnectionOutOfStepIsClosed(t *testing.T) {
+	address := listen(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for n := 1; ; n++ {
+			rq, _ := receive(r)
+			if rq == nil {
+				return
+			}
+			if n == 2 {
+				respond(c, "1", "again")
+			}
+			respond(c, rq.Header.Get("Id"), "answer")
+		}
+	})
+	c := link.New(link.Config{})
+	for i, opened := range []uint64{1, 1, 2} {
+		_, err := do(t, c, address, request(strconv.Itoa(i+1), true))
+		assert.NilError(t, err)
+		assert.Equal(t, c.Opened(), opened)
+	}
+}
+
 // A body that is shorter than its stated length must be reported as an error.
 func TestTruncatedAnswer(t *testing.T) {
 	address := listen(t, func(_ int, c net.Conn, r *bufio.Reader) {
