--- a/relay/relay.go
+++ b/relay/relay.go
@@ -78,6 +78,9 @@
 	Signed    bool   // the answer carries a valid server signature
 	Refused   bool   // the server states that it did not run the request
 	RefusedBy string // address of the server on the path that refused; "" if not stated
+	// ImpliesNotRun means that callers take the status for the assurance that the request did not
+	// run, whether or not the server states so.
+	ImpliesNotRun bool
 	Load      *Load  // nil if the server does not report it
 	// Misdirected means that another server has the address, or that the server lacks its part of
 	// the path.
