relay: a status that implies "not run" is passed on only where it is stated

Callers saw 503, 429 or 408 for requests that may run once and that a server had run or was running: a faulty server answered with that status and its signature, without the statement that it did not run the request.

Cause: such an answer was passed on like any other error of the service. For callers the status alone is the assurance.

Change: for a request that can't be repeated the answer is dropped and the caller gets "may have run". Idempotent requests and streams that can be resumed get it as before: running them again harms nothing.

Evidence: relay.TestUnstatedRefusalIsNotPassedOn, before: "got.err is nil" (status 503 for a request that may run once); passes now.

Cost to sound servers: none, their refusals carry the statement.

--- a/relay/plain_test.go
+++ b/relay/plain_test.go
@@ -68,6 +68,27 @@
 	checkVerdict(t, cl.serve(t.Context(), request(config.Idempotent, 2)), fault.MayHaveRun)
 }
 
+// Guards against an error of the service that callers take for the assurance that the request did
+// not run, although the server does not state so.
+func TestUnstatedRefusalIsNotPassedOn(t *testing.T) {
+	for kind, delivered := range map[config.Kind]bool{config.AtMostOnce: false, config.Idempotent: true} {
+		cl := newCluster(t, plainEntry("a"))
+		cl.onSend = func(context.Context, int, *relay.Request, relay.Attempt) (*relay.Answer, error) {
+			ans := signedAnswer(http.StatusServiceUnavailable, "busy")
+			ans.ImpliesNotRun = true
+			return ans, nil
+		}
+		got := cl.serve(t.Context(), request(kind, 1))
+		if delivered {
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, http.StatusServiceUnavailable)
+			continue
+		}
+		checkVerdict(t, got, fault.MayHaveRun)
+		assert.Equal(t, got.status, 0)
+	}
+}
+
 // Guards against delivering an answer without a signature.
 func TestUnsignedAnswerIsDropped(t *testing.T) {
 	cl := newCluster(t, plainEntry("a"), plainEntry("b"))
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -81,7 +81,7 @@
 	// ImpliesNotRun means that callers take the status for the assurance that the request did not
 	// run, whether or not the server states so.
 	ImpliesNotRun bool
-	Load      *Load  // nil if the server does not report it
+	Load          *Load // nil if the server does not report it
 	// Misdirected means that another server has the address, or that the server lacks its part of
 	// the path.
 	Misdirected bool
@@ -320,12 +320,14 @@
 
 var (
 	errRefused  = errors.New("refused by the server")
-	errUnsigned = errors.New("answer without a signature")
+	errUnsigned = errors.New("answer without a valid signature")
+	errUnstated = errors.New("status of a refusal without the statement that the request did not run")
 )
 
 // send makes one attempt and checks the header of its answer. An unsigned answer is returned as an
-// error, and a refusal as an error together with the answer. Every other answer is returned as it is,
-// including errors of the service.
+// error, and a refusal as an error together with the answer. So is an answer to a request that may run
+// once, if its status would tell the caller that it did not run, which the server does not state. Every
+// other answer is returned as it is, including errors of the service.
 func (r *Relay) send(ctx context.Context, req *Request, a Attempt) (*Answer, error) {
 	if req.attempts.Add(1) == 1 {
 		r.cfg.Observe(MeasureWait, time.Since(req.Arrived).Seconds())
@@ -369,6 +371,10 @@
 		_ = ans.Body.Close()
 		return nil, fault.New(fault.Config{Verdict: fault.MayHaveRun, Code: fault.Unavailable, Reason: reasonBadReply, Cause: errUnsigned})
 	}
+	if ans.ImpliesNotRun && !req.Route.Repeatable() {
+		_ = ans.Body.Close()
+		return nil, fault.New(fault.Config{Verdict: fault.MayHaveRun, Code: fault.Unavailable, Reason: reasonBadReply, Cause: errUnstated})
+	}
 	return ans, nil
 }
 
