relay: a second attempt at the same server uses a new connection

Callers saw 503 "not run" for a stream that a server was running, or it ran at a second server. An engine refuses for another engine of the path, so the next attempt may go to the same first engine, on the same kept connection and with the same ID. When that engine writes its refusal once more, the refusal has the ID of the present attempt and was taken for its answer.

Cause: streamState.send allowed a kept connection for every attempt.

Change: a request remembers the addresses that attempts were sent to (Request.addSent); a further attempt there opens a connection.

Evidence: relay.TestSecondAttemptAtAServerUsesANewConnection, before: "assertion failed: true (a.ReuseConnection bool) != false"; passes now.

Cost to sound servers: one more connection for each repeat at the same first engine.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -10,6 +10,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -51,9 +52,23 @@
 	attempts   atomic.Int32 // attempts sent so far
 	mayHaveRun atomic.Bool  // set once an attempt may have been executed
 
+	mu     sync.Mutex
+	sentTo []string // addresses of the servers that attempts were sent to
+
 	parts []poison.Part // of the prompt, which other requests may share; set by Serve
 }
 
+// addSent records that an attempt is sent to an address, and reports whether an earlier one was.
+func (req *Request) addSent(address string) (again bool) {
+	req.mu.Lock()
+	defer req.mu.Unlock()
+	if slices.Contains(req.sentTo, address) {
+		return true
+	}
+	req.sentTo = append(req.sentTo, address)
+	return false
+}
+
 // Hop is an engine on the path of a stream and the layer range that it runs.
 type Hop struct {
 	Address  string
@@ -335,6 +350,10 @@
 	if req.mayHaveRun.Load() && !req.Route.Repeatable() {
 		r.reportViolation(InvariantAttempts, req)
 	}
+	if req.addSent(a.Server.Address()) {
+		// Attempts share their ID, which could not tell a repeated answer to an earlier one.
+		a.ReuseConnection = false
+	}
 	ans, err := r.exchange(ctx, req, a)
 	if err == nil || fault.VerdictOf(err) != fault.NotRun {
 		req.mayHaveRun.Store(true)
--- a/relay/stream_test.go
+++ b/relay/stream_test.go
@@ -695,3 +695,21 @@
 	}
 	checkServed(t, cl.serve(t.Context(), request(config.Stream, 2)), events(1, 6))
 }
+
+// Guards against an earlier refusal that the server writes once more and that is taken for the answer
+// to the second attempt at the same server: the two have the same ID.
+func TestSecondAttemptAtAServerUsesANewConnection(t *testing.T) {
+	cl := newCluster(t, engineEntry("a", "near", 0, 4), engineEntry("b", "near", 4, 8), engineEntry("c", "near", 4, 8))
+	cl.onSend = func(_ context.Context, n int, _ *relay.Request, a relay.Attempt) (*relay.Answer, error) {
+		assert.Equal(t, a.Server.ID(), "a")
+		assert.Equal(t, a.ReuseConnection, n == 1)
+		if n == 1 {
+			ans := refusal()
+			ans.RefusedBy = a.Path[1].Address
+			return ans, nil
+		}
+		return signedAnswer(http.StatusOK, events(1, 1)), nil
+	}
+	checkServed(t, cl.serve(t.Context(), request(config.Stream, 2)), events(1, 1))
+	assert.Equal(t, cl.attemptCount(), 2)
+}
