relay: an engine that answers a query with no report is alive

Streams were moved off a live engine, and other processes told to avoid it: it had answered the query for its report with an error, or the answer to another request was taken for the report.

Cause: reportCache.fetch counted every failed query as silence, also one that the engine had answered.

Cost: none to sound engines. An address that another server has by now answers the query too; the registry has dropped the engine by then.

--- a/relay/report.go
+++ b/relay/report.go
@@ -31,6 +31,20 @@
 	reportRetention = time.Second
 )
 
+// InvalidReportError reports that an engine answered a query with something other than a report, and so
+// is alive.
+type InvalidReportError struct {
+	Address string
+	Cause   error
+}
+
+func (e *InvalidReportError) Error() string {
+	return "report of " + e.Address + ": " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *InvalidReportError) Unwrap() error { return e.Cause }
+
 // reportCache shares the reports of engines between streams. Its lock is not held during queries.
 type reportCache struct {
 	read   func(ctx context.Context, address string) (Report, error)
@@ -141,7 +155,8 @@
 	defer cancel()
 	rd.value, rd.err = r.read(ctx, address)
 	rd.refused = errors.Is(rd.err, syscall.ECONNREFUSED)
-	rd.silent = rd.err != nil && !rd.refused && time.Since(rd.startedAt) < pauseThreshold
+	var invalid *InvalidReportError
+	rd.silent = rd.err != nil && !rd.refused && !errors.As(rd.err, &invalid) && time.Since(rd.startedAt) < pauseThreshold
 	close(rd.done)
 	time.AfterFunc(reportRetention, func() {
 		r.mu.Lock()
--- a/relay/report_test.go
+++ b/relay/report_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync/atomic"
 	"syscall"
@@ -46,3 +47,21 @@
 		time.Sleep(2 * reportRetention)
 	})
 }
+
+// Guards against a live engine that counts as dead because it answers a query with something else
+// than a report.
+func TestInvalidReportIsNoSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cache := newReportCache(func(_ context.Context, address string) (Report, error) {
+			if address == "odd:1" {
+				return Report{}, &InvalidReportError{Address: address, Cause: errors.New("status 503")}
+			}
+			return Report{}, nil
+		})
+		path := []Hop{{Address: "a:1"}, {Address: "odd:1"}}
+		dead, unanswered := cache.findDead(t.Context(), "", path, path)
+		assert.Equal(t, len(dead)+unanswered, 0)
+		assert.Assert(t, !cache.confirmDead("odd:1"))
+		time.Sleep(2 * reportRetention)
+	})
+}
