link: the wait for the rest of an answer to another request is bounded

Callers waited until their deadline when a faulty server wrote an answer to another request whose body is shorter than its stated length.

Cause: the limit of bytes of such a body had no limit of time beside it.

Change: exchange.discard reads it within headTimeout, then the request fails as "may have run".

Evidence: link.TestOtherAnswerIsCutShort, before: "time.Since(begun) is >= within: 20.019888716s"; passes now after 2 s.

Cost to sound servers: none; the deadline is set only for such a body.

--- a/link/endless_test.go
+++ b/link/endless_test.go
@@ -142,6 +142,18 @@
 	}
 }
 
+// Guards against an exchange that waits for the rest of an answer to another request.
+func TestOtherAnswerIsCutShort(t *testing.T) {
+	t.Parallel()
+	address := listen(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		if rq, _ := receive(r); rq != nil {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 100\r\n\r\nhalf")
+			_, _ = receive(r)
+		}
+	})
+	checkFails(t, link.New(link.Config{}), address, 4*time.Second)
+}
+
 // Many endless answers at once must not exhaust the memory of a VM: 64 exchanges, half of
 // them with an endless head and half with an endless body, which are read under one quota
 // of 8 MB.
--- a/link/link.go
+++ b/link/link.go
@@ -83,8 +83,8 @@
 	// send less than 1 KB and 20 lines.
 	maxHeadBytes = 16 << 10
 	maxHeadLines = 100
-	// headTimeout bounds the time from the first byte of a head to its end: a faulty
-	// server may send one byte per second forever.
+	// headTimeout bounds the time from the first byte of a head to its end, and that of the
+	// body of an answer to another request: a faulty server may send one byte per second forever.
 	headTimeout = 2 * time.Second
 )
 
@@ -369,14 +369,29 @@
 			return nil, errUnknown
 		}
 		x.outOfStep = true
-		if n, err := io.Copy(io.Discard, io.LimitReader(rs.Body, maxUnmatchedBody)); err != nil || n == maxUnmatchedBody || rs.Close {
-			return nil, fmt.Errorf("answer to another request: %w", io.ErrUnexpectedEOF)
+		if err := x.discard(rs); err != nil {
+			return nil, fmt.Errorf("answer to another request: %w", err)
 		}
 		x.conn.limiter.startHead()
 	}
 	return nil, errors.New("too many answers to other requests on the connection")
 }
 
+// discard reads the body of an answer to another request, within limits of bytes and of time.
+func (x *exchange) discard(rs *http.Response) error {
+	if err := x.conn.SetReadDeadline(time.Now().Add(headTimeout)); err != nil {
+		return err
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(rs.Body, maxUnmatchedBody))
+	if err != nil {
+		return err
+	}
+	if n == maxUnmatchedBody || rs.Close {
+		return io.ErrUnexpectedEOF
+	}
+	return x.conn.SetReadDeadline(time.Time{})
+}
+
 // keepAlive returns how long a connection may stay idle: for the time that the server
 // states, less a margin, and for at most a given time.
 func keepAlive(h http.Header, limit time.Duration) time.Duration {
