relay: a resumed stream that ends before it goes on is cut off

Callers got a stream that looked complete although events were missing: it had broken off, and the server that should resume it answered with an empty stream, or with a stream of earlier events only.

Cause: copyEvents took the end of any run for the end of the stream. Earlier events were dropped and the answer ended as if it were whole.

Change: the end of a run counts only if the run has had the caller's last event or a later one (streamState.checkEnd). Otherwise the run has failed: another server is tried, or the connection is cut.

Cost to sound callers: a stream that breaks off between its last event and its end, so that an empty answer would be right, is cut; the caller resumes it itself and gets the empty answer.

--- a/relay/event.go
+++ b/relay/event.go
@@ -26,6 +26,7 @@
 	errEventOrder    = errors.New("stream has an event twice or out of order")
 	errTooManyEvents = errors.New("stream has more events than the answer has tokens")
 	errEventCut      = errors.New("stream ended inside an event")
+	errEndsEarlier   = errors.New("resumed stream ended before the event after which it resumes")
 	errNoEvents      = errors.New("stream ended with its connection before the first event")
 )
 
--- /dev/null
+++ b/relay/resume_test.go
@@ -0,0 +1,108 @@
+package relay_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cranberrybay/cranberrybay/config"
+	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/relay"
+)
+
+// eventAnswer returns a signed stream of events.
+func eventAnswer(body string) *relay.Answer {
+	a := signedAnswer(http.StatusOK, body)
+	a.Header.Set("Content-Type", "text/event-stream")
+	a.Length = -1
+	return a
+}
+
+// brokenAnswer returns a stream of events that breaks off after body.
+func brokenAnswer(body string) *relay.Answer {
+	a := eventAnswer("")
+	a.Body = &resetBody{strings.NewReader(body)}
+	return a
+}
+
+// faultyContinuations are answers to a run that resumes a stream after event 3, none of which
+// continues it.
+func faultyContinuations() map[string]*relay.Answer {
+	status := func(status int, body string) *relay.Answer {
+		a := signedAnswer(status, body)
+		a.Header.Set("Content-Type", "text/plain")
+		return a
+	}
+	unsigned := eventAnswer(events(4, 6))
+	unsigned.Signed = false
+	unframed := eventAnswer("")
+	unframed.Unframed = true
+	const head = "HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\nContent-Length: 5\r\n\r\nerror"
+	return map[string]*relay.Answer{
+		"error with a text":       status(http.StatusInternalServerError, "error\n\n"),
+		"error with an event":     status(http.StatusInternalServerError, events(4, 4)),
+		"redirect":                status(http.StatusFound, ""),
+		"no content":              status(http.StatusNoContent, ""),
+		"text of an error":        status(http.StatusOK, "error\n\n"),
+		"unsigned":                unsigned,
+		"no events":               eventAnswer(""),
+		"no events and no length": unframed,
+		"earlier events":          eventAnswer(events(1, 2)),
+		"head of an answer":       eventAnswer(head),
+		"head before an event":    eventAnswer(head + "\n" + events(4, 4)),
+		"begins inside an event":  eventAnswer("ta: 3\n\n" + events(4, 6)),
+		"ends inside an event":    eventAnswer(events(4, 5) + "id: 6\nda"),
+	}
+}
+
+// checkCut checks that a stream was cut off after some of its events.
+func checkCut(t *testing.T, got callerResult) {
+	t.Helper()
+	checkVerdict(t, got, fault.MayHaveRun)
+	assert.Assert(t, strings.HasPrefix(events(1, 6), got.body), "%q", got.body)
+}
+
+// Guards against an answer of the next server that gets into a stream, or that makes a broken one
+// look complete.
+func TestFaultyContinuation(t *testing.T) {
+	for name, ans := range faultyContinuations() {
+		t.Run(name, func(t *testing.T) {
+			cl := newCluster(t, engineEntry("a", "near", 0, 8), engineEntry("b", "near", 0, 8))
+			cl.onSend = func(_ context.Context, n int, _ *relay.Request, _ relay.Attempt) (*relay.Answer, error) {
+				if n == 1 {
+					return brokenAnswer(events(1, 3) + "id: 4\nda"), nil
+				}
+				return ans, nil
+			}
+			checkCut(t, cl.serve(t.Context(), request(config.Stream, 2)))
+			assert.Equal(t, cl.attemptCount(), 2)
+		})
+	}
+}
+
+// Guards against a stream that is cut off, although it is complete, because the server that resumes it
+// has nothing to add but the last event.
+func TestContinuationThatRepeatsTheLastEvent(t *testing.T) {
+	cl := newCluster(t, engineEntry("a", "near", 0, 8), engineEntry("b", "near", 0, 8))
+	cl.onSend = func(_ context.Context, n int, _ *relay.Request, _ relay.Attempt) (*relay.Answer, error) {
+		if n == 1 {
+			return brokenAnswer(events(1, 6)), nil
+		}
+		return eventAnswer(events(5, 6)), nil
+	}
+	checkServed(t, cl.serve(t.Context(), request(config.Stream, 2)), events(1, 6))
+}
+
+// Guards against an empty answer that is withheld from a caller that resumes a complete stream itself.
+func TestCallerResumesACompleteStream(t *testing.T) {
+	cl := newCluster(t, engineEntry("a", "near", 0, 8))
+	cl.onSend = func(context.Context, int, *relay.Request, relay.Attempt) (*relay.Answer, error) {
+		return eventAnswer(""), nil
+	}
+	req := request(config.Stream, 1)
+	req.LastEventID = "6"
+	checkServed(t, cl.serve(t.Context(), req), "")
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -336,13 +336,19 @@
 	ev := eventReader{src: ans.Body, quota: st.relay.cfg.Quota}
 	defer ev.close()
 	resumed := st.lastEventID
+	runLast := "" // identifier of the last event of this run
 	for {
 		complete, lastID, err := ev.next()
 		if err != nil && err != io.EOF { //nolint:errorlint // next returns io.EOF itself
 			return err
 		}
-		if err == io.EOF && ans.Unframed && st.lastEventID == "" { //nolint:errorlint // as above
-			return errNoEvents
+		if err == io.EOF { //nolint:errorlint // as above
+			if err := st.checkEnd(ans, runLast); err != nil {
+				return err
+			}
+		}
+		if lastID != "" {
+			runLast = lastID
 		}
 		if resumed != "" && len(complete) > 0 {
 			complete = eventsAfter(complete, resumed)
@@ -382,6 +388,20 @@
 	}
 }
 
+// checkEnd returns an error if the end of a run can't be the end of the stream. runLast is the identifier
+// of the last event of the run.
+func (st *streamState) checkEnd(ans *Answer, runLast string) error {
+	switch {
+	case ans.Unframed && st.lastEventID == "":
+		return errNoEvents
+	case runLast == "" && st.headerSent, runLast != "" && follows(runLast, st.lastEventID):
+		// The caller has a later event, so that this run has not continued the stream.
+		return errEndsEarlier
+	default:
+		return nil
+	}
+}
+
 // write writes events to the caller, preceded by the response header if it was not sent yet.
 func (st *streamState) write(ans *Answer, b []byte) error {
 	if !st.headerSent {
