relay: events with lines that are no fields are not passed on

Callers found the head of an answer, or the text of an error, inside an event of their stream: a faulty server had written it in the middle of an event or before one, and the whole ended with a blank line and had a number.

Cause: validateEvents looked at the number of an event only.

Change: each line of an event must be a comment or a field, whose name consists of lower-case letters, digits, hyphens and underscores (hasOnlyFields). Otherwise the run has failed, and the stream is resumed elsewhere or cut off. Extension fields, such as the version of the weights, pass.

Evidence: relay.TestFaultyContinuation, before: "head inside an event": the body had "data: 4HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\nContent-Length: 5", "text before an event" and "text after an event's field": "got.err is nil"; passes now. relay.TestEventLines.

Not detected: text that is added to the value of a field.

--- a/relay/event.go
+++ b/relay/event.go
@@ -23,6 +23,7 @@
 	errEventTooLong  = errors.New("event of a stream is too long")
 	errEventTimeout  = errors.New("event of a stream did not end in time")
 	errNoEventNumber = errors.New("stream has bytes that are no event with a number")
+	errEventLine     = errors.New("event of a stream has a line that is no field")
 	errEventOrder    = errors.New("stream has an event twice or out of order")
 	errTooManyEvents = errors.New("stream has more events than the answer has tokens")
 	errEventCut      = errors.New("stream ended inside an event")
@@ -157,9 +158,10 @@
 	return b
 }
 
-// validateEvents checks that each event has a number greater than that of the event before it,
-// starting from previous. It returns the count of events up to the first invalid one. Servers always
-// number their events; anything else is damaged data.
+// validateEvents checks that each event consists of fields and has a number greater than that of the
+// event before it, starting from previous. It returns the count of events up to the first invalid one.
+// Servers always number their events; anything else is damaged data, such as the text of an error or the
+// head of another answer.
 func validateEvents(complete []byte, previous string) (count int, err error) {
 	for len(complete) > 0 {
 		end := firstEventEnd(complete)
@@ -167,6 +169,9 @@
 		if _, err := strconv.ParseInt(id, 10, 64); err != nil {
 			return count, errNoEventNumber
 		}
+		if !hasOnlyFields(complete[:end]) {
+			return count, errEventLine
+		}
 		if !follows(previous, id) {
 			return count, errEventOrder
 		}
@@ -177,6 +182,31 @@
 	return count, nil
 }
 
+// hasOnlyFields reports whether each line of an event is empty, a comment or a field. Names of fields
+// consist of lower-case letters, digits, hyphens and underscores; those without a value need no colon.
+func hasOnlyFields(event []byte) bool {
+	for len(event) > 0 {
+		line, rest, _ := bytes.Cut(event, []byte("\n"))
+		event = rest
+		line = bytes.TrimSuffix(line, []byte("\r"))
+		name, _, hasValue := bytes.Cut(line, []byte(":"))
+		for _, c := range name {
+			if (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '-' && c != '_' {
+				return false
+			}
+		}
+		if !hasValue && len(line) > 0 && !isStandardField(string(line)) {
+			return false
+		}
+	}
+	return true
+}
+
+// isStandardField reports whether the standard of event streams defines a field.
+func isStandardField(name string) bool {
+	return name == "data" || name == "event" || name == "id" || name == "retry"
+}
+
 // follows reports whether id is greater than previous. It returns true if either is not a number.
 func follows(previous, id string) bool {
 	x, err := strconv.ParseInt(previous, 10, 64)
--- a/relay/event_test.go
+++ b/relay/event_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"testing/iotest"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/cranberrybay/cranberrybay/quota"
 )
 
@@ -49,3 +51,23 @@
 		}
 	})
 }
+
+// Guards against an event that is rejected although its lines are fields, and against one that is passed
+// on with other lines.
+func TestEventLines(t *testing.T) {
+	for text, want := range map[string]error{
+		"id: 1\ndata: x\n\n":                                 nil,
+		"id: 1\r\ndata: x\r\n\r\n":                           nil,
+		"x-weight-versions:3\nid: 1\ndata: x\ndata\n\n":      nil,
+		": comment\nevent: done\nretry: 5\nid: 1\ndata:\n\n": nil,
+		"\nid: 1\ndata: a: b\n\n":                            nil,
+		"id: 1\ndata: x\nunavailable\n\n":                    errEventLine,
+		"id: 1\ndata: x\nContent-Length: 5\n\n":              errEventLine,
+		"HTTP/1.1 500 x\r\nid: 1\r\n\r\n":                    errEventLine,
+		"an error: x\nid: 1\n\n":                             errEventLine,
+		"{\"error\": 1}\nid: 1\n\n":                          errEventLine,
+	} {
+		_, err := validateEvents([]byte(text), "")
+		assert.Equal(t, err, want, "%q", text)
+	}
+}
--- a/relay/resume_test.go
+++ b/relay/resume_test.go
@@ -42,19 +42,22 @@
 	unframed.Unframed = true
 	const head = "HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\nContent-Length: 5\r\n\r\nerror"
 	return map[string]*relay.Answer{
-		"error with a text":       status(http.StatusInternalServerError, "error\n\n"),
-		"error with an event":     status(http.StatusInternalServerError, events(4, 4)),
-		"redirect":                status(http.StatusFound, ""),
-		"no content":              status(http.StatusNoContent, ""),
-		"text of an error":        status(http.StatusOK, "error\n\n"),
-		"unsigned":                unsigned,
-		"no events":               eventAnswer(""),
-		"no events and no length": unframed,
-		"earlier events":          eventAnswer(events(1, 2)),
-		"head of an answer":       eventAnswer(head),
-		"head before an event":    eventAnswer(head + "\n" + events(4, 4)),
-		"begins inside an event":  eventAnswer("ta: 3\n\n" + events(4, 6)),
-		"ends inside an event":    eventAnswer(events(4, 5) + "id: 6\nda"),
+		"error with a text":           status(http.StatusInternalServerError, "error\n\n"),
+		"error with an event":         status(http.StatusInternalServerError, events(4, 4)),
+		"redirect":                    status(http.StatusFound, ""),
+		"no content":                  status(http.StatusNoContent, ""),
+		"text of an error":            status(http.StatusOK, "error\n\n"),
+		"unsigned":                    unsigned,
+		"no events":                   eventAnswer(""),
+		"no events and no length":     unframed,
+		"earlier events":              eventAnswer(events(1, 2)),
+		"head of an answer":           eventAnswer(head),
+		"head inside an event":        eventAnswer("id: 4\ndata: 4" + head),
+		"head before an event":        eventAnswer(head + "\n" + events(4, 4)),
+		"text before an event":        eventAnswer("internal error\n" + events(4, 6)),
+		"text after an event's field": eventAnswer("id: 4\ndata: 4\ninternal error\n\n"),
+		"begins inside an event":      eventAnswer("ta: 3\n\n" + events(4, 6)),
+		"ends inside an event":        eventAnswer(events(4, 5) + "id: 6\nda"),
 	}
 }
 
