relay: a server that does not continue a stream is not tried again

Callers' streams were cut off although a sound server was left: the next server answered the resumed run with an error, a redirect or without content, and the last attempt of the route went to the same server once more.

Cause: such an answer ended the attempt without excluding its server.

Change: it is a failed attempt like any other (attemptFailed): logged, counted for the server, and the server is excluded. The parts of its prompt are not blamed, as the server lived to answer.

Evidence: relay.TestFaultyContinuationIsFollowedByASoundOne, before: cases "error with a text", "error with an event", "redirect" and "no content" "error is not nil: the answer of the backend server is damaged (unavailable, may-have-run)"; passes now.

--- a/relay/event.go
+++ b/relay/event.go
@@ -20,15 +20,16 @@
 )
 
 var (
-	errEventTooLong  = errors.New("event of a stream is too long")
-	errEventTimeout  = errors.New("event of a stream did not end in time")
-	errNoEventNumber = errors.New("stream has bytes that are no event with a number")
-	errEventLine     = errors.New("event of a stream has a line that is no field")
-	errEventOrder    = errors.New("stream has an event twice or out of order")
-	errTooManyEvents = errors.New("stream has more events than the answer has tokens")
-	errEventCut      = errors.New("stream ended inside an event")
-	errEndsEarlier   = errors.New("resumed stream ended before the event after which it resumes")
-	errNoEvents      = errors.New("stream ended with its connection before the first event")
+	errEventTooLong   = errors.New("event of a stream is too long")
+	errEventTimeout   = errors.New("event of a stream did not end in time")
+	errNoEventNumber  = errors.New("stream has bytes that are no event with a number")
+	errEventLine      = errors.New("event of a stream has a line that is no field")
+	errEventOrder     = errors.New("stream has an event twice or out of order")
+	errTooManyEvents  = errors.New("stream has more events than the answer has tokens")
+	errEventCut       = errors.New("stream ended inside an event")
+	errNoContinuation = errors.New("answer does not continue the stream")
+	errEndsEarlier    = errors.New("resumed stream ended before the event after which it resumes")
+	errNoEvents       = errors.New("stream ended with its connection before the first event")
 )
 
 // eventReader splits a server-sent event stream into complete events. A server may fail in the
--- a/relay/resume_test.go
+++ b/relay/resume_test.go
@@ -109,3 +109,26 @@
 	req.LastEventID = "6"
 	checkServed(t, cl.serve(t.Context(), req), "")
 }
+
+// Guards against a stream that is cut off by a faulty server although another one could finish it.
+func TestFaultyContinuationIsFollowedByASoundOne(t *testing.T) {
+	for name, ans := range faultyContinuations() {
+		t.Run(name, func(t *testing.T) {
+			cl := newCluster(t, engineEntry("a", "near", 0, 8), engineEntry("b", "near", 0, 8), slowAccelerator(engineEntry("c", "near", 0, 8)))
+			cl.onSend = func(_ context.Context, n int, _ *relay.Request, a relay.Attempt) (*relay.Answer, error) {
+				switch {
+				case n == 1:
+					return brokenAnswer(events(1, 3) + "id: 4\nda"), nil
+				case a.Server.ID() == "c":
+					return eventAnswer(events(4, 6)), nil
+				case strings.HasPrefix(name, "ends inside"):
+					return eventAnswer("id: 4\nda"), nil
+				default:
+					return ans, nil
+				}
+			}
+			checkServed(t, cl.serve(t.Context(), request(config.Stream, 3)), events(1, 6))
+			assert.Equal(t, cl.attemptCount(), 3)
+		})
+	}
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"sync/atomic"
@@ -225,10 +226,12 @@
 		}
 	}
 	st.mayHaveRun = true
-	if rn.answer.Status != http.StatusOK {
-		if st.headerSent {
-			return true, mayHaveRunError(reasonBadReply, nil)
+	switch {
+	case st.headerSent:
+		if err := st.checkContinuation(rn.answer); err != nil {
+			return st.attemptFailed(ctx, rn, nil, err, excluded), mayHaveRunError(reasonBadReply, err)
 		}
+	case rn.answer.Status != http.StatusOK:
 		return false, st.passThrough(rn.answer)
 	}
 	started := time.Now()
@@ -277,7 +280,7 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	if rn.ctx.Err() == nil && st.runEvents < answeredEvents {
+	if rn.ctx.Err() == nil && st.runEvents < answeredEvents && !errors.Is(err, errNoContinuation) {
 		r.recordCut(st.req, t.first, err)
 	}
 	if failedServer != nil {
@@ -315,6 +318,15 @@
 	}
 }
 
+// checkContinuation returns an error if an answer can't continue the stream that the caller has a part
+// of.
+func (st *streamState) checkContinuation(ans *Answer) error {
+	if ans.Status != http.StatusOK {
+		return fmt.Errorf("%w: status %d", errNoContinuation, ans.Status)
+	}
+	return nil
+}
+
 // passThrough forwards an answer with a status other than 200 unchanged.
 func (st *streamState) passThrough(ans *Answer) error {
 	body, release, err := st.relay.cfg.Quota.Read(ans.Body, maxAnswerBytes)
