relay: an answer of another media type does not continue a stream

Callers found the text of another kind of answer in their stream where it happened to look like events, and a healthy stream was given up for one during a handover.

Cause: only the status of the answer to a resumed run was looked at.

Change: its media type must be that of the answer which began the stream (streamState.checkContinuation). A handover checks the same before the old run is cancelled.

Evidence: relay.TestFaultyContinuation/text_in_another_type, before: "got.err is nil"; relay.TestFaultyHandoverKeepsTheStream/another_type, before: "assertion failed: 108 (oldBody.left int) != 0 (int)" (the old run was cut with 108 events to come); both pass now.

Cost to sound servers: none, servers of one service answer with one type. Parameters of the type may differ.

--- a/relay/handover.go
+++ b/relay/handover.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"net/http"
 	"time"
 )
 
@@ -95,8 +93,8 @@
 	case err != nil:
 	case !timer.Stop():
 		err = context.DeadlineExceeded
-	case ans.Status != http.StatusOK:
-		err = fmt.Errorf("new run was answered with status %d", ans.Status)
+	default:
+		err = m.stream.checkContinuation(ans)
 	}
 	m.relay.cfg.Log.Info().Err(err).Str("id", m.req.ID).Str("last", rn.resumeAfter).Int("attempt", attempt).Str("first", rn.path.first.ID()).
 		Msg("first engine leaves; stream handed over")
--- a/relay/resume_test.go
+++ b/relay/resume_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 
 	"gotest.tools/v3/assert"
 
@@ -38,6 +39,8 @@
 	}
 	unsigned := eventAnswer(events(4, 6))
 	unsigned.Signed = false
+	otherType := eventAnswer(events(4, 6))
+	otherType.Header.Set("Content-Type", "text/html; charset=utf-8")
 	unframed := eventAnswer("")
 	unframed.Unframed = true
 	const head = "HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\nContent-Length: 5\r\n\r\nerror"
@@ -47,6 +50,7 @@
 		"redirect":                    status(http.StatusFound, ""),
 		"no content":                  status(http.StatusNoContent, ""),
 		"text of an error":            status(http.StatusOK, "error\n\n"),
+		"text in another type":        otherType,
 		"unsigned":                    unsigned,
 		"no events":                   eventAnswer(""),
 		"no events and no length":     unframed,
@@ -132,3 +136,18 @@
 		})
 	}
 }
+
+// Guards against a healthy stream that is given up for an answer which can't continue it.
+func TestFaultyHandoverKeepsTheStream(t *testing.T) {
+	for name, ans := range map[string]*relay.Answer{"error": signedAnswer(http.StatusInternalServerError, "error"), "another type": signedAnswer(http.StatusOK, events(1, 200))} {
+		ans.Header.Set("Content-Type", "text/plain")
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				oldBody := &pacedBody{left: 200}
+				cl := newDrainingCluster(t, oldBody, func(context.Context, relay.Attempt) (*relay.Answer, error) { return ans, nil })
+				checkServed(t, cl.serve(t.Context(), request(config.Stream, 2)), events(1, 200))
+				assert.Equal(t, oldBody.left, 0)
+			})
+		})
+	}
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -32,6 +33,7 @@
 	sink  Sink
 
 	headerSent  bool   // the caller has the response header
+	mediaType   string // of the answer that the caller has the header of
 	mayHaveRun  bool   // set once an attempt may have been executed
 	lastEventID string // identifier of the last event sent to the caller
 	attempts    int    // attempts that count against the route's bound
@@ -324,9 +326,18 @@
 	if ans.Status != http.StatusOK {
 		return fmt.Errorf("%w: status %d", errNoContinuation, ans.Status)
 	}
+	if t := mediaTypeOf(ans.Header); t != st.mediaType {
+		return fmt.Errorf("%w: it has the media type %q instead of %q", errNoContinuation, t, st.mediaType)
+	}
 	return nil
 }
 
+// mediaTypeOf returns the media type of an answer without its parameters, or "" if none is stated.
+func mediaTypeOf(h http.Header) string {
+	t, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(t))
+}
+
 // passThrough forwards an answer with a status other than 200 unchanged.
 func (st *streamState) passThrough(ans *Answer) error {
 	body, release, err := st.relay.cfg.Quota.Read(ans.Body, maxAnswerBytes)
@@ -417,7 +428,7 @@
 // write writes events to the caller, preceded by the response header if it was not sent yet.
 func (st *streamState) write(ans *Answer, b []byte) error {
 	if !st.headerSent {
-		st.headerSent = true
+		st.headerSent, st.mediaType = true, mediaTypeOf(ans.Header)
 		st.sink.Start(ans.Status, ans.Header, ans.Length)
 	}
 	if err := st.sink.Write(b); err != nil {
