relay: streams are sent without the stated length of their first answer

Callers' streams were cut off, or would have looked complete at the wrong byte, when the first server had stated the length of its answer and another server continued it.

Cause: the length of the first answer was passed on.

Evidence: relay.TestStreamHasNoStatedLength, before: "assertion failed: 60 (stated int64) != -1 (int64)"; passes now.

Cost to callers: a few bytes for each event where a server states a length.

--- a/relay/resume_test.go
+++ b/relay/resume_test.go
@@ -151,3 +151,27 @@
 		})
 	}
 }
+
+// Guards against a resumed stream that fails, or looks complete too early, because the caller was told
+// the length of the first server's answer.
+func TestStreamHasNoStatedLength(t *testing.T) {
+	cl := newCluster(t, engineEntry("a", "near", 0, 8), engineEntry("b", "near", 0, 8))
+	cl.onSend = func(_ context.Context, n int, _ *relay.Request, _ relay.Attempt) (*relay.Answer, error) {
+		if n == 1 {
+			ans := brokenAnswer(events(1, 3))
+			ans.Length = int64(len(events(1, 4)))
+			return ans, nil
+		}
+		return eventAnswer(events(4, 6)), nil
+	}
+	stated := int64(0)
+	var body strings.Builder
+	err := cl.relay.Serve(t.Context(), request(config.Stream, 2), relay.Sink{
+		Start: func(_ int, _ http.Header, length int64) { stated = length },
+		Write: func(b []byte) error { body.Write(b); return nil },
+		Flush: func() error { return nil },
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, body.String(), events(1, 6))
+	assert.Equal(t, stated, int64(-1))
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -429,7 +429,7 @@
 func (st *streamState) write(ans *Answer, b []byte) error {
 	if !st.headerSent {
 		st.headerSent, st.mediaType = true, mediaTypeOf(ans.Header)
-		st.sink.Start(ans.Status, ans.Header, ans.Length)
+		st.sink.Start(ans.Status, ans.Header, -1) // another server may continue the stream
 	}
 	if err := st.sink.Write(b); err != nil {
 		return err
