--- a/relay/plain_test.go
+++ b/relay/plain_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -146,3 +148,36 @@
 		assert.Equal(t, got.took, time.Duration(0))
 	})
 }
+
+// Guards against an answer that mixes those of two servers, and against one that is delivered twice,
+// when both attempts of a hedged request are answered.
+func TestHedgedAnswersAreNotMixed(t *testing.T) {
+	for name, second := range map[string]*relay.Answer{
+		"both sound": signedAnswer(http.StatusOK, "other"),
+		"error":      signedAnswer(http.StatusInternalServerError, "error"),
+		"unsigned":   {Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("error"))},
+		"cut off":    {Status: http.StatusOK, Header: http.Header{}, Body: &resetBody{strings.NewReader("oth")}, Signed: true},
+		"refusal":    refusal(),
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cl := newCluster(t, plainEntry("a"), plainEntry("b"))
+				cl.onSend = func(ctx context.Context, n int, _ *relay.Request, _ relay.Attempt) (*relay.Answer, error) {
+					if n > 1 {
+						return second, nil
+					}
+					ans := signedAnswer(http.StatusOK, "")
+					ans.Body = &pacedBody{ctx: ctx, left: 10} // 20 ms apart: the second answer arrives in between
+					return ans, nil
+				}
+				got := cl.serve(t.Context(), request(config.Idempotent, 2))
+				assert.Equal(t, cl.attemptCount(), 2)
+				if name == "both sound" {
+					checkServed(t, got, "other")
+					return
+				}
+				checkServed(t, got, events(1, 10))
+			})
+		})
+	}
+}
