relay: the engines to avoid are written under one lock

A process could end with "concurrent map writes", and all its callers lose their connection, when an engine died: its streams broke off at the moment at which the queries for its report found it dead. Seen by the race detector, not in a running process.

Cause: stallMonitor.check writes the set of excluded engines under the monitor's lock, attemptFailed wrote it without.

Change: attemptFailed uses stallMonitor.exclude, which takes the lock. It ends the run first, so that a change of path in progress does not delay the next attempt.

Evidence: relay.TestStreamBreaksOffDuringACheck under -race, before: "WARNING: DATA RACE Write at ... attemptFailed() stream.go:290, Previous write ... check() stall.go:266" with -count 20; passes now, 50 runs.

--- a/relay/resume_test.go
+++ b/relay/resume_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -175,3 +177,35 @@
 	assert.Equal(t, body.String(), events(1, 6))
 	assert.Equal(t, stated, int64(-1))
 }
+
+// lateResetBody is a body that returns no bytes and ends with a connection reset after a delay.
+type lateResetBody struct{ delay time.Duration }
+
+func (l *lateResetBody) Read([]byte) (int, error) {
+	time.Sleep(l.delay)
+	return 0, connectionReset()
+}
+
+func (l *lateResetBody) Close() error { return nil }
+
+// Guards against a data race, which may end the process, when a stream breaks off at the moment at which a
+// query finds its engine dead.
+func TestStreamBreaksOffDuringACheck(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, engineEntry("a", "near", 0, 8), slowAccelerator(engineEntry("b", "near", 0, 8)))
+		const checkAt, queryTime = 200 * time.Millisecond, 20 * time.Millisecond
+		cl.onReport = func(context.Context, string) (relay.Report, error) {
+			time.Sleep(queryTime)
+			return relay.Report{}, syscall.ECONNREFUSED
+		}
+		cl.onSend = func(_ context.Context, n int, _ *relay.Request, _ relay.Attempt) (*relay.Answer, error) {
+			if n > 1 {
+				return signedAnswer(http.StatusOK, events(1, 3)), nil
+			}
+			ans := signedAnswer(http.StatusOK, "")
+			ans.Body = &lateResetBody{delay: checkAt + queryTime}
+			return ans, nil
+		}
+		checkServed(t, cl.serve(t.Context(), request(config.Stream, 2)), events(1, 3))
+	})
+}
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -228,6 +228,15 @@
 	}
 }
 
+// exclude makes the next attempt avoid an engine. It ends the run, which has failed: a change of path in
+// progress must not delay the next attempt.
+func (m *stallMonitor) exclude(address string) {
+	m.cancel()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.excluded[address] = true
+}
+
 // stop ends the run and the checks of its stream.
 func (m *stallMonitor) stop() {
 	if m.timer == nil {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -224,14 +224,14 @@
 	if rn.answer == nil {
 		if ans, err := st.send(rn); err != nil {
 			st.mayHaveRun = st.mayHaveRun || fault.VerdictOf(err) != fault.NotRun
-			return st.attemptFailed(ctx, rn, ans, err, excluded), st.refusalVerdict(err)
+			return st.attemptFailed(ctx, rn, m, ans, err), st.refusalVerdict(err)
 		}
 	}
 	st.mayHaveRun = true
 	switch {
 	case st.headerSent:
 		if err := st.checkContinuation(rn.answer); err != nil {
-			return st.attemptFailed(ctx, rn, nil, err, excluded), mayHaveRunError(reasonBadReply, err)
+			return st.attemptFailed(ctx, rn, m, nil, err), mayHaveRunError(reasonBadReply, err)
 		}
 	case rn.answer.Status != http.StatusOK:
 		return false, st.passThrough(rn.answer)
@@ -251,7 +251,7 @@
 	if st.successor.pending() && rn.ctx.Err() != nil {
 		return true, mayHaveRunError(reasonNoAnswer, err) // the run was cancelled and its successor is accepted or still awaited
 	}
-	return st.attemptFailed(ctx, rn, nil, err, excluded), mayHaveRunError(reasonNoAnswer, err)
+	return st.attemptFailed(ctx, rn, m, nil, err), mayHaveRunError(reasonNoAnswer, err)
 }
 
 // refusalVerdict returns a "not run" error for a failed attempt only if neither it nor an earlier
@@ -268,7 +268,7 @@
 
 // attemptFailed logs a failed attempt, excludes the engine that failed, and reports whether
 // another attempt is allowed.
-func (st *streamState) attemptFailed(ctx context.Context, rn *run, ans *Answer, err error, excluded map[string]bool) bool {
+func (st *streamState) attemptFailed(ctx context.Context, rn *run, m *stallMonitor, ans *Answer, err error) bool {
 	r, t := st.relay, rn.path
 	e := r.cfg.Log.Info().Str("id", st.req.ID).Int("attempt", st.attempts).Str("first", t.first.ID()).Str("path", t.String()).Str("last", st.lastEventID).
 		Int("events", st.runEvents).Strs("parts", st.req.PromptParts).
@@ -287,7 +287,7 @@
 	}
 	if failedServer != nil {
 		failedServer.RecordFailure()
-		excluded[failedServer.Address()] = true
+		m.exclude(failedServer.Address())
 		// An engine that refuses may be full or dead; its report shows which.
 		go r.probeFailed(t.first, failedServer)
 	}
