proxy: idempotent calls use a connection of their own as well

Callers of the product's own interface got the answer of another call, possibly of another account: a service wrote an answer once more, after the next call had been sent on the connection.

Cause: idempotent calls shared connections of net/http's transport, and answers of plain services name no call. net/http detects extra bytes only while a connection is idle.

Change: no connection is reused. Calls that may run once had their own before.

Evidence: proxy.TestAnswersAreNotCrossed, before: "assertion failed: /1 (string) != /2 (path string)"; passes now, and its injected fault shows that it detects crossed answers.

Cost: one more connection for each lookup.

Test changed: TestNoSilentRepeat injects its fault by reuseConnections in place of the removed second transport; its checks are the same.

--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -56,8 +56,7 @@
 
 // Client sends calls to the servers of plain services.
 type Client struct {
-	keepAlive http.RoundTripper // reuses connections
-	singleUse http.RoundTripper // opens a connection for each call
+	transport http.RoundTripper // opens a connection for each call
 	idle      time.Duration
 }
 
@@ -79,19 +78,18 @@
 		}
 		return &conn{Conn: c}, nil
 	}
-	keepAlive := &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 90 * time.Second, DisableCompression: true, DialContext: dial}
-	singleUse := &http.Transport{DisableKeepAlives: true, DisableCompression: true, DialContext: dial}
-	return &Client{keepAlive: keepAlive, singleUse: singleUse, idle: cfg.Idle}
+	// A negative number of idle connections means that none is reused.
+	return &Client{transport: &http.Transport{MaxIdleConnsPerHost: -1, DisableCompression: true, DialContext: dial}, idle: cfg.Idle}
 }
 
 // Do sends a call to the server at address. The verdict of an error states whether
 // the service may have run the call.
 //
+// Each call uses a new connection. Answers name no call, so that one which the
+// server writes once more, late, would reach the next call on its connection. Also,
 // net/http resends a request by itself if a reused connection fails and the
 // request has no body and either is a GET or carries an Idempotency-Key header,
-// which callers send with bookings. A call that is not idempotent therefore uses a
-// new connection, on which net/http never resends. This also avoids the unclear
-// verdict if a server closes an idle connection at the moment of use.
+// which callers send with bookings.
 func (c *Client) Do(ctx context.Context, address string, call Call) (*Answer, error) {
 	if err := checkNotExpired(ctx, call.Deadline); err != nil {
 		return nil, err
@@ -106,11 +104,7 @@
 	if !call.Deadline.IsZero() {
 		x.timer = time.AfterFunc(time.Until(call.Deadline), x.expire)
 	}
-	transport := c.singleUse
-	if call.Idempotent {
-		transport = c.keepAlive
-	}
-	response, err := transport.RoundTrip(request)
+	response, err := c.transport.RoundTrip(request)
 	if err != nil {
 		x.release()
 		return nil, x.roundTripError(ctx, err)
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -144,11 +145,14 @@
 	assert.Equal(t, ordersReceived(t, New(Config{})), int32(1))
 	t.Run("injected fault: reused connections", func(t *testing.T) {
 		c := New(Config{})
-		c.singleUse = c.keepAlive
+		reuseConnections(c)
 		assert.Assert(t, ordersReceived(t, c) > 1, "the test would not detect a resent order")
 	})
 }
 
+// reuseConnections makes a client keep its connections.
+func reuseConnections(c *Client) { c.transport.(*http.Transport).MaxIdleConnsPerHost = 0 }
+
 // TestBlockWrites guards against a request that is reported as not run and is
 // written to its connection afterwards.
 func TestBlockWrites(t *testing.T) {
@@ -222,3 +226,53 @@
 	assert.Equal(t, a.Header.Get("Keep-Alive"), "")
 	assert.Equal(t, string(b), "tea")
 }
+
+// repeatingServer answers each request with its path and body, and writes the answer to the request
+// before once more in front of it.
+func repeatingServer(t *testing.T) string {
+	return listen(t, func(c net.Conn) {
+		r := bufio.NewReader(c)
+		last := ""
+		for {
+			request, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(request.RequestURI), request.RequestURI)
+			if _, err := io.WriteString(c, last+answer); err != nil {
+				return
+			}
+			last = answer
+		}
+	})
+}
+
+// crossedAnswers sends lookups one after the other and returns how many got another answer than their
+// own.
+func crossedAnswers(t *testing.T, c *Client) int {
+	t.Helper()
+	address, crossed := repeatingServer(t), 0
+	for _, path := range []string{"/1", "/2", "/3"} {
+		a, err := c.Do(context.Background(), address, Call{Method: "GET", Path: path, Idempotent: true})
+		assert.NilError(t, err)
+		b, err := io.ReadAll(a.Body)
+		assert.NilError(t, err)
+		assert.NilError(t, a.Body.Close())
+		if string(b) != path {
+			crossed++
+		}
+		time.Sleep(20 * time.Millisecond) // a kept connection returns to the pool
+	}
+	return crossed
+}
+
+// TestAnswersAreNotCrossed guards against an answer that reaches the next call on its connection,
+// because the server writes it once more.
+func TestAnswersAreNotCrossed(t *testing.T) {
+	assert.Equal(t, crossedAnswers(t, New(Config{})), 0)
+	t.Run("injected fault: reused connections", func(t *testing.T) {
+		c := New(Config{})
+		reuseConnections(c)
+		assert.Assert(t, crossedAnswers(t, c) > 0, "the test would not detect a crossed answer")
+	})
+}
