engine: an answer that an engine repeats does not reach another call

A request of the product's own interface could go on with the KV cache of another one, and callers were told "not run" while an engine ran their job: an engine wrote an answer once more after the next call had been sent on the connection.

Cause: all calls shared connections of net/http's transport, and answers other than frames name no call.

Change: Export, Import and Order use a connection each. A refused job on a reused connection has the verdict "may have run"; code, reason and retry time stay, and so does the choice of the next route. Load, Events, OrderStatus and Cancel reuse connections as before: an older answer of the same engine is out of date, and the next one is right again, since net/http closes a connection with bytes left over.

Evidence: engine.TestRepeatedAnswers, before: "export: r1 (x.Handle string) != r2 (request string)", "refused job: engine answered 503: (unavailable, not-run)"; passes now.

Cost: a connection for each move of a KV cache and each order. A sound engine that is full or leaves and refuses on a reused connection turns the verdict of a request that no engine takes from "not run" to "may have run".

--- a/engine/client.go
+++ b/engine/client.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"time"
 
@@ -20,8 +21,14 @@
 	Client *http.Client // nil for a client with its own transport
 }
 
-// Client is an HTTP client of engines and plain services.
-type Client struct{ http *http.Client }
+// Client is an HTTP client of engines and plain services. Answers name no call, so
+// that one which an engine writes once more, late, reaches the next call on its
+// connection. Calls for which that does harm have a connection of their own; frames
+// of a job name the job.
+type Client struct {
+	http      *http.Client // reuses connections
+	singleUse *http.Client // opens a connection for each call
+}
 
 // New returns a client.
 func New(cfg Config) *Client {
@@ -30,33 +37,54 @@
 		tr.DialContext = (&net.Dialer{Timeout: time.Second}).DialContext
 		cfg.Client = &http.Client{Transport: tr}
 	}
-	return &Client{http: cfg.Client}
+	return &Client{http: cfg.Client, singleUse: withoutReuse(cfg.Client)}
+}
+
+// withoutReuse returns a client that opens a connection for each call and is like c
+// in all else. A transport that is not of net/http is kept as it is.
+func withoutReuse(c *http.Client) *http.Client {
+	tr, ok := c.Transport.(*http.Transport)
+	if !ok {
+		return c
+	}
+	tr = tr.Clone()
+	tr.MaxIdleConnsPerHost = -1 // no idle connection is kept
+	own := *c
+	own.Transport = tr
+	return &own
 }
 
 // Generate sends a job to the first stage of its route. The verdict of an error
-// states whether the engine may have started the job.
+// states whether the engine may have started the job. A refusal on a reused
+// connection may be that of an earlier job, so that this one may have been started.
 func (c *Client) Generate(ctx context.Context, j Job) (*Answer, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	rs, err := c.send(ctx, http.MethodPost, j.Route[0].Address, "/generate", j)
-	if err != nil {
-		cancel()
-		return nil, err
-	}
-	return newAnswer(rs.Body, cancel), nil
+	reused := false
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { reused = i.Reused }})
+	rs, err := send(traced, c.http, http.MethodPost, j.Route[0].Address, "/generate", j)
+	if err == nil {
+		return newAnswer(rs.Body, cancel), nil
+	}
+	cancel()
+	var e *fault.Error
+	if reused && errors.As(err, &e) && e.Verdict() == fault.NotRun {
+		return nil, fault.New(fault.Config{Verdict: fault.MayHaveRun, Code: e.Code(), Reason: e.Reason(), RetryAt: e.RetryAt(), Cause: errors.Unwrap(e)})
+	}
+	return nil, err
 }
 
 // Cancel tells a stage that an attempt of a request has ended. The stage frees the
 // slot of the request and from then on refuses this attempt and earlier ones.
 func (c *Client) Cancel(ctx context.Context, address string, id AttemptID) error {
 	var l LoadReport
-	return c.call(ctx, callTimeout, http.MethodPost, address, "/cancel", id, &l)
+	return call(ctx, c.http, callTimeout, http.MethodPost, address, "/cancel", id, &l)
 }
 
 // Load reads the load report of an engine or a plain service. A report with
 // impossible values is an error.
 func (c *Client) Load(ctx context.Context, address string) (LoadReport, error) {
 	var l LoadReport
-	if err := c.call(ctx, callTimeout, http.MethodGet, address, "/load", nil, &l); err != nil {
+	if err := call(ctx, c.http, callTimeout, http.MethodGet, address, "/load", nil, &l); err != nil {
 		return LoadReport{}, err
 	}
 	if !l.valid() {
@@ -69,7 +97,7 @@
 // Events reads the prefix cache events after the given number.
 func (c *Client) Events(ctx context.Context, address string, after uint64) (CacheEvents, error) {
 	var e CacheEvents
-	err := c.call(ctx, callTimeout, http.MethodGet, address, "/events?after="+strconv.FormatUint(after, 10), nil, &e)
+	err := call(ctx, c.http, callTimeout, http.MethodGet, address, "/events?after="+strconv.FormatUint(after, 10), nil, &e)
 	return e, err
 }
 
@@ -77,14 +105,14 @@
 // engines can read.
 func (c *Client) Export(ctx context.Context, address, request string) (Export, error) {
 	var e Export
-	err := c.call(ctx, transferTimeout, http.MethodPost, address, "/export", AttemptID{Request: request}, &e)
+	err := call(ctx, c.singleUse, transferTimeout, http.MethodPost, address, "/export", AttemptID{Request: request}, &e)
 	return e, err
 }
 
 // Import makes another engine load an export as the KV cache of the request.
 func (c *Client) Import(ctx context.Context, address string, i Import) error {
 	var e Export
-	return c.call(ctx, transferTimeout, http.MethodPost, address, "/import", i, &e)
+	return call(ctx, c.singleUse, transferTimeout, http.MethodPost, address, "/import", i, &e)
 }
 
 // maxReply bounds one reply, in bytes. The longest replies are lists of cache
@@ -92,10 +120,10 @@
 const maxReply = 4 << 20
 
 // call sends one request and decodes the JSON answer. The timeout covers both.
-func (c *Client) call(ctx context.Context, timeout time.Duration, method, address, path string, body, result any) error {
+func call(ctx context.Context, c *http.Client, timeout time.Duration, method, address, path string, body, result any) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	rs, err := c.send(ctx, method, address, path, body)
+	rs, err := send(ctx, c, method, address, path, body)
 	if err != nil {
 		return err
 	}
@@ -107,7 +135,7 @@
 }
 
 // send sends one request and returns the answer if its status is 200.
-func (c *Client) send(ctx context.Context, method, address, path string, body any) (*http.Response, error) {
+func send(ctx context.Context, c *http.Client, method, address, path string, body any) (*http.Response, error) {
 	var reader io.Reader
 	if body != nil {
 		b, err := json.Marshal(body)
@@ -123,7 +151,7 @@
 	if reader != nil {
 		rq.Header.Set("Content-Type", "application/json")
 	}
-	rs, err := c.http.Do(rq)
+	rs, err := c.Do(rq)
 	if err != nil {
 		return nil, fault.New(fault.Config{Verdict: sendVerdict(err), Code: fault.Unavailable, Reason: "engine does not answer", Cause: err})
 	}
--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -1,13 +1,16 @@
 package engine_test
 
 import (
+	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -110,3 +113,74 @@
 	assert.Assert(t, engine.BlockHashes("n", p)[0] != one[0])
 	assert.Equal(t, len(engine.BlockHashes("m", "short")), 0)
 }
+
+// startRepeatingServer runs a server that writes each answer once more, in front of the answer to the
+// next request on the connection. It returns the server's address.
+func startRepeatingServer(t *testing.T, answer func(rq *http.Request) string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go repeatAnswers(c, answer)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func repeatAnswers(c net.Conn, answer func(rq *http.Request) string) {
+	defer func() { _ = c.Close() }()
+	r, last := bufio.NewReader(c), ""
+	for {
+		rq, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		text := answer(rq)
+		if _, err := io.WriteString(c, last+text); err != nil {
+			return
+		}
+		last = text
+	}
+}
+
+// TestRepeatedAnswers guards against an answer that reaches the next call on its connection, because the
+// engine writes it once more: the KV cache of another request, or a refusal of a job that runs.
+func TestRepeatedAnswers(t *testing.T) {
+	t.Run("export", func(t *testing.T) {
+		address := startRepeatingServer(t, func(rq *http.Request) string {
+			b, _ := io.ReadAll(rq.Body)
+			text := `{"handle":"` + strings.Split(string(b), `"`)[3] + `"}`
+			return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+		})
+		c := engine.New(engine.Config{})
+		for _, request := range []string{"r1", "r2"} {
+			x, err := c.Export(t.Context(), address, request)
+			assert.NilError(t, err)
+			assert.Equal(t, x.Handle, request)
+			time.Sleep(20 * time.Millisecond) // a kept connection returns to the pool
+		}
+	})
+	t.Run("refused job", func(t *testing.T) {
+		var jobs atomic.Int32
+		address := startRepeatingServer(t, func(rq *http.Request) string {
+			_, _ = io.Copy(io.Discard, rq.Body)
+			if jobs.Add(1) == 1 {
+				return "HTTP/1.1 503 x\r\n" + engine.NotRunHeader + ": true\r\n" + engine.ReasonHeader + ": " + engine.ReasonFull + "\r\nContent-Length: 0\r\n\r\n"
+			}
+			return "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+		})
+		c := engine.New(engine.Config{})
+		for _, verdict := range []fault.Verdict{fault.NotRun, fault.MayHaveRun} {
+			_, err := c.Generate(t.Context(), engine.Job{Request: "r", Route: []engine.Stage{{Address: address}}})
+			assert.Equal(t, fault.VerdictOf(err), verdict)
+			assert.Equal(t, fault.CodeOf(err), fault.Overload)
+			time.Sleep(20 * time.Millisecond)
+		}
+	})
+}
--- a/engine/order.go
+++ b/engine/order.go
@@ -103,7 +103,7 @@
 	}
 	rq.ContentLength = int64(len(body))
 	rq.Header.Set("Content-Type", "application/json")
-	rs, err := c.http.Do(rq)
+	rs, err := c.singleUse.Do(rq)
 	if err != nil {
 		verdict := sendVerdict(err)
 		if errors.Is(err, errCheckFailed) {
