relay: test of random sequences of faulty continuations

relay.TestRandomContinuations breaks a stream off and lets up to three servers answer its resumption at random: soundly, cut at any event, reset, refused, or with one of the faulty answers.

--- a/relay/resume_test.go
+++ b/relay/resume_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
+	"slices"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -10,6 +13,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"github.com/cranberrybay/cranberrybay/config"
 	"github.com/cranberrybay/cranberrybay/fault"
@@ -31,24 +35,29 @@
 	return a
 }
 
-// faultyContinuations are answers to a run that resumes a stream after event 3, none of which
-// continues it.
-func faultyContinuations() map[string]*relay.Answer {
+// streamEvents is the number of events of the stream that the tests break off.
+const streamEvents = 6
+
+// faultyContinuations returns answers to a run that resumes a stream after an event, none of which
+// continues it to its end.
+func faultyContinuations(last int) map[string]*relay.Answer {
+	rest, next := events(last+1, streamEvents), events(last+1, last+1)
+	field := strings.TrimSuffix(next, "\n\n")
 	status := func(status int, body string) *relay.Answer {
 		a := signedAnswer(status, body)
 		a.Header.Set("Content-Type", "text/plain")
 		return a
 	}
-	unsigned := eventAnswer(events(4, 6))
+	unsigned := eventAnswer(rest)
 	unsigned.Signed = false
-	otherType := eventAnswer(events(4, 6))
+	otherType := eventAnswer(rest)
 	otherType.Header.Set("Content-Type", "text/html; charset=utf-8")
 	unframed := eventAnswer("")
 	unframed.Unframed = true
 	const head = "HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\nContent-Length: 5\r\n\r\nerror"
 	return map[string]*relay.Answer{
 		"error with a text":           status(http.StatusInternalServerError, "error\n\n"),
-		"error with an event":         status(http.StatusInternalServerError, events(4, 4)),
+		"error with an event":         status(http.StatusInternalServerError, next),
 		"redirect":                    status(http.StatusFound, ""),
 		"no content":                  status(http.StatusNoContent, ""),
 		"text of an error":            status(http.StatusOK, "error\n\n"),
@@ -56,14 +65,14 @@
 		"unsigned":                    unsigned,
 		"no events":                   eventAnswer(""),
 		"no events and no length":     unframed,
-		"earlier events":              eventAnswer(events(1, 2)),
+		"earlier events":              eventAnswer(events(1, last-1)),
 		"head of an answer":           eventAnswer(head),
-		"head inside an event":        eventAnswer("id: 4\ndata: 4" + head),
-		"head before an event":        eventAnswer(head + "\n" + events(4, 4)),
-		"text before an event":        eventAnswer("internal error\n" + events(4, 6)),
-		"text after an event's field": eventAnswer("id: 4\ndata: 4\ninternal error\n\n"),
-		"begins inside an event":      eventAnswer("ta: 3\n\n" + events(4, 6)),
-		"ends inside an event":        eventAnswer(events(4, 5) + "id: 6\nda"),
+		"head inside an event":        eventAnswer(field + head),
+		"head before an event":        eventAnswer(head + "\n" + next),
+		"text before an event":        eventAnswer("internal error\n" + next),
+		"text after an event's field": eventAnswer(field + "\ninternal error\n\n"),
+		"begins inside an event":      eventAnswer("ta: 3\n\n" + rest),
+		"ends inside an event":        eventAnswer(events(last+1, streamEvents-1) + "id: 6\nda"),
 	}
 }
 
@@ -77,7 +86,7 @@
 // Guards against an answer of the next server that gets into a stream, or that makes a broken one
 // look complete.
 func TestFaultyContinuation(t *testing.T) {
-	for name, ans := range faultyContinuations() {
+	for name, ans := range faultyContinuations(3) {
 		t.Run(name, func(t *testing.T) {
 			cl := newCluster(t, engineEntry("a", "near", 0, 8), engineEntry("b", "near", 0, 8))
 			cl.onSend = func(_ context.Context, n int, _ *relay.Request, _ relay.Attempt) (*relay.Answer, error) {
@@ -118,7 +127,7 @@
 
 // Guards against a stream that is cut off by a faulty server although another one could finish it.
 func TestFaultyContinuationIsFollowedByASoundOne(t *testing.T) {
-	for name, ans := range faultyContinuations() {
+	for name, ans := range faultyContinuations(3) {
 		t.Run(name, func(t *testing.T) {
 			cl := newCluster(t, engineEntry("a", "near", 0, 8), engineEntry("b", "near", 0, 8), slowAccelerator(engineEntry("c", "near", 0, 8)))
 			cl.onSend = func(_ context.Context, n int, _ *relay.Request, a relay.Attempt) (*relay.Answer, error) {
@@ -209,3 +218,47 @@
 		checkServed(t, cl.serve(t.Context(), request(config.Stream, 2)), events(1, 3))
 	})
 }
+
+// continuation draws the answer to an attempt at a stream: a sound one, or one with a fault.
+func continuation(t *rapid.T, a relay.Attempt) (*relay.Answer, error) {
+	last, _ := strconv.Atoi(a.LastEventID)
+	from := rapid.IntRange(max(last-2, 1), min(last+1, streamEvents)).Draw(t, "from") // servers may repeat events
+	to := rapid.IntRange(from, streamEvents).Draw(t, "to")
+	cut := rapid.SampledFrom([]string{"", "id: 9", "id: 9\nda", "\n", "HTTP/1.1 500 x\r\nContent-Type: text/plain\r\n\r\nerror"}).Draw(t, "cut")
+	switch rapid.IntRange(0, 4).Draw(t, "kind") {
+	case 0:
+		return eventAnswer(events(from, streamEvents)), nil
+	case 1:
+		return brokenAnswer(events(from, to) + cut), nil
+	case 2:
+		return nil, connectionReset()
+	case 3:
+		return refusal(), nil
+	default:
+		all := faultyContinuations(last)
+		return all[rapid.SampledFrom(slices.Sorted(maps.Keys(all))).Draw(t, "fault")], nil
+	}
+}
+
+// Guards against a stream that is neither whole nor visibly cut, for random sequences of faulty answers.
+func TestRandomContinuations(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		synctest.Test(t, func(t *testing.T) {
+			cl := newCluster(t, engineEntry("a", "near", 0, 8), engineEntry("b", "near", 0, 8), engineEntry("c", "near", 0, 8), engineEntry("d", "near", 0, 8))
+			broken := rapid.IntRange(1, streamEvents).Draw(rt, "broken after")
+			cl.onSend = func(_ context.Context, n int, _ *relay.Request, a relay.Attempt) (*relay.Answer, error) {
+				if n == 1 {
+					return brokenAnswer(events(1, broken)), nil
+				}
+				return continuation(rt, a)
+			}
+			got := cl.serve(t.Context(), request(config.Stream, 4))
+			assert.Assert(t, strings.HasPrefix(events(1, streamEvents), got.body), "%q", got.body)
+			if got.err == nil {
+				assert.Equal(t, got.body, events(1, streamEvents))
+				return
+			}
+			assert.Equal(t, fault.VerdictOf(got.err), fault.MayHaveRun)
+		})
+	})
+}
