--- a/relay/handover.go
+++ b/relay/handover.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"net/http"
 	"time"
 )
 
@@ -172,8 +170,8 @@
 	case err != nil:
 	case !timer.Stop():
 		err = context.DeadlineExceeded
-	case ans.Status != http.StatusOK:
-		err = fmt.Errorf("new run was answered with status %d", ans.Status)
+	default:
+		err = m.stream.checkContinuation(ans)
 	}
 	msg := "first engine leaves; stream handed over"
 	if why == stalledMove {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -10,6 +10,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -51,10 +52,24 @@
 	attempts   atomic.Int32 // attempts sent so far
 	mayHaveRun atomic.Bool  // set once an attempt may have been executed
 
+	mu     sync.Mutex
+	sentTo []string // addresses of the servers that attempts were sent to
+
 	parts    []poison.Part      // of the prompt, which other requests may share; set by Serve
 	identity func() poison.Part // of the request, which callers may send again; set by Serve
 }
 
+// addSent records that an attempt is sent to an address, and reports whether an earlier one was.
+func (req *Request) addSent(address string) (again bool) {
+	req.mu.Lock()
+	defer req.mu.Unlock()
+	if slices.Contains(req.sentTo, address) {
+		return true
+	}
+	req.sentTo = append(req.sentTo, address)
+	return false
+}
+
 // Hop is an engine on the path of a stream and the layer range that it runs.
 type Hop struct {
 	Address  string
@@ -79,7 +94,10 @@
 	Signed    bool   // the answer carries a valid server signature
 	Refused   bool   // the server states that it did not run the request
 	RefusedBy string // address of the server on the path that refused; "" if not stated
-	Load      *Load  // nil if the server does not report it
+	// ImpliesNotRun means that callers take the status for the assurance that the request did not
+	// run, whether or not the server states so.
+	ImpliesNotRun bool
+	Load          *Load // nil if the server does not report it
 	// Misdirected means that another server has the address, or that the server lacks its part of
 	// the path.
 	Misdirected bool
@@ -322,12 +340,14 @@
 
 var (
 	errRefused  = errors.New("refused by the server")
-	errUnsigned = errors.New("answer without a signature")
+	errUnsigned = errors.New("answer without a valid signature")
+	errUnstated = errors.New("status of a refusal without the statement that the request did not run")
 )
 
 // send makes one attempt and checks the header of its answer. An unsigned answer is returned as an
-// error, and a refusal as an error together with the answer. Every other answer is returned as it is,
-// including errors of the service.
+// error, and a refusal as an error together with the answer. So is an answer to a request that may run
+// once, if its status would tell the caller that it did not run, which the server does not state. Every
+// other answer is returned as it is, including errors of the service.
 func (r *Relay) send(ctx context.Context, req *Request, a Attempt) (*Answer, error) {
 	if req.attempts.Add(1) == 1 {
 		r.cfg.Observe(MeasureWait, time.Since(req.Arrived).Seconds())
@@ -335,6 +355,10 @@
 	if req.mayHaveRun.Load() && !req.Route.Repeatable() {
 		r.reportViolation(InvariantAttempts, req)
 	}
+	if req.addSent(a.Server.Address()) {
+		// Attempts share their ID, which could not tell a repeated answer to an earlier one.
+		a.ReuseConnection = false
+	}
 	ans, err := r.exchange(ctx, req, a)
 	if err == nil || fault.VerdictOf(err) != fault.NotRun {
 		req.mayHaveRun.Store(true)
@@ -371,6 +395,10 @@
 		_ = ans.Body.Close()
 		return nil, fault.New(fault.Config{Verdict: fault.MayHaveRun, Code: fault.Unavailable, Reason: reasonBadReply, Cause: errUnsigned})
 	}
+	if ans.ImpliesNotRun && !req.Route.Repeatable() {
+		_ = ans.Body.Close()
+		return nil, fault.New(fault.Config{Verdict: fault.MayHaveRun, Code: fault.Unavailable, Reason: reasonBadReply, Cause: errUnstated})
+	}
 	return ans, nil
 }
 
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -40,6 +42,7 @@
 	// The check of a stalled stream uses the following fields as well.
 	mu          sync.Mutex
 	headerSent  bool   // the caller has the response header
+	mediaType   string // of the answer that the caller has the header of
 	lastEventID string // identifier of the last event sent to the caller
 	attempts    int    // attempts that count against the route's bound
 	// refusals counts refused attempts to resume the stream that were not counted as attempts.
@@ -248,13 +251,16 @@
 	if rn.answer == nil {
 		if ans, err := st.send(rn); err != nil {
 			m.endRun(rn)
-			return st.attemptFailed(ctx, rn, ans, err, excluded), st.refusalVerdict(err)
+			return st.attemptFailed(ctx, rn, m, ans, err), st.refusalVerdict(err)
 		}
 	}
-	if rn.answer.Status != http.StatusOK {
-		if st.headerIsSent() {
-			return true, mayHaveRunError(reasonBadReply, nil)
+	switch {
+	case st.headerIsSent():
+		if err := st.checkContinuation(rn.answer); err != nil {
+			m.endRun(rn)
+			return st.attemptFailed(ctx, rn, m, nil, err), mayHaveRunError(reasonBadReply, err)
 		}
+	case rn.answer.Status != http.StatusOK:
 		return false, st.passThrough(rn.answer)
 	}
 	started := time.Now()
@@ -273,7 +279,7 @@
 	if st.hasSuccessor() && rn.cancelled {
 		return true, mayHaveRunError(reasonNoAnswer, err) // the run was cancelled and its successor is accepted or still awaited
 	}
-	return st.attemptFailed(ctx, rn, nil, err, excluded), mayHaveRunError(reasonNoAnswer, err)
+	return st.attemptFailed(ctx, rn, m, nil, err), mayHaveRunError(reasonNoAnswer, err)
 }
 
 // refusalVerdict returns a "not run" error for a failed attempt only if neither it nor an earlier
@@ -290,7 +296,7 @@
 
 // attemptFailed logs a failed attempt, excludes the engine that failed, and reports whether
 // another attempt is allowed.
-func (st *streamState) attemptFailed(ctx context.Context, rn *run, ans *Answer, err error, excluded map[string]bool) bool {
+func (st *streamState) attemptFailed(ctx context.Context, rn *run, m *stallMonitor, ans *Answer, err error) bool {
 	r, t := st.relay, rn.path
 	e := r.cfg.Log.Info().Str("id", st.req.ID).Int("attempt", st.attemptCount()).Str("first", t.first.ID()).Str("path", t.String()).Str("last", st.lastEvent()).
 		Int32("events", st.runEvents.Load()).Strs("parts", st.req.PromptParts).Str("request", st.req.identity().ID).
@@ -304,12 +310,12 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	if !rn.cancelled && st.runEvents.Load() < answeredEvents {
+	if !rn.cancelled && st.runEvents.Load() < answeredEvents && !errors.Is(err, errNoContinuation) {
 		r.recordCut(ctx, st.req, t.first, err)
 	}
 	if failedServer != nil {
 		failedServer.RecordFailure()
-		excluded[failedServer.Address()] = true
+		m.exclude(failedServer.Address())
 		// An engine that refuses may be full or dead; its report shows which.
 		go r.probeFailed(t.first, failedServer)
 	}
@@ -344,6 +350,26 @@
 	}
 }
 
+// checkContinuation returns an error if an answer can't begin the stream, or continue the one that the
+// caller has a part of.
+func (st *streamState) checkContinuation(ans *Answer) error {
+	if ans.Status != http.StatusOK {
+		return fmt.Errorf("%w: status %d", errNoContinuation, ans.Status)
+	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if t := mediaTypeOf(ans.Header); st.headerSent && t != st.mediaType {
+		return fmt.Errorf("%w: it has the media type %q instead of %q", errNoContinuation, t, st.mediaType)
+	}
+	return nil
+}
+
+// mediaTypeOf returns the media type of an answer without its parameters, or "" if none is stated.
+func mediaTypeOf(h http.Header) string {
+	t, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(t))
+}
+
 // passThrough forwards an answer with a status other than 200 unchanged.
 func (st *streamState) passThrough(ans *Answer) error {
 	body, release, err := st.relay.cfg.Quota.Read(ans.Body, maxAnswerBytes)
@@ -366,13 +392,19 @@
 	defer ev.close()
 	lastSent := st.lastEvent()
 	resumed := lastSent
+	runLast := "" // identifier of the last event of this run
 	for {
 		complete, lastID, err := ev.next()
 		if err != nil && err != io.EOF { //nolint:errorlint // next returns io.EOF itself
 			return err
 		}
-		if err == io.EOF && ans.Unframed && lastSent == "" { //nolint:errorlint // as above
-			return errNoEvents
+		if err == io.EOF { //nolint:errorlint // as above
+			if err := st.checkEnd(ans, runLast, lastSent); err != nil {
+				return err
+			}
+		}
+		if lastID != "" {
+			runLast = lastID
 		}
 		if resumed != "" && len(complete) > 0 {
 			complete = eventsAfter(complete, resumed)
@@ -412,15 +444,32 @@
 	}
 }
 
+// checkEnd returns an error if the end of a run can't be the end of the stream. runLast is the identifier
+// of the last event of the run, lastSent that of the last event sent to the caller.
+func (st *streamState) checkEnd(ans *Answer, runLast, lastSent string) error {
+	switch {
+	case ans.Unframed && lastSent == "":
+		return errNoEvents
+	case runLast == "" && st.headerIsSent(), runLast != "" && follows(runLast, lastSent):
+		// The caller has a later event, so that this run has not continued the stream.
+		return errEndsEarlier
+	default:
+		return nil
+	}
+}
+
 // write writes events to the caller, preceded by the response header if it was not sent yet. lastID
 // identifies the last of them.
 func (st *streamState) write(ans *Answer, b []byte, lastID string) error {
 	st.mu.Lock()
 	first := !st.headerSent
 	st.headerSent, st.lastEventID = true, lastID
+	if first {
+		st.mediaType = mediaTypeOf(ans.Header)
+	}
 	st.mu.Unlock()
 	if first {
-		st.sink.Start(ans.Status, ans.Header, ans.Length)
+		st.sink.Start(ans.Status, ans.Header, -1) // another server may continue the stream
 	}
 	if err := st.sink.Write(b); err != nil {
 		return err
--- a/relay/trial.go
+++ b/relay/trial.go
@@ -65,6 +65,9 @@
 		if err != nil {
 			end()
 			r.cfg.Log.Info().Str("id", req.ID).Str("part", req.identity().ID).Msg("no trial for a request on which a server crashed")
+			if ctx.Err() == nil {
+				err = errTrials // not a deadline of the request
+			}
 			return end, r.failure(req, reasonTrials, noServerRetryAfter, err)
 		}
 	}
@@ -93,6 +96,8 @@
 
 const reasonTrials = "requests on which backend servers crashed are tried one at a time"
 
+var errTrials = errors.New("other requests are on trial")
+
 // failure returns the error for a request that is given up: not run, unless an attempt may have run.
 func (r *Relay) failure(req *Request, reason string, retryIn time.Duration, cause error) error {
 	if req.mayHaveRun.Load() {
