intake, relay, server: heed servers that say that they leave or ask for a pause

What servers saw: a server that said in its answers that it leaves (Server-Leaving: 1) got requests for as long as the registry listed it as in service, also while the store is away. One that refused with 503 and Retry-After got requests from the same process within the time it named.

Cause: nothing read the two headers of backend servers. The only word on a server was that of the registry, which lags, and the avoidance after a refusal, which is 0.3 s and yields when no other server can take a request.

Change: package intake keeps what each incarnation of a server said: it takes requests, leaves, or rests until a deadline. platform decodes the headers once into intake.Said of relay.Answer and relay.Report. Leaving is final for the incarnation: server.Table takes the server out of its view, so that no choice sees it (first attempts, repeats, hedges, handovers, detours), whatever rows of the same incarnation say later. If all servers of a service say so, they get requests for one more second; DRAIN allows two. A pause keeps requests of this process from being sent to the server first in a path, and makes it the last resort as a later engine; it is bounded by bounds.pause (60 s). When it has ended, one request goes out, and two more for each that was answered. While all servers of a service rest, a request waits if it can be served before its deadline, and is refused at once as not run otherwise, with the end of the first pause as the time to come back. A request that waits for the rate of a server is chosen another one if the server left or rests meanwhile.

A pause and a leaving are those of the engine that answers, as the platform counts answers; a pause holds for the engine named as the one that refused as well. A refusal with 421 says nothing of the server that was meant. A removed entry of a server that had said that it leaves is no crash.

Tests, with the heed switched off and with it: relay.TestServerThatLeavesGetsRequests (200 requests for 1 allowed), relay.TestServerAtRestGetsRequests (125 requests within the pause, 2 allowed; 46 with two other servers), TestRequestsDuringAPauseAreRefusedAtOnce (callers are told 78 ms instead of 20 s), TestRequestsWaitForTheEndOfAPause ("the backend servers refused the request"), TestWaitingRequestsReturnAtOnce, TestPathOverAnEngineAtRest, TestAllServersOfAServiceLeave, TestStreamStaysOnAnEngineThatSaidItLeaves (1 attempt instead of 2). New in their packages: intake, platform/intake_test.go, server.TestServerThatSaid*. platform.checkRefused sends the same request by way of a function that the new test shares; its checks are the same.

--- a/edge/app.go
+++ b/edge/app.go
@@ -18,6 +18,7 @@
 	"github.com/cranberrybay/cranberrybay/beat"
 	"github.com/cranberrybay/cranberrybay/clock"
 	"github.com/cranberrybay/cranberrybay/config"
+	"github.com/cranberrybay/cranberrybay/intake"
 	"github.com/cranberrybay/cranberrybay/lease"
 	"github.com/cranberrybay/cranberrybay/link"
 	"github.com/cranberrybay/cranberrybay/logs"
@@ -90,6 +91,7 @@
 			newCounters,
 			newPoisonTracker,
 			newPacer,
+			newIntake,
 			newServerTable,
 			newMembers,
 			newStateFetcher,
@@ -144,11 +146,19 @@
 	})
 }
 
-func newServerTable(client *link.Client, t *poison.Tracker, factory *logs.Factory) *server.Table {
-	return server.NewTable(server.Config{
-		Log: factory.Logger("server"), OutageGrace: missingEntryGrace, OnRemoved: client.CloseIdle,
+func newIntake(s Settings, state *sharedState, factory *logs.Factory) *intake.Tracker {
+	return intake.New(intake.Config{
+		Log: factory.Logger("intake"), MaxPause: s.maxPause(),
+		OnLeaving: func(servers []uint64) { state.servers.MarkLeaving(servers) },
+	})
+}
+
+func newServerTable(client *link.Client, t *poison.Tracker, in *intake.Tracker, state *sharedState, factory *logs.Factory) *server.Table {
+	state.servers = server.NewTable(server.Config{
+		Log: factory.Logger("server"), OutageGrace: missingEntryGrace, OnRemoved: client.CloseIdle, Leaves: in.Leaves,
 		OnDied: func(s *server.Server) { go t.RecordCrash(s.Incarnation()) }, // announces it, so not under the table's lock
 	})
+	return state.servers
 }
 
 // self returns the description of this process that the other processes get.
@@ -252,9 +262,9 @@
 // weightPerCore is the weight of a process that may use one whole core.
 const weightPerCore = 1000
 
-func newRelay(s Settings, q *quota.Quota, servers *server.Table, backend *platform.Backend, members *beat.Membership, budgets *retryBudgets, t *poison.Tracker, p *pacer.Pacer, c *counters, factory *logs.Factory) *relay.Relay {
+func newRelay(s Settings, q *quota.Quota, servers *server.Table, backend *platform.Backend, members *beat.Membership, budgets *retryBudgets, t *poison.Tracker, p *pacer.Pacer, in *intake.Tracker, c *counters, factory *logs.Factory) *relay.Relay {
 	return relay.New(relay.Config{
-		Servers: servers, Send: backend.Send, FetchReport: backend.Report, Repath: backend.Repath, Budget: budgets.of, Quota: q, PeerLoad: members.PeerLoad, Poison: t, Pacer: p, AnnounceDead: func(srv *server.Server) { members.ReportDead(srv.ID()) },
+		Servers: servers, Send: backend.Send, FetchReport: backend.Report, Repath: backend.Repath, Budget: budgets.of, Quota: q, PeerLoad: members.PeerLoad, Poison: t, Pacer: p, Intake: in, AnnounceDead: func(srv *server.Server) { members.ReportDead(srv.ID()) },
 		Domain: s.Domain, Log: factory.Logger("relay"), Count: c.event, Observe: c.observe,
 		CountViolation: func(i relay.Invariant) { c.violation(string(i)) },
 	})
@@ -292,7 +302,7 @@
 }
 
 // followTables keeps the configuration and the registry of backend servers up to date.
-func followTables(s Settings, store *platform.Store, tracker *config.Tracker, servers *server.Table, members *beat.Membership, m *registrar, state *sharedState, factory *logs.Factory, lc fx.Lifecycle) {
+func followTables(s Settings, store *platform.Store, tracker *config.Tracker, servers *server.Table, in *intake.Tracker, members *beat.Membership, m *registrar, state *sharedState, factory *logs.Factory, lc fx.Lifecycle) {
 	log := factory.Logger("watch")
 	tableConfig := func(name string) watch.Config {
 		return watch.Config{
@@ -333,7 +343,10 @@
 	}
 	configFollower, serverFollower := watch.New(configTable), watch.New(serverTable)
 	state.followers.Store(&map[string]*watch.Follower{platform.TableConfig: configFollower, platform.TableServers: serverFollower})
-	runAll(lc, configFollower.Run, serverFollower.Run, every(expireInterval, func(context.Context) { servers.Expire() }))
+	runAll(lc, configFollower.Run, serverFollower.Run, every(expireInterval, func(context.Context) {
+		servers.Expire()
+		in.Expire()
+	}))
 }
 
 // runAll runs each function on a goroutine from the start of the application and
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -33,6 +33,7 @@
 type sharedState struct {
 	handler       *Handler
 	placer        *Placer
+	servers       *server.Table
 	packets       net.PacketConn
 	onUnknownKey  func() // called when another process uses a message key that this process does not have
 	sendHeartbeat func() // sends a heartbeat at once
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -59,6 +59,9 @@
 	RetryWindow   float64 `toml:"window"` // s, the window of RetrySlack
 	// Heartbeat is the time between two entries of a backend server, in ms; 0 for defaultHeartbeat.
 	Heartbeat int64 `toml:"heartbeat"`
+	// Pause is the longest pause of a backend server that is heeded, in s; 0 for the default of package
+	// intake. A longer one is cut to it, so that a server that names hours by mistake is asked again.
+	Pause float64 `toml:"pause"`
 }
 
 // Limits holds the resources of the VM that the process may use.
@@ -151,9 +154,17 @@
 			errs = append(errs, fmt.Errorf("%s must be positive", field.key))
 		}
 	}
+	if s.Bounds.Pause < 0 {
+		errs = append(errs, errors.New("bounds.pause must not be negative"))
+	}
 	return errors.Join(errs...)
 }
 
+// maxPause returns the longest pause of a backend server that is heeded; 0 for the default.
+func (s Settings) maxPause() time.Duration {
+	return time.Duration(s.Bounds.Pause * float64(time.Second))
+}
+
 // gracePeriod returns the time from SIGTERM to SIGKILL.
 func (s Settings) gracePeriod() time.Duration {
 	return time.Duration(s.Bounds.Grace * float64(time.Second))
--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/cranberrybay/cranberrybay/config"
 	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/intake"
 	"github.com/cranberrybay/cranberrybay/pacer"
 	"github.com/cranberrybay/cranberrybay/poison"
 	"github.com/cranberrybay/cranberrybay/relay"
@@ -30,6 +31,7 @@
 	budget *retry.Budget
 	log    logBuffer
 	pacer  *pacer.Pacer
+	intake *intake.Tracker
 	fleet  pacer.Fleet // processes that share the rates
 
 	mu            sync.Mutex
@@ -80,7 +82,7 @@
 	obs := &observations{observed: map[relay.Measure][]float64{}, violated: map[relay.Invariant]int{}}
 	cl := &testCluster{dead: map[string]bool{}, lateReports: map[string]int{}, budget: retry.New(retry.Config{RetriesPerRequest: 0.2, Burst: retryBurst, Initial: retryBurst})}
 	tracker := poison.New(poison.Config{Log: zerolog.Nop()})
-	cl.table = server.NewTable(server.Config{Log: zerolog.Nop(), OutageGrace: time.Second, OnDied: func(s *server.Server) { tracker.RecordCrash(s.Incarnation()) }})
+	cl.table = server.NewTable(server.Config{Log: zerolog.Nop(), OutageGrace: time.Second, Leaves: func(n uint64) bool { return cl.intake != nil && cl.intake.Leaves(n) }, OnDied: func(s *server.Server) { tracker.RecordCrash(s.Incarnation()) }})
 	var all []server.Change
 	for _, e := range entries {
 		all = append(all, server.Change{ID: e.ID, Entry: e})
@@ -88,8 +90,9 @@
 	cl.table.Apply(all, true, 0)
 	cl.pacer = pacer.New(pacer.Config{Log: zerolog.New(&cl.log), Fleet: func() pacer.Fleet { return cl.fleet }})
 	cl.fleet = pacer.Fleet{Self: "p", Domain: "near", Members: []string{"p"}, Domains: []string{"near"}, Size: 1}
+	cl.intake = intake.New(intake.Config{Log: zerolog.New(&cl.log), OnLeaving: cl.table.MarkLeaving})
 	cl.relay = relay.New(relay.Config{
-		Servers: cl.table, Poison: tracker, Pacer: cl.pacer, Domain: "near", Log: zerolog.New(&cl.log), Budget: func(string) *retry.Budget { return cl.budget },
+		Servers: cl.table, Poison: tracker, Intake: cl.intake, Pacer: cl.pacer, Domain: "near", Log: zerolog.New(&cl.log), Budget: func(string) *retry.Budget { return cl.budget },
 		Observe: func(name relay.Measure, v float64) {
 			cl.mu.Lock()
 			defer cl.mu.Unlock()
--- a/relay/path.go
+++ b/relay/path.go
@@ -52,7 +52,7 @@
 		if !ok || t.first == nil {
 			return t, ok
 		}
-		if t.sendAt, ok = r.reserve(t.first, maxWait); ok {
+		if t.sendAt, ok = r.reserve(req, t.first, maxWait); ok {
 			return t, true
 		}
 		t.release()
@@ -63,7 +63,7 @@
 // searchPath is choosePath without the rates. It avoids the failure domains of excluded engines if
 // it can, and starts at an engine without free slots only if there is no other path.
 func (r *Relay) searchPath(req *Request, excluded map[string]bool, maxWait time.Duration) (*activePath, bool) {
-	all := r.cfg.Servers.Servers(req.Service.Name)
+	all := r.candidates(req.Service.Name)
 	e := req.Service.Engine
 	if e == nil || e.Layers == 0 {
 		return r.chooseSingleEngine(req, all, excluded, maxWait)
@@ -163,10 +163,13 @@
 }
 
 // addRateWaits adds the time that a stream waits for each engine as the first one because of the rate
-// that it names. Engines for which that is longer than maxWait can't be the first one.
+// that it names. Engines for which that is longer than maxWait, and those at rest, can't be the first
+// one.
 func (ps *pathSearch) addRateWaits(maxWait time.Duration) {
+	ps.req.choice = choice{}
 	for i, s := range ps.servers {
-		if wait := ps.relay.waitForRate(s); wait > maxWait {
+		rests := ps.engines[i].From == 0 && ps.relay.passesOver(&ps.req.choice, s)
+		if wait := ps.relay.waitForRate(s); wait > maxWait || rests {
 			ps.engines[i].FirstWait = math.Inf(1)
 		} else {
 			ps.engines[i].FirstWait = wait.Seconds()
@@ -330,7 +333,7 @@
 		Capacity:     KVCapacity(e, acc, entry.To-entry.From),
 		Used:         float64(tokens),
 		Slots:        max(entry.Slots, 1),
-		Suspect:      s.IsAvoided(),
+		Suspect:      s.IsAvoided() || r.waitForRest(s) > 0,
 	}
 	if entry.From == 0 {
 		out.FirstStreams = streams // paths begin at the first layer
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -33,6 +33,7 @@
 	release func() // returns the memory of body to the quota; never nil in a result of attemptOnce
 	err     error
 	took    time.Duration
+	unsent  bool // the server began to leave or to rest before the request was sent
 }
 
 // servePlain serves a request whose answer is returned as a whole. The answer is buffered until
@@ -77,10 +78,26 @@
 		go func() { results <- r.attemptOnce(ctx, req, srv, sendAt) }()
 		return true
 	}
-	if !start("first", rateWait(req)) {
+	// startOrWait also waits for servers that rest, if no other attempt runs.
+	startOrWait := func(reason string) (started bool, err error) {
+		for !start(reason, rateWait(req)) {
+			noRetry := sent >= req.Route.Attempts() || (sent > 0 && r.cfg.Budget(req.Service.Name).Available() < 1)
+			if quarantined != nil || running > 0 || noRetry {
+				return false, nil
+			}
+			if waited, err := r.awaitRest(ctx, req, func(s *server.Server) { delete(tried, s.ID()) }); !waited {
+				return false, err
+			}
+		}
+		return true, nil
+	}
+	if started, err := startOrWait("first"); !started {
 		if quarantined != nil {
 			return quarantined
 		}
+		if err != nil {
+			return err
+		}
 		if err := r.refuseOverRate(req, refusedRetryAfter); err != nil {
 			return err
 		}
@@ -93,6 +110,7 @@
 		hedge = t.C
 	}
 	var failed attemptResult
+	var atRest error
 	for running > 0 {
 		select {
 		case <-hedge:
@@ -100,12 +118,17 @@
 		case res := <-results:
 			running--
 			completed = append(completed, res)
+			if res.unsent {
+				sent--
+			}
 			if res.err == nil && (res.answer.Status < http.StatusInternalServerError || req.Route.Kind() == config.AtMostOnce) {
 				return deliver(res, sink)
 			}
 			failed = r.worseFailure(req, failed, res)
-			if r.mayRetry(req, res) {
-				start("failed", rateWait(req))
+			if r.mayRetry(req, res) && failed.err == nil {
+				start("failed", rateWait(req)) // the caller gets the error answer rather than wait
+			} else if r.mayRetry(req, res) {
+				_, atRest = startOrWait("failed")
 			}
 		}
 	}
@@ -113,7 +136,10 @@
 		return deliver(failed, sink) // an error answer of the service itself
 	}
 	if fault.VerdictOf(failed.err) == fault.NotRun {
-		return notRunError(reasonRefused, refusedRetryAfter, failed.err)
+		if atRest != nil {
+			return atRest
+		}
+		return r.orAtRest(req, notRunError(reasonRefused, refusedRetryAfter, failed.err))
 	}
 	return mayHaveRunError(reasonNoAnswer, failed.err)
 }
@@ -150,9 +176,13 @@
 
 // attemptOnce makes one attempt, at sendAt, and reads the whole answer.
 func (r *Relay) attemptOnce(ctx context.Context, req *Request, srv *server.Server, sendAt time.Time) attemptResult {
+	slept := time.Until(sendAt) > 0
 	if err := sleepUntil(ctx, sendAt); err != nil {
 		return attemptResult{server: srv, err: notRunError(reasonRateUsedUp, refusedRetryAfter, err), release: func() {}}
 	}
+	if slept && r.isTurningAway(srv) {
+		return attemptResult{server: srv, err: notRunError(reasonResting, refusedRetryAfter, errRefused), release: func() {}, unsent: true}
+	}
 	start := time.Now()
 	end := srv.Begin(0)
 	defer end()
@@ -195,7 +225,7 @@
 		if srv == nil {
 			return nil, time.Time{}
 		}
-		if sendAt, ok := r.reserve(srv, maxWait); ok {
+		if sendAt, ok := r.reserve(req, srv, maxWait); ok {
 			return srv, sendAt
 		}
 	}
@@ -206,10 +236,11 @@
 // Avoided servers are used only if there is no other. The rate of a server may make the request wait,
 // at most for maxWait.
 func (r *Relay) pickServer(req *Request, tried map[string]bool, maxWait time.Duration) *server.Server {
+	req.choice = choice{}
 	var best *server.Server
 	cost, avoided := 0.0, false
-	for _, srv := range r.cfg.Servers.Servers(req.Service.Name) {
-		if tried[srv.ID()] {
+	for _, srv := range r.candidates(req.Service.Name) {
+		if r.passesOver(&req.choice, srv) || tried[srv.ID()] {
 			continue
 		}
 		wait := r.waitForRate(srv)
--- a/relay/rate.go
+++ b/relay/rate.go
@@ -31,8 +31,13 @@
 }
 
 // reserve takes one request from this process's share of a server's rate, and returns when it may be
-// sent. It returns false if that is later than limit from now. Servers without a rate have no bound.
-func (r *Relay) reserve(s *server.Server, limit time.Duration) (sendAt time.Time, ok bool) {
+// sent. It returns false if that is later than limit from now, or if the server rests. Servers without a
+// rate have no bound.
+func (r *Relay) reserve(req *Request, s *server.Server, limit time.Duration) (sendAt time.Time, ok bool) {
+	if !r.cfg.Intake.Reserve(s.Incarnation()) {
+		req.choice.lose(s)
+		return time.Time{}, false
+	}
 	wait, ok := r.cfg.Pacer.Reserve(s.Incarnation(), limit)
 	return time.Now().Add(wait), ok
 }
@@ -68,8 +73,8 @@
 // no share of any rate, that is shortDelay: another process has one.
 func (r *Relay) refuseOverRate(req *Request, shortDelay time.Duration) error {
 	limited, wait := 0, pacer.Never
-	for _, s := range r.cfg.Servers.Servers(req.Service.Name) {
-		if w := r.waitForRate(s); w > 0 && (req.Service.Engine == nil || s.Entry().From == 0) {
+	for _, s := range r.candidates(req.Service.Name) {
+		if w := r.waitForRate(s); w > 0 && req.canBeFirst(s) {
 			limited, wait = limited+1, min(wait, w)
 		}
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -18,6 +18,7 @@
 
 	"github.com/cranberrybay/cranberrybay/config"
 	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/intake"
 	"github.com/cranberrybay/cranberrybay/pacer"
 	"github.com/cranberrybay/cranberrybay/poison"
 	"github.com/cranberrybay/cranberrybay/quota"
@@ -51,7 +52,8 @@
 	attempts   atomic.Int32 // attempts sent so far
 	mayHaveRun atomic.Bool  // set once an attempt may have been executed
 
-	parts []poison.Part // of the prompt, which other requests may share; set by Serve
+	parts  []poison.Part // of the prompt, which other requests may share; set by Serve
+	choice choice        // the last choice of a server
 }
 
 // Hop is an engine on the path of a stream and the layer range that it runs.
@@ -83,6 +85,7 @@
 	// the path.
 	Misdirected bool
 	Rate        NamedRate
+	Intake      intake.Said // what the server says about taking requests
 	// SetReadDeadline sets the deadline for reading the body; it may be nil.
 	SetReadDeadline func(t time.Time) error
 }
@@ -101,6 +104,8 @@
 type Report struct {
 	Stalled map[string]string // request ID to address of the engine that it waits for
 	Rate    NamedRate
+	Intake  intake.Said // what the engine says about taking requests
+	Started int64       // start of the engine's incarnation, Unix milliseconds; 0 if not stated
 }
 
 // Sink receives the answer to a request: Start at most once, then any number of Write and Flush.
@@ -132,7 +137,9 @@
 	// with no other.
 	Poison *poison.Tracker
 	// Pacer knows the rates that servers name; nil for one of this process alone.
-	Pacer  *pacer.Pacer
+	Pacer *pacer.Pacer
+	// Intake knows which servers leave or rest; nil for one that this process shares with no other.
+	Intake *intake.Tracker
 	Domain string // failure domain of this process
 	Log    zerolog.Logger
 	// Count increments the counter of an outcome; it may be nil.
@@ -149,8 +156,9 @@
 	reports         *reportCache
 	firstEventTimes firstEventTimes
 
-	mu       sync.Mutex
-	monitors map[*stallMonitor]struct{} // of the running streams
+	mu          sync.Mutex
+	monitors    map[*stallMonitor]struct{} // of the running streams
+	restWaiters map[string]int             // requests that wait for servers at rest, by service
 }
 
 // New returns a Relay that uses the functions of cfg.
@@ -173,10 +181,13 @@
 	if cfg.Pacer == nil {
 		cfg.Pacer = pacer.New(pacer.Config{Log: cfg.Log})
 	}
+	if cfg.Intake == nil {
+		cfg.Intake = intake.New(intake.Config{Log: cfg.Log, OnLeaving: cfg.Servers.MarkLeaving})
+	}
 	if cfg.PeerLoad == nil {
 		cfg.PeerLoad = func(string) (int, int64) { return 0, 0 }
 	}
-	r := &Relay{cfg: cfg, monitors: map[*stallMonitor]struct{}{}, firstEventTimes: firstEventTimes{byService: map[string]time.Duration{}}}
+	r := &Relay{cfg: cfg, monitors: map[*stallMonitor]struct{}{}, restWaiters: map[string]int{}, firstEventTimes: firstEventTimes{byService: map[string]time.Duration{}}}
 	r.reports = newReportCache(r.fetchReport)
 	return r
 }
@@ -350,6 +361,9 @@
 	if !ans.Misdirected && (ans.Signed || ans.Rate.Named) {
 		r.observeRate(a.Server, ans.Rate, sentAt)
 	}
+	if !ans.Misdirected {
+		r.observeIntake(a.Server, ans, sentAt)
+	}
 	if ans.Load != nil {
 		a.Server.RecordLoad(ans.Load.Running, ans.Load.Waiting)
 	}
@@ -382,6 +396,9 @@
 	if err == nil && s != nil && report.Rate.Named {
 		r.observeRate(s, report.Rate, sentAt)
 	}
+	if err == nil && s != nil && (report.Started == 0 || report.Started == s.Entry().Started) {
+		r.cfg.Intake.Observe(intake.Statement{Said: report.Intake, Server: s.Incarnation(), ID: s.ID(), Source: "report"})
+	}
 	return report, err
 }
 
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -117,7 +117,7 @@
 	if ctx.Err() != nil && !st.headerSent && fault.VerdictOf(err) != fault.NotRun {
 		return mayHaveRunError(reasonNoAnswer, ctx.Err())
 	}
-	return err
+	return r.orAtRest(req, err)
 }
 
 // takeRetry takes a retry from the budget, unless one is reserved already.
@@ -192,21 +192,8 @@
 		if err := r.refuseQuarantined(req, st.mayHaveRun); err != nil {
 			return false, err
 		}
-		var ok bool
-		if rn, ok = st.newRun(ctx, excluded, rateWait(req)); !ok {
-			r.cfg.Log.Info().Str("id", req.ID).Str("service", req.Service.Name).Int("servers", len(r.cfg.Servers.Servers(req.Service.Name))).
-				Int("prompt", req.PromptTokens).Int("attempt", st.attempts+1).Msg("no path")
-			if st.mayHaveRun {
-				return false, mayHaveRunError(reasonNoPath, nil)
-			}
-			if err := r.refuseOverRate(req, noPathRetryAfter); err != nil {
-				return false, err
-			}
-			return false, notRunError(reasonNoPath, noPathRetryAfter, nil)
-		}
-		if err := sleepUntil(rn.ctx, rn.path.sendAt); err != nil {
-			rn.end()
-			return false, st.refusalVerdict(err)
+		if rn, err = st.chooseRun(ctx, excluded); err != nil {
+			return false, err
 		}
 		st.attempts++
 		if st.attempts > 1 {
--- a/server/server.go
+++ b/server/server.go
@@ -46,14 +46,17 @@
 
 // record is what this process has observed of one incarnation.
 type record struct {
-	joined time.Duration // now() when this process learned of the incarnation
+	incarnation uint64
+	joined      time.Duration // now() when this process learned of the incarnation
 
 	inflight       atomic.Int64 // requests of this process
 	reservedTokens atomic.Int64 // layer tokens of KV cache of this process's streams
 	avoidUntil     atomic.Int64 // now() until which the server gets work only if no other can take it
 	progressAt     atomic.Int64 // now() of the last event that passed through the server
 	deadAt         atomic.Int64 // now() when this or another process last found it dead
-	leaving        atomic.Bool  // draining, or removed from the registry
+	leaving        atomic.Bool  // draining, removed from the registry, or said so itself
+	saidLeaving    atomic.Bool  // said itself that it leaves, which is final
+	saidLeavingAt  atomic.Int64 // now() when this process heard it; 0 if it was told so when the server joined
 
 	mu          sync.Mutex
 	meanSeconds float64       // smoothed time to an answer
@@ -71,8 +74,15 @@
 func (s *Server) ID() string { return s.entry.ID }
 
 // Incarnation returns a hash that identifies this run of the server in every entry process.
-func (s *Server) Incarnation() uint64 {
-	return xxhash.Sum64String(s.entry.ID + " " + strconv.FormatInt(s.entry.Started, 10))
+func (s *Server) Incarnation() uint64 { return s.incarnation }
+
+// incarnation returns the hash of the run of a server that an entry describes. Runs whose start is
+// unknown differ by their address.
+func (e *Entry) incarnation() uint64 {
+	if e.Started == 0 {
+		return xxhash.Sum64String(e.ID + " " + e.Address)
+	}
+	return xxhash.Sum64String(e.ID + " " + strconv.FormatInt(e.Started, 10))
 }
 
 // Address returns IP:PORT.
@@ -107,9 +117,23 @@
 	}
 }
 
-// Leaving reports whether the server is draining or was removed from the registry.
+// markLeaving records that the server said that it leaves.
+func (s *record) markLeaving() {
+	s.saidLeaving.Store(true)
+	s.leaving.Store(true)
+}
+
+// Leaving reports whether the server is draining, was removed from the registry, or said itself that it
+// leaves.
 func (s *Server) Leaving() bool { return s.leaving.Load() }
 
+// SaidLeaving reports whether the server said itself that it leaves. The registry may still list it as
+// in service.
+func (s *Server) SaidLeaving() bool { return s.saidLeaving.Load() }
+
+// isPlanned reports whether the end of the server was announced.
+func (s *Server) isPlanned() bool { return s.entry.Draining || s.SaidLeaving() }
+
 // RecordProgress records that an event passed through the server, a sign that it is alive.
 func (s *Server) RecordProgress() { s.progressAt.Store(int64(now())) }
 
--- a/server/table.go
+++ b/server/table.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,9 +27,12 @@
 	// OnRemoved is called with the address of a server that was removed or restarted. It is
 	// called while the table is locked; may be nil.
 	OnRemoved func(address string)
-	// OnDied is called with a server that restarted, or whose entry was removed though it was not
-	// draining. It is called while the table is locked; may be nil.
+	// OnDied is called with a server that restarted, or whose entry was removed though it was neither
+	// draining nor said that it leaves. It is called while the table is locked; may be nil.
 	OnDied func(s *Server)
+	// Leaves reports whether an incarnation of a server said that it leaves. It is called while the
+	// table is locked; nil if no server does.
+	Leaves func(incarnation uint64) bool
 }
 
 // Table holds the servers. Lookups read an immutable view without a lock.
@@ -45,11 +49,15 @@
 // view is an immutable index of the servers.
 type view struct {
 	services  map[string][]*Server
+	leavers   map[string][]*Server // in service by their entries, but said that they leave
 	addresses map[string]*Server
 }
 
 // NewTable returns an empty table.
 func NewTable(cfg Config) *Table {
+	if cfg.Leaves == nil {
+		cfg.Leaves = func(uint64) bool { return false }
+	}
 	t := &Table{cfg: cfg, servers: map[string]*Server{}, lapsed: map[string]bool{}}
 	t.view.Store(&view{})
 	return t
@@ -59,6 +67,33 @@
 // Callers must not modify the slice.
 func (t *Table) Servers(service string) []*Server { return t.view.Load().services[service] }
 
+// Leavers returns the servers of a service that the registry lists as in service, but that said within
+// a time that they leave.
+func (t *Table) Leavers(service string, within time.Duration) []*Server {
+	var out []*Server
+	for _, s := range t.view.Load().leavers[service] {
+		if at := s.saidLeavingAt.Load(); at > 0 && now()-time.Duration(at) < within {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// MarkLeaving takes servers out of service that said that they leave, by incarnation. Entries of the
+// same incarnation do not bring them back: the registry lags behind.
+func (t *Table) MarkLeaving(incarnations []uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.servers {
+		if slices.Contains(incarnations, s.incarnation) && !s.SaidLeaving() {
+			s.saidLeavingAt.Store(int64(now()))
+			s.markLeaving()
+			t.cfg.Log.Info().Str("server", s.entry.ID).Str("address", s.entry.Address).Msg("backend server taken out of service")
+		}
+	}
+	t.publish()
+}
+
 // ByAddress returns the server at an address, or nil.
 func (t *Table) ByAddress(address string) *Server { return t.view.Load().addresses[address] }
 
@@ -133,7 +168,7 @@
 	if s == nil {
 		return
 	}
-	if now < t.lapsedUntil && !s.entry.Draining {
+	if now < t.lapsedUntil && !s.isPlanned() {
 		if !t.lapsed[id] {
 			t.lapsed[id] = true
 			// The server may really have left, so it gets work only where no other
@@ -156,7 +191,7 @@
 	}
 	s.leaving.Store(true)
 	t.cfg.Log.Info().Str("server", id).Str("address", s.entry.Address).Str("reason", reason).Msg("backend server left")
-	t.notifyRemoved(s, !s.entry.Draining)
+	t.notifyRemoved(s, !s.isPlanned())
 }
 
 // notifyRemoved calls OnRemoved, and OnDied if the server died.
@@ -180,7 +215,7 @@
 	s := &Server{entry: e}
 	switch {
 	case old == nil:
-		s.record = &record{joined: now()}
+		s.record = t.newRecord(e)
 		level := zerolog.InfoLevel
 		if quiet {
 			level = zerolog.DebugLevel
@@ -188,7 +223,7 @@
 		t.cfg.Log.WithLevel(level).Str("server", e.ID).Str("address", e.Address).Str("service", e.Service).Str("domain", e.Domain).
 			Int("from", e.From).Int("to", e.To).Bool("draining", e.Draining).Msg("backend server joined")
 	case old.entry.Started != e.Started || old.entry.Address != e.Address:
-		s.record = &record{joined: now()}
+		s.record = t.newRecord(e)
 		t.cfg.Log.Info().Str("server", e.ID).Str("address", e.Address).Int64("born", e.Started).Msg("backend server started again")
 		t.notifyRemoved(old, true)
 	default:
@@ -197,13 +232,22 @@
 			t.cfg.Log.Info().Str("server", e.ID).Bool("draining", e.Draining).Int("from", e.From).Int("to", e.To).Msg("backend server changed")
 		}
 	}
-	s.leaving.Store(e.Draining)
+	s.leaving.Store(e.Draining || s.SaidLeaving())
 	t.servers[e.ID] = s
 }
 
+// newRecord returns the record of an incarnation that this process did not know. The caller holds mu.
+func (t *Table) newRecord(e Entry) *record {
+	r := &record{incarnation: e.incarnation(), joined: now()}
+	if t.cfg.Leaves(r.incarnation) {
+		r.markLeaving()
+	}
+	return r
+}
+
 // publish replaces the view. The caller holds mu.
 func (t *Table) publish() {
-	v := &view{services: map[string][]*Server{}, addresses: make(map[string]*Server, len(t.servers))}
+	v := &view{services: map[string][]*Server{}, leavers: map[string][]*Server{}, addresses: make(map[string]*Server, len(t.servers))}
 	for _, s := range t.servers {
 		if s.entry.Address == "" {
 			continue
@@ -213,7 +257,11 @@
 		if other := v.addresses[s.entry.Address]; other == nil || other.entry.Started < s.entry.Started {
 			v.addresses[s.entry.Address] = s
 		}
-		if !s.entry.Draining {
+		switch {
+		case s.entry.Draining:
+		case s.SaidLeaving():
+			v.leavers[s.entry.Service] = append(v.leavers[s.entry.Service], s)
+		default:
 			v.services[s.entry.Service] = append(v.services[s.entry.Service], s)
 		}
 	}
--- a/server/table_test.go
+++ b/server/table_test.go
@@ -125,3 +125,56 @@
 	assert.DeepEqual(t, died, []string{"restarted", "gone"})
 	assert.Assert(t, tb.ByAddress("restarted:1").Incarnation() != before)
 }
+
+// Guards against a server that said that it leaves and is used again because of an older row, before or
+// after this process learns of it, and against one that stays out of service after it started again.
+func TestServerThatSaidItLeaves(t *testing.T) {
+	leaves := map[uint64]bool{}
+	var died []string
+	x := server.NewTable(server.Config{
+		Log: zerolog.Nop(), OutageGrace: outageGrace, Leaves: func(n uint64) bool { return leaves[n] }, OnDied: func(s *server.Server) { died = append(died, s.ID()) },
+	})
+	a, b := entry("a", "10.0.0.1:1", 1), entry("b", "10.0.0.2:1", 1)
+	x.Apply([]server.Change{put(a), put(b)}, true, 0)
+	incarnation := x.ByAddress(a.Address).Incarnation()
+	leaves[incarnation] = true
+	x.MarkLeaving([]uint64{incarnation, 4711})
+	assert.Assert(t, x.ByAddress(a.Address).Leaving())
+	assert.Equal(t, len(x.Leavers("desk", time.Minute)), 1)
+	a.Slots = 7
+	x.Apply([]server.Change{put(a)}, false, 0)
+	checkIDs(t, x, "b")
+	x.Apply([]server.Change{{ID: "a", Removed: true}}, false, 0)
+	assert.Equal(t, len(died), 0) // it has left
+	x.Apply([]server.Change{put(a)}, false, 0)
+	checkIDs(t, x, "b")
+	assert.Assert(t, x.ByAddress(a.Address).Leaving())
+	assert.Equal(t, len(x.Leavers("desk", time.Minute)), 0)
+
+	a.Started = 2
+	x.Apply([]server.Change{put(a)}, false, 0)
+	checkIDs(t, x, "a", "b")
+	x.Apply([]server.Change{put(entry("c", a.Address, 3))}, false, 0)
+	assert.Assert(t, !x.ByAddress(a.Address).Leaving())
+}
+
+// Guards against a server without a known start that takes over what was said of another one.
+func TestIncarnationWithoutAStart(t *testing.T) {
+	var removed []string
+	x := newTable(&removed)
+	x.Apply([]server.Change{put(entry("a", "10.0.0.1:1", 0))}, true, 0)
+	before := x.ByAddress("10.0.0.1:1").Incarnation()
+	x.Apply([]server.Change{put(entry("a", "10.0.0.2:1", 0))}, false, 0)
+	assert.Assert(t, x.ByAddress("10.0.0.2:1").Incarnation() != before)
+}
+
+// Guards against an entry that is kept after an outage of the registry although its server said that it
+// leaves.
+func TestServerThatSaidItLeavesDoesNotLapse(t *testing.T) {
+	var removed []string
+	x := newTable(&removed)
+	x.Apply([]server.Change{put(entry("a", "10.0.0.1:1", 1))}, true, 0)
+	x.MarkLeaving([]uint64{x.ByAddress("10.0.0.1:1").Incarnation()})
+	x.Apply(nil, true, 5*time.Second)
+	assert.DeepEqual(t, removed, []string{"10.0.0.1:1"})
+}
