beat, edge, wire: tell all processes at once that a server leaves

What servers saw: one that said to one process that it leaves got requests from each other process until that had heard it as well. The word was lost with the process.

--- a/beat/beat.go
+++ b/beat/beat.go
@@ -21,6 +21,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cranberrybay/cranberrybay/clock"
+	"github.com/cranberrybay/cranberrybay/intake"
 	"github.com/cranberrybay/cranberrybay/pacer"
 	"github.com/cranberrybay/cranberrybay/poison"
 	"github.com/cranberrybay/cranberrybay/seal"
@@ -99,6 +100,10 @@
 	Rates func() Rates
 	// OnRates is called with what other processes know of the rates of backend servers; may be nil.
 	OnRates func(records []pacer.Record)
+	// Leavers returns the backend servers that said that they leave; may be nil.
+	Leavers func() Leavers
+	// OnLeavers is called with the backend servers that other processes heard to leave; may be nil.
+	OnLeavers func(records []intake.Record)
 	// OnConfig is called with the version of the configuration that another process has in effect; may
 	// be nil.
 	OnConfig func(version uint64, from Peer)
@@ -200,6 +205,9 @@
 	if cfg.Rates == nil {
 		cfg.Rates = func() Rates { return Rates{} }
 	}
+	if cfg.Leavers == nil {
+		cfg.Leavers = func() Leavers { return Leavers{} }
+	}
 	now := clock.Now()
 	return &Membership{
 		cfg: cfg, members: map[string]*member{}, others: map[string]*member{}, hub: cfg.Self.Name, hubSince: now, lastHeard: now, lastSent: now,
--- a/beat/beat_test.go
+++ b/beat/beat_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/cranberrybay/cranberrybay/beat"
 	"github.com/cranberrybay/cranberrybay/clock"
+	"github.com/cranberrybay/cranberrybay/intake"
 	"github.com/cranberrybay/cranberrybay/pacer"
 	"github.com/cranberrybay/cranberrybay/poison"
 	"github.com/cranberrybay/cranberrybay/seal"
@@ -46,6 +47,7 @@
 	drops      map[string]int
 	poison     *poison.Tracker
 	pacer      *pacer.Pacer
+	intake     *intake.Tracker
 }
 
 func (n *net) platform() time.Duration { return time.Hour + time.Since(n.base) }
@@ -66,6 +68,7 @@
 	x.pacer = pacer.New(pacer.Config{
 		Log: zerolog.Nop(), Fleet: func() pacer.Fleet { return x.membership.Fleet() }, Announce: func(all []pacer.Record) { x.membership.ReportRates(all) },
 	})
+	x.intake = intake.New(intake.Config{Log: zerolog.Nop(), Announce: func(all []intake.Record) { x.membership.ReportLeavers(all) }})
 	x.membership = beat.New(beat.Config{
 		Self: x.peer, Incarnation: rand.Uint64(), Sealer: n.sealer, Log: zerolog.Nop(),
 		State:     func() beat.State { return x.state },
@@ -80,7 +83,11 @@
 		Rates: func() beat.Rates {
 			return beat.Rates{Own: x.pacer.Recent(true), Changed: x.pacer.Recent(false), All: x.pacer.Records()}
 		},
+		Leavers: func() beat.Leavers {
+			return beat.Leavers{Own: x.intake.Recent(true), Changed: x.intake.Recent(false), All: x.intake.Records()}
+		},
 		OnRates:    func(all []pacer.Record) { x.pacer.Merge(all) },
+		OnLeavers:  func(all []intake.Record) { x.intake.Merge(all) },
 		OnSuspects: func(all []poison.Record) { x.poison.Merge(all) },
 		Send: func(address string, b []byte) error {
 			x.sent += len(b)
--- a/beat/receive.go
+++ b/beat/receive.go
@@ -186,12 +186,12 @@
 }
 
 // forward relays the contents of notices: a hub sends those of a member to all processes,
-// and those of another hub to its members. Suspects and rates in heartbeats are not relayed, since
+// and those of another hub to its members. Records in heartbeats are not relayed, since
 // the hub's own heartbeats hold what it took from them.
 func (ms *Membership) forward(b *wire.Beat) {
 	x := notice{pages: b.Pages, dead: b.Dead}
 	if b.Loads == nil {
-		x.suspects, x.rates = b.Suspects, b.Rates
+		x.suspects, x.rates, x.leavers = b.Suspects, b.Rates, b.Leavers
 	}
 	if x.isEmpty() {
 		return
@@ -239,4 +239,7 @@
 	if len(b.Rates) > 0 && ms.cfg.OnRates != nil {
 		ms.cfg.OnRates(DecodeRates(b.Rates, held))
 	}
+	if len(b.Leavers) > 0 && ms.cfg.OnLeavers != nil {
+		ms.cfg.OnLeavers(DecodeLeavers(b.Leavers, held))
+	}
 }
--- a/beat/send.go
+++ b/beat/send.go
@@ -13,7 +13,7 @@
 // SendHeartbeat detects silent processes and sends this process's heartbeat: a member's
 // goes to the hub, a hub's to its members and to the other hubs.
 func (ms *Membership) SendHeartbeat() {
-	own, state, suspects, rates := ms.ownLoads(), ms.cfg.State(), ms.cfg.Suspects(), ms.cfg.Rates()
+	own, state, suspects, rates, leavers := ms.ownLoads(), ms.cfg.State(), ms.cfg.Suspects(), ms.cfg.Rates(), ms.cfg.Leavers()
 	ms.mu.Lock()
 	now := clock.Now()
 	ms.updateState(state)
@@ -30,7 +30,7 @@
 	if !ms.isHub() {
 		ms.reportedLoads = own
 		b := ms.newHeartbeat(own)
-		b.Suspects, b.Rates = EncodeSuspects(suspects.Own), EncodeRates(rates.Own)
+		b.Suspects, b.Rates, b.Leavers = EncodeSuspects(suspects.Own), EncodeRates(rates.Own), EncodeLeavers(leavers.Own)
 		ms.mu.Unlock()
 		ms.send(b, ms.toHub())
 		return
@@ -44,13 +44,13 @@
 	addLoads(hubLoads, own)
 	memberBeat, hubBeat := ms.newHeartbeat(memberLoads), ms.newHeartbeat(hubLoads)
 	memberBeat.Size, hubBeat.Size = uint32(ms.size()), uint32(ms.domainSize())
-	memberBeat.Suspects, memberBeat.Rates = EncodeSuspects(suspects.Changed), EncodeRates(rates.Changed)
+	memberBeat.Suspects, memberBeat.Rates, memberBeat.Leavers = EncodeSuspects(suspects.Changed), EncodeRates(rates.Changed), EncodeLeavers(leavers.Changed)
 	if ms.membersChanged || now-ms.lastListed >= listInterval {
 		ms.membersChanged, ms.lastListed = false, now
 		memberBeat.Domains, hubBeat.Domains = ms.encodeProcessList(true), ms.encodeProcessList(false)
-		memberBeat.Suspects, memberBeat.Rates = EncodeSuspects(suspects.All), EncodeRates(rates.All)
+		memberBeat.Suspects, memberBeat.Rates, memberBeat.Leavers = EncodeSuspects(suspects.All), EncodeRates(rates.All), EncodeLeavers(leavers.All)
 	}
-	hubBeat.Suspects, hubBeat.Rates = memberBeat.Suspects, memberBeat.Rates
+	hubBeat.Suspects, hubBeat.Rates, hubBeat.Leavers = memberBeat.Suspects, memberBeat.Rates, memberBeat.Leavers
 	ms.mu.Unlock()
 	ms.send(memberBeat, ms.toMembers())
 	ms.send(hubBeat, ms.toHubs())
@@ -142,16 +142,17 @@
 	dead     []uint64 // backend servers, as in ServerHash
 	suspects []*wire.Suspect
 	rates    []*wire.Rate
+	leavers  []*wire.Leaver
 }
 
 func (n notice) isEmpty() bool {
-	return len(n.pages) == 0 && len(n.dead) == 0 && len(n.suspects) == 0 && len(n.rates) == 0
+	return len(n.pages) == 0 && len(n.dead) == 0 && len(n.suspects) == 0 && len(n.rates) == 0 && len(n.leavers) == 0
 }
 
 // newNotice builds the message of a notice. The caller holds mu.
 func (ms *Membership) newNotice(n notice) *wire.Beat {
 	b := ms.newHeartbeat(nil)
-	b.Loads, b.Pages, b.Dead, b.Suspects, b.Rates = nil, n.pages, n.dead, n.suspects, n.rates
+	b.Loads, b.Pages, b.Dead, b.Suspects, b.Rates, b.Leavers = nil, n.pages, n.dead, n.suspects, n.rates, n.leavers
 	return b
 }
 
--- a/edge/app.go
+++ b/edge/app.go
@@ -149,6 +149,7 @@
 func newIntake(s Settings, state *sharedState, factory *logs.Factory) *intake.Tracker {
 	return intake.New(intake.Config{
 		Log: factory.Logger("intake"), MaxPause: s.maxPause(),
+		Announce:  func(records []intake.Record) { state.announceLeavers(records) },
 		OnLeaving: func(servers []uint64) { state.servers.MarkLeaving(servers) },
 	})
 }
@@ -171,13 +172,13 @@
 
 // newStateFetcher returns a fetcher of the tables that entry processes follow. It logs as
 // part "beat", like the rest of the messages between entry processes.
-func newStateFetcher(self beat.Peer, sealer *seal.Sealer, members *beat.Membership, t *poison.Tracker, p *pacer.Pacer, state *sharedState, factory *logs.Factory) *stateFetcher {
-	return &stateFetcher{self: self, sealer: sealer, members: members, poison: t, pacer: p, follower: state.follower, tables: []string{platform.TableConfig, platform.TableServers}, log: factory.Logger("beat")}
+func newStateFetcher(self beat.Peer, sealer *seal.Sealer, members *beat.Membership, t *poison.Tracker, p *pacer.Pacer, in *intake.Tracker, state *sharedState, factory *logs.Factory) *stateFetcher {
+	return &stateFetcher{self: self, sealer: sealer, members: members, poison: t, pacer: p, intake: in, follower: state.follower, tables: []string{platform.TableConfig, platform.TableServers}, log: factory.Logger("beat")}
 }
 
-func newProcessRegistrar(s Settings, self beat.Peer, store *platform.Store, members *beat.Membership, sealer *seal.Sealer, f *stateFetcher, b *retryBudgets, t *poison.Tracker, p *pacer.Pacer, tracker *config.Tracker, state *sharedState, factory *logs.Factory) *registrar {
+func newProcessRegistrar(s Settings, self beat.Peer, store *platform.Store, members *beat.Membership, sealer *seal.Sealer, f *stateFetcher, b *retryBudgets, t *poison.Tracker, p *pacer.Pacer, in *intake.Tracker, tracker *config.Tracker, state *sharedState, factory *logs.Factory) *registrar {
 	m := newRegistrar(registrarConfig{
-		Self: self, Bootstrap: s.Bootstrap, Rows: store.Table(), Members: members, Sealer: sealer, Fetch: f.fetch, OnSize: b.resize, HoldsLease: state.holdsLease, Poison: t, Pacer: p, Log: factory.Logger("beat"),
+		Self: self, Bootstrap: s.Bootstrap, Rows: store.Table(), Members: members, Sealer: sealer, Fetch: f.fetch, OnSize: b.resize, HoldsLease: state.holdsLease, Poison: t, Pacer: p, Intake: in, Log: factory.Logger("beat"),
 	})
 	state.newerConfig = &newerConfig{tracker: tracker, fetch: f.fetch, log: factory.Logger("watch"), offer: func(rows []watch.Row) {
 		if follower := state.follower(platform.TableConfig); follower != nil {
@@ -189,7 +190,7 @@
 	return m
 }
 
-func newMembers(s Settings, self beat.Peer, i incarnation, sealer *seal.Sealer, servers *server.Table, t *poison.Tracker, p *pacer.Pacer, state *sharedState, c *counters, factory *logs.Factory) (*beat.Membership, error) {
+func newMembers(s Settings, self beat.Peer, i incarnation, sealer *seal.Sealer, servers *server.Table, t *poison.Tracker, p *pacer.Pacer, in *intake.Tracker, state *sharedState, c *counters, factory *logs.Factory) (*beat.Membership, error) {
 	conn, err := net.ListenPacket("udp4", s.Listen.Heartbeats)
 	if err != nil {
 		return nil, fmt.Errorf("listen for heartbeats: %w", err)
@@ -210,7 +211,8 @@
 		Suspects: func() beat.Suspects {
 			return beat.Suspects{Own: t.Recent(true), Changed: t.Recent(false), All: t.Records()}
 		},
-		OnRates: p.Merge,
+		OnRates:   p.Merge,
+		OnLeavers: in.Merge,
 		OnConfig: func(version uint64, from beat.Peer) {
 			if state.newerConfig != nil {
 				state.newerConfig.observe(version, from)
@@ -219,6 +221,9 @@
 		Rates: func() beat.Rates {
 			return beat.Rates{Own: p.Recent(true), Changed: p.Recent(false), All: p.Records()}
 		},
+		Leavers: func() beat.Leavers {
+			return beat.Leavers{Own: in.Recent(true), Changed: in.Recent(false), All: in.Records()}
+		},
 		OnWatermark: func(seen beat.Watermark) {
 			if f := state.follower(seen.Table); f != nil {
 				f.ObserveWatermark(watch.Watermark{Changed: seen.Changed, Clock: seen.Clock})
@@ -255,7 +260,7 @@
 		},
 		Log: factory.Logger("beat"),
 	})
-	state.announceSuspects, state.announceRates, state.fleet = members.ReportSuspects, members.ReportRates, members.Fleet
+	state.announceSuspects, state.announceRates, state.announceLeavers, state.fleet = members.ReportSuspects, members.ReportRates, members.ReportLeavers, members.Fleet
 	return members, nil
 }
 
--- a/edge/fetch.go
+++ b/edge/fetch.go
@@ -17,6 +17,7 @@
 
 	"github.com/cranberrybay/cranberrybay/beat"
 	"github.com/cranberrybay/cranberrybay/clock"
+	"github.com/cranberrybay/cranberrybay/intake"
 	"github.com/cranberrybay/cranberrybay/pacer"
 	"github.com/cranberrybay/cranberrybay/poison"
 	"github.com/cranberrybay/cranberrybay/seal"
@@ -53,6 +54,7 @@
 	peers    []beat.Peer
 	suspects []poison.Record // parts of prompts that may crash backend servers
 	rates    []pacer.Record  // rates that backend servers name
+	leavers  []intake.Record // backend servers that said that they leave
 }
 
 var errNotSettled = errors.New("the process does not know the platform's tables yet")
@@ -65,6 +67,7 @@
 	members  *beat.Membership
 	poison   *poison.Tracker
 	pacer    *pacer.Pacer
+	intake   *intake.Tracker
 	follower func(table string) *watch.Follower
 	tables   []string
 	log      zerolog.Logger
@@ -159,7 +162,7 @@
 		out.peers = append(out.peers, beat.Peer{Name: p.Name, Address: p.Address, CallerAddress: p.Callers, Domain: p.Domain, Weight: p.Weight})
 	}
 	held := time.Duration(max(s.Held, 0)) * time.Millisecond
-	out.suspects, out.rates = beat.DecodeSuspects(w.Suspects, held), beat.DecodeRates(w.Rates, held)
+	out.suspects, out.rates, out.leavers = beat.DecodeSuspects(w.Suspects, held), beat.DecodeRates(w.Rates, held), beat.DecodeLeavers(w.Leavers, held)
 	return out, nil
 }
 
@@ -240,7 +243,7 @@
 	for _, p := range f.members.Peers() {
 		w.Processes = append(w.Processes, &wire.Process{Name: p.Name, Address: p.Address, Callers: p.CallerAddress, Domain: p.Domain, Weight: p.Weight})
 	}
-	w.Suspects, w.Rates = beat.EncodeSuspects(f.poison.Records()), beat.EncodeRates(f.pacer.Records())
+	w.Suspects, w.Rates, w.Leavers = beat.EncodeSuspects(f.poison.Records()), beat.EncodeRates(f.pacer.Records()), beat.EncodeLeavers(f.intake.Records())
 	raw, err = proto.Marshal(w)
 	if err != nil {
 		return nil, 0, fmt.Errorf("encode snapshot: %w", err)
--- a/edge/registrar.go
+++ b/edge/registrar.go
@@ -15,6 +15,7 @@
 
 	"github.com/cranberrybay/cranberrybay/beat"
 	"github.com/cranberrybay/cranberrybay/clock"
+	"github.com/cranberrybay/cranberrybay/intake"
 	"github.com/cranberrybay/cranberrybay/pacer"
 	"github.com/cranberrybay/cranberrybay/poison"
 	"github.com/cranberrybay/cranberrybay/seal"
@@ -107,6 +108,7 @@
 	HoldsLease func() bool
 	Poison     *poison.Tracker
 	Pacer      *pacer.Pacer
+	Intake     *intake.Tracker
 	Log        zerolog.Logger
 }
 
@@ -210,6 +212,7 @@
 	reg.cfg.Members.AddPeers(s.peers)
 	reg.cfg.Poison.Merge(s.suspects)
 	reg.cfg.Pacer.Merge(s.rates)
+	reg.cfg.Intake.Merge(s.leavers)
 	reg.cfg.Log.Info().Str("peer", p.Name).Int("peers", len(s.peers)).Msg("fetched the state of another process")
 	return true
 }
--- a/edge/registrar_test.go
+++ b/edge/registrar_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/cranberrybay/cranberrybay/beat"
 	"github.com/cranberrybay/cranberrybay/clock"
+	"github.com/cranberrybay/cranberrybay/intake"
 	"github.com/cranberrybay/cranberrybay/pacer"
 	"github.com/cranberrybay/cranberrybay/poison"
 	"github.com/cranberrybay/cranberrybay/seal"
@@ -274,7 +275,7 @@
 		}
 		return &stateFetcher{
 			self: me, sealer: x, tables: []string{"op", "servers"}, log: zerolog.Nop(), follower: func(name string) *watch.Follower { return followers[name] },
-			members: beat.New(beat.Config{Self: me, Sealer: x, Log: zerolog.Nop()}), poison: quarantineOf("deadly"), pacer: namedRate(limitedServer, 3),
+			members: beat.New(beat.Config{Self: me, Sealer: x, Log: zerolog.Nop()}), poison: quarantineOf("deadly"), pacer: namedRate(limitedServer, 3), intake: leavingTracker(leavingServer),
 		}
 	}
 	a, b, otherKey := newFetcher(key, "a"), newFetcher(key, "b"), newFetcher(seal.NewKey(1), "c")
@@ -298,6 +299,8 @@
 	assert.Equal(t, len(s.rates), 1)
 	assert.Equal(t, s.rates[0].Server, uint64(limitedServer))
 	assert.Equal(t, s.rates[0].Rate, 3.0)
+	assert.Equal(t, len(s.leavers), 1)
+	assert.Equal(t, s.leavers[0].Server, uint64(leavingServer))
 
 	_, err = otherKey.fetch(ctx, ln.Addr().String(), true)
 	assert.Assert(t, err != nil)
@@ -357,3 +360,12 @@
 	p.Observe(pacer.Statement{Server: server, Named: true, Rate: rate, SentAt: pacer.Now()})
 	return p
 }
+
+const leavingServer = 78 // hash of an incarnation
+
+// leavingTracker returns a tracker that heard a server say that it leaves.
+func leavingTracker(server uint64) *intake.Tracker {
+	t := intake.New(intake.Config{Log: zerolog.Nop()})
+	t.Observe(intake.Statement{Server: server, Said: intake.Said{Leaving: true}})
+	return t
+}
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -17,6 +17,7 @@
 	"github.com/cranberrybay/cranberrybay/beat"
 	"github.com/cranberrybay/cranberrybay/clock"
 	"github.com/cranberrybay/cranberrybay/config"
+	"github.com/cranberrybay/cranberrybay/intake"
 	"github.com/cranberrybay/cranberrybay/link"
 	"github.com/cranberrybay/cranberrybay/logs"
 	"github.com/cranberrybay/cranberrybay/pacer"
@@ -41,9 +42,11 @@
 	announceSuspects func(records []poison.Record)
 	// announceRates tells the other processes what backend servers said of their rates.
 	announceRates func(records []pacer.Record)
-	fleet         func() pacer.Fleet // the processes that share rates
-	onQuarantine  func()             // called when the set of quarantined parts changes
-	newerConfig   *newerConfig
+	// announceLeavers tells the other processes which backend servers said that they leave.
+	announceLeavers func(records []intake.Record)
+	fleet           func() pacer.Fleet // the processes that share rates
+	onQuarantine    func()             // called when the set of quarantined parts changes
+	newerConfig     *newerConfig
 	// onStoreRestored is called when the store returned from an older copy.
 	onStoreRestored func()
 
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -324,6 +324,9 @@
 
 // Merge takes what other processes heard.
 func (t *Tracker) Merge(records []Record) {
+	if len(records) == 0 {
+		return
+	}
 	if leaves := t.merge(records, Now()); len(leaves) > 0 {
 		t.cfg.OnLeaving(leaves)
 	}
