edge: no layers on engines that said that they leave, no orders to those at rest

What servers saw: the placement went by the registry alone. An engine that had said that it leaves kept its layers as if it stayed, so that its replacement loaded only after the registry had changed, and got orders. So did an engine that had asked for a pause.

Change: the placement leaves out engines that leave by anyone's word, and puts off orders to those at rest. Metrics: servers in state leaving, which the layers with the fewest copies leave out as well, and servers_resting.

Tests, failing with the two conditions of placer.go as they were: edge.TestEngineThatSaidItLeavesIsReplaced ("expression is false: e.covered()"), edge.TestEngineAtRestGetsNoOrder ("1 (int) != 0 (int)"). edge.TestMetrics looks for the new state in addition.

--- a/edge/app.go
+++ b/edge/app.go
@@ -275,7 +275,7 @@
 	})
 }
 
-func newPlacer(self beat.Peer, i incarnation, members *beat.Membership, state *sharedState, store *platform.Store, tracker *config.Tracker, servers *server.Table, backend *platform.Backend, c *counters, factory *logs.Factory) *Placer {
+func newPlacer(self beat.Peer, i incarnation, members *beat.Membership, state *sharedState, store *platform.Store, tracker *config.Tracker, servers *server.Table, backend *platform.Backend, in *intake.Tracker, c *counters, factory *logs.Factory) *Placer {
 	log := factory.Logger("place")
 	p := &Placer{
 		// Besides the lease holder, only hubs read the lease's row.
@@ -301,6 +301,7 @@
 			},
 		}),
 		tracker: tracker, servers: servers, place: backend.Place, acceptedOrders: backend.AcceptedOrders, log: log, counters: c,
+		rests: func(s *server.Server) bool { return in.Rests(s.Incarnation()) },
 	}
 	state.placer = p
 	return p
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -70,6 +70,8 @@
 		switch {
 		case e.Draining:
 			state = "draining"
+		case s.SaidLeaving():
+			state = "leaving"
 		case s.IsAvoided():
 			state = "avoided"
 		}
@@ -80,7 +82,7 @@
 		if copies[e.Service] == nil {
 			copies[e.Service] = map[int]int{}
 		}
-		for i := e.From; i < e.To && !e.Draining; i++ {
+		for i := e.From; i < e.To && !s.Leaving(); i++ {
 			copies[e.Service][i]++
 		}
 	}
--- a/edge/metrics_test.go
+++ b/edge/metrics_test.go
@@ -26,11 +26,13 @@
 		{ID: "b", Service: "s", Address: "b:1", Accelerator: "l4", From: 2, To: 4},
 		{ID: "c", Service: "s", Address: "c:1", Accelerator: "l4", From: 0, To: 4, Draining: true},
 		{ID: "d", Service: "desk", Address: "d:1"},
+		{ID: "e", Service: "s", Address: "e:1", Accelerator: "l4", From: 0, To: 4},
 	} {
 		changes = append(changes, server.Change{ID: e.ID, Entry: e})
 	}
 	servers.Apply(changes, true, 0)
 	servers.ByAddress("d:1").Avoid(time.Hour)
+	servers.MarkLeaving([]uint64{servers.ByAddress("e:1").Incarnation()})
 	c.observe(relay.MeasureGap, 0.2)
 	c.violation("refusal")
 	budgets := newRetryBudgets(Settings{Bounds: Bounds{RetryRatio: 0.2, RetrySlack: 80 / budgetFraction}})
@@ -42,6 +44,7 @@
 		`cranberrybay_requests_total{outcome="served"} 1`, `cranberrybay_request_seconds_count{outcome="served"} 1`,
 		`cranberrybay_events_total{event="late"} 1`, `cranberrybay_inflight 3`,
 		`cranberrybay_servers{service="s",state="ready"} 2`, `cranberrybay_servers{service="s",state="draining"} 1`,
+		`cranberrybay_servers{service="s",state="leaving"} 1`,
 		`cranberrybay_gap_seconds_count 1`, `cranberrybay_violations_total{invariant="refusal"} 1`,
 		`cranberrybay_budget_left{service="s"} 10`,
 		`cranberrybay_servers{service="desk",state="avoided"} 1`, `cranberrybay_layers_least{service="s"} 1`,
--- a/edge/placer.go
+++ b/edge/placer.go
@@ -72,8 +72,10 @@
 	// acceptedOrders returns the number of orders that an engine has accepted, and
 	// whether one of them is in progress.
 	acceptedOrders func(ctx context.Context, address string) (orders uint64, busy bool, err error)
-	log            zerolog.Logger
-	counters       *counters
+	// rests reports whether an engine asked this process for a pause, which holds for orders as well.
+	rests    func(s *server.Server) bool
+	log      zerolog.Logger
+	counters *counters
 
 	// The fields below are used by Run only, except results and the atomic ones.
 	pending     map[string]*pendingOrder // by server
@@ -223,7 +225,7 @@
 	for _, s := range servers {
 		entry := s.Entry()
 		accelerator, ok := e.Accelerators[entry.Accelerator]
-		if !ok || entry.Draining {
+		if !ok || s.Leaving() {
 			continue
 		}
 		byID[entry.ID] = s
@@ -257,6 +259,9 @@
 			loading++
 			continue
 		}
+		if p.rests(byID[id]) {
+			continue
+		}
 		p.order(ctx, e, entry, want, loading)
 		loading++
 	}
--- a/edge/placer_test.go
+++ b/edge/placer_test.go
@@ -36,12 +36,14 @@
 	loading    map[string]int            // by address, orders in progress
 	orders     int                       // received
 	loseAnswer func(address string) bool // reports whether the answer to an order is lost
+	resting    map[string]bool           // by address
+	ordered    map[string]int            // orders received by address
 }
 
 func newFakeEngines(n int) *fakeEngines {
 	e := &fakeEngines{
 		table: server.NewTable(server.Config{Log: zerolog.Nop()}), loadTime: 500 * time.Millisecond,
-		entries: map[string]server.Entry{}, accepted: map[string]uint64{}, loading: map[string]int{}, loseAnswer: func(string) bool { return false },
+		entries: map[string]server.Entry{}, accepted: map[string]uint64{}, loading: map[string]int{}, resting: map[string]bool{}, ordered: map[string]int{}, loseAnswer: func(string) bool { return false },
 	}
 	for i := range n {
 		e.join(fmt.Sprintf("e%d", i))
@@ -69,6 +71,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.orders++
+	e.ordered[address]++
 	if fence < e.fence {
 		return shard.ErrFenced
 	}
@@ -101,6 +104,26 @@
 	return e.accepted[address], e.loading[address] > 0, nil
 }
 
+func (e *fakeEngines) rests(s *server.Server) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.resting[s.Address()]
+}
+
+// setRests makes an engine ask for a pause, or take orders again.
+func (e *fakeEngines) setRests(address string, rests bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.resting[address] = rests
+}
+
+// ordersOf returns the number of orders that an engine got.
+func (e *fakeEngines) ordersOf(address string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.ordered[address]
+}
+
 const testLayers = 20
 
 func (e *fakeEngines) highestFence() uint64 {
@@ -119,6 +142,9 @@
 func (e *fakeEngines) covered() bool {
 	copies := make([]int, testLayers)
 	for _, s := range e.table.All() {
+		if s.Leaving() {
+			continue
+		}
 		for i := s.Entry().From; i < s.Entry().To; i++ {
 			copies[i]++
 		}
@@ -188,7 +214,7 @@
 	h.Apply(c)
 	return &Placer{
 		lease:         lease.New(lease.Config{Table: r.client(), Name: "place", Holder: name, Term: leaseTerm, SendTimeout: sendTimeout}),
-		leaveToOthers: func() bool { return false }, streams: func(s *server.Server) int { return s.Inflight() }, tracker: h, servers: e.table, place: e.place, acceptedOrders: e.acceptedOrders, log: zerolog.Nop(), counters: newCounters(),
+		leaveToOthers: func() bool { return false }, streams: func(s *server.Server) int { return s.Inflight() }, tracker: h, servers: e.table, place: e.place, acceptedOrders: e.acceptedOrders, rests: e.rests, log: zerolog.Nop(), counters: newCounters(),
 	}
 }
 
@@ -253,6 +279,33 @@
 	})
 }
 
+// Guards against layers that are left on an engine which said that it leaves, and orders to it, while the
+// registry still lists it as in service.
+func TestEngineThatSaidItLeavesIsReplaced(t *testing.T) {
+	withEngines(t, func(t *testing.T, e *fakeEngines, r *fakeTable, run func(p *Placer) func()) {
+		run(newTestPlacer(t, "a", e, r))
+		time.Sleep(8 * time.Second)
+		e.table.MarkLeaving([]uint64{e.table.ByAddress("e1:1").Incarnation()})
+		before := e.ordersOf("e1:1")
+		time.Sleep(12 * time.Second)
+		assert.Assert(t, e.covered())
+		assert.Equal(t, e.ordersOf("e1:1"), before)
+	})
+}
+
+// Guards against orders to an engine that asked for a pause, and against one that gets none afterwards.
+func TestEngineAtRestGetsNoOrder(t *testing.T) {
+	withEngines(t, func(t *testing.T, e *fakeEngines, r *fakeTable, run func(p *Placer) func()) {
+		e.setRests("e1:1", true)
+		run(newTestPlacer(t, "a", e, r))
+		time.Sleep(8 * time.Second)
+		assert.Equal(t, e.ordersOf("e1:1"), 0)
+		e.setRests("e1:1", false)
+		time.Sleep(8 * time.Second)
+		assert.Equal(t, e.ordersOf("e1:1"), 1)
+	})
+}
+
 // An engine that restarts without layers must get an order again.
 func TestRestartedEngineLoadsAgain(t *testing.T) {
 	withEngines(t, func(t *testing.T, e *fakeEngines, r *fakeTable, run func(p *Placer) func()) {
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -216,7 +216,7 @@
 
 // registerGauges registers the metrics that are read from other components at each
 // scrape.
-func registerGauges(tracker *config.Tracker, members *beat.Membership, p *Placer, c *counters, h *Handler, budgets *retryBudgets, queue *logs.AsyncWriter, store *platform.Store, servers *server.Table, t *poison.Tracker, pace *pacer.Pacer, client *link.Client) {
+func registerGauges(tracker *config.Tracker, members *beat.Membership, p *Placer, c *counters, h *Handler, budgets *retryBudgets, queue *logs.AsyncWriter, store *platform.Store, servers *server.Table, t *poison.Tracker, pace *pacer.Pacer, in *intake.Tracker, client *link.Client) {
 	for result, name := range []string{platform.CallDone: "done", platform.CallConflict: "conflict", platform.CallRefused: "refused", platform.CallLost: "lost"} {
 		c.gauge(fmt.Sprintf("store_calls_total{result=%q}", name), func() float64 { return float64(store.Calls(result)) })
 	}
@@ -234,6 +234,7 @@
 	c.gauge(`prompt_parts{state="suspected"}`, func() float64 { n, _ := t.Counts(); return float64(n) })
 	c.gauge(`prompt_parts{state="quarantined"}`, func() float64 { _, n := t.Counts(); return float64(n) })
 	c.gauge("servers_limited", func() float64 { return float64(pace.Limited()) })
+	c.gauge("servers_resting", func() float64 { return float64(in.Resting()) })
 	c.gauge("inflight", func() float64 { return float64(h.inflight.Load()) })
 	c.gauge("log_lines_lost", func() float64 { return float64(queue.Dropped()) })
 	c.gauge("lease_held", func() float64 {
