server: an earlier server at an address stands for no later one

What servers saw: a server that leaves, or drains by the registry, got streams for as long as the registry also listed an earlier server at its address.

Cause: both were in the view of the service, the earlier one in service. Paths name engines by address, and the address belongs to the one that started later: a path over the earlier server was sent to the later one.

Change: the view of a service has the server that holds the address, if it is in service. The earlier one answers nothing there in any case.

--- a/server/table.go
+++ b/server/table.go
@@ -257,6 +257,9 @@
 		if other := v.addresses[s.entry.Address]; other == nil || other.entry.Started < s.entry.Started {
 			v.addresses[s.entry.Address] = s
 		}
+	}
+	// Paths name engines by address, so an earlier server there would stand for the later one.
+	for _, s := range v.addresses {
 		switch {
 		case s.entry.Draining:
 		case s.SaidLeaving():
--- a/server/table_test.go
+++ b/server/table_test.go
@@ -87,6 +87,7 @@
 	x := newTable(&removed)
 	x.Apply([]server.Change{put(entry("old", "10.0.0.1:1", 1)), put(entry("new", "10.0.0.1:1", 5))}, true, 0)
 	assert.Equal(t, x.ByAddress("10.0.0.1:1").ID(), "new")
+	checkIDs(t, x, "new")
 }
 
 // Guards against avoiding a server for ever after consecutive failures, and against never
