proxy: servers of plain services that ask for a pause get none of our calls

What servers saw: on the product's own interface a server that refused a call with Retry-After got the next call after 0.2 s, when the back-off of a failed server ended.

Change: the pool keeps the pause with package intake, which decides on the users' platform as well. Calls go to other servers; if all rest they are refused as not run with the end of the first pause. Calls do not wait for it here, and refusals without the header change nothing but the back-off, as before.

Test, failing with the statement thrown away: proxy.TestServerAtRestGetsCalls ("4s, want 3.7s": the time to come back is that of another refusal), and entry.TestServiceAtRest with stand-ins of the service that name a pause when they refuse (fakes.ServiceFaults.Pause): "calls is greater than 1: 4 calls".

Not taken: one type for the state of a server in both houses. fleet takes a refusal of a leaving server for a few seconds only and goes by load reports, server by incarnations; a common type would have both rules.

--- a/entry/admission_test.go
+++ b/entry/admission_test.go
@@ -44,7 +44,7 @@
 	}})
 	queues := queue.NewSet(func(string) *queue.Queue { return queue.New(queue.Config{}) })
 	return New(Config{
-		Store: st, Fleet: f, Services: proxy.NewTablePool(f, proxy.New(proxy.Config{})), Log: zerolog.Nop(),
+		Store: st, Fleet: f, Services: proxy.NewTablePool(f, proxy.New(proxy.Config{}), nil), Log: zerolog.Nop(),
 		Admission: &AdmissionControl{Limits: limits, Queues: queues},
 	})
 }
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -14,6 +15,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/cranberrybay/cranberrybay/clock"
 	"github.com/cranberrybay/cranberrybay/entry"
 	"github.com/cranberrybay/cranberrybay/fakes"
 	"github.com/cranberrybay/cranberrybay/fault"
@@ -373,3 +375,36 @@
 		assert.Equal(t, got, 30)
 	})
 }
+
+// Guards against calls to servers of a plain service that asked for a pause, and against a caller that is
+// not told when they take calls again.
+func TestServiceAtRest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		base := time.Now()
+		defer clock.Replace(func() time.Duration { return time.Since(base) + time.Hour })()
+		s := newSystem(t, 1, 2)
+		n := s.start(t)
+		time.Sleep(time.Second)
+		order := func() (*http.Response, string) {
+			rs, text, err := s.call(t.Context(), n.name, "POST", "/services/desk/orders", "x")
+			assert.NilError(t, err)
+			return rs, text
+		}
+		s.services[0].SetFaults(fakes.ServiceFaults{Refuse: true, Pause: 5})
+		for range 40 {
+			rs, text := order()
+			assert.Equal(t, rs.StatusCode, 201, text)
+			time.Sleep(50 * time.Millisecond)
+		}
+		assert.Assert(t, s.services[0].Calls() <= 1, "%d calls", s.services[0].Calls())
+		s.services[1].SetFaults(fakes.ServiceFaults{Refuse: true, Pause: 5})
+		for range 40 {
+			rs, text := order()
+			assert.Equal(t, rs.StatusCode, 503, text)
+			after, err := strconv.Atoi(rs.Header.Get("Retry-After"))
+			assert.Assert(t, err == nil && after >= 1 && after <= 6, rs.Header.Get("Retry-After"))
+			time.Sleep(20 * time.Millisecond)
+		}
+		assert.Assert(t, s.services[0].Calls() <= 1 && s.services[1].Calls() <= 41, "%d and %d calls", s.services[0].Calls(), s.services[1].Calls())
+	})
+}
--- a/entry/passthrough_test.go
+++ b/entry/passthrough_test.go
@@ -34,7 +34,7 @@
 	servers.MergeEntry(fleet.State{Name: "desk", Address: target.Host, Service: "desk"})
 	servers.UpdateReport("desk", func(s *fleet.State) { s.Ready, s.Slots = true, 16 })
 	h := entry.New(entry.Config{
-		Store: newSystem(b, 1, 0).store(b), Fleet: servers, Services: proxy.NewTablePool(servers, proxy.New(proxy.Config{})),
+		Store: newSystem(b, 1, 0).store(b), Fleet: servers, Services: proxy.NewTablePool(servers, proxy.New(proxy.Config{}), nil),
 		Addresses: func(string, string) entry.Addresses { return entry.Addresses{} },
 	})
 	bare := httputil.NewSingleHostReverseProxy(target)
--- a/fakes/service.go
+++ b/fakes/service.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -17,6 +18,7 @@
 	LostReplies      int           `json:"drop"`   // calls to run and then close the connection of
 	LostCalls        int           `json:"lose"`   // calls to close the connection of without running them
 	TruncatedReplies int           `json:"cut"`    // answers to cut off in their body
+	Pause            int           `json:"pause"`  // seconds that refusals ask for; 0 for none
 	FailedCalls      int           `json:"fail"`   // calls to run and answer with 500
 	Delay            time.Duration `json:"delay"`  // delay before each call, in nanoseconds
 }
@@ -135,12 +137,15 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		s.calls++
-		refused, delay := s.leaving || s.faults.Refuse, s.faults.Delay
+		refused, pause, delay := s.leaving || s.faults.Refuse, s.faults.Pause, s.faults.Delay
 		if !refused {
 			s.running++
 		}
 		s.mu.Unlock()
 		if refused {
+			if pause > 0 {
+				w.Header().Set("Retry-After", strconv.Itoa(pause))
+			}
 			refuse(w, "service is leaving")
 			return
 		}
--- a/node/node.go
+++ b/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/cranberrybay/cranberrybay/engine"
 	"github.com/cranberrybay/cranberrybay/entry"
 	"github.com/cranberrybay/cranberrybay/fleet"
+	"github.com/cranberrybay/cranberrybay/intake"
 	"github.com/cranberrybay/cranberrybay/limit"
 	"github.com/cranberrybay/cranberrybay/logs"
 	"github.com/cranberrybay/cranberrybay/member"
@@ -64,7 +65,9 @@
 			newConfigSync,
 			newStore,
 			func() *engine.Client { return engine.New(engine.Config{}) },
-			func(t *fleet.Table) *proxy.Pool { return proxy.NewTablePool(t, proxy.New(proxy.Config{})) },
+			func(t *fleet.Table, l *logs.Factory) *proxy.Pool {
+				return proxy.NewTablePool(t, proxy.New(proxy.Config{}), intake.New(intake.Config{Log: l.Logger("intake")}))
+			},
 			newClaimManager,
 			func() *member.PauseDetector { return member.NewPauseDetector(time.Now) },
 			plat.NewWeightStore,
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -6,8 +6,11 @@
 	"net/http"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/cranberrybay/cranberrybay/fault"
 	"github.com/cranberrybay/cranberrybay/fleet"
+	"github.com/cranberrybay/cranberrybay/intake"
 	"github.com/cranberrybay/cranberrybay/retry"
 )
 
@@ -19,9 +22,11 @@
 	OnFailure  func(server string)                    // a call failed
 	OnSuccess  func(server string)                    // the header of an answer arrived
 	Do         func(ctx context.Context, address string, call Call) (*Answer, error)
-	RetryShare float64    // maximum share of retries in all calls; 0 for 0.1
-	HedgeShare float64    // maximum share of hedged lookups in all calls; 0 for 0.05
-	Rand       *rand.Rand // nil for a random seed
+	RetryShare float64 // maximum share of retries in all calls; 0 for 0.1
+	HedgeShare float64 // maximum share of hedged lookups in all calls; 0 for 0.05
+	// Intake knows which servers asked for a pause; nil for a new one that logs nothing.
+	Intake *intake.Tracker
+	Rand   *rand.Rand // nil for a random seed
 }
 
 // Pool sends calls to the backend servers of plain services.
@@ -40,15 +45,18 @@
 	if cfg.HedgeShare == 0 {
 		cfg.HedgeShare = 0.05
 	}
+	if cfg.Intake == nil {
+		cfg.Intake = intake.New(intake.Config{Log: zerolog.Nop()})
+	}
 	if cfg.Rand == nil {
 		cfg.Rand = rand.New(rand.NewSource(time.Now().UnixNano()))
 	}
 	return &Pool{cfg: cfg, latencies: newLatencyTracker(cfg.Rand), retries: newBudget(cfg.RetryShare), hedges: newBudget(cfg.HedgeShare)}
 }
 
-// NewTablePool returns a pool that sends calls with c to the servers of t.
-func NewTablePool(t *fleet.Table, c *Client) *Pool {
-	return NewPool(PoolConfig{Servers: t.Servers, OnStart: t.BeginRequest, OnEnd: t.EndRequest, OnFailure: t.RequestFailed, OnSuccess: t.RequestSucceeded, Do: c.Do})
+// NewTablePool returns a pool that sends calls with c to the servers of t. in may be nil, as in PoolConfig.
+func NewTablePool(t *fleet.Table, c *Client, in *intake.Tracker) *Pool {
+	return NewPool(PoolConfig{Servers: t.Servers, Intake: in, OnStart: t.BeginRequest, OnEnd: t.EndRequest, OnFailure: t.RequestFailed, OnSuccess: t.RequestSucceeded, Do: c.Do})
 }
 
 // maxAttempts is the maximum number of servers tried for one call.
@@ -63,10 +71,16 @@
 	p.hedges.AddRequest()
 	tried := &attempts{servers: map[string]bool{}}
 	for {
-		c, ok := p.latencies.choose(p.cfg.Servers(service), tried.servers)
+		c, ok := p.latencies.choose(p.servers(service), tried.servers)
 		if !ok {
+			if err := p.refuseAtRest(service); err != nil && tried.lastErr == nil {
+				return nil, err
+			}
 			return nil, tried.finalError()
 		}
+		if !p.cfg.Intake.Reserve(incarnation(&c)) {
+			continue // another call took its place
+		}
 		a, err := p.attempt(ctx, service, c, call, tried)
 		switch {
 		case err == nil && (a.Status < 500 || !call.Idempotent):
@@ -89,7 +103,7 @@
 
 // hasUntried reports whether a server is left that was not tried.
 func (p *Pool) hasUntried(service string, t *attempts) bool {
-	_, ok := p.latencies.choose(p.cfg.Servers(service), t.servers)
+	_, ok := p.latencies.choose(p.servers(service), t.servers)
 	return ok
 }
 
@@ -174,7 +188,7 @@
 	for pending := 1; ; {
 		select {
 		case <-timer.C:
-			if c, ok := p.latencies.choose(p.cfg.Servers(service), t.servers); ok && !c.Ejected && p.hedges.TryRetry() {
+			if c, ok := p.latencies.choose(p.servers(service), t.servers); ok && !c.Ejected && p.hedges.TryRetry() && p.cfg.Intake.Reserve(incarnation(&c)) {
 				t.servers[c.Name] = true
 				t.count++
 				pending++
@@ -218,12 +232,13 @@
 // exchange sends the call to one server and reports the result through the
 // callbacks of PoolConfig.
 func (p *Pool) exchange(ctx context.Context, service string, c fleet.Candidate, call Call) (*Answer, error) {
-	start := time.Now()
+	start, sentAt := time.Now(), intake.Now()
 	p.cfg.OnStart(c.Name)
 	if call.OnSend != nil {
 		call.OnSend(c.Name)
 	}
 	a, err := p.cfg.Do(ctx, c.Address, call)
+	p.observe(&c, err, sentAt)
 	if err != nil {
 		p.cfg.OnEnd(c.Name)
 		if ctx.Err() == nil { // otherwise the caller or the other exchange cancelled it
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -7,12 +7,10 @@
 	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/textproto"
-	"strconv"
 	"strings"
 	"time"
 
@@ -117,9 +115,8 @@
 	}
 	x.startBody(response)
 	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(engine.NotRunHeader) == "true" {
-		at := retryAt(response.Header)
 		_ = x.Close()
-		return nil, fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Leaving, Reason: fmt.Sprintf("server %s takes no work", address), RetryAt: at})
+		return nil, refusal(address, response.Header)
 	}
 	removeHopHeaders(response.Header)
 	return &Answer{Status: response.StatusCode, Header: response.Header, Body: x}, nil
@@ -176,11 +173,3 @@
 	}
 	return fault.Timeout
 }
-
-// retryAt returns the retry time given by the server, or one second from now.
-func retryAt(h http.Header) time.Time {
-	if s, err := strconv.Atoi(h.Get("Retry-After")); err == nil && s >= 0 && s <= 3600 {
-		return time.Now().Add(time.Duration(s) * time.Second)
-	}
-	return time.Now().Add(time.Second)
-}
