--- a/clock/clock.go
+++ b/clock/clock.go
@@ -25,6 +25,13 @@
 	return sinceBoot() - start
 }
 
+// recordOrigin keeps the times of records of other processes positive that are older than this process.
+const recordOrigin = 24 * time.Hour
+
+// RecordTime returns Now on the scale of records that processes tell each other: events of up to a day
+// before the start of this process have positive times.
+func RecordTime() time.Duration { return Now() + recordOrigin }
+
 // Replace makes Now read another clock, for example the virtual clock of a test,
 // until undo is called.
 func Replace(f func() time.Duration) (undo func()) {
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -21,11 +21,8 @@
 	"github.com/cranberrybay/cranberrybay/clock"
 )
 
-// origin keeps the times of events before the start of this process positive.
-const origin = 24 * time.Hour
-
 // Now returns the time on the clock of statements and records, which includes suspensions of the VM.
-func Now() time.Duration { return clock.Now() + origin }
+func Now() time.Duration { return clock.RecordTime() }
 
 // Said is what one answer says of whether its server takes requests. The zero value says nothing.
 type Said struct {
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -17,11 +17,8 @@
 	"github.com/cranberrybay/cranberrybay/clock"
 )
 
-// origin keeps the times of events before the start of this process positive.
-const origin = 24 * time.Hour
-
 // Now returns the time on the clock of records, which includes suspensions of the VM.
-func Now() time.Duration { return clock.Now() + origin }
+func Now() time.Duration { return clock.RecordTime() }
 
 // Never is the wait for a server to which this process may send nothing.
 const Never = time.Duration(math.MaxInt64)
--- a/poison/record.go
+++ b/poison/record.go
@@ -11,11 +11,8 @@
 	"github.com/cranberrybay/cranberrybay/clock"
 )
 
-// origin keeps the times of events before the start of this process positive.
-const origin = 24 * time.Hour
-
 // Now returns the time on the clock of records, which includes suspensions of the VM.
-func Now() time.Duration { return clock.Now() + origin }
+func Now() time.Duration { return clock.RecordTime() }
 
 // Part identifies a part of a prompt at the service that answers it.
 type Part struct {
