relay: streams that wait for engines at rest heed quarantines and empty engines

What callers and servers saw: a stream that waited for the end of a pause was sent although a part of its prompt had been quarantined meanwhile. While an engine without layers was listed, streams did not wait at all but were refused with "no path of engines can take the request", as one engine did not rest.

Change: the quarantine is asked again after the wait, as for plain requests, and only engines that hold the first layer count as those that a stream could begin at, also for rates that are used up.

Tests, failing before: relay.TestQuarantineBeginsDuringAPause (stream: "got.err is nil"), relay.TestEngineWithoutLayersDuringAPause.

--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -32,6 +32,7 @@
 	log    logBuffer
 	pacer  *pacer.Pacer
 	intake *intake.Tracker
+	poison *poison.Tracker
 	fleet  pacer.Fleet // processes that share the rates
 
 	mu            sync.Mutex
@@ -90,6 +91,7 @@
 	cl.table.Apply(all, true, 0)
 	cl.pacer = pacer.New(pacer.Config{Log: zerolog.New(&cl.log), Fleet: func() pacer.Fleet { return cl.fleet }})
 	cl.fleet = pacer.Fleet{Self: "p", Domain: "near", Members: []string{"p"}, Domains: []string{"near"}, Size: 1}
+	cl.poison = tracker
 	cl.intake = intake.New(intake.Config{Log: zerolog.New(&cl.log), OnLeaving: cl.table.MarkLeaving})
 	cl.relay = relay.New(relay.Config{
 		Servers: cl.table, Poison: tracker, Intake: cl.intake, Pacer: cl.pacer, Domain: "near", Log: zerolog.New(&cl.log), Budget: func(string) *retry.Budget { return cl.budget },
--- a/relay/path.go
+++ b/relay/path.go
@@ -168,7 +168,7 @@
 func (ps *pathSearch) addRateWaits(maxWait time.Duration) {
 	ps.req.choice = choice{}
 	for i, s := range ps.servers {
-		rests := ps.engines[i].From == 0 && ps.relay.passesOver(&ps.req.choice, s)
+		rests := ps.req.canBeFirst(s) && ps.relay.passesOver(&ps.req.choice, s)
 		if wait := ps.relay.waitForRate(s); wait > maxWait || rests {
 			ps.engines[i].FirstWait = math.Inf(1)
 		} else {
--- a/relay/rest.go
+++ b/relay/rest.go
@@ -16,7 +16,8 @@
 	// service said so. The platform allows requests for two seconds after such an answer, counted from
 	// when the caller sent them.
 	leaverUse = time.Second
-	// maxRestWaiters bounds the requests of a service that wait for servers at rest, besides their slots.
+	// maxRestWaiters bounds the requests of a service that wait for servers at rest. Each asks for its place
+	// again while the first ones return.
 	maxRestWaiters = 200
 	// lostPlaceWait is the time after which a request asks again for a place at a server that is back from
 	// a pause.
@@ -67,13 +68,13 @@
 
 // choice is what the last choice of a server for a request found of servers at rest.
 type choice struct {
-	free    int            // servers that take requests
-	resting []restedServer // servers that it passed over
-	lost    bool           // another request took the place of this one at a server that is back from a pause
+	free    int             // servers that take requests
+	resting []restingServer // servers that it passed over
+	lost    bool            // another request took the place of this one at a server that is back from a pause
 }
 
-// restedServer is a server that takes a request after a time.
-type restedServer struct {
+// restingServer is a server that takes a request after a time.
+type restingServer struct {
 	server *server.Server
 	wait   time.Duration
 }
@@ -85,18 +86,18 @@
 		c.free++
 		return false
 	}
-	c.resting = append(c.resting, restedServer{server: s, wait: wait})
+	c.resting = append(c.resting, restingServer{server: s, wait: wait})
 	return true
 }
 
 // lose notes that another request took the place of this one at a chosen server.
 func (c *choice) lose(s *server.Server) {
 	c.lost = true
-	c.resting = append(c.resting, restedServer{server: s, wait: lostPlaceWait})
+	c.resting = append(c.resting, restingServer{server: s, wait: lostPlaceWait})
 }
 
 // atRest returns the server that is back first if the choice failed because all servers rest.
-func (c *choice) atRest() (first restedServer, ok bool) {
+func (c *choice) atRest() (first restingServer, ok bool) {
 	for _, x := range c.resting {
 		if first.server == nil || x.wait < first.wait {
 			first = x
@@ -107,7 +108,7 @@
 
 // refuseUntil returns the error for a request that is refused because all servers rest. Callers return
 // within a quarter of the time after the first pause ends, so that they do not all come at once.
-func (r *Relay) refuseUntil(req *Request, first restedServer, resting int) error {
+func (r *Relay) refuseUntil(req *Request, first restingServer, resting int) error {
 	r.cfg.Count("resting")
 	r.cfg.Log.Info().Str("id", req.ID).Str("service", req.Service.Name).Int("resting", resting).Str("first", first.server.ID()).Dur("left", first.wait).Msg("backend servers rest")
 	at := time.Now().Add(first.wait + rand.N(time.Duration(returnSpread*float64(first.wait))+1))
@@ -165,6 +166,9 @@
 		if !ok {
 			waited, err := r.awaitRest(ctx, req, func(s *server.Server) { delete(excluded, s.Address()) })
 			if waited {
+				if err := r.refuseQuarantined(req, st.mayHaveRun); err != nil {
+					return nil, err
+				}
 				continue
 			}
 			r.cfg.Log.Info().Str("id", req.ID).Str("service", req.Service.Name).Int("servers", len(r.cfg.Servers.Servers(req.Service.Name))).
@@ -215,7 +219,8 @@
 	return err
 }
 
-// canBeFirst reports whether a server may be the first that gets the request.
+// canBeFirst reports whether a server may be the first that gets the request. Engines without layers can't.
 func (req *Request) canBeFirst(s *server.Server) bool {
-	return req.Service.Engine == nil || s.Entry().From == 0
+	e := req.Service.Engine
+	return e == nil || e.Layers == 0 || s.Holds(0, 1)
 }
--- a/relay/rest_test.go
+++ b/relay/rest_test.go
@@ -13,6 +13,7 @@
 	"github.com/cranberrybay/cranberrybay/config"
 	"github.com/cranberrybay/cranberrybay/fault"
 	"github.com/cranberrybay/cranberrybay/intake"
+	"github.com/cranberrybay/cranberrybay/poison"
 	"github.com/cranberrybay/cranberrybay/relay"
 	"github.com/cranberrybay/cranberrybay/server"
 )
@@ -329,3 +330,33 @@
 		assert.Assert(t, old.left > 50, "the old run was read up to event %d", old.sent)
 	})
 }
+
+// Guards against a request that is sent after its wait for a server at rest although a part of its prompt
+// was quarantined meanwhile.
+func TestQuarantineBeginsDuringAPause(t *testing.T) {
+	for _, kind := range []config.Kind{config.Idempotent, config.Stream} {
+		t.Run(kind.String(), func(t *testing.T) {
+			runVirtual(t, func(t *testing.T) {
+				x := newSpeakers(t, engineEntry("a", "near", 0, 8))
+				x.intake.Observe(intake.Statement{Server: x.table.ByAddress("a:1").Incarnation(), ID: "a", Said: intake.Said{RestUntil: intake.Now() + time.Second}})
+				time.AfterFunc(500*time.Millisecond, func() {
+					now := poison.Now()
+					x.poison.Merge([]poison.Record{{Part: poison.Part{Service: "s", ID: deadlyPart}, Since: now, Until: now + time.Minute, Terms: 1}})
+				})
+				req := request(kind, 2)
+				req.PromptParts = []string{deadlyPart, "own"}
+				checkVerdict(t, x.serve(t.Context(), req), fault.NotRun)
+				assert.Equal(t, x.attemptCount(), 0)
+			})
+		})
+	}
+}
+
+// Guards against a stream that is refused during a pause because an engine without layers rests neither.
+func TestEngineWithoutLayersDuringAPause(t *testing.T) {
+	runVirtual(t, func(t *testing.T) {
+		x := newSpeakers(t, engineEntry("a", "near", 0, 8), engineEntry("empty", "near", 0, 0))
+		x.intake.Observe(intake.Statement{Server: x.table.ByAddress("a:1").Incarnation(), ID: "a", Said: intake.Said{RestUntil: intake.Now() + time.Second}})
+		assert.NilError(t, x.serve(t.Context(), request(config.Stream, 2)).err)
+	})
+}
