--- a/logs/logs_test.go
+++ b/logs/logs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"os"
 	"strings"
 	"testing"
 
@@ -43,3 +44,19 @@
 		})
 	}
 }
+
+// Guards against a part of the log that the operators' page names and the settings reject.
+func TestPartsOfTheOperatorsPage(t *testing.T) {
+	page, err := os.ReadFile("../docs/OPERATIONS.md")
+	assert.NilError(t, err)
+	_, table, ok := strings.Cut(string(page), "| part | tells |\n| --- | --- |\n")
+	assert.Assert(t, ok)
+	table, _, _ = strings.Cut(table, "\n\n")
+	for row := range strings.Lines(table) {
+		part := strings.Split(row, "`")[1]
+		t.Run(part, func(t *testing.T) {
+			_, err := logs.New(logs.Config{Levels: map[string]string{part: "debug"}})
+			assert.NilError(t, err)
+		})
+	}
+}
