relay: a choice of a server notes the ones at rest in its parameter

The note was a field of the request. Handovers of main choose a path on the goroutine of a check while the stream may choose another, so that the two would have written the same field.

--- a/relay/choose_test.go
+++ b/relay/choose_test.go
@@ -40,7 +40,7 @@
 	b.Run("path", func(b *testing.B) {
 		b.ReportAllocs()
 		for b.Loop() {
-			t, ok := r.choosePath(req, nil, 0)
+			t, ok := r.choosePath(req, nil, 0, &choice{})
 			if !ok {
 				b.Fatal("no path")
 			}
@@ -51,7 +51,7 @@
 	b.Run("plain", func(b *testing.B) {
 		b.ReportAllocs()
 		for b.Loop() {
-			if s, _ := r.pickAndReserve(plain, nil, 0); s == nil {
+			if s, _ := r.pickAndReserve(plain, nil, 0, &choice{}); s == nil {
 				b.Fatal("no server")
 			}
 		}
--- a/relay/handover.go
+++ b/relay/handover.go
@@ -73,7 +73,7 @@
 	if !m.req.Route.Repeatable() || !st.attemptsLeft() || m.relay.refuseQuarantined(m.req, true) != nil {
 		return
 	}
-	rn, ok := st.newRun(m.parent, excluded, 0)
+	rn, ok := st.newRun(m.parent, excluded, 0, &choice{})
 	if !ok {
 		return
 	}
--- a/relay/path.go
+++ b/relay/path.go
@@ -46,13 +46,13 @@
 // choosePath chooses a path for a stream, adds the stream to the load of its engines, and takes one
 // request from this process's share of the first engine's rate. The stream may be sent at sendAt of
 // the path, at most maxWait from now.
-func (r *Relay) choosePath(req *Request, excluded map[string]bool, maxWait time.Duration) (*activePath, bool) {
+func (r *Relay) choosePath(req *Request, excluded map[string]bool, maxWait time.Duration, c *choice) (*activePath, bool) {
 	for range maxChoices {
-		t, ok := r.searchPath(req, excluded, maxWait)
+		t, ok := r.searchPath(req, excluded, maxWait, c)
 		if !ok || t.first == nil {
 			return t, ok
 		}
-		if t.sendAt, ok = r.reserve(req, t.first, maxWait); ok {
+		if t.sendAt, ok = r.reserve(c, t.first, maxWait); ok {
 			return t, true
 		}
 		t.release()
@@ -62,14 +62,14 @@
 
 // searchPath is choosePath without the rates. It avoids the failure domains of excluded engines if
 // it can, and starts at an engine without free slots only if there is no other path.
-func (r *Relay) searchPath(req *Request, excluded map[string]bool, maxWait time.Duration) (*activePath, bool) {
+func (r *Relay) searchPath(req *Request, excluded map[string]bool, maxWait time.Duration, c *choice) (*activePath, bool) {
 	all := r.candidates(req.Service.Name)
 	e := req.Service.Engine
 	if e == nil || e.Layers == 0 {
-		return r.chooseSingleEngine(req, all, excluded, maxWait)
+		return r.chooseSingleEngine(req, all, excluded, maxWait, c)
 	}
 	ps := r.newPathSearch(req, all, len(excluded) > 0)
-	ps.addRateWaits(maxWait)
+	ps.addWaits(maxWait, c)
 	want := path.Request{To: e.Layers, Domain: ps.domains[r.cfg.Domain], NextDomain: path.NoDomain, Excluded: ps.domainPeers(excluded)}
 	hops, ok := ps.choose(want)
 	if !ok && len(excluded) > 0 {
@@ -162,13 +162,12 @@
 	return ps
 }
 
-// addRateWaits adds the time that a stream waits for each engine as the first one because of the rate
-// that it names. Engines for which that is longer than maxWait, and those at rest, can't be the first
-// one.
-func (ps *pathSearch) addRateWaits(maxWait time.Duration) {
-	ps.req.choice = choice{}
+// addWaits adds the time that a stream waits for each engine as the first one because of the rate that it
+// names. Engines for which that is longer than maxWait, and those at rest, can't be the first one.
+func (ps *pathSearch) addWaits(maxWait time.Duration, c *choice) {
+	*c = choice{}
 	for i, s := range ps.servers {
-		rests := ps.req.canBeFirst(s) && ps.relay.passesOver(&ps.req.choice, s)
+		rests := ps.req.canBeFirst(s) && ps.relay.passesOver(c, s)
 		if wait := ps.relay.waitForRate(s); wait > maxWait || rests {
 			ps.engines[i].FirstWait = math.Inf(1)
 		} else {
@@ -260,14 +259,14 @@
 }
 
 // chooseSingleEngine chooses an engine that holds the whole model.
-func (r *Relay) chooseSingleEngine(req *Request, all []*server.Server, excluded map[string]bool, maxWait time.Duration) (*activePath, bool) {
+func (r *Relay) chooseSingleEngine(req *Request, all []*server.Server, excluded map[string]bool, maxWait time.Duration, c *choice) (*activePath, bool) {
 	tried := map[string]bool{}
 	for _, s := range all {
 		if excluded[s.Address()] {
 			tried[s.ID()] = true
 		}
 	}
-	s := r.pickServer(req, tried, maxWait)
+	s := r.pickServer(req, tried, maxWait, c)
 	if s == nil {
 		return nil, false
 	}
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -57,11 +57,12 @@
 		}(running)
 	}()
 	var quarantined error
+	var last choice
 	start := func(reason string, maxWait time.Duration) bool {
 		if sent >= req.Route.Attempts() {
 			return false
 		}
-		srv, sendAt := r.pickAndReserve(req, tried, maxWait)
+		srv, sendAt := r.pickAndReserve(req, tried, maxWait, &last)
 		if quarantined = r.refuseQuarantined(req, sent > 0); quarantined != nil {
 			return false
 		}
@@ -85,7 +86,7 @@
 			if quarantined != nil || running > 0 || noRetry {
 				return false, nil
 			}
-			if waited, err := r.awaitRest(ctx, req, func(s *server.Server) { delete(tried, s.ID()) }); !waited {
+			if waited, err := r.awaitRest(ctx, req, &last, func(s *server.Server) { delete(tried, s.ID()) }); !waited {
 				return false, err
 			}
 		}
@@ -219,13 +220,13 @@
 }
 
 // pickAndReserve returns a server and the time at which the request may be sent there, or nil.
-func (r *Relay) pickAndReserve(req *Request, tried map[string]bool, maxWait time.Duration) (*server.Server, time.Time) {
+func (r *Relay) pickAndReserve(req *Request, tried map[string]bool, maxWait time.Duration, c *choice) (*server.Server, time.Time) {
 	for range maxChoices {
-		srv := r.pickServer(req, tried, maxWait)
+		srv := r.pickServer(req, tried, maxWait, c)
 		if srv == nil {
 			return nil, time.Time{}
 		}
-		if sendAt, ok := r.reserve(req, srv, maxWait); ok {
+		if sendAt, ok := r.reserve(c, srv, maxWait); ok {
 			return srv, sendAt
 		}
 	}
@@ -235,21 +236,21 @@
 // pickServer returns the server with the least expected time among those not tried, or nil.
 // Avoided servers are used only if there is no other. The rate of a server may make the request wait,
 // at most for maxWait.
-func (r *Relay) pickServer(req *Request, tried map[string]bool, maxWait time.Duration) *server.Server {
-	req.choice = choice{}
+func (r *Relay) pickServer(req *Request, tried map[string]bool, maxWait time.Duration, c *choice) *server.Server {
+	*c = choice{}
 	var best *server.Server
 	cost, avoided := 0.0, false
 	for _, srv := range r.candidates(req.Service.Name) {
-		if r.passesOver(&req.choice, srv) || tried[srv.ID()] {
+		if r.passesOver(c, srv) || tried[srv.ID()] {
 			continue
 		}
 		wait := r.waitForRate(srv)
 		if wait > maxWait {
 			continue
 		}
-		c, isAvoided := srv.Cost()+wait.Seconds(), srv.IsAvoided()
-		if best == nil || (avoided && !isAvoided) || (avoided == isAvoided && c < cost) {
-			best, cost, avoided = srv, c, isAvoided
+		x, isAvoided := srv.Cost()+wait.Seconds(), srv.IsAvoided()
+		if best == nil || (avoided && !isAvoided) || (avoided == isAvoided && x < cost) {
+			best, cost, avoided = srv, x, isAvoided
 		}
 	}
 	return best
--- a/relay/rate.go
+++ b/relay/rate.go
@@ -33,9 +33,9 @@
 // reserve takes one request from this process's share of a server's rate, and returns when it may be
 // sent. It returns false if that is later than limit from now, or if the server rests. Servers without a
 // rate have no bound.
-func (r *Relay) reserve(req *Request, s *server.Server, limit time.Duration) (sendAt time.Time, ok bool) {
+func (r *Relay) reserve(c *choice, s *server.Server, limit time.Duration) (sendAt time.Time, ok bool) {
 	if !r.cfg.Intake.Reserve(s.Incarnation()) {
-		req.choice.lose(s)
+		c.lose(s)
 		return time.Time{}, false
 	}
 	wait, ok := r.cfg.Pacer.Reserve(s.Incarnation(), limit)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -52,8 +52,7 @@
 	attempts   atomic.Int32 // attempts sent so far
 	mayHaveRun atomic.Bool  // set once an attempt may have been executed
 
-	parts  []poison.Part // of the prompt, which other requests may share; set by Serve
-	choice choice        // the last choice of a server
+	parts []poison.Part // of the prompt, which other requests may share; set by Serve
 }
 
 // Hop is an engine on the path of a stream and the layer range that it runs.
--- a/relay/rest.go
+++ b/relay/rest.go
@@ -66,7 +66,7 @@
 	}
 }
 
-// choice is what the last choice of a server for a request found of servers at rest.
+// choice is what one choice of a server found of servers at rest.
 type choice struct {
 	free    int             // servers that take requests
 	resting []restingServer // servers that it passed over
@@ -115,16 +115,16 @@
 	return fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Overload, Reason: reasonResting, RetryAt: at})
 }
 
-// awaitRest waits after a failed choice until the first server that rests takes a request, and calls
+// awaitRest waits after the failed choice c until the first server that rests takes a request, and calls
 // forget with it. It returns false if the choice need not be repeated: with an error if the request can't
 // be served in time, or without one if not all servers rest.
-func (r *Relay) awaitRest(ctx context.Context, req *Request, forget func(s *server.Server)) (waited bool, err error) {
-	first, ok := req.choice.atRest()
+func (r *Relay) awaitRest(ctx context.Context, req *Request, c *choice, forget func(s *server.Server)) (waited bool, err error) {
+	first, ok := c.atRest()
 	if !ok {
 		return false, nil
 	}
-	if time.Until(req.Deadline) < first.wait+req.Route.TargetLatency() || !r.addRestWaiter(req) {
-		return false, r.refuseUntil(req, first, len(req.choice.resting))
+	if time.Until(req.Deadline) < first.wait+req.Route.TargetLatency() || !r.addRestWaiter(req.Service.Name, c) {
+		return false, r.refuseUntil(req, first, len(c.resting))
 	}
 	err = sleepUntil(ctx, time.Now().Add(first.wait))
 	r.removeRestWaiter(req.Service.Name)
@@ -137,17 +137,17 @@
 
 // addRestWaiter counts a request that waits for servers at rest. It returns false if as many wait as the
 // servers run at once: the others would wait for these.
-func (r *Relay) addRestWaiter(req *Request) bool {
+func (r *Relay) addRestWaiter(service string, c *choice) bool {
 	slots := 0
-	for _, x := range req.choice.resting {
+	for _, x := range c.resting {
 		slots += max(x.server.Entry().Slots, 1)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.restWaiters[req.Service.Name] >= min(slots, maxRestWaiters) {
+	if r.restWaiters[service] >= min(slots, maxRestWaiters) {
 		return false
 	}
-	r.restWaiters[req.Service.Name]++
+	r.restWaiters[service]++
 	return true
 }
 
@@ -161,10 +161,11 @@
 // chooseRun returns a new run that may be sent now. It waits for engines that name a rate or rest.
 func (st *streamState) chooseRun(ctx context.Context, excluded map[string]bool) (*run, error) {
 	r, req := st.relay, st.req
+	var c choice
 	for {
-		rn, ok := st.newRun(ctx, excluded, rateWait(req))
+		rn, ok := st.newRun(ctx, excluded, rateWait(req), &c)
 		if !ok {
-			waited, err := r.awaitRest(ctx, req, func(s *server.Server) { delete(excluded, s.Address()) })
+			waited, err := r.awaitRest(ctx, req, &c, func(s *server.Server) { delete(excluded, s.Address()) })
 			if waited {
 				if err := r.refuseQuarantined(req, st.mayHaveRun); err != nil {
 					return nil, err
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -155,12 +155,12 @@
 // newRun chooses a path without the excluded engines and returns a run over it that has not been
 // sent. It may be sent at sendAt of the path, at most maxWait from now. It returns false if there is
 // no path.
-func (st *streamState) newRun(ctx context.Context, excluded map[string]bool, maxWait time.Duration) (*run, bool) {
-	t, ok := st.relay.choosePath(st.req, excluded, maxWait)
+func (st *streamState) newRun(ctx context.Context, excluded map[string]bool, maxWait time.Duration, c *choice) (*run, bool) {
+	t, ok := st.relay.choosePath(st.req, excluded, maxWait, c)
 	if ok && t.first == nil {
 		// The first engine left the registry during the choice, which the next one sees.
 		t.release()
-		t, ok = st.relay.choosePath(st.req, excluded, maxWait)
+		t, ok = st.relay.choosePath(st.req, excluded, maxWait, c)
 	}
 	if !ok {
 		return nil, false
