--- a/relay/rest.go
+++ b/relay/rest.go
@@ -167,13 +167,13 @@
 		if !ok {
 			waited, err := r.awaitRest(ctx, req, &c, func(s *server.Server) { delete(excluded, s.Address()) })
 			if waited {
-				if err := r.refuseQuarantined(req, st.mayHaveRun); err != nil {
+				if err := r.refuseQuarantined(req, req.mayHaveRun.Load()); err != nil {
 					return nil, err
 				}
 				continue
 			}
 			r.cfg.Log.Info().Str("id", req.ID).Str("service", req.Service.Name).Int("servers", len(r.cfg.Servers.Servers(req.Service.Name))).
-				Int("prompt", req.PromptTokens).Int("attempt", st.attempts+1).Msg("no path")
+				Int("prompt", req.PromptTokens).Int("attempt", st.attemptCount()+1).Msg("no path")
 			return nil, st.noPathError(err)
 		}
 		slept := time.Until(rn.path.sendAt) > 0
@@ -190,7 +190,7 @@
 
 // noPathError returns the error for a stream without a path. atRest is the reason if engines rest.
 func (st *streamState) noPathError(atRest error) error {
-	if st.mayHaveRun {
+	if st.req.mayHaveRun.Load() {
 		return mayHaveRunError(reasonNoPath, nil)
 	}
 	if atRest != nil {
