--- a/edge/app.go
+++ b/edge/app.go
@@ -18,6 +18,7 @@
 	"github.com/cranberrybay/cranberrybay/beat"
 	"github.com/cranberrybay/cranberrybay/clock"
 	"github.com/cranberrybay/cranberrybay/config"
+	"github.com/cranberrybay/cranberrybay/intake"
 	"github.com/cranberrybay/cranberrybay/lease"
 	"github.com/cranberrybay/cranberrybay/link"
 	"github.com/cranberrybay/cranberrybay/logs"
@@ -90,6 +91,7 @@
 			newCounters,
 			newPoisonTracker,
 			newPacer,
+			newIntake,
 			newServerTable,
 			newMembers,
 			newStateFetcher,
@@ -144,11 +146,20 @@
 	})
 }
 
-func newServerTable(client *link.Client, t *poison.Tracker, factory *logs.Factory) *server.Table {
-	return server.NewTable(server.Config{
-		Log: factory.Logger("server"), OutageGrace: missingEntryGrace, OnRemoved: client.CloseIdle,
+func newIntake(s Settings, state *sharedState, factory *logs.Factory) *intake.Tracker {
+	return intake.New(intake.Config{
+		Log: factory.Logger("intake"), MaxPause: s.maxPause(),
+		Announce:  func(records []intake.Record) { state.announceLeavers(records) },
+		OnLeaving: func(servers []uint64) { state.servers.MarkLeaving(servers) },
+	})
+}
+
+func newServerTable(client *link.Client, t *poison.Tracker, in *intake.Tracker, state *sharedState, factory *logs.Factory) *server.Table {
+	state.servers = server.NewTable(server.Config{
+		Log: factory.Logger("server"), OutageGrace: missingEntryGrace, OnRemoved: client.CloseIdle, Leaves: in.Leaves,
 		OnDied: func(s *server.Server) { go t.RecordCrash(s.Incarnation()) }, // announces it, so not under the table's lock
 	})
+	return state.servers
 }
 
 // self returns the description of this process that the other processes get.
@@ -161,13 +172,13 @@
 
 // newStateFetcher returns a fetcher of the tables that entry processes follow. It logs as
 // part "beat", like the rest of the messages between entry processes.
-func newStateFetcher(self beat.Peer, sealer *seal.Sealer, members *beat.Membership, t *poison.Tracker, p *pacer.Pacer, state *sharedState, factory *logs.Factory) *stateFetcher {
-	return &stateFetcher{self: self, sealer: sealer, members: members, poison: t, pacer: p, follower: state.follower, tables: []string{platform.TableConfig, platform.TableServers}, log: factory.Logger("beat")}
+func newStateFetcher(self beat.Peer, sealer *seal.Sealer, members *beat.Membership, t *poison.Tracker, p *pacer.Pacer, in *intake.Tracker, state *sharedState, factory *logs.Factory) *stateFetcher {
+	return &stateFetcher{self: self, sealer: sealer, members: members, poison: t, pacer: p, intake: in, follower: state.follower, tables: []string{platform.TableConfig, platform.TableServers}, log: factory.Logger("beat")}
 }
 
-func newProcessRegistrar(s Settings, self beat.Peer, store *platform.Store, members *beat.Membership, sealer *seal.Sealer, f *stateFetcher, b *retryBudgets, t *poison.Tracker, p *pacer.Pacer, tracker *config.Tracker, state *sharedState, factory *logs.Factory) *registrar {
+func newProcessRegistrar(s Settings, self beat.Peer, store *platform.Store, members *beat.Membership, sealer *seal.Sealer, f *stateFetcher, b *retryBudgets, t *poison.Tracker, p *pacer.Pacer, in *intake.Tracker, tracker *config.Tracker, state *sharedState, factory *logs.Factory) *registrar {
 	m := newRegistrar(registrarConfig{
-		Self: self, Bootstrap: s.Bootstrap, Rows: store.Table(), Members: members, Sealer: sealer, Fetch: f.fetch, OnSize: b.resize, HoldsLease: state.holdsLease, Poison: t, Pacer: p, Log: factory.Logger("beat"),
+		Self: self, Bootstrap: s.Bootstrap, Rows: store.Table(), Members: members, Sealer: sealer, Fetch: f.fetch, OnSize: b.resize, HoldsLease: state.holdsLease, Poison: t, Pacer: p, Intake: in, Log: factory.Logger("beat"),
 	})
 	state.newerConfig = &newerConfig{tracker: tracker, fetch: f.fetch, log: factory.Logger("watch"), offer: func(rows []watch.Row) {
 		if follower := state.follower(platform.TableConfig); follower != nil {
@@ -179,7 +190,7 @@
 	return m
 }
 
-func newMembers(s Settings, self beat.Peer, i incarnation, sealer *seal.Sealer, servers *server.Table, t *poison.Tracker, p *pacer.Pacer, state *sharedState, c *counters, factory *logs.Factory) (*beat.Membership, error) {
+func newMembers(s Settings, self beat.Peer, i incarnation, sealer *seal.Sealer, servers *server.Table, t *poison.Tracker, p *pacer.Pacer, in *intake.Tracker, state *sharedState, c *counters, factory *logs.Factory) (*beat.Membership, error) {
 	conn, err := net.ListenPacket("udp4", s.Listen.Heartbeats)
 	if err != nil {
 		return nil, fmt.Errorf("listen for heartbeats: %w", err)
@@ -200,7 +211,8 @@
 		Suspects: func() beat.Suspects {
 			return beat.Suspects{Own: t.Recent(true), Changed: t.Recent(false), All: t.Records()}
 		},
-		OnRates: p.Merge,
+		OnRates:   p.Merge,
+		OnLeavers: in.Merge,
 		OnConfig: func(version uint64, from beat.Peer) {
 			if state.newerConfig != nil {
 				state.newerConfig.observe(version, from)
@@ -209,6 +221,9 @@
 		Rates: func() beat.Rates {
 			return beat.Rates{Own: p.Recent(true), Changed: p.Recent(false), All: p.Records()}
 		},
+		Leavers: func() beat.Leavers {
+			return beat.Leavers{Own: in.Recent(true), Changed: in.Recent(false), All: in.Records()}
+		},
 		OnWatermark: func(seen beat.Watermark) {
 			if f := state.follower(seen.Table); f != nil {
 				f.ObserveWatermark(watch.Watermark{Changed: seen.Changed, Clock: seen.Clock})
@@ -245,22 +260,23 @@
 		},
 		Log: factory.Logger("beat"),
 	})
-	state.announceSuspects, state.announceRates, state.fleet = members.ReportSuspects, members.ReportRates, members.Fleet
+	state.announceSuspects, state.announceRates, state.announceLeavers, state.fleet = members.ReportSuspects, members.ReportRates, members.ReportLeavers, members.Fleet
 	return members, nil
 }
 
 // weightPerCore is the weight of a process that may use one whole core.
 const weightPerCore = 1000
 
-func newRelay(s Settings, q *quota.Quota, servers *server.Table, client *link.Client, backend *platform.Backend, members *beat.Membership, budgets *retryBudgets, t *poison.Tracker, p *pacer.Pacer, c *counters, factory *logs.Factory) *relay.Relay {
+func newRelay(s Settings, q *quota.Quota, servers *server.Table, client *link.Client, backend *platform.Backend, members *beat.Membership, budgets *retryBudgets, t *poison.Tracker, p *pacer.Pacer, in *intake.Tracker, c *counters, factory *logs.Factory) *relay.Relay {
 	return relay.New(relay.Config{
-		Servers: servers, Send: backend.Send, FetchReport: backend.Report, Repath: backend.Repath, Probe: client.Probe, Budget: budgets.of, Quota: q, PeerLoad: members.PeerLoad, Poison: t, Pacer: p, AnnounceDead: func(srv *server.Server) { members.ReportDead(srv.ID()) },
+		Servers: servers, Send: backend.Send, FetchReport: backend.Report, Repath: backend.Repath, Probe: client.Probe, Budget: budgets.of, Quota: q, PeerLoad: members.PeerLoad,
+		Poison: t, Pacer: p, Intake: in, AnnounceDead: func(srv *server.Server) { members.ReportDead(srv.ID()) },
 		Domain: s.Domain, Log: factory.Logger("relay"), Count: c.event, Observe: c.observe,
 		CountViolation: func(i relay.Invariant) { c.violation(string(i)) },
 	})
 }
 
-func newPlacer(self beat.Peer, i incarnation, members *beat.Membership, state *sharedState, store *platform.Store, tracker *config.Tracker, servers *server.Table, backend *platform.Backend, c *counters, factory *logs.Factory) *Placer {
+func newPlacer(self beat.Peer, i incarnation, members *beat.Membership, state *sharedState, store *platform.Store, tracker *config.Tracker, servers *server.Table, backend *platform.Backend, in *intake.Tracker, c *counters, factory *logs.Factory) *Placer {
 	log := factory.Logger("place")
 	p := &Placer{
 		// Besides the lease holder, only hubs read the lease's row.
@@ -286,13 +302,14 @@
 			},
 		}),
 		tracker: tracker, servers: servers, place: backend.Place, acceptedOrders: backend.AcceptedOrders, log: log, counters: c,
+		rests: func(s *server.Server) bool { return in.Rests(s.Incarnation()) },
 	}
 	state.placer = p
 	return p
 }
 
 // followTables keeps the configuration and the registry of backend servers up to date.
-func followTables(s Settings, store *platform.Store, tracker *config.Tracker, servers *server.Table, members *beat.Membership, m *registrar, state *sharedState, factory *logs.Factory, lc fx.Lifecycle) {
+func followTables(s Settings, store *platform.Store, tracker *config.Tracker, servers *server.Table, in *intake.Tracker, members *beat.Membership, m *registrar, state *sharedState, factory *logs.Factory, lc fx.Lifecycle) {
 	log := factory.Logger("watch")
 	tableConfig := func(name string) watch.Config {
 		return watch.Config{
@@ -333,7 +350,10 @@
 	}
 	configFollower, serverFollower := watch.New(configTable), watch.New(serverTable)
 	state.followers.Store(&map[string]*watch.Follower{platform.TableConfig: configFollower, platform.TableServers: serverFollower})
-	runAll(lc, configFollower.Run, serverFollower.Run, every(expireInterval, func(context.Context) { servers.Expire() }))
+	runAll(lc, configFollower.Run, serverFollower.Run, every(expireInterval, func(context.Context) {
+		servers.Expire()
+		in.Expire()
+	}))
 }
 
 // runAll runs each function on a goroutine from the start of the application and
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -17,6 +17,7 @@
 	"github.com/cranberrybay/cranberrybay/beat"
 	"github.com/cranberrybay/cranberrybay/clock"
 	"github.com/cranberrybay/cranberrybay/config"
+	"github.com/cranberrybay/cranberrybay/intake"
 	"github.com/cranberrybay/cranberrybay/link"
 	"github.com/cranberrybay/cranberrybay/logs"
 	"github.com/cranberrybay/cranberrybay/pacer"
@@ -33,6 +34,7 @@
 type sharedState struct {
 	handler       *Handler
 	placer        *Placer
+	servers       *server.Table
 	packets       net.PacketConn
 	onUnknownKey  func() // called when another process uses a message key that this process does not have
 	sendHeartbeat func() // sends a heartbeat at once
@@ -40,9 +42,11 @@
 	announceSuspects func(records []poison.Record)
 	// announceRates tells the other processes what backend servers said of their rates.
 	announceRates func(records []pacer.Record)
-	fleet         func() pacer.Fleet // the processes that share rates
-	onQuarantine  func()             // called when the set of quarantined parts changes
-	newerConfig   *newerConfig
+	// announceLeavers tells the other processes which backend servers said that they leave.
+	announceLeavers func(records []intake.Record)
+	fleet           func() pacer.Fleet // the processes that share rates
+	onQuarantine    func()             // called when the set of quarantined parts changes
+	newerConfig     *newerConfig
 	// onStoreRestored is called when the store returned from an older copy.
 	onStoreRestored func()
 
@@ -212,7 +216,7 @@
 
 // registerGauges registers the metrics that are read from other components at each
 // scrape.
-func registerGauges(tracker *config.Tracker, members *beat.Membership, p *Placer, c *counters, h *Handler, budgets *retryBudgets, queue *logs.AsyncWriter, store *platform.Store, servers *server.Table, t *poison.Tracker, pace *pacer.Pacer, client *link.Client) {
+func registerGauges(tracker *config.Tracker, members *beat.Membership, p *Placer, c *counters, h *Handler, budgets *retryBudgets, queue *logs.AsyncWriter, store *platform.Store, servers *server.Table, t *poison.Tracker, pace *pacer.Pacer, in *intake.Tracker, client *link.Client) {
 	for result, name := range []string{platform.CallDone: "done", platform.CallConflict: "conflict", platform.CallRefused: "refused", platform.CallLost: "lost"} {
 		c.gauge(fmt.Sprintf("store_calls_total{result=%q}", name), func() float64 { return float64(store.Calls(result)) })
 	}
@@ -232,6 +236,7 @@
 		c.gauge(metric+`{state="quarantined"}`, func() float64 { _, n := t.Counts(requests); return float64(n) })
 	}
 	c.gauge("servers_limited", func() float64 { return float64(pace.Limited()) })
+	c.gauge("servers_resting", func() float64 { return float64(in.Resting()) })
 	c.gauge("inflight", func() float64 { return float64(h.inflight.Load()) })
 	c.gauge("log_lines_lost", func() float64 { return float64(queue.Dropped()) })
 	c.gauge("lease_held", func() float64 {
--- a/relay/handover.go
+++ b/relay/handover.go
@@ -149,7 +149,7 @@
 	if err := m.relay.refuseQuarantined(m.req, true); err != nil {
 		return nil, err
 	}
-	rn, ok := m.stream.newRun(m.parent, excluded, 0)
+	rn, ok := m.stream.newRun(m.parent, excluded, 0, &choice{})
 	if !ok {
 		return nil, errNoPath
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -154,7 +154,7 @@
 	if ctx.Err() != nil && !st.headerIsSent() && fault.VerdictOf(err) != fault.NotRun {
 		return mayHaveRunError(reasonNoAnswer, ctx.Err())
 	}
-	return err
+	return r.orAtRest(req, err)
 }
 
 // run is one attempt to serve a stream.
@@ -185,12 +185,12 @@
 // newRun chooses a path without the excluded engines and returns a run over it that has not been
 // sent. It may be sent at sendAt of the path, at most maxWait from now. It returns false if there is
 // no path.
-func (st *streamState) newRun(ctx context.Context, excluded map[string]bool, maxWait time.Duration) (*run, bool) {
-	t, ok := st.relay.choosePath(st.req, excluded, maxWait)
+func (st *streamState) newRun(ctx context.Context, excluded map[string]bool, maxWait time.Duration, c *choice) (*run, bool) {
+	t, ok := st.relay.choosePath(st.req, excluded, maxWait, c)
 	if ok && t.first == nil {
 		// The first engine left the registry during the choice, which the next one sees.
 		t.release()
-		t, ok = st.relay.choosePath(st.req, excluded, maxWait)
+		t, ok = st.relay.choosePath(st.req, excluded, maxWait, c)
 	}
 	if !ok {
 		return nil, false
@@ -223,21 +223,8 @@
 			return false, err
 		}
 		defer st.endTrial()
-		var ok bool
-		if rn, ok = st.newRun(ctx, excluded, rateWait(req)); !ok {
-			r.cfg.Log.Info().Str("id", req.ID).Str("service", req.Service.Name).Int("servers", len(r.cfg.Servers.Servers(req.Service.Name))).
-				Int("prompt", req.PromptTokens).Int("attempt", st.attemptCount()+1).Msg("no path")
-			if req.mayHaveRun.Load() {
-				return false, mayHaveRunError(reasonNoPath, nil)
-			}
-			if err := r.refuseOverRate(req, noPathRetryAfter); err != nil {
-				return false, err
-			}
-			return false, notRunError(reasonNoPath, noPathRetryAfter, nil)
-		}
-		if err := sleepUntil(rn.ctx, rn.path.sendAt); err != nil {
-			rn.end()
-			return false, st.refusalVerdict(err)
+		if rn, err = st.chooseRun(ctx, excluded); err != nil {
+			return false, err
 		}
 		if n := st.addAttempt(1); n > 1 {
 			r.cfg.Log.Info().Str("id", req.ID).Str("last", rn.resumeAfter).Int("attempt", n).Str("first", rn.path.first.ID()).Msg("stream sent again")
