soak: servers that fall silent for a moment

What callers saw: streams and orders that ended with 502 or in the middle although every server that had them was alive, and only answered nothing for a second. The soak had no such servers, so it could not find it.

Cause: the stand-in of a server either answered or had a fault of its connection. Engines that wait for another one were not listed in reports, and orders to move a stream were answered as unknown.

Each request records the process that it was sent to and the servers that took it. A request that ended early is a violation unless one of these servers had another fault, the process was killed, paused or started, its grace period was nearly over, or the deadline had passed. Entry processes that end by themselves are violations too. Reports list stalled streams, and streams move to another path when ordered. The seeds of older faults keep their plan.

--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -98,6 +98,7 @@
 
 // send sends a request. Closing the body of the response ends its context.
 func (c *callers) send(client *http.Client, address, path, id string) (*http.Response, error) {
+	c.recordSent(address, id)
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeoutMs*time.Millisecond)
 	rq, err := http.NewRequestWithContext(ctx, "POST", "http://"+address+path, strings.NewReader("body"))
 	if err != nil {
@@ -126,8 +127,9 @@
 
 func (b *cancelOnClose) Close() error { defer b.cancel(); return b.ReadCloser.Close() }
 
-// countOutcome counts an outcome of a kind of request.
-func (c *callers) countOutcome(kind, outcome string) {
+// countOutcome counts the outcome of a request, and records it.
+func (c *callers) countOutcome(kind, id, outcome string) {
+	c.recordEnding(kind, id, outcome)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if outcome == "served" {
@@ -142,7 +144,7 @@
 func (c *callers) order(client *http.Client, address, id string) {
 	rs, err := c.send(client, address, "/desk/", id)
 	if err != nil {
-		c.countOutcome("order", "no answer")
+		c.countOutcome("order", id, "no answer")
 		return
 	}
 	defer func() { _ = rs.Body.Close() }()
@@ -155,14 +157,14 @@
 		if rs.Header.Get("Retry-After") == "" {
 			c.addViolation("order %s was refused without Retry-After", id)
 		}
-		c.countOutcome("order", "refused")
+		c.countOutcome("order", id, "refused")
 	case rs.StatusCode == http.StatusOK && err == nil:
 		if string(body) != "booked "+id {
 			c.addViolation("order %s was answered %q", id, body)
 		}
-		c.countOutcome("order", "served")
+		c.countOutcome("order", id, "served")
 	default:
-		c.countOutcome("order", strconv.Itoa(rs.StatusCode))
+		c.countOutcome("order", id, strconv.Itoa(rs.StatusCode))
 	}
 }
 
@@ -171,12 +173,12 @@
 func (c *callers) stream(client *http.Client, address, id string) {
 	rs, err := c.send(client, address, "/llm/", id)
 	if err != nil {
-		c.countOutcome("stream", "no answer")
+		c.countOutcome("stream", id, "no answer")
 		return
 	}
 	defer func() { _ = rs.Body.Close() }()
 	if rs.StatusCode != http.StatusOK {
-		c.countOutcome("stream", strconv.Itoa(rs.StatusCode))
+		c.countOutcome("stream", id, strconv.Itoa(rs.StatusCode))
 		return
 	}
 	want := 1
@@ -196,12 +198,12 @@
 		}
 	}
 	if scan.Err() != nil {
-		c.countOutcome("stream", "cut")
+		c.countOutcome("stream", id, "cut")
 		return
 	}
 	if want-1 != eventCount(id) {
 		c.addViolation("stream %s ended as complete after %d of %d events", id, want-1, eventCount(id))
 		return
 	}
-	c.countOutcome("stream", "served")
+	c.countOutcome("stream", id, "served")
 }
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -25,7 +25,7 @@
 	t.Helper()
 	s := httptest.NewServer(h)
 	defer s.Close()
-	c := &callers{served: map[string]int{}, failed: map[string]int{}}
+	c := &callers{servers: newServers(t, nil), served: map[string]int{}, failed: map[string]int{}}
 	key := shopKey
 	c.key.Store(&key)
 	address := strings.TrimPrefix(s.URL, "http://")
@@ -66,7 +66,6 @@
 		r.Header.Set(idHeader, "r1")
 		r.Header.Set("X-Cranberrybay-Tenant", "shop")
 		r.Header.Set("X-Cranberrybay-Deadline-Ms", "100")
-		r.Header.Set("X-Cranberrybay-Hop-Count", path)
 		change(r)
 		switch r.URL.Path {
 		case "/drained/":
@@ -79,7 +78,7 @@
 			}
 		}
 		v.checkRequest(a, r)
-		v.checkPath(a, r)
+		v.checkPath(a, "r1", path)
 		return v.violations
 	}
 	const good = "a:1=0-4,b:1=4-8"
--- a/soak/drill_test.go
+++ b/soak/drill_test.go
@@ -137,6 +137,8 @@
 		switch {
 		case b.dead:
 			gone = append(gone, b.id)
+		case time.Now().Before(b.silentUntil):
+			time.AfterFunc(time.Until(b.silentUntil), func() { run.servers.registerAgain(b) })
 		case b.drainAcked.IsZero():
 			run.servers.register(b)
 		default:
--- a/soak/extra_faults_test.go
+++ b/soak/extra_faults_test.go
@@ -72,11 +72,7 @@
 	switch run.extraRand.Intn(4) {
 	case 0, 1:
 		kind := []string{endlessHead, endlessBody, endlessDrip}[run.extraRand.Intn(3)]
-		b := run.pickServerWith(run.extraRand, []string{"llm", "desk"}[run.extraRand.Intn(2)])
-		run.servers.mu.Lock()
-		b.failMode = kind
-		run.servers.mu.Unlock()
-		time.AfterFunc(time.Second, func() { run.servers.mu.Lock(); defer run.servers.mu.Unlock(); b.failMode = "" })
+		run.servers.setFailMode(run.pickServerWith(run.extraRand, []string{"llm", "desk"}[run.extraRand.Intn(2)]), kind, time.Second)
 	case 2:
 		if run.killedAll {
 			return
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -21,12 +22,30 @@
 	binary, logPath                                                                           string
 
 	restarting sync.Mutex // serialises restarts
+	onOwnEnd   func()     // called when the process ends without a signal
 
 	mu   sync.Mutex
 	cmd  *exec.Cmd
 	done chan struct{} // closed when cmd has exited
 	// disturbedAt is the time of the last start or signal.
 	disturbedAt time.Time
+	breaks      []time.Time // starts and signals other than SIGTERM
+	stopAt      time.Time   // when the last SIGTERM was sent; zero if the process was started since
+	ending      bool        // SIGTERM or SIGKILL was sent to cmd
+}
+
+// gracePeriod is the time from SIGTERM in which a process must end.
+const gracePeriod = 8 * time.Second
+
+// excuses reports whether an answer of the process may have ended early between two times because it was
+// killed, paused or started, or because its grace period was nearly over.
+func (p *process) excuses(from, to time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.stopAt.IsZero() && to.After(p.stopAt.Add(gracePeriod*5/6)) {
+		return true
+	}
+	return slices.ContainsFunc(p.breaks, func(at time.Time) bool { return at.After(from) && at.Before(to) })
 }
 
 // build builds cranberrybay and returns the path of the binary.
@@ -72,7 +91,7 @@
 		callerAddress: freeAddress(t), readyAddress: freeAddress(t), directoryAddress: freeAddress(t), heartbeatAddress: freeAddress(t), settingsPath: filepath.Join(dir, fmt.Sprintf("n%d.toml", n)),
 	}
 	text := fmt.Sprintf("name = %q\ndomain = %q\n[listen]\ncallers = %q\nready = %q\ndirectory = %q\nbeats = %q\n[store]\naddress = %q\n"+
-		"[bounds]\ngrace = 8\nrevoke = 5000\nttl = 5\nratio = 0.2\nslack = 200\nwindow = 10\n[limits]\nmemory = 284\nshare = 0.4\ncores = 1\n", p.name, zone, p.callerAddress, p.readyAddress, p.directoryAddress, p.heartbeatAddress, store)
+		"[bounds]\ngrace = %d\nrevoke = 5000\nttl = 5\nratio = 0.2\nslack = 200\nwindow = 10\n[limits]\nmemory = 284\nshare = 0.4\ncores = 1\n", p.name, zone, p.callerAddress, p.readyAddress, p.directoryAddress, p.heartbeatAddress, store, int(gracePeriod.Seconds()))
 	assert.NilError(t, os.WriteFile(p.settingsPath, []byte(text), 0o600))
 	return p
 }
@@ -86,10 +105,21 @@
 	cmd.Stdout, cmd.Stderr = f, f
 	assert.NilError(t, cmd.Start())
 	done := make(chan struct{})
-	go func() { _ = cmd.Wait(); _ = f.Close(); close(done) }()
 	p.mu.Lock()
-	p.cmd, p.done, p.disturbedAt = cmd, done, time.Now()
+	p.cmd, p.done, p.disturbedAt, p.ending, p.stopAt = cmd, done, time.Now(), false, time.Time{}
+	p.breaks = append(p.breaks, p.disturbedAt)
 	p.mu.Unlock()
+	go func() {
+		_ = cmd.Wait()
+		_ = f.Close()
+		p.mu.Lock()
+		ending := p.ending
+		p.mu.Unlock()
+		if !ending {
+			p.onOwnEnd()
+		}
+		close(done)
+	}()
 }
 
 // signal sends a signal to the process that start started.
@@ -97,6 +127,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.disturbedAt = time.Now()
+	if s == syscall.SIGTERM {
+		p.stopAt = p.disturbedAt
+	} else {
+		p.breaks = append(p.breaks, p.disturbedAt)
+	}
+	p.ending = p.ending || s == syscall.SIGTERM || s == syscall.SIGKILL
 	_ = p.cmd.Process.Signal(s) // the process may have exited
 }
 
--- a/soak/server_test.go
+++ b/soak/server_test.go
@@ -34,6 +34,7 @@
 	mu         sync.Mutex
 	byAddress  map[string]*backend
 	runs       map[string]int // executions of orders, by request ID
+	requests   map[string]*request
 	violations []string
 }
 
@@ -54,10 +55,13 @@
 	failMode             string    // fault of the next answers: "", "refuse", "lose" or an endless answer
 	entries              int       // written to the registry
 	rate                 namedRate
+	silentUntil          time.Time
+	troubles             []span             // times in which it had a fault other than silence
+	streams              map[string]*stream // running streams that it is the first engine of, by request ID
 }
 
 func newServers(t *testing.T, s *store) *servers {
-	return &servers{t: t, store: s, byAddress: map[string]*backend{}, runs: map[string]int{}}
+	return &servers{t: t, store: s, byAddress: map[string]*backend{}, runs: map[string]int{}, requests: map[string]*request{}}
 }
 
 // addViolation records a violation of a guarantee. The caller holds v.mu.
@@ -70,10 +74,10 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(v.t, err)
 	l := newLink(v.t, ln.Addr().String())
-	b := &backend{id: name, address: l.address(), zone: zone, service: service, startedMs: time.Now().UnixMilli(), link: l}
+	b := &backend{id: name, address: l.address(), zone: zone, service: service, startedMs: time.Now().UnixMilli(), link: l, streams: map[string]*stream{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /-/report", func(w http.ResponseWriter, r *http.Request) { v.serveReport(b, w, r) })
-	mux.HandleFunc("POST /-/order", func(w http.ResponseWriter, r *http.Request) { v.servePlacement(b, w, r) })
+	mux.HandleFunc("POST /-/order", func(w http.ResponseWriter, r *http.Request) { v.serveEngineOrder(b, w, r) })
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) { v.serve(b, w, r) })
 	b.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
 	go func() { _ = b.server.Serve(ln) }()
@@ -105,6 +109,7 @@
 	v.mu.Lock()
 	b.dead = true
 	v.mu.Unlock()
+	v.recordTrouble(b, forever)
 	_ = b.server.Close()
 	b.link.close()
 	time.AfterFunc(time.Second, func() { v.store.put("servers", b.id, nil) })
@@ -124,32 +129,48 @@
 	time.AfterFunc(drainTime+2*time.Second, func() { v.crash(b) })
 }
 
-// serveReport serves the report that carries the sequence number of the last order.
+// reportLag is the age of what reports say of stalled streams.
+const reportLag = 200 * time.Millisecond
+
+// serveReport serves the report that carries the sequence number of the last order and the streams that
+// wait for another engine.
 func (v *servers) serveReport(b *backend, w http.ResponseWriter, _ *http.Request) {
+	v.awaitEndOfSilence(b)
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	_ = json.NewEncoder(w).Encode(map[string]any{"sequence": b.sequence, "born": b.startedMs, "stalled": []any{}})
+	stalled := []any{}
+	for id, s := range b.streams {
+		if s.waitsFor != "" && time.Since(s.waitsSince) > reportLag {
+			stalled = append(stalled, map[string]any{"id": id, "address": s.waitsFor})
+		}
+	}
+	_ = json.NewEncoder(w).Encode(map[string]any{"sequence": b.sequence, "born": b.startedMs, "stalled": stalled})
 }
 
-// servePlacement serves an order to hold layers. It rejects an outdated fencing token
-// and an outdated sequence number.
-func (v *servers) servePlacement(b *backend, w http.ResponseWriter, r *http.Request) {
+// serveEngineOrder serves an order to hold layers or to move a running stream to another path. It rejects
+// an outdated fencing token and an outdated sequence number.
+func (v *servers) serveEngineOrder(b *backend, w http.ResponseWriter, r *http.Request) {
 	var o struct {
 		Operation string  `json:"operation"`
 		Fence     uint64  `json:"fencingToken"`
 		Expect    *uint64 `json:"precondition"`
 		From      int     `json:"from"`
 		To        int     `json:"to"`
+		ID        string  `json:"id"`
+		Path      string  `json:"path"`
 	}
 	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	v.awaitEndOfSilence(b)
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	switch {
+	case o.Operation == "repath":
+		v.moveStream(b, w, o.ID, o.Path)
 	case o.Operation != "place":
-		w.WriteHeader(http.StatusNotFound) // moving running streams is not supported
+		w.WriteHeader(http.StatusBadRequest)
 	case o.Fence < b.fence:
 		w.WriteHeader(http.StatusPreconditionFailed)
 	case o.Expect != nil && *o.Expect != b.sequence:
@@ -165,12 +186,31 @@
 			if b.dead {
 				return
 			}
+			if o.From > b.firstLayer || o.To < b.endLayer {
+				b.troubles = append(b.troubles, span{time.Now(), time.Now()}) // streams through the layers that it gives up stall
+			}
 			b.firstLayer, b.endLayer = o.From, o.To
 			v.register(b)
 		})
 	}
 }
 
+// moveStream moves a running stream of a first engine to another path. The caller holds v.mu.
+func (v *servers) moveStream(b *backend, w http.ResponseWriter, id, path string) {
+	s := b.streams[id]
+	if s == nil {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if missing := v.checkPath(b, id, path); missing != "" {
+		w.WriteHeader(http.StatusConflict)
+		_ = json.NewEncoder(w).Encode(map[string]any{"address": missing})
+		return
+	}
+	s.path = path
+	v.recordTaken(b, id, path)
+}
+
 // refuse refuses a request as not executed; failedServer names the server at fault.
 func refuse(w http.ResponseWriter, status int, failedServer string) {
 	w.Header().Set("X-Cranberrybay-Not-Executed", "1")
@@ -218,15 +258,19 @@
 		refuse(w, http.StatusServiceUnavailable, "")
 		return
 	case endlessHead, endlessBody, endlessDrip:
+		v.mu.Lock()
+		v.recordTaken(b, r.Header.Get(idHeader), "")
 		if b.service == "desk" {
-			v.mu.Lock()
 			v.runs[r.Header.Get(idHeader)]++
-			v.mu.Unlock()
 		}
+		v.mu.Unlock()
 		v.sendEndless(b, w, r.Header.Get(idHeader), fail)
 		return
 	}
 	if b.service == "desk" {
+		v.mu.Lock()
+		v.recordTaken(b, r.Header.Get(idHeader), "")
+		v.mu.Unlock()
 		v.serveOrder(b, w, r, fail)
 		return
 	}
@@ -234,11 +278,13 @@
 }
 
 // serveOrder executes an order and counts the execution.
-func (v *servers) serveOrder(_ *backend, w http.ResponseWriter, r *http.Request, fail string) {
+func (v *servers) serveOrder(b *backend, w http.ResponseWriter, r *http.Request, fail string) {
+	v.awaitEndOfSilence(b)
 	v.mu.Lock()
 	v.runs[r.Header.Get(idHeader)]++
 	v.mu.Unlock()
 	time.Sleep(10 * time.Millisecond)
+	v.awaitEndOfSilence(b)
 	if fail == "lose" {
 		panic(http.ErrAbortHandler)
 	}
@@ -249,13 +295,13 @@
 // checkPath checks that the path of a stream covers every layer once and in order. It
 // returns the first engine that is dead or does not hold its layers, or "". The caller
 // holds v.mu.
-func (v *servers) checkPath(b *backend, r *http.Request) (missing string) {
+func (v *servers) checkPath(b *backend, id, path string) (missing string) {
 	at := 0
-	for i, part := range strings.Split(r.Header.Get("X-Cranberrybay-Hop-Count"), ",") {
+	for i, part := range strings.Split(path, ",") {
 		var from, to int
 		address, span, _ := strings.Cut(part, "=")
 		if _, err := fmt.Sscanf(span, "%d-%d", &from, &to); err != nil || from != at || to <= from || (i == 0 && address != b.address) {
-			v.addViolation("path %q of request %s", r.Header.Get("X-Cranberrybay-Hop-Count"), r.Header.Get(idHeader))
+			v.addViolation("path %q of request %s", path, id)
 			return address
 		}
 		at = to
@@ -264,39 +310,73 @@
 		}
 	}
 	if at != layers {
-		v.addViolation("path %q of request %s", r.Header.Get("X-Cranberrybay-Hop-Count"), r.Header.Get(idHeader))
+		v.addViolation("path %q of request %s", path, id)
 	}
 	return ""
 }
 
-// serveStream sends events until the answer is complete or an engine of the path dies.
+// stream is a running stream; its fields are guarded by servers.mu.
+type stream struct {
+	path       string
+	waitsFor   string // address of the engine that it waits for; "" if it waits for none
+	waitsSince time.Time
+}
+
+// stallTimeout is how long a stream waits for a dead engine before it is cut off.
+const stallTimeout = 3 * time.Second
+
+// serveStream sends events until the answer is complete or an engine of the path is dead for stallTimeout.
 func (v *servers) serveStream(b *backend, w http.ResponseWriter, r *http.Request) {
+	id, s := r.Header.Get(idHeader), &stream{path: r.Header.Get("X-Cranberrybay-Hop-Count")}
 	v.mu.Lock()
-	missing := v.checkPath(b, r)
+	missing := v.checkPath(b, id, s.path)
+	if missing == "" {
+		b.streams[id] = s
+		v.recordTaken(b, id, s.path)
+	}
 	v.mu.Unlock()
 	if missing != "" {
 		refuse(w, http.StatusServiceUnavailable, missing)
 		return
 	}
+	defer func() { v.mu.Lock(); defer v.mu.Unlock(); delete(b.streams, id) }()
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	w.Header().Set("X-Cranberrybay-Server-Signature", "engine")
 	w.Header().Set("Content-Type", "text/event-stream")
-	for n := last + 1; n <= eventCount(r.Header.Get(idHeader)); n++ {
+	for n := last + 1; n <= eventCount(id); n++ {
 		time.Sleep(eventInterval)
-		v.mu.Lock()
-		missing = v.checkPath(b, r)
-		v.mu.Unlock()
-		if missing != "" {
-			<-r.Context().Done() // the stream stalls on the dead engine
-			return
+		for v.updateWait(b, id, s) {
+			select {
+			case <-r.Context().Done():
+				return
+			case <-time.After(eventInterval):
+			}
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, r.Header.Get(idHeader))
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, id)
 		if http.NewResponseController(w).Flush() != nil {
 			return
 		}
 	}
 }
 
+// updateWait notes which engine a stream waits for: the first one of its path that is dead, does not hold
+// its layers or is silent. It reports whether there is one, and cuts the stream off after stallTimeout.
+func (v *servers) updateWait(b *backend, id string, s *stream) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	address := v.checkPath(b, id, s.path)
+	if address == "" {
+		address = v.silentEngine(s.path)
+	}
+	if address != s.waitsFor {
+		s.waitsFor, s.waitsSince = address, time.Now()
+	}
+	if address != "" && time.Since(s.waitsSince) > stallTimeout {
+		panic(http.ErrAbortHandler)
+	}
+	return address != ""
+}
+
 const eventInterval = 15 * time.Millisecond
 
 // eventCount returns the number of events in the answer to a request.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -54,6 +54,7 @@
 	linkRand     *rand.Rand // link faults; a source of its own, so that older seeds keep their plan
 	extraRand    *rand.Rand // faults of extra_faults_test.go; a source of its own for the same reason
 	drillRand    *rand.Rand // faults of drill_test.go; a source of its own for the same reason
+	silenceRand  *rand.Rand // faults of silence_test.go; a source of its own for the same reason
 	store        *store
 	servers      *servers
 	callers      *callers
@@ -71,8 +72,12 @@
 }
 
 func TestSoak(t *testing.T) {
+	runSeeds(t, append([]int64{1}, regressionSeeds...), (*soakRun).mixedFaults)
+}
+
+// runSeeds runs a plan of faults with the given seeds, or with those of the command line.
+func runSeeds(t *testing.T, seeds []int64, plan func(run *soakRun)) {
 	binary := build(t)
-	seeds := append([]int64{1}, regressionSeeds...)
 	switch {
 	case *seedFlag != 0:
 		seeds = []int64{*seedFlag}
@@ -87,17 +92,18 @@
 		}
 	}
 	for _, seed := range seeds {
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { soak(t, binary, seed) })
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { soak(t, binary, seed, plan) })
 	}
 }
 
-func soak(t *testing.T, binary string, seed int64) {
+// soak runs one plan of faults and checks the guarantees.
+func soak(t *testing.T, binary string, seed int64, plan func(run *soakRun)) {
 	dir := t.TempDir()
 	if *keepFlag != "" {
-		dir = filepath.Join(*keepFlag, fmt.Sprint(seed))
+		dir = filepath.Join(*keepFlag, t.Name())
 		assert.NilError(t, os.MkdirAll(dir, 0o750))
 	}
-	run := &soakRun{t: t, rand: rand.New(rand.NewSource(seed)), linkRand: rand.New(rand.NewSource(-seed)), extraRand: rand.New(rand.NewSource(^seed << 1)), drillRand: rand.New(rand.NewSource(^seed<<1 + 1)), store: newStore(t)}
+	run := &soakRun{t: t, rand: rand.New(rand.NewSource(seed)), linkRand: rand.New(rand.NewSource(-seed)), extraRand: rand.New(rand.NewSource(^seed << 1)), drillRand: rand.New(rand.NewSource(^seed<<1 + 1)), silenceRand: rand.New(rand.NewSource(seed*31 + 1)), store: newStore(t)}
 	run.servers = newServers(t, run.store)
 	run.configure(shopKey)
 	for i := range engineCount {
@@ -108,9 +114,13 @@
 	}
 	for i := range processCount {
 		p := newProcess(t, binary, dir, i, zone(i), run.store.address)
-		p.start(t)
+		p.onOwnEnd = func() { run.callers.addViolation("%s ended by itself", p.name) }
 		run.processes = append(run.processes, p)
 	}
+	run.callers = &callers{servers: run.servers, processes: run.processes, served: map[string]int{}, failed: map[string]int{}}
+	for _, p := range run.processes {
+		p.start(t)
+	}
 	defer func() {
 		for _, p := range run.processes {
 			p.signal(syscall.SIGCONT)
@@ -118,7 +128,6 @@
 			p.wait(5 * time.Second)
 		}
 	}()
-	run.callers = &callers{servers: run.servers, processes: run.processes, served: map[string]int{}, failed: map[string]int{}}
 	key := shopKey
 	run.callers.key.Store(&key)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -132,13 +141,7 @@
 	run.wg.Add(1)
 	go func() { defer run.wg.Done(); run.sendForgedDatagrams(ctx, rand.New(rand.NewSource(seed))) }()
 	run.waitServing("at the start", 15*time.Second)
-	for range faultRounds {
-		run.injectFault()
-		run.injectLinkFault()
-		run.injectExtraFault()
-		run.injectDrill()
-		time.Sleep(time.Duration(500+run.rand.Intn(1500)) * time.Millisecond)
-	}
+	plan(run)
 	run.store.set(storeHealthy)
 	run.servers.endRates()
 	run.waitServing("after the faults", 12*time.Second)
@@ -148,6 +151,18 @@
 	run.checkGuarantees()
 }
 
+// mixedFaults injects faults of all kinds, which overlap.
+func (run *soakRun) mixedFaults() {
+	for range faultRounds {
+		run.injectFault()
+		run.injectLinkFault()
+		run.injectExtraFault()
+		run.injectDrill()
+		run.injectSilence(1 + run.silenceRand.Intn(2))
+		time.Sleep(time.Duration(500+run.rand.Intn(1500)) * time.Millisecond)
+	}
+}
+
 // zone returns the failure domain of the i-th server or process.
 func zone(i int) string { return []string{"east", "west"}[i%2] }
 
@@ -224,11 +239,7 @@
 			run.replaceServer("llm", func(b *backend) { run.runAsync(func() { run.servers.drain(b) }) })
 		case 7:
 			fail := []string{"refuse", "lose"}[run.rand.Intn(2)]
-			b := run.pickServer("desk")
-			run.servers.mu.Lock()
-			b.failMode = fail
-			run.servers.mu.Unlock()
-			time.AfterFunc(time.Second, func() { run.servers.mu.Lock(); defer run.servers.mu.Unlock(); b.failMode = "" })
+			run.servers.setFailMode(run.pickServer("desk"), fail, time.Second)
 		case 8:
 			run.rotateKey()
 		}
@@ -240,6 +251,7 @@
 	for range run.linkRand.Intn(3) {
 		b := run.pickServerWith(run.linkRand, []string{"llm", "desk"}[run.linkRand.Intn(2)])
 		f, d := linkHealthy+1+linkFault(run.linkRand.Intn(int(linkFaultCount)-1)), time.Duration(200+run.linkRand.Intn(1500))*time.Millisecond
+		run.servers.recordTrouble(b, d)
 		run.runAsync(func() { b.link.set(f); time.Sleep(d); b.link.set(linkHealthy) })
 	}
 }
@@ -256,7 +268,7 @@
 	p.restarting.Lock()
 	defer p.restarting.Unlock()
 	p.signal(s)
-	if !p.wait(8*time.Second + timingSlack) {
+	if !p.wait(gracePeriod + timingSlack) {
 		if s == syscall.SIGTERM {
 			run.callers.addViolation("%s was still running at the end of its grace period", p.name)
 		}
@@ -319,6 +331,7 @@
 			run.servers.addViolation("order %s was answered as not run but was executed", id)
 		}
 	}
+	run.servers.checkEndings()
 	for _, text := range append(run.servers.violations, run.callers.violations...) {
 		run.t.Error(text)
 	}
