soak: requests that crash each server that runs them

What servers saw: a request with the same path, caller and body crashes each server that begins to run it, and comes again under a new ID at any entry process. It was sent to server after server, and no run of the soak had such requests.

Change: four of them come every 0.3 to 0.9 s: a stream whose prompt shares parts with sound ones, a stream without parts that crashes its server after one event, an order and a lookup (a new route that may be repeated). The servers are back after 2 to 4 s as new incarnations, under the same ID or another one. Beside them entry processes are killed and stopped (two of four at most at a time), the store is away or returns from an older copy. Two checks: later than 3 s after a request crashed its third server at most three more arrivals of it reach servers, counted from any process; and sound requests of each kind are served at least half as often as before, once the servers of the last allowed crashes are back. The message tells how many of the arrivals came from processes that had run undisturbed for 3 s.

Evidence: TestDeadlyChecksFail gives each check the fault that it must detect, TestDeadlyRequestCrashesServers shows that the servers crash and return.

--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -20,8 +20,23 @@
 	// timingSlack is added to time bounds, since a loaded machine is slower.
 	timingSlack = time.Second
 	shopKey     = "key-1"
+
+	streamPath = "/llm/"
+	orderPath  = "/desk/"
+	lookupPath = "/look/"
+	// soundBody is the body of all requests that do no harm.
+	soundBody = "body"
 )
 
+// call is a request of a caller.
+type call struct{ path, id, body, parts string }
+
+// promptParts returns the parts of a prompt: two that other requests share, and one of its own.
+func promptParts(id string) string {
+	group := id[len(id)-1] % 2
+	return fmt.Sprintf("5a%d:30,5b%d:30,%x:40", group, group, id)
+}
+
 // callers send requests to the entry processes and check the answers.
 type callers struct {
 	servers   *servers
@@ -71,7 +86,7 @@
 }
 
 // run sends requests one after the other over persistent connections: one third are
-// orders, the others streams.
+// orders and lookups, the others streams.
 func (c *callers) run(ctx context.Context, r *rand.Rand) {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}
 	for ctx.Err() == nil {
@@ -87,26 +102,32 @@
 			time.Sleep(50 * time.Millisecond)
 			continue
 		}
-		if r.Intn(3) == 0 {
-			c.order(client, address, id)
-		} else {
+		switch lookup := id[len(id)-1]%3 == 0; {
+		case r.Intn(3) > 0:
 			c.stream(client, address, id)
+		case lookup:
+			c.order(client, address, "lookup", id)
+		default:
+			c.order(client, address, "order", id)
 		}
 		time.Sleep(time.Duration(r.Intn(30)) * time.Millisecond)
 	}
 }
 
 // send sends a request. Closing the body of the response ends its context.
-func (c *callers) send(client *http.Client, address, path, id string) (*http.Response, error) {
-	c.recordSent(address, id)
+func (c *callers) send(client *http.Client, address string, x call) (*http.Response, error) {
+	c.recordSent(address, x.id)
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeoutMs*time.Millisecond)
-	rq, err := http.NewRequestWithContext(ctx, "POST", "http://"+address+path, strings.NewReader("body"))
+	rq, err := http.NewRequestWithContext(ctx, "POST", "http://"+address+x.path, strings.NewReader(x.body))
 	if err != nil {
 		cancel()
 		return nil, err
 	}
 	rq.Host = "h"
-	rq.Header.Set(idHeader, id)
+	rq.Header.Set(idHeader, x.id)
+	if x.parts != "" {
+		rq.Header.Set("X-Cranberrybay-Prefix-Hash", x.parts)
+	}
 	rq.Header.Set("X-Cranberrybay-Deadline-Ms", strconv.Itoa(callTimeoutMs))
 	rq.Header.Set("X-Cranberrybay-Token-Usage", "100,50")
 	rq.Header.Set("Authorization", "Bearer "+*c.key.Load())
@@ -139,12 +160,16 @@
 	}
 }
 
-// order sends an order and checks its answer. A refused order is recorded, since it
+// order sends an order or a lookup and checks its answer. A refused one is recorded, since it
 // must not have been executed.
-func (c *callers) order(client *http.Client, address, id string) {
-	rs, err := c.send(client, address, "/desk/", id)
+func (c *callers) order(client *http.Client, address, kind, id string) {
+	path := orderPath
+	if kind == "lookup" {
+		path = lookupPath
+	}
+	rs, err := c.send(client, address, call{path: path, id: id, body: soundBody})
 	if err != nil {
-		c.countOutcome("order", id, "no answer")
+		c.countOutcome(kind, id, "no answer")
 		return
 	}
 	defer func() { _ = rs.Body.Close() }()
@@ -155,23 +180,23 @@
 		c.refused = append(c.refused, id)
 		c.mu.Unlock()
 		if rs.Header.Get("Retry-After") == "" {
-			c.addViolation("order %s was refused without Retry-After", id)
+			c.addViolation("%s %s was refused without Retry-After", kind, id)
 		}
-		c.countOutcome("order", id, "refused")
+		c.countOutcome(kind, id, "refused")
 	case rs.StatusCode == http.StatusOK && err == nil:
 		if string(body) != "booked "+id {
-			c.addViolation("order %s was answered %q", id, body)
+			c.addViolation("%s %s was answered %q", kind, id, body)
 		}
-		c.countOutcome("order", id, "served")
+		c.countOutcome(kind, id, "served")
 	default:
-		c.countOutcome("order", id, strconv.Itoa(rs.StatusCode))
+		c.countOutcome(kind, id, strconv.Itoa(rs.StatusCode))
 	}
 }
 
 // stream sends a streaming request and checks that the events are its own, are
 // numbered without gaps or repetitions, and are complete if the stream ends as such.
 func (c *callers) stream(client *http.Client, address, id string) {
-	rs, err := c.send(client, address, "/llm/", id)
+	rs, err := c.send(client, address, call{path: streamPath, id: id, body: soundBody, parts: promptParts(id)})
 	if err != nil {
 		c.countOutcome("stream", id, "no answer")
 		return
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -30,7 +30,7 @@
 	c.key.Store(&key)
 	address := strings.TrimPrefix(s.URL, "http://")
 	if kind == "order" {
-		c.order(http.DefaultClient, address, "r0000001")
+		c.order(http.DefaultClient, address, kind, "r0000001")
 	} else {
 		c.stream(http.DefaultClient, address, "r0000001")
 	}
--- a/soak/drill_test.go
+++ b/soak/drill_test.go
@@ -131,12 +131,12 @@
 	run.configMu.Lock()
 	run.store.put("op", "config", run.config)
 	run.configMu.Unlock()
-	var gone []string
+	var gone []*backend
 	run.servers.mu.Lock()
 	for _, b := range run.servers.byAddress {
 		switch {
 		case b.dead:
-			gone = append(gone, b.id)
+			gone = append(gone, b)
 		case time.Now().Before(b.silentUntil):
 			time.AfterFunc(time.Until(b.silentUntil), func() { run.servers.registerAgain(b) })
 		case b.drainAcked.IsZero():
@@ -147,8 +147,8 @@
 	}
 	run.servers.mu.Unlock()
 	time.Sleep(entryLifetime)
-	for _, id := range gone {
-		run.store.put("servers", id, nil)
+	for _, b := range gone {
+		run.servers.unregister(b)
 	}
 }
 
--- a/soak/link_test.go
+++ b/soak/link_test.go
@@ -36,9 +36,16 @@
 	conns map[*net.TCPConn]struct{}
 }
 
-func newLink(t *testing.T, target string) *link {
+// anyAddress lets the kernel choose a loopback address to listen on.
+const anyAddress = "127.0.0.1:0"
+
+// newLink returns a link that listens on an address, or on another one if that is taken.
+func newLink(t *testing.T, address, target string) *link {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		ln, err = net.Listen("tcp", anyAddress)
+	}
 	assert.NilError(t, err)
 	l := &link{listener: ln, target: target, conns: map[*net.TCPConn]struct{}{}}
 	go l.serve()
@@ -182,7 +189,7 @@
 			}()
 		}
 	}()
-	l := newLink(t, ln.Addr().String())
+	l := newLink(t, anyAddress, ln.Addr().String())
 	defer l.close()
 	for f, want := range map[linkFault]struct{ arrives, answered bool }{
 		linkHealthy: {true, true}, linkDelayed: {true, true}, linkReset: {false, false}, linkOneWay: {true, false}, linkSilent: {false, false},
--- a/soak/server_test.go
+++ b/soak/server_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand"
 	"net"
 	"net/http"
 	"strconv"
@@ -35,6 +36,10 @@
 	byAddress  map[string]*backend
 	runs       map[string]int // executions of orders, by request ID
 	requests   map[string]*request
+	deadly     map[string]*deadlyRequest // by path and body
+	rand       *rand.Rand                // decides how servers come back
+	restarts   int
+	ended      bool // no server is started any more
 	violations []string
 }
 
@@ -61,7 +66,7 @@
 }
 
 func newServers(t *testing.T, s *store) *servers {
-	return &servers{t: t, store: s, byAddress: map[string]*backend{}, runs: map[string]int{}, requests: map[string]*request{}}
+	return &servers{t: t, store: s, byAddress: map[string]*backend{}, runs: map[string]int{}, requests: map[string]*request{}, deadly: map[string]*deadlyRequest{}, rand: rand.New(rand.NewSource(1))}
 }
 
 // addViolation records a violation of a guarantee. The caller holds v.mu.
@@ -71,9 +76,14 @@
 
 // start starts a backend server and registers it.
 func (v *servers) start(name, zone, service string) *backend {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	return v.startAt(anyAddress, name, zone, service)
+}
+
+// startAt starts a backend server at an address, or at another one if that is taken, and registers it.
+func (v *servers) startAt(address, name, zone, service string) *backend {
+	ln, err := net.Listen("tcp", anyAddress)
 	assert.NilError(v.t, err)
-	l := newLink(v.t, ln.Addr().String())
+	l := newLink(v.t, address, ln.Addr().String())
 	b := &backend{id: name, address: l.address(), zone: zone, service: service, startedMs: time.Now().UnixMilli(), link: l, streams: map[string]*stream{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /-/report", func(w http.ResponseWriter, r *http.Request) { v.serveReport(b, w, r) })
@@ -106,13 +116,20 @@
 
 // crash stops a server without notice. Its entry is removed one second later.
 func (v *servers) crash(b *backend) {
+	v.kill(b)
+	time.AfterFunc(time.Second, func() { v.store.put("servers", b.id, nil) })
+}
+
+// kill stops a server without notice, and reports whether it was alive.
+func (v *servers) kill(b *backend) bool {
 	v.mu.Lock()
+	alive := !b.dead
 	b.dead = true
 	v.mu.Unlock()
 	v.recordTrouble(b, forever)
 	_ = b.server.Close()
 	b.link.close()
-	time.AfterFunc(time.Second, func() { v.store.put("servers", b.id, nil) })
+	return alive
 }
 
 // drain announces that a server leaves and stops it drainTime + 2 s later.
@@ -241,7 +258,11 @@
 
 // serve serves one request to a backend server, with the fault that is set.
 func (v *servers) serve(b *backend, w http.ResponseWriter, r *http.Request) {
-	_, _ = io.Copy(io.Discard, r.Body)
+	body, _ := io.ReadAll(r.Body)
+	v.mu.Lock()
+	deadly := v.deadly[r.URL.Path+string(body)]
+	deadly.recordArrival(v.requests[r.Header.Get(idHeader)], time.Now())
+	v.mu.Unlock()
 	if r.Header.Get("X-Cranberrybay-Target-Instance") != b.id {
 		w.Header().Set("X-Cranberrybay-Instance-Id", b.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -260,7 +281,7 @@
 	case endlessHead, endlessBody, endlessDrip:
 		v.mu.Lock()
 		v.recordTaken(b, r.Header.Get(idHeader), "")
-		if b.service == "desk" {
+		if r.URL.Path == orderPath {
 			v.runs[r.Header.Get(idHeader)]++
 		}
 		v.mu.Unlock()
@@ -271,18 +292,21 @@
 		v.mu.Lock()
 		v.recordTaken(b, r.Header.Get(idHeader), "")
 		v.mu.Unlock()
-		v.serveOrder(b, w, r, fail)
+		v.serveOrder(b, w, r, fail, deadly)
 		return
 	}
-	v.serveStream(b, w, r)
+	v.serveStream(b, w, r, deadly)
 }
 
-// serveOrder executes an order and counts the execution.
-func (v *servers) serveOrder(b *backend, w http.ResponseWriter, r *http.Request, fail string) {
+// serveOrder executes an order or a lookup, and counts the executions of orders.
+func (v *servers) serveOrder(b *backend, w http.ResponseWriter, r *http.Request, fail string, deadly *deadlyRequest) {
 	v.awaitEndOfSilence(b)
-	v.mu.Lock()
-	v.runs[r.Header.Get(idHeader)]++
-	v.mu.Unlock()
+	if r.URL.Path == orderPath {
+		v.mu.Lock()
+		v.runs[r.Header.Get(idHeader)]++
+		v.mu.Unlock()
+	}
+	v.crashUnder(deadly, b, 0)
 	time.Sleep(10 * time.Millisecond)
 	v.awaitEndOfSilence(b)
 	if fail == "lose" {
@@ -326,7 +350,7 @@
 const stallTimeout = 3 * time.Second
 
 // serveStream sends events until the answer is complete or an engine of the path is dead for stallTimeout.
-func (v *servers) serveStream(b *backend, w http.ResponseWriter, r *http.Request) {
+func (v *servers) serveStream(b *backend, w http.ResponseWriter, r *http.Request, deadly *deadlyRequest) {
 	id, s := r.Header.Get(idHeader), &stream{path: r.Header.Get("X-Cranberrybay-Hop-Count")}
 	v.mu.Lock()
 	missing := v.checkPath(b, id, s.path)
@@ -352,6 +376,7 @@
 			case <-time.After(eventInterval):
 			}
 		}
+		v.crashUnder(deadly, b, n-1)
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, id)
 		if http.NewResponseController(w).Flush() != nil {
 			return
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -14,6 +14,7 @@
 	"math/rand"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -55,6 +56,7 @@
 	extraRand    *rand.Rand // faults of extra_faults_test.go; a source of its own for the same reason
 	drillRand    *rand.Rand // faults of drill_test.go; a source of its own for the same reason
 	silenceRand  *rand.Rand // faults of silence_test.go; a source of its own for the same reason
+	deadlyRand   *rand.Rand // faults of deadly_test.go
 	store        *store
 	servers      *servers
 	callers      *callers
@@ -103,8 +105,9 @@
 		dir = filepath.Join(*keepFlag, t.Name())
 		assert.NilError(t, os.MkdirAll(dir, 0o750))
 	}
-	run := &soakRun{t: t, rand: rand.New(rand.NewSource(seed)), linkRand: rand.New(rand.NewSource(-seed)), extraRand: rand.New(rand.NewSource(^seed << 1)), drillRand: rand.New(rand.NewSource(^seed<<1 + 1)), silenceRand: rand.New(rand.NewSource(seed*31 + 1)), store: newStore(t)}
+	run := &soakRun{t: t, rand: rand.New(rand.NewSource(seed)), linkRand: rand.New(rand.NewSource(-seed)), extraRand: rand.New(rand.NewSource(^seed << 1)), drillRand: rand.New(rand.NewSource(^seed<<1 + 1)), silenceRand: rand.New(rand.NewSource(seed*31 + 1)), deadlyRand: rand.New(rand.NewSource(seed*31 + 2)), store: newStore(t)}
 	run.servers = newServers(t, run.store)
+	run.servers.rand = rand.New(rand.NewSource(seed*31 + 3))
 	run.configure(shopKey)
 	for i := range engineCount {
 		run.servers.start(fmt.Sprintf("e%d", i), zone(i), "llm")
@@ -169,17 +172,17 @@
 // configure writes the next version of the configuration, with the given API keys.
 func (run *soakRun) configure(keys ...string) {
 	run.version++
-	route := func(name, kind string, timeout int) map[string]any {
+	route := func(path, service, kind string, timeout time.Duration) map[string]any {
 		return map[string]any{
-			"name": name, "host": "h", "pathPrefix": "/" + name + "/", "kind": kind, "timeoutMs": timeout, "targetLatencyMs": 500,
-			"targetGapMs": 200, "priority": 1, "service": name, "maxAttempts": 2, "resumable": kind == "streaming",
+			"name": strings.Trim(path, "/"), "host": "h", "pathPrefix": path, "kind": kind, "timeoutMs": timeout.Milliseconds(), "targetLatencyMs": 500,
+			"targetGapMs": 200, "priority": 1, "service": service, "maxAttempts": 2, "resumable": kind == "streaming",
 		}
 	}
 	run.configMu.Lock()
 	defer run.configMu.Unlock()
 	run.config = map[string]any{
 		"version": run.version,
-		"routes":  []any{route("llm", "streaming", 10000), route("desk", "non_idempotent", 2000)},
+		"routes":  []any{route(streamPath, "llm", "streaming", 10*time.Second), route(orderPath, "desk", "non_idempotent", deskTimeout), route(lookupPath, "desk", "idempotent", deskTimeout)},
 		"services": []any{
 			map[string]any{"name": "desk"},
 			map[string]any{"name": "llm", "engine": map[string]any{
@@ -321,6 +324,7 @@
 func (run *soakRun) checkGuarantees() {
 	run.servers.mu.Lock()
 	defer run.servers.mu.Unlock()
+	run.servers.ended = true
 	for id, n := range run.servers.runs {
 		if n > 1 {
 			run.servers.addViolation("order %s was executed %d times", id, n)
@@ -332,6 +336,7 @@
 		}
 	}
 	run.servers.checkEndings()
+	run.servers.checkDeadly()
 	for _, text := range append(run.servers.violations, run.callers.violations...) {
 		run.t.Error(text)
 	}
