soak: rows of the registry that no server wrote

What callers saw: entry processes end by themselves when the registry holds an entry with a range of layers that no engine can hold. The soak wrote only entries of its own servers.

Change: another writer changes eight rows of the registry about every 30 ms: bytes that are no entry, deep nesting, numbers that are too large, wrong types, ports out of range, layers from minus to plus a billion, half of them under the address of a sound server. They come in half of the mixed runs, and in a plan of their own in which all servers of a service are replaced by new ones again and again. A process that ends by itself, or that serves no order 3 s after such a replacement, is a violation; that no requests go on to the replaced servers is checked as before. Requests on a process that ended by itself count once, as its end.

Evidence: TestFollowingCheckFails gives the check of new servers a process that serves none, TestOwnEndIsNoticed one that ends.

--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -29,7 +29,7 @@
 	done chan struct{} // closed when cmd has exited
 	// disturbedAt is the time of the last start or signal.
 	disturbedAt time.Time
-	breaks      []time.Time // starts and signals other than SIGTERM
+	breaks      []time.Time // starts, ends and signals other than SIGTERM
 	stopAt      time.Time   // when the last SIGTERM was sent; zero if the process was started since
 	ending      bool        // SIGTERM or SIGKILL was sent to cmd
 }
@@ -114,6 +114,7 @@
 		_ = f.Close()
 		p.mu.Lock()
 		ending := p.ending
+		p.breaks = append(p.breaks, time.Now())
 		p.mu.Unlock()
 		if !ending {
 			p.onOwnEnd()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -57,6 +57,7 @@
 	drillRand    *rand.Rand // faults of drill_test.go; a source of its own for the same reason
 	silenceRand  *rand.Rand // faults of silence_test.go; a source of its own for the same reason
 	deadlyRand   *rand.Rand // faults of deadly_test.go
+	oddRand      *rand.Rand // rows of odd_rows_test.go
 	store        *store
 	servers      *servers
 	callers      *callers
@@ -105,7 +106,7 @@
 		dir = filepath.Join(*keepFlag, t.Name())
 		assert.NilError(t, os.MkdirAll(dir, 0o750))
 	}
-	run := &soakRun{t: t, rand: rand.New(rand.NewSource(seed)), linkRand: rand.New(rand.NewSource(-seed)), extraRand: rand.New(rand.NewSource(^seed << 1)), drillRand: rand.New(rand.NewSource(^seed<<1 + 1)), silenceRand: rand.New(rand.NewSource(seed*31 + 1)), deadlyRand: rand.New(rand.NewSource(seed*31 + 2)), store: newStore(t)}
+	run := &soakRun{t: t, rand: rand.New(rand.NewSource(seed)), linkRand: rand.New(rand.NewSource(-seed)), extraRand: rand.New(rand.NewSource(^seed << 1)), drillRand: rand.New(rand.NewSource(^seed<<1 + 1)), silenceRand: rand.New(rand.NewSource(seed*31 + 1)), deadlyRand: rand.New(rand.NewSource(seed*31 + 2)), oddRand: rand.New(rand.NewSource(seed*31 + 4)), store: newStore(t)}
 	run.servers = newServers(t, run.store)
 	run.servers.rand = rand.New(rand.NewSource(seed*31 + 3))
 	run.configure(shopKey)
@@ -156,6 +157,9 @@
 
 // mixedFaults injects faults of all kinds, which overlap.
 func (run *soakRun) mixedFaults() {
+	if run.oddRand.Intn(2) == 0 {
+		defer run.startOddRows()()
+	}
 	for range faultRounds {
 		run.injectFault()
 		run.injectLinkFault()
--- a/soak/store_test.go
+++ b/soak/store_test.go
@@ -124,10 +124,18 @@
 // put writes a row, or deletes it if value is nil, as a writer of the platform would.
 // It bypasses faults and returns the time of the acknowledgement and the row's version.
 func (s *store) put(table, key string, value any) (time.Time, uint64) {
+	if value == nil {
+		return s.putRaw(table, key, nil)
+	}
 	raw, _ := json.Marshal(value)
+	return s.putRaw(table, key, raw)
+}
+
+// putRaw is put with a value that is encoded already.
+func (s *store) putRaw(table, key string, raw []byte) (time.Time, uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.write(row{Table: table, Key: key, Value: raw, Deleted: value == nil})
+	s.write(row{Table: table, Key: key, Value: raw, Deleted: raw == nil})
 	return time.Now(), s.version
 }
 
