soak: connections that end without an answer

What callers saw: an entry process closes the connection of a request that it has read and sends no answer. The soak counted such requests, but checked only those that had reached a server.

Change: a connection that ends without an answer is a violation if its process was neither stopping nor killed, paused or started in the second before. Connections that were refused are counted apart. A run lists at most 40 violations.

Evidence: TestEndingCheckFails gives the check a closed connection.

--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand"
@@ -12,6 +13,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -140,6 +142,17 @@
 	return rs, nil
 }
 
+// noAnswer is the outcome of a request whose connection ended without an answer.
+const noAnswer = "no answer"
+
+// sendOutcome returns the outcome of a request that could not be sent, or got no answer.
+func sendOutcome(err error) string {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return "not connected"
+	}
+	return noAnswer
+}
+
 // cancelOnClose is a response body that cancels the context of its request on Close.
 type cancelOnClose struct {
 	io.ReadCloser
@@ -169,7 +182,7 @@
 	}
 	rs, err := c.send(client, address, call{path: path, id: id, body: soundBody})
 	if err != nil {
-		c.countOutcome(kind, id, "no answer")
+		c.countOutcome(kind, id, sendOutcome(err))
 		return
 	}
 	defer func() { _ = rs.Body.Close() }()
@@ -198,7 +211,7 @@
 func (c *callers) stream(client *http.Client, address, id string) {
 	rs, err := c.send(client, address, call{path: streamPath, id: id, body: soundBody, parts: promptParts(id)})
 	if err != nil {
-		c.countOutcome("stream", id, "no answer")
+		c.countOutcome("stream", id, sendOutcome(err))
 		return
 	}
 	defer func() { _ = rs.Body.Close() }()
--- a/soak/odd_rows_test.go
+++ b/soak/odd_rows_test.go
@@ -136,7 +136,7 @@
 func (c *callers) checkFollowing(processes []*process) {
 	client := &http.Client{Timeout: deskTimeout + timingSlack}
 	for _, p := range processes {
-		if p.wait(0) {
+		if p.wait(time.Millisecond) {
 			continue
 		}
 		status := ""
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -48,6 +48,13 @@
 	return slices.ContainsFunc(p.breaks, func(at time.Time) bool { return at.After(from) && at.Before(to) })
 }
 
+// stopping reports whether the process was told to stop and not started since.
+func (p *process) stopping() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.stopAt.IsZero()
+}
+
 // build builds cranberrybay and returns the path of the binary.
 func build(t *testing.T) string {
 	t.Helper()
--- a/soak/silence_test.go
+++ b/soak/silence_test.go
@@ -31,6 +31,7 @@
 	outcome string     // as callers count it; "" while there is none
 	endedAt time.Time
 	limit   time.Duration // after which the answer may end
+	closing bool          // the process was stopping at the end, and closes connections
 }
 
 // recordTrouble records that a server has a fault other than silence for the given time.
@@ -137,13 +138,22 @@
 	if kind != "stream" {
 		r.limit = deskTimeout
 	}
+	r.closing = r.sender != nil && r.sender.stopping()
 }
 
 // checkEndings records a violation for each answer that ended early although all servers that had the
-// request were sound, or only silent. The caller holds v.mu.
+// request were sound, or only silent, and for each connection that an undisturbed process closed without an
+// answer. The caller holds v.mu.
 func (v *servers) checkEndings() {
 	for id, r := range v.requests {
-		if r.outcome == "" || r.outcome == "served" || len(r.taken) == 0 || r.endedAt.Sub(r.sentAt) >= r.limit {
+		if r.outcome == "" || r.outcome == "served" || r.endedAt.Sub(r.sentAt) >= r.limit {
+			continue
+		}
+		if len(r.taken) == 0 {
+			// A connection may still seem to be open for a moment after its process was killed.
+			if r.outcome == noAnswer && !r.closing && !r.sender.excuses(r.sentAt.Add(-timingSlack), r.endedAt) {
+				v.addViolation("the connection of request %s was closed without an answer after %v by %s", id, r.endedAt.Sub(r.sentAt), r.sender.name)
+			}
 			continue
 		}
 		sound := r.sender == nil || !r.sender.excuses(r.sentAt, r.endedAt)
@@ -212,9 +222,11 @@
 	checkViolation(t, check(func(_ *request, b *backend) {
 		b.troubles = []span{{now.Add(-time.Hour), now.Add(-time.Minute)}, {now.Add(time.Second), now.Add(time.Minute)}}
 	}), `request r1 was answered "cut"`)
+	checkViolation(t, check(func(r *request, _ *backend) { r.taken, r.outcome = nil, noAnswer }), "closed without an answer")
 	for name, change := range map[string]func(r *request, b *backend){
 		"complete answer":        func(r *request, _ *backend) { r.outcome = "served" },
 		"no server had it":       func(r *request, _ *backend) { r.taken = nil },
+		"process was stopping":   func(r *request, _ *backend) { r.taken, r.outcome, r.closing = nil, noAnswer, true },
 		"timeout of the route":   func(r *request, _ *backend) { r.sentAt = now.Add(-deskTimeout) },
 		"crash of the server":    func(_ *request, b *backend) { b.troubles = []span{{now.Add(-time.Millisecond), now.Add(forever)}} },
 		"process was killed":     func(r *request, _ *backend) { r.sender.breaks = []time.Time{now.Add(-time.Millisecond)} },
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -45,6 +45,7 @@
 	deskCount    = 2
 	clientCount  = 12
 	faultRounds  = 6
+	maxListed    = 40 // violations that a run lists
 )
 
 // soakRun is one run of the test. Its seed determines the plan of the faults, so the
@@ -341,8 +342,12 @@
 	}
 	run.servers.checkEndings()
 	run.servers.checkDeadly()
-	for _, text := range append(run.servers.violations, run.callers.violations...) {
+	violations := append(run.servers.violations, run.callers.violations...)
+	for _, text := range violations[:min(len(violations), maxListed)] {
 		run.t.Error(text)
 	}
+	if more := len(violations) - maxListed; more > 0 {
+		run.t.Errorf("and %d more violations", more)
+	}
 	run.t.Logf("served %v, not served %v", run.callers.served, run.callers.failed)
 }
