soak: servers that repeat an earlier refusal, and error texts in streams

What callers saw: a request is answered 503, which states that it did not run and will not run, although a server ran it. Its server had sent an earlier refusal of the same connection once more before the answer. The soak had no such servers, checked refusals of orders only, and ignored lines of a stream that are no event.

Change: for a while all servers of a service refuse every other stream or lookup, and the link in front of each repeats the last refusal of a connection before the next answer 200 on it, with the ID of the earlier request or without one. Or all engines answer resumed streams with an error text: as a 500, as a complete answer, or as an event stream. This happens in mixed runs and in a plan of its own, beside engines that crash or lose their connections. A request of any kind that was answered 503, 429, 408 or 421 and that a server began to run is a violation, and so is any line of a stream that is no part of its events. The former check of orders is part of the new one.

Evidence: TestRefusalCheckFails and TestCallerChecksFail give the checks the faults that they must detect, TestLinkRepeatsRefusals shows what the link repeats.

--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -47,7 +48,6 @@
 
 	mu         sync.Mutex
 	addresses  []string // caller addresses of entry processes, from the last resolve
-	refused    []string // IDs of orders that were answered as not run
 	served     map[string]int
 	failed     map[string]int
 	violations []string
@@ -173,8 +173,7 @@
 	}
 }
 
-// order sends an order or a lookup and checks its answer. A refused one is recorded, since it
-// must not have been executed.
+// order sends an order or a lookup and checks its answer.
 func (c *callers) order(client *http.Client, address, kind, id string) {
 	path := orderPath
 	if kind == "lookup" {
@@ -186,12 +185,10 @@
 		return
 	}
 	defer func() { _ = rs.Body.Close() }()
+	c.recordStatus(id, rs.StatusCode)
 	body, err := io.ReadAll(rs.Body)
 	switch {
 	case rs.StatusCode == http.StatusServiceUnavailable || rs.StatusCode == http.StatusTooManyRequests:
-		c.mu.Lock()
-		c.refused = append(c.refused, id)
-		c.mu.Unlock()
 		if rs.Header.Get("Retry-After") == "" {
 			c.addViolation("%s %s was refused without Retry-After", kind, id)
 		}
@@ -207,7 +204,8 @@
 }
 
 // stream sends a streaming request and checks that the events are its own, are
-// numbered without gaps or repetitions, and are complete if the stream ends as such.
+// numbered without gaps or repetitions, are complete if the stream ends as such, and that
+// there are no other bytes.
 func (c *callers) stream(client *http.Client, address, id string) {
 	rs, err := c.send(client, address, call{path: streamPath, id: id, body: soundBody, parts: promptParts(id)})
 	if err != nil {
@@ -215,14 +213,18 @@
 		return
 	}
 	defer func() { _ = rs.Body.Close() }()
+	c.recordStatus(id, rs.StatusCode)
 	if rs.StatusCode != http.StatusOK {
 		c.countOutcome("stream", id, strconv.Itoa(rs.StatusCode))
 		return
 	}
-	want := 1
+	want, other, tail := 1, "", ""
 	scan := bufio.NewScanner(rs.Body)
 	for scan.Scan() {
 		line := scan.Text()
+		if other = cmp.Or(other, tail); line != "" && !strings.HasPrefix(line, "id: ") && !strings.HasPrefix(line, "data: ") {
+			tail = line // a line that the end of the connection cut is no violation
+		}
 		if text, ok := strings.CutPrefix(line, "id: "); ok {
 			if n, err := strconv.Atoi(text); err != nil || n != want {
 				c.addViolation("stream %s: event %s after %d", id, text, want-1)
@@ -235,6 +237,12 @@
 			return
 		}
 	}
+	if scan.Err() == nil {
+		other = cmp.Or(other, tail)
+	}
+	if other != "" {
+		c.addViolation("stream %s received other bytes than events: %q", id, other)
+	}
 	if scan.Err() != nil {
 		c.countOutcome("stream", id, "cut")
 		return
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -22,17 +22,23 @@
 // violationsOf sends one request of the callers to a server with the given handler and
 // returns the violations that they recorded.
 func violationsOf(t *testing.T, kind string, h http.HandlerFunc) []string {
+	t.Helper()
+	return violationsOn(t, newServers(t, nil), kind, h)
+}
+
+// violationsOn is violationsOf with the records of the given servers.
+func violationsOn(t *testing.T, v *servers, kind string, h http.HandlerFunc) []string {
 	t.Helper()
 	s := httptest.NewServer(h)
 	defer s.Close()
-	c := &callers{servers: newServers(t, nil), served: map[string]int{}, failed: map[string]int{}}
+	c := &callers{servers: v, served: map[string]int{}, failed: map[string]int{}}
 	key := shopKey
 	c.key.Store(&key)
 	address := strings.TrimPrefix(s.URL, "http://")
-	if kind == "order" {
-		c.order(http.DefaultClient, address, kind, "r0000001")
-	} else {
+	if kind == "stream" {
 		c.stream(http.DefaultClient, address, "r0000001")
+	} else {
+		c.order(http.DefaultClient, address, kind, "r0000001")
 	}
 	return c.violations
 }
@@ -51,6 +57,14 @@
 	checkViolation(t, violationsOf(t, "stream", func(w http.ResponseWriter, _ *http.Request) { sendEvents(w, "r0000001", 1, 1) }), "event 1 after 1")
 	checkViolation(t, violationsOf(t, "stream", func(w http.ResponseWriter, _ *http.Request) { sendEvents(w, "r0000002", 1) }), "an event of r0000002")
 	checkViolation(t, violationsOf(t, "stream", func(w http.ResponseWriter, _ *http.Request) { sendEvents(w, "r0000001", 1, 2) }), "as complete after 2")
+	checkViolation(t, violationsOf(t, "stream", func(w http.ResponseWriter, _ *http.Request) {
+		sendEvents(w, "r0000001", 1)
+		_, _ = io.WriteString(w, "error: gone\n\n")
+		_ = http.NewResponseController(w).Flush()
+		sendEvents(w, "r0000001", 2)
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}), "other bytes than events")
 	checkViolation(t, violationsOf(t, "order", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "booked r0000002") }), "was answered")
 	checkViolation(t, violationsOf(t, "order", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }), "without Retry-After")
 }
--- a/soak/link_test.go
+++ b/soak/link_test.go
@@ -31,9 +31,10 @@
 	listener net.Listener
 	target   string
 
-	mu    sync.Mutex
-	fault linkFault
-	conns map[*net.TCPConn]struct{}
+	mu     sync.Mutex
+	fault  linkFault
+	repeat repeatMode
+	conns  map[*net.TCPConn]struct{}
 }
 
 // anyAddress lets the kernel choose a loopback address to listen on.
@@ -64,10 +65,10 @@
 	}
 }
 
-func (l *link) state() linkFault {
+func (l *link) state() (linkFault, repeatMode) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.fault
+	return l.fault, l.repeat
 }
 
 // set changes the fault. It resets the connections of a fault that dropped bytes.
@@ -126,19 +127,19 @@
 	l.track(client, server)
 	defer l.untrack(client, server)
 	var copies sync.WaitGroup
-	copies.Go(func() { l.forward(server, client, linkSilent) })
-	copies.Go(func() { l.forward(client, server, linkOneWay, linkSilent) })
+	copies.Go(func() { l.forward(server, client, nil, linkSilent) })
+	copies.Go(func() { l.forward(client, server, &refusalRepeater{}, linkOneWay, linkSilent) })
 	copies.Wait()
 }
 
 // forward copies bytes until one side ends. After one of the faults in dropWhen was
-// seen, it drops them.
-func (l *link) forward(to, from *net.TCPConn, dropWhen ...linkFault) {
+// seen, it drops them. repeater is nil for the bytes of requests.
+func (l *link) forward(to, from *net.TCPConn, repeater *refusalRepeater, dropWhen ...linkFault) {
 	buf := make([]byte, 4<<10)
 	dropping := false
 	for {
 		n, err := from.Read(buf)
-		fault := l.state()
+		fault, repeat := l.state()
 		for _, f := range dropWhen {
 			dropping = dropping || fault == f
 		}
@@ -153,7 +154,11 @@
 			if fault == linkDelayed {
 				time.Sleep(linkDelay)
 			}
-			if _, werr := to.Write(buf[:n]); werr != nil {
+			out := buf[:n]
+			if repeater != nil {
+				out = repeater.edit(repeat, out)
+			}
+			if _, werr := to.Write(out); werr != nil {
 				return
 			}
 		}
--- a/soak/server_test.go
+++ b/soak/server_test.go
@@ -60,6 +60,7 @@
 	failMode             string    // fault of the next answers: "", "refuse", "lose" or an endless answer
 	entries              int       // written to the registry
 	rate                 namedRate
+	refusals             int // of the faults refuseSome and resumedText
 	silentUntil          time.Time
 	troubles             []span             // times in which it had a fault other than silence
 	streams              map[string]*stream // running streams that it is the first engine of, by request ID
@@ -273,6 +274,9 @@
 	v.checkRequest(b, r)
 	v.checkRate(b, w)
 	fail := b.failMode
+	if fail == refuseSome && r.URL.Path != orderPath && b.refusesNow() {
+		fail = "refuse"
+	}
 	v.mu.Unlock()
 	switch fail {
 	case "refuse":
@@ -281,6 +285,7 @@
 	case endlessHead, endlessBody, endlessDrip:
 		v.mu.Lock()
 		v.recordTaken(b, r.Header.Get(idHeader), "")
+		v.recordRun(b, r.Header.Get(idHeader))
 		if r.URL.Path == orderPath {
 			v.runs[r.Header.Get(idHeader)]++
 		}
@@ -288,6 +293,10 @@
 		v.sendEndless(b, w, r.Header.Get(idHeader), fail)
 		return
 	}
+	if fail == resumedText && r.Header.Get("Last-Event-Id") != "" {
+		v.answerResumedWithText(b, w)
+		return
+	}
 	if b.service == "desk" {
 		v.mu.Lock()
 		v.recordTaken(b, r.Header.Get(idHeader), "")
@@ -301,11 +310,12 @@
 // serveOrder executes an order or a lookup, and counts the executions of orders.
 func (v *servers) serveOrder(b *backend, w http.ResponseWriter, r *http.Request, fail string, deadly *deadlyRequest) {
 	v.awaitEndOfSilence(b)
+	v.mu.Lock()
+	v.recordRun(b, r.Header.Get(idHeader))
 	if r.URL.Path == orderPath {
-		v.mu.Lock()
 		v.runs[r.Header.Get(idHeader)]++
-		v.mu.Unlock()
 	}
+	v.mu.Unlock()
 	v.crashUnder(deadly, b, 0)
 	time.Sleep(10 * time.Millisecond)
 	v.awaitEndOfSilence(b)
@@ -368,6 +378,11 @@
 	w.Header().Set("X-Cranberrybay-Server-Signature", "engine")
 	w.Header().Set("Content-Type", "text/event-stream")
 	for n := last + 1; n <= eventCount(id); n++ {
+		if n == last+2 { // the first event is out
+			v.mu.Lock()
+			v.recordRun(b, id)
+			v.mu.Unlock()
+		}
 		time.Sleep(eventInterval)
 		for v.updateWait(b, id, s) {
 			select {
--- a/soak/silence_test.go
+++ b/soak/silence_test.go
@@ -32,6 +32,8 @@
 	endedAt time.Time
 	limit   time.Duration // after which the answer may end
 	closing bool          // the process was stopping at the end, and closes connections
+	refused bool          // the caller was told that it did not run and will not run
+	ranAt   []string      // IDs of servers that began to run it
 }
 
 // recordTrouble records that a server has a fault other than silence for the given time.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -59,6 +59,7 @@
 	silenceRand  *rand.Rand // faults of silence_test.go; a source of its own for the same reason
 	deadlyRand   *rand.Rand // faults of deadly_test.go
 	oddRand      *rand.Rand // rows of odd_rows_test.go
+	refusalRand  *rand.Rand // faults of refusals_test.go
 	store        *store
 	servers      *servers
 	callers      *callers
@@ -107,7 +108,7 @@
 		dir = filepath.Join(*keepFlag, t.Name())
 		assert.NilError(t, os.MkdirAll(dir, 0o750))
 	}
-	run := &soakRun{t: t, rand: rand.New(rand.NewSource(seed)), linkRand: rand.New(rand.NewSource(-seed)), extraRand: rand.New(rand.NewSource(^seed << 1)), drillRand: rand.New(rand.NewSource(^seed<<1 + 1)), silenceRand: rand.New(rand.NewSource(seed*31 + 1)), deadlyRand: rand.New(rand.NewSource(seed*31 + 2)), oddRand: rand.New(rand.NewSource(seed*31 + 4)), store: newStore(t)}
+	run := &soakRun{t: t, rand: rand.New(rand.NewSource(seed)), linkRand: rand.New(rand.NewSource(-seed)), extraRand: rand.New(rand.NewSource(^seed << 1)), drillRand: rand.New(rand.NewSource(^seed<<1 + 1)), silenceRand: rand.New(rand.NewSource(seed*31 + 1)), deadlyRand: rand.New(rand.NewSource(seed*31 + 2)), oddRand: rand.New(rand.NewSource(seed*31 + 4)), refusalRand: rand.New(rand.NewSource(seed*31 + 5)), store: newStore(t)}
 	run.servers = newServers(t, run.store)
 	run.servers.rand = rand.New(rand.NewSource(seed*31 + 3))
 	run.configure(shopKey)
@@ -167,6 +168,9 @@
 		run.injectExtraFault()
 		run.injectDrill()
 		run.injectSilence(1 + run.silenceRand.Intn(2))
+		if run.refusalRand.Intn(3) == 0 {
+			run.injectRefusals(time.Second)
+		}
 		time.Sleep(time.Duration(500+run.rand.Intn(1500)) * time.Millisecond)
 	}
 }
@@ -335,11 +339,7 @@
 			run.servers.addViolation("order %s was executed %d times", id, n)
 		}
 	}
-	for _, id := range run.callers.refused {
-		if run.servers.runs[id] > 0 {
-			run.servers.addViolation("order %s was answered as not run but was executed", id)
-		}
-	}
+	run.servers.checkRefused()
 	run.servers.checkEndings()
 	run.servers.checkDeadly()
 	violations := append(run.servers.violations, run.callers.violations...)
