soak: servers that say in their answers what they want

Servers may say in every answer that they leave, and may refuse a request with the time for which they want nothing from the process that sent it. The soak had no such servers.

Change: servers say that they leave for 6 s before they announce it in the registry, and single servers or all of a service refuse with a time of 1 to 3 s. A request that its caller sent later than 2 s (and the usual slack) after its process had passed on an answer of a leaving server must not reach that server, and a server gets at most two requests of a process between half a second after such a refusal and the end of its time. A kill, start or pause of the process excuses both, a fault of the server the second. The checks run always; servers behave like this once the constant wishesOff is empty, since the entry processes do not act on these headers yet.

Evidence: TestWishChecksFail gives the checks the faults that they must detect, TestServersSayTheirWishes shows what the servers say.

--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -138,6 +138,7 @@
 		cancel()
 		return nil, err
 	}
+	c.recordLeaving(x.id, rs.Header.Get(signatureHeader))
 	rs.Body = &cancelOnClose{rs.Body, cancel}
 	return rs, nil
 }
--- a/soak/refusals_test.go
+++ b/soak/refusals_test.go
@@ -71,7 +71,7 @@
 	b.refusals++
 	n := b.refusals
 	v.mu.Unlock()
-	w.Header().Set("X-Cranberrybay-Server-Signature", "engine")
+	w.Header().Set(signatureHeader, b.id)
 	w.Header().Set("Content-Type", []string{"text/plain", "text/plain", "text/event-stream"}[n%3])
 	w.WriteHeader([]int{http.StatusInternalServerError, http.StatusOK, http.StatusOK}[n%3])
 	_, _ = io.WriteString(w, "error: the stream is not known here\n\n")
--- a/soak/server_test.go
+++ b/soak/server_test.go
@@ -64,6 +64,7 @@
 	silentUntil          time.Time
 	troubles             []span             // times in which it had a fault other than silence
 	streams              map[string]*stream // running streams that it is the first engine of, by request ID
+	wishes
 }
 
 func newServers(t *testing.T, s *store) *servers {
@@ -90,7 +91,7 @@
 	mux.HandleFunc("GET /-/report", func(w http.ResponseWriter, r *http.Request) { v.serveReport(b, w, r) })
 	mux.HandleFunc("POST /-/order", func(w http.ResponseWriter, r *http.Request) { v.serveEngineOrder(b, w, r) })
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) { v.serve(b, w, r) })
-	b.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	b.server = &http.Server{Handler: v.withWishes(b, mux), ReadHeaderTimeout: time.Second}
 	go func() { _ = b.server.Serve(ln) }()
 	v.mu.Lock()
 	v.byAddress[b.address] = b
@@ -255,42 +256,58 @@
 	}
 }
 
-const idHeader = "X-Cranberrybay-Request-Id"
+const (
+	idHeader        = "X-Cranberrybay-Request-Id"
+	signatureHeader = "X-Cranberrybay-Server-Signature" // holds the ID of the server
+)
 
 // serve serves one request to a backend server, with the fault that is set.
 func (v *servers) serve(b *backend, w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
+	id, meant := r.Header.Get(idHeader), r.Header.Get("X-Cranberrybay-Target-Instance") == b.id
 	v.mu.Lock()
-	deadly := v.deadly[r.URL.Path+string(body)]
-	deadly.recordArrival(v.requests[r.Header.Get(idHeader)], time.Now())
+	deadly, sent := v.deadly[r.URL.Path+string(body)], v.requests[id]
+	deadly.recordArrival(sent, time.Now())
+	if meant {
+		v.checkRequest(b, r)
+		v.checkRate(b, w)
+		v.checkWishes(b, id, sent, time.Now())
+	}
 	v.mu.Unlock()
-	if r.Header.Get("X-Cranberrybay-Target-Instance") != b.id {
+	v.awaitEndOfSilence(b)
+	if !meant {
 		w.Header().Set("X-Cranberrybay-Instance-Id", b.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	w.Header().Set(idHeader, r.Header.Get(idHeader))
+	w.Header().Set(idHeader, id)
 	v.mu.Lock()
-	v.checkRequest(b, r)
-	v.checkRate(b, w)
-	fail := b.failMode
+	dead, fail := b.dead, b.failMode
+	seconds, paused := v.refusesFor(b, sent, time.Now())
 	if fail == refuseSome && r.URL.Path != orderPath && b.refusesNow() {
 		fail = "refuse"
 	}
 	v.mu.Unlock()
+	switch {
+	case dead:
+		panic(http.ErrAbortHandler)
+	case paused:
+		w.Header().Set("Retry-After", seconds)
+		fail = "refuse"
+	}
 	switch fail {
 	case "refuse":
 		refuse(w, http.StatusServiceUnavailable, "")
 		return
 	case endlessHead, endlessBody, endlessDrip:
 		v.mu.Lock()
-		v.recordTaken(b, r.Header.Get(idHeader), "")
-		v.recordRun(b, r.Header.Get(idHeader))
+		v.recordTaken(b, id, "")
+		v.recordRun(b, id)
 		if r.URL.Path == orderPath {
-			v.runs[r.Header.Get(idHeader)]++
+			v.runs[id]++
 		}
 		v.mu.Unlock()
-		v.sendEndless(b, w, r.Header.Get(idHeader), fail)
+		v.sendEndless(b, w, id, fail)
 		return
 	}
 	if fail == resumedText && r.Header.Get("Last-Event-Id") != "" {
@@ -299,7 +316,7 @@
 	}
 	if b.service == "desk" {
 		v.mu.Lock()
-		v.recordTaken(b, r.Header.Get(idHeader), "")
+		v.recordTaken(b, id, "")
 		v.mu.Unlock()
 		v.serveOrder(b, w, r, fail, deadly)
 		return
@@ -322,7 +339,7 @@
 	if fail == "lose" {
 		panic(http.ErrAbortHandler)
 	}
-	w.Header().Set("X-Cranberrybay-Server-Signature", "desk")
+	w.Header().Set(signatureHeader, b.id)
 	_, _ = io.WriteString(w, "booked "+r.Header.Get(idHeader))
 }
 
@@ -375,7 +392,7 @@
 	}
 	defer func() { v.mu.Lock(); defer v.mu.Unlock(); delete(b.streams, id) }()
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	w.Header().Set("X-Cranberrybay-Server-Signature", "engine")
+	w.Header().Set(signatureHeader, b.id)
 	w.Header().Set("Content-Type", "text/event-stream")
 	for n := last + 1; n <= eventCount(id); n++ {
 		if n == last+2 { // the first event is out
--- a/soak/silence_test.go
+++ b/soak/silence_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -43,6 +44,12 @@
 	b.troubles = append(b.troubles, span{time.Now(), time.Now().Add(d)})
 }
 
+// troubledBetween reports whether a server had a fault other than silence between two times. The caller
+// holds v.mu.
+func (b *backend) troubledBetween(from, to time.Time) bool {
+	return slices.ContainsFunc(b.troubles, func(t span) bool { return !t.begin.After(to) && !t.end.Before(from) })
+}
+
 // setFailMode gives a server a fault of its answers for the given time.
 func (v *servers) setFailMode(b *backend, mode string, d time.Duration) {
 	v.recordTrouble(b, d)
@@ -162,9 +169,7 @@
 		var names []string
 		for _, b := range r.taken {
 			names = append(names, b.id)
-			for _, t := range b.troubles {
-				sound = sound && (t.begin.After(r.endedAt) || t.end.Before(r.sentAt))
-			}
+			sound = sound && !b.troubledBetween(r.sentAt, r.endedAt)
 		}
 		if sound {
 			v.addViolation("request %s was answered %q after %v, though servers %v that had it were sound", id, r.outcome, r.endedAt.Sub(r.sentAt), names)
@@ -174,7 +179,7 @@
 
 // injectSilence makes up to n servers fall silent.
 func (run *soakRun) injectSilence(n int) {
-	for range run.silenceRand.Intn(n + 1) {
+	for range n {
 		b := run.pickServerWith(run.silenceRand, []string{"llm", "llm", "desk"}[run.silenceRand.Intn(3)])
 		run.servers.silence(b, minSilence+time.Duration(run.silenceRand.Int63n(int64(maxSilence-minSilence))))
 	}
@@ -196,7 +201,7 @@
 			run.runAsync(func() { run.drill(older, away, rewriteDelay/2) })
 		}
 		time.Sleep(time.Duration(run.silenceRand.Intn(300)) * time.Millisecond)
-		run.injectSilence(3)
+		run.injectSilence(2 + run.silenceRand.Intn(2))
 		time.Sleep(time.Duration(400+run.silenceRand.Intn(900)) * time.Millisecond)
 	}
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -60,6 +60,7 @@
 	deadlyRand   *rand.Rand // faults of deadly_test.go
 	oddRand      *rand.Rand // rows of odd_rows_test.go
 	refusalRand  *rand.Rand // faults of refusals_test.go
+	wishRand     *rand.Rand // faults of wishes_test.go
 	store        *store
 	servers      *servers
 	callers      *callers
@@ -108,7 +109,7 @@
 		dir = filepath.Join(*keepFlag, t.Name())
 		assert.NilError(t, os.MkdirAll(dir, 0o750))
 	}
-	run := &soakRun{t: t, rand: rand.New(rand.NewSource(seed)), linkRand: rand.New(rand.NewSource(-seed)), extraRand: rand.New(rand.NewSource(^seed << 1)), drillRand: rand.New(rand.NewSource(^seed<<1 + 1)), silenceRand: rand.New(rand.NewSource(seed*31 + 1)), deadlyRand: rand.New(rand.NewSource(seed*31 + 2)), oddRand: rand.New(rand.NewSource(seed*31 + 4)), refusalRand: rand.New(rand.NewSource(seed*31 + 5)), store: newStore(t)}
+	run := &soakRun{t: t, rand: rand.New(rand.NewSource(seed)), linkRand: rand.New(rand.NewSource(-seed)), extraRand: rand.New(rand.NewSource(^seed << 1)), drillRand: rand.New(rand.NewSource(^seed<<1 + 1)), silenceRand: rand.New(rand.NewSource(seed*31 + 1)), deadlyRand: rand.New(rand.NewSource(seed*31 + 2)), oddRand: rand.New(rand.NewSource(seed*31 + 4)), refusalRand: rand.New(rand.NewSource(seed*31 + 5)), wishRand: rand.New(rand.NewSource(seed*31 + 6)), store: newStore(t)}
 	run.servers = newServers(t, run.store)
 	run.servers.rand = rand.New(rand.NewSource(seed*31 + 3))
 	run.configure(shopKey)
@@ -167,10 +168,11 @@
 		run.injectLinkFault()
 		run.injectExtraFault()
 		run.injectDrill()
-		run.injectSilence(1 + run.silenceRand.Intn(2))
+		run.injectSilence(run.silenceRand.Intn(3))
 		if run.refusalRand.Intn(3) == 0 {
 			run.injectRefusals(time.Second)
 		}
+		run.injectWish()
 		time.Sleep(time.Duration(500+run.rand.Intn(1500)) * time.Millisecond)
 	}
 }
