soak: two runs at the same time

Change: the runs of all plans are parallel tests; as many as the flag jobs says, two by default, are in progress at the same time. The binary is built once. The usage comment names the flags for long runs.

--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -56,12 +56,12 @@
 }
 
 // build builds cranberrybay and returns the path of the binary.
-func build(t *testing.T) string {
-	t.Helper()
-	path := filepath.Join(t.TempDir(), "cranberrybay")
-	out, err := exec.Command("go", "build", "-o", path, "../cmd/cranberrybay").CombinedOutput()
-	assert.NilError(t, err, "%s", out)
-	return path
+func build() (string, error) {
+	path := filepath.Join(buildFolder, "cranberrybay")
+	if out, err := exec.Command("go", "build", "-o", path, "../cmd/cranberrybay").CombinedOutput(); err != nil {
+		return "", fmt.Errorf("build cranberrybay: %w: %s", err, out)
+	}
+	return path, nil
 }
 
 const (
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -2,9 +2,9 @@
 // operating system processes against stand-ins for the platform, injects faults from
 // outside, and checks the guarantees that callers and backend servers rely on.
 //
-//	go test ./soak -count=1                            short run, as in CI
-//	go test ./soak -count=1 -args -seeds 50            50 seeds
-//	go test ./soak -count=1 -args -seed 17 -keep DIR   repeat a seed and keep its logs
+//	go test ./soak -count=1                                               short run, as in CI
+//	go test ./soak -count=1 -timeout 0 -run TestSoak -args -seeds 50      50 seeds of one plan
+//	go test ./soak -count=1 -run TestSoak -args -seed 17 -keep DIR        repeat a seed and keep its logs
 package soak
 
 import (
@@ -29,8 +29,28 @@
 	seedsFlag = flag.Int("seeds", 1, "number of seeds")
 	freshFlag = flag.Bool("fresh", false, "begin with a seed from the clock")
 	keepFlag  = flag.String("keep", "", "folder for the logs of the processes")
+	jobsFlag  = flag.Int("jobs", 2, "number of runs at the same time")
 )
 
+var (
+	buildFolder string // of the binary
+	buildOnce   = sync.OnceValues(build)
+	jobs        chan struct{} // holds one value for each run in progress
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	jobs = make(chan struct{}, *jobsFlag)
+	var err error
+	if buildFolder, err = os.MkdirTemp("", "soak"); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(buildFolder)
+	os.Exit(code)
+}
+
 // regressionSeeds are seeds that have failed before, with the cause.
 var regressionSeeds = []int64{
 	// A fault of the test: two key rotations overlapped and left the callers with a key
@@ -83,7 +103,9 @@
 
 // runSeeds runs a plan of faults with the given seeds, or with those of the command line.
 func runSeeds(t *testing.T, seeds []int64, plan func(run *soakRun)) {
-	binary := build(t)
+	t.Parallel()
+	binary, err := buildOnce()
+	assert.NilError(t, err)
 	switch {
 	case *seedFlag != 0:
 		seeds = []int64{*seedFlag}
@@ -98,7 +120,12 @@
 		}
 	}
 	for _, seed := range seeds {
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { soak(t, binary, seed, plan) })
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			jobs <- struct{}{}
+			defer func() { <-jobs }()
+			soak(t, binary, seed, plan)
+		})
 	}
 }
 
