--- a/soak/server_test.go
+++ b/soak/server_test.go
@@ -300,13 +300,7 @@
 		refuse(w, http.StatusServiceUnavailable, "")
 		return
 	case endlessHead, endlessBody, endlessDrip:
-		v.mu.Lock()
-		v.recordTaken(b, id, "")
-		v.recordRun(b, id)
-		if r.URL.Path == orderPath {
-			v.runs[id]++
-		}
-		v.mu.Unlock()
+		v.recordExecution(b, r)
 		v.sendEndless(b, w, id, fail)
 		return
 	}
@@ -315,24 +309,27 @@
 		return
 	}
 	if b.service == "desk" {
-		v.mu.Lock()
-		v.recordTaken(b, id, "")
-		v.mu.Unlock()
 		v.serveOrder(b, w, r, fail, deadly)
 		return
 	}
 	v.serveStream(b, w, r, deadly)
 }
 
-// serveOrder executes an order or a lookup, and counts the executions of orders.
-func (v *servers) serveOrder(b *backend, w http.ResponseWriter, r *http.Request, fail string, deadly *deadlyRequest) {
-	v.awaitEndOfSilence(b)
+// recordExecution records that a server accepted a request and began to run it.
+func (v *servers) recordExecution(b *backend, r *http.Request) {
 	v.mu.Lock()
-	v.recordRun(b, r.Header.Get(idHeader))
+	defer v.mu.Unlock()
+	id := r.Header.Get(idHeader)
+	v.recordTaken(b, id, "")
+	v.recordRun(b, id)
 	if r.URL.Path == orderPath {
-		v.runs[r.Header.Get(idHeader)]++
+		v.runs[id]++
 	}
-	v.mu.Unlock()
+}
+
+// serveOrder executes an order or a lookup, and counts the executions of orders.
+func (v *servers) serveOrder(b *backend, w http.ResponseWriter, r *http.Request, fail string, deadly *deadlyRequest) {
+	v.recordExecution(b, r)
 	v.crashUnder(deadly, b, 0)
 	time.Sleep(10 * time.Millisecond)
 	v.awaitEndOfSilence(b)
--- a/soak/silence_test.go
+++ b/soak/silence_test.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"context"
+	"math/rand"
 	"slices"
 	"strings"
 	"syscall"
@@ -186,8 +188,14 @@
 }
 
 // silences makes servers fall silent often, beside changes of the configuration, planned stops of entry
-// processes and drills of the store.
+// processes and drills of the store. Twice as many callers as in other plans keep more streams on each server.
 func (run *soakRun) silences() {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for range clientCount {
+		r := rand.New(rand.NewSource(run.silenceRand.Int63()))
+		run.runAsync(func() { run.callers.run(ctx, r) })
+	}
 	for range silentRounds {
 		run.copies = append(run.copies, run.store.copy())
 		p, away := run.processes[run.silenceRand.Intn(len(run.processes))], time.Duration(run.silenceRand.Intn(1000))*time.Millisecond
