soak: rare violations are listed first

With of the mixed plan a process ended by itself (panic in its log), but the list of at most 40 violations held only answers that had ended early. These come last now.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -369,9 +369,9 @@
 		}
 	}
 	run.servers.checkRefused()
-	run.servers.checkEndings()
 	run.servers.checkDeadly()
-	violations := append(run.servers.violations, run.callers.violations...)
+	run.servers.checkEndings() // the last one, since one fault ends many answers and not all violations are listed
+	violations := append(run.callers.violations, run.servers.violations...)
 	for _, text := range violations[:min(len(violations), maxListed)] {
 		run.t.Error(text)
 	}
