soak: deadly requests that are answered as not run

A request that crashed a server after it had begun to run must not be answered 503, 429, 408 or 421 either. The status of deadly requests is recorded now, so that the check of refused requests covers them.

Evidence: TestRefusalCheckFails shows that the check fails.

--- a/soak/deadly_test.go
+++ b/soak/deadly_test.go
@@ -154,6 +154,7 @@
 		x.id = fmt.Sprintf("%s-%03d", d.body, n)
 		rs, err := run.callers.send(client, run.processes[r.Intn(len(run.processes))].callerAddress, x)
 		if err == nil {
+			run.callers.recordStatus(x.id, rs.StatusCode)
 			_, _ = io.Copy(io.Discard, rs.Body)
 			_ = rs.Body.Close()
 		}
