shard: engines outside the model are not planned

Cause: Plan indexes its counts of holders by the layers of each assigned range.

Change: Plan leaves out engines whose assigned range is not within the model. The number of layers that fit into a card is bounded before its conversion to an integer: the conversion of an infinite ratio gives the largest integer on arm64 and the smallest on x86-64.

TestEngineOutsideTheModelIsNotPlanned failed before ("panic: runtime error: index out of range [-3]" in countHolders) and passes now; plans of sound engines are the same with and without the odd one. TestModelWithoutSizes passed before on arm64.

Engines whose layers are beyond a model that became shorter stay out of the plan until they restart.

--- a/shard/shard.go
+++ b/shard/shard.go
@@ -57,15 +57,24 @@
 // layersWithContext returns how many layers fit into an engine together with the KV
 // cache of the given number of tokens.
 func (m Model) layersWithContext(e Engine, tokens float64) int {
-	return min(int(e.Memory/(m.LayerMB+m.TokenMB*tokens)), m.Layers)
+	perLayer := m.LayerMB + m.TokenMB*tokens
+	if perLayer <= 0 {
+		return m.Layers
+	}
+	// Compared as floats, because the conversion of larger ones differs between machines.
+	return int(min(e.Memory/perLayer, float64(m.Layers)))
 }
 
 // MaxLayers returns how many layers fit into an engine without any KV cache. An
 // engine that is ordered to hold more fails.
 func (m Model) MaxLayers(e Engine) int { return m.layersWithContext(e, 0) }
 
+// Contains reports whether a range, which may be empty, lies within the model.
+func (m Model) Contains(r Range) bool { return r.From >= 0 && r.From <= r.To && r.To <= m.Layers }
+
 // Plan returns the range that each engine should hold; engines that need no
-// change keep their assigned range. The result short reports whether a failure
+// change keep their assigned range. Engines whose assigned range is not within the
+// model are not part of the plan. The result short reports whether a failure
 // domain still lacks layers. With shift set, Plan then reassigns the ranges of
 // all engines of one such domain.
 func Plan(m Model, engines []Engine, shift bool) (plan map[string]Range, short bool) {
@@ -73,7 +82,7 @@
 	if m.Layers <= 0 {
 		return plan, false
 	}
-	sorted := append([]Engine(nil), engines...)
+	sorted := slices.DeleteFunc(slices.Clone(engines), func(e Engine) bool { return !m.Contains(e.Assigned) })
 	sort.Slice(sorted, func(i, j int) bool { return sorted[i].ID < sorted[j].ID })
 	holding := false
 	for _, e := range sorted {
