path, relay: engines outside the model are not chosen

What callers saw (played): every stream of a service ended with a panic of its request while the registry listed an engine with a layer below 0. Where the choice runs on another goroutine (detours, handovers), the process ended. An engine that is listed with more layers than the model has was chosen, and the streams failed there.

Cause: search indexes by the first layer of each engine; candidate compares From and To with each other only.

Change: search skips engines that begin below 0, and candidate offers none whose layers are not within the model.

path.TestEngineOutsideTheModelIsNotChosen failed before ("index out of range [-]"), relay.TestStreamsAvoidEnginesOutsideTheModel/beyond failed before ("[{odd:1 0 8}]": the stream went to the odd engine). Both pass now.

--- a/path/path.go
+++ b/path/path.go
@@ -118,7 +118,7 @@
 	usable := make([]int, 0, len(engines))
 	ends := make([]bool, req.To+1)
 	for i, e := range engines {
-		if req.Excluded[e.Name] || e.From >= e.To || e.To <= req.From || e.From >= req.To {
+		if req.Excluded[e.Name] || e.From < 0 || e.From >= e.To || e.To <= req.From || e.From >= req.To {
 			continue
 		}
 		usable = append(usable, i)
--- a/relay/path.go
+++ b/relay/path.go
@@ -312,7 +312,7 @@
 func (r *Relay) candidate(s *server.Server, e *config.Engine, domains map[string]int) path.Engine {
 	entry := s.Entry()
 	acc, ok := e.Accelerators[entry.Accelerator]
-	if !ok || entry.To <= entry.From {
+	if !ok || entry.From < 0 || entry.To <= entry.From || entry.To > e.Layers {
 		return path.Engine{Name: s.Address()}
 	}
 	streams, tokens := r.cfg.PeerLoad(s.ID())
