edge: metrics of servers take memory by servers, not by layers

Cause: writeServers counted the copies in a map with an element for each layer.

Change: it sorts the ends of the ranges and passes over them once.

TestServerMetricsOfHugeLayerRange failed before (timed out after 2 s inside the loop) and passes now; TestMetrics passes unchanged.

--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -1,9 +1,11 @@
 package edge
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -62,8 +64,8 @@
 // writeServers writes the number of backend servers by state, and for each service
 // with layers the number of copies of the layer that has the fewest.
 func writeServers(w io.Writer, servers []*server.Server) {
-	states := map[[2]string]int{}      // number of servers by service and state
-	copies := map[string]map[int]int{} // number of copies of each layer by service
+	states := map[[2]string]int{}        // number of servers by service and state
+	held := map[string][]layerBoundary{} // by service
 	for _, s := range servers {
 		e := s.Entry()
 		state := "ready"
@@ -77,26 +79,32 @@
 		if e.Accelerator == "" {
 			continue
 		}
-		if copies[e.Service] == nil {
-			copies[e.Service] = map[int]int{}
-		}
-		for i := e.From; i < e.To && !e.Draining; i++ {
-			copies[e.Service][i]++
+		held[e.Service] = append(held[e.Service], layerBoundary{})
+		if e.From < e.To && !e.Draining {
+			held[e.Service] = append(held[e.Service], layerBoundary{at: e.From, change: 1}, layerBoundary{at: e.To, change: -1})
 		}
 	}
 	for k, n := range states {
 		metrics.WriteGaugeUint64(w, fmt.Sprintf("cranberrybay_servers{service=%q,state=%q}", k[0], k[1]), uint64(n))
 	}
-	for service, byLayer := range copies {
-		least, last := -1, 0
-		for i := range byLayer {
-			last = max(last, i)
-		}
-		for i := 0; i <= last; i++ {
-			if n := byLayer[i]; least < 0 || n < least {
-				least = n
-			}
+	for service, boundaries := range held {
+		metrics.WriteGaugeUint64(w, fmt.Sprintf("cranberrybay_layers_least{service=%q}", service), uint64(leastCopies(boundaries)))
+	}
+}
+
+// layerBoundary is a layer from which on the number of copies is another.
+type layerBoundary struct{ at, change int }
+
+// leastCopies returns the number of copies of the layer that has the fewest, from the first layer
+// to the last one that is held; 0 if none is.
+func leastCopies(boundaries []layerBoundary) int {
+	slices.SortFunc(boundaries, func(a, b layerBoundary) int { return cmp.Compare(a.at, b.at) })
+	least, copies := -1, 0
+	for i, b := range boundaries {
+		copies += b.change
+		if i+1 < len(boundaries) && boundaries[i+1].at > b.at && (least < 0 || copies < least) {
+			least = copies
 		}
-		metrics.WriteGaugeUint64(w, fmt.Sprintf("cranberrybay_layers_least{service=%q}", service), uint64(max(least, 0)))
 	}
+	return max(least, 0)
 }
--- a/edge/metrics_test.go
+++ b/edge/metrics_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -49,3 +50,19 @@
 		assert.Assert(t, contains(w.Body.String(), want), "%s is missing in\n%s", want, w.Body.String())
 	}
 }
+
+// Guards against a scrape that takes the memory of the VM because of the layers that the registry lists for an engine.
+func TestServerMetricsOfHugeLayerRange(t *testing.T) {
+	servers := server.NewTable(server.Config{Log: zerolog.Nop()})
+	var changes []server.Change
+	for _, e := range []server.Entry{
+		{ID: "odd", Service: "s", Address: "odd:1", Accelerator: "l4", From: 0, To: 1 << 40},
+		{ID: "a", Service: "s", Address: "a:1", Accelerator: "l4", From: 0, To: 4},
+	} {
+		changes = append(changes, server.Change{ID: e.ID, Entry: e})
+	}
+	servers.Apply(changes, true, 0)
+	var out strings.Builder
+	writeServers(&out, servers.All())
+	assert.Assert(t, contains(out.String(), `cranberrybay_layers_least{service="s"} 1`), "%s", out.String())
+}
