platform: entries of other writers are checked before they are used

A writer that changed its unusable entry many times a second wrote a log line for each change.

Cause: decodeEntry checked that fields were there and of the right type, and the state. Each caller used the numbers and texts as they came.

Change: decodeEntry returns entries that every caller can use. A loopback address is accepted only by a process that has one itself, as in tests. Registry takes the place of DecodeServers.

--- a/edge/app.go
+++ b/edge/app.go
@@ -91,6 +91,7 @@
 			newPoisonTracker,
 			newPacer,
 			newServerTable,
+			newRegistry,
 			newMembers,
 			newStateFetcher,
 			newProcessRegistrar,
@@ -151,6 +152,10 @@
 	})
 }
 
+func newRegistry(s Settings, factory *logs.Factory) *platform.Registry {
+	return &platform.Registry{AllowLoopback: s.onLoopback(), Odd: platform.NewOddRows(platform.TableServers, factory.Logger("watch"))}
+}
+
 // self returns the description of this process that the other processes get.
 func self(s Settings) beat.Peer {
 	return beat.Peer{
@@ -292,7 +297,7 @@
 }
 
 // followTables keeps the configuration and the registry of backend servers up to date.
-func followTables(s Settings, store *platform.Store, tracker *config.Tracker, servers *server.Table, members *beat.Membership, m *registrar, state *sharedState, factory *logs.Factory, lc fx.Lifecycle) {
+func followTables(s Settings, store *platform.Store, tracker *config.Tracker, servers *server.Table, registry *platform.Registry, members *beat.Membership, m *registrar, state *sharedState, factory *logs.Factory, lc fx.Lifecycle) {
 	log := factory.Logger("watch")
 	tableConfig := func(name string) watch.Config {
 		return watch.Config{
@@ -329,7 +334,7 @@
 	serverTable.IsNewer, serverTable.CopyGrace = platform.IsNewerServer, s.entryLifetime()+missingEntryGrace
 	serverTable.Confirm = func(time.Duration) {}
 	serverTable.Apply = func(p watch.Page, outage time.Duration) {
-		servers.Apply(platform.DecodeServers(p.Rows, log), p.Whole, outage)
+		servers.Apply(registry.Decode(p), p.Whole, outage)
 	}
 	configFollower, serverFollower := watch.New(configTable), watch.New(serverTable)
 	state.followers.Store(&map[string]*watch.Follower{platform.TableConfig: configFollower, platform.TableServers: serverFollower})
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -212,12 +212,13 @@
 
 // registerGauges registers the metrics that are read from other components at each
 // scrape.
-func registerGauges(tracker *config.Tracker, members *beat.Membership, p *Placer, c *counters, h *Handler, budgets *retryBudgets, queue *logs.AsyncWriter, store *platform.Store, servers *server.Table, t *poison.Tracker, pace *pacer.Pacer, client *link.Client) {
+func registerGauges(tracker *config.Tracker, members *beat.Membership, p *Placer, c *counters, h *Handler, budgets *retryBudgets, queue *logs.AsyncWriter, store *platform.Store, servers *server.Table, registry *platform.Registry, t *poison.Tracker, pace *pacer.Pacer, client *link.Client) {
 	for result, name := range []string{platform.CallDone: "done", platform.CallConflict: "conflict", platform.CallRefused: "refused", platform.CallLost: "lost"} {
 		c.gauge(fmt.Sprintf("store_calls_total{result=%q}", name), func() float64 { return float64(store.Calls(result)) })
 	}
 	c.gauge("connections_opened_total", func() float64 { return float64(client.Opened()) })
 	c.onScrape = func(w io.Writer) { writeServers(w, servers.All()); budgets.writeMetrics(w) }
+	c.gauge(fmt.Sprintf("rows_unused{table=%q}", platform.TableServers), func() float64 { return float64(registry.Odd.Count()) })
 	c.gauge("store_era", func() float64 { return float64(store.Era()) })
 	c.gauge("config_version", func() float64 {
 		if conf := tracker.Current(); conf != nil {
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/netip"
 	"os"
 	"time"
 
@@ -90,6 +91,13 @@
 	return missedEntries * time.Duration(heartbeat) * time.Millisecond
 }
 
+// onLoopback reports whether callers reach this process at a loopback address only, as in tests with all
+// processes on one machine.
+func (s *Settings) onLoopback() bool {
+	a, err := netip.ParseAddrPort(s.Listen.Callers)
+	return err == nil && a.Addr().IsLoopback()
+}
+
 // ReadSettings reads and validates a settings file.
 func ReadSettings(path string) (Settings, error) {
 	raw, err := os.ReadFile(path)
