server: an overwritten entry is no crash

Soon after an outage of the registry the server was kept although its entry names none.

Cause: an unusable row was handed to the table as the removal of the entry, which stands for the end of a server that was not draining.

Change: Change.Unusable tells the two apart. The server is removed at once, and nobody hears that it died.

TestOverwrittenEntryIsNoCrash failed before ("1 (int) != 0 (int)": one server died) and passes now.

--- a/server/table.go
+++ b/server/table.go
@@ -15,6 +15,9 @@
 	ID      string
 	Entry   Entry
 	Removed bool
+	// Unusable states that the entry was overwritten by one that names no server. It says nothing
+	// about the server itself. Removed is set, too.
+	Unusable bool
 }
 
 // Config holds the settings and callbacks of a Table.
@@ -85,7 +88,7 @@
 	if whole {
 		listed := make(map[string]bool, len(changes))
 		for _, c := range changes {
-			listed[c.ID] = !c.Removed
+			listed[c.ID] = !c.Removed || c.Unusable
 		}
 		for id := range t.servers {
 			if !listed[id] {
@@ -95,9 +98,12 @@
 	}
 	first := len(t.servers) == 0
 	for _, c := range changes {
-		if c.Removed {
+		switch {
+		case c.Unusable:
+			t.removeNow(c.ID, "entry became unusable", false)
+		case c.Removed:
 			t.removeOrLapse(c.ID, now)
-		} else {
+		default:
 			t.put(c.Entry, first)
 		}
 	}
@@ -122,7 +128,7 @@
 		return
 	}
 	for id := range t.lapsed {
-		t.removeNow(id, "did not come back after an outage of the registry")
+		t.removeNow(id, "did not come back after an outage of the registry", true)
 	}
 	t.publish()
 }
@@ -143,11 +149,11 @@
 		}
 		return
 	}
-	t.removeNow(id, "entry removed")
+	t.removeNow(id, "entry removed", true)
 }
 
-// removeNow removes an entry. The caller holds mu.
-func (t *Table) removeNow(id, reason string) {
+// removeNow removes an entry. If ended is set, the server has ended. The caller holds mu.
+func (t *Table) removeNow(id, reason string, ended bool) {
 	s := t.servers[id]
 	delete(t.servers, id)
 	delete(t.lapsed, id)
@@ -156,7 +162,7 @@
 	}
 	s.leaving.Store(true)
 	t.cfg.Log.Info().Str("server", id).Str("address", s.entry.Address).Str("reason", reason).Msg("backend server left")
-	t.notifyRemoved(s, !s.entry.Draining)
+	t.notifyRemoved(s, ended && !s.entry.Draining)
 }
 
 // notifyRemoved calls OnRemoved, and OnDied if the server died.
--- a/server/table_test.go
+++ b/server/table_test.go
@@ -125,3 +125,25 @@
 	assert.DeepEqual(t, died, []string{"restarted", "gone"})
 	assert.Assert(t, tb.ByAddress("restarted:1").Incarnation() != before)
 }
+
+// Guards against a server that counts as crashed, so that its requests become suspects, because another writer overwrote its
+// entry, and against one that is used by such an entry.
+func TestOverwrittenEntryIsNoCrash(t *testing.T) {
+	for _, whole := range []bool{false, true} {
+		for _, outage := range []time.Duration{0, time.Second} {
+			var died, removed []string
+			tb := server.NewTable(server.Config{
+				Log: zerolog.Nop(), OutageGrace: outageGrace, OnRemoved: func(a string) { removed = append(removed, a) },
+				OnDied: func(s *server.Server) { died = append(died, s.ID()) },
+			})
+			a, b := entry("a", "10.0.0.1:1", 1), entry("b", "10.0.0.2:1", 1)
+			tb.Apply([]server.Change{put(a), put(b)}, true, 0)
+			tb.Apply([]server.Change{{ID: "a", Removed: true, Unusable: true}, put(b)}, whole, outage)
+			checkIDs(t, tb, "b")
+			assert.DeepEqual(t, removed, []string{"10.0.0.1:1"})
+			assert.Equal(t, len(died), 0)
+			tb.Apply([]server.Change{put(a)}, false, 0)
+			checkIDs(t, tb, "a", "b")
+		}
+	}
+}
