relay, server: a second entry does not take an engine's address

Streams in progress there were moved away because the engine seemed to have given up its layers.

Cause: a path names engines by address, and each later step looked the address up again, where the entry that started later counts. The requests named its ID, which the engine refuses.

Change: a stream keeps the servers that were chosen for it. Lookups in a stream go by those, or by ID. Of several entries of a service with one address, a path has one candidate: the one with fewer misdirected requests since its last success (421), or else the later start, as before; the other one when no path has it. A misdirected request does not exclude the address when another entry has it, so that the next attempt can go there.

An engine that restarts under another ID while a stream passes through it as a later hop is found by the reports of the first engine, no longer also by its new entry.

--- a/relay/path.go
+++ b/relay/path.go
@@ -79,6 +79,9 @@
 	if !ok && ps.ignoreSlots() {
 		hops, ok = ps.choose(want)
 	}
+	if !ok && ps.swapRivals() {
+		hops, ok = ps.choose(want)
+	}
 	if !ok {
 		return nil, false
 	}
@@ -103,6 +106,9 @@
 	for i, h := range old {
 		if !dead[h.Address] {
 			hops = append(hops, h)
+			if s := t.serverAt(h.Address); s != nil {
+				ps.chosen[h.Address] = s
+			}
 			continue
 		}
 		if i == 0 {
@@ -135,13 +141,21 @@
 	engines []path.Engine
 	domains map[string]int
 	links   path.LinkCosts
+	chosen  map[string]*server.Server // by address
+	rivals  []rival
+}
+
+// rival is a candidate that was dropped because another one has the same address.
+type rival struct {
+	engine          path.Engine
+	index, believed int // indices of its server and of the other one
 }
 
 // newPathSearch describes the engines as candidates. With jitterEngines set, streams that choose
 // at the same time are spread over engines with similar times.
 func (r *Relay) newPathSearch(req *Request, all []*server.Server, jitterEngines bool) *pathSearch {
 	e := req.Service.Engine
-	ps := &pathSearch{relay: r, req: req, servers: all, engines: make([]path.Engine, len(all))}
+	ps := &pathSearch{relay: r, req: req, servers: all, engines: make([]path.Engine, len(all)), chosen: map[string]*server.Server{}}
 	var names []string
 	ps.domains, names = indexDomains(all, r.cfg.Domain)
 	ps.links = pathLinks(e, names)
@@ -159,9 +173,38 @@
 			ps.engines[i].LayerPrefill *= factor
 		}
 	}
+	ps.dropRivals()
 	return ps
 }
 
+// dropRivals leaves one candidate for each address: a path must not pass through an engine twice.
+func (ps *pathSearch) dropRivals() {
+	usable := map[string]int{}
+	for i, s := range ps.servers {
+		if ps.engines[i].To <= ps.engines[i].From || len(ps.relay.cfg.Servers.Rivals(s)) == 0 {
+			continue
+		}
+		other, ok := usable[s.Address()]
+		if ok && ps.servers[other].IsBelieved(s) {
+			other, i = i, other
+		}
+		usable[s.Address()] = i
+		if ok {
+			ps.rivals = append(ps.rivals, rival{engine: ps.engines[other], index: other, believed: i})
+			ps.engines[other] = path.Engine{Name: s.Address()}
+		}
+	}
+}
+
+// swapRivals takes the dropped candidates instead of those that were left for their addresses, and reports
+// whether there are any.
+func (ps *pathSearch) swapRivals() bool {
+	for _, v := range ps.rivals {
+		ps.engines[v.index], ps.engines[v.believed] = v.engine, path.Engine{Name: v.engine.Name}
+	}
+	return len(ps.rivals) > 0
+}
+
 // addRateWaits adds the time that a stream waits for each engine as the first one because of the rate
 // that it names. Engines for which that is longer than maxWait can't be the first one.
 func (ps *pathSearch) addRateWaits(maxWait time.Duration) {
@@ -232,18 +275,29 @@
 	}
 	hops := make([]Hop, 0, len(found))
 	for _, h := range found {
-		hops = append(hops, Hop{Address: ps.servers[h.Engine].Address(), From: h.From, To: h.To})
+		s := ps.servers[h.Engine]
+		ps.chosen[s.Address()] = s
+		hops = append(hops, Hop{Address: s.Address(), From: h.From, To: h.To})
 	}
 	return hops, true
 }
 
+// listedServer returns the listed server for a hop at an address: the one that was chosen, or nil if
+// the registry has dropped it since; or else any that is listed for the address.
+func (ps *pathSearch) listedServer(address string) *server.Server {
+	if s := ps.chosen[address]; s != nil {
+		return ps.relay.cfg.Servers.ByID(s.ID())
+	}
+	return ps.relay.cfg.Servers.ByAddress(address)
+}
+
 // activate adds the stream to the load of the engines of a path. The registry may have dropped
 // engines since the choice; without its first engine the path has no first server.
 func (ps *pathSearch) activate(hops []Hop) *activePath {
 	tokens := float64(ps.req.PromptTokens) + ps.req.expectedAnswerTokens(ps.req.Service.Engine)
 	t := &activePath{hops: hops}
 	for i, h := range hops {
-		s := ps.relay.cfg.Servers.ByAddress(h.Address)
+		s := ps.listedServer(h.Address)
 		if s == nil {
 			continue // the engine was removed since
 		}
@@ -389,15 +443,28 @@
 		if s.Leaving() {
 			leaving = addAddress(leaving, s.Address())
 		}
-	}
-	for _, h := range t.hops {
-		if s := all.ByAddress(h.Address); s != nil && !s.Holds(h.From, h.To) {
-			gaveUp = addAddress(gaveUp, h.Address)
+		listed := all.ByID(s.ID())
+		for _, h := range t.hops {
+			if h.Address == s.Address() && listed != nil && !listed.Holds(h.From, h.To) {
+				gaveUp = addAddress(gaveUp, h.Address)
+			}
 		}
 	}
 	return leaving, gaveUp
 }
 
+// serverAt returns the server of the path at an address, or nil.
+func (t *activePath) serverAt(address string) *server.Server {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.servers {
+		if s.Address() == address {
+			return s
+		}
+	}
+	return nil
+}
+
 // addAddress adds address to set, which it allocates if it is nil.
 func addAddress(set map[string]bool, address string) map[string]bool {
 	if set == nil {
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cranberrybay/cranberrybay/config"
@@ -209,7 +210,7 @@
 	var best *server.Server
 	cost, avoided := 0.0, false
 	for _, srv := range r.cfg.Servers.Servers(req.Service.Name) {
-		if tried[srv.ID()] {
+		if tried[srv.ID()] || slices.ContainsFunc(r.cfg.Servers.Rivals(srv), func(o *server.Server) bool { return o.IsBelieved(srv) }) {
 			continue
 		}
 		wait := r.waitForRate(srv)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -350,6 +350,9 @@
 	if !ans.Misdirected && (ans.Signed || ans.Rate.Named) {
 		r.observeRate(a.Server, ans.Rate, sentAt)
 	}
+	if ans.Misdirected && (ans.RefusedBy == "" || ans.RefusedBy == a.Server.Address()) {
+		a.Server.RecordMisdirected()
+	}
 	if ans.Load != nil {
 		a.Server.RecordLoad(ans.Load.Running, ans.Load.Waiting)
 	}
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -295,7 +295,7 @@
 		return nil
 	}
 	for address := range dead {
-		if s := m.relay.cfg.Servers.ByAddress(address); s != nil {
+		if s := m.path.serverAt(address); s != nil {
 			m.relay.suspect(s)
 		}
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -271,7 +271,9 @@
 	failedServer := t.first
 	if ans != nil && ans.RefusedBy != "" {
 		e = e.Str("culprit", ans.RefusedBy)
-		failedServer = r.cfg.Servers.ByAddress(ans.RefusedBy)
+		if failedServer = t.serverAt(ans.RefusedBy); failedServer == nil {
+			failedServer = r.cfg.Servers.ByAddress(ans.RefusedBy)
+		}
 	}
 	e.Msg("stream attempt failed")
 	if ctx.Err() != nil {
@@ -282,7 +284,12 @@
 	}
 	if failedServer != nil {
 		failedServer.RecordFailure()
-		excluded[failedServer.Address()] = true
+		if ans != nil && ans.Misdirected && failedServer != t.first {
+			failedServer.RecordMisdirected()
+		}
+		if ans == nil || !ans.Misdirected || len(r.cfg.Servers.Rivals(failedServer)) == 0 {
+			excluded[failedServer.Address()] = true
+		}
 		// An engine that refuses may be full or dead; its report shows which.
 		go r.probeFailed(t.first, failedServer)
 	}
--- a/server/server.go
+++ b/server/server.go
@@ -59,6 +59,7 @@
 	meanSeconds float64       // smoothed time to an answer
 	meanAt      time.Duration // now() of the last answer in the mean
 	failures    int           // since the last success
+	misdirected int           // requests since the last success that another server had to get
 	waiting     int           // reported queue
 	running     int           // reported work
 	reportedAt  time.Duration // now() of the last reported load
@@ -163,12 +164,42 @@
 	decayTime  = 4 * time.Second // the mean decays, so that a server that was slow is tried again
 )
 
+// RecordMisdirected records that the machine at the address of the server answered that it is another
+// server, or lacks the layers.
+func (s *Server) RecordMisdirected() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.misdirected++
+}
+
+// IsBelieved reports whether this entry rather than another one with the same address is taken for that of
+// the server there: the one with fewer misdirected requests since its last success, or else the one that
+// started later.
+func (s *Server) IsBelieved(other *Server) bool {
+	a, b := s.misdirections(), other.misdirections()
+	switch {
+	case a != b:
+		return a < b
+	case s.entry.Started != other.entry.Started:
+		return s.entry.Started > other.entry.Started
+	default:
+		return s.entry.ID < other.entry.ID
+	}
+}
+
+// misdirections returns the number of misdirected requests since the last success.
+func (s *Server) misdirections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.misdirected
+}
+
 // RecordAnswer records the time to a successful answer.
 func (s *Server) RecordAnswer(took time.Duration) {
 	at := now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.failures = 0
+	s.failures, s.misdirected = 0, 0
 	x := took.Seconds()
 	mean := s.decayedMean(at)
 	if x > mean {
--- a/server/table.go
+++ b/server/table.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -49,6 +50,8 @@
 type view struct {
 	services  map[string][]*Server
 	addresses map[string]*Server
+	ids       map[string]*Server
+	shared    bool // several entries that accept work have the same address
 }
 
 // NewTable returns an empty table.
@@ -65,6 +68,26 @@
 // ByAddress returns the server at an address, or nil.
 func (t *Table) ByAddress(address string) *Server { return t.view.Load().addresses[address] }
 
+// ByID returns the server with an ID, or nil.
+func (t *Table) ByID(id string) *Server { return t.view.Load().ids[id] }
+
+// Rivals returns the other servers of the service that accept work and have the same address. There
+// are some for a moment after a server has restarted under another ID, and for as long as another writer
+// of the registry lists the address of a server.
+func (t *Table) Rivals(s *Server) []*Server {
+	v := t.view.Load()
+	if !v.shared {
+		return nil
+	}
+	var out []*Server
+	for _, o := range v.services[s.entry.Service] {
+		if o.entry.Address == s.entry.Address && o.entry.ID != s.entry.ID {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
 // All returns every listed server, including draining ones.
 func (t *Table) All() []*Server {
 	t.mu.Lock()
@@ -209,7 +232,8 @@
 
 // publish replaces the view. The caller holds mu.
 func (t *Table) publish() {
-	v := &view{services: map[string][]*Server{}, addresses: make(map[string]*Server, len(t.servers))}
+	v := &view{services: map[string][]*Server{}, addresses: make(map[string]*Server, len(t.servers)), ids: maps.Clone(t.servers)}
+	working := make(map[string]bool, len(t.servers))
 	for _, s := range t.servers {
 		if s.entry.Address == "" {
 			continue
@@ -220,6 +244,8 @@
 			v.addresses[s.entry.Address] = s
 		}
 		if !s.entry.Draining {
+			v.shared = v.shared || working[s.entry.Address]
+			working[s.entry.Address] = true
 			v.services[s.entry.Service] = append(v.services[s.entry.Service], s)
 		}
 	}
