edge: an entry without an engine takes no part in the plan

When engines with the same layers left, nobody loaded them.

Cause: a failed order was sent again without end and counted as a holder of its layers meanwhile; the registry drops entries of engines that died, but not those of other writers. Orders did not say for which engine they are.

An engine that holds no layers is left out of the plan for 10 s after five failed orders in a row, or after one that another engine refused. One accepted order, or a new start, ends that.

Place takes the entry instead of its address.

--- a/edge/placer.go
+++ b/edge/placer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -65,7 +66,7 @@
 	behind  func() time.Duration
 	tracker *config.Tracker
 	servers *server.Table
-	place   func(ctx context.Context, address string, r shard.Range, fence, accepted uint64) error
+	place   func(ctx context.Context, e server.Entry, r shard.Range, fence, accepted uint64) error
 	// streams returns the number of streams of all entry processes that pass through
 	// an engine.
 	streams func(s *server.Server) int
@@ -77,6 +78,7 @@
 
 	// The fields below are used by Run only, except results and the atomic ones.
 	pending     map[string]*pendingOrder // by server
+	failures    map[string]orderFailures // by server
 	orders      map[string]orderCount    // by server
 	results     chan orderResult
 	held        bool
@@ -101,6 +103,21 @@
 	orders uint64
 }
 
+// orderFailures holds the failed orders to one incarnation of an engine since the last one that it accepted.
+type orderFailures struct {
+	born        int64
+	count       int
+	pausedUntil time.Duration // clock.Now until which the engine is not planned if it holds no layers
+}
+
+const (
+	// maxOrderFailures is the number of failed orders after which an engine that holds no layers is
+	// not planned for a while: its entry may name no engine, and nobody would load its layers.
+	maxOrderFailures = 5
+	// orderPause is that while. The registry drops the entry of an engine that has died sooner.
+	orderPause = 10 * time.Second
+)
+
 // orderResult is the result of sending an order.
 type orderResult struct {
 	id       string
@@ -112,6 +129,7 @@
 // ends.
 func (p *Placer) Run(ctx context.Context) {
 	p.pending, p.orders, p.results = map[string]*pendingOrder{}, map[string]orderCount{}, make(chan orderResult, 64)
+	p.failures = map[string]orderFailures{}
 	// By then a holder has announced its lease.
 	next := clock.Now() + rand.N(maxFirstStepDelay)
 	tick := time.NewTicker(planInterval)
@@ -206,6 +224,7 @@
 			delete(p.pending, id) // the engine left before it finished the order
 		}
 	}
+	maps.DeleteFunc(p.failures, func(id string, _ orderFailures) bool { return !listed[id] })
 	for name, servers := range byService {
 		service, ok := conf.Service(name)
 		if !ok || service.Engine == nil || service.Engine.Layers == 0 {
@@ -223,7 +242,7 @@
 	for _, s := range servers {
 		entry := s.Entry()
 		accelerator, ok := e.Accelerators[entry.Accelerator]
-		if !ok || entry.Draining {
+		if !ok || entry.Draining || p.isPaused(entry) {
 			continue
 		}
 		byID[entry.ID] = s
@@ -262,6 +281,30 @@
 	}
 }
 
+// isPaused reports whether an engine is not planned because it has taken no order.
+func (p *Placer) isPaused(e server.Entry) bool {
+	x := p.failures[e.ID]
+	if x.born != e.Started || e.From < e.To || clock.Now() >= x.pausedUntil {
+		return false
+	}
+	delete(p.pending, e.ID)
+	return true
+}
+
+// recordFailure records a failed order.
+func (p *Placer) recordFailure(id string, born int64, err error) {
+	x := p.failures[id]
+	if x.born != born {
+		x = orderFailures{born: born}
+	}
+	x.count++
+	if x.count >= maxOrderFailures || errors.Is(err, shard.ErrMisdirected) {
+		x.pausedUntil = clock.Now() + orderPause
+		p.log.Warn().Str("server", id).Int("failures", x.count).Dur("pause", orderPause).Msg("engine takes no orders, not planned unless it holds layers")
+	}
+	p.failures[id] = x
+}
+
 // settled reports whether the number of engines has stopped changing. The first layout
 // is made for all engines at once, but they register one after the other at the start.
 func (p *Placer) settled(engines int) bool {
@@ -345,7 +388,7 @@
 			return o
 		}
 	}
-	o.err = p.place(ctx, entry.Address, want, fence, o.accepted.orders)
+	o.err = p.place(ctx, entry, want, fence, o.accepted.orders)
 	if o.err == nil {
 		o.accepted.orders++
 	}
@@ -371,8 +414,12 @@
 	pending := p.pending[o.id]
 	if o.err == nil {
 		p.orders[o.id] = o.accepted
+		delete(p.failures, o.id)
 		return
 	}
+	if !errors.Is(o.err, errBusy) && !errors.Is(o.err, errLeaseEnded) {
+		p.recordFailure(o.id, o.accepted.born, o.err)
+	}
 	// The engine may have accepted the failed order, so the number is read again.
 	p.orders[o.id] = orderCount{born: unknownBorn}
 	if pending == nil {
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -497,3 +497,6 @@
 // ErrChanged reports that the order does not match the state of the engine or that
 // the engine has since accepted another order.
 var ErrChanged = errors.New("engine has accepted another order")
+
+// ErrMisdirected reports that another engine than the one that the order was meant for has the address.
+var ErrMisdirected = errors.New("another engine has the address")
