lease: a row that another writer overwrote is written again

With {} or null the process ended where nothing takes reports of broken invariants ("row shows fencing number 0 after 1"), and a successor took the lease at once, beside the old holder.

Cause: every step returned the error of the decoder. A value without a fencing number, or with one that has no successor, counted as a holder's.

Change: decodeRow accepts what a holder can have written; bounds on the number, the term and the era. A process that knows no earlier number begins above the revision of the row, as each number took a transaction. Each revision is reported once (OnUnreadable).

While another writer changes the row more often than once a term, the holder keeps the lease but no successor can take it.

--- a/edge/app.go
+++ b/edge/app.go
@@ -267,6 +267,7 @@
 
 func newPlacer(self beat.Peer, i incarnation, members *beat.Membership, state *sharedState, store *platform.Store, tracker *config.Tracker, servers *server.Table, backend *platform.Backend, c *counters, factory *logs.Factory) *Placer {
 	log := factory.Logger("place")
+	unreadable := platform.NewOddRows("lease", log)
 	p := &Placer{
 		// Besides the lease holder, only hubs read the lease's row.
 		leaveToOthers: func() bool {
@@ -285,6 +286,9 @@
 				l, ok := members.Lease()
 				return lease.Announcement{Fence: l.Fence, Revision: l.Revision, Until: time.Now().Add(l.Until - clock.Now()), Ended: l.Ended}, ok
 			},
+			OnUnreadable: func(revision uint64, err error) {
+				unreadable.Reject(watch.Row{Key: "place", Revision: revision}, err)
+			},
 			OnViolation: func(reason string) {
 				log.Error().Str("reason", reason).Msg("lease invariant does not hold")
 				c.violation("lease")
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -38,6 +38,8 @@
 	Era func() uint64
 	// OnViolation is called when an invariant does not hold; nil panics.
 	OnViolation func(reason string)
+	// OnUnreadable is called once for each revision of the row that no holder can have written; may be nil.
+	OnUnreadable func(revision uint64, err error)
 }
 
 // Announcement is what a holder tells other processes about its lease.
@@ -65,7 +67,7 @@
 	writtenRevision uint64    // of the row when this process last wrote it as holder
 	firstSeen       time.Time // when this process first saw that revision
 	lastRow         row       // value of the row at that revision
-	copied          bool      // the row stems from an older copy of the table and says nothing of later holders
+	copied          bool      // the row stems from an older copy of the table, or another writer, and says nothing of later holders
 	known           bool      // revision and firstSeen are set
 }
 
@@ -77,17 +79,38 @@
 	Term   int64     `json:"term"`  // milliseconds
 	Until  time.Time `json:"until"`
 	Era    uint64    `json:"era,omitempty"` // of the table when the row was written
+
+	unreadable error // why no holder can have written the row; the other fields are zero then
 }
 
 // fencesPerEra is the number of fencing numbers of an era of the table. Those of a later era are
 // greater than all before, as the row may return from an older copy.
 const fencesPerEra = 1_000_000
 
+// maxTerm bounds the term in a row. Terms are seconds; a row with a longer one was not written by a
+// holder, and a successor would never take the lease.
+const maxTerm = 10 * time.Minute
+
+// decodeRow returns the value of a row. Another writer may have written it.
+func decodeRow(raw []byte) row {
+	var v row
+	if err := json.Unmarshal(raw, &v); err != nil {
+		return row{unreadable: fmt.Errorf("decode lease row: %w", err)}
+	}
+	if v.Fence == 0 || v.Fence > table.MaxEra*fencesPerEra || v.Write == "" || v.Term <= 0 || v.Term > maxTerm.Milliseconds() || v.Era > table.MaxEra {
+		return row{unreadable: fmt.Errorf("lease row has fencing number %d, term %d ms and era %d", v.Fence, v.Term, v.Era)}
+	}
+	return v
+}
+
 // New returns a Holder that does not hold the lease.
 func New(cfg Config) *Holder {
 	if cfg.Era == nil {
 		cfg.Era = func() uint64 { return 0 }
 	}
+	if cfg.OnUnreadable == nil {
+		cfg.OnUnreadable = func(uint64, error) {}
+	}
 	if cfg.OnViolation == nil {
 		cfg.OnViolation = func(reason string) { panic("lease " + cfg.Name + ": " + reason) }
 	}
@@ -276,9 +299,7 @@
 		return r, v, fmt.Errorf("read lease row: %w", err)
 	}
 	if r.Exists() {
-		if err := json.Unmarshal(r.Value(), &v); err != nil {
-			return r, v, fmt.Errorf("decode lease row: %w", err)
-		}
+		v = decodeRow(r.Value())
 	}
 	return r, v, nil
 }
@@ -316,7 +337,7 @@
 // written again. A row of this process with the same fencing number stems from an earlier renewal: its
 // revision is taken over, and the deadline stays as it is until the next renewal. So does the lease
 // when the row stems from an older copy, from before this process acquired it: a successor waits a
-// whole term from when it first saw that row.
+// whole term from when it first saw that row. The same holds for a row that another writer has overwritten.
 func (h *Holder) resolveConflict(ctx context.Context) (again bool, err error) {
 	r, v, err := h.read(ctx)
 	if err != nil {
@@ -368,6 +389,10 @@
 	if !r.Exists() {
 		copied = table.Era(seenAt) > 1 // in its first era the table has lost nothing
 	}
+	if v.unreadable != nil {
+		copied = true
+		h.cfg.OnUnreadable(r.Revision(), v.unreadable)
+	}
 	if v.Fence < h.highestFence && !copied {
 		h.cfg.OnViolation(fmt.Sprintf("row shows fencing number %d after %d", v.Fence, h.highestFence))
 	}
@@ -382,6 +407,10 @@
 	if era := table.Era(h.seenAt); era > 1 {
 		floor = (era - 1) * fencesPerEra
 	}
+	if h.lastRow.unreadable != nil {
+		// Each fencing number was given out in a transaction of its own.
+		floor += min(table.Number(h.seenAt), fencesPerEra/2)
+	}
 	return max(h.lastRow.Fence, h.highestFence, floor) + 1
 }
 
--- a/node/placement.go
+++ b/node/placement.go
@@ -29,10 +29,13 @@
 
 // newLease returns the lease of the placement controller. The holder drops it
 // after the process was paused.
-func newLease(t *table.Client, i incarnation, pauses *member.PauseDetector, log *logs.Factory) *lease.Holder {
+func newLease(t *table.Client, i incarnation, pauses *member.PauseDetector, factory *logs.Factory) *lease.Holder {
+	log := factory.Logger("lease")
 	h := lease.New(lease.Config{
-		Table: t, Name: "place", Holder: string(i), Term: leaseTerm, SendTimeout: sendTimeout,
-		OnViolation: logViolation(log.Logger("lease")),
+		Table: t, Name: "place", Holder: string(i), Term: leaseTerm, SendTimeout: sendTimeout, OnViolation: logViolation(log),
+		OnUnreadable: func(revision uint64, err error) {
+			log.Warn().Err(err).Uint64("revision", revision).Msg("row of another writer not used")
+		},
 	})
 	pauses.OnResume(func(time.Duration) { h.Drop() })
 	return h
