edge: shared rows that another writer overwrote are written again

A hub's row without a name, or with one of 60 KB, became a process that all others listed in their heartbeats; an address that is a name made each heartbeat wait for a look-up. Texts of 60 KB in nodes/poison became parts of heartbeats, which have at most 64 KB, and one element that can't be read lost the quarantines for processes that start when no other runs. A key made in the year 9999 was never replaced.

Cause: the error of the key's decoder ended each read of the rows. The other rows were used as they came.

Change: decodeHub, decodeKey and decodeQuarantines accept what this system can have written. An unreadable key counts as missing: a process that has a key writes it again, one without a key writes one with the number of the row's revision, which is greater than those of all keys before and so becomes the key of all. Unreadable quarantines are written again by a process that polls. The rows are read in pages, so that others in their table don't displace them. Heartbeats are sent to IP addresses only. Rejected rows are logged by OddRows.

--- a/edge/app.go
+++ b/edge/app.go
@@ -8,7 +8,9 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -172,7 +174,8 @@
 
 func newProcessRegistrar(s Settings, self beat.Peer, store *platform.Store, members *beat.Membership, sealer *seal.Sealer, f *stateFetcher, b *retryBudgets, t *poison.Tracker, p *pacer.Pacer, tracker *config.Tracker, state *sharedState, factory *logs.Factory) *registrar {
 	m := newRegistrar(registrarConfig{
-		Self: self, Bootstrap: s.Bootstrap, Rows: store.Table(), Members: members, Sealer: sealer, Fetch: f.fetch, OnSize: b.resize, HoldsLease: state.holdsLease, Poison: t, Pacer: p, Log: factory.Logger("beat"),
+		Self: self, Bootstrap: s.Bootstrap, Rows: store.Table(), Members: members, Sealer: sealer, Fetch: f.fetch, OnSize: b.resize, HoldsLease: state.holdsLease, Poison: t, Pacer: p,
+		Odd: platform.NewOddRows(strings.TrimSuffix(rowPrefix, "/"), factory.Logger("beat")), Log: factory.Logger("beat"),
 	})
 	state.newerConfig = &newerConfig{tracker: tracker, fetch: f.fetch, log: factory.Logger("watch"), offer: func(rows []watch.Row) {
 		if follower := state.follower(platform.TableConfig); follower != nil {
@@ -241,11 +244,11 @@
 			}
 		},
 		Send: func(address string, b []byte) error {
-			to, err := net.ResolveUDPAddr("udp4", address)
+			to, err := netip.ParseAddrPort(address) // a look-up of a name would delay all heartbeats
 			if err != nil {
 				return err
 			}
-			_, err = conn.WriteTo(b, to)
+			_, err = conn.WriteTo(b, net.UDPAddrFromAddrPort(to))
 			return err
 		},
 		Log: factory.Logger("beat"),
--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
 	"time"
 
 	"github.com/cranberrybay/cranberrybay/poison"
@@ -20,6 +23,29 @@
 	Terms   int       `json:"terms"`
 }
 
+// Bounds on the texts of a quarantined part in bytes. Its records are in heartbeats.
+const (
+	maxServiceBytes = 200
+	maxPartBytes    = poison.MaxIDBytes
+)
+
+// decodeQuarantines returns the quarantined parts from their row. Another writer may have written it.
+func decodeQuarantines(raw []byte) ([]quarantineRow, error) {
+	var rows []quarantineRow
+	if err := json.Unmarshal(raw, &rows); err != nil {
+		return nil, fmt.Errorf("decode quarantined parts: %w", err)
+	}
+	for _, x := range rows {
+		if x.Service == "" || x.Part == "" {
+			return nil, errors.New("quarantined part has no name")
+		}
+		if err := errors.Join(checkText("service", x.Service, maxServiceBytes), checkText("part", x.Part, maxPartBytes)); err != nil {
+			return nil, err
+		}
+	}
+	return rows, nil
+}
+
 // quarantineChanged makes the pollers write the row of quarantined parts. It never blocks.
 func (reg *registrar) quarantineChanged() {
 	select {
@@ -36,7 +62,7 @@
 		return err
 	}
 	records := reg.cfg.Poison.Quarantines()
-	if coversQuarantines(rows.quarantines, records) {
+	if !rows.quarantinesLost && coversQuarantines(rows.quarantines, records) {
 		return nil
 	}
 	err = reg.writeRow(ctx, poisonRow, rows.quarantineRevision, quarantineRows(records))
--- a/edge/registrar.go
+++ b/edge/registrar.go
@@ -10,12 +10,14 @@
 	"strings"
 	"sync/atomic"
 	"time"
+	"unicode"
 
 	"github.com/rs/zerolog"
 
 	"github.com/cranberrybay/cranberrybay/beat"
 	"github.com/cranberrybay/cranberrybay/clock"
 	"github.com/cranberrybay/cranberrybay/pacer"
+	"github.com/cranberrybay/cranberrybay/platform"
 	"github.com/cranberrybay/cranberrybay/poison"
 	"github.com/cranberrybay/cranberrybay/seal"
 	"github.com/cranberrybay/cranberrybay/table"
@@ -70,10 +72,56 @@
 	sealKeyReadInterval = 5 * time.Second
 	// sealKeyLifetime is the age after which the key is replaced.
 	sealKeyLifetime = 24 * time.Hour
-	// maxRows bounds the rows of one read: the hubs of the failure domains and the key.
-	maxRows = 100
+	// maxKeyNumber bounds the number of a key, which grows by one a day. The next key has a greater one.
+	maxKeyNumber = 1 << 31
+	// maxHubText bounds the name and each address of a hub in bytes: they are in each heartbeat that
+	// lists it, and the store allows names of failure domains of that length.
+	maxHubText = 200
 )
 
+// checkText returns an error unless a text of a shared row can be part of messages and logs.
+func checkText(what, text string, maxBytes int) error {
+	if len(text) > maxBytes || strings.ContainsFunc(text, func(c rune) bool { return !unicode.IsPrint(c) }) {
+		return fmt.Errorf("%s %.100q is too long or not printable", what, text)
+	}
+	return nil
+}
+
+// decodeHub returns the hub of a failure domain from its row. Another writer may have written it.
+func decodeHub(domain string, raw []byte) (beat.Peer, error) {
+	var hub hubRow
+	if err := json.Unmarshal(raw, &hub); err != nil {
+		return beat.Peer{}, fmt.Errorf("decode hub: %w", err)
+	}
+	if hub.Name == "" || hub.Address == "" {
+		return beat.Peer{}, errors.New("hub has no name or address")
+	}
+	err := errors.Join(checkText("name", hub.Name, maxHubText), checkText("address", hub.Address, maxHubText), checkText("address", hub.Callers, maxHubText), checkText("domain", domain, maxHubText))
+	if err != nil {
+		return beat.Peer{}, err
+	}
+	return beat.Peer{Name: hub.Name, Address: hub.Address, CallerAddress: hub.Callers, Domain: domain, Weight: hub.Weight}, nil
+}
+
+// decodeKey returns the key from its row. Another writer may have written it.
+func decodeKey(raw []byte) (sealKey, error) {
+	var k sealKey
+	if err := json.Unmarshal(raw, &k); err != nil {
+		return sealKey{}, fmt.Errorf("decode key: %w", err)
+	}
+	if k.Number == 0 || k.Number > maxKeyNumber || len(k.Secret) != seal.SecretBytes {
+		return sealKey{}, fmt.Errorf("key %d has %d bytes", k.Number, len(k.Secret))
+	}
+	return k, nil
+}
+
+// needsReplacement reports whether the key is too old. A time in the future is none at which a key was
+// made.
+func (k *sealKey) needsReplacement() bool {
+	age := time.Since(k.Made)
+	return age > sealKeyLifetime || age < -sealKeyLifetime
+}
+
 // registrar finds the other entry processes at the start, and maintains the rows by
 // which they find each other in the platform's store: the row of the hub and that of
 // the key.
@@ -107,7 +155,9 @@
 	HoldsLease func() bool
 	Poison     *poison.Tracker
 	Pacer      *pacer.Pacer
-	Log        zerolog.Logger
+	// Odd keeps the shared rows that another writer has overwritten; nil keeps none.
+	Odd *platform.OddRows
+	Log zerolog.Logger
 }
 
 func newRegistrar(cfg registrarConfig) *registrar {
@@ -132,6 +182,7 @@
 
 	quarantines        []quarantineRow
 	quarantineRevision uint64 // of the row with the quarantined parts
+	quarantinesLost    bool   // another writer has overwritten that row
 }
 
 // run joins the other processes and then maintains the rows.
@@ -228,31 +279,36 @@
 	out := sharedRows{hubs: map[string]beat.Peer{}, hubRevisions: map[string]uint64{}}
 	scanCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	rows, err := reg.cfg.Rows.Scan(scanCtx, rowPrefix, "", maxRows)
+	rows, err := reg.cfg.Rows.ScanAll(scanCtx, rowPrefix)
 	if err != nil {
 		return out, err
 	}
 	for _, r := range rows {
 		domain, isHub := strings.CutPrefix(r.Key(), hubRowPrefix)
+		var err error
 		switch {
 		case isHub:
-			var hub hubRow
 			out.hubRevisions[domain] = r.Revision()
-			if err := json.Unmarshal(r.Value(), &hub); err != nil {
-				reg.cfg.Log.Warn().Err(err).Str("domain", domain).Msg("row of a hub can't be decoded")
-				continue
+			var hub beat.Peer
+			if hub, err = decodeHub(domain, r.Value()); err == nil {
+				out.hubs[domain] = hub
 			}
-			out.hubs[domain] = beat.Peer{Name: hub.Name, Address: hub.Address, CallerAddress: hub.Callers, Domain: domain, Weight: hub.Weight}
 		case r.Key() == sealKeyRow:
-			if err := json.Unmarshal(r.Value(), &out.key); err != nil {
-				return out, fmt.Errorf("decode key: %w", err)
-			}
+			out.key, err = decodeKey(r.Value())
 			out.keyRevision = r.Revision()
 		case r.Key() == poisonRow:
 			out.quarantineRevision = r.Revision()
-			if err := json.Unmarshal(r.Value(), &out.quarantines); err != nil {
-				reg.cfg.Log.Warn().Err(err).Msg("row of quarantined parts can't be decoded")
+			if out.quarantines, err = decodeQuarantines(r.Value()); err != nil {
+				out.quarantinesLost = true
+				reg.quarantineChanged() // the row is written again
 			}
+		default:
+			continue
+		}
+		if err != nil {
+			reg.cfg.Odd.Reject(watch.Row{Key: r.Key(), Value: r.Value(), Revision: r.Revision()}, err)
+		} else {
+			reg.cfg.Odd.Accept(r.Key())
 		}
 	}
 	reg.cfg.Poison.Merge(recordsOf(out.quarantines))
@@ -271,7 +327,9 @@
 			return out, err
 		}
 	case out.key.Number == 0:
-		if out.key, err = reg.writeKey(ctx, 1, out.keyRevision); err != nil {
+		// Each key took a transaction, so the revision of an overwritten row exceeds its number.
+		number := uint32(min(max(table.Number(out.keyRevision), 1), maxKeyNumber))
+		if out.key, err = reg.writeKey(ctx, number, out.keyRevision); err != nil {
 			return out, err
 		}
 	}
@@ -364,7 +422,7 @@
 		return "", err
 	}
 	reg.addHubs(rows)
-	if time.Since(rows.key.Made) > sealKeyLifetime && reg.cfg.HoldsLease() {
+	if rows.key.needsReplacement() && reg.cfg.HoldsLease() {
 		if _, err := reg.writeKey(ctx, rows.key.Number+1, rows.keyRevision); err != nil && !errors.Is(err, table.ErrConflict) {
 			return "", err
 		}
--- a/poison/record.go
+++ b/poison/record.go
@@ -23,9 +23,9 @@
 	ID      string
 }
 
-// maxIDBytes bounds the identifier of a part. Callers choose it, and a longer one is replaced by
+// MaxIDBytes bounds the identifier of a part in bytes. Callers choose it, and a longer one is replaced by
 // its hash.
-const maxIDBytes = 64
+const MaxIDBytes = 64
 
 // PartsOf returns the parts of a prompt that other requests may share. The last part belongs to
 // the request or its session, so it is left out.
@@ -35,7 +35,7 @@
 	}
 	out := make([]Part, 0, len(ids)-1)
 	for _, id := range ids[:len(ids)-1] {
-		if len(id) > maxIDBytes {
+		if len(id) > MaxIDBytes {
 			id = "#" + strconv.FormatUint(xxhash.Sum64String(id), 16)
 		}
 		out = append(out, Part{Service: service, ID: id})
