--- a/edge/app.go
+++ b/edge/app.go
@@ -324,13 +324,17 @@
 			},
 		}
 	}
+	unusedConfig := platform.NewOddRows(platform.TableConfig, log)
 	configTable := tableConfig(platform.TableConfig)
 	configTable.Confirm = tracker.Confirm
 	configTable.IsNewer, configTable.KeepMissing = platform.IsNewerConfig, true
 	configTable.Apply = func(p watch.Page, _ time.Duration) {
 		c, err := platform.DecodeConfig(p.Rows)
-		if err != nil {
-			log.Error().Err(err).Msg("configuration can't be decoded; keeping the one in effect")
+		switch {
+		case err != nil:
+			unusedConfig.Reject(watch.Row{Key: platform.KeyConfig, Revision: p.Revision}, err)
+		case c != nil:
+			unusedConfig.Accept(platform.KeyConfig)
 		}
 		if c != nil && tracker.Apply(c) {
 			log.Info().Uint64("version", c.Version()).Uint64("revision", p.Revision).Msg("configuration in effect")
--- a/node/placement.go
+++ b/node/placement.go
@@ -34,7 +34,7 @@
 	h := lease.New(lease.Config{
 		Table: t, Name: "place", Holder: string(i), Term: leaseTerm, SendTimeout: sendTimeout, OnViolation: logViolation(log),
 		OnUnreadable: func(revision uint64, err error) {
-			log.Warn().Err(err).Uint64("revision", revision).Msg("row of another writer not used")
+			log.Warn().Err(err).Uint64("revision", revision).Msg("row can't be used")
 		},
 	})
 	pauses.OnResume(func(time.Duration) { h.Drop() })
