fleet: entries of the VM list with one name or address don't evict each other

Each reading of the list removed and added both, so that the server never kept a load report.

Cause: mergeEntry takes a new name at a known address for a later VM, which it is when the entries come one after the other and not in the same list.

Change: MergeList uses one entry for each name and each address: that of the known server while it does not leave, or else the last one that does not.

TestTwoVMsWithOneAddress failed before ("server s0 usable": false) and passes now, also for the address that a later VM takes over; the other tests unchanged.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -326,3 +326,35 @@
 		tab.MergeList(list)
 	}
 }
+
+// Guards against a sound server that loses its place in the table at each reading of the VM list, because another entry of the
+// list has its address, and against a VM whose address a later one has taken over.
+func TestTwoVMsWithOneAddress(t *testing.T) {
+	for _, first := range []bool{false, true} {
+		t.Run(fmt.Sprint("odd entry first ", first), func(t *testing.T) {
+			list := vmList(4)
+			odd := fleet.State{Name: "odd", Address: list[0].Address, Domain: "patan", Service: "m"}
+			withOdd := append(vmList(4), odd)
+			if first {
+				withOdd = append([]fleet.State{odd}, vmList(4)...)
+			}
+			tab := readyTable(fleet.Config{}, 4)
+			for range 3 {
+				tab.MergeList(withOdd)
+				for _, s := range list {
+					assertUsable(t, tab, s.Name, true)
+				}
+				assert.Equal(t, len(tab.All()), 4)
+			}
+			withOdd = append(withOdd[:0:0], withOdd...)
+			for i := range withOdd {
+				withOdd[i].Leaving = withOdd[i].Name == "s0"
+			}
+			tab.MergeList(withOdd) // s0 leaves, and the other one has the address from now on
+			_, ok := candidates(tab)["s0"]
+			assert.Assert(t, !ok)
+			s, ok := tab.ByAddress(odd.Address)
+			assert.Assert(t, ok && s.Name == "odd")
+		})
+	}
+}
--- a/fleet/merge.go
+++ b/fleet/merge.go
@@ -15,11 +15,12 @@
 // MergeList updates the table from the VM list. A server that the list lacks is
 // removed once its load reports have stopped too. A list that is empty or lacks more
 // than Config.MaxLostShare of the known servers is assumed to be wrong and removes
-// none.
+// none. Of several entries with one name or one address, it uses one.
 func (t *Table) MergeList(list []State) {
 	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	list = t.distinct(t.distinct(list, func(s State) string { return s.Name }), func(s State) string { return s.Address })
 	names := make(map[string]bool, len(list))
 	total, leaving := map[string]int{}, map[string]int{}
 	for _, s := range list {
@@ -58,6 +59,43 @@
 	t.selectSubset()
 }
 
+// distinct returns the entries of a list without those that share their key with another one. It keeps
+// the server that the table knows while it does not leave, or else the last one that does not. The
+// caller holds t.mu.
+func (t *Table) distinct(list []State, key func(s State) string) []State {
+	kept := make(map[string]int, len(list)) // by key
+	for i, s := range list {
+		other, ok := kept[key(s)]
+		if !ok || t.precedence(s) >= t.precedence(list[other]) {
+			kept[key(s)] = i
+		}
+	}
+	if len(kept) == len(list) {
+		return list
+	}
+	out := make([]State, 0, len(kept))
+	for i, s := range list {
+		if kept[key(s)] == i {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// precedence returns how likely an entry of the VM list is that of the server with its name and
+// address. The caller holds t.mu.
+func (t *Table) precedence(s State) int {
+	sv := t.servers[s.Name]
+	switch {
+	case s.Leaving:
+		return 0
+	case sv == nil || sv.state.Address != s.Address:
+		return 1
+	default:
+		return 2
+	}
+}
+
 // MergeEntry updates the table from one entry of the VM list.
 func (t *Table) MergeEntry(s State) {
 	t.mu.Lock()
