--- a/edge/app.go
+++ b/edge/app.go
@@ -155,7 +155,7 @@
 }
 
 func newRegistry(s Settings, factory *logs.Factory) *platform.Registry {
-	return &platform.Registry{AllowLoopback: s.onLoopback(), Odd: platform.NewOddRows(platform.TableServers, factory.Logger("watch"))}
+	return &platform.Registry{AllowLoopback: s.onLoopback(), Odd: watch.NewOddRows(platform.TableServers, factory.Logger("watch"))}
 }
 
 // self returns the description of this process that the other processes get.
@@ -175,7 +175,7 @@
 func newProcessRegistrar(s Settings, self beat.Peer, store *platform.Store, members *beat.Membership, sealer *seal.Sealer, f *stateFetcher, b *retryBudgets, t *poison.Tracker, p *pacer.Pacer, tracker *config.Tracker, state *sharedState, factory *logs.Factory) *registrar {
 	m := newRegistrar(registrarConfig{
 		Self: self, Bootstrap: s.Bootstrap, Rows: store.Table(), Members: members, Sealer: sealer, Fetch: f.fetch, OnSize: b.resize, HoldsLease: state.holdsLease, Poison: t, Pacer: p,
-		Odd: platform.NewOddRows(strings.TrimSuffix(rowPrefix, "/"), factory.Logger("beat")), Log: factory.Logger("beat"),
+		Odd: watch.NewOddRows(strings.TrimSuffix(rowPrefix, "/"), factory.Logger("beat")), Log: factory.Logger("beat"),
 	})
 	state.newerConfig = &newerConfig{tracker: tracker, fetch: f.fetch, log: factory.Logger("watch"), offer: func(rows []watch.Row) {
 		if follower := state.follower(platform.TableConfig); follower != nil {
@@ -270,7 +270,7 @@
 
 func newPlacer(self beat.Peer, i incarnation, members *beat.Membership, state *sharedState, store *platform.Store, tracker *config.Tracker, servers *server.Table, backend *platform.Backend, c *counters, factory *logs.Factory) *Placer {
 	log := factory.Logger("place")
-	unreadable := platform.NewOddRows("lease", log)
+	unreadable := watch.NewOddRows("lease", log)
 	p := &Placer{
 		// Besides the lease holder, only hubs read the lease's row.
 		leaveToOthers: func() bool {
@@ -324,7 +324,7 @@
 			},
 		}
 	}
-	unusedConfig := platform.NewOddRows(platform.TableConfig, log)
+	unusedConfig := watch.NewOddRows(platform.TableConfig, log)
 	configTable := tableConfig(platform.TableConfig)
 	configTable.Confirm = tracker.Confirm
 	configTable.IsNewer, configTable.KeepMissing = platform.IsNewerConfig, true
--- a/edge/registrar.go
+++ b/edge/registrar.go
@@ -17,7 +17,6 @@
 	"github.com/cranberrybay/cranberrybay/beat"
 	"github.com/cranberrybay/cranberrybay/clock"
 	"github.com/cranberrybay/cranberrybay/pacer"
-	"github.com/cranberrybay/cranberrybay/platform"
 	"github.com/cranberrybay/cranberrybay/poison"
 	"github.com/cranberrybay/cranberrybay/seal"
 	"github.com/cranberrybay/cranberrybay/table"
@@ -156,7 +155,7 @@
 	Poison     *poison.Tracker
 	Pacer      *pacer.Pacer
 	// Odd keeps the shared rows that another writer has overwritten; nil keeps none.
-	Odd *platform.OddRows
+	Odd *watch.OddRows
 	Log zerolog.Logger
 }
 
--- a/platform/odd.go
+++ b/watch/odd.go
@@ -1,12 +1,10 @@
-package platform
+package watch
 
 import (
 	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
-
-	"github.com/cranberrybay/cranberrybay/watch"
 )
 
 const (
@@ -45,7 +43,7 @@
 
 // Reject records that a row can't be used. It logs each revision of a row once, and each row at most
 // once in oddRowInterval.
-func (o *OddRows) Reject(r watch.Row, err error) {
+func (o *OddRows) Reject(r Row, err error) {
 	if o == nil {
 		return
 	}
