plat: one entry or row that can't be read does not lose the list

An entry without a port or with a line break in its name became a server.

Cause: replies were decoded as a whole, and entries used as they came.

A row of the table whose value can't be decoded keeps its key and revision and has no value.

--- a/fakes/platform_test.go
+++ b/fakes/platform_test.go
@@ -31,9 +31,9 @@
 		assert.NilError(t, err)
 		return len(vms)
 	}
-	p.SetVM(plat.VM{Name: "a"})
+	p.SetVM(plat.VM{Name: "a", Address: "10.0.0.1:80", Domain: "d", Service: "s"})
 	put(`{"frozen":true}`)
-	p.SetVM(plat.VM{Name: "b"})
+	p.SetVM(plat.VM{Name: "b", Address: "10.0.0.2:80", Domain: "d", Service: "s"})
 	assert.Equal(t, length(), 1)
 	put(`{}`)
 	assert.Equal(t, length(), 2)
--- a/node/node.go
+++ b/node/node.go
@@ -31,6 +31,7 @@
 	"github.com/cranberrybay/cranberrybay/queue"
 	"github.com/cranberrybay/cranberrybay/route"
 	"github.com/cranberrybay/cranberrybay/table"
+	"github.com/cranberrybay/cranberrybay/watch"
 )
 
 // stopTimeout bounds a planned stop. It leaves time for the longest answer to end.
@@ -51,7 +52,9 @@
 				return logs.New(logs.Config{Out: out, Node: s.Name, Level: s.Log.Level, Levels: s.Log.Parts})
 			},
 			func() incarnation { return incarnation(s.Name + "/" + uuid.NewString()) },
-			func() plat.Config { return plat.Config{Address: s.Platform.Address} },
+			func(factory *logs.Factory) plat.Config {
+				return plat.Config{Address: s.Platform.Address, OddVMs: watch.NewOddRows("vms", factory.Logger("fleet"))}
+			},
 			plat.NewTableClient,
 			plat.NewVMList,
 			func() *fleet.Table { return fleet.New(fleet.Config{Self: s.Name, Domain: s.Domain}) },
--- a/plat/table.go
+++ b/plat/table.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/cranberrybay/cranberrybay/table"
+	"github.com/cranberrybay/cranberrybay/watch"
 )
 
 // maxReply bounds one reply of the platform, in bytes.
@@ -52,8 +53,9 @@
 
 // Config configures the clients of this package.
 type Config struct {
-	Address string       // host:port
-	Client  *http.Client // nil for a client with the default transport
+	Address string         // host:port
+	Client  *http.Client   // nil for a client with the default transport
+	OddVMs  *watch.OddRows // keeps the entries of the VM list that name no VM; nil keeps none
 }
 
 // callTimeout bounds each call of the platform.
@@ -164,8 +166,10 @@
 		return nil, fmt.Errorf("%w: status %d", table.ErrUnavailable, status)
 	}
 	var out RowsReply
-	if err := json.Unmarshal(reply, &out); err != nil {
-		return nil, fmt.Errorf("%w: decode %s: %w", table.ErrUnavailable, path, err)
+	if json.Unmarshal(reply, &out) != nil {
+		if out, err = decodeEachRow(reply); err != nil {
+			return nil, fmt.Errorf("%w: decode %s: %w", table.ErrUnavailable, path, err)
+		}
 	}
 	rows := make([]table.Row, len(out.Rows))
 	for i, r := range out.Rows {
@@ -174,6 +178,29 @@
 	return rows, nil
 }
 
+// decodeEachRow decodes a reply in which some values can't be decoded. Their rows have none. It fails if
+// the key or the revision of a row can't be decoded.
+func decodeEachRow(reply []byte) (RowsReply, error) {
+	var raw struct {
+		Rows []struct {
+			Key      string          `json:"key"`
+			Value    json.RawMessage `json:"value"`
+			Revision uint64          `json:"revision"`
+		} `json:"rows"`
+	}
+	if err := json.Unmarshal(reply, &raw); err != nil {
+		return RowsReply{}, err
+	}
+	out := RowsReply{Rows: make([]Row, len(raw.Rows))}
+	for i, r := range raw.Rows {
+		out.Rows[i] = Row{Key: r.Key, Revision: r.Revision}
+		if json.Unmarshal(r.Value, &out.Rows[i].Value) != nil {
+			out.Rows[i].Value = nil
+		}
+	}
+	return out, nil
+}
+
 func (c *client) commit(ctx context.Context, batch table.Batch) (uint64, error) {
 	b, err := json.Marshal(batch)
 	if err != nil {
--- a/watch/odd.go
+++ b/watch/odd.go
@@ -94,6 +94,9 @@
 
 // Retain records which rows the table has.
 func (o *OddRows) Retain(has func(key string) bool) {
+	if o == nil {
+		return
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for key := range o.rows {
