member: a process writes its row again when another writer overwrote it

A row with its name and the greatest sequence ended its service, as that of a newer incarnation. Rows of members that no process can be were pinged, and logged at each scan when they could not be decoded.

Cause: adoptRow returned the error of the decoder and kept the old revision, with which each write conflicts. Any decoded row counted.

Change: decodeRow accepts rows that a process can have written: of their key, with an incarnation and an address, printable texts of at most 200 bytes and a sequence that has successors. An unreadable own row gives its revision only. Rejected rows are logged by OddRows.

--- a/member/membership.go
+++ b/member/membership.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cranberrybay/cranberrybay/table"
+	"github.com/cranberrybay/cranberrybay/watch"
 )
 
 // Config configures a Membership.
@@ -64,6 +65,7 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	scanNow chan struct{} // asks the scan loop to run now
+	odd     *watch.OddRows
 
 	spawnMu sync.Mutex // orders the start of goroutines before StopSilently waits for them
 	halted  bool
@@ -99,7 +101,7 @@
 	if cfg.Rand == nil {
 		cfg.Rand = rand.New(rand.NewSource(time.Now().UnixNano()))
 	}
-	ms := &Membership{cfg: cfg, pauses: cfg.PauseDetector, rand: cfg.Rand, self: cfg.Self, peers: map[string]*peerRecord{}, scanNow: make(chan struct{}, 1), started: time.Now()}
+	ms := &Membership{cfg: cfg, pauses: cfg.PauseDetector, rand: cfg.Rand, self: cfg.Self, peers: map[string]*peerRecord{}, scanNow: make(chan struct{}, 1), started: time.Now(), odd: watch.NewOddRows("member", cfg.Log)}
 	// Of two incarnations of one name the one with the higher sequence is the
 	// newer. join raises the sequence above that of an older row when the table
 	// service answers.
--- a/member/rows.go
+++ b/member/rows.go
@@ -5,9 +5,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"strings"
 	"time"
+	"unicode"
 
 	"github.com/cranberrybay/cranberrybay/table"
+	"github.com/cranberrybay/cranberrybay/watch"
 )
 
 const (
@@ -31,6 +34,31 @@
 	Until time.Time `json:"until"`
 }
 
+const (
+	// maxTextBytes bounds each text of a member in bytes. The texts are in messages and logs.
+	maxTextBytes = 200
+	// maxSequence bounds the sequence in a row, which begins at the Unix time in milliseconds. A
+	// process must be able to state a greater one.
+	maxSequence = 1 << 60
+)
+
+// decodeRow returns the member that a row describes. Another writer may have written it.
+func decodeRow(r table.Row) (Member, error) {
+	var v row
+	if err := json.Unmarshal(r.Value(), &v); err != nil {
+		return Member{}, fmt.Errorf("decode member row: %w", err)
+	}
+	if rowKey(v.Name) != r.Key() || v.Incarnation == "" || v.PeerAddress == "" || v.Sequence > maxSequence {
+		return Member{}, fmt.Errorf("member row is that of %.100q, incarnation %.100q at %.100q with sequence %d", v.Name, v.Incarnation, v.PeerAddress, v.Sequence)
+	}
+	for _, text := range []string{v.Name, v.Incarnation, v.Domain, v.Region, v.CallerAddress, v.PeerAddress} {
+		if len(text) > maxTextBytes || strings.ContainsFunc(text, func(c rune) bool { return !unicode.IsPrint(c) }) {
+			return Member{}, fmt.Errorf("text %.100q is too long or not printable", text)
+		}
+	}
+	return v.Member, nil
+}
+
 // processCount returns the number of processes that are not unreachable, this one
 // included. The caller holds ms.mu.
 func (ms *Membership) processCount() int {
@@ -139,30 +167,32 @@
 	if err != nil {
 		return fmt.Errorf("read own row: %w", err)
 	}
-	return ms.adoptRow(r)
+	ms.adoptRow(r)
+	return nil
 }
 
-// adoptRow takes over the revision of a row with the own name.
-func (ms *Membership) adoptRow(r table.Row) error {
-	var v row
+// adoptRow takes over the revision of a row with the own name. A row that another writer has overwritten
+// says nothing else.
+func (ms *Membership) adoptRow(r table.Row) {
+	var v Member
+	var err error
 	if r.Exists() {
-		if err := json.Unmarshal(r.Value(), &v); err != nil {
-			return fmt.Errorf("decode own row: %w", err)
+		if v, err = decodeRow(r); err != nil {
+			ms.odd.Reject(watch.Row{Key: r.Key(), Value: r.Value(), Revision: r.Revision()}, err)
 		}
 	}
 	ms.mu.Lock()
 	defer ms.mu.Unlock()
-	if !r.Exists() {
-		ms.revision = table.Absent
-		return nil
+	if !r.Exists() || err != nil {
+		ms.revision = r.Revision()
+		return
 	}
 	if v.Incarnation != ms.self.Incarnation && ms.revision == table.Absent {
 		// While joining, the row is that of an older incarnation.
 		ms.self.Sequence = max(ms.self.Sequence, v.Sequence+1)
 	}
-	ms.merge(v.Member)
+	ms.merge(v)
 	ms.revision = r.Revision()
-	return nil
 }
 
 // scanLoop reads all rows periodically and on request.
@@ -194,18 +224,19 @@
 	}
 	seen := map[string]bool{}
 	for _, r := range rows {
-		var v row
-		if err := json.Unmarshal(r.Value(), &v); err != nil || rowKey(v.Name) != r.Key() {
-			ms.cfg.Log.Error().Str("key", r.Key()).Msg("member row can't be decoded")
+		if r.Key() == rowKey(ms.cfg.Self.Name) {
+			ms.mergeOwnRow(r)
 			continue
 		}
-		seen[v.Name] = true
-		if v.Name == ms.cfg.Self.Name {
-			ms.mergeOwnRow(r)
+		v, err := decodeRow(r)
+		if err != nil {
+			ms.odd.Reject(watch.Row{Key: r.Key(), Value: r.Value(), Revision: r.Revision()}, err)
 			continue
 		}
+		ms.odd.Accept(r.Key())
+		seen[v.Name] = true
 		ms.mu.Lock()
-		if rec := ms.merge(v.Member); rec != nil && rec.member.Incarnation == v.Incarnation && r.Revision() > rec.revision {
+		if rec := ms.merge(v); rec != nil && rec.member.Incarnation == v.Incarnation && r.Revision() > rec.revision {
 			// A stale read may show an older revision, which is ignored.
 			rec.revision, rec.revisionSeen = r.Revision(), time.Now()
 		}
@@ -232,9 +263,7 @@
 	if joined {
 		return
 	}
-	if err := ms.adoptRow(r); err != nil {
-		ms.cfg.Log.Error().Err(err).Msg("own row can't be decoded")
-	}
+	ms.adoptRow(r)
 }
 
 // removeAbandoned forgets unreachable members without a row and deletes the rows of
