--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"time"
 
+	"github.com/cranberrybay/cranberrybay/label"
 	"github.com/cranberrybay/cranberrybay/poison"
 )
 
@@ -23,12 +23,6 @@
 	Terms   int       `json:"terms"`
 }
 
-// Bounds on the texts of a quarantined part in bytes. Its records are in heartbeats.
-const (
-	maxServiceBytes = 200
-	maxPartBytes    = poison.MaxIDBytes
-)
-
 // decodeQuarantines returns the quarantined parts from their row. Another writer may have written it.
 func decodeQuarantines(raw []byte) ([]quarantineRow, error) {
 	var rows []quarantineRow
@@ -36,11 +30,9 @@
 		return nil, fmt.Errorf("decode quarantined parts: %w", err)
 	}
 	for _, x := range rows {
-		if x.Service == "" || x.Part == "" {
-			return nil, errors.New("quarantined part has no name")
-		}
-		if err := errors.Join(checkText("service", x.Service, maxServiceBytes), checkText("part", x.Part, maxPartBytes)); err != nil {
-			return nil, err
+		// The texts are in heartbeats.
+		if x.Service == "" || x.Part == "" || !label.IsValid(x.Service) || !label.IsValid(x.Part) || len(x.Part) > poison.MaxIDBytes {
+			return nil, fmt.Errorf("quarantined part %.100q of %.100q has unusable texts", x.Part, x.Service)
 		}
 	}
 	return rows, nil
--- a/edge/registrar.go
+++ b/edge/registrar.go
@@ -10,12 +10,12 @@
 	"strings"
 	"sync/atomic"
 	"time"
-	"unicode"
 
 	"github.com/rs/zerolog"
 
 	"github.com/cranberrybay/cranberrybay/beat"
 	"github.com/cranberrybay/cranberrybay/clock"
+	"github.com/cranberrybay/cranberrybay/label"
 	"github.com/cranberrybay/cranberrybay/pacer"
 	"github.com/cranberrybay/cranberrybay/poison"
 	"github.com/cranberrybay/cranberrybay/seal"
@@ -73,31 +73,17 @@
 	sealKeyLifetime = 24 * time.Hour
 	// maxKeyNumber bounds the number of a key, which grows by one a day. The next key has a greater one.
 	maxKeyNumber = 1 << 31
-	// maxHubText bounds the name and each address of a hub in bytes: they are in each heartbeat that
-	// lists it, and the store allows names of failure domains of that length.
-	maxHubText = 200
 )
 
-// checkText returns an error unless a text of a shared row can be part of messages and logs.
-func checkText(what, text string, maxBytes int) error {
-	if len(text) > maxBytes || strings.ContainsFunc(text, func(c rune) bool { return !unicode.IsPrint(c) }) {
-		return fmt.Errorf("%s %.100q is too long or not printable", what, text)
-	}
-	return nil
-}
-
 // decodeHub returns the hub of a failure domain from its row. Another writer may have written it.
 func decodeHub(domain string, raw []byte) (beat.Peer, error) {
 	var hub hubRow
 	if err := json.Unmarshal(raw, &hub); err != nil {
 		return beat.Peer{}, fmt.Errorf("decode hub: %w", err)
 	}
-	if hub.Name == "" || hub.Address == "" {
-		return beat.Peer{}, errors.New("hub has no name or address")
-	}
-	err := errors.Join(checkText("name", hub.Name, maxHubText), checkText("address", hub.Address, maxHubText), checkText("address", hub.Callers, maxHubText), checkText("domain", domain, maxHubText))
-	if err != nil {
-		return beat.Peer{}, err
+	// The texts are in each heartbeat that lists the hub.
+	if hub.Name == "" || hub.Address == "" || !label.IsValid(hub.Name) || !label.IsValid(hub.Address) || !label.IsValid(hub.Callers) || !label.IsValid(domain) {
+		return beat.Peer{}, fmt.Errorf("hub %.100q at %.100q has unusable texts", hub.Name, hub.Address)
 	}
 	return beat.Peer{Name: hub.Name, Address: hub.Address, CallerAddress: hub.Callers, Domain: domain, Weight: hub.Weight}, nil
 }
--- a/member/rows.go
+++ b/member/rows.go
@@ -5,10 +5,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"strings"
 	"time"
-	"unicode"
 
+	"github.com/cranberrybay/cranberrybay/label"
 	"github.com/cranberrybay/cranberrybay/table"
 	"github.com/cranberrybay/cranberrybay/watch"
 )
@@ -34,13 +33,9 @@
 	Until time.Time `json:"until"`
 }
 
-const (
-	// maxTextBytes bounds each text of a member in bytes. The texts are in messages and logs.
-	maxTextBytes = 200
-	// maxSequence bounds the sequence in a row, which begins at the Unix time in milliseconds. A
-	// process must be able to state a greater one.
-	maxSequence = 1 << 60
-)
+// maxSequence bounds the sequence in a row, which begins at the Unix time in milliseconds. A process must
+// be able to state a greater one.
+const maxSequence = 1 << 60
 
 // decodeRow returns the member that a row describes. Another writer may have written it.
 func decodeRow(r table.Row) (Member, error) {
@@ -52,7 +47,7 @@
 		return Member{}, fmt.Errorf("member row is that of %.100q, incarnation %.100q at %.100q with sequence %d", v.Name, v.Incarnation, v.PeerAddress, v.Sequence)
 	}
 	for _, text := range []string{v.Name, v.Incarnation, v.Domain, v.Region, v.CallerAddress, v.PeerAddress} {
-		if len(text) > maxTextBytes || strings.ContainsFunc(text, func(c rune) bool { return !unicode.IsPrint(c) }) {
+		if !label.IsValid(text) {
 			return Member{}, fmt.Errorf("text %.100q is too long or not printable", text)
 		}
 	}
--- a/plat/vms.go
+++ b/plat/vms.go
@@ -8,10 +8,10 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"unicode"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/cranberrybay/cranberrybay/label"
 	"github.com/cranberrybay/cranberrybay/watch"
 )
 
@@ -25,13 +25,10 @@
 	Leaving bool   `json:"leaving,omitempty"`
 }
 
-// maxNameBytes bounds the names of a VM in bytes. They get into logs, metrics and messages.
-const maxNameBytes = 200
-
 // check returns an error if the entry names no VM that can be used.
 func (v *VM) check() error {
 	for _, text := range []string{v.Name, v.Domain, v.Service, v.Address} {
-		if text == "" || len(text) > maxNameBytes || strings.ContainsFunc(text, func(c rune) bool { return !unicode.IsPrint(c) }) {
+		if text == "" || !label.IsValid(text) {
 			return fmt.Errorf("text %.100q is empty, too long or not printable", text)
 		}
 	}
