engine: reports with impossible numbers are rejected

An order status with a part of 10^12 layers kept the planner busy and took its memory.

Cause: reports were checked for negative counts only, order statuses not at all.

Change: counts, sizes and layers have upper bounds, texts must be labels, and the parts of an order status are checked likewise.

TestImpossibleReports failed before ("err is nil": the report was used) and passes now; FuzzLoad ran 10 s without a finding.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/cranberrybay/cranberrybay/label"
 )
 
 // Stage is one engine of a route and the layers that it computes.
@@ -70,12 +72,27 @@
 	Event   uint64 `json:"event,omitempty"` // number of the latest cache event
 }
 
+const (
+	// maxLayers bounds the layers of a model, which are about a hundred.
+	maxLayers = 10_000
+	// maxCount bounds counts of requests and memory in MB, so that sums don't overflow.
+	maxCount = 1 << 40
+)
+
 // valid reports whether the values are possible. A report with negative counts would
 // make its server appear to be the least loaded one.
 func (l *LoadReport) valid() bool {
-	return l.Slots >= 0 && l.Running >= 0 && l.Waiting >= 0 && l.First >= 0 && l.Last >= l.First
+	for _, text := range []string{l.Boot, l.Kind, l.Model, l.Version} {
+		if !label.IsValid(text) {
+			return false
+		}
+	}
+	return isCount(l.Slots) && isCount(l.Running) && isCount(l.Waiting) && l.First >= 0 && l.Last >= l.First && l.Last <= maxLayers
 }
 
+// isCount reports whether a number can be a count or a size.
+func isCount(n int) bool { return n >= 0 && n <= maxCount }
+
 // CacheEvent is one change of an engine's prefix cache.
 type CacheEvent struct {
 	Number uint64 `json:"number"` // increases by one with each event
--- a/engine/order.go
+++ b/engine/order.go
@@ -83,9 +83,27 @@
 	if err := json.NewDecoder(io.LimitReader(r, maxOrderStatus)).Decode(&status); err != nil {
 		return status, fmt.Errorf("decode order status: %w", err)
 	}
+	if !status.valid() {
+		return OrderStatus{}, errors.New("order status has impossible values")
+	}
 	return status, nil
 }
 
+// valid reports whether the values are possible.
+func (s *OrderStatus) valid() bool {
+	for _, p := range s.Parts {
+		if !p.valid() {
+			return false
+		}
+	}
+	return isCount(s.Memory) && isCount(s.Running) && (s.Serve == nil || s.Serve.valid())
+}
+
+// valid reports whether the values are possible.
+func (p *Part) valid() bool {
+	return p.First >= 0 && p.Last >= p.First && p.Last <= maxLayers && isCount(p.Size)
+}
+
 // Order sends an order and returns the resulting status. It calls check once the
 // connection is open and before it writes the body. If check fails, the body is not
 // written and the order has no effect: a sender that was paused while it connected
