soak: another writer puts odd rows into the store

Throughout each run a writer changes entries of servers ten times a second, to values that can't be read, layers, ports, slots and starts out of range, entries with the address of a sound engine and sound entries without a server, and every 1.5 s overwrites a shared row of the entry processes; the lease's row once. No process may end by itself.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -131,6 +131,8 @@
 	}
 	run.wg.Add(1)
 	go func() { defer run.wg.Done(); run.sendForgedDatagrams(ctx, rand.New(rand.NewSource(seed))) }()
+	run.wg.Add(1)
+	go func() { defer run.wg.Done(); run.writeOddRows(ctx, rand.New(rand.NewSource(^seed<<2))) }()
 	run.waitServing("at the start", 15*time.Second)
 	for range faultRounds {
 		run.injectFault()
@@ -143,6 +145,7 @@
 	run.servers.endRates()
 	run.waitServing("after the faults", 12*time.Second)
 	run.checkMemory()
+	run.checkRunning()
 	cancel()
 	run.wg.Wait()
 	run.checkGuarantees()
