platform: entries that nobody can use take no room in messages

Cause: rows are relayed as the store has them.

Change: Registry.Trim drops the value of each row that names no server when the store has answered, and logs it there.

--- a/edge/app.go
+++ b/edge/app.go
@@ -341,6 +341,15 @@
 		}
 	}
 	serverTable := tableConfig(platform.TableServers)
+	read, poll := serverTable.Read, serverTable.Poll
+	serverTable.Read = func(ctx context.Context) (watch.Page, error) {
+		p, err := read(ctx)
+		return registry.Trim(p), err
+	}
+	serverTable.Poll = func(ctx context.Context, after uint64, wait time.Duration) (watch.Page, error) {
+		p, err := poll(ctx, after, wait)
+		return registry.Trim(p), err
+	}
 	serverTable.BatchDelay = registrySettle
 	serverTable.IsNewer, serverTable.CopyGrace = platform.IsNewerServer, s.entryLifetime()+missingEntryGrace
 	serverTable.Confirm = func(time.Duration) {}
