edge: the pause of an engine that takes no orders begins short

An engine may be out of reach of the process that plans only, for some seconds; a pause of 10 s after five failed orders left it empty for that long. The pause is 2 s at first and doubles up to 30 s, so that an entry without an engine costs an order every 30 s.

--- a/edge/placer.go
+++ b/edge/placer.go
@@ -107,6 +107,7 @@
 type orderFailures struct {
 	born        int64
 	count       int
+	pauses      int
 	pausedUntil time.Duration // clock.Now until which the engine is not planned if it holds no layers
 }
 
@@ -114,8 +115,10 @@
 	// maxOrderFailures is the number of failed orders after which an engine that holds no layers is
 	// not planned for a while: its entry may name no engine, and nobody would load its layers.
 	maxOrderFailures = 5
-	// orderPause is that while. The registry drops the entry of an engine that has died sooner.
-	orderPause = 10 * time.Second
+	// firstOrderPause and longestOrderPause bound that while, which doubles with each further failure. It
+	// begins short because an engine may also be out of reach of this process only.
+	firstOrderPause   = 2 * time.Second
+	longestOrderPause = 30 * time.Second
 )
 
 // orderResult is the result of sending an order.
@@ -299,8 +302,10 @@
 	}
 	x.count++
 	if x.count >= maxOrderFailures || errors.Is(err, shard.ErrMisdirected) {
-		x.pausedUntil = clock.Now() + orderPause
-		p.log.Warn().Str("server", id).Int("failures", x.count).Dur("pause", orderPause).Msg("engine takes no orders, not planned unless it holds layers")
+		pause := min(firstOrderPause<<min(x.pauses, 4), longestOrderPause)
+		x.pauses++
+		x.pausedUntil = clock.Now() + pause
+		p.log.Warn().Str("server", id).Int("failures", x.count).Dur("pause", pause).Msg("engine takes no orders, not planned unless it holds layers")
 	}
 	p.failures[id] = x
 }
--- a/edge/placer_test.go
+++ b/edge/placer_test.go
@@ -461,3 +461,20 @@
 		})
 	}
 }
+
+// Guards against an engine that stays empty for long because the placer could not reach it for some seconds.
+func TestEngineOutOfReachIsPlannedAgain(t *testing.T) {
+	withEngines(t, func(t *testing.T, e *fakeEngines, r *fakeTable, run func(p *Placer) func()) {
+		p, begun := newTestPlacer(t, "a", e, r), time.Now()
+		p.place = func(ctx context.Context, to server.Entry, r shard.Range, fence, accepted uint64) error {
+			if to.ID == "e3" && time.Since(begun) < 8*time.Second {
+				return errors.New("no connection")
+			}
+			return e.place(ctx, to, r, fence, accepted)
+		}
+		run(p)
+		time.Sleep(8*time.Second + 2*firstOrderPause + time.Second)
+		x := e.table.ByID("e3").Entry()
+		assert.Assert(t, x.From < x.To, "e3 holds no layers")
+	})
+}
