--- a/server/table_test.go
+++ b/server/table_test.go
@@ -147,3 +147,27 @@
 		}
 	}
 }
+
+// Guards against an entry of another service, or of a server that drains, that takes the place of a server with the same address.
+func TestRivals(t *testing.T) {
+	var removed []string
+	tb := newTable(&removed)
+	a, b, draining, other := entry("a", "10.0.0.1:1", 1), entry("b", "10.0.0.1:1", 5), entry("c", "10.0.0.1:1", 9), entry("d", "10.0.0.1:1", 9)
+	draining.Draining, other.Service = true, "other"
+	tb.Apply([]server.Change{put(a), put(draining), put(other), put(entry("e", "10.0.0.2:1", 1))}, true, 0)
+	assert.Equal(t, len(tb.Rivals(tb.ByID("a"))), 0)
+	tb.Apply([]server.Change{put(b)}, false, 0)
+	x, y := tb.ByID("a"), tb.ByID("b")
+	assert.DeepEqual(t, []int{len(tb.Rivals(x)), len(tb.Rivals(y)), len(tb.Rivals(tb.ByID("e")))}, []int{1, 1, 0})
+	assert.Equal(t, tb.Rivals(x)[0].ID(), "b")
+	assert.Assert(t, y.IsBelieved(x) && !x.IsBelieved(y), "the later start counts")
+	y.RecordMisdirected()
+	assert.Assert(t, x.IsBelieved(y) && !y.IsBelieved(x), "the one that is not misdirected counts")
+	x.RecordMisdirected()
+	x.RecordMisdirected()
+	x.RecordAnswer(time.Millisecond)
+	assert.Assert(t, x.IsBelieved(y), "a success ends the evidence")
+	tb.Apply([]server.Change{{ID: "b", Removed: true}}, false, 0)
+	assert.Equal(t, len(tb.Rivals(x)), 0)
+	assert.Assert(t, tb.ByID("b") == nil)
+}
