relay: the rate of an engine does not count for another entry

What callers saw (played): with a second entry at the address of an engine, the rate that the engine's reports name was kept for that entry, so that requests went beyond the rate of the engine.

Cause: reports are attributed by address, where the entry that started later counts.

Change: of the entries of a service with one address, the believed one gets it.

TestRateOfAnEngineWithASecondEntry failed before (the record was that of the other entry) and passes now.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -381,6 +381,13 @@
 // limit.
 func (r *Relay) fetchReport(ctx context.Context, address string) (Report, error) {
 	sentAt, s := pacer.Now(), r.cfg.Servers.ByAddress(address)
+	if s != nil {
+		for _, o := range r.cfg.Servers.Rivals(s) {
+			if o.IsBelieved(s) {
+				s = o
+			}
+		}
+	}
 	report, err := r.cfg.FetchReport(ctx, address)
 	if err == nil && s != nil && report.Rate.Named {
 		r.observeRate(s, report.Rate, sentAt)
