--- a/edge/app.go
+++ b/edge/app.go
@@ -8,7 +8,9 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -93,6 +95,7 @@
 			newPacer,
 			newIntake,
 			newServerTable,
+			newRegistry,
 			newMembers,
 			newStateFetcher,
 			newProcessRegistrar,
@@ -162,6 +165,10 @@
 	return state.servers
 }
 
+func newRegistry(s Settings, factory *logs.Factory) *platform.Registry {
+	return &platform.Registry{AllowLoopback: s.onLoopback(), Odd: watch.NewOddRows(platform.TableServers, factory.Logger("watch"))}
+}
+
 // self returns the description of this process that the other processes get.
 func self(s Settings) beat.Peer {
 	return beat.Peer{
@@ -178,7 +185,8 @@
 
 func newProcessRegistrar(s Settings, self beat.Peer, store *platform.Store, members *beat.Membership, sealer *seal.Sealer, f *stateFetcher, b *retryBudgets, t *poison.Tracker, p *pacer.Pacer, in *intake.Tracker, tracker *config.Tracker, state *sharedState, factory *logs.Factory) *registrar {
 	m := newRegistrar(registrarConfig{
-		Self: self, Bootstrap: s.Bootstrap, Rows: store.Table(), Members: members, Sealer: sealer, Fetch: f.fetch, OnSize: b.resize, HoldsLease: state.holdsLease, Poison: t, Pacer: p, Intake: in, Log: factory.Logger("beat"),
+		Self: self, Bootstrap: s.Bootstrap, Rows: store.Table(), Members: members, Sealer: sealer, Fetch: f.fetch, OnSize: b.resize, HoldsLease: state.holdsLease, Poison: t, Pacer: p, Intake: in,
+		Odd: watch.NewOddRows(strings.TrimSuffix(rowPrefix, "/"), factory.Logger("beat")), Log: factory.Logger("beat"),
 	})
 	state.newerConfig = &newerConfig{tracker: tracker, fetch: f.fetch, log: factory.Logger("watch"), offer: func(rows []watch.Row) {
 		if follower := state.follower(platform.TableConfig); follower != nil {
@@ -251,11 +259,11 @@
 			}
 		},
 		Send: func(address string, b []byte) error {
-			to, err := net.ResolveUDPAddr("udp4", address)
+			to, err := netip.ParseAddrPort(address) // a look-up of a name would delay all heartbeats
 			if err != nil {
 				return err
 			}
-			_, err = conn.WriteTo(b, to)
+			_, err = conn.WriteTo(b, net.UDPAddrFromAddrPort(to))
 			return err
 		},
 		Log: factory.Logger("beat"),
@@ -278,6 +286,7 @@
 
 func newPlacer(self beat.Peer, i incarnation, members *beat.Membership, state *sharedState, store *platform.Store, tracker *config.Tracker, servers *server.Table, backend *platform.Backend, in *intake.Tracker, c *counters, factory *logs.Factory) *Placer {
 	log := factory.Logger("place")
+	unreadable := watch.NewOddRows("lease", log)
 	p := &Placer{
 		// Besides the lease holder, only hubs read the lease's row.
 		leaveToOthers: func() bool {
@@ -296,6 +305,9 @@
 				l, ok := members.Lease()
 				return lease.Announcement{Fence: l.Fence, Revision: l.Revision, Until: time.Now().Add(l.Until - clock.Now()), Ended: l.Ended}, ok
 			},
+			OnUnreadable: func(revision uint64, err error) {
+				unreadable.Reject(watch.Row{Key: "place", Revision: revision}, err)
+			},
 			OnViolation: func(reason string) {
 				log.Error().Str("reason", reason).Msg("lease invariant does not hold")
 				c.violation("lease")
@@ -309,7 +321,7 @@
 }
 
 // followTables keeps the configuration and the registry of backend servers up to date.
-func followTables(s Settings, store *platform.Store, tracker *config.Tracker, servers *server.Table, in *intake.Tracker, members *beat.Membership, m *registrar, state *sharedState, factory *logs.Factory, lc fx.Lifecycle) {
+func followTables(s Settings, store *platform.Store, tracker *config.Tracker, servers *server.Table, registry *platform.Registry, in *intake.Tracker, members *beat.Membership, m *registrar, state *sharedState, factory *logs.Factory, lc fx.Lifecycle) {
 	log := factory.Logger("watch")
 	tableConfig := func(name string) watch.Config {
 		return watch.Config{
@@ -329,24 +341,37 @@
 			},
 		}
 	}
+	unusedConfig := watch.NewOddRows(platform.TableConfig, log)
 	configTable := tableConfig(platform.TableConfig)
 	configTable.Confirm = tracker.Confirm
 	configTable.IsNewer, configTable.KeepMissing = platform.IsNewerConfig, true
 	configTable.Apply = func(p watch.Page, _ time.Duration) {
 		c, err := platform.DecodeConfig(p.Rows)
-		if err != nil {
-			log.Error().Err(err).Msg("configuration can't be decoded; keeping the one in effect")
+		switch {
+		case err != nil:
+			unusedConfig.Reject(watch.Row{Key: platform.KeyConfig, Revision: p.Revision}, err)
+		case c != nil:
+			unusedConfig.Accept(platform.KeyConfig)
 		}
 		if c != nil && tracker.Apply(c) {
 			log.Info().Uint64("version", c.Version()).Uint64("revision", p.Revision).Msg("configuration in effect")
 		}
 	}
 	serverTable := tableConfig(platform.TableServers)
+	read, poll := serverTable.Read, serverTable.Poll
+	serverTable.Read = func(ctx context.Context) (watch.Page, error) {
+		p, err := read(ctx)
+		return registry.Trim(p), err
+	}
+	serverTable.Poll = func(ctx context.Context, after uint64, wait time.Duration) (watch.Page, error) {
+		p, err := poll(ctx, after, wait)
+		return registry.Trim(p), err
+	}
 	serverTable.BatchDelay = registrySettle
 	serverTable.IsNewer, serverTable.CopyGrace = platform.IsNewerServer, s.entryLifetime()+missingEntryGrace
 	serverTable.Confirm = func(time.Duration) {}
 	serverTable.Apply = func(p watch.Page, outage time.Duration) {
-		servers.Apply(platform.DecodeServers(p.Rows, log), p.Whole, outage)
+		servers.Apply(registry.Decode(p), p.Whole, outage)
 	}
 	configFollower, serverFollower := watch.New(configTable), watch.New(serverTable)
 	state.followers.Store(&map[string]*watch.Follower{platform.TableConfig: configFollower, platform.TableServers: serverFollower})
--- a/poison/record.go
+++ b/poison/record.go
@@ -48,9 +48,9 @@
 // IsRequest reports whether the part is a whole request.
 func (p Part) IsRequest() bool { return strings.HasPrefix(p.ID, requestMark) }
 
-// maxIDBytes bounds the identifier of a part. Callers choose it, and a longer one is replaced by
+// MaxIDBytes bounds the identifier of a part in bytes. Callers choose it, and a longer one is replaced by
 // its hash.
-const maxIDBytes = 64
+const MaxIDBytes = 64
 
 // PartsOf returns the parts of a prompt that other requests may share. The last part belongs to
 // the request or its session, so it is left out.
@@ -60,7 +60,7 @@
 	}
 	out := make([]Part, 0, len(ids)-1)
 	for _, id := range ids[:len(ids)-1] {
-		if len(id) > maxIDBytes || strings.HasPrefix(id, requestMark) {
+		if len(id) > MaxIDBytes || strings.HasPrefix(id, requestMark) {
 			id = "#" + strconv.FormatUint(xxhash.Sum64String(id), 16)
 		}
 		out = append(out, Part{Service: service, ID: id})
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cranberrybay/cranberrybay/config"
@@ -247,7 +248,7 @@
 	var best *server.Server
 	cost, avoided := 0.0, false
 	for _, srv := range r.candidates(req.Service.Name) {
-		if r.passesOver(c, srv) || tried[srv.ID()] {
+		if r.passesOver(c, srv) || tried[srv.ID()] || slices.ContainsFunc(r.cfg.Servers.Rivals(srv), func(o *server.Server) bool { return o.IsBelieved(srv) }) {
 			continue
 		}
 		wait := r.waitForRate(srv)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -391,6 +391,8 @@
 	}
 	if !ans.Misdirected {
 		r.observeIntake(a.Server, ans, sentAt)
+	} else if ans.RefusedBy == "" || ans.RefusedBy == a.Server.Address() {
+		a.Server.RecordMisdirected()
 	}
 	if ans.Load != nil {
 		a.Server.RecordLoad(ans.Load.Running, ans.Load.Waiting)
@@ -424,6 +426,13 @@
 // limit.
 func (r *Relay) fetchReport(ctx context.Context, address string) (Report, error) {
 	sentAt, s := pacer.Now(), r.cfg.Servers.ByAddress(address)
+	if s != nil {
+		for _, o := range r.cfg.Servers.Rivals(s) {
+			if o.IsBelieved(s) {
+				s = o
+			}
+		}
+	}
 	report, err := r.cfg.FetchReport(ctx, address)
 	if err == nil && s != nil && report.Rate.Named {
 		r.observeRate(s, report.Rate, sentAt)
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -323,7 +323,7 @@
 		return nil, nil
 	}
 	for address := range dead {
-		if s := m.relay.cfg.Servers.ByAddress(address); s != nil {
+		if s := m.path.serverAt(address); s != nil {
 			m.relay.suspect(s)
 		}
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -291,7 +291,9 @@
 	failedServer := t.first
 	if ans != nil && ans.RefusedBy != "" {
 		e = e.Str("culprit", ans.RefusedBy)
-		failedServer = r.cfg.Servers.ByAddress(ans.RefusedBy)
+		if failedServer = t.serverAt(ans.RefusedBy); failedServer == nil {
+			failedServer = r.cfg.Servers.ByAddress(ans.RefusedBy)
+		}
 	}
 	e.Msg("stream attempt failed")
 	if ctx.Err() != nil {
@@ -302,7 +304,12 @@
 	}
 	if failedServer != nil {
 		failedServer.RecordFailure()
-		m.exclude(failedServer.Address())
+		if ans != nil && ans.Misdirected && failedServer != t.first {
+			failedServer.RecordMisdirected()
+		}
+		if ans == nil || !ans.Misdirected || len(r.cfg.Servers.Rivals(failedServer)) == 0 {
+			m.exclude(failedServer.Address())
+		}
 		// An engine that refuses may be full or dead; its report shows which.
 		go r.probeFailed(t.first, failedServer)
 	}
