stream: silence of a stage moves a request and ends no answer

Callers lost answers that the engines would have finished: when a stage was silent for 150 ms and did not answer a probe, the runner cancelled the run, although there was no other route, no retry left, or the other engine refused. A stage that goes on after 1.2 s ended the answer as "no working set of backend servers" after 0.3 s. The same happened when a route only became slow and the retry budget was empty.

Cause: silence was taken for death. The run was cancelled first and a replacement was looked for afterwards.

Change: silence prepares a successor on another route while the silent run goes on; the one that delivers the next token keeps the answer. Without a route, a retry or an attempt the run waits. It ends on proof (connection refused or reset, another incarnation, removed from the list), at the deadline of its first token, and after 10 s without a token. If a successor fails that has fenced the silent run on shared stages, the request begins again without a further retry. A slow route is left only with a retry in hand. A request that no engine has received, because it took no connection in time, costs no retry.

Failing before: TestSilentStageEndsNoStream (10 cases; "no working set of backend servers for the model (unavailable, may-have-run)", and "attempt 1: the connection to the engine was lost ... context canceled" without retries), TestSlowRouteEndsNoStream ("the route slowed down and a better one exists"), TestUnconnectedStage ("dial: i/o timeout"). New and passing: TestVanishedStage, TestProofEndsTheWait, TestFirstTokenDeadlineWhileSilent.

Changed test: the baseline of TestRecoveryTime began again because its runner gave a silent run up. That runner now waits, so the test sets its longest silence to 150 ms, the token timeout of these routes.

--- a/engine/client.go
+++ b/engine/client.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/cranberrybay/cranberrybay/fault"
@@ -167,3 +168,27 @@
 	}
 	return fault.MayHaveRun
 }
+
+// ErrGone reports that a server was removed from the list of servers.
+var ErrGone = errors.New("the server was removed")
+
+// IsGone reports whether an error proves that a server has ended: it refused or closed
+// the connection, or err wraps ErrGone. A server that does not
+// answer in time may be paused and go on.
+func IsGone(err error) bool {
+	var oe *net.OpError
+	switch {
+	case errors.Is(err, ErrGone), errors.Is(err, syscall.ECONNRESET), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return true
+	case errors.Is(err, context.Canceled), errors.Is(err, syscall.EHOSTUNREACH), errors.Is(err, syscall.ENETUNREACH):
+		return false
+	}
+	return errors.As(err, &oe) && oe.Op == "dial" && !oe.Timeout()
+}
+
+// IsUnconnected reports whether a server took no connection in time. It may be paused
+// and take one later.
+func IsUnconnected(err error) bool {
+	var ne net.Error
+	return fault.VerdictOf(err) == fault.NotRun && errors.As(err, &ne) && ne.Timeout()
+}
--- a/entry/runner.go
+++ b/entry/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strings"
 	"time"
 
@@ -40,11 +41,8 @@
 			}
 			return &stream.FrameStream{Next: frames.Next, Buffered: frames.HasBufferedFrame, Close: frames.Close}, nil
 		},
-		Cancel: engines.Cancel,
-		Probe: func(ctx context.Context, address string) (bool, error) {
-			load, err := engines.Load(ctx, address)
-			return load.Waiting > 0, err
-		},
+		Cancel:   engines.Cancel,
+		Probe:    cfg.probe,
 		Export:   engines.Export,
 		Import:   engines.Import,
 		Feedback: fleetFeedback(cfg.Fleet),
@@ -52,6 +50,16 @@
 	})
 }
 
+// probe reads the load report of a stage. Its error wraps engine.ErrGone when the
+// fleet table has removed a server that does not answer.
+func (c RunnerConfig) probe(ctx context.Context, s route.Stage) (engine.LoadReport, error) {
+	load, err := c.Engines.Load(ctx, s.Address)
+	if listed, ok := c.Fleet.ByAddress(s.Address); err != nil && (!ok || listed.Name != s.Name) {
+		err = errors.Join(err, engine.ErrGone)
+	}
+	return load, err
+}
+
 // chooseRoute returns a route for a request over the servers of its service.
 func (c RunnerConfig) chooseRoute(req *stream.Request, constraints stream.RouteConstraints) (route.Route, error) {
 	return c.Chooser.Choose(route.Requirements{
--- a/fakes/engine.go
+++ b/fakes/engine.go
@@ -1,6 +1,7 @@
 package fakes
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -60,6 +61,7 @@
 type Engine struct {
 	cfg        EngineConfig
 	http       *http.Client
+	gate       Gate // pauses
 	mu         sync.Mutex
 	unassigned bool               // serves no part; set by SetParts
 	heldParts  []engine.PartState // parts that requests may run on; nil if SetParts was not called
@@ -132,6 +134,9 @@
 	e.faults = f
 }
 
+// Pause makes the engine fall silent for d. It goes on with its requests afterwards.
+func (e *Engine) Pause(d time.Duration) { e.gate.Pause(d) }
+
 // SetLeaving sets whether the engine is leaving. A leaving engine refuses new
 // requests and continues the ones that it holds.
 func (e *Engine) SetLeaving(leaving bool) {
@@ -211,15 +216,17 @@
 	e.mu.Lock()
 	stall := e.faults.Stall
 	e.mu.Unlock()
-	if stall {
-		_, _ = io.Copy(io.Discard, r.Body)
+	if stall || e.gate.Paused() {
+		b, _ := io.ReadAll(r.Body)
+		r.Body = io.NopCloser(bytes.NewReader(b))
 	}
 	e.abortIfDown(r.Context())
 }
 
-// abortIfDown aborts the request if the engine is dead. If the engine is stalled,
-// it waits until ctx ends and aborts the request then.
+// abortIfDown waits for the end of a pause and aborts the request if the engine is
+// dead. If the engine is stalled, it waits until ctx ends and aborts the request then.
 func (e *Engine) abortIfDown(ctx context.Context) {
+	_ = e.gate.Wait()
 	e.mu.Lock()
 	f := e.faults
 	e.mu.Unlock()
--- a/stream/attempt.go
+++ b/stream/attempt.go
@@ -5,11 +5,11 @@
 	"errors"
 	"fmt"
 	"io"
-	"sync"
 	"time"
 
 	"github.com/cranberrybay/cranberrybay/engine"
 	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/route"
 )
 
 var (
@@ -17,43 +17,97 @@
 	errSlowRoute    = errors.New("the route slowed down and a better one exists")
 )
 
-// runAttempt runs a job on the current route until the answer is complete. After a
-// failure the constraints for the next route are set.
-func (st *requestState) runAttempt(ctx context.Context) error {
-	rt, fb := st.route, &st.runner.cfg.Feedback
-	notify(fb.AttemptBegan, rt)
-	defer func() { notify(fb.AttemptEnded, rt) }()
-	notify(st.acceptor.sink.Route, rt)
+// run is one attempt on a route, from its start until it ends or another run takes
+// over.
+type run struct {
+	number int
+	route  route.Route
+	ctx    context.Context
+	cancel context.CancelFunc
+	frames *FrameStream // nil until the first stage has answered
+}
+
+// startRun begins a run without sending it.
+func (st *requestState) startRun(ctx context.Context, number int, rt route.Route) *run {
+	r := &run{number: number, route: rt}
+	r.ctx, r.cancel = context.WithCancel(ctx)
+	st.mu.Lock()
+	for _, s := range rt.Stages {
+		st.stages[s.Name] = s
+	}
+	st.mu.Unlock()
+	notify(st.runner.cfg.Feedback.AttemptBegan, rt)
+	return r
+}
+
+// endRun ends the exchange of a run with its first stage.
+func (st *requestState) endRun(r *run) {
+	r.cancel()
+	if r.frames != nil {
+		r.frames.Close()
+	}
+	notify(st.runner.cfg.Feedback.AttemptEnded, r.route)
+}
+
+// generate sends the job of a run, which resumes after the accepted tokens.
+func (st *requestState) generate(r *run, accepted []string) (err error) {
 	j := engine.Job{
-		Request: st.req.ID, Tag: st.acceptor.tag, Attempt: st.attemptNumber, Model: st.req.Model, Version: rt.Version,
-		Prompt: st.req.Prompt, Accepted: st.acceptor.tokens, Limit: st.req.Limit, Priority: st.req.Priority,
-		Route: make([]engine.Stage, len(rt.Stages)),
+		Request: st.req.ID, Tag: st.acceptor.tag, Attempt: r.number, Model: st.req.Model, Version: r.route.Version,
+		Prompt: st.req.Prompt, Accepted: accepted, Limit: st.req.Limit, Priority: st.req.Priority,
+		Route: make([]engine.Stage, len(r.route.Stages)),
 	}
-	for i, s := range rt.Stages {
+	for i, s := range r.route.Stages {
 		j.Route[i] = engine.Stage{Address: s.Address, First: s.First, Last: s.Last}
-		st.mayHoldState[s.Address] = true
 	}
-	attemptCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	w := newWatchdog(attemptCtx, cancel, st)
-	defer w.stop()
-	frames, err := st.runner.cfg.Generate(attemptCtx, j)
-	if err == nil {
-		err = st.readFrames(frames, w)
-		frames.Close()
+	r.frames, err = st.runner.cfg.Generate(r.ctx, j)
+	return err
+}
+
+// runAttempt runs a job on the current route, and on those that take over from it,
+// until the answer is complete. After a failure the constraints for the next route
+// are set.
+func (st *requestState) runAttempt(ctx context.Context) error {
+	r := st.startRun(ctx, st.attemptNumber, st.route)
+	for {
+		w, err := st.readRun(ctx, r)
+		st.endRun(r)
+		var se sinkError
+		if err == nil || ctx.Err() != nil || errors.As(err, &se) {
+			w.abandon()
+			st.attemptNumber = w.lastNumber
+			return err
+		}
+		next := w.awaitSuccessor()
+		st.attemptNumber = w.lastNumber
+		st.failedAt = w.lastProgress
+		if next == nil {
+			if !errors.Is(err, errSlowRoute) {
+				st.constraints = w.constraints
+			}
+			st.overdue = w.overdue
+			st.diagnose(ctx, err, w)
+			st.keepValidStages()
+			return fmt.Errorf("attempt %d: %w", r.number, err)
+		}
+		st.takeOver(next, w)
+		r = next
 	}
-	if err == nil {
-		return nil
+}
+
+// readRun reads the frames of a run until it ends.
+func (st *requestState) readRun(ctx context.Context, r *run) (*watchdog, error) {
+	notify(st.acceptor.sink.Route, r.route)
+	for _, s := range r.route.Stages {
+		st.mayHoldState[s.Address] = true
 	}
-	w.stop()
-	var se sinkError
-	if ctx.Err() != nil || errors.As(err, &se) {
-		return err
+	w := newWatchdog(ctx, st, r)
+	defer w.stop()
+	if r.frames == nil {
+		if err := st.generate(r, st.acceptor.tokens); err != nil {
+			return w, err
+		}
 	}
-	st.failedAt = w.lastProgress
-	st.diagnose(ctx, err, w)
-	st.keepValidStages()
-	return fmt.Errorf("attempt %d: %w", st.attemptNumber, err)
+	return w, st.readFrames(r.frames, w)
 }
 
 // notify calls f unless it is nil.
@@ -115,8 +169,10 @@
 func (st *requestState) recordProgress(f *engine.Frame, n int, w *watchdog) {
 	first := w.progress(n)
 	if first {
-		if st.attemptNumber == 1 {
+		if w.run.number == 1 {
+			st.mu.Lock()
 			st.promptTokens, st.cachedTokens = f.Prompt, f.Cached
+			st.mu.Unlock()
 		} else if !st.failedAt.IsZero() {
 			recoveryTime.Update(w.lastProgress.Sub(st.failedAt).Seconds())
 		}
@@ -138,8 +194,10 @@
 		if first {
 			notify(fb.ServerWorked, s.Name)
 			if n := f.Prompt + len(st.acceptor.tokens) - 1 - f.Cached; n > 1 && fb.PrefillTime != nil {
+				st.mu.Lock()
 				st.prefillPerToken = took / time.Duration(n)
-				fb.PrefillTime(s, st.prefillPerToken)
+				st.mu.Unlock()
+				fb.PrefillTime(s, took/time.Duration(n))
 			}
 		} else if fb.TokenTime != nil {
 			fb.TokenTime(s, took)
@@ -149,112 +207,3 @@
 		}
 	}
 }
-
-// watchdog ends an attempt that makes no progress. Only the goroutine that reads
-// the frames uses pace and lastProgress; mu guards the fields below it.
-type watchdog struct {
-	st                 *requestState
-	ctx                context.Context
-	cancel             context.CancelFunc
-	pace               *pace
-	lastProgress       time.Time
-	firstTokenDeadline time.Time // zero for none, or when the token was delivered in an earlier attempt
-
-	mu               sync.Mutex
-	timer            *time.Timer
-	tokenTimeout     time.Duration
-	accepted         int // tokens accepted in this attempt
-	answeredTimeouts int // token timeouts in a row after which every stage answered a probe
-	stopped          bool
-	timedOut         bool            // the watchdog ended the attempt
-	unresponsive     map[string]bool // names of the stages that did not answer the last probe
-}
-
-// newWatchdog starts a watchdog for the current attempt. Its first token timeout
-// includes an estimate of the prefill.
-func newWatchdog(ctx context.Context, cancel context.CancelFunc, st *requestState) *watchdog {
-	w := &watchdog{st: st, ctx: ctx, cancel: cancel, pace: newPace(st.route.Step), lastProgress: time.Now()}
-	if len(st.acceptor.tokens) == 0 {
-		w.firstTokenDeadline = st.req.FirstTokenDeadline
-	}
-	prefill := time.Duration(len(st.req.Prompt)/4+len(st.acceptor.tokens)) * defaultPrefillPerToken
-	w.tokenTimeout = clamp(w.pace.tokenTimeout()+prefill, initialTokenTimeout, 2*maxTokenTimeout)
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.timer = time.AfterFunc(w.nextCheck(), w.onTokenTimeout)
-	return w
-}
-
-// nextCheck returns the time until onTokenTimeout runs next: the token timeout, or
-// the rest of the time for the first token if that is shorter. The caller holds
-// w.mu.
-func (w *watchdog) nextCheck() time.Duration {
-	if w.accepted == 0 && !w.firstTokenDeadline.IsZero() {
-		return max(0, min(w.tokenTimeout, time.Until(w.firstTokenDeadline)))
-	}
-	return w.tokenTimeout
-}
-
-// progress records n accepted tokens and returns whether they are the first of the
-// attempt.
-func (w *watchdog) progress(n int) bool {
-	now := time.Now()
-	interval := now.Sub(w.lastProgress)
-	w.lastProgress = now
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	first := w.accepted == 0
-	if !first {
-		w.pace.addInterval(interval)
-	}
-	w.accepted += n
-	w.answeredTimeouts = 0
-	w.tokenTimeout = w.pace.tokenTimeout()
-	if !w.stopped {
-		w.timer.Reset(w.tokenTimeout)
-	}
-	return first
-}
-
-func (w *watchdog) stop() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.stopped = true
-	w.timer.Stop()
-}
-
-// maxAnsweredTimeouts is the number of token timeouts in a row that end an attempt
-// although all stages answer probes: a link between two of them may be cut.
-const maxAnsweredTimeouts = 2
-
-// onTokenTimeout runs when no token has arrived within the token timeout. It probes
-// the stages and ends the attempt when one does not answer, when
-// maxAnsweredTimeouts is reached or when the first token is late. A request that
-// waits in the queue of a stage does not count as silent.
-func (w *watchdog) onTokenTimeout() {
-	w.mu.Lock()
-	if w.stopped {
-		w.mu.Unlock()
-		return
-	}
-	accepted, stages, tokenTimeout := w.accepted, w.st.route.Stages, w.tokenTimeout
-	late := accepted == 0 && !w.firstTokenDeadline.IsZero() && !time.Now().Before(w.firstTokenDeadline)
-	w.mu.Unlock()
-	countTokenTimeouts.Inc()
-	unresponsive, waiting := w.st.probe(w.ctx, stages, tokenTimeout)
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.stopped || w.accepted != accepted {
-		return
-	}
-	queued := accepted == 0 && waiting && len(unresponsive) == 0
-	if !queued {
-		w.answeredTimeouts++
-	}
-	if !late && len(unresponsive) == 0 && w.answeredTimeouts < maxAnsweredTimeouts {
-		w.timer.Reset(w.nextCheck())
-		return
-	}
-	w.timedOut, w.unresponsive = true, unresponsive
-	w.cancel()
-}
--- a/stream/diagnose.go
+++ b/stream/diagnose.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"sync"
 	"time"
 
@@ -21,30 +20,45 @@
 	maxProbe = 250 * time.Millisecond
 )
 
-// probe asks stages for a load report. It returns the names of those that did not
-// answer, and whether one of the others has requests waiting.
-func (st *requestState) probe(ctx context.Context, stages []route.Stage, timeout time.Duration) (unresponsive map[string]bool, waiting bool) {
+// probeResult holds the names of the stages that did not answer a probe as expected.
+type probeResult struct {
+	gone    map[string]bool   // it is certain that the run of the server has ended
+	silent  map[string]bool   // the others that did not answer
+	boots   map[string]string // incarnations of those that answered
+	waiting bool              // requests wait at one of those that answered
+}
+
+// answered tells whether a stage answered the probe.
+func (p *probeResult) answered(name string) bool { return !p.gone[name] && !p.silent[name] }
+
+// probe asks stages for a load report.
+func (st *requestState) probe(ctx context.Context, stages []route.Stage, timeout time.Duration) probeResult {
 	ctx, cancel := context.WithTimeout(ctx, clamp(timeout, minProbe, maxProbe))
 	defer cancel()
-	unresponsive = map[string]bool{}
+	p := probeResult{gone: map[string]bool{}, silent: map[string]bool{}, boots: map[string]string{}}
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	for _, s := range stages {
 		wg.Go(func() {
-			queued, err := st.runner.cfg.Probe(ctx, s.Address)
+			load, err := st.runner.cfg.Probe(ctx, s)
 			mu.Lock()
 			defer mu.Unlock()
-			if err != nil {
-				unresponsive[s.Name] = true
+			switch {
+			case engine.IsGone(err):
+				p.gone[s.Name] = true
+			case err != nil:
+				p.silent[s.Name] = true
+			default:
+				p.boots[s.Name] = load.Boot
+				p.waiting = p.waiting || load.Waiting > 0
 			}
-			waiting = waiting || queued
 		})
 	}
 	wg.Wait()
-	return unresponsive, waiting
+	return p
 }
 
-// diagnose derives from the failure of an attempt which servers and links the later
+// diagnose derives from the failure of a run which servers and links the later
 // attempts exclude.
 func (st *requestState) diagnose(ctx context.Context, err error, w *watchdog) {
 	var se *engine.StageError
@@ -58,25 +72,28 @@
 		}
 		countReroutes.Inc()
 		countRecovery("slow")
-	case w.timedOut && len(w.unresponsive) > 0:
-		for n := range w.unresponsive {
+	case w.overdue:
+	case w.outrun:
+		st.credit++ // the retry of the successor
+	case len(w.gone) > 0:
+		for n := range w.gone {
 			st.excludeFailed(n)
 		}
-		countRecovery("silent")
-	case w.timedOut:
-		st.excludeAllLinks()
-		countRecovery("link")
+		countRecovery("dead")
 	case errors.As(err, &re):
 		st.excludeWrongRanges(re)
 		countRecovery("ranges")
 	case errors.As(err, &se):
-		st.diagnoseStageError(ctx, se)
+		st.diagnoseStageError(ctx, se, w.fenced)
 	case fault.CodeOf(err) == fault.Leaving:
 		st.excludeLeaving(first.Name)
 	case fault.CodeOf(err) == fault.Overload:
 		st.exclude(first.Name, false)
 		countRecovery("full")
 	default:
+		if engine.IsUnconnected(err) {
+			st.credit++ // no engine has received the request
+		}
 		st.excludeFailed(first.Name)
 		countRecovery("dead")
 	}
@@ -97,9 +114,10 @@
 }
 
 // diagnoseStageError handles a failure that one stage observed at another. When the
-// other stage answers a probe, the link between the two has failed.
-func (st *requestState) diagnoseStageError(ctx context.Context, se *engine.StageError) {
-	failed, from := st.stageAt(se.Failed), st.stageAt(se.Observer)
+// other stage answers a probe, the link between the two has failed, or a successor
+// that failed itself has fenced the run.
+func (st *requestState) diagnoseStageError(ctx context.Context, se *engine.StageError, fenced bool) {
+	failed, from := stageAt(st.route, se.Failed), stageAt(st.route, se.Observer)
 	switch {
 	case se.Reason == engine.ReasonLeaving:
 		st.excludeLeaving(failed.Name)
@@ -108,10 +126,14 @@
 		st.exclude(failed.Name, false)
 		countRecovery("full")
 		return
-	case failed.Name != from.Name:
-		if unresponsive, _ := st.probe(ctx, []route.Stage{failed}, maxProbe); !unresponsive[failed.Name] {
+	case fenced || failed.Name != from.Name:
+		if p := st.probe(ctx, []route.Stage{failed}, maxProbe); p.answered(failed.Name) {
 			st.reachable[failed.Name] = true
-			st.excludeLink(from.Name, failed.Name)
+			if fenced {
+				st.credit++ // the retry of the successor
+				return
+			}
+			st.constraints.excludeLink(from.Name, failed.Name)
 			countRecovery("link")
 			return
 		}
@@ -120,21 +142,6 @@
 	countRecovery("dead")
 }
 
-// excludeAllLinks excludes every link of a route that delivers no tokens although
-// each stage answers probes. A route of one stage has no links; its stage is
-// excluded instead.
-func (st *requestState) excludeAllLinks() {
-	for i, s := range st.route.Stages {
-		st.reachable[s.Name] = true
-		if i > 0 {
-			st.excludeLink(st.route.Stages[i-1].Name, s.Name)
-		}
-	}
-	if len(st.route.Stages) == 1 {
-		st.excludeFailed(st.route.Stages[0].Name)
-	}
-}
-
 // excludeWrongRanges excludes the stage that repeated or left out layers.
 func (st *requestState) excludeWrongRanges(re *layerRangeError) {
 	at := 0 // the first layer that was repeated or left out
@@ -156,13 +163,13 @@
 }
 
 // stageAt returns the stage at an address, or the first stage when there is none.
-func (st *requestState) stageAt(address string) route.Stage {
-	for _, s := range st.route.Stages {
+func stageAt(rt route.Route, address string) route.Stage {
+	for _, s := range rt.Stages {
 		if s.Address == address {
 			return s
 		}
 	}
-	return st.route.Stages[0]
+	return rt.Stages[0]
 }
 
 // Bounds of moves away from a slow route.
@@ -173,7 +180,8 @@
 
 // shouldReroute tells whether to leave a route that has slowed down. It looks for a
 // route without the stage or link that takes the most time; when one is fast
-// enough, the next attempt excludes that stage or link.
+// enough and a retry is left, the next attempt excludes that stage or link. If that
+// attempt fails, the way back takes no further retry.
 func (st *requestState) shouldReroute(w *watchdog) bool {
 	worst, at, hop := 0, 0, false
 	total := 0
@@ -203,7 +211,11 @@
 	if rt.Contains(s.Name) && (!hop || rt.Contains(st.route.Stages[at+1].Name)) {
 		return false // no alternative to the slow stage or link
 	}
+	if w.run.number+1 >= maxAttempts || !st.runner.takeRetry() {
+		return false
+	}
 	st.constraints = trialConstraints
+	st.credit += 2
 	st.reroutes++
 	return true
 }
@@ -211,21 +223,13 @@
 // constraintsWithout returns the constraints for a route without a stage of the
 // current route, or without the link after that stage.
 func (st *requestState) constraintsWithout(at int, hop bool) RouteConstraints {
-	a := st.constraints
+	a := st.constraints.clone()
 	a.Version, a.AcceptedTokens = st.route.Version, len(st.acceptor.tokens)
 	name := st.route.Stages[at].Name
 	if hop {
-		a.ExcludedLinks = maps.Clone(a.ExcludedLinks)
-		if a.ExcludedLinks == nil {
-			a.ExcludedLinks = map[route.Pair]bool{}
-		}
-		a.ExcludedLinks[route.Pair{name, st.route.Stages[at+1].Name}] = true
-		return a
-	}
-	a.ExcludedServers = maps.Clone(a.ExcludedServers)
-	if a.ExcludedServers == nil {
-		a.ExcludedServers = map[string]bool{}
+		a.excludeLink(name, st.route.Stages[at+1].Name)
+	} else {
+		a.exclude(name)
 	}
-	a.ExcludedServers[name] = true
 	return a
 }
--- a/stream/export_test.go
+++ b/stream/export_test.go
@@ -1,6 +1,10 @@
 package stream
 
-import "github.com/cranberrybay/cranberrybay/engine"
+import (
+	"time"
+
+	"github.com/cranberrybay/cranberrybay/engine"
+)
 
 // DisableLayerCheck makes a runner accept any layer ranges. Tests use it to show
 // that the check of invariant I1 is what refuses them.
@@ -11,3 +15,6 @@
 func (r *Runner) DisableFrameCheck() {
 	r.isCurrent = func(*acceptor, *engine.Frame) bool { return true }
 }
+
+// SetMaxSilence sets the longest time without a token.
+func (r *Runner) SetMaxSilence(d time.Duration) { r.maxSilence = d }
--- a/stream/kvcache.go
+++ b/stream/kvcache.go
@@ -17,42 +17,47 @@
 	exportTimeout          = 400 * time.Millisecond // a longer export costs more than the prefill
 )
 
-// importCaches imports the KV cache into the stages that are new in the route, where
+// cacheMove describes the KV cache that a run on another route needs.
+type cacheMove struct {
+	from, to  route.Route
+	number    int             // of the run
+	tokens    int             // accepted tokens
+	reachable map[string]bool // stages of from that still answer
+}
+
+// importCaches imports the KV cache into the stages that are new in a route, where
 // there is an export of their layer range, or the replaced stage can make one, and
 // the import costs less than the prefill.
-func (st *requestState) importCaches(ctx context.Context, old route.Route) {
-	if st.runner.cfg.Import == nil || st.attemptNumber == 1 || len(st.acceptor.tokens) == 0 {
+func (st *requestState) importCaches(ctx context.Context, m cacheMove) {
+	if st.runner.cfg.Import == nil || m.tokens == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, exportTimeout)
 	defer cancel()
 	var wg sync.WaitGroup
-	for _, s := range st.route.Stages {
-		if old.Contains(s.Name) {
+	for _, s := range m.to.Stages {
+		if m.from.Contains(s.Name) {
 			continue
 		}
 		wg.Go(func() {
-			x, ok := st.findExport(ctx, old, s)
+			x, ok := st.findExport(ctx, m, s)
 			if !ok || !st.importIsCheaper(x) {
 				return
 			}
-			if st.runner.cfg.Import(ctx, s.Address, engine.Import{Request: st.req.ID, Attempt: st.attemptNumber, Handle: x.Handle}) == nil {
+			if st.runner.cfg.Import(ctx, s.Address, engine.Import{Request: st.req.ID, Attempt: m.number, Handle: x.Handle}) == nil {
 				countImports.Inc()
 			}
 		})
 	}
 	wg.Wait()
-	for _, s := range st.route.Stages {
-		st.mayHoldState[s.Address] = true
-	}
 }
 
 // findExport returns an export of the KV cache for the layer range of a new stage. It
 // asks the replaced stage for one if that still answers, and otherwise uses the last
 // checkpoint.
-func (st *requestState) findExport(ctx context.Context, old route.Route, s route.Stage) (engine.Export, bool) {
-	for _, o := range old.Stages {
-		if o.First != s.First || o.Last != s.Last || !st.reachable[o.Name] || st.runner.cfg.Export == nil {
+func (st *requestState) findExport(ctx context.Context, m cacheMove, s route.Stage) (engine.Export, bool) {
+	for _, o := range m.from.Stages {
+		if o.First != s.First || o.Last != s.Last || !m.reachable[o.Name] || st.runner.cfg.Export == nil {
 			continue
 		}
 		if x, err := st.runner.cfg.Export(ctx, o.Address, st.req.ID); err == nil {
@@ -68,6 +73,8 @@
 // importIsCheaper tells whether an import takes less time than the prefill of the
 // tokens that it contains.
 func (st *requestState) importIsCheaper(x engine.Export) bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
 	perToken := st.prefillPerToken
 	if perToken == 0 {
 		perToken = defaultPrefillPerToken
--- a/stream/recovery_time_test.go
+++ b/stream/recovery_time_test.go
@@ -63,6 +63,7 @@
 			Fleet: tc.table, Engines: tc.client, Domain: domains[0], Budget: retry.New(retry.Config{}),
 			Chooser: route.New(route.Config{Fleet: tc.table, Rand: rand.New(rand.NewSource(seed))}),
 		})
+		noRetryRunner.SetMaxSilence(150 * time.Millisecond) // the token timeout of these routes
 		rnd := rand.New(rand.NewSource(seed))
 		var failedAt time.Time
 		var mu sync.Mutex
--- a/stream/request.go
+++ b/stream/request.go
@@ -15,34 +15,37 @@
 
 // requestState is the state of one request over all of its attempts.
 type requestState struct {
-	runner          *Runner
-	req             *Request
-	acceptor        *acceptor
-	attemptNumber   int         // current attempt, from 1
-	route           route.Route // route of the current attempt
-	constraints     RouteConstraints
-	permanent       map[string]bool // excluded servers that are not readmitted when they answer a probe
-	reachable       map[string]bool // servers of the failed route that still answer
-	mayHoldState    map[string]bool // addresses of stages that may hold state of the request
-	reroutes        int             // moves away from a slow route
-	lastErr         error           // why the last attempt failed
-	mayHaveRun      bool            // a backend server may have run part of the request
-	failedAt        time.Time       // last progress of the attempt that failed
+	runner        *Runner
+	req           *Request
+	acceptor      *acceptor
+	attemptNumber int         // current attempt, from 1
+	route         route.Route // route of the current attempt
+	constraints   RouteConstraints
+	permanent     map[string]bool // excluded servers that are not readmitted when they answer a probe
+	reachable     map[string]bool // servers of the failed route that still answer
+	mayHoldState  map[string]bool // addresses of stages that may hold state of the request
+	reroutes      int             // moves away from a slow route
+	credit        int             // attempts that take no retry from the budget
+	lastErr       error           // why the last attempt failed
+	overdue       bool            // the last run ended at the deadline of its next token
+	mayHaveRun    bool            // a backend server may have run part of the request
+	failedAt      time.Time       // last progress of the attempt that failed
+	stageTimes    []int           // last measured times of the stages, µs
+	linkTimes     []int           // last measured round trips between them, µs
+
+	mu              sync.Mutex
+	stages          map[string]route.Stage   // stages of all runs, by name
+	exports         map[[2]int]engine.Export // checkpoints, by layer range
 	promptTokens    int
 	cachedTokens    int           // prompt tokens found in a prefix cache
-	stageTimes      []int         // last measured times of the stages, µs
-	linkTimes       []int         // last measured round trips between them, µs
 	prefillPerToken time.Duration // measured; 0 when unknown
-
-	mu      sync.Mutex
-	exports map[[2]int]engine.Export // checkpoints, by layer range
 }
 
 func newRequestState(r *Runner, req *Request, sink Sink) *requestState {
 	return &requestState{
 		runner: r, req: req,
 		acceptor:     &acceptor{runner: r, layers: req.Layers, tag: uint32(xxhash.Sum64String(req.ID)), sink: sink},
-		mayHoldState: map[string]bool{}, permanent: map[string]bool{}, reachable: map[string]bool{},
+		mayHoldState: map[string]bool{}, permanent: map[string]bool{}, reachable: map[string]bool{}, stages: map[string]route.Stage{}, failedAt: time.Now(),
 	}
 }
 
@@ -72,41 +75,52 @@
 	st.route = rt
 	st.stageTimes, st.linkTimes = st.stageTimes[:0], st.linkTimes[:0]
 	st.acceptor.beginAttempt(st.attemptNumber)
-	st.importCaches(ctx, old)
+	if st.attemptNumber > 1 {
+		st.importCaches(ctx, cacheMove{from: old, to: rt, number: st.attemptNumber, tokens: len(st.acceptor.tokens), reachable: st.reachable})
+	}
 	st.releaseReplaced(old)
 	return nil
 }
 
 // readmitReachable probes the excluded servers, except those that are excluded
 // permanently, and readmits the ones that answer. It is called when the model
-// can't be covered without them, and returns whether there was one.
+// can't be covered without them, and returns whether there was one. While some are
+// silent it waits for them, for as long as the answer may go without a token.
 func (st *requestState) readmitReachable(ctx context.Context) bool {
-	var names []string
-	for n := range st.constraints.ExcludedServers {
-		if !st.permanent[n] {
-			names = append(names, n)
-		}
-	}
-	if len(names) == 0 {
-		return false
-	}
-	var stages []route.Stage
-	for _, s := range st.route.Stages {
-		for _, n := range names {
-			if s.Name == n {
+	for {
+		var stages []route.Stage
+		st.mu.Lock()
+		for n := range st.constraints.ExcludedServers {
+			if s, ok := st.stages[n]; ok && !st.permanent[n] {
 				stages = append(stages, s)
 			}
 		}
-	}
-	unresponsive, _ := st.probe(ctx, stages, maxProbe)
-	found := false
-	for _, s := range stages {
-		if !unresponsive[s.Name] {
-			delete(st.constraints.ExcludedServers, s.Name)
-			found = true
+		st.mu.Unlock()
+		if len(stages) == 0 {
+			return false
 		}
+		next := time.Now().Add(minProbe)
+		p := st.probe(ctx, stages, maxProbe)
+		found := false
+		for _, s := range stages {
+			if p.answered(s.Name) {
+				delete(st.constraints.ExcludedServers, s.Name)
+				found = true
+			}
+		}
+		if found || len(p.silent) == 0 || ctx.Err() != nil || !time.Now().Before(st.tokenDeadline()) {
+			return found
+		}
+		time.Sleep(time.Until(next))
+	}
+}
+
+// tokenDeadline returns the deadline of the next token while no run is in progress.
+func (st *requestState) tokenDeadline() time.Time {
+	if len(st.acceptor.tokens) == 0 && !st.req.FirstTokenDeadline.IsZero() {
+		return st.req.FirstTokenDeadline
 	}
-	return found
+	return st.failedAt.Add(st.runner.maxSilence)
 }
 
 // releaseReplaced releases the stages that the new route no longer uses.
@@ -164,33 +178,45 @@
 // exclude excludes a server from the later attempts of this request. A server that
 // is not excluded permanently may be readmitted when it answers a probe.
 func (st *requestState) exclude(name string, permanently bool) {
-	if st.constraints.ExcludedServers == nil {
-		st.constraints.ExcludedServers = map[string]bool{}
-	}
-	st.constraints.ExcludedServers[name] = true
+	st.constraints.exclude(name)
 	if permanently {
 		st.permanent[name] = true
 	}
 }
 
-// excludeLink excludes the link between two neighbouring stages from the later
-// attempts of this request.
-func (st *requestState) excludeLink(from, to string) {
-	p := maps.Clone(st.constraints.ExcludedLinks)
-	if p == nil {
-		p = map[route.Pair]bool{}
+// keepValidStages asks the next route to keep the stages that hold valid state:
+// all stages of the current route that are not excluded.
+func (st *requestState) keepValidStages() { st.constraints.prefer(st.route) }
+
+// clone returns a copy that shares no memory.
+func (c *RouteConstraints) clone() RouteConstraints {
+	out := *c
+	out.ExcludedServers, out.ExcludedLinks, out.PreferredServers = maps.Clone(c.ExcludedServers), maps.Clone(c.ExcludedLinks), maps.Clone(c.PreferredServers)
+	return out
+}
+
+// exclude excludes a server.
+func (c *RouteConstraints) exclude(name string) {
+	if c.ExcludedServers == nil {
+		c.ExcludedServers = map[string]bool{}
 	}
-	p[route.Pair{from, to}] = true
-	st.constraints.ExcludedLinks = p
+	c.ExcludedServers[name] = true
 }
 
-// keepValidStages asks the next route to keep the stages that hold valid state:
-// all stages of the current route that are not excluded.
-func (st *requestState) keepValidStages() {
-	st.constraints.PreferredServers = map[string]bool{}
-	for _, s := range st.route.Stages {
-		if !st.constraints.ExcludedServers[s.Name] {
-			st.constraints.PreferredServers[s.Name] = true
+// excludeLink excludes the link between two neighbouring stages.
+func (c *RouteConstraints) excludeLink(from, to string) {
+	if c.ExcludedLinks == nil {
+		c.ExcludedLinks = map[route.Pair]bool{}
+	}
+	c.ExcludedLinks[route.Pair{from, to}] = true
+}
+
+// prefer prefers the stages of a route that are not excluded.
+func (c *RouteConstraints) prefer(rt route.Route) {
+	c.PreferredServers = map[string]bool{}
+	for _, s := range rt.Stages {
+		if !c.ExcludedServers[s.Name] {
+			c.PreferredServers[s.Name] = true
 		}
 	}
 }
--- /dev/null
+++ b/stream/silence_test.go
@@ -0,0 +1,185 @@
+package stream_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"net"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cranberrybay/cranberrybay/engine"
+	"github.com/cranberrybay/cranberrybay/entry"
+	"github.com/cranberrybay/cranberrybay/fakes"
+	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/fleet"
+	"github.com/cranberrybay/cranberrybay/retry"
+	"github.com/cranberrybay/cranberrybay/route"
+	"github.com/cranberrybay/cranberrybay/stream"
+)
+
+// silence is as long as a sound server may fall silent.
+const silence = 1200 * time.Millisecond
+
+// withoutRetries gives the cluster a runner whose retry budget is empty.
+func (tc *testCluster) withoutRetries() {
+	tc.runner = entry.NewRunner(entry.RunnerConfig{
+		Fleet: tc.table, Engines: tc.client, Domain: domains[0], Budget: retry.New(retry.Config{}),
+		Chooser: route.New(route.Config{Fleet: tc.table, Rand: rand.New(rand.NewSource(1))}),
+	})
+}
+
+// duringAnswer requests an answer of 200 tokens and calls disturb after some tokens.
+func (tc *testCluster) duringAnswer(t *testing.T, disturb func()) result {
+	return tc.request(t.Context(), 1, "a long diagnosis, words=200", func(n int) {
+		if n == 50 {
+			disturb()
+		}
+	})
+}
+
+// TestSilentStageEndsNoStream guards against an answer that ends because a stage
+// was silent for a while and no other run could take over.
+func TestSilentStageEndsNoStream(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		copies int
+		before func(tc *testCluster, r int)
+	}{
+		{"no other engine", 1, func(*testCluster, int) {}},
+		{"no retry left", 2, func(tc *testCluster, _ int) { tc.withoutRetries() }},
+		{"other engine refuses", 2, func(tc *testCluster, r int) { tc.refuseIdle(r) }},
+	} {
+		for r := range 3 {
+			t.Run(fmt.Sprintf("%s, range %d", c.name, r), func(t *testing.T) {
+				withCluster(t, c.copies, nil, func(t *testing.T, tc *testCluster) {
+					c.before(tc, r)
+					assertComplete(t, tc.duringAnswer(t, func() { tc.engines[tc.busiest(r)].Pause(silence) }))
+					time.Sleep(time.Second)
+					assertNoSlotsHeld(t, tc)
+				})
+			})
+		}
+	}
+	t.Run("before the first token", func(t *testing.T) {
+		withCluster(t, 1, nil, func(t *testing.T, tc *testCluster) {
+			tc.engines["e0-0"].Pause(silence)
+			assertComplete(t, tc.request(t.Context(), 1, "words=20", nil))
+		})
+	})
+}
+
+// refuseIdle makes the second engine of a layer range refuse new work.
+func (tc *testCluster) refuseIdle(r int) {
+	tc.setFaults(fmt.Sprintf("e%d-1", r), fakes.EngineFaults{Refuse: true})
+}
+
+// TestSlowRouteEndsNoStream guards against an answer that ends because its route
+// became slow when no retry was left.
+func TestSlowRouteEndsNoStream(t *testing.T) {
+	withCluster(t, 2, nil, func(t *testing.T, tc *testCluster) {
+		tc.withoutRetries()
+		assertComplete(t, tc.duringAnswer(t, func() { tc.setFaults(tc.busiest(1), fakes.EngineFaults{Slow: 20}) }))
+	})
+}
+
+// TestVanishedStage guards against an answer that waits without end for a stage that
+// never answers again.
+func TestVanishedStage(t *testing.T) {
+	withCluster(t, 1, nil, func(t *testing.T, tc *testCluster) {
+		began := time.Time{}
+		a := tc.duringAnswer(t, func() {
+			began = time.Now()
+			tc.setFaults("e1-0", fakes.EngineFaults{Stall: true})
+		})
+		assert.Equal(t, fault.VerdictOf(a.err), fault.MayHaveRun)
+		_, ok := fault.RetryAt(a.err)
+		assert.Assert(t, ok, "no retry time: %v", a.err)
+		assert.Assert(t, time.Since(began) <= 11*time.Second, "ended after %v", time.Since(began))
+		assert.NilError(t, a.check())
+	})
+}
+
+// TestProofEndsTheWait guards against a wait for a silent stage that goes on although
+// it is certain that the stage is gone.
+func TestProofEndsTheWait(t *testing.T) {
+	for name, end := range map[string]func(tc *testCluster){
+		"refused connection": func(tc *testCluster) { tc.net.setDown("e1-0:1", true) },
+		"removed": func(tc *testCluster) {
+			tc.table.MergeEntry(fleet.State{Name: "another", Address: "e1-0:1", Service: "assistant"})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withCluster(t, 1, nil, func(t *testing.T, tc *testCluster) {
+				var ended time.Time
+				a := tc.duringAnswer(t, func() {
+					tc.engines["e1-0"].Pause(8 * time.Second)
+					time.AfterFunc(2*time.Second, func() { ended = time.Now(); end(tc) })
+				})
+				assert.Equal(t, fault.VerdictOf(a.err), fault.MayHaveRun)
+				assert.Assert(t, time.Since(ended) <= 2*maxCheck, "%v", time.Since(ended))
+			})
+		})
+	}
+}
+
+// maxCheck is the longest time between two checks of the stages in these tests: the
+// token timeout and a probe.
+const maxCheck = 400 * time.Millisecond
+
+// TestFirstTokenDeadlineWhileSilent guards against a request that is answered late
+// because a run on another route was being prepared when its deadline passed.
+func TestFirstTokenDeadlineWhileSilent(t *testing.T) {
+	withCluster(t, 2, nil, func(t *testing.T, tc *testCluster) {
+		for _, n := range tc.names[:2] {
+			tc.setFaults(n, fakes.EngineFaults{Stall: true})
+		}
+		start := time.Now()
+		_, err := tc.runner.Run(t.Context(), stream.Request{
+			ID: "late", Service: "assistant", Model: "lights", Layers: layers, Prompt: "words=5", Limit: 5, FirstTokenDeadline: start.Add(900 * time.Millisecond),
+		}, stream.Sink{Token: func(string) error { return nil }})
+		assert.Equal(t, fault.CodeOf(err), fault.Timeout, "%v", err)
+		assert.Assert(t, time.Since(start) < 900*time.Millisecond+maxCheck, "answered after %v", time.Since(start))
+	})
+}
+
+// TestUnconnectedStage guards against a request that is refused because the only
+// engine took no connection for a while.
+func TestUnconnectedStage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		silent := func() error {
+			if time.Since(start) > silence {
+				return nil
+			}
+			return fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Unavailable, Cause: &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}})
+		}
+		r := stream.New(stream.Config{
+			Budget: retry.New(retry.Config{}),
+			Choose: func(_ *stream.Request, c stream.RouteConstraints) (route.Route, error) {
+				if c.ExcludedServers["e"] {
+					return route.Route{}, fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Unavailable})
+				}
+				return route.Route{Stages: []route.Stage{{Name: "e", Address: "e", Last: layers}}}, nil
+			},
+			Probe: func(context.Context, route.Stage) (engine.LoadReport, error) { return engine.LoadReport{}, silent() },
+			Generate: func(_ context.Context, j engine.Job) (*stream.FrameStream, error) {
+				if silent() != nil {
+					time.Sleep(time.Second)
+					return nil, silent()
+				}
+				return &stream.FrameStream{Next: func(f *engine.Frame) error {
+					*f = engine.Frame{Tag: j.Tag, Attempt: j.Attempt, Stop: "end"}
+					return nil
+				}, Close: func() {}}, nil
+			},
+		})
+		out, err := r.Run(t.Context(), stream.Request{ID: "r", Layers: layers, FirstTokenDeadline: start.Add(5 * time.Second)}, stream.Sink{Token: func(string) error { return nil }})
+		assert.NilError(t, err)
+		assert.Equal(t, out.Stop, "end")
+	})
+}
--- a/stream/stream.go
+++ b/stream/stream.go
@@ -72,8 +72,9 @@
 	Generate func(ctx context.Context, j engine.Job) (*FrameStream, error)
 	// Cancel tells a stage that an attempt has ended.
 	Cancel func(ctx context.Context, address string, r engine.AttemptID) error
-	// Probe checks that a stage answers, and whether requests wait in its queue.
-	Probe func(ctx context.Context, address string) (waiting bool, err error)
+	// Probe reads the load report of a stage. engine.IsGone returns true for its error
+	// when it is certain that the server does not run any more.
+	Probe func(ctx context.Context, s route.Stage) (engine.LoadReport, error)
 	// Export and Import move the KV cache of a request. Both may be nil.
 	Export func(ctx context.Context, address, request string) (engine.Export, error)
 	Import func(ctx context.Context, address string, i engine.Import) error
@@ -107,6 +108,7 @@
 	cfg          Config
 	coversLayers func(ranges [][2]int, n int) bool       // checks invariant I1: each layer ran once, in order
 	isCurrent    func(a *acceptor, f *engine.Frame) bool // checks invariant I2: the frame belongs to the request and its current attempt
+	maxSilence   time.Duration                           // longest time without a token
 }
 
 // New returns a runner.
@@ -115,12 +117,12 @@
 		cfg.Budget = retry.New(retry.Config{RetriesPerRequest: defaultRetryShare, Burst: defaultRetryBurst, Initial: defaultRetryBurst})
 	}
 	if cfg.Probe == nil {
-		cfg.Probe = func(context.Context, string) (bool, error) { return false, nil }
+		cfg.Probe = func(context.Context, route.Stage) (engine.LoadReport, error) { return engine.LoadReport{}, nil }
 	}
 	if cfg.Cancel == nil {
 		cfg.Cancel = func(context.Context, string, engine.AttemptID) error { return nil }
 	}
-	return &Runner{cfg: cfg, coversLayers: coversLayers, isCurrent: isCurrent}
+	return &Runner{cfg: cfg, coversLayers: coversLayers, isCurrent: isCurrent, maxSilence: maxSilence}
 }
 
 // maxAttempts bounds the attempts of one request.
@@ -158,7 +160,7 @@
 		}
 		st.lastErr = err
 		st.mayHaveRun = st.mayHaveRun || fault.VerdictOf(err) != fault.NotRun
-		if st.attemptNumber >= maxAttempts || !r.takeRetry() {
+		if st.attemptNumber >= maxAttempts || !st.takeAttempt() {
 			break
 		}
 	}
@@ -175,15 +177,30 @@
 	return fault.New(fault.Config{Verdict: fault.MayHaveRun, Code: fault.Cancelled, Reason: "the caller went away", Cause: err})
 }
 
-// deadlineMissed returns the error of a request whose first token missed its
+// takeAttempt takes the credit of the request for an attempt, or a retry from the
+// budget, and returns whether there was one.
+func (st *requestState) takeAttempt() bool {
+	if st.credit > 0 {
+		st.credit--
+		return true
+	}
+	return st.runner.takeRetry()
+}
+
+// deadlineMissed returns the error of a request whose next token missed its
 // deadline, or nil.
 func (st *requestState) deadlineMissed(err error) error {
-	if len(st.acceptor.tokens) > 0 || st.req.FirstTokenDeadline.IsZero() || time.Now().Before(st.req.FirstTokenDeadline) {
+	reason := "the answer stopped"
+	if len(st.acceptor.tokens) == 0 {
+		reason = "the first token missed its deadline"
+		st.overdue = st.overdue || !st.req.FirstTokenDeadline.IsZero() && !time.Now().Before(st.req.FirstTokenDeadline)
+	}
+	if !st.overdue {
 		return nil
 	}
 	countGiveUps.Inc()
 	return fault.New(fault.Config{
-		Verdict: fault.MayHaveRun, Code: fault.Timeout, Reason: "the first token missed its deadline",
+		Verdict: fault.MayHaveRun, Code: fault.Timeout, Reason: reason,
 		RetryAt: time.Now().Add(giveUpRetryDelay), Cause: err,
 	})
 }
