proxy: a failed hedge does not end a lookup that its first server answers

A caller got the 5xx answer of a hedge while the first server, which was silent for longer than 95 of 100 calls, would have answered.

Cause: the first answer of the two won, also when it was a failure, and the other exchange was cancelled.

Change: a failure is kept while the other exchange goes on, and returned only if that fails too.

Failing before: TestFailedHedgeEndsNoCall ("500 (a.Status int) != 200 (int)").

--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -154,8 +154,12 @@
 	index  int
 }
 
+// failed reports whether another exchange may still give a better result.
+func (r *exchangeResult) failed() bool { return r.err != nil || r.answer.Status >= 500 }
+
 // hedge sends a lookup to a second server if the first has not answered within
-// wait. The first answer is returned and the other exchange is cancelled.
+// wait. The first answer that is no failure is returned and the other exchange is
+// cancelled.
 func (p *Pool) hedge(ctx context.Context, service string, c fleet.Candidate, call Call, t *attempts, wait time.Duration) (*Answer, error) {
 	replies := make(chan exchangeResult, 2)
 	var cancels []context.CancelFunc
@@ -171,6 +175,7 @@
 	send(c)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	var failure *exchangeResult // an answer with status 5xx
 	for pending := 1; ; {
 		select {
 		case <-timer.C:
@@ -182,11 +187,23 @@
 			}
 		case r := <-replies:
 			pending--
-			if r.err != nil && pending > 0 {
+			if r.failed() && pending > 0 {
+				if r.err == nil {
+					failure = &r
+					continue
+				}
 				t.add(r.err)
 				cancels[r.index]()
 				continue
 			}
+			if failure != nil && r.err != nil {
+				t.add(r.err)
+				cancels[r.index]()
+				r, failure = *failure, nil
+			}
+			if failure != nil {
+				_ = failure.answer.Body.Close()
+			}
 			p.discardLoser(replies, pending, cancels, r.index)
 			if r.err != nil {
 				cancels[r.index]()
--- a/proxy/pool_test.go
+++ b/proxy/pool_test.go
@@ -205,3 +205,34 @@
 		assert.Assert(t, share(30*time.Second) > 0.2)
 	})
 }
+
+// TestFailedHedgeEndsNoCall guards against a lookup that gets the failure of a hedge
+// although the first server, which was silent for a while, answers it.
+func TestFailedHedgeEndsNoCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		silent := false
+		s := newFakeServers(2, func(ctx context.Context, server string, _ int) (int, error) {
+			switch {
+			case silent && server == "1":
+				return 500, nil
+			case silent:
+				select {
+				case <-time.After(1200 * time.Millisecond):
+				case <-ctx.Done():
+					return 0, errorWith(fault.MayHaveRun)
+				}
+			}
+			return 200, nil
+		})
+		lookup := Call{Method: "GET", Idempotent: true}
+		assert.NilError(t, s.send(lookup)) // measures the latency after which lookups are hedged
+		silent = true
+		s.pool.latencies.add("desk", "1", 10*time.Second) // server 0 is tried first
+		a, err := s.pool.Send(context.Background(), "desk", lookup)
+		assert.NilError(t, err)
+		assert.Equal(t, a.Status, 200)
+		assert.NilError(t, a.Body.Close())
+		synctest.Wait()
+		assert.DeepEqual(t, s.inflight, map[string]int{"0": 0, "1": 0})
+	})
+}
