proxy: a server that takes no connection for a while still gets the call

A call was refused as not run after 1 s although its deadline was 5 s away and the only server, paused for 1.2 s, took connections again. Without a retry in the budget the same happened with other servers.

Cause: a connection that is not opened in time counted like a refused one, and its server was never tried again.

Change: while no server can have received the call, servers that took no connection in time are tried again until the deadline, without a retry from the budget. Each try lasts for the timeout of a connection. A refused connection is a proof and ends the call as before.

Failing before: TestSilentServerGetsTheCall/returns ("no backend server took the call (unavailable, not-run)").

--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cranberrybay/cranberrybay/engine"
 	"github.com/cranberrybay/cranberrybay/fault"
 	"github.com/cranberrybay/cranberrybay/fleet"
 	"github.com/cranberrybay/cranberrybay/retry"
@@ -81,7 +82,13 @@
 			continue
 		}
 		tried.add(err)
-		if !tried.mayRetry(ctx, call) || !p.hasUntried(service, tried) || !p.retries.TryRetry() {
+		if engine.IsUnconnected(err) {
+			tried.silent = append(tried.silent, c.Name)
+		}
+		if tried.mayRetry(ctx, call) && p.hasUntried(service, tried) && p.retries.TryRetry() {
+			continue
+		}
+		if !tried.readmitSilent(ctx, call) {
 			return nil, tried.finalError()
 		}
 	}
@@ -98,7 +105,23 @@
 	servers    map[string]bool
 	count      int
 	lastErr    error
-	mayHaveRun bool // an attempt may have run
+	mayHaveRun bool     // an attempt may have run
+	silent     []string // servers that took no connection in time
+}
+
+// readmitSilent lets the call go to silent servers once more, and reports whether
+// there is one. No server has received the call, so this takes no retry from the
+// budget; each try lasts for the timeout of a connection, until the deadline.
+func (t *attempts) readmitSilent(ctx context.Context, call Call) bool {
+	if len(t.silent) == 0 || t.mayHaveRun || call.Deadline.IsZero() || checkNotExpired(ctx, call.Deadline) != nil {
+		return false
+	}
+	for _, name := range t.silent {
+		delete(t.servers, name)
+		t.count--
+	}
+	t.silent = nil
+	return true
 }
 
 // add records the error of an attempt.
--- a/proxy/pool_test.go
+++ b/proxy/pool_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"math/rand"
+	"net"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -236,3 +238,37 @@
 		assert.DeepEqual(t, s.inflight, map[string]int{"0": 0, "1": 0})
 	})
 }
+
+// TestSilentServerGetsTheCall guards against a call that is refused because the only
+// server took no connection for a while, and against one that is tried beyond its
+// deadline.
+func TestSilentServerGetsTheCall(t *testing.T) {
+	for name, c := range map[string]struct {
+		silence time.Duration
+		ok      bool
+	}{"returns": {1200 * time.Millisecond, true}, "does not return": {time.Hour, false}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				start := time.Now()
+				s := newFakeServers(1, func(context.Context, string, int) (int, error) {
+					if time.Since(start) > c.silence {
+						return 201, nil
+					}
+					time.Sleep(dialTimeout)
+					return 0, fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Unavailable, Cause: &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}})
+				})
+				s.pool.retries = newBudget(1e-9)
+				for s.pool.retries.TryRetry() {
+				}
+				call := order
+				call.Deadline = start.Add(5 * time.Second)
+				err := s.send(call)
+				assert.Equal(t, err == nil, c.ok, "%v", err)
+				assert.Assert(t, time.Since(start) <= 5*time.Second+dialTimeout, "%v", time.Since(start))
+				if !c.ok {
+					wantError(t, err, fault.NotRun, fault.Unavailable)
+				}
+			})
+		})
+	}
+}
