claim: a holder that is silent for a second is still asked

A repeat under an idempotency key was told "may have run" although the process that holds the claim states that it was not run, when that process was silent for 1.2 s. The repeat could have run at once.

Cause: the query to the holder ended after 1 s. Change: after 2 s; the deadline of the call bounds it as before.

Failing before: TestClaims/holder_is_silent_for_a_while ("its entry process does not answer (conflict, may-have-run)").

--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -151,6 +151,20 @@
 		_, _, err := newManager("b").Begin(timeout(t, time.Second), orderKey, digest)
 		wantError(t, err, fault.MayHaveRun, fault.Conflict)
 	})
+	runCase(t, "holder is silent for a while", func(t *testing.T, w *faultyTable, _ func(string) *claim.Manager) {
+		begin(t, claim.New(claim.Config{Table: w.table.Client(), Holder: "a"}), orderKey)
+		b := claim.New(claim.Config{Table: w.table.Client(), Holder: "b", QueryHolder: func(ctx context.Context, _, _ string) (claim.RunStatus, error) {
+			select {
+			case <-time.After(1200 * time.Millisecond):
+				return claim.StatusNotRun, nil
+			case <-ctx.Done():
+				return claim.StatusUnknown, ctx.Err()
+			}
+		}})
+		c, _, err := b.Begin(timeout(t, 5*time.Second), orderKey, digest)
+		assert.NilError(t, err)
+		assert.Assert(t, c != nil)
+	})
 	runCase(t, "a claim ends only once", func(t *testing.T, _ *faultyTable, newManager func(string) *claim.Manager) {
 		a := newManager("a")
 		c := begin(t, a, orderKey)
--- a/claim/manager.go
+++ b/claim/manager.go
@@ -231,8 +231,9 @@
 	}
 }
 
-// queryTimeout bounds one call of Config.QueryHolder.
-const queryTimeout = time.Second
+// queryTimeout bounds one call of Config.QueryHolder. A holder may be silent for a
+// second or so.
+const queryTimeout = 2 * time.Second
 
 // queryHolder returns the run status of a claim according to the incarnation
 // that made it.
