peer: test that a silent peer still answers a forwarded request

The part was found sound: a forwarded request waits until the deadline of its call. TestSilentPeerAnswers cuts the link for 1.2 s before the request and before the answer; it passed without a change.

--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -353,3 +353,29 @@
 		assert.Equal(t, rejected, calls-16-64)
 	})
 }
+
+// TestSilentPeerAnswers guards against a forwarded request that fails because the
+// peer was silent for a while, before or after it received the request.
+func TestSilentPeerAnswers(t *testing.T) {
+	for name, to := range map[string][2]string{"request is late": {"a", "b"}, "answer is late": {"b", "a"}} {
+		t.Run(name, func(t *testing.T) {
+			runInBubble(t, func(t *testing.T) {
+				nw := fakes.NewNetwork(time.Millisecond, 0)
+				a := startTransport(t, nw, authority, "a", "a/1", peer.Handlers{})
+				startTransport(t, nw, authority, "b", "b/1", peer.Handlers{Forward: func(context.Context, peer.Remote, peer.ForwardRequest) (peer.ForwardResponse, error) {
+					return peer.ForwardResponse{Status: 201}, nil
+				}})
+				_, err := a.Forward(t.Context(), target("b", "b/1"), peer.ForwardRequest{}) // opens the session
+				assert.NilError(t, err)
+				synctest.Wait()
+				nw.Cut(to[0], to[1], true)
+				time.AfterFunc(1200*time.Millisecond, func() { nw.Cut(to[0], to[1], false) })
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				defer cancel()
+				response, err := a.Forward(ctx, target("b", "b/1"), peer.ForwardRequest{})
+				assert.NilError(t, err)
+				assert.Equal(t, response.Status, 201)
+			})
+		})
+	}
+}
