guard, stream: requests that crash engines reach few of them

Callers of sound requests got "no working set of backend servers" while another caller's request crashed one first engine after the other: it was tried on up to eight routes, and nothing was remembered of it for its repeats.

Cause: the failure of an engine was put down to the engine only, never to the request that it had just begun.

Change: package guard identifies a request by service, account, method, path and body (for a chat its prompt), and its parts by hashes of its messages, of any position. An idempotency key does not count, since a repeat under it must have the same content. Evidence is a run that its engine cut before the second token, and that the engine refuses connections or answers as another incarnation; it goes to poison.Tracker, the request itself as the most specific part. The first repeat goes out at once, as most crashes have another cause. After two crashes the request is repeated alone among the suspects of its service, and on one route at a time, so that the third crash tells which one it is. Then it ends as may-have-run with 502 (fault.Crashed). Quarantined requests are refused as not run (503) with the time to come back.

Changed tests: the requests of stream's test cluster have an identity.

--- a/entry/runner.go
+++ b/entry/runner.go
@@ -8,6 +8,7 @@
 
 	"github.com/cranberrybay/cranberrybay/engine"
 	"github.com/cranberrybay/cranberrybay/fleet"
+	"github.com/cranberrybay/cranberrybay/guard"
 	"github.com/cranberrybay/cranberrybay/retry"
 	"github.com/cranberrybay/cranberrybay/route"
 	"github.com/cranberrybay/cranberrybay/stream"
@@ -20,6 +21,7 @@
 	Engines *engine.Client
 	Domain  string        // failure domain of this process
 	Budget  *retry.Budget // nil for the default retry budget
+	Guard   *guard.Guard  // see stream.Config
 	// CheckpointInterval is the number of tokens between exports of the KV cache,
 	// see stream.Config.
 	CheckpointInterval int
@@ -46,7 +48,7 @@
 		Export:   engines.Export,
 		Import:   engines.Import,
 		Feedback: fleetFeedback(cfg.Fleet),
-		Budget:   cfg.Budget, CheckpointInterval: cfg.CheckpointInterval,
+		Budget:   cfg.Budget, Guard: cfg.Guard, CheckpointInterval: cfg.CheckpointInterval,
 	})
 }
 
--- a/fakes/engine.go
+++ b/fakes/engine.go
@@ -30,6 +30,8 @@
 	LoadMaxAge time.Duration // maximum age of a cached load report
 	EventDelay time.Duration // delay before a cache event is published
 	Client     *http.Client  // for calls to other stages, a private client if nil
+	Deadly     string        // text of prompts that crash the engine, "" for none
+	OnCrash    func()        // called when the engine crashes; may be nil
 	Exports    *ExportStore  // storage of exported KV caches, a private store if nil
 }
 
@@ -134,6 +136,16 @@
 	e.faults = f
 }
 
+// crash ends the process of the engine: each of its connections closes.
+func (e *Engine) crash() {
+	e.mu.Lock()
+	e.faults.Dead = true
+	e.mu.Unlock()
+	if e.cfg.OnCrash != nil {
+		e.cfg.OnCrash()
+	}
+}
+
 // Pause makes the engine fall silent for d. It goes on with its requests afterwards.
 func (e *Engine) Pause(d time.Duration) { e.gate.Pause(d) }
 
--- a/fakes/forward.go
+++ b/fakes/forward.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cranberrybay/cranberrybay/engine"
@@ -77,6 +78,9 @@
 	if err := e.compute(ctx, f.Position-f.Start+1); err != nil {
 		return fail(err)
 	}
+	if e.isDeadly(f.Request) {
+		e.crash()
+	}
 	e.abortIfDown(ctx)
 	var ranges [][2]int
 	f.Hidden, ranges = e.runLayers(f.Hidden, self)
@@ -201,11 +205,20 @@
 	if s.blocks == nil {
 		s.blocks = engine.BlockHashes(f.Model, f.Prompt)
 	}
+	s.deadly = s.deadly || e.cfg.Deadly != "" && strings.Contains(f.Prompt, e.cfg.Deadly)
 	s.attempt, s.slot, s.prompt, s.touched = f.Attempt, true, promptTokens(f.Prompt), time.Now()
 	s.held = min(s.held, f.Keep)
 	return nil
 }
 
+// isDeadly reports whether the prompt of a request crashes this engine.
+func (e *Engine) isDeadly(request string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.states[request]
+	return s != nil && s.deadly
+}
+
 // advanceCache extends the KV cache of the request to f.Position and returns the
 // first position that the later stages must compute. It rejects an ended attempt
 // and a start position whose predecessors are missing.
--- a/fakes/kv.go
+++ b/fakes/kv.go
@@ -19,6 +19,7 @@
 	downstream int // first position missing on a later stage of the route
 	blocks     []uint64
 	touched    time.Time
+	deadly     bool // the prompt crashes the engine
 }
 
 // endedAttempt records that the attempts of a request up to a number have ended,
--- /dev/null
+++ b/guard/guard.go
@@ -0,0 +1,239 @@
+// Package guard protects backend servers from requests that crash them. A request
+// under which two servers crashed before they had answered is repeated alone: such
+// requests run one at a time for each service, so that the next crash tells which one is
+// to blame and sound requests are answered. Evidence against a request and the messages
+// of its prompt is collected in a poison.Tracker, which all entry processes share.
+//
+// A Guard has one lock. No function outside the package is called while it is held.
+package guard
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cranberrybay/cranberrybay/engine"
+	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/poison"
+)
+
+// RequestConfig holds what identifies a request. The idempotency key does not count: a
+// repeat under the same key must have the same content.
+type RequestConfig struct {
+	Service  string
+	Account  string // client account of the caller
+	Method   string
+	Path     string
+	Body     []byte
+	Messages []string // messages of a prompt, which other requests may share
+}
+
+// Request identifies a request and its repeats. The zero value identifies none.
+type Request struct {
+	service string
+	hash    uint64
+	parts   []poison.Part // messages, then the request itself
+}
+
+// maxMessages bounds the messages of a prompt that count: the first one, which many
+// requests share, and the last ones.
+const maxMessages = 16
+
+// NewRequest returns the identity of a request.
+func NewRequest(cfg RequestConfig) Request {
+	h := xxhash.New()
+	for _, s := range []string{cfg.Service, cfg.Account, cfg.Method, cfg.Path} {
+		_, _ = h.WriteString(strconv.Itoa(len(s)) + ":" + s)
+	}
+	_, _ = h.Write(cfg.Body)
+	r := Request{service: cfg.Service, hash: h.Sum64()}
+	m := cfg.Messages
+	if len(m) > maxMessages {
+		m = slices.Concat(m[:1], m[len(m)-maxMessages+1:])
+	}
+	for _, text := range m {
+		p := poison.Part{Service: cfg.Service, ID: "message:" + strconv.FormatUint(xxhash.Sum64String(text), 16)}
+		if !slices.Contains(r.parts, p) {
+			r.parts = append(r.parts, p)
+		}
+	}
+	r.parts = append(r.parts, poison.Part{Service: cfg.Service, ID: "request:" + strconv.FormatUint(r.hash, 16)})
+	return r
+}
+
+// Server identifies an incarnation of a backend server that has failed. boot is "" for
+// one that reports none; the second of the failure stands for it then.
+func Server(name, boot string) uint64 {
+	if boot == "" {
+		boot = strconv.FormatInt(time.Now().Unix(), 10)
+	}
+	return xxhash.Sum64String(name + "/" + boot)
+}
+
+// HasCrashed reports whether a server has crashed, by the attempt to read its load
+// report: it is gone, or another incarnation than boot answers.
+func HasCrashed(boot string, load engine.LoadReport, err error) bool {
+	return engine.IsGone(err) || err == nil && boot != "" && load.Boot != "" && load.Boot != boot
+}
+
+// Config holds the dependencies of a Guard.
+type Config struct {
+	Tracker *poison.Tracker // nil for one that shares nothing
+}
+
+// Guard decides which requests may be sent to backend servers. It is safe for
+// concurrent use.
+type Guard struct {
+	tracker *poison.Tracker
+	mu      sync.Mutex
+	trials  map[string]chan struct{} // by service, holds an element while a suspect has the turn
+}
+
+// New returns a Guard.
+func New(cfg Config) *Guard {
+	if cfg.Tracker == nil {
+		cfg.Tracker = poison.New(poison.Config{})
+	}
+	return &Guard{tracker: cfg.Tracker, trials: map[string]chan struct{}{}}
+}
+
+// RecordCrash records that an incarnation of a server has crashed, see Server.
+func (g *Guard) RecordCrash(server uint64) { g.tracker.RecordCrash(server) }
+
+// trial returns the channel for the suspects of a service.
+func (g *Guard) trial(service string) chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.trials[service] == nil {
+		g.trials[service] = make(chan struct{}, 1)
+	}
+	return g.trials[service]
+}
+
+// Case is one request with the servers that crashed under it. Its methods must not be
+// called concurrently.
+type Case struct {
+	guard    *Guard
+	request  Request
+	crashes  int
+	aloneAt  time.Time // when the request may be repeated alone
+	answered bool
+	release  func() // ends the turn of the suspect; nil without one
+}
+
+// Open returns the case of a request. The caller must close it.
+func (g *Guard) Open(r Request) *Case { return &Case{guard: g, request: r} }
+
+const (
+	// aloneAfter is the number of crashes after which a request is repeated alone. The
+	// first repeat does not wait, since most crashes have another cause.
+	aloneAfter = 2
+	// maxCrashes is the number of servers that one request may crash. A sound request
+	// that is repeated alone is hit again only by one that is new.
+	maxCrashes = 3
+	// trialPause is the time from a crash to a repeat alone. It exceeds the time within
+	// which package poison takes two crashes for one.
+	trialPause = 150 * time.Millisecond
+	// maxTrial bounds the turn of a request, so that a slow one does not stop the others.
+	maxTrial = 5 * time.Second
+	// returnSpread spreads the return of callers after a quarantine, relative to the time
+	// left.
+	returnSpread = 0.25
+)
+
+// Suspect reports whether a server crashed under the request before it was answered.
+func (c *Case) Suspect() bool { return c.crashes > 0 && !c.answered }
+
+// Admit waits until the request may be sent to a server, until ctx or the deadline
+// ends, which is zero for none. It must be called before each attempt. mayHaveRun tells
+// whether a server may have run the request already. Errors are of type *fault.Error:
+//   - fault.Quarantined with the time to come back and verdict NotRun for a request
+//     that was not sent
+//   - fault.Crashed with verdict MayHaveRun for one under which servers crashed
+//   - fault.Timeout when its turn did not come in time
+func (c *Case) Admit(ctx context.Context, deadline time.Time, mayHaveRun bool) error {
+	if err := c.check(mayHaveRun); err != nil || c.answered || c.crashes < aloneAfter {
+		return err
+	}
+	if !deadline.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, deadline)
+		defer cancel()
+	}
+	if err := c.takeTurn(ctx); err != nil {
+		return fault.New(fault.Config{Verdict: fault.MayHaveRun, Code: fault.Timeout, Reason: "the deadline passed before the request could be repeated", Cause: err})
+	}
+	return c.check(mayHaveRun)
+}
+
+// takeTurn waits until the request may run alone.
+func (c *Case) takeTurn(ctx context.Context) error {
+	if c.release == nil {
+		trial := c.guard.trial(c.request.service)
+		select {
+		case trial <- struct{}{}:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		end := sync.OnceFunc(func() { <-trial })
+		timer := time.AfterFunc(maxTrial, end)
+		c.release = func() { timer.Stop(); end() }
+	}
+	select {
+	case <-time.After(time.Until(c.aloneAt)):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// check returns the error of a request that must not be sent, or nil.
+func (c *Case) check(mayHaveRun bool) error {
+	_, left, ok := c.guard.tracker.Blocked(c.request.parts)
+	switch {
+	case c.Suspect() && (ok || c.crashes >= maxCrashes):
+		return fault.New(fault.Config{Verdict: fault.MayHaveRun, Code: fault.Crashed, Reason: "backend servers crashed while they ran the request"})
+	case ok && !mayHaveRun:
+		at := time.Now().Add(left + rand.N(time.Duration(returnSpread*float64(left))+1))
+		return fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Quarantined, Reason: "requests like this one crashed backend servers", RetryAt: at})
+	}
+	return nil
+}
+
+// RecordCut records that a server ended the request before it had answered. It counts
+// once the server is found to have crashed.
+func (c *Case) RecordCut(server uint64) {
+	if !c.answered {
+		c.guard.tracker.RecordCut(server, c.request.hash, c.request.parts)
+	}
+}
+
+// RecordCrash records that a server, which RecordCut named, has crashed.
+func (c *Case) RecordCrash(server uint64) {
+	c.crashes++
+	c.aloneAt = time.Now().Add(trialPause)
+	c.guard.RecordCrash(server)
+}
+
+// RecordAnswered records that a server has answered the request.
+func (c *Case) RecordAnswered() {
+	if c.answered {
+		return
+	}
+	c.answered = true
+	c.Close()
+	c.guard.tracker.RecordAnswered(c.request.parts)
+}
+
+// Close ends the turn of a suspect.
+func (c *Case) Close() {
+	if c.release != nil {
+		c.release()
+		c.release = nil
+	}
+}
--- /dev/null
+++ b/guard/guard_test.go
@@ -0,0 +1,88 @@
+package guard_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cranberrybay/cranberrybay/clock"
+	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/guard"
+)
+
+func virtually(t *testing.T, f func(t *testing.T, g *guard.Guard)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		defer clock.Replace(func() time.Duration { return time.Since(start) })()
+		f(t, guard.New(guard.Config{}))
+	})
+}
+
+func request(account, body string) guard.Request {
+	return guard.NewRequest(guard.RequestConfig{Service: "desk", Account: account, Method: "POST", Path: "/orders", Body: []byte(body)})
+}
+
+// crash records that servers crashed under a request, each at another moment.
+func crash(c *guard.Case, server string, n int) {
+	for i := range n {
+		s := guard.Server(fmt.Sprint(server, i), "boot")
+		c.RecordCut(s)
+		c.RecordCrash(s)
+		time.Sleep(time.Second)
+	}
+}
+
+func admit(c *guard.Case) error {
+	return c.Admit(context.Background(), time.Now().Add(time.Second), c.Suspect())
+}
+
+// TestQuarantineOfOneRequest guards against a request that crashes servers again under
+// another case, and against one of the same caller that is refused with it.
+func TestQuarantineOfOneRequest(t *testing.T) {
+	virtually(t, func(t *testing.T, g *guard.Guard) {
+		for call := range 2 {
+			c := g.Open(request("hotel", "deadly"))
+			assert.NilError(t, admit(c))
+			crash(c, fmt.Sprint("server-", call, "-"), 3)
+			assert.Equal(t, fault.CodeOf(admit(c)), fault.Crashed)
+			c.Close()
+		}
+		err := admit(g.Open(request("hotel", "deadly")))
+		assert.Equal(t, fault.CodeOf(err), fault.Quarantined)
+		assert.Equal(t, fault.VerdictOf(err), fault.NotRun)
+		_, ok := fault.RetryAt(err)
+		assert.Assert(t, ok)
+		for _, r := range []guard.Request{request("hotel", "sound"), request("shop", "deadly"), {}} {
+			assert.NilError(t, admit(g.Open(r)))
+		}
+	})
+}
+
+// TestSuspectsRunAlone guards against suspects that are on servers at the same time,
+// and against one that is stopped by another one without end.
+func TestSuspectsRunAlone(t *testing.T) {
+	virtually(t, func(t *testing.T, g *guard.Guard) {
+		var suspects []*guard.Case
+		for n := range 3 {
+			c := g.Open(request("hotel", fmt.Sprint(n)))
+			crash(c, fmt.Sprint("server-", n, "-"), 2)
+			suspects = append(suspects, c)
+		}
+		assert.NilError(t, admit(suspects[0]))
+		err := admit(suspects[1])
+		assert.Equal(t, fault.CodeOf(err), fault.Timeout)
+		assert.Equal(t, fault.VerdictOf(err), fault.MayHaveRun)
+		assert.NilError(t, admit(g.Open(request("hotel", "new"))))
+		suspects[0].RecordAnswered()
+		assert.NilError(t, admit(suspects[1]))
+		time.Sleep(5 * time.Second) // a turn ends
+		assert.NilError(t, admit(suspects[2]))
+		suspects[1].Close()
+		suspects[2].Close()
+	})
+}
--- a/route/graph.go
+++ b/route/graph.go
@@ -188,7 +188,7 @@
 	for i := g.lastNode; i >= 0; i = g.nodes[i].prev {
 		n--
 		s := g.nodes[i].server
-		r.Stages[n] = Stage{Name: s.Name, Address: s.Address, Domain: s.Domain, First: s.First, Last: s.Last}
+		r.Stages[n] = Stage{Name: s.Name, Address: s.Address, Domain: s.Domain, Boot: s.Boot, First: s.First, Last: s.Last}
 		step += g.nodes[i].step
 		if p := g.nodes[i].prev; p >= 0 {
 			step += g.roundTrips[g.nodes[p].domain][g.nodes[i].domain]
--- a/route/route.go
+++ b/route/route.go
@@ -16,8 +16,9 @@
 	Name    string
 	Address string
 	Domain  string
-	First   int // first layer, inclusive
-	Last    int // last layer, exclusive
+	Boot    string // incarnation; "" if the server does not report it
+	First   int    // first layer, inclusive
+	Last    int    // last layer, exclusive
 }
 
 // Route is an ordered list of stages that hold the same model version.
--- a/stream/attempt.go
+++ b/stream/attempt.go
@@ -145,6 +145,7 @@
 			return err
 		}
 		if done {
+			st.suspicion.RecordAnswered()
 			st.recordEnd(f.Loads)
 			return nil
 		}
@@ -164,10 +165,17 @@
 	}
 }
 
+// answeredTokens is the number of tokens after which the stages have shown that they
+// can answer the request: they computed one and lived to compute another.
+const answeredTokens = 2
+
 // recordProgress records n accepted tokens: it restarts the token timeout, passes on
 // the measurements in the frame and exports a checkpoint when one is due.
 func (st *requestState) recordProgress(f *engine.Frame, n int, w *watchdog) {
 	first := w.progress(n)
+	if len(st.acceptor.tokens) >= answeredTokens {
+		st.suspicion.RecordAnswered()
+	}
 	if first {
 		if w.run.number == 1 {
 			st.mu.Lock()
--- a/stream/cluster_test.go
+++ b/stream/cluster_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,6 +18,7 @@
 	"github.com/cranberrybay/cranberrybay/entry"
 	"github.com/cranberrybay/cranberrybay/fakes"
 	"github.com/cranberrybay/cranberrybay/fleet"
+	"github.com/cranberrybay/cranberrybay/guard"
 	"github.com/cranberrybay/cranberrybay/route"
 	"github.com/cranberrybay/cranberrybay/stream"
 )
@@ -88,6 +90,7 @@
 	runner  *stream.Runner
 	client  *engine.Client
 	close   []func()
+	crashes atomic.Int32
 }
 
 const (
@@ -111,6 +114,7 @@
 			if modify != nil {
 				modify(&cfg)
 			}
+			cfg.OnCrash = func() { tc.crash(name) }
 			tc.engines[name] = fakes.NewEngine(cfg)
 			tc.names = append(tc.names, name)
 			tc.listen(name+":1", tc.engines[name].Handler())
@@ -174,6 +178,19 @@
 	tc.engines[name].SetFaults(f)
 }
 
+// crashTime is how long an engine is down after a crash.
+const crashTime = time.Second
+
+// crash makes a crashed engine refuse connections until it starts again.
+func (tc *testCluster) crash(name string) {
+	tc.crashes.Add(1)
+	tc.net.setDown(name+":1", true)
+	time.AfterFunc(crashTime, func() {
+		tc.engines[name].Restart()
+		tc.net.setDown(name+":1", false)
+	})
+}
+
 // clearFaults ends all faults.
 func (tc *testCluster) clearFaults() {
 	for _, n := range tc.names {
@@ -198,7 +215,8 @@
 	last := time.Now()
 	a.out, a.err = tc.runner.Run(ctx, stream.Request{
 		ID: fmt.Sprintf("r%d", id), Service: "assistant", Model: "lights", Layers: layers, Prompt: prompt, Limit: 4096,
-		Blocks: engine.BlockHashes("lights", prompt),
+		Blocks:   engine.BlockHashes("lights", prompt),
+		Identity: guard.NewRequest(guard.RequestConfig{Service: "assistant", Account: "hotel", Body: []byte(prompt), Messages: strings.Split(prompt, "\n")}),
 	}, stream.Sink{Token: func(t string) error {
 		text.WriteString(t)
 		a.tokenIntervals = append(a.tokenIntervals, time.Since(last))
--- a/stream/diagnose.go
+++ b/stream/diagnose.go
@@ -8,6 +8,7 @@
 
 	"github.com/cranberrybay/cranberrybay/engine"
 	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/guard"
 	"github.com/cranberrybay/cranberrybay/route"
 )
 
@@ -76,8 +77,11 @@
 	case w.outrun:
 		st.credit++ // the retry of the successor
 	case len(w.gone) > 0:
-		for n := range w.gone {
-			st.excludeFailed(n)
+		for _, s := range st.route.Stages {
+			if w.gone[s.Name] {
+				st.excludeFailed(s.Name)
+				st.recordCut(s, func() bool { return true })
+			}
 		}
 		countRecovery("dead")
 	case errors.As(err, &re):
@@ -95,10 +99,33 @@
 			st.credit++ // no engine has received the request
 		}
 		st.excludeFailed(first.Name)
+		if fault.VerdictOf(err) == fault.MayHaveRun && (engine.IsGone(err) || errors.Is(err, errNoStopReason)) {
+			st.recordCut(first, func() bool { return st.hasCrashed(ctx, first) })
+		}
 		countRecovery("dead")
 	}
 }
 
+// recordCut records that a stage failed, unless the request had been answered before.
+func (st *requestState) recordCut(s route.Stage, crashed func() bool) {
+	if len(st.acceptor.tokens) >= answeredTokens {
+		return
+	}
+	server := guard.Server(s.Name, s.Boot)
+	st.suspicion.RecordCut(server)
+	if crashed() {
+		st.suspicion.RecordCrash(server)
+	}
+}
+
+// hasCrashed tells whether the server of a stage has crashed.
+func (st *requestState) hasCrashed(ctx context.Context, s route.Stage) bool {
+	ctx, cancel := context.WithTimeout(ctx, maxProbe)
+	defer cancel()
+	load, err := st.runner.cfg.Probe(ctx, s)
+	return guard.HasCrashed(s.Boot, load, err)
+}
+
 // excludeFailed excludes a server that failed.
 func (st *requestState) excludeFailed(name string) {
 	st.exclude(name, false)
@@ -139,6 +166,9 @@
 		}
 	}
 	st.excludeFailed(failed.Name)
+	if se.Reason == "" {
+		st.recordCut(failed, func() bool { return st.hasCrashed(ctx, failed) })
+	}
 	countRecovery("dead")
 }
 
--- a/stream/request.go
+++ b/stream/request.go
@@ -10,6 +10,7 @@
 
 	"github.com/cranberrybay/cranberrybay/engine"
 	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/guard"
 	"github.com/cranberrybay/cranberrybay/route"
 )
 
@@ -26,6 +27,7 @@
 	mayHoldState  map[string]bool // addresses of stages that may hold state of the request
 	reroutes      int             // moves away from a slow route
 	credit        int             // attempts that take no retry from the budget
+	suspicion     *guard.Case     // servers that crashed under the request
 	lastErr       error           // why the last attempt failed
 	overdue       bool            // the last run ended at the deadline of its next token
 	mayHaveRun    bool            // a backend server may have run part of the request
@@ -43,7 +45,7 @@
 
 func newRequestState(r *Runner, req *Request, sink Sink) *requestState {
 	return &requestState{
-		runner: r, req: req,
+		runner: r, req: req, suspicion: r.cfg.Guard.Open(req.Identity),
 		acceptor:     &acceptor{runner: r, layers: req.Layers, tag: uint32(xxhash.Sum64String(req.ID)), sink: sink},
 		mayHoldState: map[string]bool{}, permanent: map[string]bool{}, reachable: map[string]bool{}, stages: map[string]route.Stage{}, failedAt: time.Now(),
 	}
--- a/stream/stream.go
+++ b/stream/stream.go
@@ -11,6 +11,7 @@
 
 	"github.com/cranberrybay/cranberrybay/engine"
 	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/guard"
 	"github.com/cranberrybay/cranberrybay/retry"
 	"github.com/cranberrybay/cranberrybay/route"
 )
@@ -26,6 +27,7 @@
 	Limit              int      // maximum number of tokens
 	Priority           int
 	FirstTokenDeadline time.Time // deadline of the first token, zero for none
+	Identity           guard.Request
 }
 
 // Sink receives the answer to a request.
@@ -78,6 +80,9 @@
 	// Export and Import move the KV cache of a request. Both may be nil.
 	Export func(ctx context.Context, address, request string) (engine.Export, error)
 	Import func(ctx context.Context, address string, i engine.Import) error
+	// Guard refuses requests that crash backend servers; nil for one that shares its
+	// evidence with no other process.
+	Guard *guard.Guard
 	// Feedback receives what answers show about servers and links.
 	Feedback Feedback
 	// Budget bounds the retries over all requests; nil for the default retry budget.
@@ -116,6 +121,9 @@
 	if cfg.Budget == nil {
 		cfg.Budget = retry.New(retry.Config{RetriesPerRequest: defaultRetryShare, Burst: defaultRetryBurst, Initial: defaultRetryBurst})
 	}
+	if cfg.Guard == nil {
+		cfg.Guard = guard.New(guard.Config{})
+	}
 	if cfg.Probe == nil {
 		cfg.Probe = func(context.Context, route.Stage) (engine.LoadReport, error) { return engine.LoadReport{}, nil }
 	}
@@ -144,7 +152,11 @@
 	r.cfg.Budget.AddRequest()
 	st := newRequestState(r, &req, sink)
 	defer st.releaseAll()
+	defer st.suspicion.Close()
 	for st.attemptNumber < maxAttempts {
+		if err := st.suspicion.Admit(ctx, st.tokenDeadline(), st.mayHaveRun); err != nil {
+			return st.outcome(), st.refused(ctx, err)
+		}
 		if err := st.choose(ctx); err != nil {
 			return st.outcome(), st.giveUpError(err)
 		}
@@ -167,6 +179,15 @@
 	return st.outcome(), st.giveUpError(st.lastErr)
 }
 
+// refused returns the error of a request that the guard did not admit.
+func (st *requestState) refused(ctx context.Context, err error) error {
+	if gone := st.callerGone(ctx, err); gone != nil {
+		return gone
+	}
+	countGiveUps.Inc()
+	return err
+}
+
 // callerGone returns the error of a request whose caller went away, or nil.
 func (st *requestState) callerGone(ctx context.Context, err error) error {
 	var se sinkError
--- a/stream/successor.go
+++ b/stream/successor.go
@@ -13,8 +13,12 @@
 )
 
 // prepareSuccessor starts a run on another route in the background, if there is a
-// route, an attempt and a retry for it. The caller holds w.mu.
+// route, an attempt and a retry for it. A suspect runs on one route at a time. The
+// caller holds w.mu.
 func (w *watchdog) prepareSuccessor() {
+	if w.suspect {
+		return
+	}
 	st, c := w.st, w.constraints.clone()
 	c.AcceptedTokens, c.Version = len(w.tokens), ""
 	if c.AcceptedTokens > 0 {
--- a/stream/watchdog.go
+++ b/stream/watchdog.go
@@ -18,6 +18,7 @@
 	st           *requestState
 	ctx          context.Context // of the request
 	run          *run
+	suspect      bool // a server crashed under the request
 	pace         *pace
 	lastProgress time.Time
 
@@ -51,7 +52,7 @@
 // newWatchdog starts a watchdog for a run. Its first token timeout includes an
 // estimate of the prefill.
 func newWatchdog(ctx context.Context, st *requestState, r *run) *watchdog {
-	w := &watchdog{st: st, ctx: ctx, run: r, pace: newPace(r.route.Step), lastProgress: time.Now(), lastNumber: r.number, tokens: st.acceptor.tokens, boots: map[string]string{}}
+	w := &watchdog{st: st, ctx: ctx, run: r, pace: newPace(r.route.Step), lastProgress: time.Now(), lastNumber: r.number, tokens: st.acceptor.tokens, boots: map[string]string{}, suspect: st.suspicion.Suspect()}
 	w.constraints = st.constraints.clone()
 	w.tokenTimeout = st.firstTimeout(r.route, len(w.tokens))
 	w.deadline = w.lastProgress.Add(w.tokenTimeout + st.runner.maxSilence)
