proxy, entry, node: calls that crash servers of plain services reach few of them

A call that crashes its server was sent to the next one with each repeat of its caller, an idempotent one to three at once. Sound lookups of that caller found no server.

Cause: as for streams, nothing was remembered of the request.

Change: the pool of a service asks the guard before each attempt, and records a connection that a server closed without an answer, if it refuses the next one or answers as another incarnation. Suspects are not hedged. A server that reports no incarnation is told apart by the second of its crash. The polls of the fleet table confirm crashes that could not be confirmed at once. A call under which a server crashed ends as may-have-run with 502 (before: 503 unavailable); an order is not repeated, as before.

Changed tests: the handlers of entry's tests name the client for load reports, which the pool now takes.

--- a/entry/admission_test.go
+++ b/entry/admission_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/cranberrybay/cranberrybay/change"
+	"github.com/cranberrybay/cranberrybay/engine"
 	"github.com/cranberrybay/cranberrybay/fakes"
 	"github.com/cranberrybay/cranberrybay/fault"
 	"github.com/cranberrybay/cranberrybay/fleet"
@@ -44,7 +45,7 @@
 	}})
 	queues := queue.NewSet(func(string) *queue.Queue { return queue.New(queue.Config{}) })
 	return New(Config{
-		Store: st, Fleet: f, Services: proxy.NewTablePool(f, proxy.New(proxy.Config{})), Log: zerolog.Nop(),
+		Store: st, Fleet: f, Services: proxy.NewTablePool(f, proxy.New(proxy.Config{}), engine.New(engine.Config{}), nil), Log: zerolog.Nop(),
 		Admission: &AdmissionControl{Limits: limits, Queues: queues},
 	})
 }
--- a/entry/atmostonce.go
+++ b/entry/atmostonce.go
@@ -85,6 +85,7 @@
 		return nil, false, claim.IssuerUnreachableError()
 	}
 	endRequest := sync.OnceFunc(h.inflight.end)
+	call.Call.Identity = callIdentity(call.Account, call.Service, call.Call)
 	a, replayed, err := h.runAtMostOnce(ctx, call)
 	if err != nil {
 		endRequest()
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -13,6 +13,7 @@
 
 	"github.com/cranberrybay/cranberrybay/engine"
 	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/guard"
 	"github.com/cranberrybay/cranberrybay/queue"
 	"github.com/cranberrybay/cranberrybay/spec"
 	"github.com/cranberrybay/cranberrybay/stream"
@@ -175,6 +176,7 @@
 		ID: reply.ID, Service: svc.Name(), Model: svc.Model(), Layers: svc.Layers(), Prompt: prompt,
 		Blocks: engine.BlockHashes(svc.Model(), prompt), Limit: *req.MaxTokens, FirstTokenDeadline: svc.ResponseDeadline(time.Now()),
 	}
+	streamReq.Identity = chatIdentity(accountOf(c).Name(), svc.Name(), req.Messages)
 	p, err := h.admit(c, svc, queue.Shape{MaxTokens: *req.MaxTokens, PromptBytes: len(prompt)}, streamReq.FirstTokenDeadline)
 	if err != nil {
 		writeChatError(c, err)
@@ -255,6 +257,16 @@
 	return req, svc, nil
 }
 
+// chatIdentity returns what the repeats of a chat completion request have in common.
+// Other requests may share its messages.
+func chatIdentity(account, service string, messages []ChatMessage) guard.Request {
+	cfg := guard.RequestConfig{Service: service, Account: account, Body: []byte(promptText(messages))}
+	for i := range messages {
+		cfg.Messages = append(cfg.Messages, promptText(messages[i:i+1]))
+	}
+	return guard.NewRequest(cfg)
+}
+
 // promptText returns the messages of a conversation as one prompt.
 func promptText(messages []ChatMessage) string {
 	var b strings.Builder
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -23,6 +23,7 @@
 	"github.com/cranberrybay/cranberrybay/engine"
 	"github.com/cranberrybay/cranberrybay/fault"
 	"github.com/cranberrybay/cranberrybay/fleet"
+	"github.com/cranberrybay/cranberrybay/guard"
 	"github.com/cranberrybay/cranberrybay/proxy"
 	"github.com/cranberrybay/cranberrybay/route"
 	"github.com/cranberrybay/cranberrybay/spec"
@@ -50,6 +51,7 @@
 	Services  *proxy.Pool
 	Claims    *claim.Manager
 	Admission *AdmissionControl // limits and queues; nil for none
+	Guard     *guard.Guard      // refuses requests that crash engines; see stream.Config
 	Domain    string            // failure domain of this process
 	Chooser   *route.Chooser    // nil for a chooser with default settings
 	Self      string            // address of this process in Addresses
@@ -78,7 +80,7 @@
 func New(cfg Config) *Handler {
 	gin.SetMode(gin.ReleaseMode)
 	h := &Handler{cfg: cfg, inflight: newInflightTracker(), router: gin.New()}
-	h.runner = NewRunner(RunnerConfig{Fleet: cfg.Fleet, Chooser: cfg.Chooser, Engines: cfg.Engines, Domain: cfg.Domain})
+	h.runner = NewRunner(RunnerConfig{Fleet: cfg.Fleet, Chooser: cfg.Chooser, Engines: cfg.Engines, Domain: cfg.Domain, Guard: cfg.Guard})
 	h.router.RedirectTrailingSlash = false // paths of services are passed on unchanged
 	h.router.Use(h.markHandling, h.recoverPanic, h.checkHeader)
 	h.router.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
--- a/entry/passthrough_test.go
+++ b/entry/passthrough_test.go
@@ -7,6 +7,7 @@
 	"net/url"
 	"testing"
 
+	"github.com/cranberrybay/cranberrybay/engine"
 	"github.com/cranberrybay/cranberrybay/fakes"
 	"github.com/cranberrybay/cranberrybay/fleet"
 	"github.com/cranberrybay/cranberrybay/proxy"
@@ -34,7 +35,7 @@
 	servers.MergeEntry(fleet.State{Name: "desk", Address: target.Host, Service: "desk"})
 	servers.UpdateReport("desk", func(s *fleet.State) { s.Ready, s.Slots = true, 16 })
 	h := entry.New(entry.Config{
-		Store: newSystem(b, 1, 0).store(b), Fleet: servers, Services: proxy.NewTablePool(servers, proxy.New(proxy.Config{})),
+		Store: newSystem(b, 1, 0).store(b), Fleet: servers, Services: proxy.NewTablePool(servers, proxy.New(proxy.Config{}), engine.New(engine.Config{}), nil),
 		Addresses: func(string, string) entry.Addresses { return entry.Addresses{} },
 	})
 	bare := httputil.NewSingleHostReverseProxy(target)
--- a/entry/service.go
+++ b/entry/service.go
@@ -11,6 +11,7 @@
 	"github.com/gin-gonic/gin"
 
 	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/guard"
 	"github.com/cranberrybay/cranberrybay/proxy"
 	"github.com/cranberrybay/cranberrybay/queue"
 	"github.com/cranberrybay/cranberrybay/spec"
@@ -42,6 +43,7 @@
 	}
 	defer p.release()
 	call.OnSend = p.sentTo
+	call.Identity = callIdentity(accountOf(c).Name(), svc.Name(), call)
 	if key != "" && !call.Idempotent {
 		h.serveAtMostOnce(c, p, KeyedCall{Account: accountOf(c).Name(), Service: svc.Name(), Key: key, Call: call})
 		return
@@ -98,6 +100,11 @@
 	return call, nil
 }
 
+// callIdentity returns what the repeats of a call have in common.
+func callIdentity(account, service string, call proxy.Call) guard.Request {
+	return guard.NewRequest(guard.RequestConfig{Service: service, Account: account, Method: call.Method, Path: call.Path, Body: call.Body})
+}
+
 // maxIdempotencyKey bounds an idempotency key in bytes; a ticket has about 150.
 const maxIdempotencyKey = 512
 
--- a/entry/system_test.go
+++ b/entry/system_test.go
@@ -29,6 +29,7 @@
 type network struct {
 	mu        sync.Mutex
 	listeners map[string]*listener
+	down      map[string]bool // addresses that refuse connections
 }
 
 type listener struct {
@@ -59,9 +60,19 @@
 func (l *listener) Close() error   { l.once.Do(func() { close(l.closed) }); return nil }
 func (l *listener) Addr() net.Addr { return &net.UnixAddr{Name: l.address} }
 
+func (n *network) setDown(address string, down bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.down[address] = down
+}
+
 func (n *network) dial(ctx context.Context, _, address string) (net.Conn, error) {
 	n.mu.Lock()
-	l := n.listeners[strings.TrimSuffix(address, ":80")]
+	address = strings.TrimSuffix(address, ":80")
+	l := n.listeners[address]
+	if n.down[address] {
+		l = nil
+	}
 	n.mu.Unlock()
 	refused := &net.OpError{Op: "dial", Err: errors.New("connection refused")}
 	if l == nil {
@@ -129,7 +140,7 @@
 func newSystem(t testing.TB, seed int64, servers int) *system {
 	t.Helper()
 	rows := fakes.NewTable()
-	s := &system{network: &network{listeners: map[string]*listener{}}, flakyTable: fakes.NewFlakyTable(rows, seed), tableClient: rows.Client()}
+	s := &system{network: &network{listeners: map[string]*listener{}, down: map[string]bool{}}, flakyTable: fakes.NewFlakyTable(rows, seed), tableClient: rows.Client()}
 	s.doCall = func(c *proxy.Client) func(context.Context, string, proxy.Call) (*proxy.Answer, error) { return c.Do }
 	var files []change.File
 	for i, text := range strings.Split(fmt.Sprintf(testDocuments, spec.HashKey("key")), "---\n") {
@@ -178,6 +189,7 @@
 		Store: s.store(t), Fleet: servers, Engines: engine.New(engine.Config{}), Claims: n.claims, Self: n.name, Forward: s.forward,
 		Services: proxy.NewPool(proxy.PoolConfig{
 			Servers: servers.Servers, OnStart: servers.BeginRequest, OnEnd: servers.EndRequest, OnFailure: servers.RequestFailed, OnSuccess: servers.RequestSucceeded, Do: s.doCall(client),
+			Probe: engine.New(engine.Config{Client: &http.Client{Transport: &http.Transport{DialContext: s.dial, DisableKeepAlives: true}}}).Load,
 		}),
 		Addresses: func(string, string) entry.Addresses { return entry.Addresses{Addresses: s.addresses()} },
 	})
--- a/fakes/service.go
+++ b/fakes/service.go
@@ -1,12 +1,16 @@
 package fakes
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/cranberrybay/cranberrybay/engine"
 )
 
@@ -38,10 +42,47 @@
 	leaving bool
 	running int
 	calls   int
+	boot    string
+	crashed bool
+	deadly  string // text of calls that crash the service; "" for none
+	onCrash func()
 }
 
 // NewService returns a service without orders.
-func NewService() *Service { return &Service{} }
+func NewService() *Service { return &Service{boot: uuid.NewString()} }
+
+// SetDeadly sets a text of paths and bodies that crashes the service, and the function
+// that makes it refuse connections then.
+func (s *Service) SetDeadly(text string, onCrash func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deadly, s.onCrash = text, onCrash
+}
+
+// Restart starts a new incarnation after a crash.
+func (s *Service) Restart() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.boot, s.crashed = uuid.NewString(), false
+}
+
+// crashIfDeadly crashes the service if the call is deadly, and closes the connection of
+// each call of a crashed service.
+func (s *Service) crashIfDeadly(r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	s.mu.Lock()
+	crash := !s.crashed && s.deadly != "" && strings.Contains(r.URL.Path+string(body), s.deadly)
+	s.crashed = s.crashed || crash
+	crashed, onCrash := s.crashed, s.onCrash
+	s.mu.Unlock()
+	if crash {
+		onCrash()
+	}
+	if crashed {
+		panic(http.ErrAbortHandler)
+	}
+}
 
 // Orders returns the bodies of the executed orders, in the order of execution.
 func (s *Service) Orders() []string {
@@ -100,7 +141,10 @@
 	m.HandleFunc("GET /load", func(w http.ResponseWriter, _ *http.Request) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		writeJSON(w, engine.LoadReport{Slots: 16, Running: s.running, Ready: true, Leaving: s.leaving})
+		if s.crashed {
+			panic(http.ErrAbortHandler)
+		}
+		writeJSON(w, engine.LoadReport{Boot: s.boot, Slots: 16, Running: s.running, Ready: true, Leaving: s.leaving})
 	})
 	m.HandleFunc("PUT /faults", func(w http.ResponseWriter, r *http.Request) {
 		var f ServiceFaults
@@ -150,6 +194,7 @@
 			s.running--
 		}()
 		time.Sleep(delay)
+		s.crashIfDeadly(r)
 		if s.takeFault(&s.faults.LostCalls) {
 			panic(http.ErrAbortHandler)
 		}
--- a/node/background.go
+++ b/node/background.go
@@ -11,6 +11,7 @@
 	"github.com/cranberrybay/cranberrybay/engine"
 	"github.com/cranberrybay/cranberrybay/entry"
 	"github.com/cranberrybay/cranberrybay/fleet"
+	"github.com/cranberrybay/cranberrybay/guard"
 	"github.com/cranberrybay/cranberrybay/lease"
 	"github.com/cranberrybay/cranberrybay/limit"
 	"github.com/cranberrybay/cranberrybay/logs"
@@ -50,6 +51,7 @@
 	Pauses      *member.PauseDetector
 	Peers       *peers
 	Entry       *entry.Handler
+	Guard       *guard.Guard
 	Log         *logs.Factory
 }
 
@@ -61,7 +63,7 @@
 			changeLog.Warn().Err(err).Msg("refresh failed")
 		}
 	})
-	w := newFleetWatcher(p.Pool, p.Fleet, p.VMs, p.Engines, p.Queues, p.PrefixIndex, p.Log.Logger("fleet"))
+	w := newFleetWatcher(p.Pool, p.Fleet, p.VMs, p.Engines, p.Queues, p.PrefixIndex, p.Guard, p.Log.Logger("fleet"))
 	p.Pool.Every("fleet", fixedInterval(fleet.StepInterval), w.Step)
 	p.Pool.Every("claim", fixedInterval(claim.MaintenanceInterval), p.Claims.Maintain)
 	p.Pool.Every("limit", fixedInterval(limit.ReportInterval), func(context.Context) {
--- a/node/node.go
+++ b/node/node.go
@@ -21,12 +21,14 @@
 	"github.com/cranberrybay/cranberrybay/engine"
 	"github.com/cranberrybay/cranberrybay/entry"
 	"github.com/cranberrybay/cranberrybay/fleet"
+	"github.com/cranberrybay/cranberrybay/guard"
 	"github.com/cranberrybay/cranberrybay/limit"
 	"github.com/cranberrybay/cranberrybay/logs"
 	"github.com/cranberrybay/cranberrybay/member"
 	"github.com/cranberrybay/cranberrybay/object"
 	"github.com/cranberrybay/cranberrybay/peer"
 	"github.com/cranberrybay/cranberrybay/plat"
+	"github.com/cranberrybay/cranberrybay/poison"
 	"github.com/cranberrybay/cranberrybay/proxy"
 	"github.com/cranberrybay/cranberrybay/queue"
 	"github.com/cranberrybay/cranberrybay/route"
@@ -64,7 +66,11 @@
 			newConfigSync,
 			newStore,
 			func() *engine.Client { return engine.New(engine.Config{}) },
-			func(t *fleet.Table) *proxy.Pool { return proxy.NewTablePool(t, proxy.New(proxy.Config{})) },
+			newPoisonTracker,
+			func(t *poison.Tracker) *guard.Guard { return guard.New(guard.Config{Tracker: t}) },
+			func(t *fleet.Table, e *engine.Client, g *guard.Guard) *proxy.Pool {
+				return proxy.NewTablePool(t, proxy.New(proxy.Config{}), e, g)
+			},
 			newClaimManager,
 			func() *member.PauseDetector { return member.NewPauseDetector(time.Now) },
 			plat.NewWeightStore,
@@ -120,6 +126,7 @@
 	Services *proxy.Pool
 	Claims   *claim.Manager
 	Peers    *peers
+	Guard    *guard.Guard
 	Limits   *limit.Limiter
 	Queues   *queue.Set
 	Log      *logs.Factory
@@ -129,11 +136,16 @@
 	return entry.New(entry.Config{
 		Store: p.Store, Fleet: p.Fleet, Chooser: p.Chooser, Engines: p.Engines, Services: p.Services, Claims: p.Claims,
 		Admission: &entry.AdmissionControl{Limits: p.Limits, Queues: p.Queues},
+		Guard:     p.Guard,
 		Domain:    p.Settings.Domain, Self: p.Settings.Listen.Callers, Log: p.Log.Logger("entry"),
 		Addresses: p.Peers.addresses, Forward: p.Peers.forward,
 	})
 }
 
+func newPoisonTracker(l *logs.Factory) *poison.Tracker {
+	return poison.New(poison.Config{Log: l.Logger("poison")})
+}
+
 func newAdmin(s Settings, st *change.Store, t *table.Client, f *fleet.Table, d *drainer, p *peers, m *metrics.Set, l *logs.Factory) *admin.Handler {
 	return admin.New(admin.Config{
 		Name: s.Name, Domain: s.Domain, RootCredentialHash: s.Token, Store: st, Table: t, Fleet: f,
--- a/node/watch.go
+++ b/node/watch.go
@@ -9,6 +9,7 @@
 	"github.com/cranberrybay/cranberrybay/engine"
 	"github.com/cranberrybay/cranberrybay/entry"
 	"github.com/cranberrybay/cranberrybay/fleet"
+	"github.com/cranberrybay/cranberrybay/guard"
 	"github.com/cranberrybay/cranberrybay/plat"
 	"github.com/cranberrybay/cranberrybay/pool"
 	"github.com/cranberrybay/cranberrybay/queue"
@@ -18,7 +19,7 @@
 // newFleetWatcher returns the watcher that fills the fleet table from the VM list
 // and the load reports of the backend servers. It also passes the reports to the
 // queues and the cache events to the prefix index.
-func newFleetWatcher(workers *pool.Pool, t *fleet.Table, l *plat.VMList, e *engine.Client, q *queue.Set, prefixes *route.PrefixIndex, log zerolog.Logger) *fleet.Watcher {
+func newFleetWatcher(workers *pool.Pool, t *fleet.Table, l *plat.VMList, e *engine.Client, q *queue.Set, prefixes *route.PrefixIndex, g *guard.Guard, log zerolog.Logger) *fleet.Watcher {
 	return fleet.NewWatcher(fleet.WatchConfig{
 		Table: t,
 		List: func(ctx context.Context) ([]fleet.State, error) {
@@ -39,6 +40,9 @@
 			sentAt := time.Now()
 			r, err := e.Load(ctx, address)
 			if s, ok := t.ByAddress(address); ok {
+				if guard.HasCrashed(s.Boot, r, err) {
+					g.RecordCrash(guard.Server(s.Name, s.Boot))
+				}
 				updateQueue(q.Queue(s.Service), s.Name, r, err, sentAt)
 			}
 			return entry.FleetState(r), err
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -9,20 +9,25 @@
 	"github.com/cranberrybay/cranberrybay/engine"
 	"github.com/cranberrybay/cranberrybay/fault"
 	"github.com/cranberrybay/cranberrybay/fleet"
+	"github.com/cranberrybay/cranberrybay/guard"
 	"github.com/cranberrybay/cranberrybay/retry"
 )
 
 // PoolConfig configures a Pool.
 type PoolConfig struct {
-	Servers    func(service string) []fleet.Candidate // returns the ready servers of a service
-	OnStart    func(server string)                    // a call is sent to the server
-	OnEnd      func(server string)                    // the answer of the call has ended, or the call failed
-	OnFailure  func(server string)                    // a call failed
-	OnSuccess  func(server string)                    // the header of an answer arrived
-	Do         func(ctx context.Context, address string, call Call) (*Answer, error)
-	RetryShare float64    // maximum share of retries in all calls; 0 for 0.1
-	HedgeShare float64    // maximum share of hedged lookups in all calls; 0 for 0.05
-	Rand       *rand.Rand // nil for a random seed
+	Servers   func(service string) []fleet.Candidate // returns the ready servers of a service
+	OnStart   func(server string)                    // a call is sent to the server
+	OnEnd     func(server string)                    // the answer of the call has ended, or the call failed
+	OnFailure func(server string)                    // a call failed
+	OnSuccess func(server string)                    // the header of an answer arrived
+	Do        func(ctx context.Context, address string, call Call) (*Answer, error)
+	// Probe reads the load report of a server, to find out whether it crashed; nil for
+	// no probes.
+	Probe      func(ctx context.Context, address string) (engine.LoadReport, error)
+	Guard      *guard.Guard // refuses calls that crash servers; nil for one that shares its evidence with no other process
+	RetryShare float64      // maximum share of retries in all calls; 0 for 0.1
+	HedgeShare float64      // maximum share of hedged lookups in all calls; 0 for 0.05
+	Rand       *rand.Rand   // nil for a random seed
 }
 
 // Pool sends calls to the backend servers of plain services.
@@ -41,6 +46,9 @@
 	if cfg.HedgeShare == 0 {
 		cfg.HedgeShare = 0.05
 	}
+	if cfg.Guard == nil {
+		cfg.Guard = guard.New(guard.Config{})
+	}
 	if cfg.Rand == nil {
 		cfg.Rand = rand.New(rand.NewSource(time.Now().UnixNano()))
 	}
@@ -48,8 +56,11 @@
 }
 
 // NewTablePool returns a pool that sends calls with c to the servers of t.
-func NewTablePool(t *fleet.Table, c *Client) *Pool {
-	return NewPool(PoolConfig{Servers: t.Servers, OnStart: t.BeginRequest, OnEnd: t.EndRequest, OnFailure: t.RequestFailed, OnSuccess: t.RequestSucceeded, Do: c.Do})
+func NewTablePool(t *fleet.Table, c *Client, e *engine.Client, g *guard.Guard) *Pool {
+	return NewPool(PoolConfig{
+		Servers: t.Servers, OnStart: t.BeginRequest, OnEnd: t.EndRequest, OnFailure: t.RequestFailed, OnSuccess: t.RequestSucceeded,
+		Do: c.Do, Probe: e.Load, Guard: g,
+	})
 }
 
 // maxAttempts is the maximum number of servers tried for one call.
@@ -62,13 +73,20 @@
 func (p *Pool) Send(ctx context.Context, service string, call Call) (*Answer, error) {
 	p.retries.AddRequest()
 	p.hedges.AddRequest()
-	tried := &attempts{servers: map[string]bool{}}
+	tried := &attempts{servers: map[string]bool{}, suspicion: p.cfg.Guard.Open(call.Identity)}
+	defer tried.suspicion.Close()
 	for {
+		if err := tried.suspicion.Admit(ctx, call.Deadline, tried.mayHaveRun); err != nil {
+			return nil, err
+		}
 		c, ok := p.latencies.choose(p.cfg.Servers(service), tried.servers)
 		if !ok {
 			return nil, tried.finalError()
 		}
 		a, err := p.attempt(ctx, service, c, call, tried)
+		if err == nil {
+			tried.suspicion.RecordAnswered()
+		}
 		switch {
 		case err == nil && (a.Status < 500 || !call.Idempotent):
 			return a, nil
@@ -105,8 +123,9 @@
 	servers    map[string]bool
 	count      int
 	lastErr    error
-	mayHaveRun bool     // an attempt may have run
-	silent     []string // servers that took no connection in time
+	mayHaveRun bool        // an attempt may have run
+	silent     []string    // servers that took no connection in time
+	suspicion  *guard.Case // servers that crashed under the call
 }
 
 // readmitSilent lets the call go to silent servers once more, and reports whether
@@ -149,6 +168,9 @@
 	if t.mayHaveRun {
 		cfg.Verdict, cfg.Reason = fault.MayHaveRun, "the call was sent and no answer arrived"
 	}
+	if t.suspicion.Suspect() {
+		cfg.Code, cfg.Reason = fault.Crashed, "a backend server crashed while it ran the call"
+	}
 	at, ok := fault.RetryAt(t.lastErr)
 	if !ok {
 		at = time.Now().Add(time.Second)
@@ -164,14 +186,36 @@
 	t.count++
 	wait := p.latencies.hedgeDelay(service)
 	lookup := call.Idempotent && (call.Method == http.MethodGet || call.Method == http.MethodHead)
-	if !lookup || wait == 0 {
-		return p.exchange(ctx, service, c, call)
+	if !lookup || wait == 0 || t.suspicion.Suspect() {
+		a, err := p.exchange(ctx, service, c, call)
+		p.recordCut(ctx, t, c, err)
+		return a, err
 	}
 	return p.hedge(ctx, service, c, call, t, wait)
 }
 
+// crashProbeTimeout bounds the question to a server whether it crashed. One that
+// crashed refuses the connection at once.
+const crashProbeTimeout = 250 * time.Millisecond
+
+// recordCut records that a server broke off the exchange of a call, and finds out
+// whether it crashed.
+func (p *Pool) recordCut(ctx context.Context, t *attempts, c fleet.Candidate, err error) {
+	if p.cfg.Probe == nil || fault.VerdictOf(err) != fault.MayHaveRun || !engine.IsGone(err) {
+		return
+	}
+	server := guard.Server(c.Name, c.Boot)
+	t.suspicion.RecordCut(server)
+	ctx, cancel := context.WithTimeout(ctx, crashProbeTimeout)
+	defer cancel()
+	if load, err := p.cfg.Probe(ctx, c.Address); guard.HasCrashed(c.Boot, load, err) {
+		t.suspicion.RecordCrash(server)
+	}
+}
+
 // exchangeResult is the result of one of the two exchanges of a hedged lookup.
 type exchangeResult struct {
+	server fleet.Candidate
 	answer *Answer
 	err    error
 	index  int
@@ -192,7 +236,7 @@
 		cancels = append(cancels, cancel)
 		go func() {
 			a, err := p.exchange(ctx, service, c, call)
-			replies <- exchangeResult{a, err, n}
+			replies <- exchangeResult{c, a, err, n}
 		}()
 	}
 	send(c)
@@ -210,6 +254,7 @@
 			}
 		case r := <-replies:
 			pending--
+			p.recordCut(ctx, t, r.server, r.err)
 			if r.failed() && pending > 0 {
 				if r.err == nil {
 					failure = &r
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -18,6 +18,7 @@
 
 	"github.com/cranberrybay/cranberrybay/engine"
 	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/guard"
 )
 
 // Call is one call to a plain service.
@@ -29,6 +30,7 @@
 	Body       []byte
 	Idempotent bool      // the call may be sent more than once
 	Deadline   time.Time // deadline of the header of the answer; zero for none
+	Identity   guard.Request
 	// OnSend is called with the name of each server that the call is sent to. It
 	// may be nil. For a hedged call it is called from several goroutines.
 	OnSend func(server string)
