node, peer: processes share the evidence against requests that crash servers

A request that one process had quarantined was sent to servers by each of the others until they had seen as many crashes.

Cause: the product's own interface kept the evidence in each process.

Change: a process sends what it sees to all members at once, over a peer message of its own with the records that heartbeats carry on the users' platform; above 32 members one of each group passes it on. Every 5 s it exchanges its records with a random process, which repairs lost messages and informs a process that has started. A message has 32 records at most.

--- a/node/background.go
+++ b/node/background.go
@@ -18,6 +18,7 @@
 	"github.com/cranberrybay/cranberrybay/member"
 	"github.com/cranberrybay/cranberrybay/place"
 	"github.com/cranberrybay/cranberrybay/plat"
+	"github.com/cranberrybay/cranberrybay/poison"
 	"github.com/cranberrybay/cranberrybay/pool"
 	"github.com/cranberrybay/cranberrybay/queue"
 	"github.com/cranberrybay/cranberrybay/route"
@@ -52,6 +53,7 @@
 	Peers       *peers
 	Entry       *entry.Handler
 	Guard       *guard.Guard
+	Suspects    *poison.Tracker
 	Log         *logs.Factory
 }
 
@@ -79,6 +81,7 @@
 		}
 	})
 	p.Pool.Every("place", fixedInterval(place.Interval), p.Placement.Step)
+	p.Pool.Every("suspects", fixedInterval(suspectInterval), func(ctx context.Context) { p.Peers.exchangeSuspects(ctx, p.Suspects) })
 	p.Pool.Every("guard", fixedInterval(time.Second), func(context.Context) { p.Peers.drainIfSuperseded(p.Entry) })
 	p.Lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error { p.Pool.Start(); return nil },
--- a/node/calls.go
+++ b/node/calls.go
@@ -70,19 +70,19 @@
 	}
 }
 
-// maxLimitSends bounds the limit messages that are being sent at once. A process
+// maxLimitSends bounds the messages that sendAsync is sending at once. A process
 // sends to the home process of each account that it serves: about 20 at the
 // target size.
 const maxLimitSends = 256
 
-// limitSendTimeout bounds the sending of one limit message. It is short because
-// limit messages are sent periodically.
+// limitSendTimeout bounds the sending of one message. It is short because these
+// messages are sent periodically.
 const limitSendTimeout = 500 * time.Millisecond
 
-// sendLimitMessage sends a message to the first live process that matches,
-// without waiting for it. A message that can't be sent is dropped: the next
-// report replaces it.
-func (p *peers) sendLimitMessage(match func(member.Member) bool, send func(ctx context.Context, to peer.Target) error) {
+// sendAsync sends a message to the first live process that matches, without waiting
+// for it. A message that can't be sent is dropped: the next one of its kind replaces
+// it.
+func (p *peers) sendAsync(kind string, match func(member.Member) bool, send func(ctx context.Context, to peer.Target) error) {
 	if p.transport == nil {
 		return
 	}
@@ -100,7 +100,7 @@
 			ctx, cancel := context.WithTimeout(context.Background(), limitSendTimeout)
 			defer cancel()
 			if err := send(ctx, target(m)); err != nil {
-				p.log.Debug().Err(err).Str("peer", m.Name).Msg("limit message was not sent")
+				p.log.Debug().Err(err).Str("peer", m.Name).Str("kind", kind).Msg("message was not sent")
 			}
 		}()
 		return
@@ -109,14 +109,14 @@
 
 // sendReport sends a demand report to the home process of its accounts.
 func (p *peers) sendReport(home string, r limit.Report) {
-	p.sendLimitMessage(func(m member.Member) bool { return m.Name == home }, func(ctx context.Context, to peer.Target) error {
+	p.sendAsync("limit", func(m member.Member) bool { return m.Name == home }, func(ctx context.Context, to peer.Target) error {
 		return p.transport.Report(ctx, to, r)
 	})
 }
 
 // sendShare sends a share of the limits to the process that reported demand.
 func (p *peers) sendShare(_ string, s limit.Share) {
-	p.sendLimitMessage(func(m member.Member) bool { return m.Incarnation == s.ReceiverIncarnation }, func(ctx context.Context, to peer.Target) error {
+	p.sendAsync("limit", func(m member.Member) bool { return m.Incarnation == s.ReceiverIncarnation }, func(ctx context.Context, to peer.Target) error {
 		return p.transport.Share(ctx, to, s)
 	})
 }
--- a/node/node.go
+++ b/node/node.go
@@ -105,7 +105,7 @@
 }
 
 // connectPeerHandlers sets the handlers of the calls that peers make.
-func connectPeerHandlers(p *peers, claims *claim.Manager, e *entry.Handler, limits *limit.Limiter) {
+func connectPeerHandlers(p *peers, claims *claim.Manager, e *entry.Handler, limits *limit.Limiter, t *poison.Tracker) {
 	p.setHandlers(peerHandlers{
 		Claim: func(_ context.Context, _ peer.Remote, id string) (claim.RunStatus, error) {
 			return claims.RunStatus(id), nil
@@ -113,6 +113,9 @@
 		Forward: forwardHandler(e),
 		Report:  func(_ context.Context, _ peer.Remote, r limit.Report) error { limits.HandleReport(r); return nil },
 		Share:   func(_ context.Context, _ peer.Remote, s limit.Share) error { limits.HandleShare(s); return nil },
+		Suspects: func(_ context.Context, from peer.Remote, m peer.SuspectMessage) ([]poison.Record, error) {
+			return p.handleSuspects(t, from, m)
+		},
 	})
 }
 
@@ -142,10 +145,6 @@
 	})
 }
 
-func newPoisonTracker(l *logs.Factory) *poison.Tracker {
-	return poison.New(poison.Config{Log: l.Logger("poison")})
-}
-
 func newAdmin(s Settings, st *change.Store, t *table.Client, f *fleet.Table, d *drainer, p *peers, m *metrics.Set, l *logs.Factory) *admin.Handler {
 	return admin.New(admin.Config{
 		Name: s.Name, Domain: s.Domain, RootCredentialHash: s.Token, Store: st, Table: t, Fleet: f,
--- a/node/peers.go
+++ b/node/peers.go
@@ -20,6 +20,7 @@
 	"github.com/cranberrybay/cranberrybay/logs"
 	"github.com/cranberrybay/cranberrybay/member"
 	"github.com/cranberrybay/cranberrybay/peer"
+	"github.com/cranberrybay/cranberrybay/poison"
 	"github.com/cranberrybay/cranberrybay/table"
 )
 
@@ -64,6 +65,8 @@
 	Forward func(ctx context.Context, from peer.Remote, w peer.ForwardRequest) (peer.ForwardResponse, error)
 	Report  func(ctx context.Context, from peer.Remote, r limit.Report) error
 	Share   func(ctx context.Context, from peer.Remote, s limit.Share) error
+	// Suspects returns the evidence of this process.
+	Suspects func(ctx context.Context, from peer.Remote, m peer.SuspectMessage) ([]poison.Record, error)
 }
 
 type peersParams struct {
@@ -128,6 +131,9 @@
 			Share: func(ctx context.Context, from peer.Remote, s limit.Share) error {
 				return dispatchNoReply(ctx, from, s, out.handlers.Load().Share)
 			},
+			Suspects: func(ctx context.Context, from peer.Remote, m peer.SuspectMessage) ([]poison.Record, error) {
+				return dispatch(ctx, from, m, out.handlers.Load().Suspects)
+			},
 		},
 	})
 	out.configSync.transport = out.transport
--- a/peer/call.go
+++ b/peer/call.go
@@ -15,6 +15,7 @@
 	"github.com/cranberrybay/cranberrybay/fault"
 	"github.com/cranberrybay/cranberrybay/limit"
 	"github.com/cranberrybay/cranberrybay/member"
+	"github.com/cranberrybay/cranberrybay/poison"
 	"github.com/cranberrybay/cranberrybay/wire"
 )
 
@@ -239,6 +240,21 @@
 	return eventReplyFromWire(rs), nil
 }
 
+// SuspectMessage carries evidence against requests that crash backend servers.
+type SuspectMessage struct {
+	Records []poison.Record
+	PassTo  []string // names of the processes to which the receiver passes the records on
+}
+
+// Suspects sends evidence to a peer and returns the evidence that the peer has.
+func (tr *Transport) Suspects(ctx context.Context, t Target, m SuspectMessage) ([]poison.Record, error) {
+	rs := &wire.Snapshot{}
+	if err := tr.call(ctx, t, kindSuspects, suspectsToWire(m), rs); err != nil {
+		return nil, err
+	}
+	return suspectsFromWire(rs).Records, nil
+}
+
 // incomingStream is a stream opened by a peer, with the session that it belongs
 // to.
 type incomingStream struct {
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cranberrybay/cranberrybay/beat"
 	"github.com/cranberrybay/cranberrybay/change"
 	"github.com/cranberrybay/cranberrybay/limit"
 	"github.com/cranberrybay/cranberrybay/member"
@@ -197,3 +198,19 @@
 	}
 	return s
 }
+
+func suspectsToWire(m SuspectMessage) *wire.Snapshot {
+	out := &wire.Snapshot{Suspects: beat.EncodeSuspects(m.Records)}
+	for _, name := range m.PassTo {
+		out.Processes = append(out.Processes, &wire.Process{Name: name})
+	}
+	return out
+}
+
+func suspectsFromWire(m *wire.Snapshot) SuspectMessage {
+	out := SuspectMessage{Records: beat.DecodeSuspects(m.GetSuspects(), 0)}
+	for _, p := range m.GetProcesses() {
+		out.PassTo = append(out.PassTo, p.GetName())
+	}
+	return out
+}
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -24,11 +24,12 @@
 	kindReport
 	kindShare
 	kindEvents
+	kindSuspects
 	kindCount // number of kinds, not a kind itself
 )
 
 // kindNames are the values of the label kind in metrics.
-var kindNames = [kindCount]string{"fault", "hello", "ping", "announce", "records", "claim", "forward", "report", "share", "news"}
+var kindNames = [kindCount]string{"fault", "hello", "ping", "announce", "records", "claim", "forward", "report", "share", "news", "suspects"}
 
 // Maximum sizes of encoded messages in bytes.
 const (
@@ -41,6 +42,7 @@
 var messageLimits = [kindCount]int{
 	kindFault: smallMessageLimit, kindHello: smallMessageLimit, kindPing: smallMessageLimit, kindAnnounce: smallMessageLimit,
 	kindRecords: largeMessageLimit, kindClaim: smallMessageLimit, kindForward: largeMessageLimit, kindReport: listMessageLimit, kindShare: listMessageLimit, kindEvents: listMessageLimit,
+	kindSuspects: listMessageLimit,
 }
 
 // errInvalidFrame reports a frame that can't be decoded, is of an unexpected kind
--- a/peer/fuzz_test.go
+++ b/peer/fuzz_test.go
@@ -16,6 +16,7 @@
 	"github.com/cranberrybay/cranberrybay/fault"
 	"github.com/cranberrybay/cranberrybay/limit"
 	"github.com/cranberrybay/cranberrybay/member"
+	"github.com/cranberrybay/cranberrybay/poison"
 	"github.com/cranberrybay/cranberrybay/wire"
 )
 
@@ -73,6 +74,7 @@
 		kindReport:   reportToWire(limit.Report{Incarnation: "r", Demands: []limit.Demand{{Account: "hotel"}}}),
 		kindShare:    shareToWire(limit.Share{HomeIncarnation: "r", Accounts: []limit.AccountShare{{Account: "hotel"}}}),
 		kindEvents:   eventsToWire(member.EventMessage{Events: []member.Event{{Member: member.Member{Name: "a"}}}}),
+		kindSuspects: suspectsToWire(SuspectMessage{Records: []poison.Record{{Part: poison.Part{Service: "s", ID: "p"}, Terms: 1}}, PassTo: []string{"a"}}),
 	} {
 		b, err := proto.Marshal(m)
 		assert.NilError(f, err)
@@ -107,6 +109,7 @@
 				}
 				return nil
 			},
+			Suspects: func(_ context.Context, _ Remote, m SuspectMessage) ([]poison.Record, error) { return m.Records, nil },
 			Events: func(_ context.Context, _ Remote, n member.EventMessage) (member.EventReply, error) {
 				var v member.EventReply
 				for _, e := range n.Events {
--- a/peer/handle.go
+++ b/peer/handle.go
@@ -13,6 +13,7 @@
 	"github.com/cranberrybay/cranberrybay/fault"
 	"github.com/cranberrybay/cranberrybay/limit"
 	"github.com/cranberrybay/cranberrybay/member"
+	"github.com/cranberrybay/cranberrybay/poison"
 	"github.com/cranberrybay/cranberrybay/wire"
 )
 
@@ -58,6 +59,7 @@
 	Report      func(ctx context.Context, from Remote, r limit.Report) error
 	Share       func(ctx context.Context, from Remote, s limit.Share) error
 	Events      func(ctx context.Context, from Remote, events member.EventMessage) (member.EventReply, error)
+	Suspects    func(ctx context.Context, from Remote, m SuspectMessage) ([]poison.Record, error)
 }
 
 // overloadError returns the error of a call that was rejected because the process
@@ -187,6 +189,11 @@
 			out, err := h.Events(ctx, from, eventsFromWire(m))
 			return eventReplyToWire(out), err
 		})
+	case k == kindSuspects && h.Suspects != nil:
+		return decodeAndHandle(payload, &wire.Snapshot{}, func(m *wire.Snapshot) (proto.Message, error) {
+			out, err := h.Suspects(ctx, from, suspectsFromWire(m))
+			return suspectsToWire(SuspectMessage{Records: out}), err
+		})
 	}
 	return nil, fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.NotFound, Reason: "entry process does not serve this call"})
 }
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -23,6 +23,7 @@
 	"github.com/cranberrybay/cranberrybay/limit"
 	"github.com/cranberrybay/cranberrybay/member"
 	"github.com/cranberrybay/cranberrybay/peer"
+	"github.com/cranberrybay/cranberrybay/poison"
 )
 
 var authority = func() *fakes.Authority {
@@ -111,6 +112,11 @@
 			assert.DeepEqual(t, n, member.EventMessage{Events: []member.Event{{Kind: member.Dead, Member: m}}, RelayRange: member.RelayRange{Relay: true, End: "z"}, WantMembers: true})
 			return member.EventReply{Members: []member.Member{m}, Alive: []bool{true}}, nil
 		}
+		suspects := peer.SuspectMessage{Records: []poison.Record{{Part: poison.Part{Service: "s", ID: "p"}, Terms: 1, Until: poison.Now() + time.Hour}}, PassTo: []string{"c"}}
+		h.Suspects = func(_ context.Context, _ peer.Remote, m peer.SuspectMessage) ([]poison.Record, error) {
+			assert.DeepEqual(t, m.PassTo, suspects.PassTo)
+			return m.Records, nil
+		}
 		announced := peer.VersionAnnouncement{}
 		h.Announce = func(_ context.Context, _ peer.Remote, v peer.VersionAnnouncement) error { announced = v; return nil }
 		a, b := startTransport(t, nw, authority, "a", "a/1", pingHandlers(3)), startTransport(t, nw, authority, "b", "b/1", h)
@@ -134,6 +140,9 @@
 		assert.DeepEqual(t, response.Header, http.Header{"A": {"1", "2"}})
 		assert.NilError(t, a.Report(ctx, to, report))
 		assert.NilError(t, a.Share(ctx, to, share))
+		evidence, err := a.Suspects(ctx, to, suspects)
+		assert.NilError(t, err)
+		assert.Assert(t, len(evidence) == 1 && evidence[0].Part == suspects.Records[0].Part && evidence[0].Until > poison.Now(), "%v", evidence)
 		v, err := a.SendEvents(ctx, to, member.EventMessage{Events: []member.Event{{Kind: member.Dead, Member: m}}, RelayRange: member.RelayRange{Relay: true, End: "z"}, WantMembers: true})
 		assert.NilError(t, err)
 		assert.DeepEqual(t, v, member.EventReply{Members: []member.Member{m}, Alive: []bool{true}})
