--- a/guard/guard.go
+++ b/guard/guard.go
@@ -15,13 +15,21 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
 
 	"github.com/cranberrybay/cranberrybay/engine"
 	"github.com/cranberrybay/cranberrybay/fault"
 	"github.com/cranberrybay/cranberrybay/poison"
 )
 
+// Metrics of the package.
+var (
+	countQuarantined = metrics.NewCounter(`cranberrybay_quarantined`)
+	countCrashed     = metrics.NewCounter(`cranberrybay_crashed`)
+)
+
 // RequestConfig holds what identifies a request. The idempotency key does not count: a
 // repeat under the same key must have the same content.
 type RequestConfig struct {
@@ -36,6 +44,7 @@
 // Request identifies a request and its repeats. The zero value identifies none.
 type Request struct {
 	service string
+	account string
 	hash    uint64
 	parts   []poison.Part // messages, then the request itself
 }
@@ -51,7 +60,7 @@
 		_, _ = h.WriteString(strconv.Itoa(len(s)) + ":" + s)
 	}
 	_, _ = h.Write(cfg.Body)
-	r := Request{service: cfg.Service, hash: h.Sum64()}
+	r := Request{service: cfg.Service, account: cfg.Account, hash: h.Sum64()}
 	m := cfg.Messages
 	if len(m) > maxMessages {
 		m = slices.Concat(m[:1], m[len(m)-maxMessages+1:])
@@ -84,12 +93,14 @@
 // Config holds the dependencies of a Guard.
 type Config struct {
 	Tracker *poison.Tracker // nil for one that shares nothing
+	Log     zerolog.Logger
 }
 
 // Guard decides which requests may be sent to backend servers. It is safe for
 // concurrent use.
 type Guard struct {
 	tracker *poison.Tracker
+	log     zerolog.Logger
 	mu      sync.Mutex
 	trials  map[string]chan struct{} // by service, holds an element while a suspect has the turn
 }
@@ -99,7 +110,7 @@
 	if cfg.Tracker == nil {
 		cfg.Tracker = poison.New(poison.Config{})
 	}
-	return &Guard{tracker: cfg.Tracker, trials: map[string]chan struct{}{}}
+	return &Guard{tracker: cfg.Tracker, log: cfg.Log, trials: map[string]chan struct{}{}}
 }
 
 // RecordCrash records that an incarnation of a server has crashed, see Server.
@@ -194,17 +205,26 @@
 
 // check returns the error of a request that must not be sent, or nil.
 func (c *Case) check(mayHaveRun bool) error {
-	_, left, ok := c.guard.tracker.Blocked(c.request.parts)
+	p, left, ok := c.guard.tracker.Blocked(c.request.parts)
 	switch {
 	case c.Suspect() && (ok || c.crashes >= maxCrashes):
+		countCrashed.Inc()
 		return fault.New(fault.Config{Verdict: fault.MayHaveRun, Code: fault.Crashed, Reason: "backend servers crashed while they ran the request"})
 	case ok && !mayHaveRun:
+		countQuarantined.Inc()
+		c.event(zerolog.InfoLevel).Str("suspect", p.ID).Dur("left", left).Msg("request refused, requests like it crashed backend servers")
 		at := time.Now().Add(left + rand.N(time.Duration(returnSpread*float64(left))+1))
 		return fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Quarantined, Reason: "requests like this one crashed backend servers", RetryAt: at})
 	}
 	return nil
 }
 
+// event returns a log event that names the request.
+func (c *Case) event(l zerolog.Level) *zerolog.Event {
+	r := &c.request
+	return c.guard.log.WithLevel(l).Str("service", r.service).Str("account", r.account).Str("request", strconv.FormatUint(r.hash, 16))
+}
+
 // RecordCut records that a server ended the request before it had answered. It counts
 // once the server is found to have crashed.
 func (c *Case) RecordCut(server uint64) {
@@ -216,6 +236,7 @@
 // RecordCrash records that a server, which RecordCut named, has crashed.
 func (c *Case) RecordCrash(server uint64) {
 	c.crashes++
+	c.event(zerolog.WarnLevel).Int("crashes", c.crashes).Msg("backend server crashed under the request")
 	c.aloneAt = time.Now().Add(trialPause)
 	c.guard.RecordCrash(server)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -67,7 +67,9 @@
 			newStore,
 			func() *engine.Client { return engine.New(engine.Config{}) },
 			newPoisonTracker,
-			func(t *poison.Tracker) *guard.Guard { return guard.New(guard.Config{Tracker: t}) },
+			func(t *poison.Tracker, l *logs.Factory) *guard.Guard {
+				return guard.New(guard.Config{Tracker: t, Log: l.Logger("guard")})
+			},
 			func(t *fleet.Table, e *engine.Client, g *guard.Guard) *proxy.Pool {
 				return proxy.NewTablePool(t, proxy.New(proxy.Config{}), e, g)
 			},
