queue, node: a late load report of the last server rejects no request

Requests that waited for the only server of a service were rejected as "no backend server of the service is ready" when one poll of the server took longer than a second, and new ones until the next poll. The server had been silent and went on.

Cause: each failed poll removed the server from the queue, and the removal of the last one rejects all waiting requests.

Change: a server that refuses the connection, is not ready or leaves is removed as before. One that is silent is removed if there are others, and as the last one when its latest report is 3 s old.

--- a/node/admission.go
+++ b/node/admission.go
@@ -40,16 +40,19 @@
 }
 
 // updateQueue passes the result of a load request to the queue of a service: a
-// report, or the removal of a server that failed, is not ready or is leaving. Only
+// report, or the removal of a server that is gone, silent, not ready or leaving. Only
 // first stages of a pipeline count, since the first stage drives an answer and
 // holds its slot.
 func updateQueue(q *queue.Queue, server string, l engine.LoadReport, err error, sentAt time.Time) {
 	if l.First != 0 {
 		return
 	}
-	if err != nil || !l.Ready || l.Leaving {
+	switch {
+	case err != nil && !engine.IsGone(err):
+		q.RemoveSilent(server)
+	case err != nil || !l.Ready || l.Leaving:
 		q.RemoveServer(server)
-		return
+	default:
+		q.Observe(queue.Report{Name: server, Slots: max(1, l.Slots), Running: l.Running, Waiting: l.Waiting, MeasuredAt: sentAt})
 	}
-	q.Observe(queue.Report{Name: server, Slots: max(1, l.Slots), Running: l.Running, Waiting: l.Waiting, MeasuredAt: sentAt})
 }
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -279,14 +279,34 @@
 	q.dispatch(now)
 }
 
+// lastServerSilence is how long the last server stays without a load report. A sound
+// server may be silent for a second or so.
+const lastServerSilence = 3 * time.Second
+
+// RemoveSilent removes a server that did not answer, as RemoveServer does. It keeps the
+// last server until the latest report is older than lastServerSilence.
+func (q *Queue) RemoveSilent(name string) {
+	q.mu.Lock()
+	defer q.unlockAndNotify()
+	s := q.servers[name]
+	if s == nil || len(q.servers) == 1 && q.cfg.Now().Sub(s.report.MeasuredAt) < lastServerSilence {
+		return
+	}
+	q.removeServer(name)
+}
+
 // RemoveServer removes a server that failed or left. Requests running on it keep
 // their slots. If it was the last server, all waiting requests are rejected.
 func (q *Queue) RemoveServer(name string) {
 	q.mu.Lock()
 	defer q.unlockAndNotify()
-	if q.servers[name] == nil {
-		return
+	if q.servers[name] != nil {
+		q.removeServer(name)
 	}
+}
+
+// removeServer implements RemoveServer. The caller holds q.mu.
+func (q *Queue) removeServer(name string) {
 	delete(q.servers, name)
 	i := sort.SearchStrings(q.serverNames, name)
 	q.serverNames = append(q.serverNames[:i], q.serverNames[i+1:]...)
