guard: a request that was sent before its quarantine is not sent again

A request whose server broke off, without a proof that it crashed, was repeated although it had been quarantined meanwhile by the evidence of others. Its next attempt could crash another server.

Cause: the check after an attempt looked at the crashes under this request only. Change: it ends as may-have-run (502). An answer that has begun goes on, as it shows that the request is sound.

Failing before: TestQuarantineOfOneRequest ("sent before the quarantine").

--- a/guard/guard.go
+++ b/guard/guard.go
@@ -205,16 +205,19 @@
 
 // check returns the error of a request that must not be sent, or nil.
 func (c *Case) check(mayHaveRun bool) error {
+	if c.answered {
+		return nil
+	}
 	p, left, ok := c.guard.tracker.Blocked(c.request.parts)
 	switch {
-	case c.Suspect() && (ok || c.crashes >= maxCrashes):
-		countCrashed.Inc()
-		return fault.New(fault.Config{Verdict: fault.MayHaveRun, Code: fault.Crashed, Reason: "backend servers crashed while they ran the request"})
-	case ok && !mayHaveRun:
+	case ok && !mayHaveRun && c.crashes == 0:
 		countQuarantined.Inc()
 		c.event(zerolog.InfoLevel).Str("suspect", p.ID).Dur("left", left).Msg("request refused, requests like it crashed backend servers")
 		at := time.Now().Add(left + rand.N(time.Duration(returnSpread*float64(left))+1))
 		return fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Quarantined, Reason: "requests like this one crashed backend servers", RetryAt: at})
+	case ok || c.crashes >= maxCrashes:
+		countCrashed.Inc()
+		return fault.New(fault.Config{Verdict: fault.MayHaveRun, Code: fault.Crashed, Reason: "backend servers crashed while they ran this request or one like it"})
 	}
 	return nil
 }
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -52,7 +52,11 @@
 			assert.Equal(t, fault.CodeOf(admit(c)), fault.Crashed)
 			c.Close()
 		}
-		err := admit(g.Open(request("hotel", "deadly")))
+		sent := g.Open(request("hotel", "deadly"))
+		err := sent.Admit(context.Background(), time.Time{}, true)
+		assert.Equal(t, fault.CodeOf(err), fault.Crashed, "sent before the quarantine")
+		assert.Equal(t, fault.VerdictOf(err), fault.MayHaveRun)
+		err = admit(g.Open(request("hotel", "deadly")))
 		assert.Equal(t, fault.CodeOf(err), fault.Quarantined)
 		assert.Equal(t, fault.VerdictOf(err), fault.NotRun)
 		_, ok := fault.RetryAt(err)
--- a/stream/watchdog.go
+++ b/stream/watchdog.go
@@ -203,7 +203,7 @@
 // earlier in this run. The caller holds w.mu.
 func (w *watchdog) findReplaced(p *probeResult) {
 	for name, boot := range p.boots {
-		if old := w.boots[name]; old != "" && boot != old {
+		if old := w.boots[name]; old != "" && boot != "" && boot != old {
 			p.gone[name] = true
 		}
 	}
