--- a/engine/client.go
+++ b/engine/client.go
@@ -178,7 +178,7 @@
 func IsGone(err error) bool {
 	var oe *net.OpError
 	switch {
-	case errors.Is(err, ErrGone), errors.Is(err, syscall.ECONNRESET), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+	case errors.Is(err, ErrGone), errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
 		return true
 	case errors.Is(err, context.Canceled), errors.Is(err, syscall.EHOSTUNREACH), errors.Is(err, syscall.ENETUNREACH):
 		return false
