stream: a successor that fails is not tried again, and requests hit by a crash move away from silence

An answer ended although the silent stage went on, and could take 10 s and more although another engine was sound. Cause: the engine on which a successor failed was not avoided, since the context of the successor counted as ended by then; the next one went to the same engine, and so did the request when it began again. Change: it is avoided; one that refuses or leaves out layers also when it answers probes. The layers of the first token are checked before the successor takes over. Failing before: TestSilentStageEndsNoStream ("other engine refuses", "is dead", "skips a layer", "engines refuse"; "attempt 3: a stage failed ... engine is leaving" and others), TestFailedSuccessorIsReplaced ("the answer stopped").

An answer that had met a crashed engine before its first token stayed on a route whose link was cut until it ended after 10 s. Cause: a suspect got no successor, also after it had been answered. Change: only a request that is repeated alone, after two crashes and before its second token.

TestSilentStageEndsNoStream is stricter than before: the other engines fail from the moment of the silence on, with exact numbers of retries.

--- a/guard/guard.go
+++ b/guard/guard.go
@@ -160,6 +160,9 @@
 // Suspect reports whether a server crashed under the request before it was answered.
 func (c *Case) Suspect() bool { return c.crashes > 0 && !c.answered }
 
+// Alone reports whether the request is repeated alone.
+func (c *Case) Alone() bool { return c.crashes >= aloneAfter && !c.answered }
+
 // Admit waits until the request may be sent to a server, until ctx or the deadline
 // ends, which is zero for none. It must be called before each attempt. mayHaveRun tells
 // whether a server may have run the request already. Errors are of type *fault.Error:
@@ -168,7 +171,7 @@
 //   - fault.Crashed with verdict MayHaveRun for one under which servers crashed
 //   - fault.Timeout when its turn did not come in time
 func (c *Case) Admit(ctx context.Context, deadline time.Time, mayHaveRun bool) error {
-	if err := c.check(mayHaveRun); err != nil || c.answered || c.crashes < aloneAfter {
+	if err := c.check(mayHaveRun); err != nil || !c.Alone() {
 		return err
 	}
 	if !deadline.IsZero() {
--- a/stream/attempt.go
+++ b/stream/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"time"
 
 	"github.com/cranberrybay/cranberrybay/engine"
@@ -80,6 +81,7 @@
 		next := w.awaitSuccessor()
 		st.attemptNumber = w.lastNumber
 		st.failedAt = w.lastProgress
+		maps.Copy(st.permanent, w.unusable)
 		if next == nil {
 			if !errors.Is(err, errSlowRoute) {
 				st.constraints = w.constraints
--- a/stream/diagnose.go
+++ b/stream/diagnose.go
@@ -174,22 +174,27 @@
 
 // excludeWrongRanges excludes the stage that repeated or left out layers.
 func (st *requestState) excludeWrongRanges(re *layerRangeError) {
+	name := re.wrongStage(st.route).Name
+	st.exclude(name, true)
+	notify(st.runner.cfg.Feedback.ServerFailed, name)
+}
+
+// wrongStage returns the stage of a route that repeated or left out layers.
+func (e *layerRangeError) wrongStage(rt route.Route) route.Stage {
 	at := 0 // the first layer that was repeated or left out
-	for _, r := range re.ranges {
+	for _, r := range e.ranges {
 		if r[0] != at {
 			at = min(at, r[0])
 			break
 		}
 		at = r[1]
 	}
-	name := st.route.Stages[len(st.route.Stages)-1].Name
-	for _, s := range st.route.Stages {
+	for _, s := range rt.Stages {
 		if s.First <= at && at < s.Last {
-			name = s.Name
+			return s
 		}
 	}
-	st.exclude(name, true)
-	notify(st.runner.cfg.Feedback.ServerFailed, name)
+	return rt.Stages[len(rt.Stages)-1]
 }
 
 // stageAt returns the stage at an address, or the first stage when there is none.
--- a/stream/silence_test.go
+++ b/stream/silence_test.go
@@ -6,6 +6,7 @@
 	"math/rand"
 	"net"
 	"os"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,10 +26,10 @@
 // silence is as long as a sound server may fall silent.
 const silence = 1200 * time.Millisecond
 
-// withoutRetries gives the cluster a runner whose retry budget is empty.
-func (tc *testCluster) withoutRetries() {
+// setRetries gives the cluster a runner with a number of retries.
+func (tc *testCluster) setRetries(n float64) {
 	tc.runner = entry.NewRunner(entry.RunnerConfig{
-		Fleet: tc.table, Engines: tc.client, Domain: domains[0], Budget: retry.New(retry.Config{}),
+		Fleet: tc.table, Engines: tc.client, Domain: domains[0], Budget: retry.New(retry.Config{Burst: n, Initial: n}),
 		Chooser: route.New(route.Config{Fleet: tc.table, Rand: rand.New(rand.NewSource(1))}),
 	})
 }
@@ -46,19 +47,32 @@
 // was silent for a while and no other run could take over.
 func TestSilentStageEndsNoStream(t *testing.T) {
 	for _, c := range []struct {
-		name   string
-		copies int
-		before func(tc *testCluster, r int)
+		name    string
+		copies  int
+		retries float64
+		other   fakes.EngineFaults // of the other engines of the range
 	}{
-		{"no other engine", 1, func(*testCluster, int) {}},
-		{"no retry left", 2, func(tc *testCluster, _ int) { tc.withoutRetries() }},
-		{"other engine refuses", 2, func(tc *testCluster, r int) { tc.refuseIdle(r) }},
+		{"no other engine", 1, 10, fakes.EngineFaults{}},
+		{"no retry left", 2, 0, fakes.EngineFaults{}},
+		{"other engine refuses", 2, 1, fakes.EngineFaults{Refuse: true}},
+		{"other engine is dead", 2, 1, fakes.EngineFaults{Dead: true}},
+		{"other engine skips a layer", 2, 1, fakes.EngineFaults{SkipLastLayer: true}},
+		{"other engines refuse", 4, 3, fakes.EngineFaults{Refuse: true}},
 	} {
 		for r := range 3 {
 			t.Run(fmt.Sprintf("%s, range %d", c.name, r), func(t *testing.T) {
 				withCluster(t, c.copies, nil, func(t *testing.T, tc *testCluster) {
-					c.before(tc, r)
-					assertComplete(t, tc.duringAnswer(t, func() { tc.engines[tc.busiest(r)].Pause(silence) }))
+					tc.setRetries(c.retries)
+					assertComplete(t, tc.duringAnswer(t, func() {
+						silent := tc.busiest(r)
+						tc.engines[silent].Pause(silence)
+						for i := range c.copies {
+							if name := fmt.Sprintf("e%d-%d", r, i); name != silent {
+								tc.setFaults(name, c.other)
+							}
+						}
+					}))
+					tc.clearFaults()
 					time.Sleep(time.Second)
 					assertNoSlotsHeld(t, tc)
 				})
@@ -73,16 +87,44 @@
 	})
 }
 
-// refuseIdle makes the second engine of a layer range refuse new work.
-func (tc *testCluster) refuseIdle(r int) {
-	tc.setFaults(fmt.Sprintf("e%d-1", r), fakes.EngineFaults{Refuse: true})
+// TestFailedSuccessorIsReplaced guards against a request that tries the same engine
+// again and again while a stage is silent and another engine could take over.
+func TestFailedSuccessorIsReplaced(t *testing.T) {
+	for _, f := range []fakes.EngineFaults{{Refuse: true}, {Dead: true}, {SkipLastLayer: true}} {
+		withCluster(t, 5, nil, func(t *testing.T, tc *testCluster) {
+			a := tc.duringAnswer(t, func() {
+				silent := tc.busiest(1)
+				for i := range 4 {
+					if name := fmt.Sprintf("e1-%d", i); name != silent {
+						tc.setFaults(name, f)
+					}
+				}
+				tc.setFaults(silent, fakes.EngineFaults{Stall: true})
+			})
+			assertComplete(t, a)
+			assert.Assert(t, slices.Max(a.tokenIntervals) < 3*time.Second, "%v", slices.Max(a.tokenIntervals))
+		})
+	}
+}
+
+// TestSilenceAfterCrash guards against an answer that does not move away from a silent
+// stage because an engine crashed before its first token.
+func TestSilenceAfterCrash(t *testing.T) {
+	withCluster(t, 4, nil, func(t *testing.T, tc *testCluster) {
+		for i := range 3 {
+			tc.setFaults(fmt.Sprintf("e0-%d", i), fakes.EngineFaults{Dead: true})
+		}
+		a := tc.duringAnswer(t, func() { tc.setFaults(tc.busiest(1), fakes.EngineFaults{Stall: true}) })
+		assertComplete(t, a)
+		assert.Assert(t, a.out.Attempts > 2, "no engine crashed before the first token")
+	})
 }
 
 // TestSlowRouteEndsNoStream guards against an answer that ends because its route
 // became slow when no retry was left.
 func TestSlowRouteEndsNoStream(t *testing.T) {
 	withCluster(t, 2, nil, func(t *testing.T, tc *testCluster) {
-		tc.withoutRetries()
+		tc.setRetries(0)
 		assertComplete(t, tc.duringAnswer(t, func() { tc.setFaults(tc.busiest(1), fakes.EngineFaults{Slow: 20}) }))
 	})
 }
--- a/stream/successor.go
+++ b/stream/successor.go
@@ -13,10 +13,10 @@
 )
 
 // prepareSuccessor starts a run on another route in the background, if there is a
-// route, an attempt and a retry for it. A suspect runs on one route at a time. The
-// caller holds w.mu.
+// route, an attempt and a retry for it. A request that is repeated alone runs on one
+// route at a time. The caller holds w.mu.
 func (w *watchdog) prepareSuccessor() {
-	if w.suspect {
+	if w.alone && len(w.tokens) < answeredTokens {
 		return
 	}
 	st, c := w.st, w.constraints.clone()
@@ -58,12 +58,14 @@
 		w.run.cancel()
 		return
 	}
+	cancelled := next.ctx.Err() != nil
 	w.st.drop(next, w.run.route)
 	w.fenced = w.fenced || slices.ContainsFunc(next.route.Stages, func(s route.Stage) bool { return w.run.route.Contains(s.Name) })
 	switch {
-	case late && len(w.tokens) == len(accepted):
+	case w.ctx.Err() != nil || len(w.tokens) != len(accepted):
+	case late:
 		w.avoid(next.route, silent)
-	case err != nil && next.ctx.Err() == nil:
+	case !cancelled:
 		w.blame(next, err)
 	}
 }
@@ -73,10 +75,17 @@
 func (w *watchdog) blame(next *run, err error) {
 	s, refused := next.route.Stages[0], fault.CodeOf(err) == fault.Leaving
 	var se *engine.StageError
-	if errors.As(err, &se) {
+	var re *layerRangeError
+	switch {
+	case errors.As(err, &se):
 		s, refused = stageAt(next.route, se.Failed), se.Reason == engine.ReasonLeaving
+	case errors.As(err, &re):
+		s = re.wrongStage(next.route)
 	}
 	w.constraints.exclude(s.Name)
+	if refused || re != nil {
+		w.unusable[s.Name] = true
+	}
 	fb := w.st.runner.cfg.Feedback
 	if refused {
 		notify(fb.ServerLeaving, s.Name)
@@ -114,6 +123,9 @@
 			return fmt.Errorf("%d frames without the token at position %d", len(read), len(accepted))
 		}
 		if f.Tag == st.acceptor.tag && f.Attempt == next.number && f.Position == len(accepted) {
+			if f.Stop == "" && !st.runner.coversLayers(f.Ranges, st.req.Layers) {
+				return &layerRangeError{position: f.Position, ranges: f.Ranges, layers: st.req.Layers}
+			}
 			break
 		}
 	}
--- a/stream/watchdog.go
+++ b/stream/watchdog.go
@@ -18,7 +18,7 @@
 	st           *requestState
 	ctx          context.Context // of the request
 	run          *run
-	suspect      bool // a server crashed under the request
+	alone        bool // repeated alone since servers crashed under the request
 	pace         *pace
 	lastProgress time.Time
 
@@ -36,6 +36,7 @@
 	boots            map[string]string // incarnations of the stages that answered a probe
 
 	constraints RouteConstraints   // for the routes of successors
+	unusable    map[string]bool    // excluded servers that are not readmitted when they answer a probe
 	lastNumber  int                // number of the latest attempt
 	preparing   chan struct{}      // closed when the preparation of a successor has ended; nil without one
 	cancelNext  context.CancelFunc // ends the successor that is being prepared
@@ -52,7 +53,7 @@
 // newWatchdog starts a watchdog for a run. Its first token timeout includes an
 // estimate of the prefill.
 func newWatchdog(ctx context.Context, st *requestState, r *run) *watchdog {
-	w := &watchdog{st: st, ctx: ctx, run: r, pace: newPace(r.route.Step), lastProgress: time.Now(), lastNumber: r.number, tokens: st.acceptor.tokens, boots: map[string]string{}, suspect: st.suspicion.Suspect()}
+	w := &watchdog{st: st, ctx: ctx, run: r, pace: newPace(r.route.Step), lastProgress: time.Now(), lastNumber: r.number, tokens: st.acceptor.tokens, boots: map[string]string{}, unusable: map[string]bool{}, alone: st.suspicion.Alone()}
 	w.constraints = st.constraints.clone()
 	w.tokenTimeout = st.firstTimeout(r.route, len(w.tokens))
 	w.deadline = w.lastProgress.Add(w.tokenTimeout + st.runner.maxSilence)
