stream: the wait of a run for a slot is bounded

A request without a deadline of its first token, or one that had begun again, waited without end while requests waited at one of its stages: such a run did not count as silent. Runs that hold slots of some stages while they wait for others can wait for each other for ever, since silent runs are no longer cancelled without a successor.

Change: a run waits for its first token for a minute at most.

--- a/stream/silence_test.go
+++ b/stream/silence_test.go
@@ -225,3 +225,20 @@
 		assert.Equal(t, out.Stop, "end")
 	})
 }
+
+// TestQueuedWithoutEnd guards against a request without a deadline that waits without end
+// for the slot of a stage.
+func TestQueuedWithoutEnd(t *testing.T) {
+	withCluster(t, 1, func(c *fakes.EngineConfig) { c.Slots = 1 }, func(t *testing.T, tc *testCluster) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		_, err := tc.client.Generate(ctx, engine.Job{ // holds the slot, as its frames are not read
+			Request: "stuck", Attempt: 1, Model: "lights", Version: "1", Prompt: "words=100", Limit: 100, Route: []engine.Stage{{Address: "e0-0:1", Last: 8}},
+		})
+		assert.NilError(t, err)
+		start := time.Now()
+		a := tc.request(t.Context(), 1, "words=20", nil)
+		assert.Equal(t, fault.CodeOf(a.err), fault.Timeout, "%v", a.err)
+		assert.Assert(t, time.Since(start) > 50*time.Second && time.Since(start) < 65*time.Second, "%v", time.Since(start))
+	})
+}
--- a/stream/watchdog.go
+++ b/stream/watchdog.go
@@ -26,6 +26,7 @@
 	timer            *time.Timer
 	tokenTimeout     time.Duration
 	deadline         time.Time         // of the next token
+	queueDeadline    time.Time         // of the first token of the run while it waits in the queue of a stage
 	tokens           []string          // tokens accepted in all runs
 	accepted         int               // tokens accepted in this run
 	answeredTimeouts int               // token timeouts in a row after which every stage answered a probe
@@ -50,13 +51,17 @@
 // has removed a server that is gone for good.
 const maxSilence = 10 * time.Second
 
+// maxQueueTime bounds the time that a run waits for a slot. Runs that hold slots of some
+// stages while they wait for others could wait for each other without end.
+const maxQueueTime = time.Minute
+
 // newWatchdog starts a watchdog for a run. Its first token timeout includes an
 // estimate of the prefill.
 func newWatchdog(ctx context.Context, st *requestState, r *run) *watchdog {
 	w := &watchdog{st: st, ctx: ctx, run: r, pace: newPace(r.route.Step), lastProgress: time.Now(), lastNumber: r.number, tokens: st.acceptor.tokens, boots: map[string]string{}, unusable: map[string]bool{}, alone: st.suspicion.Alone()}
 	w.constraints = st.constraints.clone()
 	w.tokenTimeout = st.firstTimeout(r.route, len(w.tokens))
-	w.deadline = w.lastProgress.Add(w.tokenTimeout + st.runner.maxSilence)
+	w.deadline, w.queueDeadline = w.lastProgress.Add(w.tokenTimeout+st.runner.maxSilence), w.lastProgress.Add(maxQueueTime)
 	if len(w.tokens) == 0 && !st.req.FirstTokenDeadline.IsZero() {
 		w.deadline = st.req.FirstTokenDeadline
 	}
@@ -185,6 +190,9 @@
 	if accepted == 0 && p.waiting && len(p.silent) == 0 {
 		if len(w.tokens) > 0 || w.st.req.FirstTokenDeadline.IsZero() {
 			w.deadline = time.Now().Add(w.st.runner.maxSilence)
+			if w.queueDeadline.Before(w.deadline) {
+				w.deadline = w.queueDeadline
+			}
 		}
 		return
 	}
