guard: a request that is given up gets a time to come back

Requests that ended with 502 "crashed", or because their turn did not come, had no Retry-After. Their callers repeat at once, or never although a sound request would be served.

Failing before: TestQuarantineOfOneRequest ("no time to come back").

--- a/guard/guard.go
+++ b/guard/guard.go
@@ -166,10 +166,12 @@
 // Admit waits until the request may be sent to a server, until ctx or the deadline
 // ends, which is zero for none. It must be called before each attempt. mayHaveRun tells
 // whether a server may have run the request already. Errors are of type *fault.Error:
-//   - fault.Quarantined with the time to come back and verdict NotRun for a request
-//     that was not sent
-//   - fault.Crashed with verdict MayHaveRun for one under which servers crashed
+//   - fault.Quarantined with verdict NotRun for a request that was not sent
+//   - fault.Crashed with verdict MayHaveRun for one that was, or under which servers
+//     crashed
 //   - fault.Timeout when its turn did not come in time
+//
+// They have the time to come back.
 func (c *Case) Admit(ctx context.Context, deadline time.Time, mayHaveRun bool) error {
 	if err := c.check(mayHaveRun); err != nil || !c.Alone() {
 		return err
@@ -180,7 +182,7 @@
 		defer cancel()
 	}
 	if err := c.takeTurn(ctx); err != nil {
-		return fault.New(fault.Config{Verdict: fault.MayHaveRun, Code: fault.Timeout, Reason: "the deadline passed before the request could be repeated", Cause: err})
+		return fault.New(fault.Config{Verdict: fault.MayHaveRun, Code: fault.Timeout, Reason: "the deadline passed before the request could be repeated", RetryAt: time.Now().Add(maxTrial), Cause: err})
 	}
 	return c.check(mayHaveRun)
 }
@@ -212,17 +214,21 @@
 		return nil
 	}
 	p, left, ok := c.guard.tracker.Blocked(c.request.parts)
-	switch {
-	case ok && !mayHaveRun && c.crashes == 0:
-		countQuarantined.Inc()
-		c.event(zerolog.InfoLevel).Str("suspect", p.ID).Dur("left", left).Msg("request refused, requests like it crashed backend servers")
-		at := time.Now().Add(left + rand.N(time.Duration(returnSpread*float64(left))+1))
-		return fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Quarantined, Reason: "requests like this one crashed backend servers", RetryAt: at})
-	case ok || c.crashes >= maxCrashes:
+	if !ok && c.crashes < maxCrashes {
+		return nil
+	}
+	cfg := fault.Config{Verdict: fault.MayHaveRun, Code: fault.Crashed, Reason: "backend servers crashed while they ran this request or one like it", RetryAt: time.Now().Add(maxTrial)}
+	if ok {
+		cfg.RetryAt = time.Now().Add(left + rand.N(time.Duration(returnSpread*float64(left))+1))
+	}
+	if mayHaveRun || c.crashes > 0 {
 		countCrashed.Inc()
-		return fault.New(fault.Config{Verdict: fault.MayHaveRun, Code: fault.Crashed, Reason: "backend servers crashed while they ran this request or one like it"})
+		return fault.New(cfg)
 	}
-	return nil
+	countQuarantined.Inc()
+	c.event(zerolog.InfoLevel).Str("suspect", p.ID).Dur("left", left).Msg("request refused, requests like it crashed backend servers")
+	cfg.Verdict, cfg.Code, cfg.Reason = fault.NotRun, fault.Quarantined, "requests like this one crashed backend servers"
+	return fault.New(cfg)
 }
 
 // event returns a log event that names the request.
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -49,7 +49,10 @@
 			c := g.Open(request("hotel", "deadly"))
 			assert.NilError(t, admit(c))
 			crash(c, fmt.Sprint("server-", call, "-"), 3)
-			assert.Equal(t, fault.CodeOf(admit(c)), fault.Crashed)
+			err := admit(c)
+			assert.Equal(t, fault.CodeOf(err), fault.Crashed)
+			_, ok := fault.RetryAt(err)
+			assert.Assert(t, ok, "no time to come back")
 			c.Close()
 		}
 		sent := g.Open(request("hotel", "deadly"))
