stream: a queue at a stage hides no cut link

Cause: a run without a token does not count as silent while requests wait at one of its stages, for as long as that lasts.

--- a/stream/silence_test.go
+++ b/stream/silence_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -226,6 +227,19 @@
 	})
 }
 
+// TestQueueHidesNoCutLink guards against requests that are stuck at a cut link and take it
+// for the queue of a stage, since others of them wait there.
+func TestQueueHidesNoCutLink(t *testing.T) {
+	withCluster(t, 2, func(c *fakes.EngineConfig) { c.Slots = 4 }, func(t *testing.T, tc *testCluster) {
+		tc.setFaults("e1-0", tc.linkFaults(1, fakes.StageLinkFault{Cut: true}))
+		var wg sync.WaitGroup
+		for i := range 14 {
+			wg.Go(func() { assertComplete(t, tc.request(t.Context(), i, fmt.Sprintf("question %d, words=20", i), nil)) })
+		}
+		wg.Wait()
+	})
+}
+
 // TestQueuedWithoutEnd guards against a request without a deadline that waits without end
 // for the slot of a stage.
 func TestQueuedWithoutEnd(t *testing.T) {
--- a/stream/watchdog.go
+++ b/stream/watchdog.go
@@ -27,6 +27,7 @@
 	tokenTimeout     time.Duration
 	deadline         time.Time         // of the next token
 	queueDeadline    time.Time         // of the first token of the run while it waits in the queue of a stage
+	leaveQueueAt     time.Time         // a successor is prepared although requests wait at a stage
 	tokens           []string          // tokens accepted in all runs
 	accepted         int               // tokens accepted in this run
 	answeredTimeouts int               // token timeouts in a row after which every stage answered a probe
@@ -51,9 +52,14 @@
 // has removed a server that is gone for good.
 const maxSilence = 10 * time.Second
 
-// maxQueueTime bounds the time that a run waits for a slot. Runs that hold slots of some
-// stages while they wait for others could wait for each other without end.
-const maxQueueTime = time.Minute
+const (
+	// maxQueueWait is how long a run that gets no token is taken for one that waits for a
+	// slot, while requests wait at one of its stages. The run may be stuck at a cut link, and
+	// hold the slot for which the others wait.
+	maxQueueWait = maxTokenTimeout
+	// maxQueueTime bounds the wait for a slot when there is no other route.
+	maxQueueTime = time.Minute
+)
 
 // newWatchdog starts a watchdog for a run. Its first token timeout includes an
 // estimate of the prefill.
@@ -62,6 +68,7 @@
 	w.constraints = st.constraints.clone()
 	w.tokenTimeout = st.firstTimeout(r.route, len(w.tokens))
 	w.deadline, w.queueDeadline = w.lastProgress.Add(w.tokenTimeout+st.runner.maxSilence), w.lastProgress.Add(maxQueueTime)
+	w.leaveQueueAt = w.lastProgress.Add(maxQueueWait)
 	if len(w.tokens) == 0 && !st.req.FirstTokenDeadline.IsZero() {
 		w.deadline = st.req.FirstTokenDeadline
 	}
@@ -194,7 +201,9 @@
 				w.deadline = w.queueDeadline
 			}
 		}
-		return
+		if time.Now().Before(w.leaveQueueAt) {
+			return
+		}
 	}
 	w.answeredTimeouts++
 	if len(p.silent) == 0 {
