--- a/node/node.go
+++ b/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/cranberrybay/cranberrybay/entry"
 	"github.com/cranberrybay/cranberrybay/fleet"
 	"github.com/cranberrybay/cranberrybay/guard"
+	"github.com/cranberrybay/cranberrybay/intake"
 	"github.com/cranberrybay/cranberrybay/limit"
 	"github.com/cranberrybay/cranberrybay/logs"
 	"github.com/cranberrybay/cranberrybay/member"
@@ -70,8 +71,10 @@
 			func(t *poison.Tracker, l *logs.Factory) *guard.Guard {
 				return guard.New(guard.Config{Tracker: t, Log: l.Logger("guard")})
 			},
-			func(t *fleet.Table, e *engine.Client, g *guard.Guard) *proxy.Pool {
-				return proxy.NewTablePool(t, proxy.New(proxy.Config{}), e, g)
+			func(t *fleet.Table, e *engine.Client, g *guard.Guard, l *logs.Factory) *proxy.Pool {
+				return proxy.NewTablePool(proxy.TablePoolConfig{
+					Table: t, Client: proxy.New(proxy.Config{}), Engines: e, Guard: g, Intake: intake.New(intake.Config{Log: l.Logger("intake")}),
+				})
 			},
 			newClaimManager,
 			func() *member.PauseDetector { return member.NewPauseDetector(time.Now) },
--- a/proxy/crash_test.go
+++ b/proxy/crash_test.go
@@ -43,7 +43,7 @@
 		table.MergeReport(name, fleet.State{Ready: true, Slots: 16})
 	}
 	reports := engine.New(engine.Config{Client: &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}}})
-	return NewTablePool(table, New(Config{Dial: dial}), reports, nil), crashes
+	return NewTablePool(TablePoolConfig{Table: table, Client: New(Config{Dial: dial}), Engines: reports}), crashes
 }
 
 // send sends a call of one caller and returns its error.
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -6,10 +6,13 @@
 	"net/http"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/cranberrybay/cranberrybay/engine"
 	"github.com/cranberrybay/cranberrybay/fault"
 	"github.com/cranberrybay/cranberrybay/fleet"
 	"github.com/cranberrybay/cranberrybay/guard"
+	"github.com/cranberrybay/cranberrybay/intake"
 	"github.com/cranberrybay/cranberrybay/retry"
 )
 
@@ -27,7 +30,9 @@
 	Guard      *guard.Guard // refuses calls that crash servers; nil for one that shares its evidence with no other process
 	RetryShare float64      // maximum share of retries in all calls; 0 for 0.1
 	HedgeShare float64      // maximum share of hedged lookups in all calls; 0 for 0.05
-	Rand       *rand.Rand   // nil for a random seed
+	// Intake knows which servers asked for a pause; nil for a new one that logs nothing.
+	Intake *intake.Tracker
+	Rand   *rand.Rand // nil for a random seed
 }
 
 // Pool sends calls to the backend servers of plain services.
@@ -49,17 +54,30 @@
 	if cfg.Guard == nil {
 		cfg.Guard = guard.New(guard.Config{})
 	}
+	if cfg.Intake == nil {
+		cfg.Intake = intake.New(intake.Config{Log: zerolog.Nop()})
+	}
 	if cfg.Rand == nil {
 		cfg.Rand = rand.New(rand.NewSource(time.Now().UnixNano()))
 	}
 	return &Pool{cfg: cfg, latencies: newLatencyTracker(cfg.Rand), retries: newBudget(cfg.RetryShare), hedges: newBudget(cfg.HedgeShare)}
 }
 
-// NewTablePool returns a pool that sends calls with c to the servers of t.
-func NewTablePool(t *fleet.Table, c *Client, e *engine.Client, g *guard.Guard) *Pool {
+// TablePoolConfig holds the dependencies of a pool over the servers of a table.
+type TablePoolConfig struct {
+	Table   *fleet.Table
+	Client  *Client         // sends the calls
+	Engines *engine.Client  // reads load reports
+	Guard   *guard.Guard    // see PoolConfig
+	Intake  *intake.Tracker // see PoolConfig
+}
+
+// NewTablePool returns a pool that sends calls to the servers of a table.
+func NewTablePool(cfg TablePoolConfig) *Pool {
+	t := cfg.Table
 	return NewPool(PoolConfig{
 		Servers: t.Servers, OnStart: t.BeginRequest, OnEnd: t.EndRequest, OnFailure: t.RequestFailed, OnSuccess: t.RequestSucceeded,
-		Do: c.Do, Probe: e.Load, Guard: g,
+		Do: cfg.Client.Do, Probe: cfg.Engines.Load, Guard: cfg.Guard, Intake: cfg.Intake,
 	})
 }
 
@@ -79,10 +97,16 @@
 		if err := tried.suspicion.Admit(ctx, call.Deadline, tried.mayHaveRun); err != nil {
 			return nil, err
 		}
-		c, ok := p.latencies.choose(p.cfg.Servers(service), tried.servers)
+		c, ok := p.latencies.choose(p.servers(service), tried.servers)
 		if !ok {
+			if err := p.refuseAtRest(service); err != nil && tried.lastErr == nil {
+				return nil, err
+			}
 			return nil, tried.finalError()
 		}
+		if !p.cfg.Intake.Reserve(incarnation(&c)) {
+			continue // another call took its place
+		}
 		a, err := p.attempt(ctx, service, c, call, tried)
 		if err == nil {
 			tried.suspicion.RecordAnswered()
@@ -114,7 +138,7 @@
 
 // hasUntried reports whether a server is left that was not tried.
 func (p *Pool) hasUntried(service string, t *attempts) bool {
-	_, ok := p.latencies.choose(p.cfg.Servers(service), t.servers)
+	_, ok := p.latencies.choose(p.servers(service), t.servers)
 	return ok
 }
 
@@ -246,7 +270,7 @@
 	for pending := 1; ; {
 		select {
 		case <-timer.C:
-			if c, ok := p.latencies.choose(p.cfg.Servers(service), t.servers); ok && !c.Ejected && p.hedges.TryRetry() {
+			if c, ok := p.latencies.choose(p.servers(service), t.servers); ok && !c.Ejected && p.hedges.TryRetry() && p.cfg.Intake.Reserve(incarnation(&c)) {
 				t.servers[c.Name] = true
 				t.count++
 				pending++
@@ -303,12 +327,13 @@
 // exchange sends the call to one server and reports the result through the
 // callbacks of PoolConfig.
 func (p *Pool) exchange(ctx context.Context, service string, c fleet.Candidate, call Call) (*Answer, error) {
-	start := time.Now()
+	start, sentAt := time.Now(), intake.Now()
 	p.cfg.OnStart(c.Name)
 	if call.OnSend != nil {
 		call.OnSend(c.Name)
 	}
 	a, err := p.cfg.Do(ctx, c.Address, call)
+	p.observe(&c, err, sentAt)
 	if err != nil {
 		p.cfg.OnEnd(c.Name)
 		if ctx.Err() == nil { // otherwise the caller or the other exchange cancelled it
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -33,6 +33,7 @@
 	release func() // returns the memory of body to the quota; never nil in a result of attemptOnce
 	err     error
 	took    time.Duration
+	unsent  bool // the server began to leave or to rest before the request was sent
 }
 
 // servePlain serves a request whose answer is returned as a whole. The answer is buffered until
@@ -55,16 +56,19 @@
 			}
 		}(running)
 	}()
-	var quarantined error
+	var refused error // by the evidence of crashes
+	var last choice
 	start := func(reason string, maxWait time.Duration) bool {
-		if sent >= req.Route.Attempts() {
+		if sent >= req.Route.Attempts() || (running > 0 && r.isSuspect(req)) {
 			return false
 		}
-		srv, sendAt := r.pickAndReserve(req, tried, maxWait)
-		if quarantined = r.refuseQuarantined(req, sent > 0); quarantined != nil {
+		endTrial, err := r.tryAlone(ctx, req)
+		if refused = err; err != nil {
 			return false
 		}
+		srv, sendAt := r.pickAndReserve(req, tried, maxWait, &last)
 		if srv == nil || (sent > 0 && !r.takeRetry(req)) {
+			endTrial()
 			return false
 		}
 		tried[srv.ID()] = true
@@ -74,12 +78,31 @@
 			r.cfg.Count("repeat")
 			r.cfg.Log.Info().Str("id", req.ID).Str("server", srv.ID()).Int("attempt", sent).Str("reason", reason).Msg("request repeated")
 		}
-		go func() { results <- r.attemptOnce(ctx, req, srv, sendAt) }()
+		go func() {
+			defer endTrial()
+			results <- r.attemptOnce(ctx, req, srv, sendAt)
+		}()
 		return true
 	}
-	if !start("first", rateWait(req)) {
-		if quarantined != nil {
-			return quarantined
+	// startOrWait also waits for servers that rest, if no other attempt runs.
+	startOrWait := func(reason string) (started bool, err error) {
+		for !start(reason, rateWait(req)) {
+			noRetry := sent >= req.Route.Attempts() || (sent > 0 && r.cfg.Budget(req.Service.Name).Available() < 1)
+			if refused != nil || running > 0 || noRetry {
+				return false, nil
+			}
+			if waited, err := r.awaitRest(ctx, req, &last, func(s *server.Server) { delete(tried, s.ID()) }); !waited {
+				return false, err
+			}
+		}
+		return true, nil
+	}
+	if started, err := startOrWait("first"); !started {
+		if refused != nil {
+			return refused
+		}
+		if err != nil {
+			return err
 		}
 		if err := r.refuseOverRate(req, refusedRetryAfter); err != nil {
 			return err
@@ -93,6 +116,7 @@
 		hedge = t.C
 	}
 	var failed attemptResult
+	var atRest error
 	for running > 0 {
 		select {
 		case <-hedge:
@@ -100,12 +124,17 @@
 		case res := <-results:
 			running--
 			completed = append(completed, res)
+			if res.unsent {
+				sent--
+			}
 			if res.err == nil && (res.answer.Status < http.StatusInternalServerError || req.Route.Kind() == config.AtMostOnce) {
 				return deliver(res, sink)
 			}
 			failed = r.worseFailure(req, failed, res)
-			if r.mayRetry(req, res) {
-				start("failed", rateWait(req))
+			if r.mayRetry(req, res) && failed.err == nil {
+				start("failed", rateWait(req)) // the caller gets the error answer rather than wait
+			} else if r.mayRetry(req, res) {
+				_, atRest = startOrWait("failed")
 			}
 		}
 	}
@@ -113,7 +142,10 @@
 		return deliver(failed, sink) // an error answer of the service itself
 	}
 	if fault.VerdictOf(failed.err) == fault.NotRun {
-		return notRunError(reasonRefused, refusedRetryAfter, failed.err)
+		if atRest != nil {
+			return atRest
+		}
+		return r.orAtRest(req, notRunError(reasonRefused, refusedRetryAfter, failed.err))
 	}
 	return mayHaveRunError(reasonNoAnswer, failed.err)
 }
@@ -132,7 +164,7 @@
 // succeeds. An error answer of the service takes precedence over a failure that may have run, and
 // that over a refusal.
 func (r *Relay) worseFailure(req *Request, old, res attemptResult) attemptResult {
-	e := r.cfg.Log.Info().Str("id", req.ID).Str("server", res.server.ID()).Dur("took", res.took).Strs("parts", req.PromptParts)
+	e := r.cfg.Log.Info().Str("id", req.ID).Str("server", res.server.ID()).Dur("took", res.took).Strs("parts", req.PromptParts).Str("request", req.identity().ID)
 	if res.err != nil {
 		e.Err(res.err).Str("verdict", fault.VerdictOf(res.err).String()).Msg("attempt failed")
 	} else {
@@ -150,9 +182,13 @@
 
 // attemptOnce makes one attempt, at sendAt, and reads the whole answer.
 func (r *Relay) attemptOnce(ctx context.Context, req *Request, srv *server.Server, sendAt time.Time) attemptResult {
+	slept := time.Until(sendAt) > 0
 	if err := sleepUntil(ctx, sendAt); err != nil {
 		return attemptResult{server: srv, err: notRunError(reasonRateUsedUp, refusedRetryAfter, err), release: func() {}}
 	}
+	if slept && r.isTurningAway(srv) {
+		return attemptResult{server: srv, err: notRunError(reasonResting, refusedRetryAfter, errRefused), release: func() {}, unsent: true}
+	}
 	start := time.Now()
 	end := srv.Begin(0)
 	defer end()
@@ -169,12 +205,13 @@
 	switch {
 	case res.err == nil && ans.Status < http.StatusInternalServerError:
 		srv.RecordAnswer(res.took)
-		r.cfg.Poison.RecordAnswered(req.parts)
+		r.recordAnswered(req)
 	case res.err == nil:
-		// An error of the service says nothing about the server's speed or health.
+		// An error of the service says nothing about the server's speed, but the server survived.
+		r.recordAnswered(req)
 	case ctx.Err() == nil:
 		srv.RecordFailure()
-		r.recordCut(req, srv, res.err)
+		r.recordCut(ctx, req, srv, res.err)
 	}
 	return res
 }
@@ -189,13 +226,13 @@
 }
 
 // pickAndReserve returns a server and the time at which the request may be sent there, or nil.
-func (r *Relay) pickAndReserve(req *Request, tried map[string]bool, maxWait time.Duration) (*server.Server, time.Time) {
+func (r *Relay) pickAndReserve(req *Request, tried map[string]bool, maxWait time.Duration, c *choice) (*server.Server, time.Time) {
 	for range maxChoices {
-		srv := r.pickServer(req, tried, maxWait)
+		srv := r.pickServer(req, tried, maxWait, c)
 		if srv == nil {
 			return nil, time.Time{}
 		}
-		if sendAt, ok := r.reserve(srv, maxWait); ok {
+		if sendAt, ok := r.reserve(c, srv, maxWait); ok {
 			return srv, sendAt
 		}
 	}
@@ -205,20 +242,21 @@
 // pickServer returns the server with the least expected time among those not tried, or nil.
 // Avoided servers are used only if there is no other. The rate of a server may make the request wait,
 // at most for maxWait.
-func (r *Relay) pickServer(req *Request, tried map[string]bool, maxWait time.Duration) *server.Server {
+func (r *Relay) pickServer(req *Request, tried map[string]bool, maxWait time.Duration, c *choice) *server.Server {
+	*c = choice{}
 	var best *server.Server
 	cost, avoided := 0.0, false
-	for _, srv := range r.cfg.Servers.Servers(req.Service.Name) {
-		if tried[srv.ID()] {
+	for _, srv := range r.candidates(req.Service.Name) {
+		if r.passesOver(c, srv) || tried[srv.ID()] {
 			continue
 		}
 		wait := r.waitForRate(srv)
 		if wait > maxWait {
 			continue
 		}
-		c, isAvoided := srv.Cost()+wait.Seconds(), srv.IsAvoided()
-		if best == nil || (avoided && !isAvoided) || (avoided == isAvoided && c < cost) {
-			best, cost, avoided = srv, c, isAvoided
+		x, isAvoided := srv.Cost()+wait.Seconds(), srv.IsAvoided()
+		if best == nil || (avoided && !isAvoided) || (avoided == isAvoided && x < cost) {
+			best, cost, avoided = srv, x, isAvoided
 		}
 	}
 	return best
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -10,6 +10,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +19,7 @@
 
 	"github.com/cranberrybay/cranberrybay/config"
 	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/intake"
 	"github.com/cranberrybay/cranberrybay/pacer"
 	"github.com/cranberrybay/cranberrybay/poison"
 	"github.com/cranberrybay/cranberrybay/quota"
@@ -51,7 +53,22 @@
 	attempts   atomic.Int32 // attempts sent so far
 	mayHaveRun atomic.Bool  // set once an attempt may have been executed
 
-	parts []poison.Part // of the prompt, which other requests may share; set by Serve
+	mu     sync.Mutex
+	sentTo []string // addresses of the servers that attempts were sent to
+
+	parts    []poison.Part      // of the prompt, which other requests may share; set by Serve
+	identity func() poison.Part // of the request, which callers may send again; set by Serve
+}
+
+// addSent records that an attempt is sent to an address, and reports whether an earlier one was.
+func (req *Request) addSent(address string) (again bool) {
+	req.mu.Lock()
+	defer req.mu.Unlock()
+	if slices.Contains(req.sentTo, address) {
+		return true
+	}
+	req.sentTo = append(req.sentTo, address)
+	return false
 }
 
 // Hop is an engine on the path of a stream and the layer range that it runs.
@@ -78,11 +95,15 @@
 	Signed    bool   // the answer carries a valid server signature
 	Refused   bool   // the server states that it did not run the request
 	RefusedBy string // address of the server on the path that refused; "" if not stated
-	Load      *Load  // nil if the server does not report it
+	// ImpliesNotRun means that callers take the status for the assurance that the request did not
+	// run, whether or not the server states so.
+	ImpliesNotRun bool
+	Load          *Load // nil if the server does not report it
 	// Misdirected means that another server has the address, or that the server lacks its part of
 	// the path.
 	Misdirected bool
 	Rate        NamedRate
+	Intake      intake.Said // what the server says about taking requests
 	// SetReadDeadline sets the deadline for reading the body; it may be nil.
 	SetReadDeadline func(t time.Time) error
 }
@@ -101,6 +122,8 @@
 type Report struct {
 	Stalled map[string]string // request ID to address of the engine that it waits for
 	Rate    NamedRate
+	Intake  intake.Said // what the engine says about taking requests
+	Started int64       // start of the engine's incarnation, Unix milliseconds; 0 if not stated
 }
 
 // Sink receives the answer to a request: Start at most once, then any number of Write and Flush.
@@ -131,8 +154,13 @@
 	// Poison knows the parts of prompts that crash servers; nil for one that this process shares
 	// with no other.
 	Poison *poison.Tracker
+	// Probe opens and closes a connection to an address. ECONNREFUSED shows that the server there has
+	// ended. nil if the servers of plain services can't be probed.
+	Probe func(ctx context.Context, address string) error
 	// Pacer knows the rates that servers name; nil for one of this process alone.
-	Pacer  *pacer.Pacer
+	Pacer *pacer.Pacer
+	// Intake knows which servers leave or rest; nil for one that this process shares with no other.
+	Intake *intake.Tracker
 	Domain string // failure domain of this process
 	Log    zerolog.Logger
 	// Count increments the counter of an outcome; it may be nil.
@@ -148,9 +176,11 @@
 	cfg             Config
 	reports         *reportCache
 	firstEventTimes firstEventTimes
+	trials          trials
 
-	mu       sync.Mutex
-	monitors map[*stallMonitor]struct{} // of the running streams
+	mu          sync.Mutex
+	monitors    map[*stallMonitor]struct{} // of the running streams
+	restWaiters map[string]int             // requests that wait for servers at rest, by service
 }
 
 // New returns a Relay that uses the functions of cfg.
@@ -173,10 +203,13 @@
 	if cfg.Pacer == nil {
 		cfg.Pacer = pacer.New(pacer.Config{Log: cfg.Log})
 	}
+	if cfg.Intake == nil {
+		cfg.Intake = intake.New(intake.Config{Log: cfg.Log, OnLeaving: cfg.Servers.MarkLeaving})
+	}
 	if cfg.PeerLoad == nil {
 		cfg.PeerLoad = func(string) (int, int64) { return 0, 0 }
 	}
-	r := &Relay{cfg: cfg, monitors: map[*stallMonitor]struct{}{}, firstEventTimes: firstEventTimes{byService: map[string]time.Duration{}}}
+	r := &Relay{cfg: cfg, monitors: map[*stallMonitor]struct{}{}, restWaiters: map[string]int{}, firstEventTimes: firstEventTimes{byService: map[string]time.Duration{}}}
 	r.reports = newReportCache(r.fetchReport)
 	return r
 }
@@ -190,6 +223,7 @@
 	r.cfg.Budget(req.Service.Name).AddRequest()
 	r.reports.budget.AddRequest()
 	req.parts = poison.PartsOf(req.Service.Name, req.PromptParts)
+	req.identity = sync.OnceValue(req.newIdentity)
 	err := r.serveByKind(ctx, req, sink)
 	if fault.VerdictOf(err) == fault.NotRun && req.mayHaveRun.Load() {
 		r.reportViolation(InvariantRefusal, req)
@@ -244,7 +278,6 @@
 func (r *Relay) MarkDead(s *server.Server) {
 	s.Avoid(avoidDeadFor)
 	s.MarkDead()
-	r.cfg.Poison.RecordCrash(s.Incarnation())
 	if wait := maxLiveEventAge + time.Millisecond - s.SilentFor(); wait > 0 {
 		time.AfterFunc(wait, func() { r.checkNow(s) })
 		return
@@ -317,12 +350,14 @@
 
 var (
 	errRefused  = errors.New("refused by the server")
-	errUnsigned = errors.New("answer without a signature")
+	errUnsigned = errors.New("answer without a valid signature")
+	errUnstated = errors.New("status of a refusal without the statement that the request did not run")
 )
 
 // send makes one attempt and checks the header of its answer. An unsigned answer is returned as an
-// error, and a refusal as an error together with the answer. Every other answer is returned as it is,
-// including errors of the service.
+// error, and a refusal as an error together with the answer. So is an answer to a request that may run
+// once, if its status would tell the caller that it did not run, which the server does not state. Every
+// other answer is returned as it is, including errors of the service.
 func (r *Relay) send(ctx context.Context, req *Request, a Attempt) (*Answer, error) {
 	if req.attempts.Add(1) == 1 {
 		r.cfg.Observe(MeasureWait, time.Since(req.Arrived).Seconds())
@@ -330,6 +365,10 @@
 	if req.mayHaveRun.Load() && !req.Route.Repeatable() {
 		r.reportViolation(InvariantAttempts, req)
 	}
+	if req.addSent(a.Server.Address()) {
+		// Attempts share their ID, which could not tell a repeated answer to an earlier one.
+		a.ReuseConnection = false
+	}
 	ans, err := r.exchange(ctx, req, a)
 	if err == nil || fault.VerdictOf(err) != fault.NotRun {
 		req.mayHaveRun.Store(true)
@@ -350,6 +389,9 @@
 	if !ans.Misdirected && (ans.Signed || ans.Rate.Named) {
 		r.observeRate(a.Server, ans.Rate, sentAt)
 	}
+	if !ans.Misdirected {
+		r.observeIntake(a.Server, ans, sentAt)
+	}
 	if ans.Load != nil {
 		a.Server.RecordLoad(ans.Load.Running, ans.Load.Waiting)
 	}
@@ -366,6 +408,10 @@
 		_ = ans.Body.Close()
 		return nil, fault.New(fault.Config{Verdict: fault.MayHaveRun, Code: fault.Unavailable, Reason: reasonBadReply, Cause: errUnsigned})
 	}
+	if ans.ImpliesNotRun && !req.Route.Repeatable() {
+		_ = ans.Body.Close()
+		return nil, fault.New(fault.Config{Verdict: fault.MayHaveRun, Code: fault.Unavailable, Reason: reasonBadReply, Cause: errUnstated})
+	}
 	return ans, nil
 }
 
@@ -382,6 +428,9 @@
 	if err == nil && s != nil && report.Rate.Named {
 		r.observeRate(s, report.Rate, sentAt)
 	}
+	if err == nil && s != nil && (report.Started == 0 || report.Started == s.Entry().Started) {
+		r.cfg.Intake.Observe(intake.Statement{Said: report.Intake, Server: s.Incarnation(), ID: s.ID(), Source: "report"})
+	}
 	return report, err
 }
 
--- a/relay/report_test.go
+++ b/relay/report_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync/atomic"
 	"syscall"
@@ -35,14 +36,32 @@
 			if i%(calls/requests) == 0 {
 				cache.budget.AddRequest()
 			}
-			dead, unanswered := cache.findDead(t.Context(), "", path, path)
+			dead, _, unanswered := cache.findDead(t.Context(), "", path, path)
 			assert.Equal(t, len(dead)+unanswered, 0)
 			time.Sleep(2 * reportMaxAge)
 		}
 		assert.Assert(t, queries.Load() <= 3*requests, "%d queries", queries.Load())
 		cache.budget.AddRequest()
-		dead, _ := cache.findDead(t.Context(), "", []Hop{{Address: deadAddress}}, path)
+		dead, _, _ := cache.findDead(t.Context(), "", []Hop{{Address: deadAddress}}, path)
 		assert.Assert(t, dead[deadAddress])
 		time.Sleep(2 * reportRetention)
 	})
 }
+
+// Guards against a live engine that counts as dead because it answers a query with something else
+// than a report.
+func TestInvalidReportIsNoSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cache := newReportCache(func(_ context.Context, address string) (Report, error) {
+			if address == "odd:1" {
+				return Report{}, &InvalidReportError{Address: address, Cause: errors.New("status 503")}
+			}
+			return Report{}, nil
+		})
+		path := []Hop{{Address: "a:1"}, {Address: "odd:1"}}
+		dead, _, unanswered := cache.findDead(t.Context(), "", path, path)
+		assert.Equal(t, len(dead)+unanswered, 0)
+		assert.Assert(t, !cache.confirmDead("odd:1"))
+		time.Sleep(2 * reportRetention)
+	})
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,29 +27,60 @@
 	maxUncountedRefusals = 2
 )
 
-// streamState is the state of one stream over all its attempts.
+// streamState is the state of one stream over all its attempts. Its lock is held for short
+// accesses only, and no other lock is acquired while it is held.
 type streamState struct {
 	relay *Relay
 	req   *Request
 	sink  Sink
 
+	eventCount int          // events sent to the caller
+	runEvents  atomic.Int32 // events of the present run
+	timing     eventTiming
+	endTrial   func() // ends the trial of the present run, if it has one
+
+	// The check of a stalled stream uses the following fields as well.
+	mu          sync.Mutex
 	headerSent  bool   // the caller has the response header
-	mayHaveRun  bool   // set once an attempt may have been executed
+	mediaType   string // of the answer that the caller has the header of
 	lastEventID string // identifier of the last event sent to the caller
 	attempts    int    // attempts that count against the route's bound
-	eventCount  int    // events sent to the caller
-	runEvents   int    // events of the present run
 	// refusals counts refused attempts to resume the stream that were not counted as attempts.
 	refusals int
-	timing   eventTiming
-	// retryReserved is set if a retry was taken from the budget before the running attempt was
-	// cancelled.
-	retryReserved atomic.Bool
-	// successor is the handover to the run that takes over when the first engine leaves; nil if
-	// there is none. It is used by the goroutine that runs serveStream and copyEvents.
+	// successor is the handover to the run that takes over from the present one; nil if there is none.
 	successor *handover
 }
 
+// headerIsSent reports whether the caller has the response header.
+func (st *streamState) headerIsSent() bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.headerSent
+}
+
+// lastEvent returns the identifier of the last event sent to the caller, or that of the request if
+// there is none.
+func (st *streamState) lastEvent() string {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.lastEventID
+}
+
+// attemptCount returns the number of attempts that count against the route's bound.
+func (st *streamState) attemptCount() int {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.attempts
+}
+
+// addAttempt adds n to the attempts that count and returns their number.
+func (st *streamState) addAttempt(n int) int {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.attempts += n
+	return st.attempts
+}
+
 // eventTiming records the times for which routes have targets.
 type eventTiming struct {
 	first       time.Duration // from the arrival of the request to the first event
@@ -82,18 +116,18 @@
 	}
 	st.relay.cfg.Count("late")
 	st.relay.cfg.Log.Info().Str("id", req.ID).Dur("first", st.timing.first).Dur("gap", st.timing.gap).Dur("gapat", st.timing.gapStart.Sub(req.Arrived)).
-		Dur("took", time.Since(req.Arrived)).Int("attempts", st.attempts).Str("path", t.String()).Msg("stream was slow")
+		Dur("took", time.Since(req.Arrived)).Int("attempts", st.attemptCount()).Str("path", t.String()).Msg("stream was slow")
 }
 
 // serveStream serves a request that is answered by a stream of events.
 func (r *Relay) serveStream(ctx context.Context, req *Request, sink Sink) error {
-	st := &streamState{relay: r, req: req, sink: sink, lastEventID: req.LastEventID}
+	st := &streamState{relay: r, req: req, sink: sink, lastEventID: req.LastEventID, endTrial: func() {}}
 	defer st.recordTimes()
 	ctx, cancel := context.WithCancel(ctx)
 	defer func() {
 		cancel()
-		if st.successor != nil {
-			go st.successor.abandon()
+		if h := st.takeSuccessor(); h != nil {
+			go h.abandon()
 		}
 	}()
 	excluded := map[string]bool{}
@@ -106,7 +140,7 @@
 			return nil
 		}
 		next = st.awaitSuccessor()
-		if ctx.Err() != nil || (next == nil && !(retry && st.attemptsLeft() && st.takeRetry())) {
+		if ctx.Err() != nil || (next == nil && !(retry && st.attemptsLeft() && r.takeRetry(req))) {
 			break
 		}
 		r.cfg.Count("repeat")
@@ -114,18 +148,13 @@
 	if next != nil {
 		next.end()
 	}
-	if ctx.Err() != nil && !st.headerSent && fault.VerdictOf(err) != fault.NotRun {
-		return mayHaveRunError(reasonNoAnswer, ctx.Err())
+	if fault.VerdictOf(err) == fault.NotRun && req.mayHaveRun.Load() {
+		err = mayHaveRunError(reasonNoAnswer, err) // a run that was to take over may have run meanwhile
 	}
-	return err
-}
-
-// takeRetry takes a retry from the budget, unless one is reserved already.
-func (st *streamState) takeRetry() bool {
-	if st.retryReserved.Swap(false) {
-		return true
+	if ctx.Err() != nil && !st.headerIsSent() && fault.VerdictOf(err) != fault.NotRun {
+		return mayHaveRunError(reasonNoAnswer, ctx.Err())
 	}
-	return st.relay.takeRetry(st.req)
+	return r.orAtRest(req, err)
 }
 
 // run is one attempt to serve a stream.
@@ -135,6 +164,7 @@
 	path        *activePath
 	resumeAfter string  // event after which the run resumes; "" to start
 	answer      *Answer // nil until the response header has arrived
+	cancelled   bool    // it was cancelled because another run takes over or its engine is gone
 }
 
 // end closes the answer, cancels the run and releases its path.
@@ -155,12 +185,12 @@
 // newRun chooses a path without the excluded engines and returns a run over it that has not been
 // sent. It may be sent at sendAt of the path, at most maxWait from now. It returns false if there is
 // no path.
-func (st *streamState) newRun(ctx context.Context, excluded map[string]bool, maxWait time.Duration) (*run, bool) {
-	t, ok := st.relay.choosePath(st.req, excluded, maxWait)
+func (st *streamState) newRun(ctx context.Context, excluded map[string]bool, maxWait time.Duration, c *choice) (*run, bool) {
+	t, ok := st.relay.choosePath(st.req, excluded, maxWait, c)
 	if ok && t.first == nil {
 		// The first engine left the registry during the choice, which the next one sees.
 		t.release()
-		t, ok = st.relay.choosePath(st.req, excluded, maxWait)
+		t, ok = st.relay.choosePath(st.req, excluded, maxWait, c)
 	}
 	if !ok {
 		return nil, false
@@ -169,7 +199,7 @@
 		t.release()
 		return nil, false
 	}
-	rn := &run{path: t, resumeAfter: st.lastEventID}
+	rn := &run{path: t, resumeAfter: st.lastEvent()}
 	rn.ctx, rn.cancel = context.WithCancel(ctx)
 	return rn, true
 }
@@ -189,52 +219,41 @@
 func (st *streamState) attempt(ctx context.Context, rn *run, excluded map[string]bool) (retry bool, err error) {
 	r, req := st.relay, st.req
 	if rn == nil {
-		if err := r.refuseQuarantined(req, st.mayHaveRun); err != nil {
+		if st.endTrial, err = r.tryAlone(ctx, req); err != nil {
 			return false, err
 		}
-		var ok bool
-		if rn, ok = st.newRun(ctx, excluded, rateWait(req)); !ok {
-			r.cfg.Log.Info().Str("id", req.ID).Str("service", req.Service.Name).Int("servers", len(r.cfg.Servers.Servers(req.Service.Name))).
-				Int("prompt", req.PromptTokens).Int("attempt", st.attempts+1).Msg("no path")
-			if st.mayHaveRun {
-				return false, mayHaveRunError(reasonNoPath, nil)
-			}
-			if err := r.refuseOverRate(req, noPathRetryAfter); err != nil {
-				return false, err
-			}
-			return false, notRunError(reasonNoPath, noPathRetryAfter, nil)
-		}
-		if err := sleepUntil(rn.ctx, rn.path.sendAt); err != nil {
-			rn.end()
-			return false, st.refusalVerdict(err)
+		defer st.endTrial()
+		if rn, err = st.chooseRun(ctx, excluded); err != nil {
+			return false, err
 		}
-		st.attempts++
-		if st.attempts > 1 {
-			r.cfg.Log.Info().Str("id", req.ID).Str("last", st.lastEventID).Int("attempt", st.attempts).Str("first", rn.path.first.ID()).Msg("stream sent again")
+		if n := st.addAttempt(1); n > 1 {
+			r.cfg.Log.Info().Str("id", req.ID).Str("last", rn.resumeAfter).Int("attempt", n).Str("first", rn.path.first.ID()).Msg("stream sent again")
 		}
 	}
 	defer rn.end()
-	st.runEvents = 0
+	st.runEvents.Store(0)
 	m := newStallMonitor(ctx, st, rn, excluded)
 	defer m.stop()
 	defer rn.close()
 	if rn.answer == nil {
 		if ans, err := st.send(rn); err != nil {
-			st.mayHaveRun = st.mayHaveRun || fault.VerdictOf(err) != fault.NotRun
-			return st.attemptFailed(ctx, rn, ans, err, excluded), st.refusalVerdict(err)
+			m.endRun(rn)
+			return st.attemptFailed(ctx, rn, m, ans, err), st.refusalVerdict(err)
 		}
 	}
-	st.mayHaveRun = true
-	if rn.answer.Status != http.StatusOK {
-		if st.headerSent {
-			return true, mayHaveRunError(reasonBadReply, nil)
+	switch {
+	case st.headerIsSent():
+		if err := st.checkContinuation(rn.answer); err != nil {
+			m.endRun(rn)
+			return st.attemptFailed(ctx, rn, m, nil, err), mayHaveRunError(reasonBadReply, err)
 		}
+	case rn.answer.Status != http.StatusOK:
 		return false, st.passThrough(rn.answer)
 	}
 	started := time.Now()
 	err = st.copyEvents(rn.answer, m)
 	if err == nil {
-		r.cfg.Poison.RecordAnswered(req.parts)
+		r.recordAnswered(req)
 		st.logSlow(rn.path)
 		rn.path.first.RecordAnswer(time.Since(started))
 		return false, nil
@@ -243,30 +262,31 @@
 	if errors.As(err, &gone) {
 		return false, fault.New(fault.Config{Verdict: fault.MayHaveRun, Code: fault.Cancelled, Reason: "the caller went away", Cause: err})
 	}
-	if st.successor.pending() && rn.ctx.Err() != nil {
+	m.endRun(rn)
+	if st.hasSuccessor() && rn.cancelled {
 		return true, mayHaveRunError(reasonNoAnswer, err) // the run was cancelled and its successor is accepted or still awaited
 	}
-	return st.attemptFailed(ctx, rn, nil, err, excluded), mayHaveRunError(reasonNoAnswer, err)
+	return st.attemptFailed(ctx, rn, m, nil, err), mayHaveRunError(reasonNoAnswer, err)
 }
 
 // refusalVerdict returns a "not run" error for a failed attempt only if neither it nor an earlier
 // attempt may have run.
 func (st *streamState) refusalVerdict(err error) error {
-	if st.mayHaveRun {
+	if st.req.mayHaveRun.Load() {
 		return mayHaveRunError(reasonNoAnswer, err)
 	}
 	return notRunError(reasonRefused, noPathRetryAfter, err)
 }
 
 // attemptsLeft reports whether the route allows another attempt.
-func (st *streamState) attemptsLeft() bool { return st.attempts < st.req.Route.Attempts() }
+func (st *streamState) attemptsLeft() bool { return st.attemptCount() < st.req.Route.Attempts() }
 
 // attemptFailed logs a failed attempt, excludes the engine that failed, and reports whether
 // another attempt is allowed.
-func (st *streamState) attemptFailed(ctx context.Context, rn *run, ans *Answer, err error, excluded map[string]bool) bool {
+func (st *streamState) attemptFailed(ctx context.Context, rn *run, m *stallMonitor, ans *Answer, err error) bool {
 	r, t := st.relay, rn.path
-	e := r.cfg.Log.Info().Str("id", st.req.ID).Int("attempt", st.attempts).Str("first", t.first.ID()).Str("path", t.String()).Str("last", st.lastEventID).
-		Int("events", st.runEvents).Strs("parts", st.req.PromptParts).
+	e := r.cfg.Log.Info().Str("id", st.req.ID).Int("attempt", st.attemptCount()).Str("first", t.first.ID()).Str("path", t.String()).Str("last", st.lastEvent()).
+		Int32("events", st.runEvents.Load()).Strs("parts", st.req.PromptParts).Str("request", st.req.identity().ID).
 		Str("verdict", fault.VerdictOf(err).String()).Err(err).Dur("since", time.Since(st.req.Arrived))
 	failedServer := t.first
 	if ans != nil && ans.RefusedBy != "" {
@@ -277,17 +297,17 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	if rn.ctx.Err() == nil && st.runEvents < answeredEvents {
-		r.recordCut(st.req, t.first, err)
+	if !rn.cancelled && st.runEvents.Load() < answeredEvents && !errors.Is(err, errNoContinuation) {
+		r.recordCut(ctx, st.req, t.first, err)
 	}
 	if failedServer != nil {
 		failedServer.RecordFailure()
-		excluded[failedServer.Address()] = true
+		m.exclude(failedServer.Address())
 		// An engine that refuses may be full or dead; its report shows which.
 		go r.probeFailed(t.first, failedServer)
 	}
 	if r.cfg.Servers.ByAddress(t.first.Address()) == nil {
-		st.attempts-- // an attempt on a server that is no longer registered does not count
+		st.addAttempt(-1) // an attempt on a server that is no longer registered does not count
 	}
 	st.uncountRefusal(err)
 	return fault.VerdictOf(err) == fault.NotRun || st.req.Route.Repeatable()
@@ -297,6 +317,8 @@
 // caller already has a part of the answer, and a server that did not run the rest must not end
 // it.
 func (st *streamState) uncountRefusal(err error) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
 	if st.headerSent && fault.VerdictOf(err) == fault.NotRun && st.refusals < maxUncountedRefusals {
 		st.refusals++
 		st.attempts--
@@ -310,11 +332,31 @@
 	if first != s {
 		queried = append(queried, Hop{Address: first.Address()})
 	}
-	if dead, _ := r.reports.findDead(context.Background(), "", queried, queried); dead[s.Address()] {
+	if dead, _, _ := r.reports.findDead(context.Background(), "", queried, queried); dead[s.Address()] {
 		r.suspect(s)
 	}
 }
 
+// checkContinuation returns an error if an answer can't begin the stream, or continue the one that the
+// caller has a part of.
+func (st *streamState) checkContinuation(ans *Answer) error {
+	if ans.Status != http.StatusOK {
+		return fmt.Errorf("%w: status %d", errNoContinuation, ans.Status)
+	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if t := mediaTypeOf(ans.Header); st.headerSent && t != st.mediaType {
+		return fmt.Errorf("%w: it has the media type %q instead of %q", errNoContinuation, t, st.mediaType)
+	}
+	return nil
+}
+
+// mediaTypeOf returns the media type of an answer without its parameters, or "" if none is stated.
+func mediaTypeOf(h http.Header) string {
+	t, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(t))
+}
+
 // passThrough forwards an answer with a status other than 200 unchanged.
 func (st *streamState) passThrough(ans *Answer) error {
 	body, release, err := st.relay.cfg.Quota.Read(ans.Body, maxAnswerBytes)
@@ -335,14 +377,21 @@
 func (st *streamState) copyEvents(ans *Answer, m *stallMonitor) error {
 	ev := eventReader{src: ans.Body, quota: st.relay.cfg.Quota}
 	defer ev.close()
-	resumed := st.lastEventID
+	lastSent := st.lastEvent()
+	resumed := lastSent
+	runLast := "" // identifier of the last event of this run
 	for {
 		complete, lastID, err := ev.next()
 		if err != nil && err != io.EOF { //nolint:errorlint // next returns io.EOF itself
 			return err
 		}
-		if err == io.EOF && ans.Unframed && st.lastEventID == "" { //nolint:errorlint // as above
-			return errNoEvents
+		if err == io.EOF { //nolint:errorlint // as above
+			if err := st.checkEnd(ans, runLast, lastSent); err != nil {
+				return err
+			}
+		}
+		if lastID != "" {
+			runLast = lastID
 		}
 		if resumed != "" && len(complete) > 0 {
 			complete = eventsAfter(complete, resumed)
@@ -351,11 +400,11 @@
 			}
 		}
 		if err == nil {
-			n, err := validateEvents(complete, st.lastEventID)
-			if st.runEvents < answeredEvents && st.runEvents+n >= answeredEvents {
-				st.relay.cfg.Poison.RecordAnswered(st.req.parts)
+			n, err := validateEvents(complete, lastSent)
+			if before := st.runEvents.Add(int32(n)) - int32(n); before < answeredEvents && before+int32(n) >= answeredEvents {
+				st.relay.recordAnswered(st.req)
+				st.endTrial()
 			}
-			st.runEvents += n
 			if st.eventCount += n; err == nil && st.req.MaxAnswerTokens > 0 && st.eventCount > st.req.MaxAnswerTokens+extraEvents {
 				err = errTooManyEvents
 			}
@@ -366,12 +415,12 @@
 				return err
 			}
 		}
-		if len(complete) > 0 || (err == io.EOF && !st.headerSent) { //nolint:errorlint // as above
-			if werr := st.write(ans, complete); werr != nil {
-				return &callerGoneError{cause: werr}
-			}
+		if len(complete) > 0 || (err == io.EOF && !st.headerIsSent()) { //nolint:errorlint // as above
 			if lastID != "" {
-				st.lastEventID = lastID
+				lastSent = lastID
+			}
+			if werr := st.write(ans, complete, lastSent); werr != nil {
+				return &callerGoneError{cause: werr}
 			}
 			st.timing.recordEvent(st.req.Arrived)
 			m.eventReceived()
@@ -382,11 +431,32 @@
 	}
 }
 
-// write writes events to the caller, preceded by the response header if it was not sent yet.
-func (st *streamState) write(ans *Answer, b []byte) error {
-	if !st.headerSent {
-		st.headerSent = true
-		st.sink.Start(ans.Status, ans.Header, ans.Length)
+// checkEnd returns an error if the end of a run can't be the end of the stream. runLast is the identifier
+// of the last event of the run, lastSent that of the last event sent to the caller.
+func (st *streamState) checkEnd(ans *Answer, runLast, lastSent string) error {
+	switch {
+	case ans.Unframed && lastSent == "":
+		return errNoEvents
+	case runLast == "" && st.headerIsSent(), runLast != "" && follows(runLast, lastSent):
+		// The caller has a later event, so that this run has not continued the stream.
+		return errEndsEarlier
+	default:
+		return nil
+	}
+}
+
+// write writes events to the caller, preceded by the response header if it was not sent yet. lastID
+// identifies the last of them.
+func (st *streamState) write(ans *Answer, b []byte, lastID string) error {
+	st.mu.Lock()
+	first := !st.headerSent
+	st.headerSent, st.lastEventID = true, lastID
+	if first {
+		st.mediaType = mediaTypeOf(ans.Header)
+	}
+	st.mu.Unlock()
+	if first {
+		st.sink.Start(ans.Status, ans.Header, -1) // another server may continue the stream
 	}
 	if err := st.sink.Write(b); err != nil {
 		return err
