guard: requests are identified by poison.RequestPart

A request that comes again crashed up to seven servers before it was refused, as its identity was a part like those of prompts, for which a single request needs five crashes.

Change: the identity is poison.RequestPart with the service for the host. A request that comes again after a crash runs alone from its first attempt, and TryAlone keeps other processes from trying it at the same time.

TestDeadlyRequestsReachFewEngines (one request): at most 7 crashes before, 4 now; TestDeadlyCallsReachFewServers: lookups 7 before, 4 now, orders 5 before, 3 now; no sound request lost. The new bounds fail on the commit before.

--- a/guard/guard.go
+++ b/guard/guard.go
@@ -1,8 +1,9 @@
 // Package guard protects backend servers from requests that crash them. A request
-// under which two servers crashed before they had answered is repeated alone: such
-// requests run one at a time for each service, so that the next crash tells which one is
-// to blame and sound requests are answered. Evidence against a request and the messages
-// of its prompt is collected in a poison.Tracker, which all entry processes share.
+// under which two servers crashed before they had answered, or that comes again after a
+// crash, runs alone: such requests run one at a time for each service, so that the next
+// crash tells which one is to blame and sound requests are answered. Evidence against a
+// request and the messages of its prompt is collected in a poison.Tracker, which all
+// entry processes share.
 //
 // A Guard has one lock. No function outside the package is called while it is held.
 package guard
@@ -43,10 +44,11 @@
 
 // Request identifies a request and its repeats. The zero value identifies none.
 type Request struct {
-	service string
-	account string
-	hash    uint64
-	parts   []poison.Part // messages, then the request itself
+	service  string
+	account  string
+	hash     uint64
+	identity poison.Part
+	parts    []poison.Part // messages, then identity
 }
 
 // maxMessages bounds the messages of a prompt that count: the first one, which many
@@ -55,12 +57,8 @@
 
 // NewRequest returns the identity of a request.
 func NewRequest(cfg RequestConfig) Request {
-	h := xxhash.New()
-	for _, s := range []string{cfg.Service, cfg.Account, cfg.Method, cfg.Path} {
-		_, _ = h.WriteString(strconv.Itoa(len(s)) + ":" + s)
-	}
-	_, _ = h.Write(cfg.Body)
-	r := Request{service: cfg.Service, account: cfg.Account, hash: h.Sum64()}
+	r := Request{service: cfg.Service, account: cfg.Account, identity: poison.RequestPart(cfg.Method, cfg.Service, cfg.Path, cfg.Account, cfg.Body)}
+	r.hash = xxhash.Sum64String(r.identity.ID)
 	m := cfg.Messages
 	if len(m) > maxMessages {
 		m = slices.Concat(m[:1], m[len(m)-maxMessages+1:])
@@ -71,7 +69,7 @@
 			r.parts = append(r.parts, p)
 		}
 	}
-	r.parts = append(r.parts, poison.Part{Service: cfg.Service, ID: "request:" + strconv.FormatUint(r.hash, 16)})
+	r.parts = append(r.parts, r.identity)
 	return r
 }
 
@@ -133,12 +131,15 @@
 	request  Request
 	crashes  int
 	aloneAt  time.Time // when the request may be repeated alone
+	came     bool      // the request came again after a crash
 	answered bool
 	release  func() // ends the turn of the suspect; nil without one
 }
 
 // Open returns the case of a request. The caller must close it.
-func (g *Guard) Open(r Request) *Case { return &Case{guard: g, request: r} }
+func (g *Guard) Open(r Request) *Case {
+	return &Case{guard: g, request: r, came: g.tracker.TracksRequests() && g.tracker.Suspected(r.identity)}
+}
 
 const (
 	// aloneAfter is the number of crashes after which a request is repeated alone. The
@@ -160,8 +161,8 @@
 // Suspect reports whether a server crashed under the request before it was answered.
 func (c *Case) Suspect() bool { return c.crashes > 0 && !c.answered }
 
-// Alone reports whether the request is repeated alone.
-func (c *Case) Alone() bool { return c.crashes >= aloneAfter && !c.answered }
+// Alone reports whether the request runs alone.
+func (c *Case) Alone() bool { return (c.came || c.crashes >= aloneAfter) && !c.answered }
 
 // Admit waits until the request may be sent to a server, until ctx or the deadline
 // ends, which is zero for none. It must be called before each attempt. mayHaveRun tells
@@ -187,7 +188,7 @@
 	return c.check(mayHaveRun)
 }
 
-// takeTurn waits until the request may run alone.
+// takeTurn waits until the request may run alone in all processes.
 func (c *Case) takeTurn(ctx context.Context) error {
 	if c.release == nil {
 		trial := c.guard.trial(c.request.service)
@@ -200,11 +201,16 @@
 		timer := time.AfterFunc(maxTrial, end)
 		c.release = func() { timer.Stop(); end() }
 	}
-	select {
-	case <-time.After(time.Until(c.aloneAt)):
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
+	wait := time.Until(c.aloneAt)
+	for {
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		if wait = c.guard.tracker.TryAlone(c.request.identity); wait <= 0 {
+			return nil
+		}
 	}
 }
 
