--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"time"
 
+	"github.com/cranberrybay/cranberrybay/label"
 	"github.com/cranberrybay/cranberrybay/poison"
 )
 
@@ -20,6 +23,21 @@
 	Terms   int       `json:"terms"`
 }
 
+// decodeQuarantines returns the quarantined parts from their row. Another writer may have written it.
+func decodeQuarantines(raw []byte) ([]quarantineRow, error) {
+	var rows []quarantineRow
+	if err := json.Unmarshal(raw, &rows); err != nil {
+		return nil, fmt.Errorf("decode quarantined parts: %w", err)
+	}
+	for _, x := range rows {
+		// The texts are in heartbeats.
+		if x.Service == "" || x.Part == "" || !label.IsValid(x.Service) || !label.IsValid(x.Part) || len(x.Part) > poison.MaxIDBytes {
+			return nil, fmt.Errorf("quarantined part %.100q of %.100q has unusable texts", x.Part, x.Service)
+		}
+	}
+	return rows, nil
+}
+
 // quarantineChanged makes the pollers write the row of quarantined parts. It never blocks.
 func (reg *registrar) quarantineChanged() {
 	select {
@@ -36,7 +54,7 @@
 		return err
 	}
 	records := reg.cfg.Poison.Quarantines()
-	if coversQuarantines(rows.quarantines, records) {
+	if !rows.quarantinesLost && coversQuarantines(rows.quarantines, records) {
 		return nil
 	}
 	err = reg.writeRow(ctx, poisonRow, rows.quarantineRevision, quarantineRows(records))
--- a/server/table.go
+++ b/server/table.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -16,6 +17,9 @@
 	ID      string
 	Entry   Entry
 	Removed bool
+	// Unusable states that the entry was overwritten by one that names no server. It says nothing
+	// about the server itself. Removed is set, too.
+	Unusable bool
 }
 
 // Config holds the settings and callbacks of a Table.
@@ -51,6 +55,8 @@
 	services  map[string][]*Server
 	leavers   map[string][]*Server // in service by their entries, but said that they leave
 	addresses map[string]*Server
+	ids       map[string]*Server
+	shared    bool // several entries that accept work have the same address
 }
 
 // NewTable returns an empty table.
@@ -97,6 +103,26 @@
 // ByAddress returns the server at an address, or nil.
 func (t *Table) ByAddress(address string) *Server { return t.view.Load().addresses[address] }
 
+// ByID returns the server with an ID, or nil.
+func (t *Table) ByID(id string) *Server { return t.view.Load().ids[id] }
+
+// Rivals returns the other servers of the service that accept work and have the same address. There
+// are some for a moment after a server has restarted under another ID, and for as long as another writer
+// of the registry lists the address of a server.
+func (t *Table) Rivals(s *Server) []*Server {
+	v := t.view.Load()
+	if !v.shared {
+		return nil
+	}
+	var out []*Server
+	for _, o := range v.services[s.entry.Service] {
+		if o.entry.Address == s.entry.Address && o.entry.ID != s.entry.ID {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
 // All returns every listed server, including draining ones.
 func (t *Table) All() []*Server {
 	t.mu.Lock()
@@ -120,7 +146,7 @@
 	if whole {
 		listed := make(map[string]bool, len(changes))
 		for _, c := range changes {
-			listed[c.ID] = !c.Removed
+			listed[c.ID] = !c.Removed || c.Unusable
 		}
 		for id := range t.servers {
 			if !listed[id] {
@@ -130,9 +156,12 @@
 	}
 	first := len(t.servers) == 0
 	for _, c := range changes {
-		if c.Removed {
+		switch {
+		case c.Unusable:
+			t.removeNow(c.ID, "entry became unusable", false)
+		case c.Removed:
 			t.removeOrLapse(c.ID, now)
-		} else {
+		default:
 			t.put(c.Entry, first)
 		}
 	}
@@ -157,7 +186,7 @@
 		return
 	}
 	for id := range t.lapsed {
-		t.removeNow(id, "did not come back after an outage of the registry")
+		t.removeNow(id, "did not come back after an outage of the registry", true)
 	}
 	t.publish()
 }
@@ -178,11 +207,11 @@
 		}
 		return
 	}
-	t.removeNow(id, "entry removed")
+	t.removeNow(id, "entry removed", true)
 }
 
-// removeNow removes an entry. The caller holds mu.
-func (t *Table) removeNow(id, reason string) {
+// removeNow removes an entry. If ended is set, the server has ended. The caller holds mu.
+func (t *Table) removeNow(id, reason string, ended bool) {
 	s := t.servers[id]
 	delete(t.servers, id)
 	delete(t.lapsed, id)
@@ -191,7 +220,7 @@
 	}
 	s.leaving.Store(true)
 	t.cfg.Log.Info().Str("server", id).Str("address", s.entry.Address).Str("reason", reason).Msg("backend server left")
-	t.notifyRemoved(s, !s.isPlanned())
+	t.notifyRemoved(s, ended && !s.isPlanned())
 }
 
 // notifyRemoved calls OnRemoved, and OnDied if the server died.
@@ -247,7 +276,8 @@
 
 // publish replaces the view. The caller holds mu.
 func (t *Table) publish() {
-	v := &view{services: map[string][]*Server{}, leavers: map[string][]*Server{}, addresses: make(map[string]*Server, len(t.servers))}
+	v := &view{services: map[string][]*Server{}, leavers: map[string][]*Server{}, addresses: make(map[string]*Server, len(t.servers)), ids: maps.Clone(t.servers)}
+	working := make(map[string]bool, len(t.servers))
 	for _, s := range t.servers {
 		if s.entry.Address == "" {
 			continue
@@ -258,13 +288,17 @@
 			v.addresses[s.entry.Address] = s
 		}
 	}
-	// Paths name engines by address, so an earlier server there would stand for the later one.
-	for _, s := range v.addresses {
+	for _, s := range t.servers {
+		holder := v.addresses[s.entry.Address]
 		switch {
-		case s.entry.Draining:
+		case holder == nil || s.entry.Draining:
+		case holder != s && holder.SaidLeaving():
+			// The later server at the address leaves. Its entry alone is no sign, as another writer may have made it.
 		case s.SaidLeaving():
 			v.leavers[s.entry.Service] = append(v.leavers[s.entry.Service], s)
 		default:
+			v.shared = v.shared || working[s.entry.Address]
+			working[s.entry.Address] = true
 			v.services[s.entry.Service] = append(v.services[s.entry.Service], s)
 		}
 	}
--- a/server/table_test.go
+++ b/server/table_test.go
@@ -87,7 +87,9 @@
 	x := newTable(&removed)
 	x.Apply([]server.Change{put(entry("old", "10.0.0.1:1", 1)), put(entry("new", "10.0.0.1:1", 5))}, true, 0)
 	assert.Equal(t, x.ByAddress("10.0.0.1:1").ID(), "new")
-	checkIDs(t, x, "new")
+	assert.Assert(t, x.ByID("new").IsBelieved(x.ByID("old")) && !x.ByID("old").IsBelieved(x.ByID("new")))
+	x.MarkLeaving([]uint64{x.ByID("new").Incarnation()})
+	checkIDs(t, x)
 }
 
 // Guards against avoiding a server for ever after consecutive failures, and against never
@@ -179,3 +181,49 @@
 	x.Apply(nil, true, 5*time.Second)
 	assert.DeepEqual(t, removed, []string{"10.0.0.1:1"})
 }
+
+// Guards against a server that counts as crashed, so that its requests become suspects, because another writer overwrote its
+// entry, and against one that is used by such an entry.
+func TestOverwrittenEntryIsNoCrash(t *testing.T) {
+	for _, whole := range []bool{false, true} {
+		for _, outage := range []time.Duration{0, time.Second} {
+			var died, removed []string
+			tb := server.NewTable(server.Config{
+				Log: zerolog.Nop(), OutageGrace: outageGrace, OnRemoved: func(a string) { removed = append(removed, a) },
+				OnDied: func(s *server.Server) { died = append(died, s.ID()) },
+			})
+			a, b := entry("a", "10.0.0.1:1", 1), entry("b", "10.0.0.2:1", 1)
+			tb.Apply([]server.Change{put(a), put(b)}, true, 0)
+			tb.Apply([]server.Change{{ID: "a", Removed: true, Unusable: true}, put(b)}, whole, outage)
+			checkIDs(t, tb, "b")
+			assert.DeepEqual(t, removed, []string{"10.0.0.1:1"})
+			assert.Equal(t, len(died), 0)
+			tb.Apply([]server.Change{put(a)}, false, 0)
+			checkIDs(t, tb, "a", "b")
+		}
+	}
+}
+
+// Guards against an entry of another service, or of a server that drains, that takes the place of a server with the same address.
+func TestRivals(t *testing.T) {
+	var removed []string
+	tb := newTable(&removed)
+	a, b, draining, other := entry("a", "10.0.0.1:1", 1), entry("b", "10.0.0.1:1", 5), entry("c", "10.0.0.1:1", 9), entry("d", "10.0.0.1:1", 9)
+	draining.Draining, other.Service = true, "other"
+	tb.Apply([]server.Change{put(a), put(draining), put(other), put(entry("e", "10.0.0.2:1", 1))}, true, 0)
+	assert.Equal(t, len(tb.Rivals(tb.ByID("a"))), 0)
+	tb.Apply([]server.Change{put(b)}, false, 0)
+	x, y := tb.ByID("a"), tb.ByID("b")
+	assert.DeepEqual(t, []int{len(tb.Rivals(x)), len(tb.Rivals(y)), len(tb.Rivals(tb.ByID("e")))}, []int{1, 1, 0})
+	assert.Equal(t, tb.Rivals(x)[0].ID(), "b")
+	assert.Assert(t, y.IsBelieved(x) && !x.IsBelieved(y), "the later start counts")
+	y.RecordMisdirected()
+	assert.Assert(t, x.IsBelieved(y) && !y.IsBelieved(x), "the one that is not misdirected counts")
+	x.RecordMisdirected()
+	x.RecordMisdirected()
+	x.RecordAnswer(time.Millisecond)
+	assert.Assert(t, x.IsBelieved(y), "a success ends the evidence")
+	tb.Apply([]server.Change{{ID: "b", Removed: true}}, false, 0)
+	assert.Equal(t, len(tb.Rivals(x)), 0)
+	assert.Assert(t, tb.ByID("b") == nil)
+}
--- a/soak/wishes_test.go
+++ b/soak/wishes_test.go
@@ -14,7 +14,7 @@
 
 // wishesOff is why the soak has no servers that say in their answers that they leave or want nothing for a
 // time; "" if it has.
-const wishesOff = "entry processes do not act on these headers yet, issue 32"
+const wishesOff = ""
 
 const (
 	leavingHeader = "Server-Leaving"
