--- a/entry/runner.go
+++ b/entry/runner.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"strings"
 	"time"
 
 	"github.com/cranberrybay/cranberrybay/engine"
 	"github.com/cranberrybay/cranberrybay/fleet"
+	"github.com/cranberrybay/cranberrybay/guard"
 	"github.com/cranberrybay/cranberrybay/retry"
 	"github.com/cranberrybay/cranberrybay/route"
 	"github.com/cranberrybay/cranberrybay/stream"
@@ -19,6 +21,7 @@
 	Engines *engine.Client
 	Domain  string        // failure domain of this process
 	Budget  *retry.Budget // nil for the default retry budget
+	Guard   *guard.Guard  // see stream.Config
 	// CheckpointInterval is the number of tokens between exports of the KV cache,
 	// see stream.Config.
 	CheckpointInterval int
@@ -40,18 +43,25 @@
 			}
 			return &stream.FrameStream{Next: frames.Next, Buffered: frames.HasBufferedFrame, Close: frames.Close}, nil
 		},
-		Cancel: engines.Cancel,
-		Probe: func(ctx context.Context, address string) (bool, error) {
-			load, err := engines.Load(ctx, address)
-			return load.Waiting > 0, err
-		},
+		Cancel:   engines.Cancel,
+		Probe:    cfg.probe,
 		Export:   engines.Export,
 		Import:   engines.Import,
 		Feedback: fleetFeedback(cfg.Fleet),
-		Budget:   cfg.Budget, CheckpointInterval: cfg.CheckpointInterval,
+		Budget:   cfg.Budget, Guard: cfg.Guard, CheckpointInterval: cfg.CheckpointInterval,
 	})
 }
 
+// probe reads the load report of a stage. Its error wraps engine.ErrGone when the
+// fleet table has removed a server that does not answer.
+func (c RunnerConfig) probe(ctx context.Context, s route.Stage) (engine.LoadReport, error) {
+	load, err := c.Engines.Load(ctx, s.Address)
+	if listed, ok := c.Fleet.ByAddress(s.Address); err != nil && (!ok || listed.Name != s.Name) {
+		err = errors.Join(err, engine.ErrGone)
+	}
+	return load, err
+}
+
 // chooseRoute returns a route for a request over the servers of its service.
 func (c RunnerConfig) chooseRoute(req *stream.Request, constraints stream.RouteConstraints) (route.Route, error) {
 	return c.Chooser.Choose(route.Requirements{
--- a/node/background.go
+++ b/node/background.go
@@ -11,12 +11,14 @@
 	"github.com/cranberrybay/cranberrybay/engine"
 	"github.com/cranberrybay/cranberrybay/entry"
 	"github.com/cranberrybay/cranberrybay/fleet"
+	"github.com/cranberrybay/cranberrybay/guard"
 	"github.com/cranberrybay/cranberrybay/lease"
 	"github.com/cranberrybay/cranberrybay/limit"
 	"github.com/cranberrybay/cranberrybay/logs"
 	"github.com/cranberrybay/cranberrybay/member"
 	"github.com/cranberrybay/cranberrybay/place"
 	"github.com/cranberrybay/cranberrybay/plat"
+	"github.com/cranberrybay/cranberrybay/poison"
 	"github.com/cranberrybay/cranberrybay/pool"
 	"github.com/cranberrybay/cranberrybay/queue"
 	"github.com/cranberrybay/cranberrybay/route"
@@ -50,6 +52,8 @@
 	Pauses      *member.PauseDetector
 	Peers       *peers
 	Entry       *entry.Handler
+	Guard       *guard.Guard
+	Suspects    *poison.Tracker
 	Log         *logs.Factory
 }
 
@@ -61,7 +65,7 @@
 			changeLog.Warn().Err(err).Msg("refresh failed")
 		}
 	})
-	w := newFleetWatcher(p.Pool, p.Fleet, p.VMs, p.Engines, p.Queues, p.PrefixIndex, p.Log.Logger("fleet"))
+	w := newFleetWatcher(p.Pool, p.Fleet, p.VMs, p.Engines, p.Queues, p.PrefixIndex, p.Guard, p.Log.Logger("fleet"))
 	p.Pool.Every("fleet", fixedInterval(fleet.StepInterval), w.Step)
 	p.Pool.Every("claim", fixedInterval(claim.MaintenanceInterval), p.Claims.Maintain)
 	p.Pool.Every("limit", fixedInterval(limit.ReportInterval), func(context.Context) {
@@ -77,6 +81,7 @@
 		}
 	})
 	p.Pool.Every("place", fixedInterval(place.Interval), p.Placement.Step)
+	p.Pool.Every("suspects", fixedInterval(suspectInterval), func(ctx context.Context) { p.Peers.exchangeSuspects(ctx, p.Suspects) })
 	p.Pool.Every("guard", fixedInterval(time.Second), func(context.Context) { p.Peers.drainIfSuperseded(p.Entry) })
 	p.Lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error { p.Pool.Start(); return nil },
--- a/node/node.go
+++ b/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/cranberrybay/cranberrybay/engine"
 	"github.com/cranberrybay/cranberrybay/entry"
 	"github.com/cranberrybay/cranberrybay/fleet"
+	"github.com/cranberrybay/cranberrybay/guard"
 	"github.com/cranberrybay/cranberrybay/intake"
 	"github.com/cranberrybay/cranberrybay/limit"
 	"github.com/cranberrybay/cranberrybay/logs"
@@ -28,6 +29,7 @@
 	"github.com/cranberrybay/cranberrybay/object"
 	"github.com/cranberrybay/cranberrybay/peer"
 	"github.com/cranberrybay/cranberrybay/plat"
+	"github.com/cranberrybay/cranberrybay/poison"
 	"github.com/cranberrybay/cranberrybay/proxy"
 	"github.com/cranberrybay/cranberrybay/queue"
 	"github.com/cranberrybay/cranberrybay/route"
@@ -68,8 +70,14 @@
 			newConfigSync,
 			newStore,
 			func() *engine.Client { return engine.New(engine.Config{}) },
-			func(t *fleet.Table, l *logs.Factory) *proxy.Pool {
-				return proxy.NewTablePool(t, proxy.New(proxy.Config{}), intake.New(intake.Config{Log: l.Logger("intake")}))
+			newPoisonTracker,
+			func(t *poison.Tracker, l *logs.Factory) *guard.Guard {
+				return guard.New(guard.Config{Tracker: t, Log: l.Logger("guard")})
+			},
+			func(t *fleet.Table, e *engine.Client, g *guard.Guard, l *logs.Factory) *proxy.Pool {
+				return proxy.NewTablePool(proxy.TablePoolConfig{
+					Table: t, Client: proxy.New(proxy.Config{}), Engines: e, Guard: g, Intake: intake.New(intake.Config{Log: l.Logger("intake")}),
+				})
 			},
 			newClaimManager,
 			func() *member.PauseDetector { return member.NewPauseDetector(time.Now) },
@@ -105,7 +113,7 @@
 }
 
 // connectPeerHandlers sets the handlers of the calls that peers make.
-func connectPeerHandlers(p *peers, claims *claim.Manager, e *entry.Handler, limits *limit.Limiter) {
+func connectPeerHandlers(p *peers, claims *claim.Manager, e *entry.Handler, limits *limit.Limiter, t *poison.Tracker) {
 	p.setHandlers(peerHandlers{
 		Claim: func(_ context.Context, _ peer.Remote, id string) (claim.RunStatus, error) {
 			return claims.RunStatus(id), nil
@@ -113,6 +121,9 @@
 		Forward: forwardHandler(e),
 		Report:  func(_ context.Context, _ peer.Remote, r limit.Report) error { limits.HandleReport(r); return nil },
 		Share:   func(_ context.Context, _ peer.Remote, s limit.Share) error { limits.HandleShare(s); return nil },
+		Suspects: func(_ context.Context, from peer.Remote, m peer.SuspectMessage) ([]poison.Record, error) {
+			return p.handleSuspects(t, from, m)
+		},
 	})
 }
 
@@ -126,6 +137,7 @@
 	Services *proxy.Pool
 	Claims   *claim.Manager
 	Peers    *peers
+	Guard    *guard.Guard
 	Limits   *limit.Limiter
 	Queues   *queue.Set
 	Log      *logs.Factory
@@ -135,6 +147,7 @@
 	return entry.New(entry.Config{
 		Store: p.Store, Fleet: p.Fleet, Chooser: p.Chooser, Engines: p.Engines, Services: p.Services, Claims: p.Claims,
 		Admission: &entry.AdmissionControl{Limits: p.Limits, Queues: p.Queues},
+		Guard:     p.Guard,
 		Domain:    p.Settings.Domain, Self: p.Settings.Listen.Callers, Log: p.Log.Logger("entry"),
 		Addresses: p.Peers.addresses, Forward: p.Peers.forward,
 	})
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -8,22 +8,28 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/cranberrybay/cranberrybay/engine"
 	"github.com/cranberrybay/cranberrybay/fault"
 	"github.com/cranberrybay/cranberrybay/fleet"
+	"github.com/cranberrybay/cranberrybay/guard"
 	"github.com/cranberrybay/cranberrybay/intake"
 	"github.com/cranberrybay/cranberrybay/retry"
 )
 
 // PoolConfig configures a Pool.
 type PoolConfig struct {
-	Servers    func(service string) []fleet.Candidate // returns the ready servers of a service
-	OnStart    func(server string)                    // a call is sent to the server
-	OnEnd      func(server string)                    // the answer of the call has ended, or the call failed
-	OnFailure  func(server string)                    // a call failed
-	OnSuccess  func(server string)                    // the header of an answer arrived
-	Do         func(ctx context.Context, address string, call Call) (*Answer, error)
-	RetryShare float64 // maximum share of retries in all calls; 0 for 0.1
-	HedgeShare float64 // maximum share of hedged lookups in all calls; 0 for 0.05
+	Servers   func(service string) []fleet.Candidate // returns the ready servers of a service
+	OnStart   func(server string)                    // a call is sent to the server
+	OnEnd     func(server string)                    // the answer of the call has ended, or the call failed
+	OnFailure func(server string)                    // a call failed
+	OnSuccess func(server string)                    // the header of an answer arrived
+	Do        func(ctx context.Context, address string, call Call) (*Answer, error)
+	// Probe reads the load report of a server, to find out whether it crashed; nil for
+	// no probes.
+	Probe      func(ctx context.Context, address string) (engine.LoadReport, error)
+	Guard      *guard.Guard // refuses calls that crash servers; nil for one that shares its evidence with no other process
+	RetryShare float64      // maximum share of retries in all calls; 0 for 0.1
+	HedgeShare float64      // maximum share of hedged lookups in all calls; 0 for 0.05
 	// Intake knows which servers asked for a pause; nil for a new one that logs nothing.
 	Intake *intake.Tracker
 	Rand   *rand.Rand // nil for a random seed
@@ -45,6 +51,9 @@
 	if cfg.HedgeShare == 0 {
 		cfg.HedgeShare = 0.05
 	}
+	if cfg.Guard == nil {
+		cfg.Guard = guard.New(guard.Config{})
+	}
 	if cfg.Intake == nil {
 		cfg.Intake = intake.New(intake.Config{Log: zerolog.Nop()})
 	}
@@ -54,9 +63,22 @@
 	return &Pool{cfg: cfg, latencies: newLatencyTracker(cfg.Rand), retries: newBudget(cfg.RetryShare), hedges: newBudget(cfg.HedgeShare)}
 }
 
-// NewTablePool returns a pool that sends calls with c to the servers of t. in may be nil, as in PoolConfig.
-func NewTablePool(t *fleet.Table, c *Client, in *intake.Tracker) *Pool {
-	return NewPool(PoolConfig{Servers: t.Servers, Intake: in, OnStart: t.BeginRequest, OnEnd: t.EndRequest, OnFailure: t.RequestFailed, OnSuccess: t.RequestSucceeded, Do: c.Do})
+// TablePoolConfig holds the dependencies of a pool over the servers of a table.
+type TablePoolConfig struct {
+	Table   *fleet.Table
+	Client  *Client         // sends the calls
+	Engines *engine.Client  // reads load reports
+	Guard   *guard.Guard    // see PoolConfig
+	Intake  *intake.Tracker // see PoolConfig
+}
+
+// NewTablePool returns a pool that sends calls to the servers of a table.
+func NewTablePool(cfg TablePoolConfig) *Pool {
+	t := cfg.Table
+	return NewPool(PoolConfig{
+		Servers: t.Servers, OnStart: t.BeginRequest, OnEnd: t.EndRequest, OnFailure: t.RequestFailed, OnSuccess: t.RequestSucceeded,
+		Do: cfg.Client.Do, Probe: cfg.Engines.Load, Guard: cfg.Guard, Intake: cfg.Intake,
+	})
 }
 
 // maxAttempts is the maximum number of servers tried for one call.
@@ -69,8 +91,12 @@
 func (p *Pool) Send(ctx context.Context, service string, call Call) (*Answer, error) {
 	p.retries.AddRequest()
 	p.hedges.AddRequest()
-	tried := &attempts{servers: map[string]bool{}}
+	tried := &attempts{servers: map[string]bool{}, suspicion: p.cfg.Guard.Open(call.Identity)}
+	defer tried.suspicion.Close()
 	for {
+		if err := tried.suspicion.Admit(ctx, call.Deadline, tried.mayHaveRun); err != nil {
+			return nil, err
+		}
 		c, ok := p.latencies.choose(p.servers(service), tried.servers)
 		if !ok {
 			if err := p.refuseAtRest(service); err != nil && tried.lastErr == nil {
@@ -82,6 +108,9 @@
 			continue // another call took its place
 		}
 		a, err := p.attempt(ctx, service, c, call, tried)
+		if err == nil {
+			tried.suspicion.RecordAnswered()
+		}
 		switch {
 		case err == nil && (a.Status < 500 || !call.Idempotent):
 			return a, nil
@@ -95,7 +124,13 @@
 			continue
 		}
 		tried.add(err)
-		if !tried.mayRetry(ctx, call) || !p.hasUntried(service, tried) || !p.retries.TryRetry() {
+		if engine.IsUnconnected(err) {
+			tried.silent = append(tried.silent, c.Name)
+		}
+		if tried.mayRetry(ctx, call) && p.hasUntried(service, tried) && p.retries.TryRetry() {
+			continue
+		}
+		if !tried.readmitSilent(ctx, call) {
 			return nil, tried.finalError()
 		}
 	}
@@ -112,7 +147,24 @@
 	servers    map[string]bool
 	count      int
 	lastErr    error
-	mayHaveRun bool // an attempt may have run
+	mayHaveRun bool        // an attempt may have run
+	silent     []string    // servers that took no connection in time
+	suspicion  *guard.Case // servers that crashed under the call
+}
+
+// readmitSilent lets the call go to silent servers once more, and reports whether
+// there is one. No server has received the call, so this takes no retry from the
+// budget; each try lasts for the timeout of a connection, until the deadline.
+func (t *attempts) readmitSilent(ctx context.Context, call Call) bool {
+	if len(t.silent) == 0 || t.mayHaveRun || call.Deadline.IsZero() || checkNotExpired(ctx, call.Deadline) != nil {
+		return false
+	}
+	for _, name := range t.silent {
+		delete(t.servers, name)
+		t.count--
+	}
+	t.silent = nil
+	return true
 }
 
 // add records the error of an attempt.
@@ -140,6 +192,9 @@
 	if t.mayHaveRun {
 		cfg.Verdict, cfg.Reason = fault.MayHaveRun, "the call was sent and no answer arrived"
 	}
+	if t.suspicion.Suspect() {
+		cfg.Code, cfg.Reason = fault.Crashed, "a backend server crashed while it ran the call"
+	}
 	at, ok := fault.RetryAt(t.lastErr)
 	if !ok {
 		at = time.Now().Add(time.Second)
@@ -155,21 +210,47 @@
 	t.count++
 	wait := p.latencies.hedgeDelay(service)
 	lookup := call.Idempotent && (call.Method == http.MethodGet || call.Method == http.MethodHead)
-	if !lookup || wait == 0 {
-		return p.exchange(ctx, service, c, call)
+	if !lookup || wait == 0 || t.suspicion.Suspect() {
+		a, err := p.exchange(ctx, service, c, call)
+		p.recordCut(ctx, t, c, err)
+		return a, err
 	}
 	return p.hedge(ctx, service, c, call, t, wait)
 }
 
+// crashProbeTimeout bounds the question to a server whether it crashed. One that
+// crashed refuses the connection at once.
+const crashProbeTimeout = 250 * time.Millisecond
+
+// recordCut records that a server broke off the exchange of a call, and finds out
+// whether it crashed.
+func (p *Pool) recordCut(ctx context.Context, t *attempts, c fleet.Candidate, err error) {
+	if p.cfg.Probe == nil || err == nil || fault.VerdictOf(err) != fault.MayHaveRun || fault.CodeOf(err) != fault.Unavailable {
+		return
+	}
+	server := guard.Server(c.Name, c.Boot)
+	t.suspicion.RecordCut(server)
+	ctx, cancel := context.WithTimeout(ctx, crashProbeTimeout)
+	defer cancel()
+	if load, err := p.cfg.Probe(ctx, c.Address); guard.HasCrashed(c.Boot, load, err) {
+		t.suspicion.RecordCrash(server)
+	}
+}
+
 // exchangeResult is the result of one of the two exchanges of a hedged lookup.
 type exchangeResult struct {
+	server fleet.Candidate
 	answer *Answer
 	err    error
 	index  int
 }
 
+// failed reports whether another exchange may still give a better result.
+func (r *exchangeResult) failed() bool { return r.err != nil || r.answer.Status >= 500 }
+
 // hedge sends a lookup to a second server if the first has not answered within
-// wait. The first answer is returned and the other exchange is cancelled.
+// wait. The first answer that is no failure is returned and the other exchange is
+// cancelled.
 func (p *Pool) hedge(ctx context.Context, service string, c fleet.Candidate, call Call, t *attempts, wait time.Duration) (*Answer, error) {
 	replies := make(chan exchangeResult, 2)
 	var cancels []context.CancelFunc
@@ -179,12 +260,13 @@
 		cancels = append(cancels, cancel)
 		go func() {
 			a, err := p.exchange(ctx, service, c, call)
-			replies <- exchangeResult{a, err, n}
+			replies <- exchangeResult{c, a, err, n}
 		}()
 	}
 	send(c)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	var failure *exchangeResult // an answer with status 5xx
 	for pending := 1; ; {
 		select {
 		case <-timer.C:
@@ -196,11 +278,24 @@
 			}
 		case r := <-replies:
 			pending--
-			if r.err != nil && pending > 0 {
+			p.recordCut(ctx, t, r.server, r.err)
+			if r.failed() && pending > 0 {
+				if r.err == nil {
+					failure = &r
+					continue
+				}
 				t.add(r.err)
 				cancels[r.index]()
 				continue
 			}
+			if failure != nil && r.err != nil {
+				t.add(r.err)
+				cancels[r.index]()
+				r, failure = *failure, nil
+			}
+			if failure != nil {
+				_ = failure.answer.Body.Close()
+			}
 			p.discardLoser(replies, pending, cancels, r.index)
 			if r.err != nil {
 				cancels[r.index]()
