poison: a crash that is long past confirms no new cut

Callers of a sound request were refused with "the request crashed backend servers" although no server had crashed on it. A server whose heartbeats paused is dropped by the registry, which RecordCrash notes; it comes back with the same start time and so the same incarnation. RecordCut took each later reset of a connection, at any time, for a confirmed crash: the time of the entry was checked only at the next RecordCrash. Three such servers, which may each reset a connection beyond their bound, quarantined a sound request for ten minutes.

A confirmation now counts for as long as a cut waits for one (cutAge).

--- a/poison/request_test.go
+++ b/poison/request_test.go
@@ -207,3 +207,19 @@
 		poison.RequestPart("POST", "host.example", "/path/1", "account", body)
 	}
 }
+
+// Guards against evidence from a server that was taken for dead, lives, and later resets connections.
+func TestServerThatWasTakenForDead(t *testing.T) {
+	virtually(t, func(t *testing.T) {
+		f := newFleet(2)
+		for i := range 3 {
+			f.trackers[0].RecordCrash(uint64(i))
+		}
+		time.Sleep(time.Minute)
+		for i := range 3 {
+			f.trackers[0].RecordCut(uint64(i), uint64(i), []poison.Part{requestPart("sound")})
+			time.Sleep(time.Second)
+		}
+		f.checkRequest(t, "sound", 0, 0)
+	})
+}
--- a/poison/tracker.go
+++ b/poison/tracker.go
@@ -216,7 +216,7 @@
 	now := Now()
 	t.mu.Lock()
 	c := cut{server: server, request: request, parts: t.candidates(parts, now), at: now}
-	if _, ok := t.crashed[server]; ok {
+	if at, ok := t.crashed[server]; ok && now-at <= cutAge {
 		changed, started := t.attributeCrash(c, now)
 		t.mu.Unlock()
 		t.report(changed, started)
