poison, relay: the death of a server counts once for a request

Callers of a sound request were refused, for 10 s or 10 min, after a single server had ended. A stream that waits for an engine which does not answer, and which nothing can take over (no attempt or retry left, as after the loss of a rack), is checked every 0.8 s, and each check recorded a cut. When the registry dropped the engine, 3.6 s later, all cuts were attributed; those more than 2 s apart are different crashes to the record, so one death gave two or three. A later engine of a path that refuses connections gave another one at each check of all engines. The copies also took up the thousand places for cuts.

Before: TestDeathOfAServerCountsOnce: request_test.go:238: assertion failed: true (ok bool) != false (most > 0 bool): process 0, request sound. TestGoneEngineCountsOnce: deadly_test.go:296: assertion failed: 2 (int) != 1 (int): [{ 0 24h0m0.2s} { 0 24h0m5.1803125s}].

A cut replaces an earlier one of the same request on the same server, and the monitor of a run records each engine once.

--- a/poison/request_test.go
+++ b/poison/request_test.go
@@ -223,3 +223,18 @@
 		f.checkRequest(t, "sound", 0, 0)
 	})
 }
+
+// Guards against a single death of a server that counts as several crashes under a request that waits
+// for it.
+func TestDeathOfAServerCountsOnce(t *testing.T) {
+	virtually(t, func(t *testing.T) {
+		f := newFleet(2)
+		for range 10 {
+			f.trackers[0].RecordCut(1, 1, []poison.Part{requestPart("sound")})
+			time.Sleep(500 * time.Millisecond)
+		}
+		f.trackers[0].RecordCrash(1)
+		time.Sleep(time.Second)
+		f.checkRequest(t, "sound", 0, 0)
+	})
+}
--- a/poison/tracker.go
+++ b/poison/tracker.go
@@ -91,6 +91,11 @@
 	at      time.Duration // Now
 }
 
+// sameRun reports whether two cuts are of the same request on the same server.
+func (c cut) sameRun(o cut) bool {
+	return c.server == o.server && c.request == o.request && slices.Equal(c.parts, o.parts)
+}
+
 // New returns a Tracker without evidence.
 func New(cfg Config) *Tracker {
 	if cfg.Announce == nil {
@@ -222,7 +227,8 @@
 		t.report(changed, started)
 		return
 	}
-	t.cuts = slices.DeleteFunc(t.cuts, func(x cut) bool { return now-x.at > cutAge })
+	// A request that waits for a server is recorded again and again.
+	t.cuts = slices.DeleteFunc(t.cuts, func(x cut) bool { return now-x.at > cutAge || x.sameRun(c) })
 	if len(t.cuts) < maxCuts {
 		t.cuts = append(t.cuts, c)
 	}
--- a/relay/deadly_test.go
+++ b/relay/deadly_test.go
@@ -265,3 +265,34 @@
 		})
 	}
 }
+
+// Guards against one engine that is gone and counts as several crashes, at each check of a stream that
+// nothing can take over.
+func TestGoneEngineCountsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		begun := time.Now()
+		defer clock.Replace(func() time.Duration { return time.Since(begun) })()
+		cl := newSilentCluster(t, 0, nil, engineEntry("a", "near", 0, 4), engineEntry("b", "near", 4, 8))
+		cl.onSend = func(ctx context.Context, _ int, _ *relay.Request, _ relay.Attempt) (*relay.Answer, error) {
+			ans := signedAnswer(http.StatusOK, "")
+			ans.Body = &pausingBody{pacedBody: pacedBody{ctx: ctx, left: 1}, pause: 9 * time.Second}
+			return ans, nil
+		}
+		cl.onReport = func(_ context.Context, address string) (relay.Report, error) {
+			if address == "b:1" {
+				return relay.Report{}, syscall.ECONNREFUSED
+			}
+			return relay.Report{}, nil
+		}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = cl.serve(t.Context(), request(config.Stream, 1))
+		}()
+		time.Sleep(8900 * time.Millisecond)
+		records := cl.poison.Records()
+		<-done
+		assert.Equal(t, len(records), 1)
+		assert.Equal(t, len(records[0].Crashes), 1, "%v", records[0].Crashes)
+	})
+}
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -81,6 +81,7 @@
 	timer    *time.Timer
 	stopped  bool
 	repaths  int
+	blamed   map[string]bool // engines on whose failure the request is recorded
 
 	// checksSinceFull counts the checks since the last event, or since an engine did not answer. The
 	// next check queries all engines if it is a multiple of checksPerFullQuery.
@@ -289,13 +290,16 @@
 }
 
 // recordUnanswered notes that the engine at an address may have crashed on the stream's request, which
-// it has if it is gone.
+// it has if it is gone. Further checks of the run find the same crash. The caller holds mu.
 func (m *stallMonitor) recordUnanswered(address string, gone bool) {
 	s := m.relay.cfg.Servers.ByAddress(address)
 	if s == nil || m.stream.runEvents.Load() >= answeredEvents {
 		return
 	}
-	m.relay.recordUnanswered(m.req, s)
+	if !m.blamed[address] {
+		m.blamed = addAddress(m.blamed, address)
+		m.relay.recordUnanswered(m.req, s)
+	}
 	if gone {
 		m.relay.cfg.Poison.RecordCrash(s.Incarnation())
 	}
