poison: an answer also clears the cuts of its request that wait

Callers of a sound request were refused for 10 s though it had been answered after each cut. A cut waits up to 6 s for the registry to tell that its server ended, and an answer meanwhile found no record that it could clear: answers to requests are not remembered, as their identity is computed only while there is evidence. So two servers lost half a second apart suspended a lookup that is polled and was answered twice since.

Before: TestAnswerBeforeTheCrashIsConfirmed: request_test.go:259: assertion failed: true (ok bool) != false (most > 0 bool): process 0, request sound.

An answer takes its request out of the cuts that wait, which are a reason to compute identities. The parts of prompts of these cuts stay; their answers are remembered. What another process answered before it knew of any evidence still does not count.

--- a/poison/request_test.go
+++ b/poison/request_test.go
@@ -238,3 +238,36 @@
 		f.checkRequest(t, "sound", 0, 0)
 	})
 }
+
+// Guards against evidence that is older than an answer to the request, when a server is only later found to
+// have crashed.
+func TestAnswerBeforeTheCrashIsConfirmed(t *testing.T) {
+	virtually(t, func(t *testing.T) {
+		f := newFleet(2)
+		for i := range 3 {
+			f.trackers[0].RecordCut(uint64(i), uint64(i), []poison.Part{requestPart("sound")})
+			time.Sleep(200 * time.Millisecond)
+			if f.trackers[0].TracksRequests() { // as callers of RecordAnswered do
+				f.trackers[0].RecordAnswered([]poison.Part{requestPart("sound")})
+			}
+		}
+		time.Sleep(3 * time.Second)
+		for i := range 3 {
+			f.trackers[0].RecordCrash(uint64(i))
+		}
+		time.Sleep(time.Second)
+		f.checkRequest(t, "sound", 0, 0)
+	})
+}
+
+// Guards against the hash of every body, long after the last cut run.
+func TestCutsEndWithoutEvidence(t *testing.T) {
+	virtually(t, func(t *testing.T) {
+		f := newFleet(1)
+		f.trackers[0].RecordCut(1, 1, []poison.Part{requestPart("sound")})
+		assert.Assert(t, f.trackers[0].TracksRequests())
+		time.Sleep(10 * time.Second)
+		f.trackers[0].Recent(false) // with each heartbeat
+		assert.Assert(t, !f.trackers[0].TracksRequests())
+	})
+}
--- a/poison/tracker.go
+++ b/poison/tracker.go
@@ -66,6 +66,7 @@
 	cfg         Config
 	quarantined atomic.Int32 // number of records with a quarantine, an upper bound
 	requests    atomic.Int32 // number of records of requests
+	waiting     atomic.Int32 // number of cuts that wait
 
 	mu       sync.Mutex
 	records  map[Part]*entry
@@ -139,8 +140,8 @@
 	return Part{}, 0, false, started
 }
 
-// TracksRequests reports whether there is evidence against any request.
-func (t *Tracker) TracksRequests() bool { return t.requests.Load() > 0 }
+// TracksRequests reports whether there is evidence against any request, or may be soon.
+func (t *Tracker) TracksRequests() bool { return t.requests.Load() > 0 || t.waiting.Load() > 0 }
 
 // Suspected reports whether a server crashed on a part and none answered it since.
 func (t *Tracker) Suspected(p Part) bool {
@@ -192,6 +193,8 @@
 				clear(t.answered)
 			}
 			t.answered[p] = now
+		} else {
+			t.clearCuts(p)
 		}
 		e := t.records[p]
 		if e == nil || (len(e.Crashes) == 0 && e.Until == 0) {
@@ -228,13 +231,28 @@
 		return
 	}
 	// A request that waits for a server is recorded again and again.
-	t.cuts = slices.DeleteFunc(t.cuts, func(x cut) bool { return now-x.at > cutAge || x.sameRun(c) })
+	t.dropCuts(func(x cut) bool { return now-x.at > cutAge || x.sameRun(c) })
 	if len(t.cuts) < maxCuts {
 		t.cuts = append(t.cuts, c)
+		t.waiting.Store(int32(len(t.cuts)))
 	}
 	t.mu.Unlock()
 }
 
+// dropCuts removes the cuts for which match returns true. The caller holds mu.
+func (t *Tracker) dropCuts(match func(c cut) bool) {
+	t.cuts = slices.DeleteFunc(t.cuts, match)
+	t.waiting.Store(int32(len(t.cuts)))
+}
+
+// clearCuts removes a request that was answered from the cuts that wait. The caller holds mu.
+func (t *Tracker) clearCuts(request Part) {
+	for i := range t.cuts {
+		t.cuts[i].parts = slices.DeleteFunc(t.cuts[i].parts, func(p Part) bool { return p == request })
+	}
+	t.dropCuts(func(c cut) bool { return len(c.parts) == 0 })
+}
+
 // candidates returns the parts that a crash may be blamed on: the quarantined one if there is one,
 // else the request, and those parts of its prompt without a recent answer, or all if there are none.
 // The caller holds mu.
@@ -269,7 +287,7 @@
 		}
 	}
 	t.crashed[server] = now
-	t.cuts = slices.DeleteFunc(t.cuts, func(c cut) bool {
+	t.dropCuts(func(c cut) bool {
 		if c.server != server {
 			return false
 		}
@@ -350,8 +368,9 @@
 	return len(t.records)-requests < maxRecords
 }
 
-// expire removes idle records. The caller holds mu.
+// expire removes idle records and old cuts. The caller holds mu.
 func (t *Tracker) expire(now time.Duration) {
+	t.dropCuts(func(c cut) bool { return now-c.at > cutAge })
 	for p, e := range t.records {
 		if e.idle(now) {
 			t.setActive(e, false)
