poison: the weakest evidence makes room for new evidence

A request that crashes each server went on to do so: it was neither suspended nor quarantined. Requests on servers that crash get a record each, about 20 for an engine, and those whose callers do not come back keep it for an hour. With 1,024 records, as after the loss of a rack of 50 engines, new requests were not tracked at all for a minute or more. Parts of prompts had the same fault, beyond 256.

Before: TestDeadlyRequestAfterManyCrashes: request_test.go:291: assertion failed: false (ok bool) != true (most > 0 bool): process 0, request deadly.

A new record now takes the place of the one with the fewest crashes, of these the one whose last crash is oldest. Records that were in quarantine stay, so the bounds and the memory of quarantines are as before.

--- a/poison/request_test.go
+++ b/poison/request_test.go
@@ -271,3 +271,24 @@
 		assert.Assert(t, !f.trackers[0].TracksRequests())
 	})
 }
+
+// Guards against a deadly request or part that is not tracked, since those on servers that crashed for
+// another reason fill the memory.
+func TestDeadlyRequestAfterManyCrashes(t *testing.T) {
+	virtually(t, func(t *testing.T) {
+		f := newFleet(2)
+		for i := range 2000 {
+			f.crashUnder(0, uint64(i), fmt.Sprint("r", i))
+			f.crash(0, uint64(i), uint64(i), fmt.Sprint("p", i))
+		}
+		time.Sleep(time.Second)
+		for i := range 3 {
+			f.crashUnder(i%2, uint64(10_000+i), "deadly")
+			f.crash(i%2, uint64(20_000+i), uint64(20_000+i), "deadly part")
+			time.Sleep(time.Second)
+			f.decide("deadly")
+		}
+		f.checkRequest(t, "deadly", 9*time.Minute, 10*time.Minute)
+		f.checkBlocked(t, true, "deadly part")
+	})
+}
--- a/poison/tracker.go
+++ b/poison/tracker.go
@@ -34,7 +34,7 @@
 	// maxCuts bounds the cut runs that wait.
 	maxCuts = 1000
 	// maxRecords bounds the parts of prompts with evidence, and maxRequests the requests. Beyond it
-	// new ones are not tracked. A crash of an engine cuts about 20 requests without an event.
+	// the weakest evidence is forgotten. A crash of an engine cuts about 20 requests without an event.
 	maxRecords  = 256
 	maxRequests = 1024
 	// answeredAge is how long an answer shows that a part is sound, so that it is not blamed while
@@ -339,7 +339,8 @@
 	return true
 }
 
-// entry returns the record of a part, which it creates if there is room. The caller holds mu.
+// entry returns the record of a part, which it creates unless quarantines leave no room. The caller holds
+// mu.
 func (t *Tracker) entry(p Part, now time.Duration) *entry {
 	e := t.records[p]
 	if e != nil {
@@ -347,7 +348,7 @@
 	}
 	if !t.hasRoom(p) {
 		t.expire(now)
-		if !t.hasRoom(p) {
+		if !t.hasRoom(p) && !t.evict(p, now) {
 			return nil
 		}
 	}
@@ -371,14 +372,38 @@
 // expire removes idle records and old cuts. The caller holds mu.
 func (t *Tracker) expire(now time.Duration) {
 	t.dropCuts(func(c cut) bool { return now-c.at > cutAge })
-	for p, e := range t.records {
+	for _, e := range t.records {
 		if e.idle(now) {
-			t.setActive(e, false)
-			delete(t.records, p)
-			if p.IsRequest() {
-				t.requests.Add(-1)
-			}
+			t.remove(e)
+		}
+	}
+}
+
+// evict removes the weakest record of the kind of a part: that with the fewest crashes, of these the one
+// whose last crash is oldest. Records that were in quarantine stay. It returns false if there is none. The
+// caller holds mu.
+func (t *Tracker) evict(p Part, now time.Duration) bool {
+	var weakest *entry
+	for _, e := range t.records {
+		if e.Part.IsRequest() != p.IsRequest() || e.Quarantined(now) || e.Terms > 0 {
+			continue
 		}
+		if weakest == nil || cmp.Or(cmp.Compare(len(e.Crashes), len(weakest.Crashes)), cmp.Compare(e.settlesIn(now), weakest.settlesIn(now))) < 0 {
+			weakest = e
+		}
+	}
+	if weakest != nil {
+		t.remove(weakest)
+	}
+	return weakest != nil
+}
+
+// remove removes a record. The caller holds mu.
+func (t *Tracker) remove(e *entry) {
+	t.setActive(e, false)
+	delete(t.records, e.Part)
+	if e.Part.IsRequest() {
+		t.requests.Add(-1)
 	}
 }
 
