relay: the last run of a stream is awaited when its engine is silent

A stream that had begun was cut though the engine that was to go on with it only paused for a second. A handover waits one second for the response header, so that the old run can go on instead. The bound stayed in force when the old run had failed meanwhile and the route allowed no further attempt: the new run was cancelled, and the caller's stream with it.

Before: TestHandoverIsAwaitedAfterTheOldRun: handover_test.go:103: assertion failed: error is not nil: the backend server did not answer (unavailable, may-have-run): unexpected EOF.

The bound is lifted once the old run has ended and no attempt is left. If one is left it stays, so that an engine that hangs does not hold up the stream.

--- a/relay/handover.go
+++ b/relay/handover.go
@@ -3,12 +3,13 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 )
 
 const (
 	// handoverTimeout bounds the wait for the response header of the run that is to take over a
-	// stream. The old run continues meanwhile.
+	// stream while the old run continues.
 	handoverTimeout = time.Second
 	// plannedMoveReserve is the share of the retry budget's burst that planned moves of streams
 	// leave for streams that lost an engine.
@@ -20,10 +21,18 @@
 // cut a healthy stream, and so would the lack of a path or of a retry.
 type handover struct {
 	done chan struct{}
-	run  *run  // nil if there is no run or it was not accepted; valid once done is closed
-	err  error // reason if run is nil
+	run  *run         // nil if there is no run or it was not accepted; valid once done is closed
+	err  error        // reason if run is nil
+	wait atomic.Int32 // state of the wait for the response header
 }
 
+// States of the wait for the response header of a handover.
+const (
+	waitBounded   int32 = iota // by handoverTimeout
+	waitUnbounded              // the old run has ended, and no attempt is left
+	waitOver                   // the header arrived, or the wait took too long
+)
+
 // pending reports whether the new run is still waiting for its response header, or was accepted
 // and is about to take over.
 func (h *handover) pending() bool {
@@ -63,12 +72,15 @@
 }
 
 // awaitSuccessor waits for a handover in progress and returns its run. It returns nil if there is
-// no handover or the run was not accepted.
+// no handover or the run was not accepted. If no attempt is left, the wait ends with the request only.
 func (st *streamState) awaitSuccessor() *run {
 	h := st.takeSuccessor()
 	if h == nil {
 		return nil
 	}
+	if !st.attemptsLeft() {
+		h.wait.CompareAndSwap(waitBounded, waitUnbounded)
+	}
 	<-h.done
 	if h.run == nil {
 		st.uncountRefusal(h.err)
@@ -162,13 +174,18 @@
 
 // startRun sends the new run of a handover and records whether it was accepted.
 func (m *stallMonitor) startRun(h *handover, rn *run, why move, attempt int) {
-	timer := time.AfterFunc(handoverTimeout, rn.cancel)
+	timer := time.AfterFunc(handoverTimeout, func() {
+		if h.wait.CompareAndSwap(waitBounded, waitOver) {
+			rn.cancel()
+		}
+	})
 	ans, err := m.stream.send(rn)
+	timer.Stop()
 	switch {
 	case err != nil && rn.ctx.Err() == nil:
 		m.relay.recordCut(rn.ctx, m.req, rn.path.first, err)
 	case err != nil:
-	case !timer.Stop():
+	case h.wait.Swap(waitOver) == waitOver:
 		err = context.DeadlineExceeded
 	default:
 		err = m.stream.checkContinuation(ans)
--- a/relay/handover_test.go
+++ b/relay/handover_test.go
@@ -88,6 +88,23 @@
 	})
 }
 
+// Guards against a stream that ends because the only run that is left to it is given up when its engine is
+// silent for a second.
+func TestHandoverIsAwaitedAfterTheOldRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newDrainingCluster(t, &pacedBody{left: 105, endErr: io.ErrUnexpectedEOF}, func(ctx context.Context, a relay.Attempt) (*relay.Answer, error) {
+			select {
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			case <-time.After(1400 * time.Millisecond):
+			}
+			return newResumedAnswer(ctx, a), nil
+		})
+		checkServed(t, cl.serve(t.Context(), request(config.Stream, 2)), events(1, 200))
+		assert.Equal(t, cl.attemptCount(), 2)
+	})
+}
+
 // Guards against planned moves that use up the retries which streams need when they lose an
 // engine.
 func TestPlannedMovesLeaveRetries(t *testing.T) {
