relay: no handover for a run that has ended

A stream that went on after a silence and ended took a retry from the budget, and its request was sent to another engine for nobody. The end of a run cancels the order of a detour that is under way; replaceEngines took the error for one of the engine and started a handover.

Before: TestNoHandoverAfterTheEnd: stall_test.go:120: assertion failed: 19 (float64) != 20 (retryBurst + 0.0 float64).

An error of an order whose run has ended is no reason to go on.

--- a/relay/stall.go
+++ b/relay/stall.go
@@ -379,6 +379,9 @@
 			return
 		}
 		t.release()
+		if m.ctx.Err() != nil {
+			return // the run ended meanwhile
+		}
 		var rejected *PathRejectedError
 		if !errors.As(err, &rejected) || dead[rejected.Address] {
 			break
--- a/relay/stall_test.go
+++ b/relay/stall_test.go
@@ -98,6 +98,28 @@
 	})
 }
 
+// Guards against a new run of a stream that went on and ended while a detour was being ordered.
+func TestNoHandoverAfterTheEnd(t *testing.T) {
+	b, c := engineEntry("b", "near", 4, 8), slowAccelerator(engineEntry("c", "near", 4, 8))
+	cl := newCluster(t, engineEntry("a", "near", 0, 4), slowAccelerator(engineEntry("d", "near", 0, 4)), b, c)
+	cl.kill(b.Address)
+	cl.onSend = func(ctx context.Context, n int, _ *relay.Request, _ relay.Attempt) (*relay.Answer, error) {
+		if n > 1 {
+			return refusal(), nil
+		}
+		ans := signedAnswer(http.StatusOK, "")
+		ans.Body = &pausingBody{pacedBody: pacedBody{ctx: ctx, left: 20}, pauseAt: 19, pause: 500 * time.Millisecond}
+		return ans, nil
+	}
+	cl.onRepath = func([]relay.Hop) error {
+		time.Sleep(700 * time.Millisecond) // the order gets no answer
+		return connectionReset()
+	}
+	checkServed(t, cl.serve(t.Context(), request(config.Stream, 2)), events(1, 20))
+	assert.Equal(t, cl.repaths, 1)
+	assert.Equal(t, cl.budget.Available(), retryBurst+0.0)
+}
+
 // Guards against a data race, which may end the process, between a check of a stream and the failure of its
 // run.
 func TestFailureDuringACheck(t *testing.T) {
