relay: a crash is confirmed by a query after the cut, or by a connection

A request that crashes servers was sent to the next one at once, and other processes were not told, although its server had ended. confirmCrash shared any report that was asked for up to 60 ms earlier, as by a stream that stalls, so an answer from before the crash told that the server lives. With no query left, as in a backlog, it asked nothing. Either way only the registry told of the crash, 3.6 s later.

Before: TestCrashIsConfirmed/after_a_report and /without_a_query: report_test.go:109: assertion failed: 0 (suspected int) != 1 (int).

Only queries that were started with the cut, or 5 ms before it, count now: the runs that one crash cuts share them. Without a query a connection is tried, as for plain services.

--- a/relay/report.go
+++ b/relay/report.go
@@ -116,10 +116,15 @@
 // cached returns a query that was started at most reportMaxAge ago, or starts one. Once the
 // budget is used up it returns a skipped one.
 func (r *reportCache) cached(address string) *reportRead {
+	return r.startedSince(address, time.Now().Add(-reportMaxAge))
+}
+
+// startedSince is cached for queries that were started at a time or later.
+func (r *reportCache) startedSince(address string, since time.Time) *reportRead {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	recent := r.reads[address]
-	if recent != nil && time.Since(recent.startedAt) <= reportMaxAge {
+	if recent != nil && !recent.startedAt.Before(since) {
 		return recent
 	}
 	rd := &reportRead{done: make(chan struct{}), startedAt: time.Now()}
--- a/relay/report_test.go
+++ b/relay/report_test.go
@@ -4,13 +4,20 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
+
+	"github.com/cranberrybay/cranberrybay/config"
+	"github.com/cranberrybay/cranberrybay/poison"
+	"github.com/cranberrybay/cranberrybay/server"
 )
 
 // Guards against unbounded report queries while streams wait in a backlog, against an engine that
@@ -65,3 +72,43 @@
 		time.Sleep(2 * reportRetention)
 	})
 }
+
+// Guards against a crash that is not noticed because the engine answered a query just before it, or because
+// no query is left.
+func TestCrashIsConfirmed(t *testing.T) {
+	for name, before := range map[string]func(r *Relay){
+		"after a report": func(r *Relay) { <-r.reports.cached("a:1").done },
+		"without a query": func(r *Relay) {
+			for r.reports.budget.TryRetry() {
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				down := false
+				table, tracker := server.NewTable(server.Config{Log: zerolog.Nop()}), poison.New(poison.Config{Log: zerolog.Nop()})
+				table.Apply([]server.Change{{ID: "a", Entry: server.Entry{ID: "a", Service: "s", Address: "a:1"}}}, true, 0)
+				probe := func() error {
+					if down {
+						return syscall.ECONNREFUSED
+					}
+					return nil
+				}
+				r := New(Config{
+					Servers: table, Poison: tracker, Log: zerolog.Nop(),
+					FetchReport: func(context.Context, string) (Report, error) { return Report{}, probe() },
+					Probe:       func(context.Context, string) error { return probe() },
+				})
+				before(r)
+				time.Sleep(30 * time.Millisecond)
+				down = true
+				req := &Request{Service: config.Service{Engine: &config.Engine{}}}
+				req.identity = sync.OnceValue(req.newIdentity)
+				r.recordCut(t.Context(), req, table.ByAddress("a:1"), mayHaveRunError(reasonNoAnswer, io.ErrUnexpectedEOF))
+				suspected, _ := tracker.Counts(true)
+				assert.Equal(t, suspected, 1)
+				time.Sleep(2 * reportRetention)
+			})
+		})
+	}
+}
--- a/relay/trial.go
+++ b/relay/trial.go
@@ -111,18 +111,24 @@
 	return r.cfg.Poison.TracksRequests() && r.cfg.Poison.Suspected(req.identity())
 }
 
+// cutSpread is the time within which a process learns of all runs that a crash has cut, which share a
+// query.
+const cutSpread = 5 * time.Millisecond
+
 // confirmCrash finds out whether a server that cut a request has ended, before the request is sent
-// to another one.
+// to another one. A report from before the cut does not tell.
 func (r *Relay) confirmCrash(ctx context.Context, req *Request, s *server.Server) {
-	refused := false
+	refused, skipped := false, true
 	if req.Service.Engine != nil {
-		rd := r.reports.cached(s.Address())
+		rd := r.reports.startedSince(s.Address(), time.Now().Add(-cutSpread))
 		select {
 		case <-rd.done:
-			refused = rd.refused
+			refused, skipped = rd.refused, rd.skipped
 		case <-ctx.Done():
+			return
 		}
-	} else if r.cfg.Probe != nil {
+	}
+	if skipped && r.cfg.Probe != nil {
 		probe, cancel := context.WithTimeout(ctx, reportTimeout)
 		defer cancel()
 		refused = errors.Is(r.cfg.Probe(probe, s.Address()), syscall.ECONNREFUSED)
