relay: many streams on a crashed engine are not lost to the queue of trials

Callers of sound streams got 502 after an ordinary crash, though other engines were free. Each process tries the requests on which a server crashed one after the other, about 0.1 s each, and one that waits for a second was given up. So a process with some fifteen such streams on the engine lost a third of them.

A request on which one server crashed, and that no process is trying, is sent beside the others at the end of the second. One with two crashes is still refused, and no request holds two servers.

--- a/poison/request_test.go
+++ b/poison/request_test.go
@@ -150,16 +150,16 @@
 	virtually(t, func(t *testing.T) {
 		f := newFleet(3)
 		f.crashUnder(0, 1, "deadly")
-		assert.Assert(t, f.trackers[1].TryAlone(requestPart("deadly")) > 0, "the evidence of other processes is not awaited")
+		assert.Assert(t, f.trackers[1].TryAlone(requestPart("deadly"), true) > 0, "the evidence of other processes is not awaited")
 		time.Sleep(time.Second)
-		assert.Equal(t, f.trackers[0].TryAlone(requestPart("deadly")), time.Duration(0))
-		assert.Equal(t, f.trackers[0].TryAlone(requestPart("deadly")), time.Duration(0))
+		assert.Equal(t, f.trackers[0].TryAlone(requestPart("deadly"), true), time.Duration(0))
+		assert.Equal(t, f.trackers[0].TryAlone(requestPart("deadly"), true), time.Duration(0))
 		for _, x := range f.trackers[1:] {
-			assert.Assert(t, x.TryAlone(requestPart("deadly")) > 0)
+			assert.Assert(t, x.TryAlone(requestPart("deadly"), true) > 0)
 		}
 		time.Sleep(poison.MaxTrial)
-		assert.Equal(t, f.trackers[2].TryAlone(requestPart("deadly")), time.Duration(0))
-		assert.Assert(t, f.trackers[0].TryAlone(requestPart("deadly")) > 0)
+		assert.Equal(t, f.trackers[2].TryAlone(requestPart("deadly"), true), time.Duration(0))
+		assert.Assert(t, f.trackers[0].TryAlone(requestPart("deadly"), true) > 0)
 	})
 }
 
--- a/poison/tracker.go
+++ b/poison/tracker.go
@@ -143,18 +143,21 @@
 // TracksRequests reports whether there is evidence against any request, or may be soon.
 func (t *Tracker) TracksRequests() bool { return t.requests.Load() > 0 || t.waiting.Load() > 0 }
 
-// Suspected reports whether a server crashed on a part and none answered it since.
-func (t *Tracker) Suspected(p Part) bool {
+// Crashes returns the number of servers that crashed on a part since one answered it.
+func (t *Tracker) Crashes(p Part) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e := t.records[p]
-	return e != nil && len(e.Crashes) > 0
+	if e := t.records[p]; e != nil {
+		return len(e.Crashes)
+	}
+	return 0
 }
 
 // TryAlone begins the trial of a suspected request, which it tells the other processes, and returns 0.
 // It returns how long to wait instead if the evidence of its last crash is not known to all processes
-// yet, or if another process may be trying the request.
-func (t *Tracker) TryAlone(p Part) time.Duration {
+// yet, or if another process may be trying the request. ordered means that this process has no other
+// trial of it.
+func (t *Tracker) TryAlone(p Part, ordered bool) time.Duration {
 	now := Now()
 	t.mu.Lock()
 	e := t.records[p]
@@ -163,7 +166,7 @@
 		return 0
 	}
 	wait := e.settlesIn(now)
-	if e.TriedAt > 0 && !e.triedHere {
+	if e.TriedAt > 0 && !(ordered && e.triedHere) {
 		wait = max(wait, e.TriedAt+MaxTrial-now)
 	}
 	if wait > 0 {
--- a/relay/deadly_test.go
+++ b/relay/deadly_test.go
@@ -296,3 +296,34 @@
 		assert.Equal(t, len(records[0].Crashes), 1, "%v", records[0].Crashes)
 	})
 }
+
+// Guards against sound streams that are lost after the crash of an engine, since they wait for each other's
+// trials.
+func TestManyStreamsOnACrashedEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		begun := time.Now()
+		defer clock.Replace(func() time.Duration { return time.Since(begun) })()
+		var entries []server.Entry
+		for i := range 8 {
+			entries = append(entries, engineEntry(fmt.Sprint("e", i), "near", 0, 8))
+		}
+		f := newDeadlyFleet(1, entries...)
+		var mu sync.Mutex
+		var untried []error
+		var wg sync.WaitGroup
+		for n := range 120 {
+			wg.Go(func() {
+				err := f.call(t.Context(), deadlyRequest(config.Stream, n, false))
+				mu.Lock()
+				defer mu.Unlock()
+				if err != nil && strings.Contains(err.Error(), "one at a time") {
+					untried = append(untried, err)
+				}
+			})
+		}
+		time.Sleep(10 * time.Millisecond)
+		f.crash("e0:1")
+		wg.Wait()
+		assert.Equal(t, len(untried), 0)
+	})
+}
--- a/relay/trial.go
+++ b/relay/trial.go
@@ -44,7 +44,7 @@
 }
 
 // maxTrialWait bounds how long a suspect waits for the trials of others. Callers leave a stream after
-// two seconds without an event.
+// two seconds without an event. One on which a single server crashed is then sent beside them.
 const maxTrialWait = time.Second
 
 // trialSpread spreads the trials of one request that several processes wait for, so that the first one
@@ -61,6 +61,8 @@
 		defer cancel()
 		if end, err = r.trials.begin(wait, req.Service.Name); err == nil {
 			err = r.awaitTrial(wait, req)
+		} else if ctx.Err() == nil && r.cfg.Poison.Crashes(req.identity()) <= 1 && r.cfg.Poison.TryAlone(req.identity(), false) <= 0 {
+			err = nil // sound requests must not be lost to the queue after the crash of a server
 		}
 		if err != nil {
 			end()
@@ -84,7 +86,7 @@
 		if _, _, ok := r.cfg.Poison.Blocked(r.suspectParts(req)); ok {
 			return nil
 		}
-		wait := r.cfg.Poison.TryAlone(req.identity())
+		wait := r.cfg.Poison.TryAlone(req.identity(), true)
 		if wait <= 0 {
 			return nil
 		}
@@ -108,7 +110,7 @@
 
 // isSuspect reports whether a server crashed on a request and none answered it since.
 func (r *Relay) isSuspect(req *Request) bool {
-	return r.cfg.Poison.TracksRequests() && r.cfg.Poison.Suspected(req.identity())
+	return r.cfg.Poison.TracksRequests() && r.cfg.Poison.Crashes(req.identity()) > 0
 }
 
 // cutSpread is the time within which a process learns of all runs that a crash has cut, which share a
