beat: the announcement of a crash fits datagrams

Other processes were not told of a crash, so the request that caused it went on to crash servers through them. The evidence of one crash was sent as one datagram, whose length callers choose: a request has up to 32 parts of 64 bytes, and twenty requests on the server make more than UDP carries. The datagram was not sent, which is logged at debug level only; heartbeats repeat 32 records of all that have one crash.

Before: TestAnnouncementFitsADatagram: beat_test.go:546: assertion failed: longest is >= maxDatagram: 94071 bytes.

An announcement is split into datagrams of 64 records.

--- a/beat/beat_test.go
+++ b/beat/beat_test.go
@@ -530,3 +530,26 @@
 	assert.Assert(t, got[0].Crashes[0].At > 0)
 	assert.Assert(t, got[0].Until-poison.Now() <= poison.MaxTerm)
 }
+
+// Guards against a crash that is not announced, since the parts of prompts that the server had make the
+// message longer than a datagram.
+func TestAnnouncementFitsADatagram(t *testing.T) {
+	runVirtual(t, func(t *testing.T, n *net) {
+		a, b, c, _ := startTwoDomains(n)
+		longest := 0
+		n.capture = func(_, _ string, raw []byte) { longest = max(longest, len(raw)) }
+		var records []poison.Record
+		for i := range 1000 {
+			records = append(records, poison.Record{Part: poison.Part{Service: "s", ID: fmt.Sprintf("%064d", i)}, Crashes: []poison.Crash{{Server: 1, Request: 1, At: poison.Now()}}})
+		}
+		b.membership.ReportSuspects(records)
+		assert.Assert(t, longest < maxDatagram, "%d bytes", longest)
+		for _, x := range []*node{a, c} {
+			suspected, _ := x.poison.Counts(false)
+			assert.Equal(t, suspected, 256)
+		}
+	})
+}
+
+// maxDatagram is what UDP carries over IPv4, in bytes.
+const maxDatagram = 65507
--- a/beat/suspect.go
+++ b/beat/suspect.go
@@ -1,6 +1,7 @@
 package beat
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cranberrybay/cranberrybay/poison"
@@ -10,6 +11,9 @@
 // maxSuspectAge bounds the ages in a message, so that sums with the clock of records stay positive.
 const maxSuspectAge = 8 * time.Hour
 
+// maxReported bounds the records in one datagram. A record takes up to 300 bytes.
+const maxReported = 64
+
 // Suspects holds records of parts of prompts that may crash backend servers, for heartbeats.
 type Suspects struct {
 	Own     []poison.Record // that this process itself changed lately
@@ -19,7 +23,9 @@
 
 // ReportSuspects tells all processes at once what this one has seen of parts of prompts.
 func (ms *Membership) ReportSuspects(records []poison.Record) {
-	ms.broadcast(notice{suspects: EncodeSuspects(records)})
+	for some := range slices.Chunk(records, maxReported) {
+		ms.broadcast(notice{suspects: EncodeSuspects(some)})
+	}
 }
 
 // EncodeSuspects converts records to their wire form.
