relay: a planned end of a server is no evidence against its requests

Sound requests were suspected, and after two such ends refused for 10 s, when servers that had announced their end stopped with them, as in a release. The registry's word on a server that drained or said that it leaves was heeded (server.Table), but a port that refuses connections after a cut counted in any case.

Before: TestPlannedEndIsNoCrash/draining and /said_so: report_test.go:138: assertion failed: 1 (suspected int) != 0 (int).

The end of a server that is listed as draining, or said that it leaves, says nothing. Servers whose entry is removed without draining, and that serve on, still can't be told from dead ones.

--- a/relay/poison.go
+++ b/relay/poison.go
@@ -66,14 +66,20 @@
 }
 
 // recordCut notes that a server ended a run before it had shown that it can answer the request, and
-// waits until it is known whether the server still listens.
+// waits until it is known whether the server still listens. The end of a server that leaves says nothing.
 func (r *Relay) recordCut(ctx context.Context, req *Request, s *server.Server, err error) {
-	if fault.VerdictOf(err) == fault.MayHaveRun {
+	if fault.VerdictOf(err) == fault.MayHaveRun && !r.endIsPlanned(s) {
 		r.recordUnanswered(req, s)
 		r.confirmCrash(ctx, req, s)
 	}
 }
 
+// endIsPlanned reports whether the registry lists a server as draining, or the server said that it leaves.
+func (r *Relay) endIsPlanned(s *server.Server) bool {
+	listed := r.cfg.Servers.ByAddress(s.Address())
+	return listed != nil && listed.Incarnation() == s.Incarnation() && (listed.Entry().Draining || listed.SaidLeaving())
+}
+
 // recordUnanswered notes that a server had a request and has not shown that it can answer it. The
 // request and the parts of its prompt are blamed if the server turns out to have crashed.
 func (r *Relay) recordUnanswered(req *Request, s *server.Server) {
--- a/relay/report_test.go
+++ b/relay/report_test.go
@@ -112,3 +112,31 @@
 		})
 	}
 }
+
+// Guards against requests that are refused because servers end while they have them, after they had
+// announced it.
+func TestPlannedEndIsNoCrash(t *testing.T) {
+	entry := server.Entry{ID: "a", Service: "s", Address: "a:1"}
+	for name, leave := range map[string]func(table *server.Table){
+		"draining": func(table *server.Table) {
+			entry := entry
+			entry.Draining = true
+			table.Apply([]server.Change{{ID: "a", Entry: entry}}, false, 0)
+		},
+		"said so": func(table *server.Table) { table.MarkLeaving([]uint64{table.ByAddress("a:1").Incarnation()}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			table, tracker := server.NewTable(server.Config{Log: zerolog.Nop()}), poison.New(poison.Config{Log: zerolog.Nop()})
+			table.Apply([]server.Change{{ID: "a", Entry: entry}}, true, 0)
+			s := table.ByAddress("a:1")
+			r := New(Config{Servers: table, Poison: tracker, Log: zerolog.Nop(), Probe: func(context.Context, string) error { return syscall.ECONNREFUSED }})
+			req := &Request{}
+			req.identity = sync.OnceValue(req.newIdentity)
+			leave(table)
+			r.recordCut(t.Context(), req, s, mayHaveRunError(reasonNoAnswer, io.ErrUnexpectedEOF))
+			suspected, _ := tracker.Counts(true)
+			assert.Equal(t, suspected, 0)
+			assert.Assert(t, !tracker.TracksRequests())
+		})
+	}
+}
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -293,7 +293,7 @@
 // it has if it is gone. Further checks of the run find the same crash. The caller holds mu.
 func (m *stallMonitor) recordUnanswered(address string, gone bool) {
 	s := m.relay.cfg.Servers.ByAddress(address)
-	if s == nil || m.stream.runEvents.Load() >= answeredEvents {
+	if s == nil || m.stream.runEvents.Load() >= answeredEvents || m.relay.endIsPlanned(s) {
 		return
 	}
 	if !m.blamed[address] {
