link: an interim answer does not bound the wait for the answer

Callers got 502 for a request that a sound server was working on: if it sent an interim answer such as 100 Continue and took more than 2 s for the answer, the connection was closed. The bound on the time of a head ran from the first byte of the interim answer. No server of the deployments is known to send one; found by reading the bounds of time for those that end an answer because a server is silent.

Before: TestSilenceAfterAnInterimAnswer: link_test.go:318: assertion failed: error is not nil: the server did not answer (unavailable, may-have-run): head of the answer did not end in time.

The bound begins again with the first byte of the next head. The bounds of bytes and of interim answers stay.

--- a/link/link.go
+++ b/link/link.go
@@ -173,6 +173,16 @@
 	l.remaining, l.deadline, l.deadlineSet = maxHeadBytes, time.Time{}, false
 }
 
+// awaitHead ends the limit of time, until the head that follows an interim answer begins.
+func (l *headLimiter) awaitHead() error {
+	set := l.deadlineSet
+	l.deadline, l.deadlineSet = time.Time{}, false
+	if !set {
+		return nil
+	}
+	return l.SetReadDeadline(time.Time{})
+}
+
 // endHead stops limiting reads.
 func (l *headLimiter) endHead() error {
 	l.remaining = unlimited
@@ -362,6 +372,12 @@
 			return nil, errSwitched // no request asks for it
 		}
 		if rs.StatusCode < http.StatusOK {
+			if x.conn.reader.Buffered() > 0 {
+				continue // the next head has begun
+			}
+			if err := x.conn.limiter.awaitHead(); err != nil {
+				return nil, err
+			}
 			continue
 		}
 		if err := x.conn.limiter.endHead(); err != nil {
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -303,3 +303,21 @@
 		assert.NilError(t, ans.Body.Close())
 	}
 }
+
+// Guards against a request that is given up because its server says at once that it goes on, and takes longer
+// for the answer than for a head.
+func TestSilenceAfterAnInterimAnswer(t *testing.T) {
+	address := listen(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		if rq, _ := receive(r); rq != nil {
+			_, _ = io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n")
+			time.Sleep(2500 * time.Millisecond)
+			respond(c, rq.Header.Get("Id"), "late")
+		}
+	})
+	ans, err := link.New(link.Config{}).Do(t.Context(), address, request("1", false))
+	assert.NilError(t, err)
+	body, err := io.ReadAll(ans.Body)
+	assert.NilError(t, err)
+	assert.NilError(t, ans.Body.Close())
+	assert.Equal(t, string(body), "late")
+}
