beat: a crash in a message that waited is as old as the message

Sound requests were suspended after a single crash, and answers took away evidence that was newer than they. Messages name ages. Those that wait in the socket of a frozen VM, up to 5 s, were decoded as if they had just been sent, and a frozen hub passed them on with the same ages. The crash then had two times, more than 2 s apart: two crashes of one server. Rates and servers that leave had been decoded by the age of their message.

Before: TestCrashInAnOldDatagramCountsOnce: beat_test.go:557: assertion failed: 2 (int) != 1 (int): process a.

The age of a message is added to those in it, also when a hub passes it on, if it is half a second or more: shorter ones are mostly differences between clocks, which would shorten the wait for the evidence of others.

--- a/beat/beat_test.go
+++ b/beat/beat_test.go
@@ -531,6 +531,34 @@
 	assert.Assert(t, got[0].Until-poison.Now() <= poison.MaxTerm)
 }
 
+// Guards against one crash that counts as two, since the message about it waited in a process that was
+// frozen.
+func TestCrashInAnOldDatagramCountsOnce(t *testing.T) {
+	runVirtual(t, func(t *testing.T, n *net) {
+		a, b, c, x := startTwoDomains(n)
+		var held [][]byte
+		n.capture = func(_, to string, raw []byte) {
+			if to == "a" {
+				held = append(held, raw)
+			}
+		}
+		n.cut = func(_, to string) bool { return to == "a" }
+		b.crash(1)
+		n.capture = nil
+		time.Sleep(3 * time.Second)
+		n.cut = nil
+		for _, raw := range held {
+			a.membership.Receive(raw)
+		}
+		b.membership.ReportSuspects(b.poison.Records())
+		for _, y := range []*node{a, c, x} {
+			records := y.poison.Records()
+			assert.Equal(t, len(records), 1)
+			assert.Equal(t, len(records[0].Crashes), 1, "process %s", y.peer.Name)
+		}
+	})
+}
+
 // Guards against a crash that is not announced, since the parts of prompts that the server had make the
 // message longer than a datagram.
 func TestAnnouncementFitsADatagram(t *testing.T) {
--- a/beat/receive.go
+++ b/beat/receive.go
@@ -57,8 +57,9 @@
 		return
 	}
 	ms.redirect(&b)
-	ms.forward(&b)
-	ms.deliver(&b, max(own-time.Duration(b.Clock)*time.Millisecond, 0))
+	held := max(own-time.Duration(b.Clock)*time.Millisecond, 0)
+	ms.forward(&b, held)
+	ms.deliver(&b, held)
 }
 
 // redirect tells a process that wrongly treats this one as the hub which process is.
@@ -187,11 +188,11 @@
 
 // forward relays the contents of notices: a hub sends those of a member to all processes,
 // and those of another hub to its members. Records in heartbeats are not relayed, since
-// the hub's own heartbeats hold what it took from them.
-func (ms *Membership) forward(b *wire.Beat) {
+// the hub's own heartbeats hold what it took from them. held is the age of the message.
+func (ms *Membership) forward(b *wire.Beat, held time.Duration) {
 	x := notice{pages: b.Pages, dead: b.Dead}
 	if b.Loads == nil {
-		x.suspects, x.rates, x.leavers = b.Suspects, b.Rates, b.Leavers
+		x.suspects, x.rates, x.leavers = EncodeSuspects(DecodeSuspects(b.Suspects, held)), b.Rates, b.Leavers
 	}
 	if x.isEmpty() {
 		return
@@ -234,7 +235,7 @@
 	}
 	ms.applyDeadReports(b.Dead)
 	if len(b.Suspects) > 0 && ms.cfg.OnSuspects != nil {
-		ms.cfg.OnSuspects(DecodeSuspects(b.Suspects, 0))
+		ms.cfg.OnSuspects(DecodeSuspects(b.Suspects, held))
 	}
 	if len(b.Rates) > 0 && ms.cfg.OnRates != nil {
 		ms.cfg.OnRates(DecodeRates(b.Rates, held))
--- a/beat/suspect.go
+++ b/beat/suspect.go
@@ -11,6 +11,10 @@
 // maxSuspectAge bounds the ages in a message, so that sums with the clock of records stay positive.
 const maxSuspectAge = 8 * time.Hour
 
+// minHeld is the age from which a message is taken to have waited. Below it the age is mostly the
+// difference of what two processes take for the platform's clock.
+const minHeld = 500 * time.Millisecond
+
 // maxReported bounds the records in one datagram. A record takes up to 300 bytes.
 const maxReported = 64
 
@@ -63,7 +67,10 @@
 // DecodeSuspects converts records from their wire form, of which held is the age. A record whose
 // lists differ in length is left out.
 func DecodeSuspects(suspects []*wire.Suspect, held time.Duration) []poison.Record {
-	now := poison.Now() - held
+	now := poison.Now()
+	if held >= minHeld {
+		now -= held
+	}
 	at := func(age uint32) time.Duration {
 		return now - min(time.Duration(age)*time.Millisecond, maxSuspectAge)
 	}
