relay, poison: requests that come to several processes at once are tried one at a time

A request that crashes servers went on to do so when it came to several processes at the same moment: each began a trial at once, since none knew of the others' yet, as trials were spread only for processes that had to wait. The crashes of one moment count as one, so the quarantine came after ten of them at worst, and four arrivals reached servers later than 3 s after the third crash, where the users' rule allows three.

--- a/poison/tracker.go
+++ b/poison/tracker.go
@@ -153,23 +153,39 @@
 	return 0
 }
 
-// TryAlone begins the trial of a suspected request, which it tells the other processes, and returns 0.
-// It returns how long to wait instead if the evidence of its last crash is not known to all processes
-// yet, or if another process may be trying the request. ordered means that this process has no other
-// trial of it.
-func (t *Tracker) TryAlone(p Part, ordered bool) time.Duration {
-	now := Now()
+// TrialIn returns how long the trial of a suspected request has to wait: until the evidence of its last
+// crash is known to all processes, and until no other process may be trying it.
+func (t *Tracker) TrialIn(p Part) time.Duration {
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	e := t.records[p]
-	if e == nil || len(e.Crashes) == 0 {
-		t.mu.Unlock()
+	if e == nil {
 		return 0
 	}
+	return e.trialIn(Now(), true)
+}
+
+// trialIn is TrialIn of an entry. ordered means that this process has no other trial of it. The caller
+// holds mu.
+func (e *entry) trialIn(now time.Duration, ordered bool) time.Duration {
 	wait := e.settlesIn(now)
 	if e.TriedAt > 0 && !(ordered && e.triedHere) {
 		wait = max(wait, e.TriedAt+MaxTrial-now)
 	}
-	if wait > 0 {
+	return max(wait, 0)
+}
+
+// TryAlone begins the trial of a suspected request, which it tells the other processes, and returns 0,
+// or returns how long to wait instead. ordered means that this process has no other trial of it.
+func (t *Tracker) TryAlone(p Part, ordered bool) time.Duration {
+	now := Now()
+	t.mu.Lock()
+	e := t.records[p]
+	if e == nil || len(e.Crashes) == 0 {
+		t.mu.Unlock()
+		return 0
+	}
+	if wait := e.trialIn(now, ordered); wait > 0 {
 		t.mu.Unlock()
 		return wait
 	}
--- a/relay/deadly_test.go
+++ b/relay/deadly_test.go
@@ -327,3 +327,34 @@
 		assert.Equal(t, len(untried), 0)
 	})
 }
+
+// Guards against a request that comes to all processes at the same moment and is tried by each of them.
+func TestDeadlyRequestAtAllProcessesAtOnce(t *testing.T) {
+	for name, kind := range map[string]config.Kind{"stream": config.Stream, "idempotent": config.Idempotent, "at most once": config.AtMostOnce} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				begun := time.Now()
+				defer clock.Replace(func() time.Duration { return time.Since(begun) })()
+				var entries []server.Entry
+				for i := range 6 {
+					e := engineEntry(fmt.Sprint("e", i), "near", 0, 8)
+					if kind != config.Stream {
+						e = plainEntry(e.ID)
+					}
+					entries = append(entries, e)
+				}
+				f := newDeadlyFleet(4, entries...)
+				var wg sync.WaitGroup
+				for n := range 30 {
+					time.Sleep(time.Second)
+					for _, r := range f.processes {
+						wg.Go(func() { _ = r.Serve(t.Context(), deadlyRequest(kind, n, true), discard()) })
+					}
+				}
+				wg.Wait()
+				t.Logf("%d crashes, %d late arrivals", len(f.crashes), f.lateArrivals())
+				assert.Assert(t, f.lateArrivals() <= maxLateSends, "%d arrivals at servers later than %v after the third crash; %d crashes", f.lateArrivals(), poisonWindow, len(f.crashes))
+			})
+		})
+	}
+}
