relay: an order to change a path that gets no answer is given up

A stream whose second engine had died ended at its deadline without the rest of its answer, though other engines were free. The order to the first engine to go on over another one had no bound of its own. An engine that leaves orders unanswered, or is silent, held up the check of the stream, and with it each other way out, until the deadline; so did the move off a first engine that leaves, which waits for the same lock while events arrive.

Before: TestOrderWithoutAnswer: stall_test.go:151: assertion failed: error is not nil: the request did not finish in time (timeout, may-have-run): context deadline exceeded, after 8.0 s.

The wait for the answer ends after 400 ms, and the stream is resumed elsewhere while the old run goes on.

--- a/relay/stall.go
+++ b/relay/stall.go
@@ -59,6 +59,9 @@
 	leaveAfterGiveUp = 500 * time.Millisecond
 	// leaveRetryDelay is the delay between two attempts to leave an engine.
 	leaveRetryDelay = 400 * time.Millisecond
+	// repathTimeout bounds the wait for the answer to an order to change a path. Engines may leave orders
+	// unanswered, and a stream that waits is then resumed elsewhere.
+	repathTimeout = 400 * time.Millisecond
 	// maxRepaths bounds the attempts to change the path of one run.
 	maxRepaths = 6
 )
@@ -371,7 +374,7 @@
 		if !ok {
 			break
 		}
-		err := r.cfg.Repath(m.ctx, m.path.first.Address(), m.req.ID, t.currentHops())
+		err := m.orderPath(t)
 		r.cfg.Log.Info().Str("id", m.req.ID).Strs("dead", sortedAddresses(dead)).Str("path", t.String()).Err(err).Msg("stream moved to another path")
 		if err == nil {
 			r.cfg.Count("repath")
@@ -400,5 +403,12 @@
 	r.cfg.Log.Info().Err(err).Str("id", m.req.ID).Strs("dead", sortedAddresses(dead)).Msg("no other path for a stalled stream")
 }
 
+// orderPath orders the first engine to continue the stream on another path.
+func (m *stallMonitor) orderPath(t *activePath) error {
+	ctx, cancel := context.WithTimeout(m.ctx, repathTimeout)
+	defer cancel()
+	return m.relay.cfg.Repath(ctx, m.path.first.Address(), m.req.ID, t.currentHops())
+}
+
 // sortedAddresses returns the members of a set in order.
 func sortedAddresses(set map[string]bool) []string { return slices.Sorted(maps.Keys(set)) }
--- a/relay/stall_test.go
+++ b/relay/stall_test.go
@@ -120,6 +120,37 @@
 	assert.Equal(t, cl.budget.Available(), retryBurst+0.0)
 }
 
+// Guards against a stream that waits until its deadline because the order to leave a dead engine gets no
+// answer.
+func TestOrderWithoutAnswer(t *testing.T) {
+	table := server.NewTable(server.Config{Log: zerolog.Nop()})
+	for _, e := range []server.Entry{engineEntry("a", "near", 0, 4), engineEntry("b", "near", 4, 8), engineEntry("c", "near", 4, 8), engineEntry("d", "near", 0, 4)} {
+		table.Apply([]server.Change{{ID: e.ID, Entry: e}}, false, 0)
+	}
+	budget := retry.New(retry.Config{RetriesPerRequest: 0.2, Burst: 5, Initial: 5})
+	var dead atomic.Pointer[string] // address of the second engine of the first path
+	r := relay.New(relay.Config{
+		Servers: table, Domain: "near", Log: zerolog.Nop(), Budget: func(string) *retry.Budget { return budget },
+		Send: func(ctx context.Context, _ *relay.Request, a relay.Attempt) (*relay.Answer, error) {
+			if dead.CompareAndSwap(nil, &a.Path[1].Address) {
+				return newStallingAnswer(ctx, events(1, 10)), nil
+			}
+			return newResumedAnswer(ctx, a), nil
+		},
+		FetchReport: func(ctx context.Context, address string) (relay.Report, error) {
+			if silent := dead.Load(); silent != nil && *silent == address {
+				<-ctx.Done()
+				return relay.Report{}, ctx.Err()
+			}
+			return relay.Report{}, nil
+		},
+		Repath: func(ctx context.Context, _, _ string, _ []relay.Hop) error { <-ctx.Done(); return ctx.Err() },
+	})
+	req := request(config.Stream, 2)
+	req.Deadline = time.Now().Add(8 * time.Second)
+	assert.NilError(t, r.Serve(t.Context(), req, discard()))
+}
+
 // Guards against a data race, which may end the process, between a check of a stream and the failure of its
 // run.
 func TestFailureDuringACheck(t *testing.T) {
