--- a/beat/suspect.go
+++ b/beat/suspect.go
@@ -1,6 +1,7 @@
 package beat
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cranberrybay/cranberrybay/poison"
@@ -10,6 +11,13 @@
 // maxSuspectAge bounds the ages in a message, so that sums with the clock of records stay positive.
 const maxSuspectAge = 8 * time.Hour
 
+// minHeld is the age from which a message is taken to have waited. Below it the age is mostly the
+// difference of what two processes take for the platform's clock.
+const minHeld = 500 * time.Millisecond
+
+// maxReported bounds the records in one datagram. A record takes up to 300 bytes.
+const maxReported = 64
+
 // Suspects holds records of parts of prompts that may crash backend servers, for heartbeats.
 type Suspects struct {
 	Own     []poison.Record // that this process itself changed lately
@@ -19,7 +27,9 @@
 
 // ReportSuspects tells all processes at once what this one has seen of parts of prompts.
 func (ms *Membership) ReportSuspects(records []poison.Record) {
-	ms.broadcast(notice{suspects: EncodeSuspects(records)})
+	for some := range slices.Chunk(records, maxReported) {
+		ms.broadcast(notice{suspects: EncodeSuspects(some)})
+	}
 }
 
 // EncodeSuspects converts records to their wire form.
@@ -57,7 +67,10 @@
 // DecodeSuspects converts records from their wire form, of which held is the age. A record whose
 // lists differ in length is left out.
 func DecodeSuspects(suspects []*wire.Suspect, held time.Duration) []poison.Record {
-	now := poison.Now() - held
+	now := poison.Now()
+	if held >= minHeld {
+		now -= held
+	}
 	at := func(age uint32) time.Duration {
 		return now - min(time.Duration(age)*time.Millisecond, maxSuspectAge)
 	}
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -138,7 +138,7 @@
 
 // Open returns the case of a request. The caller must close it.
 func (g *Guard) Open(r Request) *Case {
-	return &Case{guard: g, request: r, came: g.tracker.TracksRequests() && g.tracker.Suspected(r.identity)}
+	return &Case{guard: g, request: r, came: g.tracker.TracksRequests() && g.tracker.Crashes(r.identity) > 0}
 }
 
 const (
@@ -208,7 +208,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		if wait = c.guard.tracker.TryAlone(c.request.identity); wait <= 0 {
+		if wait = c.guard.tracker.TryAlone(c.request.identity, true); wait <= 0 {
 			return nil
 		}
 	}
--- a/poison/request_test.go
+++ b/poison/request_test.go
@@ -150,16 +150,16 @@
 	virtually(t, func(t *testing.T) {
 		f := newFleet(3)
 		f.crashUnder(0, 1, "deadly")
-		assert.Assert(t, f.trackers[1].TryAlone(requestPart("deadly")) > 0, "the evidence of other processes is not awaited")
+		assert.Assert(t, f.trackers[1].TryAlone(requestPart("deadly"), true) > 0, "the evidence of other processes is not awaited")
 		time.Sleep(time.Second)
-		assert.Equal(t, f.trackers[0].TryAlone(requestPart("deadly")), time.Duration(0))
-		assert.Equal(t, f.trackers[0].TryAlone(requestPart("deadly")), time.Duration(0))
+		assert.Equal(t, f.trackers[0].TryAlone(requestPart("deadly"), true), time.Duration(0))
+		assert.Equal(t, f.trackers[0].TryAlone(requestPart("deadly"), true), time.Duration(0))
 		for _, x := range f.trackers[1:] {
-			assert.Assert(t, x.TryAlone(requestPart("deadly")) > 0)
+			assert.Assert(t, x.TryAlone(requestPart("deadly"), true) > 0)
 		}
 		time.Sleep(poison.MaxTrial)
-		assert.Equal(t, f.trackers[2].TryAlone(requestPart("deadly")), time.Duration(0))
-		assert.Assert(t, f.trackers[0].TryAlone(requestPart("deadly")) > 0)
+		assert.Equal(t, f.trackers[2].TryAlone(requestPart("deadly"), true), time.Duration(0))
+		assert.Assert(t, f.trackers[0].TryAlone(requestPart("deadly"), true) > 0)
 	})
 }
 
@@ -207,3 +207,88 @@
 		poison.RequestPart("POST", "host.example", "/path/1", "account", body)
 	}
 }
+
+// Guards against evidence from a server that was taken for dead, lives, and later resets connections.
+func TestServerThatWasTakenForDead(t *testing.T) {
+	virtually(t, func(t *testing.T) {
+		f := newFleet(2)
+		for i := range 3 {
+			f.trackers[0].RecordCrash(uint64(i))
+		}
+		time.Sleep(time.Minute)
+		for i := range 3 {
+			f.trackers[0].RecordCut(uint64(i), uint64(i), []poison.Part{requestPart("sound")})
+			time.Sleep(time.Second)
+		}
+		f.checkRequest(t, "sound", 0, 0)
+	})
+}
+
+// Guards against a single death of a server that counts as several crashes under a request that waits
+// for it.
+func TestDeathOfAServerCountsOnce(t *testing.T) {
+	virtually(t, func(t *testing.T) {
+		f := newFleet(2)
+		for range 10 {
+			f.trackers[0].RecordCut(1, 1, []poison.Part{requestPart("sound")})
+			time.Sleep(500 * time.Millisecond)
+		}
+		f.trackers[0].RecordCrash(1)
+		time.Sleep(time.Second)
+		f.checkRequest(t, "sound", 0, 0)
+	})
+}
+
+// Guards against evidence that is older than an answer to the request, when a server is only later found to
+// have crashed.
+func TestAnswerBeforeTheCrashIsConfirmed(t *testing.T) {
+	virtually(t, func(t *testing.T) {
+		f := newFleet(2)
+		for i := range 3 {
+			f.trackers[0].RecordCut(uint64(i), uint64(i), []poison.Part{requestPart("sound")})
+			time.Sleep(200 * time.Millisecond)
+			if f.trackers[0].TracksRequests() { // as callers of RecordAnswered do
+				f.trackers[0].RecordAnswered([]poison.Part{requestPart("sound")})
+			}
+		}
+		time.Sleep(3 * time.Second)
+		for i := range 3 {
+			f.trackers[0].RecordCrash(uint64(i))
+		}
+		time.Sleep(time.Second)
+		f.checkRequest(t, "sound", 0, 0)
+	})
+}
+
+// Guards against the hash of every body, long after the last cut run.
+func TestCutsEndWithoutEvidence(t *testing.T) {
+	virtually(t, func(t *testing.T) {
+		f := newFleet(1)
+		f.trackers[0].RecordCut(1, 1, []poison.Part{requestPart("sound")})
+		assert.Assert(t, f.trackers[0].TracksRequests())
+		time.Sleep(10 * time.Second)
+		f.trackers[0].Recent(false) // with each heartbeat
+		assert.Assert(t, !f.trackers[0].TracksRequests())
+	})
+}
+
+// Guards against a deadly request or part that is not tracked, since those on servers that crashed for
+// another reason fill the memory.
+func TestDeadlyRequestAfterManyCrashes(t *testing.T) {
+	virtually(t, func(t *testing.T) {
+		f := newFleet(2)
+		for i := range 2000 {
+			f.crashUnder(0, uint64(i), fmt.Sprint("r", i))
+			f.crash(0, uint64(i), uint64(i), fmt.Sprint("p", i))
+		}
+		time.Sleep(time.Second)
+		for i := range 3 {
+			f.crashUnder(i%2, uint64(10_000+i), "deadly")
+			f.crash(i%2, uint64(20_000+i), uint64(20_000+i), "deadly part")
+			time.Sleep(time.Second)
+			f.decide("deadly")
+		}
+		f.checkRequest(t, "deadly", 9*time.Minute, 10*time.Minute)
+		f.checkBlocked(t, true, "deadly part")
+	})
+}
--- a/poison/tracker.go
+++ b/poison/tracker.go
@@ -34,7 +34,7 @@
 	// maxCuts bounds the cut runs that wait.
 	maxCuts = 1000
 	// maxRecords bounds the parts of prompts with evidence, and maxRequests the requests. Beyond it
-	// new ones are not tracked. A crash of an engine cuts about 20 requests without an event.
+	// the weakest evidence is forgotten. A crash of an engine cuts about 20 requests without an event.
 	maxRecords  = 256
 	maxRequests = 1024
 	// answeredAge is how long an answer shows that a part is sound, so that it is not blamed while
@@ -66,6 +66,7 @@
 	cfg         Config
 	quarantined atomic.Int32 // number of records with a quarantine, an upper bound
 	requests    atomic.Int32 // number of records of requests
+	waiting     atomic.Int32 // number of cuts that wait
 
 	mu       sync.Mutex
 	records  map[Part]*entry
@@ -91,6 +92,11 @@
 	at      time.Duration // Now
 }
 
+// sameRun reports whether two cuts are of the same request on the same server.
+func (c cut) sameRun(o cut) bool {
+	return c.server == o.server && c.request == o.request && slices.Equal(c.parts, o.parts)
+}
+
 // New returns a Tracker without evidence.
 func New(cfg Config) *Tracker {
 	if cfg.Announce == nil {
@@ -134,21 +140,44 @@
 	return Part{}, 0, false, started
 }
 
-// TracksRequests reports whether there is evidence against any request.
-func (t *Tracker) TracksRequests() bool { return t.requests.Load() > 0 }
+// TracksRequests reports whether there is evidence against any request, or may be soon.
+func (t *Tracker) TracksRequests() bool { return t.requests.Load() > 0 || t.waiting.Load() > 0 }
+
+// Crashes returns the number of servers that crashed on a part since one answered it.
+func (t *Tracker) Crashes(p Part) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.records[p]; e != nil {
+		return len(e.Crashes)
+	}
+	return 0
+}
 
-// Suspected reports whether a server crashed on a part and none answered it since.
-func (t *Tracker) Suspected(p Part) bool {
+// TrialIn returns how long the trial of a suspected request has to wait: until the evidence of its last
+// crash is known to all processes, and until no other process may be trying it.
+func (t *Tracker) TrialIn(p Part) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.records[p]
-	return e != nil && len(e.Crashes) > 0
+	if e == nil {
+		return 0
+	}
+	return e.trialIn(Now(), true)
 }
 
-// TryAlone begins the trial of a suspected request, which it tells the other processes, and returns 0.
-// It returns how long to wait instead if the evidence of its last crash is not known to all processes
-// yet, or if another process may be trying the request.
-func (t *Tracker) TryAlone(p Part) time.Duration {
+// trialIn is TrialIn of an entry. ordered means that this process has no other trial of it. The caller
+// holds mu.
+func (e *entry) trialIn(now time.Duration, ordered bool) time.Duration {
+	wait := e.settlesIn(now)
+	if e.TriedAt > 0 && !(ordered && e.triedHere) {
+		wait = max(wait, e.TriedAt+MaxTrial-now)
+	}
+	return max(wait, 0)
+}
+
+// TryAlone begins the trial of a suspected request, which it tells the other processes, and returns 0,
+// or returns how long to wait instead. ordered means that this process has no other trial of it.
+func (t *Tracker) TryAlone(p Part, ordered bool) time.Duration {
 	now := Now()
 	t.mu.Lock()
 	e := t.records[p]
@@ -156,11 +185,7 @@
 		t.mu.Unlock()
 		return 0
 	}
-	wait := e.settlesIn(now)
-	if e.TriedAt > 0 && !e.triedHere {
-		wait = max(wait, e.TriedAt+MaxTrial-now)
-	}
-	if wait > 0 {
+	if wait := e.trialIn(now, ordered); wait > 0 {
 		t.mu.Unlock()
 		return wait
 	}
@@ -187,6 +212,8 @@
 				clear(t.answered)
 			}
 			t.answered[p] = now
+		} else {
+			t.clearCuts(p)
 		}
 		e := t.records[p]
 		if e == nil || (len(e.Crashes) == 0 && e.Until == 0) {
@@ -216,19 +243,35 @@
 	now := Now()
 	t.mu.Lock()
 	c := cut{server: server, request: request, parts: t.candidates(parts, now), at: now}
-	if _, ok := t.crashed[server]; ok {
+	if at, ok := t.crashed[server]; ok && now-at <= cutAge {
 		changed, started := t.attributeCrash(c, now)
 		t.mu.Unlock()
 		t.report(changed, started)
 		return
 	}
-	t.cuts = slices.DeleteFunc(t.cuts, func(x cut) bool { return now-x.at > cutAge })
+	// A request that waits for a server is recorded again and again.
+	t.dropCuts(func(x cut) bool { return now-x.at > cutAge || x.sameRun(c) })
 	if len(t.cuts) < maxCuts {
 		t.cuts = append(t.cuts, c)
+		t.waiting.Store(int32(len(t.cuts)))
 	}
 	t.mu.Unlock()
 }
 
+// dropCuts removes the cuts for which match returns true. The caller holds mu.
+func (t *Tracker) dropCuts(match func(c cut) bool) {
+	t.cuts = slices.DeleteFunc(t.cuts, match)
+	t.waiting.Store(int32(len(t.cuts)))
+}
+
+// clearCuts removes a request that was answered from the cuts that wait. The caller holds mu.
+func (t *Tracker) clearCuts(request Part) {
+	for i := range t.cuts {
+		t.cuts[i].parts = slices.DeleteFunc(t.cuts[i].parts, func(p Part) bool { return p == request })
+	}
+	t.dropCuts(func(c cut) bool { return len(c.parts) == 0 })
+}
+
 // candidates returns the parts that a crash may be blamed on: the quarantined one if there is one,
 // else the request, and those parts of its prompt without a recent answer, or all if there are none.
 // The caller holds mu.
@@ -263,7 +306,7 @@
 		}
 	}
 	t.crashed[server] = now
-	t.cuts = slices.DeleteFunc(t.cuts, func(c cut) bool {
+	t.dropCuts(func(c cut) bool {
 		if c.server != server {
 			return false
 		}
@@ -315,7 +358,8 @@
 	return true
 }
 
-// entry returns the record of a part, which it creates if there is room. The caller holds mu.
+// entry returns the record of a part, which it creates unless quarantines leave no room. The caller holds
+// mu.
 func (t *Tracker) entry(p Part, now time.Duration) *entry {
 	e := t.records[p]
 	if e != nil {
@@ -323,7 +367,7 @@
 	}
 	if !t.hasRoom(p) {
 		t.expire(now)
-		if !t.hasRoom(p) {
+		if !t.hasRoom(p) && !t.evict(p, now) {
 			return nil
 		}
 	}
@@ -344,19 +388,44 @@
 	return len(t.records)-requests < maxRecords
 }
 
-// expire removes idle records. The caller holds mu.
+// expire removes idle records and old cuts. The caller holds mu.
 func (t *Tracker) expire(now time.Duration) {
-	for p, e := range t.records {
+	t.dropCuts(func(c cut) bool { return now-c.at > cutAge })
+	for _, e := range t.records {
 		if e.idle(now) {
-			t.setActive(e, false)
-			delete(t.records, p)
-			if p.IsRequest() {
-				t.requests.Add(-1)
-			}
+			t.remove(e)
 		}
 	}
 }
 
+// evict removes the weakest record of the kind of a part: that with the fewest crashes, of these the one
+// whose last crash is oldest. Records that were in quarantine stay. It returns false if there is none. The
+// caller holds mu.
+func (t *Tracker) evict(p Part, now time.Duration) bool {
+	var weakest *entry
+	for _, e := range t.records {
+		if e.Part.IsRequest() != p.IsRequest() || e.Quarantined(now) || e.Terms > 0 {
+			continue
+		}
+		if weakest == nil || cmp.Or(cmp.Compare(len(e.Crashes), len(weakest.Crashes)), cmp.Compare(e.settlesIn(now), weakest.settlesIn(now))) < 0 {
+			weakest = e
+		}
+	}
+	if weakest != nil {
+		t.remove(weakest)
+	}
+	return weakest != nil
+}
+
+// remove removes a record. The caller holds mu.
+func (t *Tracker) remove(e *entry) {
+	t.setActive(e, false)
+	delete(t.records, e.Part)
+	if e.Part.IsRequest() {
+		t.requests.Add(-1)
+	}
+}
+
 // update notes a change of a record by what this process saw. The caller holds mu.
 func (t *Tracker) update(e *entry, now time.Duration) {
 	e.changedAt, e.ownAt = now, now
--- a/relay/deadly_test.go
+++ b/relay/deadly_test.go
@@ -265,3 +265,96 @@
 		})
 	}
 }
+
+// Guards against one engine that is gone and counts as several crashes, at each check of a stream that
+// nothing can take over.
+func TestGoneEngineCountsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		begun := time.Now()
+		defer clock.Replace(func() time.Duration { return time.Since(begun) })()
+		cl := newSilentCluster(t, 0, nil, engineEntry("a", "near", 0, 4), engineEntry("b", "near", 4, 8))
+		cl.onSend = func(ctx context.Context, _ int, _ *relay.Request, _ relay.Attempt) (*relay.Answer, error) {
+			ans := signedAnswer(http.StatusOK, "")
+			ans.Body = &pausingBody{pacedBody: pacedBody{ctx: ctx, left: 1}, pause: 9 * time.Second}
+			return ans, nil
+		}
+		cl.onReport = func(_ context.Context, address string) (relay.Report, error) {
+			if address == "b:1" {
+				return relay.Report{}, syscall.ECONNREFUSED
+			}
+			return relay.Report{}, nil
+		}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = cl.serve(t.Context(), request(config.Stream, 1))
+		}()
+		time.Sleep(8900 * time.Millisecond)
+		records := cl.poison.Records()
+		<-done
+		assert.Equal(t, len(records), 1)
+		assert.Equal(t, len(records[0].Crashes), 1, "%v", records[0].Crashes)
+	})
+}
+
+// Guards against sound streams that are lost after the crash of an engine, since they wait for each other's
+// trials.
+func TestManyStreamsOnACrashedEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		begun := time.Now()
+		defer clock.Replace(func() time.Duration { return time.Since(begun) })()
+		var entries []server.Entry
+		for i := range 8 {
+			entries = append(entries, engineEntry(fmt.Sprint("e", i), "near", 0, 8))
+		}
+		f := newDeadlyFleet(1, entries...)
+		var mu sync.Mutex
+		var untried []error
+		var wg sync.WaitGroup
+		for n := range 120 {
+			wg.Go(func() {
+				err := f.call(t.Context(), deadlyRequest(config.Stream, n, false))
+				mu.Lock()
+				defer mu.Unlock()
+				if err != nil && strings.Contains(err.Error(), "one at a time") {
+					untried = append(untried, err)
+				}
+			})
+		}
+		time.Sleep(10 * time.Millisecond)
+		f.crash("e0:1")
+		wg.Wait()
+		assert.Equal(t, len(untried), 0)
+	})
+}
+
+// Guards against a request that comes to all processes at the same moment and is tried by each of them.
+func TestDeadlyRequestAtAllProcessesAtOnce(t *testing.T) {
+	for name, kind := range map[string]config.Kind{"stream": config.Stream, "idempotent": config.Idempotent, "at most once": config.AtMostOnce} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				begun := time.Now()
+				defer clock.Replace(func() time.Duration { return time.Since(begun) })()
+				var entries []server.Entry
+				for i := range 6 {
+					e := engineEntry(fmt.Sprint("e", i), "near", 0, 8)
+					if kind != config.Stream {
+						e = plainEntry(e.ID)
+					}
+					entries = append(entries, e)
+				}
+				f := newDeadlyFleet(4, entries...)
+				var wg sync.WaitGroup
+				for n := range 30 {
+					time.Sleep(time.Second)
+					for _, r := range f.processes {
+						wg.Go(func() { _ = r.Serve(t.Context(), deadlyRequest(kind, n, true), discard()) })
+					}
+				}
+				wg.Wait()
+				t.Logf("%d crashes, %d late arrivals", len(f.crashes), f.lateArrivals())
+				assert.Assert(t, f.lateArrivals() <= maxLateSends, "%d arrivals at servers later than %v after the third crash; %d crashes", f.lateArrivals(), poisonWindow, len(f.crashes))
+			})
+		})
+	}
+}
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -59,6 +59,9 @@
 	leaveAfterGiveUp = 500 * time.Millisecond
 	// leaveRetryDelay is the delay between two attempts to leave an engine.
 	leaveRetryDelay = 400 * time.Millisecond
+	// repathTimeout bounds the wait for the answer to an order to change a path. Engines may leave orders
+	// unanswered, and a stream that waits is then resumed elsewhere.
+	repathTimeout = 400 * time.Millisecond
 	// maxRepaths bounds the attempts to change the path of one run.
 	maxRepaths = 6
 )
@@ -81,6 +84,7 @@
 	timer    *time.Timer
 	stopped  bool
 	repaths  int
+	blamed   map[string]bool // engines on whose failure the request is recorded
 
 	// checksSinceFull counts the checks since the last event, or since an engine did not answer. The
 	// next check queries all engines if it is a multiple of checksPerFullQuery.
@@ -289,13 +293,16 @@
 }
 
 // recordUnanswered notes that the engine at an address may have crashed on the stream's request, which
-// it has if it is gone.
+// it has if it is gone. Further checks of the run find the same crash. The caller holds mu.
 func (m *stallMonitor) recordUnanswered(address string, gone bool) {
 	s := m.relay.cfg.Servers.ByAddress(address)
-	if s == nil || m.stream.runEvents.Load() >= answeredEvents {
+	if s == nil || m.stream.runEvents.Load() >= answeredEvents || m.relay.endIsPlanned(s) {
 		return
 	}
-	m.relay.recordUnanswered(m.req, s)
+	if !m.blamed[address] {
+		m.blamed = addAddress(m.blamed, address)
+		m.relay.recordUnanswered(m.req, s)
+	}
 	if gone {
 		m.relay.cfg.Poison.RecordCrash(s.Incarnation())
 	}
@@ -367,7 +374,7 @@
 		if !ok {
 			break
 		}
-		err := r.cfg.Repath(m.ctx, m.path.first.Address(), m.req.ID, t.currentHops())
+		err := m.orderPath(t)
 		r.cfg.Log.Info().Str("id", m.req.ID).Strs("dead", sortedAddresses(dead)).Str("path", t.String()).Err(err).Msg("stream moved to another path")
 		if err == nil {
 			r.cfg.Count("repath")
@@ -375,6 +382,9 @@
 			return
 		}
 		t.release()
+		if m.ctx.Err() != nil {
+			return // the run ended meanwhile
+		}
 		var rejected *PathRejectedError
 		if !errors.As(err, &rejected) || dead[rejected.Address] {
 			break
@@ -393,5 +403,12 @@
 	r.cfg.Log.Info().Err(err).Str("id", m.req.ID).Strs("dead", sortedAddresses(dead)).Msg("no other path for a stalled stream")
 }
 
+// orderPath orders the first engine to continue the stream on another path.
+func (m *stallMonitor) orderPath(t *activePath) error {
+	ctx, cancel := context.WithTimeout(m.ctx, repathTimeout)
+	defer cancel()
+	return m.relay.cfg.Repath(ctx, m.path.first.Address(), m.req.ID, t.currentHops())
+}
+
 // sortedAddresses returns the members of a set in order.
 func sortedAddresses(set map[string]bool) []string { return slices.Sorted(maps.Keys(set)) }
--- a/relay/stall_test.go
+++ b/relay/stall_test.go
@@ -98,6 +98,59 @@
 	})
 }
 
+// Guards against a new run of a stream that went on and ended while a detour was being ordered.
+func TestNoHandoverAfterTheEnd(t *testing.T) {
+	b, c := engineEntry("b", "near", 4, 8), slowAccelerator(engineEntry("c", "near", 4, 8))
+	cl := newCluster(t, engineEntry("a", "near", 0, 4), slowAccelerator(engineEntry("d", "near", 0, 4)), b, c)
+	cl.kill(b.Address)
+	cl.onSend = func(ctx context.Context, n int, _ *relay.Request, _ relay.Attempt) (*relay.Answer, error) {
+		if n > 1 {
+			return refusal(), nil
+		}
+		ans := signedAnswer(http.StatusOK, "")
+		ans.Body = &pausingBody{pacedBody: pacedBody{ctx: ctx, left: 20}, pauseAt: 19, pause: 500 * time.Millisecond}
+		return ans, nil
+	}
+	cl.onRepath = func([]relay.Hop) error {
+		time.Sleep(700 * time.Millisecond) // the order gets no answer
+		return connectionReset()
+	}
+	checkServed(t, cl.serve(t.Context(), request(config.Stream, 2)), events(1, 20))
+	assert.Equal(t, cl.repaths, 1)
+	assert.Equal(t, cl.budget.Available(), retryBurst+0.0)
+}
+
+// Guards against a stream that waits until its deadline because the order to leave a dead engine gets no
+// answer.
+func TestOrderWithoutAnswer(t *testing.T) {
+	table := server.NewTable(server.Config{Log: zerolog.Nop()})
+	for _, e := range []server.Entry{engineEntry("a", "near", 0, 4), engineEntry("b", "near", 4, 8), engineEntry("c", "near", 4, 8), engineEntry("d", "near", 0, 4)} {
+		table.Apply([]server.Change{{ID: e.ID, Entry: e}}, false, 0)
+	}
+	budget := retry.New(retry.Config{RetriesPerRequest: 0.2, Burst: 5, Initial: 5})
+	var dead atomic.Pointer[string] // address of the second engine of the first path
+	r := relay.New(relay.Config{
+		Servers: table, Domain: "near", Log: zerolog.Nop(), Budget: func(string) *retry.Budget { return budget },
+		Send: func(ctx context.Context, _ *relay.Request, a relay.Attempt) (*relay.Answer, error) {
+			if dead.CompareAndSwap(nil, &a.Path[1].Address) {
+				return newStallingAnswer(ctx, events(1, 10)), nil
+			}
+			return newResumedAnswer(ctx, a), nil
+		},
+		FetchReport: func(ctx context.Context, address string) (relay.Report, error) {
+			if silent := dead.Load(); silent != nil && *silent == address {
+				<-ctx.Done()
+				return relay.Report{}, ctx.Err()
+			}
+			return relay.Report{}, nil
+		},
+		Repath: func(ctx context.Context, _, _ string, _ []relay.Hop) error { <-ctx.Done(); return ctx.Err() },
+	})
+	req := request(config.Stream, 2)
+	req.Deadline = time.Now().Add(8 * time.Second)
+	assert.NilError(t, r.Serve(t.Context(), req, discard()))
+}
+
 // Guards against a data race, which may end the process, between a check of a stream and the failure of its
 // run.
 func TestFailureDuringACheck(t *testing.T) {
