poison: claims of a trial are told before the trial begins

What servers saw: one request on two of them at once, sent by two processes whose claims crossed on their way. A random pause before the trial made that rarer.

Change: a process claims the trial of a request with a number drawn at random and begins it 20 ms later, if no other claim of that time has a lower number. All processes judge alike, so one is left. The random pauses are gone.

--- a/beat/suspect.go
+++ b/beat/suspect.go
@@ -49,7 +49,7 @@
 		}
 		if r.TriedAt > 0 {
 			age := ageOf(r.TriedAt, now)
-			x.Tried = &age
+			x.Tried, x.Trial = &age, r.Trial
 		}
 		if r.Terms > 0 {
 			x.Terms, x.Since, x.Left = uint32(r.Terms), ageOf(r.Since, now), (r.Until - now).Milliseconds()
@@ -87,7 +87,7 @@
 			r.AnsweredAt = at(*x.Answered)
 		}
 		if x.Tried != nil {
-			r.TriedAt = at(*x.Tried)
+			r.TriedAt, r.Trial = at(*x.Tried), x.Trial
 		}
 		if x.Terms > 0 {
 			left := min(max(time.Duration(x.Left)*time.Millisecond, -maxSuspectAge), poison.MaxTerm)
--- a/poison/record.go
+++ b/poison/record.go
@@ -98,7 +98,8 @@
 	Part       Part
 	Crashes    []Crash       // since the part was last answered, by time; at most maxCrashes
 	AnsweredAt time.Duration // when a server last wrote an answer to a request with the part; 0 for never known
-	TriedAt    time.Duration // when the last trial of a request began in any process; 0 for never
+	TriedAt    time.Duration // when a process last claimed the trial of a request; 0 for never
+	Trial      uint64        // drawn at random for that trial
 	Since      time.Duration // last crash of the evidence on which the quarantine is based
 	Until      time.Duration // end of the quarantine; 0 if there was none
 	Terms      int           // number of quarantines, each twice as long as the one before; the first of a request is its suspension
@@ -107,7 +108,9 @@
 const (
 	// crashSpacing is the least time between two crashes that count as two. A rack that loses
 	// power stops many servers in the same moment, and any request may be on several of them.
-	crashSpacing = 100 * time.Millisecond
+	// One request is on two at most, so requestSpacing covers the time in which the two are found.
+	crashSpacing   = 100 * time.Millisecond
+	requestSpacing = 30 * time.Millisecond
 	// minCrashes is the number of crashes after which a part is quarantined, if they happened
 	// under minRequests different requests.
 	minCrashes  = 3
@@ -138,6 +141,10 @@
 	firstTerm = 10 * time.Minute
 )
 
+// claimTime is how long after the claim of a trial it begins: until then a claim that another process made
+// at the same time has arrived.
+const claimTime = 20 * time.Millisecond
+
 // MaxTrial bounds the trial of a request. Engines begin to answer within a tenth of a second, plain
 // services take less; a server that is slower must not hold up the trials of other requests.
 const MaxTrial = time.Second
@@ -198,11 +205,21 @@
 	if o.AnsweredAt > r.AnsweredAt+sameTime {
 		changed = true
 	}
-	r.TriedAt = max(r.TriedAt, o.TriedAt)
+	r.mergeTrial(o)
 	r.recordAnswer(o.AnsweredAt)
 	return changed
 }
 
+// mergeTrial takes the trial that another process knows if it is the later one. Of two that were claimed
+// at the same time the one with the lower number counts, in all processes.
+func (r *Record) mergeTrial(o Record) {
+	switch {
+	case o.TriedAt == 0 || o.TriedAt+MaxTrial/2 < r.TriedAt:
+	case r.TriedAt == 0 || o.TriedAt > r.TriedAt+MaxTrial/2 || o.Trial < r.Trial:
+		r.TriedAt, r.Trial = o.TriedAt, o.Trial
+	}
+}
+
 // sameTime is the difference up to which two times count as the same: each datagram adds its time
 // on the way.
 const sameTime = time.Second
@@ -275,7 +292,10 @@
 
 func (r *Record) countCrashes(now time.Duration) crashCount {
 	var out crashCount
-	last := time.Duration(0)
+	last, spacing := time.Duration(0), crashSpacing
+	if r.Part.IsRequest() {
+		spacing = requestSpacing
+	}
 	requests := map[uint64]bool{}
 	for _, c := range r.Crashes {
 		if (c.At <= r.Until && !r.Suspension()) || now-c.At > evidenceAge {
@@ -285,7 +305,7 @@
 		if out.counted == 0 {
 			out.first = c.At
 		}
-		if out.counted == 0 || c.At-last >= crashSpacing {
+		if out.counted == 0 || c.At-last >= spacing {
 			out.counted, last = out.counted+1, c.At
 		}
 	}
--- a/poison/request_test.go
+++ b/poison/request_test.go
@@ -152,14 +152,53 @@
 		f.crashUnder(0, 1, "deadly")
 		assert.Assert(t, f.trackers[1].TryAlone(requestPart("deadly"), true) > 0, "the evidence of other processes is not awaited")
 		time.Sleep(time.Second)
-		assert.Equal(t, f.trackers[0].TryAlone(requestPart("deadly"), true), time.Duration(0))
-		assert.Equal(t, f.trackers[0].TryAlone(requestPart("deadly"), true), time.Duration(0))
-		for _, x := range f.trackers[1:] {
-			assert.Assert(t, x.TryAlone(requestPart("deadly"), true) > 0)
-		}
+		f.checkTrialAt(t, 0)
+		f.checkTrialAt(t, 0)
 		time.Sleep(poison.MaxTrial)
-		assert.Equal(t, f.trackers[2].TryAlone(requestPart("deadly"), true), time.Duration(0))
-		assert.Assert(t, f.trackers[0].TryAlone(requestPart("deadly"), true) > 0)
+		f.checkTrialAt(t, 2)
+	})
+}
+
+// checkTrialAt fails unless one process may try the deadly request, after it has claimed its trial, and no
+// other may.
+func (f *fleet) checkTrialAt(t *testing.T, process int) {
+	t.Helper()
+	time.Sleep(f.trackers[process].TryAlone(requestPart("deadly"), true))
+	for i, x := range f.trackers {
+		assert.Equal(t, x.TryAlone(requestPart("deadly"), true) == 0, i == process, "process %d", i)
+	}
+}
+
+// Guards against a request that processes try at the same time because their claims crossed.
+func TestCrossingClaimsOfATrial(t *testing.T) {
+	virtually(t, func(t *testing.T) {
+		for range 50 {
+			f := newFleet(4)
+			f.crashUnder(0, 1, "deadly")
+			time.Sleep(time.Second)
+			f.cut = func(int, int) bool { return true } // on their way
+			var wait time.Duration
+			for _, x := range f.trackers {
+				wait = x.TryAlone(requestPart("deadly"), true)
+			}
+			f.cut = nil
+			time.Sleep(wait / 2)
+			for i, x := range f.trackers {
+				for j, o := range f.trackers {
+					if i != j {
+						o.Merge(x.Records())
+					}
+				}
+			}
+			time.Sleep(wait)
+			trying := 0
+			for _, x := range f.trackers {
+				if x.TryAlone(requestPart("deadly"), true) == 0 {
+					trying++
+				}
+			}
+			assert.Equal(t, trying, 1)
+		}
 	})
 }
 
--- a/poison/tracker.go
+++ b/poison/tracker.go
@@ -19,6 +19,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -81,7 +82,7 @@
 	changedAt time.Duration // Now
 	ownAt     time.Duration // Now of the last change by what this process saw itself
 	active    bool          // counted in quarantined
-	triedHere bool          // the last trial was in this process
+	ownTrial  uint64        // last trial that this process claimed; 0 for none
 }
 
 // cut is a run that was cut before its server had shown that it can answer the request.
@@ -154,29 +155,33 @@
 }
 
 // TrialIn returns how long the trial of a suspected request has to wait: until the evidence of its last
-// crash is known to all processes, and until no other process may be trying it.
-func (t *Tracker) TrialIn(p Part) time.Duration {
+// crash is known to all processes, and until no other process may be trying it. ordered means that this
+// process has no other trial of it.
+func (t *Tracker) TrialIn(p Part, ordered bool) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.records[p]
 	if e == nil {
 		return 0
 	}
-	return e.trialIn(Now(), true)
+	return e.trialIn(Now(), ordered)
 }
 
-// trialIn is TrialIn of an entry. ordered means that this process has no other trial of it. The caller
-// holds mu.
+// triedHere reports whether the last trial is that of this process.
+func (e *entry) triedHere() bool { return e.ownTrial != 0 && e.ownTrial == e.Trial }
+
+// trialIn is TrialIn of an entry. The caller holds mu.
 func (e *entry) trialIn(now time.Duration, ordered bool) time.Duration {
 	wait := e.settlesIn(now)
-	if e.TriedAt > 0 && !(ordered && e.triedHere) {
+	if e.TriedAt > 0 && !(ordered && e.triedHere()) {
 		wait = max(wait, e.TriedAt+MaxTrial-now)
 	}
 	return max(wait, 0)
 }
 
-// TryAlone begins the trial of a suspected request, which it tells the other processes, and returns 0,
-// or returns how long to wait instead. ordered means that this process has no other trial of it.
+// TryAlone claims the trial of a suspected request, which it tells the other processes, and returns 0 once
+// it may begin, or how long to wait before the next call. ordered means that this process has no other
+// trial of it.
 func (t *Tracker) TryAlone(p Part, ordered bool) time.Duration {
 	now := Now()
 	t.mu.Lock()
@@ -185,16 +190,20 @@
 		t.mu.Unlock()
 		return 0
 	}
-	if wait := e.trialIn(now, ordered); wait > 0 {
+	wait := e.trialIn(now, ordered)
+	if wait == 0 && e.triedHere() && now < e.TriedAt+MaxTrial/2 {
+		wait = max(e.TriedAt+claimTime-now, 0)
+	} else if wait == 0 {
+		e.ownTrial = max(rand.Uint64(), 1)
+		e.TriedAt, e.Trial = now, e.ownTrial
+		e.changedAt, e.ownAt = now, now
+		record := e.Record.clone()
 		t.mu.Unlock()
-		return wait
+		t.announce([]Record{record})
+		return claimTime
 	}
-	e.TriedAt, e.triedHere = now, true
-	e.changedAt, e.ownAt = now, now
-	record := e.Record.clone()
 	t.mu.Unlock()
-	t.announce([]Record{record})
-	return 0
+	return wait
 }
 
 // RecordAnswered records that a server wrote an answer to a request with the parts.
@@ -461,12 +470,8 @@
 		before := e.Quarantined(now)
 		// RecordAnswered leaves out records without evidence.
 		e.recordAnswer(t.answered[r.Part])
-		// A trial of this process comes back with a later time, as each datagram adds its own.
-		if r.TriedAt > e.TriedAt+MaxTrial/2 {
-			e.triedHere = false
-			e.changedAt = now
-		}
-		if e.merge(r) {
+		trial := e.Trial
+		if e.merge(r) || e.Trial != trial {
 			e.changedAt = now
 		}
 		if e.startQuarantine(now, false) || (!before && e.Quarantined(now)) {
--- a/relay/trial.go
+++ b/relay/trial.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"sync"
 	"syscall"
 	"time"
@@ -47,13 +46,6 @@
 // two seconds without an event. One on which a single server crashed is then sent beside them.
 const maxTrialWait = time.Second
 
-// trialSpread spreads the trials of one request that several processes get or wait for at the same time,
-// so that the first one is known to the others in time.
-const trialSpread = 60 * time.Millisecond
-
-// deadlySpread is trialSpread of a request on which several servers crashed. Few sound ones wait for it.
-const deadlySpread = 4 * trialSpread
-
 // tryAlone delays the next attempt of a request on which a server crashed until no other such request
 // is on trial and the evidence of all processes is known, and returns the error of a request that
 // is refused. The returned function ends its trial: a server answered, or the attempt failed.
@@ -67,7 +59,7 @@
 		if ordered {
 			err = r.awaitTrial(wait, req)
 		}
-		if err != nil && ctx.Err() == nil && r.cfg.Poison.Crashes(req.identity()) <= 1 && r.cfg.Poison.TryAlone(req.identity(), ordered) <= 0 {
+		if err != nil && ctx.Err() == nil && r.cfg.Poison.Crashes(req.identity()) <= 1 && r.cfg.Poison.TrialIn(req.identity(), ordered) <= 0 {
 			err = nil // sound requests must not be lost to the queue after the crash of a server
 		}
 		if err != nil {
@@ -88,13 +80,9 @@
 
 // awaitTrial waits until a suspected request may be tried. A quarantine ends the wait as well.
 func (r *Relay) awaitTrial(ctx context.Context, req *Request) error {
-	spread := trialSpread
-	if r.cfg.Poison.Crashes(req.identity()) > 1 {
-		spread = deadlySpread
-	}
-	wait := r.cfg.Poison.TrialIn(req.identity())
+	wait := r.cfg.Poison.TrialIn(req.identity(), true)
 	for {
-		if err := sleepUntil(ctx, time.Now().Add(wait+rand.N(spread))); err != nil {
+		if err := sleepUntil(ctx, time.Now().Add(wait)); err != nil {
 			return err
 		}
 		if _, _, ok := r.cfg.Poison.Blocked(r.suspectParts(req)); ok {
