poison: requests that many callers send alike are sound until shown otherwise

What callers saw: refusals of sound requests that are equal in method, path, account and body, as polls and the soak's streams are. Such a request is on every server that crashes. Its evidence grew while no answer came in between, its arrivals queued for trials, and it tied with the deadly request, which then was not refused either.

Change: answers of requests are remembered as those of parts are, bounded, the older half forgotten. One that was answered in the five minutes before the first crash needs six crashes without an answer, is tried like any other until then, and does not count when requests on one crash are compared. A deadly request is never answered, so it is not affected.

poison.TestPopularRequestBesideADeadlyOne fails before ("process 0, request deadly": not refused).

--- a/poison/record.go
+++ b/poison/record.go
@@ -115,8 +115,8 @@
 	// under minRequests different requests.
 	minCrashes  = 3
 	minRequests = 2
-	// minCrashesOfAnswered is the number of crashes after which a part is quarantined that was
-	// answered within answeredAge before. While first engines crash several times a second, a popular
+	// minCrashesOfAnswered is the number of crashes after which a part or a request is quarantined that
+	// was answered within answeredAge before. While first engines crash several times a second, a popular
 	// sound part is on each of them.
 	minCrashesOfAnswered = 6
 	// minCrashesOfOne is the number of crashes after which a part is quarantined that only a
@@ -247,7 +247,7 @@
 			return 0, 0
 		}
 		return r.Terms + 1, doubled(firstTerm, r.Terms)
-	case !leads || n.counted == 0:
+	case !leads || n.counted == 0 || (r.answeredBefore() && n.counted < minCrashesOfAnswered):
 		return 0, 0
 	case r.Terms > 1 || n.counted >= minCrashesOfDeadly:
 		terms = max(r.Terms, 1) + 1
@@ -271,23 +271,26 @@
 
 // suffices reports whether crashes suffice to quarantine a part of prompts.
 func (r *Record) suffices(n crashCount) bool {
-	answeredBefore := r.AnsweredAt > 0 && n.first-r.AnsweredAt < answeredAge
 	switch {
 	case r.Terms > 0 && n.counted > 0:
 		return true
-	case answeredBefore && n.counted < minCrashesOfAnswered:
+	case r.answeredBefore() && n.counted < minCrashesOfAnswered:
 		return false
 	default:
 		return n.counted >= minCrashesOfOne || (n.counted >= minCrashes && n.requests >= minRequests)
 	}
 }
 
+// answeredBefore reports whether the part was answered shortly before the first crash.
+func (r *Record) answeredBefore() bool {
+	return r.AnsweredAt > 0 && len(r.Crashes) > 0 && r.Crashes[0].At-r.AnsweredAt < answeredAge
+}
+
 // crashCount sums up the crashes that count since the last quarantine, or during and before the
 // suspension of a request.
 type crashCount struct {
-	counted  int           // at separate moments
-	requests int           // different requests
-	first    time.Duration // Now of the first one
+	counted  int // at separate moments
+	requests int // different requests
 }
 
 func (r *Record) countCrashes(now time.Duration) crashCount {
@@ -302,9 +305,6 @@
 			continue
 		}
 		requests[c.Request] = true
-		if out.counted == 0 {
-			out.first = c.At
-		}
 		if out.counted == 0 || c.At-last >= spacing {
 			out.counted, last = out.counted+1, c.At
 		}
--- a/poison/request_test.go
+++ b/poison/request_test.go
@@ -131,6 +131,32 @@
 	}
 }
 
+// Guards against a sound request that many callers send alike and that is refused, or keeps the deadly one
+// from being refused, because it is on each server that crashes.
+func TestPopularRequestBesideADeadlyOne(t *testing.T) {
+	virtually(t, func(t *testing.T) {
+		f := newFleet(2)
+		popular := requestPart("popular")
+		f.trackers[0].RecordAnswered([]poison.Part{popular})
+		time.Sleep(time.Second)
+		for i := range 3 {
+			f.crashUnder(0, uint64(i), "popular", "deadly")
+			f.crashUnder(1, uint64(i), "popular")
+			time.Sleep(100 * time.Millisecond)
+		}
+		f.checkRequest(t, "popular", 0, 0)
+		f.checkRequest(t, "deadly", time.Minute, 10*time.Minute)
+		for i, x := range f.trackers {
+			assert.Equal(t, x.Crashes(popular), 0, "process %d tries it alone", i)
+		}
+		for i := range 3 { // it has become deadly
+			f.crashUnder(0, uint64(10+i), "popular")
+			time.Sleep(time.Second)
+		}
+		f.checkRequest(t, "popular", 9*time.Minute, 10*time.Minute)
+	})
+}
+
 // Guards against a request whose quarantine outlives the answer that shows it is sound.
 func TestAnswerEndsASuspension(t *testing.T) {
 	virtually(t, func(t *testing.T) {
--- a/poison/tracker.go
+++ b/poison/tracker.go
@@ -41,7 +41,8 @@
 	// answeredAge is how long an answer shows that a part is sound, so that it is not blamed while
 	// the request also has parts without such an answer.
 	answeredAge = 5 * time.Minute
-	// maxAnswered bounds the parts that are remembered as sound; beyond it all are forgotten.
+	// maxAnswered bounds the parts, and half of the requests, that are remembered as sound; beyond it
+	// the older ones are forgotten.
 	maxAnswered = 4096
 	// recentAge is how long a change of a record is repeated with each heartbeat, since a datagram
 	// or the process that passes it on may be lost.
@@ -71,7 +72,8 @@
 
 	mu       sync.Mutex
 	records  map[Part]*entry
-	answered map[Part]time.Duration // Now of the last answer
+	answered answers // parts of prompts
+	sound    answers // requests
 	cuts     []cut
 	crashed  map[uint64]time.Duration // by server, Now of a confirmed crash
 }
@@ -85,6 +87,32 @@
 	ownTrial  uint64        // last trial that this process claimed; 0 for none
 }
 
+// answers holds when parts were last answered, Now. The older half is forgotten when there are too many.
+type answers struct{ recent, older map[Part]time.Duration }
+
+func (a *answers) set(p Part, now time.Duration) {
+	if a.recent == nil || len(a.recent) >= maxAnswered {
+		a.recent, a.older = map[Part]time.Duration{}, a.recent
+	}
+	a.recent[p] = now
+}
+
+// at returns when a part was last answered, or 0.
+func (a *answers) at(p Part) time.Duration {
+	if at, ok := a.recent[p]; ok {
+		return at
+	}
+	return a.older[p]
+}
+
+// answeredAt returns when a request or a request with a part was last answered, or 0. The caller holds mu.
+func (t *Tracker) answeredAt(p Part) time.Duration {
+	if p.IsRequest() {
+		return t.sound.at(p)
+	}
+	return t.answered.at(p)
+}
+
 // cut is a run that was cut before its server had shown that it can answer the request.
 type cut struct {
 	server  uint64
@@ -106,7 +134,7 @@
 	if cfg.OnQuarantine == nil {
 		cfg.OnQuarantine = func() {}
 	}
-	return &Tracker{cfg: cfg, records: map[Part]*entry{}, answered: map[Part]time.Duration{}, crashed: map[uint64]time.Duration{}}
+	return &Tracker{cfg: cfg, records: map[Part]*entry{}, crashed: map[uint64]time.Duration{}}
 }
 
 // Blocked returns the quarantined part among the given ones and how long its quarantine lasts.
@@ -144,14 +172,20 @@
 // TracksRequests reports whether there is evidence against any request, or may be soon.
 func (t *Tracker) TracksRequests() bool { return t.requests.Load() > 0 || t.waiting.Load() > 0 }
 
-// Crashes returns the number of servers that crashed on a part since one answered it.
+// Crashes returns the number of servers that crashed on a request since one answered it, less those that
+// are expected of one that is answered all the time.
 func (t *Tracker) Crashes(p Part) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if e := t.records[p]; e != nil {
+	e := t.records[p]
+	switch {
+	case e == nil:
+		return 0
+	case e.answeredBefore():
+		return max(len(e.Crashes)-minCrashesOfAnswered/2, 0)
+	default:
 		return len(e.Crashes)
 	}
-	return 0
 }
 
 // TrialIn returns how long the trial of a suspected request has to wait: until the evidence of its last
@@ -216,13 +250,11 @@
 	lifted := false
 	t.mu.Lock()
 	for _, p := range parts {
-		if !p.IsRequest() { // a request comes once, or has a record
-			if len(t.answered) >= maxAnswered {
-				clear(t.answered)
-			}
-			t.answered[p] = now
-		} else {
+		if p.IsRequest() {
+			t.sound.set(p, now)
 			t.clearCuts(p)
+		} else {
+			t.answered.set(p, now)
 		}
 		e := t.records[p]
 		if e == nil || (len(e.Crashes) == 0 && e.Until == 0) {
@@ -294,7 +326,7 @@
 			requests = append(requests, p)
 			continue
 		}
-		if at, ok := t.answered[p]; !ok || now-at > answeredAge {
+		if at := t.answered.at(p); at == 0 || now-at > answeredAge {
 			unanswered = append(unanswered, p)
 		}
 	}
@@ -353,14 +385,15 @@
 }
 
 // leads reports whether no other request that shares the last crash of a record has as many crashes.
-// The crash of a server cuts many sound requests, but few of them twice. The caller holds mu.
+// The crash of a server cuts many sound requests, but few of them twice. Those that many callers send
+// are on each crash, but they are answered in between. The caller holds mu.
 func (t *Tracker) leads(e *entry) bool {
 	if !e.Part.IsRequest() || len(e.Crashes) == 0 {
 		return false
 	}
 	last := e.Crashes[len(e.Crashes)-1]
 	for p, o := range t.records {
-		if o != e && p.IsRequest() && len(o.Crashes) >= len(e.Crashes) && slices.ContainsFunc(o.Crashes, last.same) {
+		if o != e && p.IsRequest() && !o.answeredBefore() && len(o.Crashes) >= len(e.Crashes) && slices.ContainsFunc(o.Crashes, last.same) {
 			return false
 		}
 	}
@@ -380,7 +413,7 @@
 			return nil
 		}
 	}
-	e = &entry{Record: Record{Part: p, AnsweredAt: t.answered[p]}}
+	e = &entry{Record: Record{Part: p, AnsweredAt: t.answeredAt(p)}}
 	t.records[p] = e
 	if p.IsRequest() {
 		t.requests.Add(1)
@@ -469,7 +502,7 @@
 		}
 		before := e.Quarantined(now)
 		// RecordAnswered leaves out records without evidence.
-		e.recordAnswer(t.answered[r.Part])
+		e.recordAnswer(t.answeredAt(r.Part))
 		trial := e.Trial
 		if e.merge(r) || e.Trial != trial {
 			e.changedAt = now
--- a/relay/deadly_test.go
+++ b/relay/deadly_test.go
@@ -142,7 +142,9 @@
 func deadlyRequest(kind config.Kind, n int, deadly bool) *relay.Request {
 	req := request(kind, 2)
 	req.ID, req.Account = fmt.Sprint("r", n), &config.Account{Name: "account"}
-	req.Body = []byte(fmt.Sprint("sound ", n))
+	if req.Body = []byte("popular"); n%3 > 0 { // every third one is sent by many callers alike
+		req.Body = []byte(fmt.Sprint("sound ", n))
+	}
 	own := req.ID
 	if deadly {
 		req.Body, own = []byte(deadlyBody), "own"
--- a/relay/poison.go
+++ b/relay/poison.go
@@ -87,4 +87,6 @@
 }
 
 // recordAnswered notes that a server answered a request.
-func (r *Relay) recordAnswered(req *Request) { r.cfg.Poison.RecordAnswered(r.suspectParts(req)) }
+func (r *Relay) recordAnswered(req *Request) {
+	r.cfg.Poison.RecordAnswered(append(slices.Clip(req.parts), req.identity()))
+}
