edge: idle and header timeouts of callers follow the configuration

What callers would see after a configuration that raises idleTimeoutMs or headerTimeoutMs: a connection that closes under a request, or in the middle of a header, which ends without an answer.

Cause: the limits were decoded and never used; the server of callers had 20 s and 3 s fixed at its start.

Change: edge/conns.go follows the states of the connections that net/http reports and closes those that wait for longer than the configuration in effect allows, plus 5 s for idle ones, so that callers close first. Served requests are not bounded by it.

edge.TestConnectionsFollowTheConfiguration, TestReusedConnectionStaysOpen.

--- a/edge/app.go
+++ b/edge/app.go
@@ -456,7 +456,11 @@
 	log := factory.Logger("edge")
 	front := &platform.CallerHandler{Serve: h.Serve, MaxBody: h.maxBody, Leaving: h.isLeaving, Quota: q, OnPanic: h.logPanic}
 	find := func(domain string) ([]string, time.Duration) { return h.addresses(s, members, domain), addressTTL }
-	callers := newHTTPServer(front)
+	conns := newCallerConns(h.limits)
+	callers := newHTTPServer(conns.handler(front))
+	callers.ConnState, callers.ConnContext = conns.observe, withConn
+	callers.ReadHeaderTimeout, callers.IdleTimeout = 0, maxIdleTimeout // conns has the shorter bounds
+	runAll(lc, every(connCheckInterval, conns.closeExpired))
 	serveHTTP(lc, log, "callers", s.Listen.Callers, callers)
 	serveHTTP(lc, log, "ready", s.Listen.Ready, newHTTPServer(platform.ReadyHandler(h.ready)))
 	serveHTTP(lc, log, "directory", s.Listen.Directory, newHTTPServer(platform.ResolveHandler(find)))
@@ -467,8 +471,9 @@
 }
 
 const (
-	headerTimeout  = 3 * time.Second  // for the header of a call, as the platform states it
+	headerTimeout  = 3 * time.Second  // for the header of a call
 	idleTimeout    = 20 * time.Second // above the 15 s that callers may stay idle, so that they close first
+	maxIdleTimeout = 10 * time.Minute // of callers, whatever the configuration says
 	maxHeaderBytes = 16 << 10
 )
 
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -77,6 +77,14 @@
 	return withoutConfig
 }
 
+// limits returns the limits of callers; the zero value without a configuration.
+func (h *Handler) limits() config.Limits {
+	if c := h.tracker.Current(); c != nil {
+		return c.Limits()
+	}
+	return config.Limits{}
+}
+
 func (h *Handler) isLeaving() bool { return h.leavingSince.Load() != 0 }
 
 // refuse returns the error of a call that was not run. The retry time is spread between
