edge: quarantined requests are read from their row

edge.TestQuarantineOfARequestSurvivesAllProcesses fails before ("the request is not quarantined", after the row was written again although it was up to date).

--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -31,7 +31,8 @@
 	}
 	for _, x := range rows {
 		// The texts are in heartbeats.
-		if x.Service == "" || x.Part == "" || !label.IsValid(x.Service) || !label.IsValid(x.Part) || len(x.Part) > poison.MaxIDBytes {
+		part := poison.Part{Service: x.Service, ID: x.Part}
+		if (x.Service == "") != part.IsRequest() || x.Part == "" || !label.IsValid(x.Service) || !label.IsValid(x.Part) || len(x.Part) > poison.MaxIDBytes {
 			return nil, fmt.Errorf("quarantined part %.100q of %.100q has unusable texts", x.Part, x.Service)
 		}
 	}
--- a/edge/quarantine_test.go
+++ b/edge/quarantine_test.go
@@ -51,6 +51,26 @@
 	})
 }
 
+// Guards against a deadly request that crashes servers again after all processes were killed at once, and
+// against a row with requests that is taken for one of another writer.
+func TestQuarantineOfARequestSurvivesAllProcesses(t *testing.T) {
+	withCluster(t, func(t *testing.T, s *cluster) {
+		deadly := poison.RequestPart("POST", "host", "/path", "account", []byte("deadly"))
+		tracker, now := poison.New(poison.Config{Log: zerolog.Nop()}), poison.Now()
+		tracker.Merge([]poison.Record{{Part: deadly, Since: now, Until: now + 10*time.Minute, Terms: 2}})
+		s.trackers["a"] = tracker
+		a, _ := s.join(t.Context(), "a", "d0", 800, true)
+		assert.NilError(t, a.writeQuarantines(t.Context()))
+		before := s.rows.next
+		assert.NilError(t, a.writeQuarantines(t.Context()))
+		assert.Equal(t, s.rows.next, before, "a row that is up to date was written again")
+		s.settled = map[string]bool{}
+		s.join(t.Context(), "b", "d0", 800, false)
+		_, _, ok := s.tracker("b").Blocked([]poison.Part{deadly})
+		assert.Assert(t, ok, "the request is not quarantined")
+	})
+}
+
 // Guards against a row that quarantines a part for ever, or that can't be decoded.
 func TestQuarantineRowIsBounded(t *testing.T) {
 	wall := time.Now()
