seal: a new key is used once another process uses it

They had started again after the key was replaced, knew the new one only, and so heard neither loads nor quarantines of the others, which had the new key and went on to seal with the old one for a minute. The daily rotation has the same minute.

Change: a process that opens a message under the next key seals with it from then on, and accepts the old one for a minute as before. Processes that do not know it yet read it when they meet it, as before.

seal.TestStartDuringAKeyRotation fails before ("message is sealed with an unknown key: 1" where none is expected).

--- a/seal/seal.go
+++ b/seal/seal.go
@@ -77,7 +77,8 @@
 }
 
 // AddKey adds a key. The first key is used at once. A newer one is accepted at once and
-// used for sealing after activationDelay, when the other processes know it too.
+// used for sealing after activationDelay, when the other processes know it too, or when one of them uses
+// it.
 func (s *Sealer) AddKey(k Key) error {
 	if len(k.Secret) != SecretBytes {
 		return fmt.Errorf("key %d has %d bytes, want %d", k.Number, len(k.Secret), SecretBytes)
@@ -104,6 +105,23 @@
 	s.current, s.next = s.next, Key{}
 }
 
+// activate makes the next key the current one if it has that number: a process that uses it may know no
+// other.
+func (s *Sealer) activate(number uint32) {
+	s.mu.RLock()
+	isNext := s.next.Number != 0 && number == s.next.Number
+	s.mu.RUnlock()
+	if !isNext {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if number == s.next.Number {
+		s.nextFrom = time.Now()
+		s.advance()
+	}
+}
+
 // Newest returns the number of the newest known key; 0 when there is none.
 func (s *Sealer) Newest() uint32 {
 	return s.NewestKey().Number
@@ -198,6 +216,7 @@
 	if e.Kind != uint32(kind) || !hmac.Equal(e.Tag, computeTag(k, e)) {
 		return ErrForged
 	}
+	s.activate(k.Number)
 	if err := proto.Unmarshal(e.Body, m); err != nil {
 		return fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
--- a/seal/seal_test.go
+++ b/seal/seal_test.go
@@ -92,6 +92,25 @@
 	})
 }
 
+// Guards against a process that starts during a key rotation, knows the new key only, and hears no other
+// process until the old key is no longer used.
+func TestStartDuringAKeyRotation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		one, two := seal.NewKey(1), seal.NewKey(2)
+		a, b, started := newSealer(t, one), newSealer(t, one), newSealer(t, two)
+		for _, x := range []*seal.Sealer{a, b} {
+			assert.NilError(t, x.AddKey(two))
+		}
+		checkOpen(t, started, sealed(t, a, seal.Beat), seal.ErrUnknown)
+		old := sealed(t, b, seal.Beat)
+		for _, x := range []*seal.Sealer{a, b} {
+			checkOpen(t, x, sealed(t, started, seal.Beat), nil)
+			checkOpen(t, started, sealed(t, x, seal.Beat), nil)
+		}
+		checkOpen(t, a, old, nil) // on its way
+	})
+}
+
 // Guards against a secret of the wrong length.
 func TestShortSecret(t *testing.T) {
 	assert.Assert(t, (&seal.Sealer{}).AddKey(seal.Key{Number: 1, Secret: []byte("short")}) != nil)
