--- a/poison/tracker.go
+++ b/poison/tracker.go
@@ -19,7 +19,6 @@
 
 import (
 	"cmp"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -87,32 +86,6 @@
 	ownTrial  uint64        // last trial that this process claimed; 0 for none
 }
 
-// answers holds when parts were last answered, Now. The older half is forgotten when there are too many.
-type answers struct{ recent, older map[Part]time.Duration }
-
-func (a *answers) set(p Part, now time.Duration) {
-	if a.recent == nil || len(a.recent) >= maxAnswered {
-		a.recent, a.older = map[Part]time.Duration{}, a.recent
-	}
-	a.recent[p] = now
-}
-
-// at returns when a part was last answered, or 0.
-func (a *answers) at(p Part) time.Duration {
-	if at, ok := a.recent[p]; ok {
-		return at
-	}
-	return a.older[p]
-}
-
-// answeredAt returns when a request or a request with a part was last answered, or 0. The caller holds mu.
-func (t *Tracker) answeredAt(p Part) time.Duration {
-	if p.IsRequest() {
-		return t.sound.at(p)
-	}
-	return t.answered.at(p)
-}
-
 // cut is a run that was cut before its server had shown that it can answer the request.
 type cut struct {
 	server  uint64
@@ -172,74 +145,6 @@
 // TracksRequests reports whether there is evidence against any request, or may be soon.
 func (t *Tracker) TracksRequests() bool { return t.requests.Load() > 0 || t.waiting.Load() > 0 }
 
-// Crashes returns the number of servers that crashed on a request since one answered it, less those that
-// are expected of one that is answered all the time.
-func (t *Tracker) Crashes(p Part) int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	e := t.records[p]
-	switch {
-	case e == nil:
-		return 0
-	case e.answeredBefore():
-		return max(len(e.Crashes)-minCrashesOfAnswered/2, 0)
-	default:
-		return len(e.Crashes)
-	}
-}
-
-// TrialIn returns how long the trial of a suspected request has to wait: until the evidence of its last
-// crash is known to all processes, and until no other process may be trying it. ordered means that this
-// process has no other trial of it.
-func (t *Tracker) TrialIn(p Part, ordered bool) time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	e := t.records[p]
-	if e == nil {
-		return 0
-	}
-	return e.trialIn(Now(), ordered)
-}
-
-// triedHere reports whether the last trial is that of this process.
-func (e *entry) triedHere() bool { return e.ownTrial != 0 && e.ownTrial == e.Trial }
-
-// trialIn is TrialIn of an entry. The caller holds mu.
-func (e *entry) trialIn(now time.Duration, ordered bool) time.Duration {
-	wait := e.settlesIn(now)
-	if e.TriedAt > 0 && !(ordered && e.triedHere()) {
-		wait = max(wait, e.TriedAt+MaxTrial-now)
-	}
-	return max(wait, 0)
-}
-
-// TryAlone claims the trial of a suspected request, which it tells the other processes, and returns 0 once
-// it may begin, or how long to wait before the next call. ordered means that this process has no other
-// trial of it.
-func (t *Tracker) TryAlone(p Part, ordered bool) time.Duration {
-	now := Now()
-	t.mu.Lock()
-	e := t.records[p]
-	if e == nil || len(e.Crashes) == 0 {
-		t.mu.Unlock()
-		return 0
-	}
-	wait := e.trialIn(now, ordered)
-	if wait == 0 && e.triedHere() && now < e.TriedAt+MaxTrial/2 {
-		wait = max(e.TriedAt+claimTime-now, 0)
-	} else if wait == 0 {
-		e.ownTrial = max(rand.Uint64(), 1)
-		e.TriedAt, e.Trial = now, e.ownTrial
-		e.changedAt, e.ownAt = now, now
-		record := e.Record.clone()
-		t.mu.Unlock()
-		t.announce([]Record{record})
-		return claimTime
-	}
-	t.mu.Unlock()
-	return wait
-}
-
 // RecordAnswered records that a server wrote an answer to a request with the parts.
 func (t *Tracker) RecordAnswered(parts []Part) {
 	if len(parts) == 0 {
@@ -384,22 +289,6 @@
 	return changed, started
 }
 
-// leads reports whether no other request that shares the last crash of a record has as many crashes.
-// The crash of a server cuts many sound requests, but few of them twice. Those that many callers send
-// are on each crash, but they are answered in between. The caller holds mu.
-func (t *Tracker) leads(e *entry) bool {
-	if !e.Part.IsRequest() || len(e.Crashes) == 0 {
-		return false
-	}
-	last := e.Crashes[len(e.Crashes)-1]
-	for p, o := range t.records {
-		if o != e && p.IsRequest() && !o.answeredBefore() && len(o.Crashes) >= len(e.Crashes) && slices.ContainsFunc(o.Crashes, last.same) {
-			return false
-		}
-	}
-	return true
-}
-
 // entry returns the record of a part, which it creates unless quarantines leave no room. The caller holds
 // mu.
 func (t *Tracker) entry(p Part, now time.Duration) *entry {
@@ -486,100 +375,6 @@
 	}
 }
 
-// Merge adds what another process knows.
-func (t *Tracker) Merge(records []Record) {
-	if len(records) == 0 {
-		return
-	}
-	now := Now()
-	var started []Record
-	lifted := false
-	t.mu.Lock()
-	for _, r := range records {
-		e := t.entry(r.Part, now)
-		if e == nil {
-			continue
-		}
-		before := e.Quarantined(now)
-		// RecordAnswered leaves out records without evidence.
-		e.recordAnswer(t.answeredAt(r.Part))
-		trial := e.Trial
-		if e.merge(r) || e.Trial != trial {
-			e.changedAt = now
-		}
-		if e.startQuarantine(now, false) || (!before && e.Quarantined(now)) {
-			started = append(started, e.Record.clone())
-		}
-		lifted = lifted || (before && !e.Quarantined(now))
-		t.setActive(e, e.Quarantined(now))
-	}
-	t.mu.Unlock()
-	t.logQuarantined(started, "evidence of other processes")
-	if lifted {
-		t.cfg.OnQuarantine()
-	}
-}
-
-// Recent returns the records that changed lately, to be repeated with the next heartbeat: with
-// own only those that changed by what this process saw itself.
-func (t *Tracker) Recent(own bool) []Record {
-	now := Now()
-	return t.list(func(e *entry) bool {
-		at := e.changedAt
-		if own {
-			at = e.ownAt
-		}
-		return at > 0 && now-at < recentAge
-	})
-}
-
-// Records returns the records that other processes should know.
-func (t *Tracker) Records() []Record {
-	return t.list(func(*entry) bool { return true })
-}
-
-// Quarantines returns the records with a quarantine in force that is longer than a suspension.
-func (t *Tracker) Quarantines() []Record {
-	now := Now()
-	return t.list(func(e *entry) bool { return e.Quarantined(now) && !e.Suspension() })
-}
-
-// list returns at most maxShared records for which match returns true, quarantined ones first.
-func (t *Tracker) list(match func(e *entry) bool) []Record {
-	now := Now()
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.expire(now)
-	var out []Record
-	for _, e := range t.records {
-		if match(e) {
-			out = append(out, e.Record.clone())
-		}
-	}
-	slices.SortFunc(out, func(a, b Record) int {
-		return cmp.Or(cmp.Compare(b.Until, a.Until), cmp.Compare(len(b.Crashes), len(a.Crashes)))
-	})
-	return out[:min(len(out), maxShared)]
-}
-
-// Counts returns the number of parts of prompts, or of requests, with evidence against them and of
-// those in quarantine.
-func (t *Tracker) Counts(requests bool) (suspected, quarantined int) {
-	now := Now()
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for p, e := range t.records {
-		switch {
-		case p.IsRequest() != requests:
-		case e.Quarantined(now):
-			quarantined++
-		case len(e.Crashes) > 0:
-			suspected++
-		}
-	}
-	return suspected, quarantined
-}
-
 // report logs and announces the results of a confirmed crash.
 func (t *Tracker) report(changed, started []Record) {
 	for _, r := range changed {
@@ -602,12 +397,6 @@
 	}
 }
 
-func (t *Tracker) announce(records []Record) {
-	if len(records) > 0 {
-		t.cfg.Announce(records)
-	}
-}
-
 // describe returns the message for a part of prompts or for a request.
 func (r *Record) describe(part, request string) string {
 	if r.Part.IsRequest() {
