poison: a suspect waits until it is known whether its second server crashed

Cause: on a busy machine the query that confirms a crash finds the port still open or gets no answer in time, and the crash is confirmed seconds later, by the registry. Until then the request went to the next server.

Change: a request on which one server has crashed, and that another one has cut without an answer, is refused as not run until the second crash is confirmed or six seconds have passed, with that time to come back. Requests that are answered all the time are left out.

poison.TestRequestWaitsForTheConfirmationOfACrash fails before ("request r" is not refused).

--- a/poison/request_test.go
+++ b/poison/request_test.go
@@ -131,6 +131,36 @@
 	}
 }
 
+// Guards against a request that is sent to a third server while it is not known whether it crashed the second.
+func TestRequestWaitsForTheConfirmationOfACrash(t *testing.T) {
+	for name, crashed := range map[string]bool{"the server has crashed": true, "the server lives": false} {
+		t.Run(name, func(t *testing.T) {
+			virtually(t, func(t *testing.T) {
+				f := newFleet(1)
+				cut := func(server uint64) {
+					f.trackers[0].RecordCut(server, server, []poison.Part{requestPart("r")})
+					time.Sleep(time.Second)
+				}
+				cut(1)
+				f.checkRequest(t, "r", 0, 0)
+				f.trackers[0].RecordCrash(1)
+				time.Sleep(time.Second)
+				f.checkRequest(t, "r", 0, 0)
+				cut(2)
+				f.checkRequest(t, "r", time.Second, 6*time.Second)
+				if crashed {
+					f.trackers[0].RecordCrash(2)
+					time.Sleep(time.Second)
+					f.checkRequest(t, "r", 7*time.Second, 10*time.Second)
+					return
+				}
+				time.Sleep(6 * time.Second)
+				f.checkRequest(t, "r", 0, 0)
+			})
+		})
+	}
+}
+
 // Guards against a sound request that many callers send alike and that is refused, or keeps the deadly one
 // from being refused, because it is on each server that crashes.
 func TestPopularRequestBesideADeadlyOne(t *testing.T) {
--- a/poison/tracker.go
+++ b/poison/tracker.go
@@ -138,10 +138,28 @@
 		if e.Quarantined(now) {
 			return p, e.Until - now, true, started
 		}
+		if left := t.unconfirmed(e, now); left > 0 {
+			return p, left, true, started
+		}
 	}
 	return Part{}, 0, false, started
 }
 
+// unconfirmed returns how long it may take until it is known whether a second server has crashed on a
+// request, or 0. The caller holds mu.
+func (t *Tracker) unconfirmed(e *entry, now time.Duration) time.Duration {
+	left := time.Duration(0)
+	if !e.Part.IsRequest() || len(e.Crashes) == 0 || e.answeredBefore() {
+		return 0
+	}
+	for _, c := range t.cuts {
+		if slices.Contains(c.parts, e.Part) {
+			left = max(left, c.at+cutAge-now)
+		}
+	}
+	return left
+}
+
 // TracksRequests reports whether there is evidence against any request, or may be soon.
 func (t *Tracker) TracksRequests() bool { return t.requests.Load() > 0 || t.waiting.Load() > 0 }
 
