proxy: TestVerdicts waits for an order that reaches its server late

It failed once in a whole run with the race detector at a load of 22 ("deadline passes": 0 != 1 orders executed). Cause: the order has a deadline of 50 ms and is executed 300 ms after it has arrived; the check came 350 ms after it was sent, so an order that took 50 ms to arrive was not counted yet. With an added 60 ms before the server's delay the check fails in the same way, and passes now. It waits for the expected number, and for the delay of the server after it, so that an order that is executed twice is still found.

--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -97,6 +97,10 @@
 				_ = a.Body.Close()
 			}
 			wantError(t, err, c.verdict, c.code)
+			// On a busy machine the order reaches the server long after it was sent.
+			for begun := time.Now(); len(s.ExecutedOrders())-before < c.runs && time.Since(begun) < 5*time.Second; {
+				time.Sleep(time.Millisecond)
+			}
 			time.Sleep(c.faults.Delay)
 			assert.Equal(t, len(s.ExecutedOrders())-before, c.runs)
 		})
