review: a member follows a hub without the store for too long (case 3)

Cause: a process that is not the hub asks the store itself only after 2.4 s without news, over configMs.

--- a/review/kit/main.go
+++ b/review/kit/main.go
@@ -23,8 +23,9 @@
 }
 
 var cases = map[string]func(*stage) error{
-	"add-beside-cut-hub": addBesideCutHub,
-	"stop-while-waiting": stopWhileWaiting,
+	"add-beside-cut-hub":   addBesideCutHub,
+	"storm-beside-cut-hub": stormBesideCutHub,
+	"stop-while-waiting":   stopWhileWaiting,
 }
 
 func main() {
