--- a/review/kit/main.go
+++ b/review/kit/main.go
@@ -11,6 +11,9 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
+	"sync"
+	"syscall"
 )
 
 // stage is what a case plays on.
@@ -19,7 +22,9 @@
 	trouble     bool
 	record      *record
 	store       *store
-	entries     []*entry
+
+	mu      sync.Mutex // guards entries
+	entries []*entry
 }
 
 var cases = map[string]func(*stage) error{
@@ -56,10 +61,16 @@
 	}
 	s := &stage{binary: binary, dir: dir, trouble: os.Getenv("TROUBLE") != "0", record: r}
 	r.add("disruption: %v", s.trouble)
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-interrupted
+		s.stopEntries()
+		_ = os.RemoveAll(dir)
+		os.Exit(2)
+	}()
 	defer func() {
-		for _, e := range s.entries {
-			e.stop()
-		}
+		s.stopEntries()
 		if err != nil {
 			r.add("could not run: %v", err)
 		}
@@ -79,6 +90,17 @@
 	if err != nil {
 		return nil, err
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.entries = append(s.entries, e)
 	return e, e.start()
 }
+
+// stopEntries ends the entry processes.
+func (s *stage) stopEntries() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.entries {
+		e.stop()
+	}
+}
