edge: a connection of a caller on which a request has begun stays open

Cause: net/http reports a connection as idle until it has read the whole header of the next request, and callerConns closed by that. A configuration with a shorter idle limit closed, in one moment, all connections that had been idle for longer than the new limit and 5 s, which their callers could still use by the one before. A request that was being read just then was even passed on to a backend server, and its answer lost. None of it left a trace.

Change: the reads of callers' connections are observed, so that the first byte of a request ends the idle phase; the idle limit is that of the configuration in effect when the connection became idle, and a later one only prolongs it; a connection with bytes that a slow or paused process has not read yet is not closed; a request that crossed the close is not passed on. Events idle closed, header closed, close deferred and close crossed are counted.

--- a/edge/app.go
+++ b/edge/app.go
@@ -456,16 +456,16 @@
 	log := factory.Logger("edge")
 	front := &platform.CallerHandler{Serve: h.Serve, MaxBody: h.maxBody, Leaving: h.isLeaving, Quota: q, OnPanic: h.logPanic}
 	find := func(domain string) ([]string, time.Duration) { return h.addresses(s, members, domain), addressTTL }
-	conns := newCallerConns(h.limits)
+	conns := newCallerConns(h.limits, c.event)
 	callers := newHTTPServer(conns.handler(front))
 	callers.ConnState, callers.ConnContext = conns.observe, withConn
 	callers.ReadHeaderTimeout, callers.IdleTimeout = 0, maxIdleTimeout // conns has the shorter bounds
 	runAll(lc, every(connCheckInterval, conns.closeExpired))
-	serveHTTP(lc, log, "callers", s.Listen.Callers, callers)
-	serveHTTP(lc, log, "ready", s.Listen.Ready, newHTTPServer(platform.ReadyHandler(h.ready)))
-	serveHTTP(lc, log, "directory", s.Listen.Directory, newHTTPServer(platform.ResolveHandler(find)))
+	serveHTTP(lc, log, "callers", s.Listen.Callers, callers, conns.listener)
+	serveHTTP(lc, log, "ready", s.Listen.Ready, newHTTPServer(platform.ReadyHandler(h.ready)), nil)
+	serveHTTP(lc, log, "directory", s.Listen.Directory, newHTTPServer(platform.ResolveHandler(find)), nil)
 	if s.Listen.Metrics != "" {
-		serveHTTP(lc, log, "metrics", s.Listen.Metrics, newHTTPServer(c))
+		serveHTTP(lc, log, "metrics", s.Listen.Metrics, newHTTPServer(c), nil)
 	}
 	lc.Append(fx.Hook{OnStop: func(ctx context.Context) error { return h.drain(ctx, callers) }})
 }
--- a/edge/conns.go
+++ b/edge/conns.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cranberrybay/cranberrybay/config"
+	"github.com/cranberrybay/cranberrybay/link"
 )
 
 const (
@@ -30,27 +31,41 @@
 	phaseIdle   connPhase = iota // the next request
 	phaseHeader                  // the rest of a header
 	phaseServed                  // the answer
+	phaseClosed                  // nothing: this process has closed it
 )
 
 // callerConns closes connections of callers that are idle, or that take over a header, for longer than the
-// configuration in effect allows. The timeouts of net/http are fixed when a server starts.
+// configuration allows. The timeouts of net/http are fixed when a server starts, and net/http takes a
+// connection for idle until it has read the whole header of the next request.
 type callerConns struct {
 	limits func() config.Limits
+	count  func(event string) // counts closed connections
 
 	mu    sync.Mutex
 	conns map[net.Conn]*connState
 }
 
-// connState is the phase of a connection and when it began. callerConns.mu guards it.
+// connState is what is known of a connection. callerConns.mu guards it.
 type connState struct {
 	phase connPhase
-	since time.Time
+	since time.Time // begin of the phase
+	// idleUntil is the time until which the caller may leave the connection idle, by the configuration that
+	// was in effect when it became idle. A later one can only prolong it.
+	idleUntil time.Time
 }
 
-func newCallerConns(limits func() config.Limits) *callerConns {
-	return &callerConns{limits: limits, conns: map[net.Conn]*connState{}}
+func newCallerConns(limits func() config.Limits, count func(event string)) *callerConns {
+	return &callerConns{limits: limits, count: count, conns: map[net.Conn]*connState{}}
 }
 
+// Events of connections that this process closed, or was about to close.
+const (
+	eventIdleClosed    = "idle closed"    // no request came in time
+	eventHeaderClosed  = "header closed"  // a header did not end in time
+	eventCloseCrossed  = "close crossed"  // a request was read from a connection that this process had closed
+	eventCloseDeferred = "close deferred" // bytes had arrived that were not read yet
+)
+
 // connKey is the key of the connection in the context of a request.
 type connKey struct{}
 
@@ -59,6 +74,49 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
+// connListener accepts connections whose reads callerConns observes.
+type connListener struct {
+	net.Listener
+	conns *callerConns
+}
+
+// listener returns a listener that accepts the connections of another one and has their reads observed.
+func (x *callerConns) listener(ln net.Listener) net.Listener {
+	return &connListener{Listener: ln, conns: x}
+}
+
+// Accept waits for the next connection.
+func (l *connListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &callerConn{Conn: c, conns: l.conns}, nil
+}
+
+// callerConn is a connection of a caller.
+type callerConn struct {
+	net.Conn
+	conns *callerConns
+}
+
+// Read reads from the connection. The first bytes after an answer begin the header of a request.
+func (c *callerConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.conns.received(c)
+	}
+	return n, err
+}
+
+// CloseWrite ends the sending side, which net/http does before it closes a connection with unread bytes.
+func (c *callerConn) CloseWrite() error {
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		return t.CloseWrite()
+	}
+	return nil
+}
+
 // observe follows the states that net/http reports.
 func (x *callerConns) observe(c net.Conn, s http.ConnState) {
 	switch s {
@@ -73,40 +131,112 @@
 	}
 }
 
-func (x *callerConns) set(c net.Conn, p connPhase) {
+// set begins a phase, and reports whether the connection is open. A header that has begun goes on.
+func (x *callerConns) set(c net.Conn, p connPhase) bool {
+	now := time.Now()
+	idle, _ := x.timeouts()
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.conns[c] = &connState{phase: p, since: time.Now()}
+	s := x.conns[c]
+	switch {
+	case s == nil:
+		s = &connState{}
+		x.conns[c] = s
+	case s.phase == phaseClosed:
+		return false
+	case s.phase == p:
+		return true
+	}
+	s.phase, s.since = p, now
+	if p == phaseIdle {
+		s.idleUntil = now.Add(idle)
+	}
+	return true
 }
 
-// handler returns a handler that notes the connections whose requests are served.
+// received notes that bytes arrived on a connection.
+func (x *callerConns) received(c net.Conn) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if s := x.conns[c]; s != nil && s.phase == phaseIdle {
+		s.phase, s.since = phaseHeader, time.Now()
+	}
+}
+
+// handler returns a handler that notes the connections whose requests are served. A request that crossed
+// the close of its connection is not served: its answer would be lost.
 func (x *callerConns) handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := r.Context().Value(connKey{}).(net.Conn); ok {
-			x.set(c, phaseServed)
+		if c, ok := r.Context().Value(connKey{}).(net.Conn); ok && !x.set(c, phaseServed) {
+			x.count(eventCloseCrossed)
+			panic(http.ErrAbortHandler)
 		}
 		next.ServeHTTP(w, r)
 	})
 }
 
-// closeExpired closes the connections that wait for too long.
-func (x *callerConns) closeExpired(context.Context) {
+// timeouts returns how long connections may be idle and how long a header may take, by the configuration in
+// effect.
+func (x *callerConns) timeouts() (idle, header time.Duration) {
 	l := x.limits()
-	idle, header := l.IdleTimeout, l.HeaderTimeout
+	idle, header = l.IdleTimeout, l.HeaderTimeout
 	if idle <= 0 {
 		idle = defaultIdleTimeout
 	}
 	if header <= 0 {
 		header = defaultHeaderTimeout
 	}
+	return idle, header
+}
+
+// closeExpired closes the connections that wait for too long.
+func (x *callerConns) closeExpired(context.Context) {
+	idle, header := x.timeouts()
 	now := time.Now()
-	idleSince, headerSince := now.Add(-idle-idleMargin), now.Add(-header-headerMargin)
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	for c, s := range x.conns {
-		if (s.phase == phaseIdle && s.since.Before(idleSince)) || (s.phase == phaseHeader && s.since.Before(headerSince)) {
-			_ = c.Close() // net/http reports it as closed
-			delete(x.conns, c)
+		switch {
+		case s.phase == phaseIdle && now.After(s.idleUntil.Add(idleMargin)) && now.After(s.since.Add(idle+idleMargin)):
+			x.close(c, s, eventIdleClosed)
+		case s.phase == phaseHeader && now.After(s.since.Add(header+headerMargin)):
+			x.close(c, s, eventHeaderClosed)
+		}
+	}
+}
+
+// close closes a connection, which net/http then reports, unless bytes have arrived that this process has not
+// read yet: it may have been slow or paused. It reports whether the connection is closed. The caller holds mu.
+func (x *callerConns) close(c net.Conn, s *connState, event string) bool {
+	raw := c
+	if k, ok := c.(*callerConn); ok {
+		raw = k.Conn
+	}
+	if link.HasUnread(raw) {
+		x.count(eventCloseDeferred)
+		return false
+	}
+	x.count(event)
+	s.phase = phaseClosed
+	_ = c.Close()
+	return true
+}
+
+// closeIdle closes the connections on which no request has begun and returns the number of those that are
+// left.
+func (x *callerConns) closeIdle() (left int) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for c, s := range x.conns {
+		switch s.phase {
+		case phaseClosed:
+		case phaseIdle:
+			if !x.close(c, s, eventIdleClosed) {
+				left++
+			}
+		case phaseHeader, phaseServed:
+			left++
 		}
 	}
+	return left
 }
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -142,7 +142,8 @@
 func discardLogger() *stdlog.Logger { return stdlog.New(io.Discard, "", 0) }
 
 // serveHTTP runs an HTTP server on an address while the application runs.
-func serveHTTP(lc fx.Lifecycle, log zerolog.Logger, name, address string, srv *http.Server) {
+// wrap changes its listener; nil to use it as it is.
+func serveHTTP(lc fx.Lifecycle, log zerolog.Logger, name, address string, srv *http.Server, wrap func(ln net.Listener) net.Listener) {
 	lc.Append(fx.Hook{
 		OnStart: func(ctx context.Context) error {
 			var c net.ListenConfig
@@ -150,6 +151,9 @@
 			if err != nil {
 				return fmt.Errorf("listen for %s: %w", name, err)
 			}
+			if wrap != nil {
+				ln = wrap(ln)
+			}
 			go func() {
 				if err := srv.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
 					log.Error().Err(err).Str("listener", name).Msg("listener ended")
--- a/link/link.go
+++ b/link/link.go
@@ -524,28 +524,6 @@
 	}
 }
 
-// isIdle reports whether a connection is open and has nothing to read. It detects, before
-// a request is written, that the server closed the connection or sent unexpected bytes.
-func isIdle(c net.Conn) bool {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	open := false
-	if err := raw.Control(func(fd uintptr) {
-		var one [1]byte
-		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		open = errors.Is(err, unix.EAGAIN)
-	}); err != nil {
-		return false
-	}
-	return open
-}
-
 // CloseIdle closes the idle connections to an address. It is called when the server has
 // left or restarted.
 func (c *Client) CloseIdle(address string) {
