edge: a stop closes callers' connections itself and leaves none with a request

Cause: http.Server.Shutdown closes every connection that net/http takes for idle, also one on which a part of the next header has been read, or on which bytes have arrived that a slow process has not read.

Change: the listener is closed first, then each connection once no request has begun on it. What is left at the end of the grace period is logged and counted (stop cut).

--- a/edge/app.go
+++ b/edge/app.go
@@ -467,7 +467,7 @@
 	if s.Listen.Metrics != "" {
 		serveHTTP(lc, log, "metrics", s.Listen.Metrics, newHTTPServer(c), nil)
 	}
-	lc.Append(fx.Hook{OnStop: func(ctx context.Context) error { return h.drain(ctx, callers) }})
+	lc.Append(fx.Hook{OnStop: func(ctx context.Context) error { return h.drain(ctx, callers, conns) }})
 }
 
 const (
--- a/edge/conns.go
+++ b/edge/conns.go
@@ -43,6 +43,7 @@
 
 	mu    sync.Mutex
 	conns map[net.Conn]*connState
+	ln    net.Listener // nil before listener is called
 }
 
 // connState is what is known of a connection. callerConns.mu guards it.
@@ -64,6 +65,7 @@
 	eventHeaderClosed  = "header closed"  // a header did not end in time
 	eventCloseCrossed  = "close crossed"  // a request was read from a connection that this process had closed
 	eventCloseDeferred = "close deferred" // bytes had arrived that were not read yet
+	eventStopCut       = "stop cut"       // an answer did not end before the process had to
 )
 
 // connKey is the key of the connection in the context of a request.
@@ -82,6 +84,9 @@
 
 // listener returns a listener that accepts the connections of another one and has their reads observed.
 func (x *callerConns) listener(ln net.Listener) net.Listener {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.ln = ln
 	return &connListener{Listener: ln, conns: x}
 }
 
@@ -240,3 +245,21 @@
 	}
 	return left
 }
+
+// shutdown accepts no more connections and closes those of callers once they are idle. It returns the number
+// of those that are not at a time. net/http would also close the ones on which it has read a part of a header.
+func (x *callerConns) shutdown(until time.Time) (left int, err error) {
+	x.mu.Lock()
+	ln := x.ln
+	x.mu.Unlock()
+	if ln != nil {
+		err = ln.Close()
+	}
+	for {
+		left = x.closeIdle()
+		if left == 0 || !time.Now().Before(until) {
+			return left, err
+		}
+		time.Sleep(drainPollInterval)
+	}
+}
--- a/edge/conns_test.go
+++ b/edge/conns_test.go
@@ -1,10 +1,12 @@
 package edge
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -108,8 +110,34 @@
 	})
 }
 
+// callerServer serves callers on a loopback address through the connections x. Requests are answered with
+// their path; those to /wait only once the returned function is called.
+func callerServer(t *testing.T, x *callerConns) (address string, release func()) {
+	t.Helper()
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	waiting := make(chan struct{})
+	srv := newHTTPServer(x.handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/wait" {
+			<-waiting
+		}
+		_, _ = io.WriteString(w, r.URL.Path)
+	})))
+	srv.ConnState, srv.ConnContext = x.observe, withConn
+	served := make(chan error, 1)
+	go func() { served <- srv.Serve(x.listener(ln)) }()
+	t.Cleanup(func() {
+		assert.NilError(t, srv.Close())
+		assert.Assert(t, <-served != nil)
+	})
+	return ln.Addr().String(), sync.OnceFunc(func() { close(waiting) })
+}
+
 // caller is a connection of a caller that writes its requests by parts.
-type caller struct{ net.Conn }
+type caller struct {
+	net.Conn
+	answers *bufio.Reader
+}
 
 func connect(t *testing.T, address string) *caller {
 	t.Helper()
@@ -117,7 +145,7 @@
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = c.Close() })
 	assert.NilError(t, c.SetDeadline(time.Now().Add(10*time.Second)))
-	return &caller{Conn: c}
+	return &caller{Conn: c, answers: bufio.NewReader(c)}
 }
 
 func (c *caller) write(t *testing.T, text string) {
@@ -126,6 +154,77 @@
 	assert.NilError(t, err)
 }
 
+// checkAnswer fails unless the next answer is complete and has the body.
+func (c *caller) checkAnswer(t *testing.T, want string) {
+	t.Helper()
+	rs, err := http.ReadResponse(c.answers, nil)
+	assert.NilError(t, err)
+	body, err := io.ReadAll(rs.Body)
+	assert.NilError(t, err)
+	assert.NilError(t, rs.Body.Close())
+	assert.Equal(t, string(body), want)
+}
+
+// awaitPhase waits until a number of connections are in a phase.
+func awaitPhase(t *testing.T, x *callerConns, want connPhase, count int) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		n := 0
+		for _, s := range x.conns {
+			if s.phase == want {
+				n++
+			}
+		}
+		if n == count {
+			return poll.Success()
+		}
+		return poll.Continue("%d connections in phase %d", n, want)
+	})
+}
+
+// Guards against a request that was read in part, or is being answered, when the process stops, and whose
+// connection is closed without an answer.
+func TestStopAnswersRequestsThatHaveBegun(t *testing.T) {
+	x := newCallerConns(func() config.Limits { return config.Limits{} }, func(string) {})
+	address, release := callerServer(t, x)
+	begun, waiting, idle := connect(t, address), connect(t, address), connect(t, address)
+	for _, c := range []*caller{begun, waiting, idle} {
+		c.write(t, "GET /first HTTP/1.1\r\nHost: a\r\n\r\n")
+		c.checkAnswer(t, "/first")
+	}
+	begun.write(t, "GET /begun HTTP/1.1\r\nHost: a\r\n")
+	waiting.write(t, "GET /wait HTTP/1.1\r\nHost: a\r\n\r\n")
+	awaitPhase(t, x, phaseHeader, 1)
+	awaitPhase(t, x, phaseServed, 1)
+	result := make(chan int)
+	go func() {
+		left, err := x.shutdown(time.Now().Add(8 * time.Second))
+		assert.Check(t, err)
+		result <- left
+	}()
+	_, err := idle.Read(make([]byte, 1))
+	assert.Equal(t, err, io.EOF)
+	begun.write(t, "Connection: close\r\n\r\n")
+	begun.checkAnswer(t, "/begun")
+	release()
+	waiting.checkAnswer(t, "/wait")
+	assert.Equal(t, <-result, 0)
+}
+
+// Guards against a stop that waits for ever for a request that does not end.
+func TestStopEndsBesideARequestWithoutEnd(t *testing.T) {
+	x := newCallerConns(func() config.Limits { return config.Limits{} }, func(string) {})
+	address, release := callerServer(t, x)
+	defer release()
+	connect(t, address).write(t, "GET /wait HTTP/1.1\r\nHost: a\r\n\r\n")
+	awaitPhase(t, x, phaseServed, 1)
+	left, err := x.shutdown(time.Now().Add(50 * time.Millisecond))
+	assert.NilError(t, err)
+	assert.Equal(t, left, 1)
+}
+
 // Guards against the close of an idle connection on which a request has arrived that a paused process has not
 // read.
 func TestUnreadRequestKeepsItsConnection(t *testing.T) {
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -155,7 +155,7 @@
 				ln = wrap(ln)
 			}
 			go func() {
-				if err := srv.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
+				if err := srv.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 					log.Error().Err(err).Str("listener", name).Msg("listener ended")
 				}
 			}()
@@ -189,7 +189,7 @@
 // drain stops the process without interrupting requests. It tells callers to use other
 // processes, hands over the lease, still accepts requests for a while, and closes the
 // listener when none is in flight or the grace period is nearly over.
-func (h *Handler) drain(ctx context.Context, callers *http.Server) error {
+func (h *Handler) drain(ctx context.Context, callers *http.Server, conns *callerConns) error {
 	begun := time.Now()
 	end := begun.Add(h.gracePeriod - stopMargin)
 	h.leavingSince.Store(begun.UnixNano())
@@ -205,12 +205,12 @@
 		time.Sleep(drainPollInterval)
 	}
 	h.log.Info().Int64("inflight", h.inflight.Load()).Dur("took", time.Since(begun)).Msg("listener closes")
-	shutdownCtx, cancel := context.WithDeadline(ctx, end.Add(shutdownTimeout))
-	defer cancel()
-	if err := callers.Shutdown(shutdownCtx); err != nil {
-		return callers.Close()
+	left, err := conns.shutdown(end.Add(shutdownTimeout))
+	if left > 0 {
+		h.counters.event(eventStopCut)
+		h.log.Warn().Int("connections", left).Int64("inflight", h.inflight.Load()).Msg("connections of callers are closed before their answers")
 	}
-	return nil
+	return errors.Join(err, callers.Close())
 }
 
 const (
