entry: answer each request that was read when a connection closes

Callers saw: a request on a new or kept connection ended without an answer (LOST) in a planned stop of a process that was paused for 5 s or so, and a request that waited to be read when the header or idle timeout passed during a pause was dropped.

Cause: net/http's Shutdown closes idle connections although a part of the next request has been read, takes new ones for idle after 5 s, and drops a request that it reads meanwhile. The wait before it was bounded by 5 s of the clock, which a pause uses up. A read whose deadline has passed fails although the bytes are there.

Change: Handler.Shutdown closes the connections itself, each one once nothing that was read from it is unanswered, and calls net/http's Shutdown when none is left. A read that misses its deadline is tried once more for 50 ms. Answers of a draining process carry Connection: close.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -11,7 +11,6 @@
 	"runtime/debug"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/gin-gonic/gin"
@@ -69,17 +68,17 @@
 
 // Handler serves the API for callers.
 type Handler struct {
-	cfg          Config
-	inflight     *inflightTracker
-	pendingConns atomic.Int64 // connections whose request has not reached a handler
-	router       *gin.Engine
-	runner       *stream.Runner
+	cfg      Config
+	inflight *inflightTracker
+	conns    *connTracker
+	router   *gin.Engine
+	runner   *stream.Runner
 }
 
 // New returns a handler with all routes of the API.
 func New(cfg Config) *Handler {
 	gin.SetMode(gin.ReleaseMode)
-	h := &Handler{cfg: cfg, inflight: newInflightTracker(), router: gin.New()}
+	h := &Handler{cfg: cfg, inflight: newInflightTracker(), conns: &connTracker{conns: map[*callerConn]bool{}}, router: gin.New()}
 	h.runner = NewRunner(RunnerConfig{Fleet: cfg.Fleet, Chooser: cfg.Chooser, Engines: cfg.Engines, Domain: cfg.Domain, Guard: cfg.Guard})
 	h.router.RedirectTrailingSlash = false // paths of services are passed on unchanged
 	h.router.Use(h.markHandling, h.recoverPanic, h.checkHeader)
--- a/entry/listener.go
+++ b/entry/listener.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -32,38 +33,90 @@
 // Listener returns a listener for callers. It bounds each write to a
 // connection, and answers a header that arrives too slowly with status 408,
 // where net/http closes the connection without an answer.
-func (h *Handler) Listener(l net.Listener) net.Listener { return callerListener{l, &h.pendingConns} }
+func (h *Handler) Listener(l net.Listener) net.Listener { return callerListener{l, h.conns} }
 
-// Shutdown stops a drained server. It closes the listener first and waits until
-// the requests that have arrived have reached a handler: net/http closes a
-// connection without an answer when it reads the request during its own
-// shutdown.
+// Shutdown stops a drained server: it closes the listener and then the
+// connections, each one once the requests that were read from it are answered.
+// net/http's own shutdown closes a connection without an answer when it reads
+// the request meanwhile.
 func (h *Handler) Shutdown(ctx context.Context, s *http.Server, l net.Listener) error {
 	_ = l.Close()
-	for end := time.Now().Add(headerTimeout); ; {
-		time.Sleep(pendingPollInterval)
-		if h.pendingConns.Load() == 0 || ctx.Err() != nil || time.Now().After(end) {
-			return s.Shutdown(ctx)
-		}
+	for h.conns.closeIdle() > 0 && ctx.Err() == nil {
+		time.Sleep(connPollInterval)
+	}
+	return s.Shutdown(ctx)
+}
+
+const (
+	// connPollInterval is the time between two checks in Shutdown for open
+	// connections.
+	connPollInterval = 5 * time.Millisecond
+	// lastReadTime is how long a connection is read once more before a timeout
+	// closes it. A process that was paused finds the timeout passed and the
+	// request still unread.
+	lastReadTime = 50 * time.Millisecond
+)
+
+// connTracker holds the open connections of callers.
+type connTracker struct {
+	mu        sync.Mutex
+	accepting int  // calls of Accept in progress, which may return one more
+	closing   bool // connections close once they have no request
+	conns     map[*callerConn]bool
+}
+
+// beginAccept records that a call of Accept begins.
+func (t *connTracker) beginAccept() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.accepting++
+}
+
+// endAccept records that a call of Accept has returned a connection, or nil.
+func (t *connTracker) endAccept(c *callerConn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.accepting--
+	if c != nil {
+		t.conns[c] = true
+		c.closing = t.closing
 	}
 }
 
-// pendingPollInterval is the time between two checks in Shutdown for pending
-// connections.
-const pendingPollInterval = 5 * time.Millisecond
+func (t *connTracker) remove(c *callerConn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.conns, c)
+}
+
+// closeIdle makes connections without a request close, now and later, and returns
+// the number of connections that are open or may still be accepted.
+func (t *connTracker) closeIdle() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.closing {
+		t.closing = true
+		for c := range t.conns {
+			c.closeWhenIdle()
+		}
+	}
+	return t.accepting + len(t.conns)
+}
 
 type callerListener struct {
 	net.Listener
-	pendingConns *atomic.Int64
+	conns *connTracker
 }
 
 func (l callerListener) Accept() (net.Conn, error) {
+	l.conns.beginAccept()
 	c, err := l.Listener.Accept()
 	if err != nil {
+		l.conns.endAccept(nil)
 		return nil, err
 	}
-	cc := &callerConn{Conn: c, pendingConns: l.pendingConns}
-	cc.markPending()
+	cc := &callerConn{Conn: c, conns: l.conns, pending: true}
+	l.conns.endAccept(cc)
 	return cc, nil
 }
 
@@ -71,43 +124,71 @@
 // from the first byte of a further request, until a handler runs.
 type callerConn struct {
 	net.Conn
-	handling           atomic.Bool   // a handler runs
-	headerStarted      atomic.Bool   // part of a header has arrived and no handler runs
-	pending            atomic.Bool   // a request has arrived, or the first is expected, and no handler has run for it
-	pendingConns       *atomic.Int64 // number of pending connections of the listener
-	nextDeadlineUpdate atomic.Int64  // when to update the write deadline, in Unix nanoseconds
+	conns              *connTracker
+	nextDeadlineUpdate atomic.Int64 // when to update the write deadline, in Unix nanoseconds
+
+	mu            sync.Mutex
+	handling      bool // a handler runs
+	headerStarted bool // part of a header has arrived and no handler runs
+	pending       bool // a request has arrived, or the first is expected, and no handler has run for it
+	closing       bool // closes once it is neither pending nor handling
+	mayReadAgain  bool // a read that misses the present deadline is tried once more
 }
 
-func (c *callerConn) markPending() {
-	if !c.pending.Swap(true) {
-		c.pendingConns.Add(1)
-	}
+// Close closes the connection.
+func (c *callerConn) Close() error {
+	c.conns.remove(c)
+	return c.Conn.Close()
 }
 
-func (c *callerConn) clearPending() {
-	if c.pending.Swap(false) {
-		c.pendingConns.Add(-1)
+// longAgo is a deadline that has passed.
+var longAgo = time.Unix(1, 0)
+
+// closeWhenIdle ends the wait for a further request.
+func (c *callerConn) closeWhenIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closing = true
+	if !c.pending && !c.handling {
+		c.mayReadAgain = true
+		_ = c.Conn.SetReadDeadline(longAgo)
 	}
 }
 
-// Close closes the connection.
-func (c *callerConn) Close() error {
-	c.clearPending()
-	return c.Conn.Close()
+// SetReadDeadline sets the deadline of reads. The wait for a further request ends
+// at once while the connection closes.
+func (c *callerConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	// net/http interrupts its own reads with a deadline that has passed.
+	c.mayReadAgain = t.After(longAgo)
+	if c.closing && !c.pending && !c.handling && c.mayReadAgain {
+		t = longAgo
+	}
+	return c.Conn.SetReadDeadline(t)
 }
 
 // Read reads from the connection and records whether the bytes belong to a
 // header. A header that misses its deadline is answered with status 408.
 func (c *callerConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if c.handling.Load() {
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.extendDeadline() {
+		n, err = c.Conn.Read(b)
+	}
+	c.mu.Lock()
+	if c.handling {
+		c.mu.Unlock()
 		return n, err
 	}
 	if n > 0 {
-		c.headerStarted.Store(true)
-		c.markPending()
+		c.headerStarted, c.pending = true, true
 	}
-	if errors.Is(err, os.ErrDeadlineExceeded) && c.headerStarted.Swap(false) {
+	late := errors.Is(err, os.ErrDeadlineExceeded) && c.headerStarted
+	if late {
+		c.headerStarted = false
+	}
+	c.mu.Unlock()
+	if late {
 		p, _ := json.Marshal(fault.ProblemOf(refusal(fault.RequestTooSlow, fmt.Sprintf("the header did not arrive within %s", headerTimeout), nil)))
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 408 Request Timeout\r\nContent-Type: application/problem+json\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", len(p), p)
 		_ = c.Close() // otherwise net/http parses the partial line as a whole one
@@ -115,6 +196,18 @@
 	return n, err
 }
 
+// extendDeadline gives a read that missed its deadline lastReadTime more, and
+// reports whether it may be tried again.
+func (c *callerConn) extendDeadline() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.mayReadAgain {
+		return false
+	}
+	c.mayReadAgain = false
+	return c.Conn.SetReadDeadline(time.Now().Add(lastReadTime)) == nil
+}
+
 // Write writes to the connection within writeTimeout.
 func (c *callerConn) Write(b []byte) (int, error) {
 	if now := time.Now(); now.UnixNano() >= c.nextDeadlineUpdate.Load() {
@@ -135,17 +228,29 @@
 }
 
 // markHandling is the middleware that marks the connection while a handler
-// runs: bytes that are read then belong to a body.
+// runs: bytes that are read then belong to a body. While the process drains,
+// each answer is the last one of its connection.
 func (h *Handler) markHandling(c *gin.Context) {
+	if h.inflight.isDraining() {
+		c.Header("Connection", "close")
+	}
 	cc, ok := c.Request.Context().Value(connKey{}).(*callerConn)
 	if !ok {
 		return
 	}
-	cc.handling.Store(true)
-	cc.clearPending()
-	defer func() {
-		cc.headerStarted.Store(false)
-		cc.handling.Store(false)
-	}()
+	cc.setHandling(true)
+	defer cc.setHandling(false)
 	c.Next()
 }
+
+// setHandling records that a handler runs, or that it has ended.
+func (c *callerConn) setHandling(handling bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.handling = handling
+	if handling {
+		c.pending = false
+	} else {
+		c.headerStarted = false
+	}
+}
--- /dev/null
+++ b/entry/stop_test.go
@@ -0,0 +1,172 @@
+package entry_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cranberrybay/cranberrybay/fakes"
+)
+
+const plainOrder = "POST /services/desk/orders HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key\r\nContent-Length: 0\r\n\r\n"
+
+// openKeptConn returns a connection on which one request has been answered.
+func openKeptConn(t *testing.T, s *system, n *node) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	c, err := s.dial(t.Context(), "", n.name)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	go func() { _, _ = io.WriteString(c, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n") }()
+	r := bufio.NewReader(c)
+	readStatus(t, r, 200, "first request")
+	return c, r
+}
+
+// readStatus reads an answer and checks its status.
+func readStatus(t *testing.T, r *bufio.Reader, status int, what string) *http.Response {
+	t.Helper()
+	rs, err := http.ReadResponse(r, nil)
+	assert.NilError(t, err, what)
+	_, err = io.ReadAll(rs.Body)
+	assert.NilError(t, err, what)
+	assert.Equal(t, rs.StatusCode, status, what)
+	return rs
+}
+
+// TestPausedShutdownAnswersWhatItRead guards against a request that was read from a
+// connection and gets no answer, since the process was paused in its planned stop
+// before it looked at the request.
+func TestPausedShutdownAnswersWhatItRead(t *testing.T) {
+	for name, kept := range map[string]bool{"kept connection": true, "new connection": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSystem(t, 1, 1)
+				n := s.start(t)
+				time.Sleep(time.Second)
+				var c net.Conn
+				var r *bufio.Reader
+				if kept {
+					c, r = openKeptConn(t, s, n)
+				} else {
+					var err error
+					c, err = s.dial(t.Context(), "", n.name)
+					assert.NilError(t, err)
+					r = bufio.NewReader(c)
+				}
+				synctest.Wait()
+				n.handler.Drain()
+				n.Pause(8 * time.Second)
+				_, err := io.WriteString(c, plainOrder) // returns once the process has read it
+				assert.NilError(t, err)
+				stopped := make(chan error, 1)
+				go func() { stopped <- n.handler.Shutdown(context.Background(), n.server, n.listener) }()
+				readStatus(t, r, 503, "request that was read")
+				_, err = r.ReadByte()
+				assert.Equal(t, err, io.EOF)
+				assert.NilError(t, <-stopped)
+			})
+		})
+	}
+}
+
+// TestShutdownClosesIdleConnections guards against a planned stop that waits for
+// callers that keep their connections.
+func TestShutdownClosesIdleConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(t, 1, 1)
+		n := s.start(t)
+		time.Sleep(time.Second)
+		_, idle := openKeptConn(t, s, n)
+		s.services[0].SetFaults(fakes.ServiceFaults{Delay: 2 * time.Second})
+		c, r := openKeptConn(t, s, n)
+		_, err := io.WriteString(c, plainOrder)
+		assert.NilError(t, err)
+		time.Sleep(time.Second)
+		n.handler.Drain()
+		start := time.Now()
+		stopped := make(chan error, 1)
+		go func() { stopped <- n.handler.Shutdown(context.Background(), n.server, n.listener) }()
+		readStatus(t, r, 201, "request in flight")
+		assert.NilError(t, <-stopped)
+		assert.Assert(t, time.Since(start) < 1500*time.Millisecond, "stopped after %v", time.Since(start))
+		for _, r := range []*bufio.Reader{r, idle} {
+			_, err := r.ReadByte()
+			assert.Equal(t, err, io.EOF)
+		}
+	})
+}
+
+// pausedListener accepts connections of a process that is paused before it reads or
+// writes: the deadline may pass before the call.
+type pausedListener struct {
+	net.Listener
+	read, write *atomic.Int64 // pause before the next call, in nanoseconds
+}
+
+type pausedConn struct {
+	net.Conn
+	read, write *atomic.Int64
+}
+
+func (l pausedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return pausedConn{c, l.read, l.write}, nil
+}
+
+func (c pausedConn) Read(b []byte) (int, error) {
+	if len(b) > 1 { // net/http waits with a buffer of one byte for a caller that goes away
+		time.Sleep(time.Duration(c.read.Swap(0)))
+	}
+	return c.Conn.Read(b)
+}
+
+func (c pausedConn) Write(b []byte) (int, error) {
+	time.Sleep(time.Duration(c.write.Swap(0)))
+	return c.Conn.Write(b)
+}
+
+// TestPauseCostsNoRequest guards against a request that is dropped because the
+// process was paused for longer than the timeout of the header or of an idle
+// connection while the request waited to be read.
+func TestPauseCostsNoRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(t, 1, 1)
+		n := s.start(t)
+		time.Sleep(time.Second)
+		var pause, noPause atomic.Int64
+		l := n.handler.Listener(pausedListener{s.listen("entry-paused"), &pause, &noPause})
+		go func() { _ = n.server.Serve(l) }()
+		s.services[0].SetFaults(fakes.ServiceFaults{Delay: time.Second})
+		pause.Store(int64(6 * time.Second))
+		c, err := s.dial(t.Context(), "", "entry-paused")
+		assert.NilError(t, err)
+		defer c.Close()
+		r := bufio.NewReader(c)
+		go func() {
+			_, _ = io.WriteString(c, plainOrder)
+			pause.Store(int64(70 * time.Second))
+			time.Sleep(10 * time.Second)
+			_, _ = io.WriteString(c, plainOrder)
+		}()
+		start := time.Now()
+		readStatus(t, r, 201, "new connection")
+		assert.Equal(t, time.Since(start).Round(time.Second), 7*time.Second)
+		readStatus(t, r, 201, "kept connection")
+		assert.Equal(t, time.Since(start).Round(time.Second), 78*time.Second)
+		start = time.Now()
+		_, _ = io.WriteString(c, "POST /serv")
+		readStatus(t, r, 408, "half a header")
+		assert.Equal(t, time.Since(start).Round(time.Second), 5*time.Second)
+	})
+}
