entry, node: answer each request when a planned stop runs out of time

Callers saw: a planned stop that reached its bound (10 min after SIGTERM) closed the connections of requests in flight without an answer. After POST /drain there was no bound at all, so that one endless answer kept the process.

Cause: the bound ended the wait, and then the process; nothing told the requests. The deadline of a service may be an hour.

Change: 6 s before the bound the requests in flight end with 503, Retry-After 0 and their verdict: not run when they wait for a slot, a claim or a turn, may have run when a server has them. Model streams end with an error event. POST /drain has the same bound. It is a setting, listen.stop (12s to 10m, default 10m as before), since a supervisor may kill a process sooner. listen.linger is at most half of it, as before.

Evidence: before, TestStopOutOfTimeAnswersEachRequest failed with "context deadline exceeded" from Shutdown and the orders had no answer. Now it passes, and node.TestStopBoundAnswersEachRequest stops a process in 12 s with 20 orders in flight: 16 answers may have run, 4 not run, by POST /drain and by SIGTERM. go test -race -count=1 ./entry ./node passes.

Conclusion: a planned stop ends no request of the own interface without an answer, but for answers of services whose header was passed on; these are cut.

--- a/entry/atmostonce.go
+++ b/entry/atmostonce.go
@@ -108,6 +108,7 @@
 		return replayAnswer(outcome), true, nil
 	}
 	workCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Until(call.Call.Deadline)+detachedTimeout)
+	defer context.AfterFunc(h.ending, cancel)()
 	var a *proxy.Answer
 	if err = h.cfg.Claims.Start(ctx, cl); err == nil {
 		a, err = h.cfg.Services.Send(workCtx, call.Service, call.Call)
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -144,6 +144,7 @@
 
 // writeChatError answers with an error when no token has been sent.
 func writeChatError(c *gin.Context, err error) {
+	err = finalError(c, err)
 	p := chatProblem{Problem: fault.ProblemOf(err), Error: chatErrorOf(err)}
 	if s, ok := fault.RetryAfter(err); ok {
 		c.Header("Retry-After", strconv.Itoa(s))
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -68,17 +68,20 @@
 
 // Handler serves the API for callers.
 type Handler struct {
-	cfg      Config
-	inflight *inflightTracker
-	conns    *connTracker
-	router   *gin.Engine
-	runner   *stream.Runner
+	cfg         Config
+	inflight    *inflightTracker
+	conns       *connTracker
+	ending      context.Context // ends when the requests in flight must end
+	endRequests context.CancelFunc
+	router      *gin.Engine
+	runner      *stream.Runner
 }
 
 // New returns a handler with all routes of the API.
 func New(cfg Config) *Handler {
 	gin.SetMode(gin.ReleaseMode)
 	h := &Handler{cfg: cfg, inflight: newInflightTracker(), conns: &connTracker{conns: map[*callerConn]bool{}}, router: gin.New()}
+	h.ending, h.endRequests = context.WithCancel(context.Background())
 	h.runner = NewRunner(RunnerConfig{Fleet: cfg.Fleet, Chooser: cfg.Chooser, Engines: cfg.Engines, Domain: cfg.Domain, Guard: cfg.Guard})
 	h.router.RedirectTrailingSlash = false // paths of services are passed on unchanged
 	h.router.Use(h.markHandling, h.recoverPanic, h.checkHeader)
@@ -185,7 +188,10 @@
 
 // writeProblem answers with an error as a problem document (RFC 9457) and ends
 // the chain of handlers.
-func writeProblem(c *gin.Context, err error) { writeProblemDocument(c, err, fault.ProblemOf(err)) }
+func writeProblem(c *gin.Context, err error) {
+	err = finalError(c, err)
+	writeProblemDocument(c, err, fault.ProblemOf(err))
+}
 
 // writeProblemDocument answers with a problem document and the retry time of an
 // error.
--- a/entry/eventstream.go
+++ b/entry/eventstream.go
@@ -110,7 +110,7 @@
 func (e *eventWriter) fail(err error) {
 	e.addEvent(struct {
 		Error chatError `json:"error"`
-	}{chatErrorOf(err)})
+	}{chatErrorOf(finalError(e.c, err))})
 	_ = e.flush()
 }
 
--- a/entry/inflight.go
+++ b/entry/inflight.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -99,17 +100,33 @@
 	}
 }
 
+// errStopping is the cause of a request that ends with its process.
+var errStopping = errors.New("the entry process stops")
+
 // trackInflight is the middleware that counts a request, or refuses it while
-// the process drains.
+// the process drains. It ends the request when a planned stop runs out of time.
 func (h *Handler) trackInflight(c *gin.Context) {
 	if !h.inflight.begin() {
 		h.refuseDraining(c)
 		return
 	}
 	defer h.inflight.end()
+	ctx, cancel := context.WithCancelCause(c.Request.Context())
+	defer cancel(nil)
+	defer context.AfterFunc(h.ending, func() { cancel(errStopping) })()
+	c.Request = c.Request.WithContext(ctx)
 	c.Next()
 }
 
+// finalError returns the error that a caller gets: that of the planned stop for a
+// request that ended with the process, with the verdict of err.
+func finalError(c *gin.Context, err error) error {
+	if !errors.Is(context.Cause(c.Request.Context()), errStopping) {
+		return err
+	}
+	return fault.New(fault.Config{Verdict: fault.VerdictOf(err), Code: fault.Leaving, Reason: "this entry process stopped before the request ended, ask another address", RetryAt: time.Now(), Cause: err})
+}
+
 // refuseDraining refuses a request and lists the addresses of other processes.
 func (h *Handler) refuseDraining(c *gin.Context) {
 	err := fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Leaving, Reason: "this entry process is leaving, ask another address", RetryAt: time.Now()})
--- a/entry/listener.go
+++ b/entry/listener.go
@@ -38,12 +38,17 @@
 // Shutdown stops a drained server: it closes the listener and then the
 // connections, each one once the requests that were read from it are answered.
 // net/http's own shutdown closes a connection without an answer when it reads
-// the request meanwhile.
+// the request meanwhile. When ctx ends first, the requests in flight get their
+// final answer; that takes at most EndTimeout.
 func (h *Handler) Shutdown(ctx context.Context, s *http.Server, l net.Listener) error {
 	_ = l.Close()
 	for h.conns.closeIdle() > 0 && ctx.Err() == nil {
 		time.Sleep(connPollInterval)
 	}
+	h.endRequests()
+	for end := time.Now().Add(EndTimeout); h.conns.closeIdle() > 0 && time.Now().Before(end); {
+		time.Sleep(connPollInterval)
+	}
 	return s.Shutdown(ctx)
 }
 
@@ -51,6 +56,10 @@
 	// connPollInterval is the time between two checks in Shutdown for open
 	// connections.
 	connPollInterval = 5 * time.Millisecond
+	// EndTimeout bounds the time for the final answers of the requests that are
+	// in flight when a planned stop runs out of time: recordTimeout, a probe of a
+	// server and the writing of the answers.
+	EndTimeout = 3 * time.Second
 	// lastReadTime is how long a connection is read once more before a timeout
 	// closes it. A process that was paused finds the timeout passed and the
 	// request still unread.
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -189,3 +190,48 @@
 		readStatus(t, bufio.NewReader(c), 201, "order")
 	})
 }
+
+// TestStopOutOfTimeAnswersEachRequest guards against a planned stop that runs out of
+// time and closes connections without an answer, and against an answer that says of
+// a running call that it has not run.
+func TestStopOutOfTimeAnswersEachRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(t, 1, 1)
+		n := s.start(t)
+		time.Sleep(time.Second)
+		s.services[0].SetFaults(fakes.ServiceFaults{Delay: 4 * time.Second})
+		type answer struct {
+			rs   *http.Response
+			text string
+			err  error
+		}
+		answers := map[string]chan answer{}
+		for _, key := range []string{"", "order-1"} {
+			done := make(chan answer, 1)
+			answers[key] = done
+			go func() {
+				header := []string{}
+				if key != "" {
+					header = []string{"Idempotency-Key", key}
+				}
+				rs, text, err := s.call(context.Background(), n.name, "POST", "/services/desk/orders", "x"+key, header...)
+				done <- answer{rs, text, err}
+			}()
+		}
+		time.Sleep(time.Second)
+		n.handler.Drain()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		n.handler.WaitDrained(ctx, time.Now())
+		assert.NilError(t, n.handler.Shutdown(ctx, n.server, n.listener))
+		n.kill() // the process has ended
+		for key, done := range answers {
+			a := <-done
+			assert.NilError(t, a.err, "key %q", key)
+			p := decodeProblem(t, a.rs, a.text)
+			assert.Equal(t, p.Verdict, "may-have-run", "key %q: %s", key, a.text)
+			assert.Assert(t, p.Status == 503 && strings.Contains(p.Detail, "stopped") && a.rs.Header.Get("Retry-After") == "0", a.text)
+		}
+		time.Sleep(10 * time.Second)
+	})
+}
--- a/node/node.go
+++ b/node/node.go
@@ -37,7 +37,8 @@
 	"github.com/cranberrybay/cranberrybay/watch"
 )
 
-// stopTimeout bounds a planned stop. It leaves time for the longest answer to end.
+// stopTimeout is the default bound of a planned stop. It leaves time for the longest
+// answer to end.
 const stopTimeout = 10 * time.Minute
 
 // incarnation identifies one run of a process: the name of the process and a
@@ -48,7 +49,7 @@
 func New(s Settings, out io.Writer) *fx.App {
 	return fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
-		fx.StopTimeout(stopTimeout),
+		fx.StopTimeout(s.stopLimit()),
 		fx.Supply(s),
 		fx.Provide(
 			func() (*logs.Factory, error) {
@@ -203,7 +204,9 @@
 			if s.entry == nil {
 				return s.server.Shutdown(ctx)
 			}
-			s.drain.wait(ctx)
+			ctx, cancel := s.drain.bound(ctx)
+			defer cancel()
+			s.entry.WaitDrained(ctx, s.drain.lingerUntil)
 			return s.entry.Shutdown(ctx, s.server, l)
 		},
 	})
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -56,8 +56,9 @@
 	return address
 }
 
-// startCluster starts n entry processes on one platform.
-func startCluster(t *testing.T, n int) (*fakes.Platform, []*process) {
+// startCluster starts n entry processes on one platform. The functions may change
+// their settings.
+func startCluster(t *testing.T, n int, modify ...func(*node.Settings)) (*fakes.Platform, []*process) {
 	t.Helper()
 	platform := fakes.NewPlatform()
 	srv := httptest.NewServer(platform.Handler())
@@ -74,6 +75,9 @@
 		cert, key, err := ca.Issue(p.settings.Name)
 		assert.NilError(t, err)
 		p.settings.Peer = node.PeerSettings{Listen: freeAddress(t), Authority: string(ca.PEM()), Certificate: string(cert), Key: string(key)}
+		for _, f := range modify {
+			f(&p.settings)
+		}
 		assert.NilError(t, p.settings.Check("settings"))
 		p.app = node.New(p.settings, &p.logs)
 		assert.NilError(t, p.app.Start(t.Context()))
@@ -199,6 +203,7 @@
 		{"name = \"a\"\nnmae = \"x\"\n", `f.toml:2: unknown key "nmae"`},
 		{"[listen]\nlingre = \"1s\"\n", `f.toml:2: unknown key "listen.lingre"`},
 		{"[listen]\n\nlinger = \"soon\"\n", "f.toml:3: "},
+		{"[listen]\nstop = \"5s\"\n", "listen.stop is \"5s\", want a duration from 12s to 10m0s"},
 		{"name = a\n", "f.toml:1: "},
 		{"token = \"secret-word\"\n", "f.toml: token is not"},
 		{"token = \"sha256:" + strings.Repeat("z", 64) + "\"\n", "f.toml: token is not"},
--- a/node/settings.go
+++ b/node/settings.go
@@ -44,6 +44,10 @@
 	// with an old address list. Its refusals tell them the other addresses; once
 	// the listener is closed, their connections fail.
 	Linger spec.Duration `toml:"linger"`
+	// Stop bounds a planned stop; 0 for stopTimeout. Requests that are still in flight
+	// shortly before get a final answer. It must be shorter than the time after which a
+	// supervisor kills the process.
+	Stop spec.Duration `toml:"stop"`
 }
 
 var tokenPattern = regexp.MustCompile(`^sha256:[0-9a-f]{64}$`)
@@ -57,6 +61,18 @@
 	Address string `toml:"address"` // IP:port
 }
 
+// minStop is the least bound of a planned stop. It leaves as much time for requests
+// in flight as for their final answers.
+const minStop = 2 * endReserve
+
+// stopLimit returns the bound of a planned stop.
+func (s Settings) stopLimit() time.Duration {
+	if s.Listen.Stop.Duration == 0 {
+		return stopTimeout
+	}
+	return s.Listen.Stop.Duration
+}
+
 // ReadSettings reads and checks a settings file. Errors name the file, the key,
 // the value and the allowed values.
 func ReadSettings(path string) (Settings, error) {
@@ -99,8 +115,12 @@
 		// The message leaves out the value: it may be the credential itself.
 		all = append(all, fmt.Errorf("%s: token is not \"sha256:\" followed by 64 lower-case hex digits", path))
 	}
-	if s.Listen.Linger.Duration < 0 || s.Listen.Linger.Duration > stopTimeout/2 {
-		add("listen.linger", s.Listen.Linger.String(), "a duration from 0s to "+(stopTimeout/2).String())
+	limit := s.stopLimit()
+	if limit < minStop || limit > stopTimeout {
+		add("listen.stop", s.Listen.Stop.String(), "a duration from "+minStop.String()+" to "+stopTimeout.String())
+	}
+	if s.Listen.Linger.Duration < 0 || s.Listen.Linger.Duration > limit/2 {
+		add("listen.linger", s.Listen.Linger.String(), "a duration from 0s to "+(limit/2).String())
 	}
 	for _, f := range []struct{ key, value string }{
 		{"listen.callers", s.Listen.Callers}, {"listen.admin", s.Listen.Admin}, {"platform.address", s.Platform.Address},
--- /dev/null
+++ b/node/stop_test.go
@@ -0,0 +1,103 @@
+package node_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cranberrybay/cranberrybay/fakes"
+	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/node"
+	"github.com/cranberrybay/cranberrybay/plat"
+	"github.com/cranberrybay/cranberrybay/spec"
+)
+
+const stopDocuments = "[team]\nname = \"desk\"\n---" +
+	"[service]\nname = \"desk\"\nteam = \"desk\"\nkind = \"plain\"\nfirst = \"1m\"\nslots = 16\n---" +
+	"[account]\nname = \"hotel\"\nteam = \"desk\"\nservices = [\"desk\"]\nweight = 1\nrate = 200\ninflight = 100\nkeys = [\"KEY\"]\n"
+
+// postOrder places an order and returns the whole answer.
+func (p *process) postOrder() (int, fault.Problem, error) {
+	rq, err := http.NewRequest(http.MethodPost, "http://"+p.settings.Listen.Callers+"/services/desk/orders", strings.NewReader("refill"))
+	if err != nil {
+		return 0, fault.Problem{}, err
+	}
+	rq.Header.Set("Authorization", "Bearer key")
+	rs, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(rq)
+	if err != nil {
+		return 0, fault.Problem{}, err
+	}
+	defer rs.Body.Close()
+	var body fault.Problem
+	return rs.StatusCode, body, json.NewDecoder(rs.Body).Decode(&body)
+}
+
+// TestStopBoundAnswersEachRequest guards against requests whose connections a planned
+// stop closes without an answer when its time is over: orders that run and orders that
+// wait for a slot, after POST /drain and after SIGTERM.
+func TestStopBoundAnswersEachRequest(t *testing.T) {
+	for name, drain := range map[string]bool{"drain": true, "signal": false} {
+		t.Run(name, func(t *testing.T) {
+			platform, all := startCluster(t, 1, func(s *node.Settings) { s.Listen.Stop = spec.Duration{Duration: 12 * time.Second} })
+			p := all[0]
+			desk := fakes.NewService()
+			srv := httptest.NewServer(desk.Handler())
+			defer srv.Close()
+			platform.SetVM(plat.VM{Name: "desk-1", Address: srv.Listener.Addr().String(), Domain: "domain-0", Service: "desk"})
+			p.publish(t, strings.Split(strings.Replace(stopDocuments, "KEY", spec.HashKey("key"), 1), "---")...)
+			eventually(t, 10*time.Second, "an order is served", func() bool {
+				status, _, err := p.postOrder()
+				return err == nil && status == http.StatusCreated
+			})
+			desk.SetFaults(fakes.ServiceFaults{Delay: 9 * time.Second})
+			type answer struct {
+				status  int
+				problem fault.Problem
+				err     error
+			}
+			answers := make(chan answer)
+			const orders = 20 // 16 slots
+			for range orders {
+				go func() {
+					status, problem, err := p.postOrder()
+					answers <- answer{status, problem, err}
+				}()
+			}
+			eventually(t, 5*time.Second, "orders run", func() bool { return desk.Calls() >= 17 })
+			time.Sleep(200 * time.Millisecond)
+			start := time.Now()
+			stopped := make(chan error, 1)
+			go func() {
+				if drain {
+					rq, err := http.NewRequest(http.MethodPost, "http://"+p.settings.Listen.Admin+"/drain", nil)
+					assert.Check(t, err)
+					rq.Header.Set("Authorization", "Bearer token")
+					rs, err := http.DefaultClient.Do(rq)
+					assert.Check(t, err)
+					assert.Check(t, rs.Body.Close())
+					<-p.app.Wait()
+				}
+				ctx, cancel := context.WithTimeout(context.Background(), p.app.StopTimeout())
+				defer cancel()
+				stopped <- p.app.Stop(ctx)
+			}()
+			verdicts := map[string]int{}
+			for range orders {
+				a := <-answers
+				assert.NilError(t, a.err)
+				assert.Equal(t, a.status, http.StatusServiceUnavailable)
+				verdicts[a.problem.Verdict]++
+			}
+			assert.NilError(t, <-stopped)
+			assert.Assert(t, time.Since(start) < 12*time.Second, "stopped after %v", time.Since(start))
+			assert.Equal(t, verdicts["may-have-run"]+1, desk.Calls(), "%v", verdicts)
+			assert.Assert(t, verdicts["not-run"] > 0 && verdicts["not-run"]+verdicts["may-have-run"] == orders, "%v", verdicts)
+		})
+	}
+}
