cmds: SIGHUP does not end an entry process of serve

Callers saw: a SIGHUP, as operators send one after a change of the settings or a terminal sends when it closes, ended the process at once, at its start and while it served. All of its requests ended without an answer.

Cause: only the command entry ignored the signal, and serve kept the default.

Change: serve ignores SIGHUP before it reads its settings. There is nothing to reload: settings are read at start only, the configuration is published.

Conclusion: the first milliseconds, before the command runs, still have the default action; no listener is open then and no request can be lost.

--- a/cmds/serve.go
+++ b/cmds/serve.go
@@ -23,6 +23,9 @@
 		Short: "Run an entry process",
 		Args:  cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
+			// Settings are read at start only and the configuration is published, so
+			// that a SIGHUP has nothing to reload. It must not end the process.
+			signal.Ignore(syscall.SIGHUP)
 			s, err := node.ReadSettings(path)
 			if err != nil {
 				return usageError{err}
