link: an answer without a length that is reset during a long request is cut off

Cause: the kernel reports a reset once. The goroutine that still writes the request (over 16 KB) may be the one that gets ECONNRESET; the reader of the answer then sees the same as after a proper close, and an answer without a length ends there.

Change: at the end of such an answer, while its request may still be written, the writing is ended and its error decides: ECONNRESET and the like are an answer that was cut off (may have run). A deadline or EPIPE (reset after the server had closed its side) is a proper end. Answers with a length or in chunks don't depend on it.

--- a/link/link.go
+++ b/link/link.go
@@ -286,8 +286,9 @@
 	}
 	x.body = rs.Body
 	x.reusable = !rs.Close && !x.outOfStep
+	x.unframed = rs.ContentLength < 0 && len(rs.TransferEncoding) == 0
 	x.idleLimit = keepAlive(rs.Header, c.cfg.IdleTimeout)
-	return &Answer{Status: rs.StatusCode, Header: rs.Header, Body: x, Length: rs.ContentLength, Unframed: rs.ContentLength < 0 && len(rs.TransferEncoding) == 0, SetReadDeadline: x.setReadDeadline}, nil
+	return &Answer{Status: rs.StatusCode, Header: rs.Header, Body: x, Length: rs.ContentLength, Unframed: x.unframed, SetReadDeadline: x.setReadDeadline}, nil
 }
 
 // contextCause returns the error of the context if it has ended, because that closed the
@@ -309,11 +310,46 @@
 	reusable      bool          // the server keeps the connection open
 	outOfStep     bool          // the server sent an answer to another request
 	complete      bool          // the body was read to its end
-	bodySent      chan struct{} // closed when a long request body was written; nil for a short one
+	unframed      bool          // the body ends with the connection
+	writing       *bodyWrite    // of a long request body; nil for a short one
 	closed        bool
 	deadlineSet   bool // the connection has a read deadline for the body
 }
 
+// bodyWrite is the writing of a long request body on a goroutine.
+type bodyWrite struct {
+	done chan struct{} // closed at its end
+	err  error         // set before done is closed
+}
+
+// ended reports whether the whole body was written.
+func (w *bodyWrite) ended() bool {
+	select {
+	case <-w.done:
+		return w.err == nil
+	default:
+		return false
+	}
+}
+
+// resetError ends the writing and returns the error that ended the connection in both directions, or nil if the
+// server closed its side. The kernel reports such an error once: if the writer got it, the reader sees the same
+// as after a proper close.
+func (x *exchange) resetError() error {
+	w := x.writing
+	if w == nil {
+		return nil
+	}
+	if err := x.conn.SetWriteDeadline(time.Now()); err != nil {
+		return err
+	}
+	<-w.done
+	if errors.Is(w.err, os.ErrDeadlineExceeded) || errors.Is(w.err, syscall.EPIPE) { // EPIPE: reset after it had closed its side
+		return nil
+	}
+	return w.err
+}
+
 func (x *exchange) setReadDeadline(t time.Time) error {
 	x.deadlineSet = true
 	return x.conn.SetReadDeadline(t)
@@ -342,12 +378,11 @@
 		return err
 	}
 	// The server may answer before it has read all of a long body.
-	sent := make(chan struct{})
-	x.bodySent = sent
+	w := &bodyWrite{done: make(chan struct{})}
+	x.writing = w
 	go func() {
-		if _, err := x.conn.Write(rq.Body); err == nil {
-			close(sent)
-		}
+		defer close(w.done)
+		_, w.err = x.conn.Write(rq.Body)
 	}()
 	return nil
 }
@@ -438,7 +473,12 @@
 // Read reads the body of the answer. An error other than io.EOF has a verdict.
 func (x *exchange) Read(b []byte) (int, error) {
 	n, err := x.body.Read(b)
-	if err == io.EOF { //nolint:errorlint // readers return io.EOF itself
+	if err == io.EOF && x.unframed { //nolint:errorlint // readers return io.EOF itself
+		if resetErr := x.resetError(); resetErr != nil {
+			err = resetErr
+		}
+	}
+	if err == io.EOF { //nolint:errorlint // as above
 		x.complete = true
 		return n, err
 	}
@@ -463,14 +503,7 @@
 			x.complete = true
 		}
 	}
-	written := x.bodySent == nil
-	if !written {
-		select {
-		case <-x.bodySent:
-			written = true
-		default:
-		}
-	}
+	written := x.writing == nil || x.writing.ended()
 	if !detached || !x.reusable || !x.complete || !written || x.idleLimit <= 0 || x.conn.reader.Buffered() > 0 {
 		return x.conn.Close()
 	}
