link: idle connections that no request needs are closed, and connections to a server can be bounded

Cause: a request that may run once opens a connection of its own and leaves it in the pool, up to 16 for each server and process; a pool closed nothing before the next request to its address. Nothing kept the connections of all processes under what a server accepts.

Change: pool.go holds the pool of an address. It keeps as many idle connections as requests that may use one were in flight at the busiest moment of the last 8 to 16 s, four at least, and closes the oldest beyond those, in CloseExpired and when one comes back. With Config.Limit the connections that are idle, in use or being opened stay within a limit, which may change at any time. A request without room closes the oldest idle connection and awaits the server's FIN, so that the server doesn't count both; else it waits in order for at most 2 s and half of its time, and is refused as not run if twice as many wait as there are connections. Urgent requests don't wait. share.go: Share is 0.9 of what a server accepts, divided by the processes, one at least. No request opens a connection that reused one before, but where more are sent at once than in the 8 s before and than four.

Tests: TestShare, TestOrdersLeaveFewIdleConnections, TestPeakOfLookupsKeepsItsConnections, TestExpiredConnectionsAreClosed, TestConnectionsStayWithinTheLimit, TestNoRoom, TestUrgentRequestsDontWait, TestLimitChanges, TestRoomIsNotLost.

--- a/link/link.go
+++ b/link/link.go
@@ -42,6 +42,8 @@
 	// AllowReuse allows the use of an idle connection. The server may close it just when
 	// the request is sent, and then it is unknown whether the request ran.
 	AllowReuse bool
+	// Urgent requests don't wait for room, and may exceed the limit of connections to the server.
+	Urgent bool
 }
 
 // Origin states to which request an answer belongs.
@@ -61,6 +63,9 @@
 	Dial        func(ctx context.Context, address string) (net.Conn, error)
 	IdleTimeout time.Duration // how long an idle connection is kept; 0 for defaultIdleTimeout
 	MaxIdle     int           // idle connections to all servers together; 0 for defaultMaxIdle
+	// Limit returns how many connections to an address the client may have; 0 for no limit. It may change
+	// at any time. nil for no limit.
+	Limit func(address string) int
 }
 
 const (
@@ -68,6 +73,7 @@
 	dialTimeout        = 700 * time.Millisecond // the kernel retransmits a lost SYN only after a second
 	unackedTimeout     = 3 * time.Second        // for unacknowledged bytes, until the kernel closes the connection
 	maxIdlePerServer   = 16                     // idle connections
+	closeTimeout       = 50 * time.Millisecond  // for the server to close a connection that must make room
 	maxSkippedAnswers  = 3                      // interim answers and answers to other requests, until the connection is closed
 	maxUnmatchedBody   = 64 << 10               // bytes of the body of an answer to another request
 	maxInlineBody      = 16 << 10               // bytes of a body that is written with the header, since the socket buffers hold it
@@ -103,9 +109,10 @@
 	cfg Config
 
 	mu        sync.Mutex
-	idle      map[string][]*conn // by address, the one used last at the end
-	idleCount int                // connections in idle
+	pools     map[string]*pool // by address
+	idleCount int              // idle connections in pools
 	opened    atomic.Uint64
+	refused   atomic.Uint64
 }
 
 // New returns a Client.
@@ -122,7 +129,10 @@
 	if cfg.MaxIdle == 0 {
 		cfg.MaxIdle = defaultMaxIdle
 	}
-	return &Client{cfg: cfg, idle: map[string][]*conn{}}
+	if cfg.Limit == nil {
+		cfg.Limit = func(string) int { return 0 }
+	}
+	return &Client{cfg: cfg, pools: map[string]*pool{}}
 }
 
 // setUnackedTimeout limits the time for which sent bytes may stay unacknowledged, so that a
@@ -140,19 +150,43 @@
 // Opened returns the number of connections opened so far.
 func (c *Client) Opened() uint64 { return c.opened.Load() }
 
+// Refused returns the number of requests so far for which there was no room at their server.
+func (c *Client) Refused() uint64 { return c.refused.Load() }
+
 // conn is a connection to a server with its buffered reader.
 type conn struct {
 	net.Conn
 	address string
+	client  *Client
 	limiter *headLimiter
 	reader  *bufio.Reader // of limiter
 	expires time.Time     // end of the idle timeout
 	used    bool          // an answer was read from the connection
+	closed  atomic.Bool
+}
+
+func (c *Client) newConn(raw net.Conn, address string) *conn {
+	l := &headLimiter{Conn: raw, remaining: unlimited}
+	return &conn{Conn: raw, address: address, client: c, limiter: l, reader: bufio.NewReaderSize(l, readBufferSize)}
+}
+
+// Close closes the connection and gives its room to the next request.
+func (k *conn) Close() error {
+	err := k.Conn.Close()
+	if !k.closed.Swap(true) {
+		k.client.release(k.address)
+	}
+	return err
 }
 
-func newConn(c net.Conn, address string) *conn {
-	l := &headLimiter{Conn: c, remaining: unlimited}
-	return &conn{Conn: c, address: address, limiter: l, reader: bufio.NewReaderSize(l, readBufferSize)}
+// closeAndAwait closes the connection after the server has closed its side, so that the server doesn't count it
+// beside one that is opened next. The room stays taken.
+func (k *conn) closeAndAwait() {
+	k.closed.Store(true)
+	if half, ok := k.Conn.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil && k.SetReadDeadline(time.Now().Add(closeTimeout)) == nil {
+		_, _ = k.Conn.Read(make([]byte, 1))
+	}
+	_ = k.Conn.Close()
 }
 
 // unlimited is the value of headLimiter.remaining while a body is read, which the reader
@@ -236,17 +270,11 @@
 	if err := ctx.Err(); err != nil {
 		return nil, newError(fault.NotRun, "the request ended before it was sent", err)
 	}
-	if rq.AllowReuse {
-		if k := c.takeIdle(address); k != nil {
-			return c.exchange(ctx, k, rq)
-		}
-	}
-	raw, err := c.cfg.Dial(ctx, address)
+	k, err := c.acquire(ctx, address, rq)
 	if err != nil {
-		return nil, newError(fault.NotRun, "the server can't be reached", err)
+		return nil, err
 	}
-	c.opened.Add(1)
-	return c.exchange(ctx, newConn(raw, address), rq)
+	return c.exchange(ctx, k, rq)
 }
 
 // Probe opens and closes a connection to an address.
@@ -273,7 +301,7 @@
 
 // exchange sends the request on a connection and reads the header of its answer.
 func (c *Client) exchange(ctx context.Context, k *conn, rq *Request) (*Answer, error) {
-	x := &exchange{client: c, conn: k}
+	x := &exchange{client: c, conn: k, reuses: rq.AllowReuse}
 	x.detachContext = context.AfterFunc(ctx, func() { _ = k.Close() })
 	if err := x.send(rq); err != nil {
 		x.abort()
@@ -307,6 +335,7 @@
 	detachContext func() bool // the end of the context no longer closes the connection; false if it has ended
 	body          io.ReadCloser
 	idleLimit     time.Duration // how long the connection may stay idle
+	reuses        bool          // the request may have used an idle connection
 	reusable      bool          // the server keeps the connection open
 	outOfStep     bool          // the server sent an answer to another request
 	complete      bool          // the body was read to its end
@@ -495,6 +524,7 @@
 		return nil
 	}
 	x.closed = true
+	x.client.endExchange(x)
 	detached := x.detachContext()
 	if !x.complete && x.reusable && x.body != nil {
 		// A body of known length reports its end only at one more read.
@@ -518,45 +548,11 @@
 // abort ends a failed exchange and closes the connection.
 func (x *exchange) abort() {
 	x.closed = true
+	x.client.endExchange(x)
 	x.detachContext()
 	_ = x.conn.Close()
 }
 
-// putIdle adds a connection to the pool, or closes it if the pool is full.
-func (c *Client) putIdle(k *conn) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.idle[k.address]) >= maxIdlePerServer || c.idleCount >= c.cfg.MaxIdle {
-		_ = k.Close()
-		return
-	}
-	c.idle[k.address] = append(c.idle[k.address], k)
-	c.idleCount++
-}
-
-// takeIdle removes the idle connection used last from the pool and returns it, or nil if
-// none is open. It closes those that are not.
-func (c *Client) takeIdle(address string) *conn {
-	now := time.Now()
-	for {
-		c.mu.Lock()
-		conns := c.idle[address]
-		if len(conns) == 0 {
-			delete(c.idle, address)
-			c.mu.Unlock()
-			return nil
-		}
-		k := conns[len(conns)-1]
-		c.idle[address] = conns[:len(conns)-1]
-		c.idleCount--
-		c.mu.Unlock()
-		if now.Before(k.expires) && isIdle(k.Conn) {
-			return k
-		}
-		_ = k.Close()
-	}
-}
-
 // isIdle reports whether a connection is open and has nothing to read. It detects, before
 // a request is written, that the server closed the connection or sent unexpected bytes.
 func isIdle(c net.Conn) bool {
@@ -578,38 +574,3 @@
 	}
 	return open
 }
-
-// CloseIdle closes the idle connections to an address. It is called when the server has
-// left or restarted.
-func (c *Client) CloseIdle(address string) {
-	c.mu.Lock()
-	conns := c.idle[address]
-	delete(c.idle, address)
-	c.idleCount -= len(conns)
-	c.mu.Unlock()
-	for _, k := range conns {
-		_ = k.Close()
-	}
-}
-
-// CloseExpired closes the connections whose idle timeout has passed. Without it, such a
-// connection stays open until the next request to its address or a call of CloseIdle.
-func (c *Client) CloseExpired() {
-	now := time.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for address, conns := range c.idle {
-		open := conns[:0]
-		for _, k := range conns {
-			if now.Before(k.expires) {
-				open = append(open, k)
-			} else {
-				c.idleCount--
-				_ = k.Close()
-			}
-		}
-		if c.idle[address] = open; len(open) == 0 {
-			delete(c.idle, address)
-		}
-	}
-}
