edge: each process keeps to its share of a server's connections and closes idle ones in time

Callers saw: with eight processes, one sound server that accepts 110 connections and ten orders a second, 502 and 503 from the 11th second on.

Cause: nothing called link.Client.CloseExpired, and maxConns of the configuration was not used.

Change: idle connections are checked every 250 ms, under the margin of 0.5 s before a server's stated timeout. connShares gives link the share of maxConns: 0.9 of it divided by the most processes that this one has known (eight at the start). Like the shares of repeats it never grows by a process that left, since that may come back, or still have its connections. Metric connections_refused_total.

--- a/edge/app.go
+++ b/edge/app.go
@@ -51,6 +51,9 @@
 	// expireInterval is the interval between checks for entries that did not
 	// reappear.
 	expireInterval = 200 * time.Millisecond
+	// idleCheckInterval is the interval between checks of idle connections to backend
+	// servers. It is shorter than the margin before the idle timeout of a server.
+	idleCheckInterval = 250 * time.Millisecond
 	// addressTTL is how long callers may cache a list of addresses. They go on using
 	// the address of a process that died for this time.
 	addressTTL = time.Second
@@ -85,7 +88,8 @@
 			func() *quota.Quota { return quota.ForVM(s.Limits.Memory) },
 			newStore,
 			func() *config.Tracker { return &config.Tracker{} },
-			func() *link.Client { return link.New(link.Config{}) },
+			newConnShares,
+			func(c *connShares) *link.Client { return link.New(link.Config{Limit: c.limit}) },
 			func(c *link.Client, q *quota.Quota) *platform.Backend { return &platform.Backend{Client: c, Quota: q} },
 			func() *sharedState { return &sharedState{} },
 			func() *seal.Sealer { return &seal.Sealer{} },
@@ -104,7 +108,7 @@
 			newHandler,
 			newPlacer,
 		),
-		fx.Invoke(logStart, followTables, exchangeHeartbeats, placeLayers, listen, registerGauges),
+		fx.Invoke(logStart, followTables, exchangeHeartbeats, closeConnections, placeLayers, listen, registerGauges),
 	)
 }
 
@@ -183,9 +187,13 @@
 	return &stateFetcher{self: self, sealer: sealer, members: members, poison: t, pacer: p, intake: in, follower: state.follower, tables: []string{platform.TableConfig, platform.TableServers}, log: factory.Logger("beat")}
 }
 
-func newProcessRegistrar(s Settings, self beat.Peer, store *platform.Store, members *beat.Membership, sealer *seal.Sealer, f *stateFetcher, b *retryBudgets, t *poison.Tracker, p *pacer.Pacer, in *intake.Tracker, tracker *config.Tracker, state *sharedState, factory *logs.Factory) *registrar {
+func newProcessRegistrar(s Settings, self beat.Peer, store *platform.Store, members *beat.Membership, sealer *seal.Sealer, f *stateFetcher, b *retryBudgets, shares *connShares, t *poison.Tracker, p *pacer.Pacer, in *intake.Tracker, tracker *config.Tracker, state *sharedState, factory *logs.Factory) *registrar {
+	onSize := func(processes int) {
+		b.resize(processes)
+		shares.resize(processes)
+	}
 	m := newRegistrar(registrarConfig{
-		Self: self, Bootstrap: s.Bootstrap, Rows: store.Table(), Members: members, Sealer: sealer, Fetch: f.fetch, OnSize: b.resize, HoldsLease: state.holdsLease, Poison: t, Pacer: p, Intake: in,
+		Self: self, Bootstrap: s.Bootstrap, Rows: store.Table(), Members: members, Sealer: sealer, Fetch: f.fetch, OnSize: onSize, HoldsLease: state.holdsLease, Poison: t, Pacer: p, Intake: in,
 		Odd: watch.NewOddRows(strings.TrimSuffix(rowPrefix, "/"), factory.Logger("beat")), Log: factory.Logger("beat"),
 	})
 	state.newerConfig = &newerConfig{tracker: tracker, fetch: f.fetch, log: factory.Logger("watch"), offer: func(rows []watch.Row) {
@@ -412,6 +420,11 @@
 	}
 }
 
+// closeConnections closes the idle connections to backend servers in time.
+func closeConnections(client *link.Client, lc fx.Lifecycle) {
+	runAll(lc, every(idleCheckInterval, func(context.Context) { client.CloseExpired() }))
+}
+
 func placeLayers(p *Placer, lc fx.Lifecycle) { runAll(lc, p.Run) }
 
 // maxDatagram is the size of the longest heartbeat in bytes.
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -221,6 +221,7 @@
 		c.gauge(fmt.Sprintf("store_calls_total{result=%q}", name), func() float64 { return float64(store.Calls(result)) })
 	}
 	c.gauge("connections_opened_total", func() float64 { return float64(client.Opened()) })
+	c.gauge("connections_refused_total", func() float64 { return float64(client.Refused()) })
 	c.onScrape = func(w io.Writer) { writeServers(w, servers.All()); budgets.writeMetrics(w) }
 	c.gauge(fmt.Sprintf("rows_unused{table=%q}", platform.TableServers), func() float64 { return float64(registry.Odd.Count()) })
 	c.gauge("store_era", func() float64 { return float64(store.Era()) })
