proxy: TestDeadlyCallsReachFewServers calls only once its servers listen

Cause: the test opened each listener on the goroutine that serves it, and called at once. No fault of the code.

Change: each listener is opened before the goroutine starts, at the start and after a crash. The calls, the servers, the crashes and every check are the same, so that the test is as strict.

--- a/proxy/crash_test.go
+++ b/proxy/crash_test.go
@@ -31,13 +31,16 @@
 	for n := range 6 {
 		name, sv := fmt.Sprint("desk-", n), fakes.NewService()
 		sv.SetFaults(fakes.ServiceFaults{Delay: 20 * time.Millisecond})
-		serve := func() { _ = http.Serve(nw.Listen(name), sv.Handler()) }
+		serve := func() { // returns once calls can connect
+			listener := nw.Listen(name)
+			go func() { _ = http.Serve(listener, sv.Handler()) }()
+		}
 		sv.SetDeadly("deadly", func() {
 			crashes <- name
 			nw.Kill(name)
 			time.AfterFunc(time.Second, func() { sv.Restart(); serve() })
 		})
-		go serve()
+		serve()
 		t.Cleanup(func() { nw.Kill(name) })
 		table.MergeEntry(fleet.State{Name: name, Address: name, Service: "desk"})
 		table.MergeReport(name, fleet.State{Ready: true, Slots: 16})
