poison: an identifier that is not valid UTF-8 is replaced by its hash

A caller that names a part of a prompt with such an identifier, and whose request is under suspicion after a crash, kept its process from sending heartbeats: the other processes take that one for dead, callers are sent elsewhere, and what it knows of crashes, rates and leavers is lost.

Cause: the parts of records go into heartbeats as text, which protobuf encodes only if it is valid UTF-8.

Change: PartsOf replaces such identifiers by their hash, as it does with long ones. The header that servers get is the caller's own. Other texts in heartbeats come from the settings, from the configuration (JSON, always valid once decoded), or are hashes.

--- a/poison/record.go
+++ b/poison/record.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -49,7 +50,7 @@
 func (p Part) IsRequest() bool { return strings.HasPrefix(p.ID, requestMark) }
 
 // MaxIDBytes bounds the identifier of a part in bytes. Callers choose it, and a longer one is replaced by
-// its hash.
+// its hash, like one that is not valid UTF-8, which no message between processes can hold.
 const MaxIDBytes = 64
 
 // PartsOf returns the parts of a prompt that other requests may share. The last part belongs to
@@ -60,7 +61,7 @@
 	}
 	out := make([]Part, 0, len(ids)-1)
 	for _, id := range ids[:len(ids)-1] {
-		if len(id) > MaxIDBytes || strings.HasPrefix(id, requestMark) {
+		if len(id) > MaxIDBytes || strings.HasPrefix(id, requestMark) || !utf8.ValidString(id) {
 			id = "#" + strconv.FormatUint(xxhash.Sum64String(id), 16)
 		}
 		out = append(out, Part{Service: service, ID: id})
