intake: a pause of up to an hour is heeded in full

Cause: each pause was cut to 60 s, as a bound on servers that lie.

Change: pauses up to DefaultMaxPause, now an hour (bounds.pause), are heeded in full. A longer one, which no server means, counts as a minute, as before: such a server names a wrong unit, or lies. Weighed against liars: the price is a server that is lost for up to an hour, or until it starts again, if it names, say, milliseconds. A floor that goes on asking one server of a service whose servers all rest would send requests within a pause again, and these end no outage; so none. Requests are refused as not run meanwhile, with the end of the first pause.

Test: TestLongPauseIsHeededInFull (61 s, 15 min, an hour, an hour and a second, 1e9 s); failed before with "1m0.19s, want 1m1s". The existing TestPauseIsBounded passes unchanged.

Result: go test -race ./intake ./edge passes.

--- a/edge/settings.go
+++ b/edge/settings.go
@@ -60,7 +60,7 @@
 	RetryWindow   float64 `toml:"window"` // s, the window of RetrySlack
 	// Heartbeat is the time between two entries of a backend server, in ms; 0 for defaultHeartbeat.
 	Heartbeat int64 `toml:"heartbeat"`
-	// Pause is the longest pause of a backend server that is heeded, in s; 0 for the default of package
+	// Pause is the longest pause of a backend server that is heeded in full, in s; 0 for the default of package
 	// intake. A longer one is cut to it, so that a server that names hours by mistake is asked again.
 	Pause float64 `toml:"pause"`
 }
@@ -168,7 +168,7 @@
 	return errors.Join(errs...)
 }
 
-// maxPause returns the longest pause of a backend server that is heeded; 0 for the default.
+// maxPause returns the longest pause of a backend server that is heeded in full; 0 for the default.
 func (s Settings) maxPause() time.Duration {
 	return time.Duration(s.Bounds.Pause * float64(time.Second))
 }
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -53,9 +53,11 @@
 }
 
 const (
-	// DefaultMaxPause is the longest pause that is heeded. Bursts, restarts and loads of weights end
-	// within it; a server that needs longer should leave.
-	DefaultMaxPause = time.Minute
+	// DefaultMaxPause is the longest pause that is heeded in full. A server that needs longer should leave.
+	DefaultMaxPause = time.Hour
+	// doubtfulPause is heeded of a longer one, which no server means: bursts, restarts and loads of weights
+	// end within it, and a server that names a wrong unit or lies is asked again soon.
+	doubtfulPause = time.Minute
 	// returnStep is the time after which a server that was asked for nothing more since its pause, or has
 	// not answered, gets one more request. returnAnswers is the number of answers after which it gets
 	// requests without bound, and returnTime the time after which it does in any case.
@@ -81,7 +83,7 @@
 // Config holds the settings and dependencies of a Tracker.
 type Config struct {
 	Log      zerolog.Logger
-	MaxPause time.Duration // longest pause that is heeded; 0 for DefaultMaxPause
+	MaxPause time.Duration // longest pause that is heeded in full; 0 for DefaultMaxPause
 	// Announce tells the other processes at once; may be nil.
 	Announce func(records []Record)
 	// OnLeaving is called with the servers that are first heard to leave; may be nil.
@@ -199,7 +201,10 @@
 // caller holds mu.
 func (t *Tracker) rest(e *entry, s Statement, now time.Duration) {
 	named := s.RestUntil - now
-	pause := min(named, t.cfg.MaxPause)
+	pause := named
+	if named > t.cfg.MaxPause {
+		pause = min(t.cfg.MaxPause, doubtfulPause)
+	}
 	pause += rand.N(min(time.Duration(pauseSpread*float64(pause)), maxPauseSpread) + 1)
 	if e.restUntil == 0 {
 		t.resting.Add(1)
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -132,6 +132,28 @@
 	})
 }
 
+// Guards against requests to a server before the end of the pause that it asked for, and against a server that
+// rests for hours by mistake.
+func TestLongPauseIsHeededInFull(t *testing.T) {
+	for _, x := range []struct{ named, heeded time.Duration }{
+		{61 * time.Second, 61 * time.Second},
+		{15 * time.Minute, 15 * time.Minute},
+		{time.Hour, time.Hour},
+		{time.Hour + time.Second, time.Minute},
+		{1e9 * time.Second, time.Minute},
+	} {
+		runVirtual(t, func(t *testing.T) {
+			l := newLogged(0)
+			l.pause(x.named)
+			checkRests(t, l, x.heeded)
+			time.Sleep(x.heeded - time.Second)
+			assert.Assert(t, !l.Reserve(testServer))
+			time.Sleep(1300 * time.Millisecond)
+			assert.Assert(t, l.Reserve(testServer))
+		})
+	}
+}
+
 // Guards against a burst when a pause ends, and against a server that stays bounded after it answered.
 func TestRequestsAfterAPause(t *testing.T) {
 	runVirtual(t, func(t *testing.T) {
