poison: a request's prompt belongs to its identity

Cause: poison.RequestPart took method, host, target, account and body for the identity of a request, so different prompts counted as one request on which both servers had crashed.

Change: what servers are told of the prompt (model, prompt and answer tokens, parts) belongs to the identity. relay.Request has the model for it. The identity of requests without a prompt stays as it was, also for processes of earlier versions and rows in the store; that of streams changes.

No check was relaxed.

--- a/edge/handler.go
+++ b/edge/handler.go
@@ -159,7 +159,7 @@
 		ID: c.ID, Route: route, Service: service, Account: account, Version: conf.Version(),
 		Method: c.Method, Target: c.Target, Host: c.Host, Header: c.Header, Body: c.Body,
 		Arrived: c.Arrived, Deadline: c.Arrived.Add(h.timeout(c, route)),
-		LastEventID: c.LastEventID, PromptTokens: c.PromptTokens, MaxAnswerTokens: c.MaxAnswerTokens, AnswerTokensHint: c.ExpectedAnswerTokens,
+		LastEventID: c.LastEventID, Model: c.Model, PromptTokens: c.PromptTokens, MaxAnswerTokens: c.MaxAnswerTokens, AnswerTokensHint: c.ExpectedAnswerTokens,
 		PromptParts: c.PromptParts,
 	}, nil
 }
--- a/poison/record.go
+++ b/poison/record.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"hash"
 	"slices"
 	"strconv"
 	"strings"
@@ -33,16 +34,29 @@
 const identityBytes = 16
 
 // RequestPart returns the Part of a request that callers send again with the same method, host,
-// target (path and query), client account and body. Nothing else has to be equal.
-func RequestPart(method, host, target, account string, body []byte) Part {
+// target (path and query), client account, body and prompt, as far as the body does not hold it.
+// Nothing else has to be equal.
+func RequestPart(method, host, target, account string, body []byte, prompt ...string) Part {
 	h := sha256.New()
-	for _, field := range []string{method, host, target, account} {
-		// The length keeps fields from running into each other.
+	writeFields(h, method, host, target, account)
+	h.Write(body)
+	sum := h.Sum(nil)
+	if len(prompt) > 0 {
+		// Requests without a prompt keep the identity that processes of earlier versions know.
+		h = sha256.New()
+		h.Write(sum)
+		writeFields(h, prompt...)
+		sum = h.Sum(nil)
+	}
+	return Part{ID: requestMark + hex.EncodeToString(sum[:identityBytes])}
+}
+
+// writeFields adds fields to a hash. Their lengths keep them from running into each other.
+func writeFields(h hash.Hash, fields ...string) {
+	for _, field := range fields {
 		h.Write(binary.AppendUvarint(nil, uint64(len(field))))
 		h.Write([]byte(field))
 	}
-	h.Write(body)
-	return Part{ID: requestMark + hex.EncodeToString(h.Sum(nil)[:identityBytes])}
 }
 
 // IsRequest reports whether the part is a whole request.
--- a/poison/request_test.go
+++ b/poison/request_test.go
@@ -274,9 +274,12 @@
 		poison.RequestPart("GET", "host/", "p", "account", []byte("body")),
 		poison.RequestPart("GET", "host", "/pa", "ccount", []byte("body")),
 		poison.RequestPart("GET", "host", "/p", "accountb", []byte("ody")),
+		poison.RequestPart("GET", "host", "/p", "account", []byte("bod"), "y"),
+		poison.RequestPart("GET", "host", "/p", "account", []byte("body"), ""),
 	} {
 		assert.Assert(t, a != b, "case %d", i)
 	}
+	assert.Assert(t, poison.RequestPart("", "", "", "", nil, "a", "bc") != poison.RequestPart("", "", "", "", nil, "ab", "c"))
 }
 
 // Guards against memory that grows with the number of requests on crashed servers, and against
--- a/relay/deadly_test.go
+++ b/relay/deadly_test.go
@@ -268,6 +268,100 @@
 	}
 }
 
+// alike returns a sound request that differs from others of its kind in its prompt only.
+func alike(kind config.Kind, n int) *relay.Request {
+	req := deadlyRequest(kind, n, false)
+	req.Body = []byte("body")
+	if kind == config.Stream {
+		req.PromptParts[0] = fmt.Sprint("root", n)
+	}
+	return req
+}
+
+// Guards against sound requests that are refused because the request that crashed servers has their path, caller and
+// body, though servers are given another prompt.
+func TestPromptTellsRequestsApart(t *testing.T) {
+	base := func() *relay.Request {
+		req := deadlyRequest(config.Stream, 1, true)
+		req.PromptTokens, req.MaxAnswerTokens, req.Model = 100, 50, "m"
+		return req
+	}
+	for name, change := range map[string]func(req *relay.Request){
+		"own part":      func(req *relay.Request) { req.PromptParts[1] = "other" },
+		"shared part":   func(req *relay.Request) { req.PromptParts[0] = "other" },
+		"fewer parts":   func(req *relay.Request) { req.PromptParts = req.PromptParts[1:] },
+		"parts joined":  func(req *relay.Request) { req.PromptParts = []string{strings.Join(req.PromptParts, "")} },
+		"no part":       func(req *relay.Request) { req.PromptParts = nil },
+		"prompt tokens": func(req *relay.Request) { req.PromptTokens++ },
+		"answer tokens": func(req *relay.Request) { req.MaxAnswerTokens++ },
+		"model":         func(req *relay.Request) { req.Model = "other" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				begun := time.Now()
+				defer clock.Replace(func() time.Duration { return time.Since(begun) })()
+				var entries []server.Entry
+				for i := range 6 {
+					entries = append(entries, engineEntry(fmt.Sprint("e", i), "near", 0, 8))
+				}
+				f := newDeadlyFleet(1, entries...)
+				for range 3 {
+					_ = f.call(t.Context(), base())
+					time.Sleep(11 * time.Second)
+				}
+				assert.Equal(t, fault.CodeOf(f.call(t.Context(), base())), fault.Quarantined)
+				other := base()
+				change(other)
+				sent := len(f.sends)
+				_ = f.call(t.Context(), other) // its repeat may be refused for the parts that it shares
+				assert.Assert(t, len(f.sends) > sent)
+			})
+		})
+	}
+}
+
+// Guards against sound requests of one caller, path and body that are all refused after two servers crashed near in
+// time, at processes that know no answer yet.
+func TestSoundRequestsAfterTwoCrashes(t *testing.T) {
+	for round := range 12 { // streams choose their engines with some jitter
+		t.Run(fmt.Sprint("round ", round), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				begun := time.Now()
+				defer clock.Replace(func() time.Duration { return time.Since(begun) })()
+				f := newDeadlyFleet(4, engineEntry("e0", "near", 0, 8), engineEntry("e1", "near", 0, 8))
+				refused := 0
+				var wg sync.WaitGroup
+				call := func(n int) {
+					wg.Go(func() {
+						err := f.call(t.Context(), alike(config.Stream, n))
+						f.mu.Lock()
+						defer f.mu.Unlock()
+						if fault.CodeOf(err) == fault.Quarantined {
+							refused++
+						}
+					})
+				}
+				for n := range 24 {
+					call(n)
+					time.Sleep(time.Millisecond / 2)
+				}
+				f.crash("e0:1")
+				time.Sleep(40 * time.Millisecond)
+				f.crash("e1:1")
+				wg.Wait()
+				time.Sleep(poisonDown)
+				for n := range 40 {
+					call(100 + n)
+					time.Sleep(50 * time.Millisecond)
+				}
+				wg.Wait()
+				assert.Equal(t, len(f.crashes), 2)
+				assert.Equal(t, refused, 0)
+			})
+		})
+	}
+}
+
 // Guards against one engine that is gone and counts as several crashes, at each check of a stream that
 // nothing can take over.
 func TestGoneEngineCountsOnce(t *testing.T) {
--- a/relay/poison.go
+++ b/relay/poison.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cranberrybay/cranberrybay/fault"
@@ -31,7 +32,15 @@
 	if req.Account != nil {
 		account = req.Account.Name
 	}
-	return poison.RequestPart(req.Method, req.Host, req.Target, account, req.Body)
+	return poison.RequestPart(req.Method, req.Host, req.Target, account, req.Body, req.prompt()...)
+}
+
+// prompt returns what a request tells servers of its prompt, or nil if it tells nothing.
+func (req *Request) prompt() []string {
+	if req.Model == "" && req.PromptTokens == 0 && req.MaxAnswerTokens == 0 && len(req.PromptParts) == 0 {
+		return nil
+	}
+	return append([]string{req.Model, strconv.Itoa(req.PromptTokens), strconv.Itoa(req.MaxAnswerTokens)}, req.PromptParts...)
 }
 
 // suspectParts returns the parts of a request's prompt and, if there is evidence against any request,
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -43,6 +43,7 @@
 	Deadline time.Time // the earlier of the caller's deadline and the route's timeout
 
 	LastEventID      string // last event that the caller already has; the stream resumes after it
+	Model            string // model that the caller names; empty if it names none
 	PromptTokens     int    // length of the prompt
 	MaxAnswerTokens  int    // bound on the answer, in tokens; 0 for none
 	AnswerTokensHint int    // caller's estimate of the answer, in tokens; 0 if not given
