poison: crashes near in time suspend no request without a trial

Cause: two crashes 30 ms apart counted as two for a request, whether or not a run that was sent after the first one had met the second. Many runs of equal requests are on two servers that crash for one reason, and no other request "leads" them.

Change: crashes of a request count as two if they are a second apart (MaxTrial), or 30 ms apart once a trial of the request has crashed a server. A run that was sent alone is marked (Tracker.RecordTrialCut, relay.Request.alone, guard.Case.alone), and its trial's number stands with the crash in the request's own record, in the field that held the hash of the request there and was not used.

--- a/guard/guard.go
+++ b/guard/guard.go
@@ -132,6 +132,7 @@
 	crashes  int
 	aloneAt  time.Time // when the request may be repeated alone
 	came     bool      // the request came again after a crash
+	alone    bool      // the last attempt is a trial
 	answered bool
 	release  func() // ends the turn of the suspect; nil without one
 }
@@ -209,6 +210,7 @@
 			return ctx.Err()
 		}
 		if wait = c.guard.tracker.TryAlone(c.request.identity, true); wait <= 0 {
+			c.alone = true
 			return nil
 		}
 	}
@@ -246,7 +248,11 @@
 // RecordCut records that a server ended the request before it had answered. It counts
 // once the server is found to have crashed.
 func (c *Case) RecordCut(server uint64) {
-	if !c.answered {
+	switch {
+	case c.answered:
+	case c.alone:
+		c.guard.tracker.RecordTrialCut(server, c.request.hash, c.request.parts)
+	default:
 		c.guard.tracker.RecordCut(server, c.request.hash, c.request.parts)
 	}
 }
--- a/poison/record.go
+++ b/poison/record.go
@@ -93,8 +93,10 @@
 // Crash is one backend server that crashed while a request with the part had just been given to
 // it.
 type Crash struct {
-	Server  uint64        // hash of the incarnation of the server
-	Request uint64        // hash of the last part of the prompt, which repeats of a request share
+	Server uint64 // hash of the incarnation of the server
+	// Request is the hash of the last part of the prompt, which repeats of a request share. In the
+	// record of a request it is the trial that crashed the server, or 0 if the run was no trial.
+	Request uint64
 	At      time.Duration // Now
 }
 
@@ -125,6 +127,10 @@
 	// One request is on two at most, so requestSpacing covers the time in which the two are found.
 	crashSpacing   = 100 * time.Millisecond
 	requestSpacing = 30 * time.Millisecond
+	// untriedSpacing is the least time between two crashes that count as two under a request of which
+	// no trial has crashed a server. Within it a trial tells, and many sound requests that share an
+	// identity may be on two servers that crash for one reason.
+	untriedSpacing = MaxTrial
 	// minCrashes is the number of crashes after which a part is quarantined, if they happened
 	// under minRequests different requests.
 	minCrashes  = 3
@@ -180,11 +186,19 @@
 	return r.Crashes[len(r.Crashes)-1].At + settleTime - now
 }
 
-// add adds a crash unless it is known or the part was answered since, and reports whether it did.
+// add adds a crash unless it is known or the part was answered since, and reports whether it did. A process
+// that ran no trial may see the crash of one.
 func (r *Record) add(c Crash) bool {
-	if c.At <= r.AnsweredAt || slices.ContainsFunc(r.Crashes, c.same) {
+	if c.At <= r.AnsweredAt {
 		return false
 	}
+	if i := slices.IndexFunc(r.Crashes, c.same); i >= 0 {
+		if !r.Part.IsRequest() || c.Request == 0 || r.Crashes[i].Request != 0 {
+			return false
+		}
+		r.Crashes[i].Request = c.Request
+		return true
+	}
 	if len(r.Crashes) >= maxCrashes && c.At <= r.Crashes[0].At {
 		return false
 	}
@@ -309,10 +323,7 @@
 
 func (r *Record) countCrashes(now time.Duration) crashCount {
 	var out crashCount
-	last, spacing := time.Duration(0), crashSpacing
-	if r.Part.IsRequest() {
-		spacing = requestSpacing
-	}
+	last, spacing := time.Duration(0), r.spacing()
 	requests := map[uint64]bool{}
 	for _, c := range r.Crashes {
 		if (c.At <= r.Until && !r.Suspension()) || now-c.At > evidenceAge {
@@ -327,6 +338,19 @@
 	return out
 }
 
+// spacing returns the least time between two crashes that count as two.
+func (r *Record) spacing() time.Duration {
+	tried := func(c Crash) bool { return c.Request != 0 }
+	switch {
+	case !r.Part.IsRequest():
+		return crashSpacing
+	case r.answeredBefore() || slices.ContainsFunc(r.Crashes, tried):
+		return requestSpacing
+	default:
+		return untriedSpacing
+	}
+}
+
 // idle reports whether the record holds nothing that still counts.
 func (r *Record) idle(now time.Duration) bool {
 	if r.Quarantined(now) || (r.Terms > 0 && !r.Suspension() && now-r.Until < MaxTerm) {
--- a/poison/tracker.go
+++ b/poison/tracker.go
@@ -9,7 +9,8 @@
 // answer to a request with the part clears it.
 //
 // A request is suspended for some seconds after two crashes and quarantined after the third, if no
-// other request was on the server that crashed last and on as many others.
+// other request was on the server that crashed last and on as many others. Crashes near in time count
+// once, until the request has crashed a server that it was sent to alone.
 //
 // Each process decides by the evidence of all: a process announces what it sees, and records are
 // merged in any order and number of times. The package knows no transport.
@@ -90,10 +91,20 @@
 type cut struct {
 	server  uint64
 	request uint64
+	trial   uint64 // of the request; 0 if the run was no trial
 	parts   []Part
 	at      time.Duration // Now
 }
 
+// crash returns the crash of the server for the record of a part.
+func (c cut) crash(p Part) Crash {
+	out := Crash{Server: c.server, Request: c.request, At: c.at}
+	if p.IsRequest() {
+		out.Request = c.trial
+	}
+	return out
+}
+
 // sameRun reports whether two cuts are of the same request on the same server.
 func (c cut) sameRun(o cut) bool {
 	return c.server == o.server && c.request == o.request && slices.Equal(c.parts, o.parts)
@@ -201,12 +212,24 @@
 // RecordCut records that a server cut a run before it had answered the request. It counts once
 // RecordCrash says that the server crashed. request identifies the request with all its repeats.
 func (t *Tracker) RecordCut(server, request uint64, parts []Part) {
+	t.recordCut(server, request, parts, false)
+}
+
+// RecordTrialCut is RecordCut of a run that was sent alone, after TryAlone returned 0.
+func (t *Tracker) RecordTrialCut(server, request uint64, parts []Part) {
+	t.recordCut(server, request, parts, true)
+}
+
+func (t *Tracker) recordCut(server, request uint64, parts []Part, alone bool) {
 	if len(parts) == 0 {
 		return
 	}
 	now := Now()
 	t.mu.Lock()
 	c := cut{server: server, request: request, parts: t.candidates(parts, now), at: now}
+	if alone {
+		c.trial = t.ownTrial(parts)
+	}
 	if at, ok := t.crashed[server]; ok && now-at <= cutAge {
 		changed, started := t.attributeCrash(c, now)
 		t.mu.Unlock()
@@ -295,7 +318,7 @@
 		if e == nil {
 			continue
 		}
-		e.add(Crash{Server: c.server, Request: c.request, At: c.at})
+		e.add(c.crash(p))
 		quarantined := e.startQuarantine(now, false)
 		t.update(e, now)
 		changed = append(changed, e.Record.clone())
--- a/poison/trial.go
+++ b/poison/trial.go
@@ -74,6 +74,17 @@
 	return wait
 }
 
+// ownTrial returns the last trial that this process claimed of the request among the parts, or 0. The caller
+// holds mu.
+func (t *Tracker) ownTrial(parts []Part) uint64 {
+	for _, p := range parts {
+		if e := t.records[p]; e != nil && p.IsRequest() {
+			return e.ownTrial
+		}
+	}
+	return 0
+}
+
 // leads reports whether no other request that shares the last crash of a record has as many crashes.
 // The crash of a server cuts many sound requests, but few of them twice. Those that many callers send
 // are on each crash, but they are answered in between. The caller holds mu.
--- a/relay/poison.go
+++ b/relay/poison.go
@@ -92,7 +92,11 @@
 // recordUnanswered notes that a server had a request and has not shown that it can answer it. The
 // request and the parts of its prompt are blamed if the server turns out to have crashed.
 func (r *Relay) recordUnanswered(req *Request, s *server.Server) {
-	r.cfg.Poison.RecordCut(s.Incarnation(), poison.RequestHash(req.PromptParts), append(slices.Clip(req.parts), req.identity()))
+	record := r.cfg.Poison.RecordCut
+	if req.alone.Load() {
+		record = r.cfg.Poison.RecordTrialCut
+	}
+	record(s.Incarnation(), poison.RequestHash(req.PromptParts), append(slices.Clip(req.parts), req.identity()))
 }
 
 // recordAnswered notes that a server answered a request.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -53,6 +53,7 @@
 
 	attempts   atomic.Int32 // attempts sent so far
 	mayHaveRun atomic.Bool  // set once an attempt may have been executed
+	alone      atomic.Bool  // the last attempt is a trial
 
 	mu     sync.Mutex
 	sentTo []string // addresses of the servers that attempts were sent to
--- a/relay/trial.go
+++ b/relay/trial.go
@@ -51,6 +51,7 @@
 // is refused. The returned function ends its trial: a server answered, or the attempt failed.
 func (r *Relay) tryAlone(ctx context.Context, req *Request) (end func(), err error) {
 	end = func() {}
+	req.alone.Store(false)
 	if r.isSuspect(req) {
 		wait, cancel := context.WithTimeout(ctx, maxTrialWait)
 		defer cancel()
@@ -89,6 +90,7 @@
 			return nil
 		}
 		if wait = r.cfg.Poison.TryAlone(req.identity(), true); wait <= 0 {
+			req.alone.Store(true)
 			return nil
 		}
 	}
