poison: an unconfirmed crash counts in all processes

Cause: relay.confirmCrash asked a server that had cut a run once. If it still accepted connections, the cut waited for the registry, up to 5 s, and held the request back in that process alone, and there only after another crash was confirmed.

Change: Tracker.RecordUnconfirmed puts such a cut into the request's own record, marked by the top bit of the field that holds the trial of the crash; the wire format stays as it is. All processes hold back a request that would be refused if its unconfirmed crashes were crashes, until a server answers it, the crash is confirmed (by any process, also if the one that saw the cut has ended), or 6 s after the cut. An engine that reports after the cut has not crashed. Cuts less than a second apart count once, as crashes do, so a faulty link that cuts many runs holds nothing back.

No check was relaxed.

Package guard, the product's own interface, does not report unconfirmed crashes yet: there a cut still holds the request back in one process only.

--- a/poison/record.go
+++ b/poison/record.go
@@ -95,11 +95,25 @@
 type Crash struct {
 	Server uint64 // hash of the incarnation of the server
 	// Request is the hash of the last part of the prompt, which repeats of a request share. In the
-	// record of a request it is the trial that crashed the server, or 0 if the run was no trial.
+	// record of a request it is the trial that crashed the server, or 0 if the run was no trial, with
+	// the bit unconfirmed.
 	Request uint64
 	At      time.Duration // Now
 }
 
+// unconfirmed is the bit of Crash.Request, in the record of a request, that marks a server which cut a
+// run and may have crashed. The crash counts once it is confirmed, and is forgotten after cutAge.
+const unconfirmed = uint64(1) << 63
+
+// trialOf returns the trial under which a server crashed, or 0. It is for records of requests only.
+func (c Crash) trialOf() uint64 { return c.Request &^ unconfirmed }
+
+// merged returns the crash with what another process knows of it. It is for records of requests only.
+func (c Crash) merged(o Crash) Crash {
+	c.Request = cmp.Or(c.trialOf(), o.trialOf()) | c.Request&o.Request&unconfirmed
+	return c
+}
+
 // restartTime is less than a server takes to crash, start and crash again. Processes see the same
 // crash at times that differ by less.
 const restartTime = 2 * time.Second
@@ -178,6 +192,36 @@
 // Suspension reports whether the last quarantine was the short one of a request that may be sound.
 func (r *Record) Suspension() bool { return r.Part.IsRequest() && r.Terms == 1 }
 
+// isConfirmed reports whether a crash of the record is known to be one.
+func (r *Record) isConfirmed(c Crash) bool {
+	return !r.Part.IsRequest() || c.Request&unconfirmed == 0
+}
+
+// confirmed returns the crashes that are known to be such.
+func (r *Record) confirmed() []Crash {
+	if !r.Part.IsRequest() {
+		return r.Crashes
+	}
+	return slices.DeleteFunc(slices.Clone(r.Crashes), func(c Crash) bool { return !r.isConfirmed(c) })
+}
+
+// unconfirmedFor returns how long it may take until it is known whether the last of the unconfirmed
+// crashes is one, or 0.
+func (r *Record) unconfirmedFor(now time.Duration) time.Duration {
+	left := time.Duration(0)
+	for _, c := range r.Crashes {
+		if !r.isConfirmed(c) {
+			left = max(left, c.At+cutAge-now)
+		}
+	}
+	return left
+}
+
+// forgetUnconfirmed removes the crashes that were not confirmed in time.
+func (r *Record) forgetUnconfirmed(now time.Duration) {
+	r.Crashes = slices.DeleteFunc(r.Crashes, func(c Crash) bool { return !r.isConfirmed(c) && now-c.At > cutAge })
+}
+
 // settlesIn returns the time until the evidence of all processes about the last crash is known.
 func (r *Record) settlesIn(now time.Duration) time.Duration {
 	if len(r.Crashes) == 0 {
@@ -193,11 +237,11 @@
 		return false
 	}
 	if i := slices.IndexFunc(r.Crashes, c.same); i >= 0 {
-		if !r.Part.IsRequest() || c.Request == 0 || r.Crashes[i].Request != 0 {
-			return false
+		before := r.Crashes[i]
+		if r.Part.IsRequest() {
+			r.Crashes[i] = before.merged(c)
 		}
-		r.Crashes[i].Request = c.Request
-		return true
+		return r.Crashes[i] != before
 	}
 	if len(r.Crashes) >= maxCrashes && c.At <= r.Crashes[0].At {
 		return false
@@ -258,11 +302,12 @@
 	if r.Quarantined(now) && !r.Suspension() {
 		return false
 	}
-	terms, length := r.nextTerm(r.countCrashes(now), leads)
+	crashes := r.confirmed()
+	terms, length := r.nextTerm(r.countCrashes(crashes, now), leads)
 	if length == 0 {
 		return false
 	}
-	r.Terms, r.Since, r.Until = terms, r.Crashes[len(r.Crashes)-1].At, now+length
+	r.Terms, r.Since, r.Until = terms, crashes[len(crashes)-1].At, now+length
 	return true
 }
 
@@ -321,11 +366,11 @@
 	requests int // different requests
 }
 
-func (r *Record) countCrashes(now time.Duration) crashCount {
+func (r *Record) countCrashes(crashes []Crash, now time.Duration) crashCount {
 	var out crashCount
 	last, spacing := time.Duration(0), r.spacing()
 	requests := map[uint64]bool{}
-	for _, c := range r.Crashes {
+	for _, c := range crashes {
 		if (c.At <= r.Until && !r.Suspension()) || now-c.At > evidenceAge {
 			continue
 		}
@@ -340,7 +385,7 @@
 
 // spacing returns the least time between two crashes that count as two.
 func (r *Record) spacing() time.Duration {
-	tried := func(c Crash) bool { return c.Request != 0 }
+	tried := func(c Crash) bool { return c.trialOf() != 0 }
 	switch {
 	case !r.Part.IsRequest():
 		return crashSpacing
@@ -359,5 +404,5 @@
 	if r.Until == 0 && r.AnsweredAt > 0 && now-r.AnsweredAt < answeredRepeat {
 		return false
 	}
-	return !slices.ContainsFunc(r.Crashes, func(c Crash) bool { return now-c.At <= evidenceAge })
+	return r.unconfirmedFor(now) <= 0 && !slices.ContainsFunc(r.confirmed(), func(c Crash) bool { return now-c.At <= evidenceAge })
 }
--- a/poison/request_test.go
+++ b/poison/request_test.go
@@ -143,6 +143,98 @@
 	}
 }
 
+// Guards against a deadly request that each process sends once more, since only one of them has seen that it cut a run on
+// a server that still accepts connections, and against a sound one that is refused longer than until that is known.
+func TestUnconfirmedCrashCountsInAllProcesses(t *testing.T) {
+	for name, crashed := range map[string]bool{"the server has crashed": true, "the server lives": false} {
+		t.Run(name, func(t *testing.T) {
+			virtually(t, func(t *testing.T) {
+				f := newFleet(4)
+				f.crashUnder(0, 1, "r")
+				f.awaitTrial(1, "r")
+				f.trackers[1].RecordTrialCut(2, 2, []poison.Part{requestPart("r")})
+				f.trackers[1].RecordUnconfirmed(2)
+				time.Sleep(4 * time.Second)
+				f.checkRequest(t, "r", time.Second, 3*time.Second)
+				if crashed {
+					f.trackers[3].RecordCrash(2) // by the registry, also if the process that has seen the cut has ended
+					time.Sleep(time.Second)
+					f.checkRequest(t, "r", 8*time.Second, 10*time.Second)
+					return
+				}
+				time.Sleep(2*time.Second + time.Millisecond)
+				f.checkRequest(t, "r", 0, 0)
+				f.checkCrashes(t, "r", 1)
+			})
+		})
+	}
+}
+
+// checkCrashes fails unless all processes count the given number of crashes under a request.
+func (f *fleet) checkCrashes(t *testing.T, name string, want int) {
+	t.Helper()
+	for i, x := range f.trackers {
+		assert.Equal(t, x.Crashes(requestPart(name)), want, "process %d", i)
+	}
+}
+
+// Guards against a deadly request that goes on to crash servers while none of its crashes is confirmed, and against sound
+// ones that are refused since faulty links cut many of them at once, or one of them once.
+func TestCutsWithoutConfirmation(t *testing.T) {
+	for name, x := range map[string]struct {
+		pause time.Duration // between two cuts
+		cuts  int
+		held  bool
+	}{
+		"one":                 {time.Second, 1, false},
+		"many at once":        {0, 5, false},
+		"many within a trial": {200 * time.Millisecond, 5, false},
+		"at separate moments": {time.Second, 2, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			virtually(t, func(t *testing.T) {
+				f := newFleet(3)
+				for i := range x.cuts {
+					f.trackers[i%3].RecordCut(uint64(i), uint64(i), []poison.Part{requestPart("r")})
+					f.trackers[i%3].RecordUnconfirmed(uint64(i))
+					time.Sleep(x.pause)
+				}
+				most := time.Duration(0)
+				if x.held {
+					most = 6 * time.Second
+				}
+				f.checkRequest(t, "r", 0, most)
+				f.checkCrashes(t, "r", 0)
+				time.Sleep(7 * time.Second)
+				f.checkRequest(t, "r", 0, 0)
+				for i, y := range f.trackers {
+					y.Recent(false) // with each heartbeat
+					assert.Assert(t, !y.TracksRequests(), "process %d keeps what did not become evidence", i)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a request that stays refused, in any process, after a server has answered it.
+func TestAnswerEndsTheWaitForAConfirmation(t *testing.T) {
+	virtually(t, func(t *testing.T) {
+		f := newFleet(3)
+		for i := range 2 {
+			f.trackers[i].RecordCut(uint64(i), uint64(i), []poison.Part{requestPart("r")})
+			f.trackers[i].RecordUnconfirmed(uint64(i))
+			time.Sleep(time.Second)
+		}
+		f.checkRequest(t, "r", time.Second, 6*time.Second)
+		f.trackers[2].RecordAnswered([]poison.Part{requestPart("r")})
+		f.checkRequest(t, "r", 0, 0)
+		f.trackers[0].RecordCrash(0)
+		f.trackers[1].RecordCrash(1)
+		time.Sleep(time.Second)
+		f.checkRequest(t, "r", 0, 0)
+	})
+}
+
 // Guards against a suspension that ignores the servers that crash on runs sent before it.
 func TestCrashesDuringASuspensionCount(t *testing.T) {
 	virtually(t, func(t *testing.T) {
--- a/poison/tracker.go
+++ b/poison/tracker.go
@@ -156,13 +156,20 @@
 	return Part{}, 0, false, started
 }
 
-// unconfirmed returns how long it may take until it is known whether a second server has crashed on a
-// request, or 0. The caller holds mu.
+// unconfirmed returns how long it may take until it is known whether so many servers have crashed on a
+// request that it is refused, or 0. The caller holds mu.
 func (t *Tracker) unconfirmed(e *entry, now time.Duration) time.Duration {
 	left := time.Duration(0)
-	if !e.Part.IsRequest() || len(e.Crashes) == 0 || e.answeredBefore() {
+	if !e.Part.IsRequest() || e.answeredBefore() {
 		return 0
 	}
+	e.forgetUnconfirmed(now)
+	if _, length := e.nextTerm(e.countCrashes(e.Crashes, now), true); length > 0 {
+		left = e.unconfirmedFor(now)
+	}
+	if len(e.confirmed()) == 0 {
+		return left
+	}
 	for _, c := range t.cuts {
 		if slices.Contains(c.parts, e.Part) {
 			left = max(left, c.at+cutAge-now)
@@ -245,6 +252,51 @@
 	t.mu.Unlock()
 }
 
+// RecordUnconfirmed records that a server that cut runs still accepts connections, so that it is not known
+// whether it crashed. All processes hold back a request that would be refused if it did, until RecordCrash
+// or cutAge after the cut.
+func (t *Tracker) RecordUnconfirmed(server uint64) {
+	now := Now()
+	var changed []Record
+	t.mu.Lock()
+	for _, c := range t.cuts {
+		if c.server != server || now-c.at > cutAge {
+			continue
+		}
+		for _, p := range c.parts {
+			if !p.IsRequest() {
+				continue
+			}
+			x := c.crash(p)
+			x.Request |= unconfirmed
+			if e := t.entry(p, now); e != nil && e.add(x) {
+				t.update(e, now)
+				changed = append(changed, e.Record.clone())
+			}
+		}
+	}
+	t.mu.Unlock()
+	t.announce(changed)
+}
+
+// confirm makes the unconfirmed crashes of a server count, also those that other processes saw. It returns
+// the records that changed. The caller holds mu.
+func (t *Tracker) confirm(server uint64, now time.Duration) (changed []Record) {
+	for p, e := range t.records {
+		if !p.IsRequest() {
+			continue
+		}
+		for i, c := range e.Crashes {
+			if c.Server == server && !e.isConfirmed(c) && now-c.At <= cutAge {
+				e.Crashes[i].Request = c.trialOf()
+				t.update(e, now)
+				changed = append(changed, e.Record.clone())
+			}
+		}
+	}
+	return changed
+}
+
 // dropCuts removes the cuts for which match returns true. The caller holds mu.
 func (t *Tracker) dropCuts(match func(c cut) bool) {
 	t.cuts = slices.DeleteFunc(t.cuts, match)
@@ -293,6 +345,7 @@
 		}
 	}
 	t.crashed[server] = now
+	changed = t.confirm(server, now)
 	t.dropCuts(func(c cut) bool {
 		if c.server != server {
 			return false
@@ -364,6 +417,7 @@
 func (t *Tracker) expire(now time.Duration) {
 	t.dropCuts(func(c cut) bool { return now-c.at > cutAge })
 	for _, e := range t.records {
+		e.forgetUnconfirmed(now)
 		if e.idle(now) {
 			t.remove(e)
 		}
@@ -379,7 +433,7 @@
 		if e.Part.IsRequest() != p.IsRequest() || e.Quarantined(now) || e.Terms > 0 {
 			continue
 		}
-		if weakest == nil || cmp.Or(cmp.Compare(len(e.Crashes), len(weakest.Crashes)), cmp.Compare(e.settlesIn(now), weakest.settlesIn(now))) < 0 {
+		if weakest == nil || cmp.Or(cmp.Compare(len(e.confirmed()), len(weakest.confirmed())), cmp.Compare(e.settlesIn(now), weakest.settlesIn(now))) < 0 {
 			weakest = e
 		}
 	}
--- a/poison/trial.go
+++ b/poison/trial.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// Crashes returns the number of servers that crashed on a request since one answered it, less those that
-// are expected of one that is answered all the time.
+// Crashes returns the number of servers that are known to have crashed on a request since one answered it,
+// less those that are expected of one that is answered all the time.
 func (t *Tracker) Crashes(p Part) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -16,9 +16,9 @@
 	case e == nil:
 		return 0
 	case e.answeredBefore():
-		return max(len(e.Crashes)-minCrashesOfAnswered/2, 0)
+		return max(len(e.confirmed())-minCrashesOfAnswered/2, 0)
 	default:
-		return len(e.Crashes)
+		return len(e.confirmed())
 	}
 }
 
@@ -54,7 +54,7 @@
 	now := Now()
 	t.mu.Lock()
 	e := t.records[p]
-	if e == nil || len(e.Crashes) == 0 {
+	if e == nil || len(e.confirmed()) == 0 {
 		t.mu.Unlock()
 		return 0
 	}
@@ -62,7 +62,7 @@
 	if wait == 0 && e.triedHere() && now < e.TriedAt+MaxTrial/2 {
 		wait = max(e.TriedAt+claimTime-now, 0)
 	} else if wait == 0 {
-		e.ownTrial = max(rand.Uint64(), 1)
+		e.ownTrial = max(rand.Uint64()&^unconfirmed, 1)
 		e.TriedAt, e.Trial = now, e.ownTrial
 		e.changedAt, e.ownAt = now, now
 		record := e.Record.clone()
@@ -89,12 +89,16 @@
 // The crash of a server cuts many sound requests, but few of them twice. Those that many callers send
 // are on each crash, but they are answered in between. The caller holds mu.
 func (t *Tracker) leads(e *entry) bool {
-	if !e.Part.IsRequest() || len(e.Crashes) == 0 {
+	crashes := e.confirmed()
+	if !e.Part.IsRequest() || len(crashes) == 0 {
 		return false
 	}
-	last := e.Crashes[len(e.Crashes)-1]
+	last := crashes[len(crashes)-1]
 	for p, o := range t.records {
-		if o != e && p.IsRequest() && !o.answeredBefore() && len(o.Crashes) >= len(e.Crashes) && slices.ContainsFunc(o.Crashes, last.same) {
+		if o == e || !p.IsRequest() || o.answeredBefore() || len(o.Crashes) < len(crashes) {
+			continue
+		}
+		if others := o.confirmed(); len(others) >= len(crashes) && slices.ContainsFunc(others, last.same) {
 			return false
 		}
 	}
--- a/relay/deadly_test.go
+++ b/relay/deadly_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand"
 	"net/http"
@@ -31,6 +32,8 @@
 	deadlyCrashes = 3
 	// announceDelay is how long what one process tells takes to reach the others.
 	announceDelay = 3 * time.Millisecond
+	// registryDelay is how long the registry takes to drop a server that has crashed: three heartbeats.
+	registryDelay = 5 * time.Second
 )
 
 // deadlyFleet is a fleet of entry processes before servers that crash when they begin to run a
@@ -40,8 +43,22 @@
 	tables    []*server.Table
 	processes []*relay.Relay
 	rng       *rand.Rand
+	// accepting is how long a server that has crashed still accepts connections when it is probed or
+	// queried.
+	accepting time.Duration
 }
 
+// listens reports whether a server accepts connections, though it may have crashed.
+func (f *deadlyFleet) listens(address string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	down := f.downTill[address]
+	return !time.Now().Before(down) || time.Now().Before(down.Add(f.accepting-poisonDown))
+}
+
+// errReset is what the query of a server sees that has crashed and still accepts connections.
+var errReset = errors.New("connection reset")
+
 func newDeadlyFleet(processes int, entries ...server.Entry) *deadlyFleet {
 	f := &deadlyFleet{poisonFleet: newPoisonFleet(), rng: rand.New(rand.NewSource(1))}
 	var all []server.Change
@@ -49,6 +66,14 @@
 		all = append(all, server.Change{ID: e.ID, Entry: e})
 	}
 	var trackers []*poison.Tracker
+	f.onCrash = func(address string) {
+		incarnation := f.tables[0].ByAddress(address).Incarnation()
+		time.AfterFunc(registryDelay, func() {
+			for _, x := range trackers {
+				x.RecordCrash(incarnation)
+			}
+		})
+	}
 	for i := range processes {
 		tracker := poison.New(poison.Config{Log: zerolog.Nop(), Announce: func(records []poison.Record) {
 			time.AfterFunc(announceDelay, func() {
@@ -69,9 +94,14 @@
 			Send: func(ctx context.Context, req *relay.Request, a relay.Attempt) (*relay.Answer, error) {
 				return f.serveRun(ctx, req, a)
 			},
-			FetchReport: f.report,
+			FetchReport: func(ctx context.Context, address string) (relay.Report, error) {
+				if f.isDown(address) && f.listens(address) {
+					return relay.Report{}, errReset
+				}
+				return f.report(ctx, address)
+			},
 			Probe: func(_ context.Context, address string) error {
-				if f.isDown(address) {
+				if !f.listens(address) {
 					return syscall.ECONNREFUSED
 				}
 				return nil
@@ -374,6 +404,39 @@
 	}
 }
 
+// Guards against a deadly request that each process sends once more, while only one of them has seen that it cut a run
+// on a server that still accepts connections.
+func TestCrashThatIsConfirmedLate(t *testing.T) {
+	for name, kind := range map[string]config.Kind{"stream": config.Stream, "idempotent": config.Idempotent, "at most once": config.AtMostOnce} {
+		for _, accepting := range []time.Duration{20 * time.Millisecond, 500 * time.Millisecond, poisonDown} {
+			t.Run(fmt.Sprint(name, " ", accepting), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					begun := time.Now()
+					defer clock.Replace(func() time.Duration { return time.Since(begun) })()
+					var entries []server.Entry
+					for i := range 12 {
+						e := engineEntry(fmt.Sprint("e", i), "near", 0, 8)
+						if kind != config.Stream {
+							e = plainEntry(e.ID)
+						}
+						entries = append(entries, e)
+					}
+					f := newDeadlyFleet(8, entries...)
+					f.accepting = accepting
+					var wg sync.WaitGroup
+					for n := range 200 {
+						time.Sleep(200 * time.Millisecond)
+						wg.Go(func() { _ = f.call(t.Context(), deadlyRequest(kind, n, true)) })
+					}
+					wg.Wait()
+					t.Logf("%d crashes, %d late arrivals", len(f.crashes), f.lateArrivals())
+					assert.Assert(t, f.lateArrivals() <= maxLateSends, "%d arrivals at servers later than %v after the third crash; %d crashes", f.lateArrivals(), poisonWindow, len(f.crashes))
+				})
+			})
+		}
+	}
+}
+
 // Guards against one engine that is gone and counts as several crashes, at each check of a stream that
 // nothing can take over.
 func TestGoneEngineCountsOnce(t *testing.T) {
--- a/relay/poison_test.go
+++ b/relay/poison_test.go
@@ -44,10 +44,11 @@
 	cut      map[string]chan struct{}
 	crashes  []time.Time
 	sends    []time.Time // of requests with a deadly part
+	onCrash  func(address string)
 }
 
 func newPoisonFleet() *poisonFleet {
-	return &poisonFleet{downTill: map[string]time.Time{}, cut: map[string]chan struct{}{}}
+	return &poisonFleet{downTill: map[string]time.Time{}, cut: map[string]chan struct{}{}, onCrash: func(string) {}}
 }
 
 func (f *poisonFleet) isDown(address string) bool {
@@ -81,6 +82,7 @@
 		close(f.cut[address])
 		delete(f.cut, address)
 	}
+	f.onCrash(address)
 }
 
 // lateSends returns how many requests with a deadly part reached engines later than poisonWindow
--- a/relay/trial.go
+++ b/relay/trial.go
@@ -118,14 +118,15 @@
 const cutSpread = 5 * time.Millisecond
 
 // confirmCrash finds out whether a server that cut a request has ended, before the request is sent
-// to another one. A report from before the cut does not tell.
+// to another one. A report from before the cut does not tell, and neither does a server that accepts
+// connections, which it may for some time after its crash.
 func (r *Relay) confirmCrash(ctx context.Context, req *Request, s *server.Server) {
-	refused, skipped := false, true
+	refused, skipped, alive := false, true, false
 	if req.Service.Engine != nil {
 		rd := r.reports.startedSince(s.Address(), time.Now().Add(-cutSpread))
 		select {
 		case <-rd.done:
-			refused, skipped = rd.refused, rd.skipped
+			refused, skipped, alive = rd.refused, rd.skipped, !rd.skipped && rd.err == nil
 		case <-ctx.Done():
 			return
 		}
@@ -135,7 +136,10 @@
 		defer cancel()
 		refused = errors.Is(r.cfg.Probe(probe, s.Address()), syscall.ECONNREFUSED)
 	}
-	if refused {
+	switch {
+	case refused:
 		r.cfg.Poison.RecordCrash(s.Incarnation())
+	case !alive:
+		r.cfg.Poison.RecordUnconfirmed(s.Incarnation())
 	}
 }
