relay: a server that cut a request is probed until it refuses

Cause: relay.confirmCrash asked once. A server that ends closes its connections shortly before its port, and the answer of that moment stood until the registry dropped it.

Change: a server that may have crashed is probed again in the background, after 30, 60, 120, 240, 480 and 960 ms, until it refuses connections, once for all cuts of its incarnation. Nothing is blamed if it turns out to leave as planned. Cost: six connections at most for each server that cut a request, did not refuse and did not report.

--- a/relay/deadly_test.go
+++ b/relay/deadly_test.go
@@ -330,11 +330,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				begun := time.Now()
 				defer clock.Replace(func() time.Duration { return time.Since(begun) })()
-				var entries []server.Entry
-				for i := range 6 {
-					entries = append(entries, engineEntry(fmt.Sprint("e", i), "near", 0, 8))
-				}
-				f := newDeadlyFleet(1, entries...)
+				f := newDeadlyFleet(1, serverEntries(config.Stream, 6)...)
 				for range 3 {
 					_ = f.call(t.Context(), base())
 					time.Sleep(11 * time.Second)
@@ -404,6 +400,19 @@
 	}
 }
 
+// serverEntries returns the entries of engines, or of plain servers.
+func serverEntries(kind config.Kind, count int) []server.Entry {
+	var out []server.Entry
+	for i := range count {
+		e := engineEntry(fmt.Sprint("e", i), "near", 0, 8)
+		if kind != config.Stream {
+			e = plainEntry(e.ID)
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
 // Guards against a deadly request that each process sends once more, while only one of them has seen that it cut a run
 // on a server that still accepts connections.
 func TestCrashThatIsConfirmedLate(t *testing.T) {
@@ -413,15 +422,7 @@
 				synctest.Test(t, func(t *testing.T) {
 					begun := time.Now()
 					defer clock.Replace(func() time.Duration { return time.Since(begun) })()
-					var entries []server.Entry
-					for i := range 12 {
-						e := engineEntry(fmt.Sprint("e", i), "near", 0, 8)
-						if kind != config.Stream {
-							e = plainEntry(e.ID)
-						}
-						entries = append(entries, e)
-					}
-					f := newDeadlyFleet(8, entries...)
+					f := newDeadlyFleet(8, serverEntries(kind, 12)...)
 					f.accepting = accepting
 					var wg sync.WaitGroup
 					for n := range 200 {
@@ -437,6 +438,26 @@
 	}
 }
 
+// Guards against a crash that is confirmed by the registry only, seconds later, though the server refuses connections
+// soon after it has cut its runs, so that the request crashes more servers meanwhile.
+func TestCrashIsConfirmedOnceConnectionsAreRefused(t *testing.T) {
+	for name, kind := range map[string]config.Kind{"stream": config.Stream, "idempotent": config.Idempotent, "at most once": config.AtMostOnce} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				begun := time.Now()
+				defer clock.Replace(func() time.Duration { return time.Since(begun) })()
+				f := newDeadlyFleet(8, serverEntries(kind, 12)...)
+				f.accepting = 20 * time.Millisecond
+				for n := range 12 { // over 2.4 s, less than registryDelay
+					time.Sleep(200 * time.Millisecond)
+					_ = f.call(t.Context(), deadlyRequest(kind, n, true))
+				}
+				assert.Assert(t, len(f.crashes) <= deadlyCrashes, "%d crashes", len(f.crashes))
+			})
+		})
+	}
+}
+
 // Guards against one engine that is gone and counts as several crashes, at each check of a stream that
 // nothing can take over.
 func TestGoneEngineCountsOnce(t *testing.T) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -179,6 +179,7 @@
 	reports         *reportCache
 	firstEventTimes firstEventTimes
 	trials          trials
+	confirming      sync.Map // incarnations of servers that may have crashed and are probed again
 
 	mu          sync.Mutex
 	monitors    map[*stallMonitor]struct{} // of the running streams
--- a/relay/trial.go
+++ b/relay/trial.go
@@ -132,14 +132,52 @@
 		}
 	}
 	if skipped && r.cfg.Probe != nil {
-		probe, cancel := context.WithTimeout(ctx, reportTimeout)
-		defer cancel()
-		refused = errors.Is(r.cfg.Probe(probe, s.Address()), syscall.ECONNREFUSED)
+		refused = r.refuses(ctx, s)
 	}
 	switch {
 	case refused:
 		r.cfg.Poison.RecordCrash(s.Incarnation())
 	case !alive:
 		r.cfg.Poison.RecordUnconfirmed(s.Incarnation())
+		r.confirmLater(s)
+	}
+}
+
+const (
+	// firstConfirmPause is the time after which a server that may have crashed is probed again; each
+	// further one is twice as long. A server that ends closes its connections and then its port.
+	firstConfirmPause = 30 * time.Millisecond
+	// maxConfirmPause is the last of these pauses. Later the registry tells.
+	maxConfirmPause = time.Second
+)
+
+// confirmLater probes a server that cut requests and accepts connections until it refuses them, in the
+// background. Calls while it does have no effect.
+func (r *Relay) confirmLater(s *server.Server) {
+	if r.cfg.Probe == nil {
+		return
 	}
+	if _, running := r.confirming.LoadOrStore(s.Incarnation(), true); running {
+		return
+	}
+	go func() {
+		defer r.confirming.Delete(s.Incarnation())
+		for pause := firstConfirmPause; pause <= maxConfirmPause; pause *= 2 {
+			time.Sleep(pause)
+			if r.endIsPlanned(s) {
+				return
+			}
+			if r.refuses(context.Background(), s) {
+				r.cfg.Poison.RecordCrash(s.Incarnation())
+				return
+			}
+		}
+	}()
+}
+
+// refuses reports whether a server refuses connections.
+func (r *Relay) refuses(ctx context.Context, s *server.Server) bool {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	return errors.Is(r.cfg.Probe(ctx, s.Address()), syscall.ECONNREFUSED)
 }
