--- a/poison/record.go
+++ b/poison/record.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"hash"
 	"slices"
 	"strconv"
 	"strings"
@@ -34,16 +35,29 @@
 const identityBytes = 16
 
 // RequestPart returns the Part of a request that callers send again with the same method, host,
-// target (path and query), client account and body. Nothing else has to be equal.
-func RequestPart(method, host, target, account string, body []byte) Part {
+// target (path and query), client account, body and prompt, as far as the body does not hold it.
+// Nothing else has to be equal.
+func RequestPart(method, host, target, account string, body []byte, prompt ...string) Part {
 	h := sha256.New()
-	for _, field := range []string{method, host, target, account} {
-		// The length keeps fields from running into each other.
+	writeFields(h, method, host, target, account)
+	h.Write(body)
+	sum := h.Sum(nil)
+	if len(prompt) > 0 {
+		// Requests without a prompt keep the identity that processes of earlier versions know.
+		h = sha256.New()
+		h.Write(sum)
+		writeFields(h, prompt...)
+		sum = h.Sum(nil)
+	}
+	return Part{ID: requestMark + hex.EncodeToString(sum[:identityBytes])}
+}
+
+// writeFields adds fields to a hash. Their lengths keep them from running into each other.
+func writeFields(h hash.Hash, fields ...string) {
+	for _, field := range fields {
 		h.Write(binary.AppendUvarint(nil, uint64(len(field))))
 		h.Write([]byte(field))
 	}
-	h.Write(body)
-	return Part{ID: requestMark + hex.EncodeToString(h.Sum(nil)[:identityBytes])}
 }
 
 // IsRequest reports whether the part is a whole request.
@@ -80,11 +94,27 @@
 // Crash is one backend server that crashed while a request with the part had just been given to
 // it.
 type Crash struct {
-	Server  uint64        // hash of the incarnation of the server
-	Request uint64        // hash of the last part of the prompt, which repeats of a request share
+	Server uint64 // hash of the incarnation of the server
+	// Request is the hash of the last part of the prompt, which repeats of a request share. In the
+	// record of a request it is the trial that crashed the server, or 0 if the run was no trial, with
+	// the bit unconfirmed.
+	Request uint64
 	At      time.Duration // Now
 }
 
+// unconfirmed is the bit of Crash.Request, in the record of a request, that marks a server which cut a
+// run and may have crashed. The crash counts once it is confirmed, and is forgotten after cutAge.
+const unconfirmed = uint64(1) << 63
+
+// trialOf returns the trial under which a server crashed, or 0. It is for records of requests only.
+func (c Crash) trialOf() uint64 { return c.Request &^ unconfirmed }
+
+// merged returns the crash with what another process knows of it. It is for records of requests only.
+func (c Crash) merged(o Crash) Crash {
+	c.Request = cmp.Or(c.trialOf(), o.trialOf()) | c.Request&o.Request&unconfirmed
+	return c
+}
+
 // restartTime is less than a server takes to crash, start and crash again. Processes see the same
 // crash at times that differ by less.
 const restartTime = 2 * time.Second
@@ -112,6 +142,10 @@
 	// One request is on two at most, so requestSpacing covers the time in which the two are found.
 	crashSpacing   = 100 * time.Millisecond
 	requestSpacing = 30 * time.Millisecond
+	// untriedSpacing is the least time between two crashes that count as two under a request of which
+	// no trial has crashed a server. Within it a trial tells, and many sound requests that share an
+	// identity may be on two servers that crash for one reason.
+	untriedSpacing = MaxTrial
 	// minCrashes is the number of crashes after which a part is quarantined, if they happened
 	// under minRequests different requests.
 	minCrashes  = 3
@@ -159,6 +193,36 @@
 // Suspension reports whether the last quarantine was the short one of a request that may be sound.
 func (r *Record) Suspension() bool { return r.Part.IsRequest() && r.Terms == 1 }
 
+// isConfirmed reports whether a crash of the record is known to be one.
+func (r *Record) isConfirmed(c Crash) bool {
+	return !r.Part.IsRequest() || c.Request&unconfirmed == 0
+}
+
+// confirmed returns the crashes that are known to be such.
+func (r *Record) confirmed() []Crash {
+	if !r.Part.IsRequest() {
+		return r.Crashes
+	}
+	return slices.DeleteFunc(slices.Clone(r.Crashes), func(c Crash) bool { return !r.isConfirmed(c) })
+}
+
+// unconfirmedFor returns how long it may take until it is known whether the last of the unconfirmed
+// crashes is one, or 0.
+func (r *Record) unconfirmedFor(now time.Duration) time.Duration {
+	left := time.Duration(0)
+	for _, c := range r.Crashes {
+		if !r.isConfirmed(c) {
+			left = max(left, c.At+cutAge-now)
+		}
+	}
+	return left
+}
+
+// forgetUnconfirmed removes the crashes that were not confirmed in time.
+func (r *Record) forgetUnconfirmed(now time.Duration) {
+	r.Crashes = slices.DeleteFunc(r.Crashes, func(c Crash) bool { return !r.isConfirmed(c) && now-c.At > cutAge })
+}
+
 // settlesIn returns the time until the evidence of all processes about the last crash is known.
 func (r *Record) settlesIn(now time.Duration) time.Duration {
 	if len(r.Crashes) == 0 {
@@ -167,11 +231,19 @@
 	return r.Crashes[len(r.Crashes)-1].At + settleTime - now
 }
 
-// add adds a crash unless it is known or the part was answered since, and reports whether it did.
+// add adds a crash unless it is known or the part was answered since, and reports whether it did. A process
+// that ran no trial may see the crash of one.
 func (r *Record) add(c Crash) bool {
-	if c.At <= r.AnsweredAt || slices.ContainsFunc(r.Crashes, c.same) {
+	if c.At <= r.AnsweredAt {
 		return false
 	}
+	if i := slices.IndexFunc(r.Crashes, c.same); i >= 0 {
+		before := r.Crashes[i]
+		if r.Part.IsRequest() {
+			r.Crashes[i] = before.merged(c)
+		}
+		return r.Crashes[i] != before
+	}
 	if len(r.Crashes) >= maxCrashes && c.At <= r.Crashes[0].At {
 		return false
 	}
@@ -231,11 +303,12 @@
 	if r.Quarantined(now) && !r.Suspension() {
 		return false
 	}
-	terms, length := r.nextTerm(r.countCrashes(now), leads)
+	crashes := r.confirmed()
+	terms, length := r.nextTerm(r.countCrashes(crashes, now), leads)
 	if length == 0 {
 		return false
 	}
-	r.Terms, r.Since, r.Until = terms, r.Crashes[len(r.Crashes)-1].At, now+length
+	r.Terms, r.Since, r.Until = terms, crashes[len(crashes)-1].At, now+length
 	return true
 }
 
@@ -294,14 +367,11 @@
 	requests int // different requests
 }
 
-func (r *Record) countCrashes(now time.Duration) crashCount {
+func (r *Record) countCrashes(crashes []Crash, now time.Duration) crashCount {
 	var out crashCount
-	last, spacing := time.Duration(0), crashSpacing
-	if r.Part.IsRequest() {
-		spacing = requestSpacing
-	}
+	last, spacing := time.Duration(0), r.spacing()
 	requests := map[uint64]bool{}
-	for _, c := range r.Crashes {
+	for _, c := range crashes {
 		if (c.At <= r.Until && !r.Suspension()) || now-c.At > evidenceAge {
 			continue
 		}
@@ -314,6 +384,19 @@
 	return out
 }
 
+// spacing returns the least time between two crashes that count as two.
+func (r *Record) spacing() time.Duration {
+	tried := func(c Crash) bool { return c.trialOf() != 0 }
+	switch {
+	case !r.Part.IsRequest():
+		return crashSpacing
+	case r.answeredBefore() || slices.ContainsFunc(r.Crashes, tried):
+		return requestSpacing
+	default:
+		return untriedSpacing
+	}
+}
+
 // idle reports whether the record holds nothing that still counts.
 func (r *Record) idle(now time.Duration) bool {
 	if r.Quarantined(now) || (r.Terms > 0 && !r.Suspension() && now-r.Until < MaxTerm) {
@@ -322,5 +405,5 @@
 	if r.Until == 0 && r.AnsweredAt > 0 && now-r.AnsweredAt < answeredRepeat {
 		return false
 	}
-	return !slices.ContainsFunc(r.Crashes, func(c Crash) bool { return now-c.At <= evidenceAge })
+	return r.unconfirmedFor(now) <= 0 && !slices.ContainsFunc(r.confirmed(), func(c Crash) bool { return now-c.At <= evidenceAge })
 }
--- a/poison/request_test.go
+++ b/poison/request_test.go
@@ -23,6 +23,21 @@
 	f.trackers[process].RecordCrash(server)
 }
 
+// tryUnder lets a server crash under a request that a process sends alone.
+func (f *fleet) tryUnder(process int, server uint64, name string) {
+	f.awaitTrial(process, name)
+	f.trackers[process].RecordTrialCut(server, server, []poison.Part{requestPart(name)})
+	f.trackers[process].RecordCrash(server)
+}
+
+// awaitTrial waits until a process may try a request alone.
+func (f *fleet) awaitTrial(process int, name string) {
+	for wait := time.Nanosecond; wait > 0; {
+		time.Sleep(wait)
+		wait = f.trackers[process].TryAlone(requestPart(name), true)
+	}
+}
+
 // checkRequest fails unless a request is refused in all processes, for a time between two bounds; 0 if
 // it may be sent.
 func (f *fleet) checkRequest(t *testing.T, name string, least, most time.Duration) {
@@ -57,6 +72,169 @@
 	})
 }
 
+// Guards against requests that are all refused since two servers crashed near in time, though none of them is shown to
+// be the cause, and against a deadly one that goes on to crash servers after that.
+func TestCrashesNearInTimeSuspendNothing(t *testing.T) {
+	for _, apart := range []time.Duration{requestSpacing, 96 * time.Millisecond, poison.MaxTrial - time.Millisecond} {
+		t.Run(apart.String(), func(t *testing.T) {
+			virtually(t, func(t *testing.T) {
+				f := newFleet(4)
+				crash := func(server uint64) { // it had runs of the request from all processes
+					for i := range f.trackers {
+						f.crashUnder(i, server, "popular")
+					}
+				}
+				crash(1)
+				time.Sleep(apart)
+				crash(2)
+				time.Sleep(time.Second)
+				f.checkRequest(t, "popular", 0, 0)
+				f.tryUnder(2, 3, "popular")
+				time.Sleep(time.Second)
+				f.checkRequest(t, "popular", 9*time.Minute, 10*time.Minute)
+			})
+		})
+	}
+}
+
+// requestSpacing is the time from which two crashes may count as two.
+const requestSpacing = 30 * time.Millisecond
+
+// Guards against a deadly request that isn't suspended because the server of its trial crashed soon after the first one,
+// and against evidence of a trial that is lost because another process saw the same crash without it.
+func TestCrashOfATrialCounts(t *testing.T) {
+	for name, run := range map[string]func(f *fleet){
+		"one process sees it": func(f *fleet) { f.tryUnder(1, 2, "deadly") },
+		"another process sees it first": func(f *fleet) {
+			f.awaitTrial(1, "deadly")
+			f.crashUnder(2, 2, "deadly")
+			f.trackers[1].RecordTrialCut(2, 2, []poison.Part{requestPart("deadly")})
+			f.trackers[1].RecordCrash(2)
+		},
+		"another process sees it later": func(f *fleet) {
+			f.tryUnder(1, 2, "deadly")
+			f.crashUnder(2, 2, "deadly")
+		},
+		"announcements are lost": func(f *fleet) {
+			f.awaitTrial(1, "deadly")
+			f.cut = func(int, int) bool { return true }
+			f.crashUnder(2, 2, "deadly")
+			f.trackers[1].RecordTrialCut(2, 2, []poison.Part{requestPart("deadly")})
+			f.trackers[1].RecordCrash(2)
+			f.cut = nil
+			for i, x := range f.trackers {
+				for j, o := range f.trackers {
+					if i != j {
+						o.Merge(x.Records())
+					}
+				}
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			virtually(t, func(t *testing.T) {
+				f := newFleet(3)
+				f.crashUnder(0, 1, "deadly")
+				run(f)
+				time.Sleep(time.Second)
+				f.checkRequest(t, "deadly", 8*time.Second, 10*time.Second)
+			})
+		})
+	}
+}
+
+// Guards against a deadly request that each process sends once more, since only one of them has seen that it cut a run on
+// a server that still accepts connections, and against a sound one that is refused longer than until that is known.
+func TestUnconfirmedCrashCountsInAllProcesses(t *testing.T) {
+	for name, crashed := range map[string]bool{"the server has crashed": true, "the server lives": false} {
+		t.Run(name, func(t *testing.T) {
+			virtually(t, func(t *testing.T) {
+				f := newFleet(4)
+				f.crashUnder(0, 1, "r")
+				f.awaitTrial(1, "r")
+				f.trackers[1].RecordTrialCut(2, 2, []poison.Part{requestPart("r")})
+				f.trackers[1].RecordUnconfirmed(2)
+				time.Sleep(4 * time.Second)
+				f.checkRequest(t, "r", time.Second, 3*time.Second)
+				if crashed {
+					f.trackers[3].RecordCrash(2) // by the registry, also if the process that has seen the cut has ended
+					time.Sleep(time.Second)
+					f.checkRequest(t, "r", 8*time.Second, 10*time.Second)
+					return
+				}
+				time.Sleep(2*time.Second + time.Millisecond)
+				f.checkRequest(t, "r", 0, 0)
+				f.checkCrashes(t, "r", 1)
+			})
+		})
+	}
+}
+
+// checkCrashes fails unless all processes count the given number of crashes under a request.
+func (f *fleet) checkCrashes(t *testing.T, name string, want int) {
+	t.Helper()
+	for i, x := range f.trackers {
+		assert.Equal(t, x.Crashes(requestPart(name)), want, "process %d", i)
+	}
+}
+
+// Guards against a deadly request that goes on to crash servers while none of its crashes is confirmed, and against sound
+// ones that are refused since faulty links cut many of them at once, or one of them once.
+func TestCutsWithoutConfirmation(t *testing.T) {
+	for name, x := range map[string]struct {
+		pause time.Duration // between two cuts
+		cuts  int
+		held  bool
+	}{
+		"one":                 {time.Second, 1, false},
+		"many at once":        {0, 5, false},
+		"many within a trial": {200 * time.Millisecond, 5, false},
+		"at separate moments": {time.Second, 2, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			virtually(t, func(t *testing.T) {
+				f := newFleet(3)
+				for i := range x.cuts {
+					f.trackers[i%3].RecordCut(uint64(i), uint64(i), []poison.Part{requestPart("r")})
+					f.trackers[i%3].RecordUnconfirmed(uint64(i))
+					time.Sleep(x.pause)
+				}
+				most := time.Duration(0)
+				if x.held {
+					most = 6 * time.Second
+				}
+				f.checkRequest(t, "r", 0, most)
+				f.checkCrashes(t, "r", 0)
+				time.Sleep(7 * time.Second)
+				f.checkRequest(t, "r", 0, 0)
+				for i, y := range f.trackers {
+					y.Recent(false) // with each heartbeat
+					assert.Assert(t, !y.TracksRequests(), "process %d keeps what did not become evidence", i)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a request that stays refused, in any process, after a server has answered it.
+func TestAnswerEndsTheWaitForAConfirmation(t *testing.T) {
+	virtually(t, func(t *testing.T) {
+		f := newFleet(3)
+		for i := range 2 {
+			f.trackers[i].RecordCut(uint64(i), uint64(i), []poison.Part{requestPart("r")})
+			f.trackers[i].RecordUnconfirmed(uint64(i))
+			time.Sleep(time.Second)
+		}
+		f.checkRequest(t, "r", time.Second, 6*time.Second)
+		f.trackers[2].RecordAnswered([]poison.Part{requestPart("r")})
+		f.checkRequest(t, "r", 0, 0)
+		f.trackers[0].RecordCrash(0)
+		f.trackers[1].RecordCrash(1)
+		time.Sleep(time.Second)
+		f.checkRequest(t, "r", 0, 0)
+	})
+}
+
 // Guards against a suspension that ignores the servers that crash on runs sent before it.
 func TestCrashesDuringASuspensionCount(t *testing.T) {
 	virtually(t, func(t *testing.T) {
@@ -170,7 +348,8 @@
 		f.trackers[0].RecordAnswered([]poison.Part{popular})
 		time.Sleep(time.Second)
 		for i := range 3 {
-			f.crashUnder(0, uint64(i), "popular", "deadly")
+			f.trackers[0].RecordCut(uint64(i), uint64(i), []poison.Part{popular})
+			f.tryUnder(0, uint64(i), "deadly") // alone, once a server has crashed on it
 			f.crashUnder(1, uint64(i), "popular")
 			time.Sleep(100 * time.Millisecond)
 		}
@@ -274,9 +453,12 @@
 		poison.RequestPart("GET", "host/", "p", "account", []byte("body")),
 		poison.RequestPart("GET", "host", "/pa", "ccount", []byte("body")),
 		poison.RequestPart("GET", "host", "/p", "accountb", []byte("ody")),
+		poison.RequestPart("GET", "host", "/p", "account", []byte("bod"), "y"),
+		poison.RequestPart("GET", "host", "/p", "account", []byte("body"), ""),
 	} {
 		assert.Assert(t, a != b, "case %d", i)
 	}
+	assert.Assert(t, poison.RequestPart("", "", "", "", nil, "a", "bc") != poison.RequestPart("", "", "", "", nil, "ab", "c"))
 }
 
 // Guards against memory that grows with the number of requests on crashed servers, and against
--- a/relay/deadly_test.go
+++ b/relay/deadly_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand"
 	"net/http"
@@ -31,6 +32,8 @@
 	deadlyCrashes = 3
 	// announceDelay is how long what one process tells takes to reach the others.
 	announceDelay = 3 * time.Millisecond
+	// registryDelay is how long the registry takes to drop a server that has crashed: three heartbeats.
+	registryDelay = 5 * time.Second
 )
 
 // deadlyFleet is a fleet of entry processes before servers that crash when they begin to run a
@@ -40,8 +43,22 @@
 	tables    []*server.Table
 	processes []*relay.Relay
 	rng       *rand.Rand
+	// accepting is how long a server that has crashed still accepts connections when it is probed or
+	// queried.
+	accepting time.Duration
 }
 
+// listens reports whether a server accepts connections, though it may have crashed.
+func (f *deadlyFleet) listens(address string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	down := f.downTill[address]
+	return !time.Now().Before(down) || time.Now().Before(down.Add(f.accepting-poisonDown))
+}
+
+// errReset is what the query of a server sees that has crashed and still accepts connections.
+var errReset = errors.New("connection reset")
+
 func newDeadlyFleet(processes int, entries ...server.Entry) *deadlyFleet {
 	f := &deadlyFleet{poisonFleet: newPoisonFleet(), rng: rand.New(rand.NewSource(1))}
 	var all []server.Change
@@ -49,6 +66,14 @@
 		all = append(all, server.Change{ID: e.ID, Entry: e})
 	}
 	var trackers []*poison.Tracker
+	f.onCrash = func(address string) {
+		incarnation := f.tables[0].ByAddress(address).Incarnation()
+		time.AfterFunc(registryDelay, func() {
+			for _, x := range trackers {
+				x.RecordCrash(incarnation)
+			}
+		})
+	}
 	for i := range processes {
 		tracker := poison.New(poison.Config{Log: zerolog.Nop(), Announce: func(records []poison.Record) {
 			time.AfterFunc(announceDelay, func() {
@@ -69,9 +94,14 @@
 			Send: func(ctx context.Context, req *relay.Request, a relay.Attempt) (*relay.Answer, error) {
 				return f.serveRun(ctx, req, a)
 			},
-			FetchReport: f.report,
+			FetchReport: func(ctx context.Context, address string) (relay.Report, error) {
+				if f.isDown(address) && f.listens(address) {
+					return relay.Report{}, errReset
+				}
+				return f.report(ctx, address)
+			},
 			Probe: func(_ context.Context, address string) error {
-				if f.isDown(address) {
+				if !f.listens(address) {
 					return syscall.ECONNREFUSED
 				}
 				return nil
@@ -268,6 +298,166 @@
 	}
 }
 
+// soundStream returns a stream that differs from others in its prompt only, or in nothing.
+func soundStream(n int, ownPrompt bool) *relay.Request {
+	req := deadlyRequest(config.Stream, n, false)
+	req.Body, req.PromptParts = []byte("body"), []string{"root", "own"}
+	if ownPrompt {
+		req.PromptParts = []string{fmt.Sprint("root", n), fmt.Sprint("own", n)}
+	}
+	return req
+}
+
+// Guards against sound requests that are refused because the request that crashed servers has their path, caller and
+// body, though servers are given another prompt.
+func TestPromptTellsRequestsApart(t *testing.T) {
+	base := func() *relay.Request {
+		req := deadlyRequest(config.Stream, 1, true)
+		req.PromptTokens, req.MaxAnswerTokens, req.Model = 100, 50, "m"
+		return req
+	}
+	for name, change := range map[string]func(req *relay.Request){
+		"own part":      func(req *relay.Request) { req.PromptParts[1] = "other" },
+		"shared part":   func(req *relay.Request) { req.PromptParts[0] = "other" },
+		"fewer parts":   func(req *relay.Request) { req.PromptParts = req.PromptParts[1:] },
+		"parts joined":  func(req *relay.Request) { req.PromptParts = []string{strings.Join(req.PromptParts, "")} },
+		"no part":       func(req *relay.Request) { req.PromptParts = nil },
+		"prompt tokens": func(req *relay.Request) { req.PromptTokens++ },
+		"answer tokens": func(req *relay.Request) { req.MaxAnswerTokens++ },
+		"model":         func(req *relay.Request) { req.Model = "other" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				begun := time.Now()
+				defer clock.Replace(func() time.Duration { return time.Since(begun) })()
+				f := newDeadlyFleet(1, serverEntries(config.Stream, 6)...)
+				for range 3 {
+					_ = f.call(t.Context(), base())
+					time.Sleep(11 * time.Second)
+				}
+				assert.Equal(t, fault.CodeOf(f.call(t.Context(), base())), fault.Quarantined)
+				other := base()
+				change(other)
+				sent := len(f.sends)
+				_ = f.call(t.Context(), other) // its repeat may be refused for the parts that it shares
+				assert.Assert(t, len(f.sends) > sent)
+			})
+		})
+	}
+}
+
+// checkAfterTwoCrashes fails if sound streams are refused after two engines crashed near in time, at processes that know
+// no answer yet.
+func checkAfterTwoCrashes(t *testing.T, ownPrompt bool) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		begun := time.Now()
+		defer clock.Replace(func() time.Duration { return time.Since(begun) })()
+		f := newDeadlyFleet(4, engineEntry("e0", "near", 0, 8), engineEntry("e1", "near", 0, 8))
+		refused, served := 0, 0
+		var wg sync.WaitGroup
+		call := func(n int) {
+			wg.Go(func() {
+				err := f.call(t.Context(), soundStream(n, ownPrompt))
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				switch {
+				case fault.CodeOf(err) == fault.Quarantined:
+					refused++
+				case err == nil:
+					served++
+				}
+			})
+		}
+		for n := range 24 {
+			call(n)
+			time.Sleep(time.Millisecond / 4)
+		}
+		f.crash("e0:1")
+		time.Sleep(40 * time.Millisecond)
+		f.crash("e1:1")
+		wg.Wait()
+		time.Sleep(poisonDown)
+		served = 0
+		for n := range 40 {
+			call(100 + n)
+			time.Sleep(50 * time.Millisecond)
+		}
+		wg.Wait()
+		assert.Equal(t, len(f.crashes), 2)
+		assert.Equal(t, refused, 0)
+		assert.Assert(t, served >= 36, "%d of 40 served", served)
+	})
+}
+
+// Guards against sound requests of one caller, path and body that are all refused after two servers crashed near in
+// time.
+func TestSoundRequestsAfterTwoCrashes(t *testing.T) {
+	for name, ownPrompt := range map[string]bool{"prompts differ": true, "equal prompts": false} {
+		for round := range 12 { // streams choose their engines with some jitter
+			t.Run(fmt.Sprint(name, " ", round), func(t *testing.T) { checkAfterTwoCrashes(t, ownPrompt) })
+		}
+	}
+}
+
+// serverEntries returns the entries of engines, or of plain servers.
+func serverEntries(kind config.Kind, count int) []server.Entry {
+	var out []server.Entry
+	for i := range count {
+		e := engineEntry(fmt.Sprint("e", i), "near", 0, 8)
+		if kind != config.Stream {
+			e = plainEntry(e.ID)
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
+// Guards against a deadly request that each process sends once more, while only one of them has seen that it cut a run
+// on a server that still accepts connections.
+func TestCrashThatIsConfirmedLate(t *testing.T) {
+	for name, kind := range map[string]config.Kind{"stream": config.Stream, "idempotent": config.Idempotent, "at most once": config.AtMostOnce} {
+		for _, accepting := range []time.Duration{20 * time.Millisecond, 500 * time.Millisecond, poisonDown} {
+			t.Run(fmt.Sprint(name, " ", accepting), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					begun := time.Now()
+					defer clock.Replace(func() time.Duration { return time.Since(begun) })()
+					f := newDeadlyFleet(8, serverEntries(kind, 12)...)
+					f.accepting = accepting
+					var wg sync.WaitGroup
+					for n := range 200 {
+						time.Sleep(200 * time.Millisecond)
+						wg.Go(func() { _ = f.call(t.Context(), deadlyRequest(kind, n, true)) })
+					}
+					wg.Wait()
+					t.Logf("%d crashes, %d late arrivals", len(f.crashes), f.lateArrivals())
+					assert.Assert(t, f.lateArrivals() <= maxLateSends, "%d arrivals at servers later than %v after the third crash; %d crashes", f.lateArrivals(), poisonWindow, len(f.crashes))
+				})
+			})
+		}
+	}
+}
+
+// Guards against a crash that is confirmed by the registry only, seconds later, though the server refuses connections
+// soon after it has cut its runs, so that the request crashes more servers meanwhile.
+func TestCrashIsConfirmedOnceConnectionsAreRefused(t *testing.T) {
+	for name, kind := range map[string]config.Kind{"stream": config.Stream, "idempotent": config.Idempotent, "at most once": config.AtMostOnce} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				begun := time.Now()
+				defer clock.Replace(func() time.Duration { return time.Since(begun) })()
+				f := newDeadlyFleet(8, serverEntries(kind, 12)...)
+				f.accepting = 20 * time.Millisecond
+				for n := range 12 { // over 2.4 s, less than registryDelay
+					time.Sleep(200 * time.Millisecond)
+					_ = f.call(t.Context(), deadlyRequest(kind, n, true))
+				}
+				assert.Assert(t, len(f.crashes) <= deadlyCrashes, "%d crashes", len(f.crashes))
+			})
+		})
+	}
+}
+
 // Guards against one engine that is gone and counts as several crashes, at each check of a stream that
 // nothing can take over.
 func TestGoneEngineCountsOnce(t *testing.T) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -43,6 +43,7 @@
 	Deadline time.Time // the earlier of the caller's deadline and the route's timeout
 
 	LastEventID      string // last event that the caller already has; the stream resumes after it
+	Model            string // model that the caller names; empty if it names none
 	PromptTokens     int    // length of the prompt
 	MaxAnswerTokens  int    // bound on the answer, in tokens; 0 for none
 	AnswerTokensHint int    // caller's estimate of the answer, in tokens; 0 if not given
@@ -52,6 +53,7 @@
 
 	attempts   atomic.Int32 // attempts sent so far
 	mayHaveRun atomic.Bool  // set once an attempt may have been executed
+	alone      atomic.Bool  // the last attempt is a trial
 
 	mu     sync.Mutex
 	sentTo []string // addresses of the servers that attempts were sent to
@@ -177,6 +179,7 @@
 	reports         *reportCache
 	firstEventTimes firstEventTimes
 	trials          trials
+	confirming      sync.Map // incarnations of servers that may have crashed and are probed again
 
 	mu          sync.Mutex
 	monitors    map[*stallMonitor]struct{} // of the running streams
--- a/relay/trial.go
+++ b/relay/trial.go
@@ -51,6 +51,7 @@
 // is refused. The returned function ends its trial: a server answered, or the attempt failed.
 func (r *Relay) tryAlone(ctx context.Context, req *Request) (end func(), err error) {
 	end = func() {}
+	req.alone.Store(false)
 	if r.isSuspect(req) {
 		wait, cancel := context.WithTimeout(ctx, maxTrialWait)
 		defer cancel()
@@ -89,6 +90,7 @@
 			return nil
 		}
 		if wait = r.cfg.Poison.TryAlone(req.identity(), true); wait <= 0 {
+			req.alone.Store(true)
 			return nil
 		}
 	}
@@ -116,24 +118,66 @@
 const cutSpread = 5 * time.Millisecond
 
 // confirmCrash finds out whether a server that cut a request has ended, before the request is sent
-// to another one. A report from before the cut does not tell.
+// to another one. A report from before the cut does not tell, and neither does a server that accepts
+// connections, which it may for some time after its crash.
 func (r *Relay) confirmCrash(ctx context.Context, req *Request, s *server.Server) {
-	refused, skipped := false, true
+	refused, skipped, alive := false, true, false
 	if req.Service.Engine != nil {
 		rd := r.reports.startedSince(s.Address(), time.Now().Add(-cutSpread))
 		select {
 		case <-rd.done:
-			refused, skipped = rd.refused, rd.skipped
+			refused, skipped, alive = rd.refused, rd.skipped, !rd.skipped && rd.err == nil
 		case <-ctx.Done():
 			return
 		}
 	}
 	if skipped && r.cfg.Probe != nil {
-		probe, cancel := context.WithTimeout(ctx, reportTimeout)
-		defer cancel()
-		refused = errors.Is(r.cfg.Probe(probe, s.Address()), syscall.ECONNREFUSED)
+		refused = r.refuses(ctx, s)
 	}
-	if refused {
+	switch {
+	case refused:
 		r.cfg.Poison.RecordCrash(s.Incarnation())
+	case !alive:
+		r.cfg.Poison.RecordUnconfirmed(s.Incarnation())
+		r.confirmLater(s)
+	}
+}
+
+const (
+	// firstConfirmPause is the time after which a server that may have crashed is probed again; each
+	// further one is twice as long. A server that ends closes its connections and then its port.
+	firstConfirmPause = 30 * time.Millisecond
+	// maxConfirmPause is the last of these pauses. Later the registry tells.
+	maxConfirmPause = time.Second
+)
+
+// confirmLater probes a server that cut requests and accepts connections until it refuses them, in the
+// background. Calls while it does have no effect.
+func (r *Relay) confirmLater(s *server.Server) {
+	if r.cfg.Probe == nil {
+		return
 	}
+	if _, running := r.confirming.LoadOrStore(s.Incarnation(), true); running {
+		return
+	}
+	go func() {
+		defer r.confirming.Delete(s.Incarnation())
+		for pause := firstConfirmPause; pause <= maxConfirmPause; pause *= 2 {
+			time.Sleep(pause)
+			if r.endIsPlanned(s) {
+				return
+			}
+			if r.refuses(context.Background(), s) {
+				r.cfg.Poison.RecordCrash(s.Incarnation())
+				return
+			}
+		}
+	}()
+}
+
+// refuses reports whether a server refuses connections.
+func (r *Relay) refuses(ctx context.Context, s *server.Server) bool {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	return errors.Is(r.cfg.Probe(ctx, s.Address()), syscall.ECONNREFUSED)
 }
