cmds: ignore SIGHUP before the settings are read

Cause: the command "entry" ignored SIGHUP only after it had read its settings. Change: it ignores SIGHUP first thing. Package initialisation comes before; a SIGHUP then still ends the process.

Conclusion: a SIGHUP has no effect from the first line of the command on.

--- a/cmds/entry.go
+++ b/cmds/entry.go
@@ -22,6 +22,9 @@
 			"Without --config the settings file is the one that the environment variable " + platform.SettingsPathEnv + " names.",
 		Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
+			// Settings are read at start only, so a SIGHUP after a change of the settings
+			// file must not terminate the process, also while it reads them.
+			signal.Ignore(syscall.SIGHUP)
 			if path == "" {
 				path = os.Getenv(platform.SettingsPathEnv)
 			}
@@ -39,9 +42,6 @@
 func runEntry(c *cobra.Command, s edge.Settings) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	// Settings are read at start only, so a SIGHUP after a change of the settings
-	// file must not terminate the process.
-	signal.Ignore(syscall.SIGHUP)
 	app := edge.New(s, c.OutOrStdout())
 	if err := app.Start(ctx); err != nil {
 		return fmt.Errorf("start entry process: %w", err)
