relay: refuse requests at once that wait for what comes after the stop

Cause: each kind of wait had its own select on the context of the request and knew nothing of the stop, and drain closed the connections at its end.

Change: every wait before an attempt (pause, share of a rate, trial here, trial elsewhere) passes through Relay.wait, and maySend checks before each attempt. If what is awaited comes later, it is refused at once as not run, with 0.05 to 0.15 s to come back, as pauses and shares of rates are those of one process; trials, whose evidence all processes have, name 0.2 to 0.6 s. A request that may have run never gets 503.

--- a/edge/serve.go
+++ b/edge/serve.go
@@ -187,8 +187,10 @@
 // listener when none is in flight or the grace period is nearly over.
 func (h *Handler) drain(ctx context.Context, callers *http.Server) error {
 	begun := time.Now()
-	end := begun.Add(h.gracePeriod - stopMargin)
+	stop := stopTimes(begun, h.gracePeriod)
+	end := stop.AnswerBy
 	h.leavingSince.Store(begun.UnixNano())
+	h.relay.Stop(stop)
 	h.log.Info().Int64("inflight", h.inflight.Load()).Time("until", end).Msg("stopping; callers are told to go elsewhere")
 	if h.state.sendHeartbeat != nil {
 		h.state.sendHeartbeat()
@@ -209,6 +211,13 @@
 	return nil
 }
 
+// stopTimes returns the last moments of a process that begins to stop and is killed after grace. A request is
+// sent to a server as long as requests are accepted, or for half of the time if that is less.
+func stopTimes(begun time.Time, grace time.Duration) relay.Stop {
+	usable := max(grace-stopMargin, 0)
+	return relay.Stop{SendBy: begun.Add(min(acceptWhileLeaving, usable/2)), AnswerBy: begun.Add(usable)}
+}
+
 const (
 	drainPollInterval = 20 * time.Millisecond  // between checks of the requests in flight
 	shutdownTimeout   = 200 * time.Millisecond // for connections whose last answer was just written
--- /dev/null
+++ b/edge/stop_test.go
@@ -0,0 +1,198 @@
+package edge
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/cranberrybay/cranberrybay/clock"
+	"github.com/cranberrybay/cranberrybay/config"
+	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/intake"
+	"github.com/cranberrybay/cranberrybay/platform"
+	"github.com/cranberrybay/cranberrybay/relay"
+	"github.com/cranberrybay/cranberrybay/retry"
+	"github.com/cranberrybay/cranberrybay/server"
+)
+
+// pipeListener hands out the near ends of pipes.
+type pipeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+}
+
+func newPipeListener() *pipeListener {
+	return &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error   { close(l.closed); return nil }
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// stopRig is a process with one backend server and callers on pipes, in virtual time.
+type stopRig struct {
+	handler  *Handler
+	listener *pipeListener
+	servers  *server.Table
+	intake   *intake.Tracker
+	callers  *http.Server
+}
+
+// newStopRig returns a process whose only server answers by send.
+func newStopRig(t *testing.T, send func(ctx context.Context, rq *relay.Request) (*relay.Answer, error)) *stopRig {
+	t.Helper()
+	h, _ := newTestHandler(t)
+	begun := time.Now()
+	t.Cleanup(clock.Replace(func() time.Duration { return time.Since(begun) + time.Hour }))
+	x := &stopRig{handler: h, listener: newPipeListener(), servers: server.NewTable(server.Config{Log: zerolog.Nop()})}
+	x.servers.Apply([]server.Change{{ID: "a", Entry: server.Entry{ID: "a", Service: "s", Address: "a:1", Slots: 8}}}, true, 0)
+	x.intake = intake.New(intake.Config{Log: zerolog.Nop(), OnLeaving: x.servers.MarkLeaving})
+	h.relay = relay.New(relay.Config{
+		Servers: x.servers, Intake: x.intake, Log: zerolog.Nop(), Budget: func(string) *retry.Budget { return retry.New(retry.Config{}) },
+		Send: func(ctx context.Context, rq *relay.Request, _ relay.Attempt) (*relay.Answer, error) {
+			return send(ctx, rq)
+		},
+	})
+	c, err := config.New(config.Content{Version: 1, Routes: []*config.Route{newStopRoute("once", config.AtMostOnce), newStopRoute("idempotent", config.Idempotent), newStopRoute("stream", config.Stream)}})
+	assert.NilError(t, err)
+	assert.Assert(t, h.tracker.Apply(c))
+	h.tracker.Confirm(clock.Now())
+	x.callers = newHTTPServer(&platform.CallerHandler{Serve: h.Serve, MaxBody: h.maxBody, Leaving: h.isLeaving})
+	go func() { _ = x.callers.Serve(x.listener) }()
+	return x
+}
+
+func newStopRoute(name string, kind config.Kind) *config.Route {
+	return config.NewRoute(config.RouteConfig{
+		Name: name, Host: "h", Prefix: "/" + name + "/", Public: true, Kind: kind, Timeout: time.Minute, TargetLatency: time.Second,
+		Services: []config.WeightedService{{Service: "s", Weight: 1}},
+	})
+}
+
+// rest makes the server ask for a pause.
+func (x *stopRig) rest(pause time.Duration) {
+	x.intake.Observe(intake.Statement{Server: x.servers.ByID("a").Incarnation(), ID: "a", Said: intake.Said{RestUntil: intake.Now() + pause}})
+}
+
+// callerAnswer is what a caller got on its connection.
+type callerAnswer struct {
+	status   int
+	back     time.Duration // time to come back; 0 if there is none
+	complete bool
+	at       time.Time
+}
+
+// call sends a request on a connection of its own.
+func (x *stopRig) call(route string) <-chan callerAnswer {
+	done := make(chan callerAnswer, 1)
+	near, far := net.Pipe()
+	go func() {
+		defer far.Close()
+		select {
+		case x.listener.conns <- near:
+		case <-x.listener.closed:
+		}
+		_, _ = fmt.Fprintf(far, "POST /%s/1 HTTP/1.1\r\nHost: h\r\nX-Cranberrybay-Request-Id: r1\r\nContent-Length: 0\r\n\r\n", route)
+		var out callerAnswer
+		if rs, err := http.ReadResponse(bufio.NewReader(far), nil); err == nil {
+			_, err = io.Copy(io.Discard, rs.Body)
+			out.status, out.complete = rs.StatusCode, err == nil
+			seconds, _ := strconv.ParseFloat(rs.Header.Get("Retry-After"), 64)
+			out.back = time.Duration(seconds * float64(time.Second))
+		}
+		out.at = time.Now()
+		done <- out
+	}()
+	return done
+}
+
+// stop stops the process.
+func (x *stopRig) stop() (ended <-chan struct{}) {
+	done := make(chan struct{})
+	go func() {
+		_ = x.handler.drain(context.Background(), x.callers)
+		close(done)
+	}()
+	synctest.Wait()
+	return done
+}
+
+// hang is a server that does not answer.
+func hang(ctx context.Context, _ *relay.Request) (*relay.Answer, error) {
+	<-ctx.Done()
+	return nil, fault.New(fault.Config{Verdict: fault.MayHaveRun, Code: fault.Unavailable, Reason: "no answer", Cause: ctx.Err()})
+}
+
+var stopKinds = []string{"once", "idempotent", "stream"}
+
+// Guards against a request that a process which stops holds back and never answers.
+func TestStopAnswersRequestsThatWait(t *testing.T) {
+	for _, route := range stopKinds {
+		t.Run(route, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				x := newStopRig(t, hang)
+				x.rest(30 * time.Second)
+				held := x.call(route)
+				time.Sleep(500 * time.Millisecond)
+				begun := time.Now()
+				ended := x.stop()
+				got := <-held
+				assert.Equal(t, got.status, http.StatusServiceUnavailable)
+				assert.Assert(t, got.complete && got.back > 0 && got.back < time.Second, "%+v", got)
+				assert.Assert(t, got.at.Sub(begun) < 50*time.Millisecond, got.at.Sub(begun))
+				<-ended
+			})
+		})
+	}
+}
+
+// Guards against a request that is held back and passed on although its pause ends so late in the stop that it
+// would have to be answered at once, and against the refusal of one whose pause ends soon.
+func TestStopDuringShortPauses(t *testing.T) {
+	for pause, want := range map[time.Duration]int{2 * time.Second: http.StatusOK, 4 * time.Second: http.StatusServiceUnavailable} {
+		t.Run(pause.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				x := newStopRig(t, func(context.Context, *relay.Request) (*relay.Answer, error) {
+					return &relay.Answer{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("done")), Length: 4, Signed: true}, nil
+				})
+				x.rest(pause)
+				held := x.call("once")
+				time.Sleep(100 * time.Millisecond)
+				ended := x.stop()
+				got := <-held
+				assert.Equal(t, got.status, want)
+				assert.Assert(t, got.complete)
+				<-ended
+			})
+		})
+	}
+}
+
+// Guards against moments of a stop that lie beyond a short time to stop.
+func TestStopTimes(t *testing.T) {
+	now := time.Now()
+	for _, grace := range []time.Duration{0, time.Second, 3 * time.Second, 8 * time.Second, time.Minute} {
+		s := stopTimes(now, grace)
+		assert.Assert(t, !s.SendBy.Before(now) && !s.SendBy.After(s.AnswerBy) && !s.SendBy.After(now.Add(acceptWhileLeaving)), "%v: %+v", grace, s)
+		assert.Assert(t, grace <= stopMargin || !s.AnswerBy.After(now.Add(grace-stopMargin)), "%v: %+v", grace, s)
+	}
+}
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -34,7 +34,8 @@
 	release func() // returns the memory of body to the quota; never nil in a result of attemptOnce
 	err     error
 	took    time.Duration
-	unsent  bool // the server began to leave or to rest before the request was sent
+	unsent  bool // the request was not sent, as the server began to leave or to rest, or by refused
+	refused bool // the wait before it ended with err as the answer to the request
 }
 
 // servePlain serves a request whose answer is returned as a whole. The answer is buffered until
@@ -57,13 +58,13 @@
 			}
 		}(running)
 	}()
-	var refused error // by the evidence of crashes
+	var refused error // by the evidence of crashes, the configuration or the stop of the process
 	var last choice
 	start := func(reason string, maxWait time.Duration) bool {
 		if sent >= req.Route.Attempts() || (running > 0 && r.isSuspect(req)) {
 			return false
 		}
-		endTrial, err := r.tryAlone(ctx, req)
+		endTrial, err := r.tryAlone(ctx, req, running > 0)
 		if refused = err; err != nil {
 			return false
 		}
@@ -132,7 +133,9 @@
 				return deliver(res, sink)
 			}
 			failed = r.worseFailure(req, failed, res)
-			if r.mayRetry(req, res) && failed.err == nil {
+			if res.refused {
+				refused = res.err
+			} else if r.mayRetry(req, res) && failed.err == nil {
 				start("failed", rateWait(req)) // the caller gets the error answer rather than wait
 			} else if r.mayRetry(req, res) {
 				_, atRest = startOrWait("failed")
@@ -146,6 +149,9 @@
 		if atRest != nil {
 			return atRest
 		}
+		if refused != nil && fault.VerdictOf(refused) == fault.NotRun {
+			return refused
+		}
 		return r.orAtRest(req, notRunError(reasonRefused, refusedRetryAfter, failed.err))
 	}
 	return mayHaveRunError(reasonNoAnswer, failed.err)
@@ -184,7 +190,9 @@
 // attemptOnce makes one attempt, at sendAt, and reads the whole answer.
 func (r *Relay) attemptOnce(ctx context.Context, req *Request, srv *server.Server, sendAt time.Time) attemptResult {
 	slept := time.Until(sendAt) > 0
-	if err := sleepUntil(ctx, sendAt); err != nil {
+	if err := r.wait(ctx, req, awaited{at: sendAt, retryIn: leavingRetryAfter}); isAnswer(err) {
+		return attemptResult{server: srv, err: err, release: func() {}, unsent: true, refused: true}
+	} else if err != nil {
 		return attemptResult{server: srv, err: notRunError(reasonRateUsedUp, refusedRetryAfter, err), release: func() {}}
 	}
 	if slept && r.isTurningAway(srv) {
--- a/relay/rate.go
+++ b/relay/rate.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"context"
 	"time"
 
 	"github.com/cranberrybay/cranberrybay/fault"
@@ -52,22 +51,6 @@
 	return r.cfg.Pacer.Wait(s.Incarnation())
 }
 
-// sleepUntil waits for a time or the end of the context, whose error it returns.
-func sleepUntil(ctx context.Context, at time.Time) error {
-	wait := time.Until(at)
-	if wait <= 0 {
-		return ctx.Err()
-	}
-	t := time.NewTimer(wait)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // refuseOverRate returns the error for a request that no server can take, if one could but for the
 // rate that it names, or nil. The time to come back is that of this process's next request. If it has
 // no share of any rate, that is shortDelay: another process has one.
@@ -81,6 +64,9 @@
 	if limited == 0 {
 		return nil
 	}
+	if r.isStopping() {
+		return r.refuseStopping(req, leavingRetryAfter, nil) // the share is that of this process
+	}
 	delay := min(max(wait, shortDelay), maxRateRetryAfter)
 	if wait == pacer.Never {
 		delay = shortDelay
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -177,6 +177,7 @@
 	reports         *reportCache
 	firstEventTimes firstEventTimes
 	trials          trials
+	waits           waits
 
 	mu          sync.Mutex
 	monitors    map[*stallMonitor]struct{} // of the running streams
@@ -211,6 +212,7 @@
 	}
 	r := &Relay{cfg: cfg, monitors: map[*stallMonitor]struct{}{}, restWaiters: map[string]int{}, firstEventTimes: firstEventTimes{byService: map[string]time.Duration{}}}
 	r.reports = newReportCache(r.fetchReport)
+	r.waits.init()
 	return r
 }
 
--- a/relay/rest.go
+++ b/relay/rest.go
@@ -109,6 +109,9 @@
 // refuseUntil returns the error for a request that is refused because all servers rest. Callers return
 // within a quarter of the time after the first pause ends, so that they do not all come at once.
 func (r *Relay) refuseUntil(req *Request, first restingServer, resting int) error {
+	if r.isStopping() {
+		return r.refuseStopping(req, leavingRetryAfter, nil) // the pause is that of this process
+	}
 	r.cfg.Count("resting")
 	r.cfg.Log.Info().Str("id", req.ID).Str("service", req.Service.Name).Int("resting", resting).Str("first", first.server.ID()).Dur("left", first.wait).Msg("backend servers rest")
 	at := time.Now().Add(first.wait + rand.N(time.Duration(returnSpread*float64(first.wait))+1))
@@ -126,9 +129,12 @@
 	if time.Until(req.Deadline) < first.wait+req.Route.TargetLatency() || !r.addRestWaiter(req.Service.Name, c) {
 		return false, r.refuseUntil(req, first, len(c.resting))
 	}
-	err = sleepUntil(ctx, time.Now().Add(first.wait))
+	err = r.wait(ctx, req, awaited{at: time.Now().Add(first.wait), retryIn: leavingRetryAfter})
 	r.removeRestWaiter(req.Service.Name)
-	if err != nil {
+	switch {
+	case isAnswer(err):
+		return false, err
+	case err != nil:
 		return false, notRunError(reasonResting, refusedRetryAfter, err)
 	}
 	forget(first.server)
@@ -177,8 +183,11 @@
 			return nil, st.noPathError(err)
 		}
 		slept := time.Until(rn.path.sendAt) > 0
-		if err := sleepUntil(rn.ctx, rn.path.sendAt); err != nil {
+		if err := r.wait(rn.ctx, req, awaited{at: rn.path.sendAt, retryIn: leavingRetryAfter}); err != nil {
 			rn.end()
+			if isAnswer(err) {
+				return nil, err
+			}
 			return nil, st.refusalVerdict(err)
 		}
 		if !slept || !r.isTurningAway(rn.path.first) {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -219,7 +219,7 @@
 func (st *streamState) attempt(ctx context.Context, rn *run, excluded map[string]bool) (retry bool, err error) {
 	r, req := st.relay, st.req
 	if rn == nil {
-		if st.endTrial, err = r.tryAlone(ctx, req); err != nil {
+		if st.endTrial, err = r.tryAlone(ctx, req, false); err != nil {
 			return false, err
 		}
 		defer st.endTrial()
--- a/relay/trial.go
+++ b/relay/trial.go
@@ -19,9 +19,9 @@
 	services map[string]chan struct{} // holds a value while a trial runs
 }
 
-// begin waits until no trial of a service runs and starts one. The returned function ends it, and
-// further calls of it have no effect. It returns an error if the context ends first.
-func (t *trials) begin(ctx context.Context, service string) (end func(), err error) {
+// begin waits by the given function until no trial of a service runs and starts one. The returned function
+// ends it, and further calls of it have no effect. It returns the error of the wait.
+func (t *trials) begin(service string, wait func(place chan<- struct{}) error) (end func(), err error) {
 	t.mu.Lock()
 	if t.services == nil {
 		t.services = map[string]chan struct{}{}
@@ -32,10 +32,8 @@
 		t.services[service] = running
 	}
 	t.mu.Unlock()
-	select {
-	case running <- struct{}{}:
-	case <-ctx.Done():
-		return func() {}, ctx.Err()
+	if err := wait(running); err != nil {
+		return func() {}, err
 	}
 	release := sync.OnceFunc(func() { <-running })
 	timer := time.AfterFunc(poison.MaxTrial, release)
@@ -48,17 +46,24 @@
 
 // tryAlone delays the next attempt of a request on which a server crashed until no other such request
 // is on trial and the evidence of all processes is known, and returns the error of a request that
-// is refused. The returned function ends its trial: a server answered, or the attempt failed.
-func (r *Relay) tryAlone(ctx context.Context, req *Request) (end func(), err error) {
+// is refused. The returned function ends its trial: a server answered, or the attempt failed. running means
+// that another attempt is with a server.
+func (r *Relay) tryAlone(ctx context.Context, req *Request, running bool) (end func(), err error) {
 	end = func() {}
 	if r.isSuspect(req) {
 		wait, cancel := context.WithTimeout(ctx, maxTrialWait)
 		defer cancel()
-		end, err = r.trials.begin(wait, req.Service.Name)
+		end, err = r.trials.begin(req.Service.Name, func(place chan<- struct{}) error {
+			return r.wait(wait, req, awaited{place: place, retryIn: noServerRetryAfter})
+		})
 		ordered := err == nil
 		if ordered {
 			err = r.awaitTrial(wait, req)
 		}
+		if isAnswer(err) {
+			end()
+			return end, err
+		}
 		if err != nil && ctx.Err() == nil && r.cfg.Poison.Crashes(req.identity()) <= 1 && r.cfg.Poison.TrialIn(req.identity(), ordered) <= 0 {
 			err = nil // sound requests must not be lost to the queue after the crash of a server
 		}
@@ -71,6 +76,10 @@
 			return end, r.failure(req, reasonTrials, noServerRetryAfter, err)
 		}
 	}
+	if err := r.maySend(req, running); err != nil {
+		end()
+		return end, err
+	}
 	if err := r.refuseQuarantined(req, req.mayHaveRun.Load()); err != nil {
 		end()
 		return end, err
@@ -82,7 +91,7 @@
 func (r *Relay) awaitTrial(ctx context.Context, req *Request) error {
 	wait := r.cfg.Poison.TrialIn(req.identity(), true)
 	for {
-		if err := sleepUntil(ctx, time.Now().Add(wait)); err != nil {
+		if err := r.wait(ctx, req, awaited{at: time.Now().Add(wait), retryIn: noServerRetryAfter}); err != nil {
 			return err
 		}
 		if _, _, ok := r.cfg.Poison.Blocked(r.suspectParts(req)); ok {
--- /dev/null
+++ b/relay/wait_test.go
@@ -0,0 +1,326 @@
+package relay_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cranberrybay/cranberrybay/config"
+	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/intake"
+	"github.com/cranberrybay/cranberrybay/poison"
+	"github.com/cranberrybay/cranberrybay/relay"
+	"github.com/cranberrybay/cranberrybay/server"
+)
+
+const (
+	// holdPause is the pause for which server a asks.
+	holdPause = 5 * time.Second
+	// waitBegun is when a request surely waits, after it came.
+	waitBegun = 100 * time.Millisecond
+	// atOnce is the time within which a request is answered whose wait has no purpose any more.
+	atOnce = time.Millisecond
+)
+
+// hold is a reason why a request waits before it is sent, at a cluster with the single server a.
+type hold struct {
+	name   string
+	begin  func(x *speakers)
+	length time.Duration // of the wait, at least
+	// comesBack is the longest time to come back that a caller may get when the process stops.
+	comesBack time.Duration
+	queue     bool // the wait is for a place, which may come at any time, so that it lasts until SendBy
+}
+
+// holds are all reasons for which a request waits.
+var holds = []hold{
+	{name: "pause", begin: (*speakers).rest, length: holdPause, comesBack: 150 * time.Millisecond},
+	{name: "rate", begin: (*speakers).slowDown, length: 1500 * time.Millisecond, comesBack: 150 * time.Millisecond},
+	{name: "trial elsewhere", begin: func(x *speakers) { x.accuse(poison.Now()) }, length: 900 * time.Millisecond, comesBack: 600 * time.Millisecond},
+	{name: "trial here", begin: (*speakers).occupyTrial, length: 900 * time.Millisecond, comesBack: 600 * time.Millisecond, queue: true},
+}
+
+// rest makes server a rest for holdPause.
+func (x *speakers) rest() {
+	x.intake.Observe(intake.Statement{Server: x.table.ByAddress("a:1").Incarnation(), ID: "a", Said: intake.Said{RestUntil: intake.Now() + holdPause}})
+}
+
+// slowDown makes server a name a rate, whose next request is 2 s away.
+func (x *speakers) slowDown() {
+	answer := x.onSend
+	x.onSend = func(ctx context.Context, n int, req *relay.Request, a relay.Attempt) (*relay.Answer, error) {
+		ans, err := answer(ctx, n, req, a)
+		ans.Rate = relay.NamedRate{Named: true, Value: 0.5}
+		return ans, err
+	}
+	for range 2 {
+		x.serve(context.Background(), heldRequest(config.Idempotent))
+	}
+}
+
+// accuse records that a server crashed on the request and that another process tries it since a
+// time; 0 for none.
+func (x *speakers) accuse(triedAt time.Duration) {
+	part := poison.RequestPart("POST", "h", "/x/1", "", nil)
+	r := poison.Record{Part: part, Crashes: []poison.Crash{{Server: 1, Request: 1, At: poison.Now() - 5*time.Second}}, TriedAt: triedAt}
+	if triedAt > 0 {
+		r.Trial = 1
+	}
+	x.poison.Merge([]poison.Record{r})
+}
+
+// occupyTrial starts a trial of the request that lasts, as its server does not answer.
+func (x *speakers) occupyTrial() {
+	x.accuse(0)
+	answer := x.onSend
+	x.onSend = func(ctx context.Context, n int, req *relay.Request, a relay.Attempt) (*relay.Answer, error) {
+		if n == 1 {
+			<-ctx.Done()
+			return nil, connectionReset()
+		}
+		return answer(ctx, n, req, a)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), holdPause)
+	go func() { defer cancel(); x.serve(ctx, heldRequest(config.AtMostOnce)) }()
+	time.Sleep(waitBegun)
+}
+
+// heldRequest returns a request that waits for a rate for up to 2.5 s, at a process that answers within 5 s.
+func heldRequest(kind config.Kind) *relay.Request {
+	req := request(kind, 1)
+	req.Route = config.NewRoute(config.RouteConfig{
+		Name: "r", Host: "h", Prefix: "/x/", Kind: kind, Attempts: 2, Resumable: kind == config.Stream,
+		TargetLatency: 5 * time.Second, TargetGap: time.Second, Services: []config.WeightedService{{Service: "s", Weight: 1}},
+	})
+	req.Deadline = req.Arrived.Add(12 * time.Second)
+	return req
+}
+
+// heldCall is a request that waits.
+type heldCall struct {
+	*speakers
+	hold  hold
+	leave context.CancelFunc // the caller leaves
+	sent  int                // attempts before the request
+}
+
+// endsAtOnce ends the wait by change and checks that the request gets its answer at once.
+func (c *heldCall) endsAtOnce(t *testing.T, done <-chan callerResult, change func()) callerResult {
+	t.Helper()
+	change()
+	begun := time.Now()
+	got := <-done
+	assert.Assert(t, time.Since(begun) <= atOnce, "answered after %v", time.Since(begun))
+	assert.Equal(t, c.attemptCount(), c.sent)
+	return got
+}
+
+// checkStopped checks the refusal of a request by a process that stops.
+func checkStopped(t *testing.T, got callerResult, comesBack time.Duration) {
+	t.Helper()
+	checkVerdict(t, got, fault.NotRun)
+	assert.Equal(t, fault.CodeOf(got.err), fault.Leaving, "%v", got.err)
+	at, _ := fault.RetryAt(got.err)
+	assert.Assert(t, time.Until(at) <= comesBack, "time to come back %v", time.Until(at))
+}
+
+// stopAfter returns a stop whose moments are times from now.
+func stopAfter(sendBy, answerBy time.Duration) relay.Stop {
+	return relay.Stop{SendBy: time.Now().Add(sendBy), AnswerBy: time.Now().Add(answerBy)}
+}
+
+// ends are all ways in which a wait ends; each returns once it is checked.
+var ends = []struct {
+	name string
+	end  func(t *testing.T, c *heldCall, done <-chan callerResult)
+}{
+	{"stop too early", func(t *testing.T, c *heldCall, done <-chan callerResult) {
+		if c.hold.queue {
+			c.relay.Stop(stopAfter(300*time.Millisecond, 20*time.Second))
+			time.Sleep(299 * time.Millisecond)
+		}
+		got := c.endsAtOnce(t, done, func() {
+			if c.hold.queue {
+				time.Sleep(time.Millisecond)
+			} else {
+				c.relay.Stop(stopAfter(300*time.Millisecond, 20*time.Second))
+			}
+		})
+		checkStopped(t, got, c.hold.comesBack)
+	}},
+	{"stop late enough", func(t *testing.T, c *heldCall, done <-chan callerResult) {
+		c.relay.Stop(stopAfter(10*time.Second, 20*time.Second))
+		assert.NilError(t, (<-done).err)
+	}},
+	{"stop without time for the answer", func(t *testing.T, c *heldCall, done <-chan callerResult) {
+		got := c.endsAtOnce(t, done, func() { c.relay.Stop(stopAfter(4*time.Second, 5*time.Second)) })
+		checkStopped(t, got, c.hold.comesBack)
+	}},
+	{"caller gone", func(t *testing.T, c *heldCall, done <-chan callerResult) {
+		got := c.endsAtOnce(t, done, c.leave)
+		assert.Equal(t, fault.VerdictOf(got.err), fault.NotRun)
+	}},
+}
+
+// Guards against a request that waits for what can't come before its process ends.
+func TestWaitsEnd(t *testing.T) {
+	for _, h := range holds {
+		for _, e := range ends {
+			for _, kind := range allKinds {
+				t.Run(fmt.Sprint(h.name, "/", e.name, "/", kind), func(t *testing.T) {
+					runVirtual(t, func(t *testing.T) {
+						x := newSpeakers(t, engineEntry("a", "near", 0, 8))
+						h.begin(x)
+						ctx, leave := context.WithCancel(t.Context())
+						defer time.Sleep(holdPause) // for the trial that another request has
+						defer leave()
+						c := &heldCall{speakers: x, hold: h, leave: leave, sent: x.attemptCount()}
+						req := heldRequest(kind)
+						done := make(chan callerResult, 1)
+						go func() { done <- x.serve(ctx, req) }()
+						time.Sleep(waitBegun)
+						assert.Equal(t, x.attemptCount(), c.sent, "the request does not wait")
+						e.end(t, c, done)
+					})
+				})
+			}
+		}
+	}
+}
+
+// Guards against a wait that outlasts the deadline of its request. Requests that would wait for a pause or a
+// rate beyond their deadline are refused without a wait.
+func TestWaitsEndAtTheDeadline(t *testing.T) {
+	for _, h := range holds {
+		for _, kind := range allKinds {
+			t.Run(fmt.Sprint(h.name, "/", kind), func(t *testing.T) {
+				runVirtual(t, func(t *testing.T) {
+					x := newSpeakers(t, engineEntry("a", "near", 0, 8))
+					h.begin(x)
+					sent := x.attemptCount()
+					defer time.Sleep(holdPause)
+					req := heldRequest(kind)
+					req.Deadline = req.Arrived.Add(500 * time.Millisecond)
+					got := x.serve(t.Context(), req)
+					checkVerdict(t, got, fault.NotRun)
+					assert.Assert(t, got.took <= 500*time.Millisecond+atOnce, got.took)
+					assert.Equal(t, x.attemptCount(), sent)
+				})
+			})
+		}
+	}
+}
+
+// lastSend is SendBy of a stop, from its begin. Twice that is less than the time after which an idempotent
+// request is also sent to a second server.
+const lastSend = 10 * time.Millisecond
+
+// Guards against a request that comes to a process that stops and waits there, and against one that a server
+// turned away and that is sent to another server so late that no answer can come.
+func TestRequestsDuringAStop(t *testing.T) {
+	for _, kind := range allKinds {
+		t.Run(kind.String(), func(t *testing.T) {
+			runVirtual(t, func(t *testing.T) {
+				x := newSpeakers(t, engineEntry("a", "near", 0, 8), engineEntry("b", "near", 0, 8))
+				x.relay.Stop(stopAfter(lastSend, 7*time.Second))
+				assert.NilError(t, x.serve(t.Context(), request(kind, 2)).err)
+				x.onSend = func(context.Context, int, *relay.Request, relay.Attempt) (*relay.Answer, error) {
+					time.Sleep(2 * lastSend)
+					return refusal(), nil
+				}
+				checkStopped(t, x.serve(t.Context(), request(kind, 2)), 150*time.Millisecond)
+				assert.Equal(t, x.attemptCount(), 2)
+				got := x.serve(t.Context(), request(kind, 2))
+				checkStopped(t, got, 150*time.Millisecond)
+				assert.Assert(t, got.took <= atOnce, got.took)
+				assert.Equal(t, x.attemptCount(), 2)
+			})
+			runVirtual(t, func(t *testing.T) {
+				x := newSpeakers(t, engineEntry("a", "near", 0, 8))
+				x.rest()
+				x.relay.Stop(stopAfter(3*time.Second, 7*time.Second))
+				got := x.serve(t.Context(), request(kind, 2))
+				checkStopped(t, got, 150*time.Millisecond)
+				assert.Assert(t, got.took <= atOnce, got.took)
+			})
+		})
+	}
+}
+
+// Guards against a request that may run again and is given up after its server has cut it, although another
+// one answers before the process ends.
+func TestRepeatDuringAStop(t *testing.T) {
+	for _, kind := range []config.Kind{config.Idempotent, config.Stream} {
+		t.Run(kind.String(), func(t *testing.T) {
+			runVirtual(t, func(t *testing.T) {
+				x := newSpeakers(t, engineEntry("a", "near", 0, 8), engineEntry("b", "near", 0, 8))
+				answer := x.onSend
+				x.onSend = func(ctx context.Context, n int, req *relay.Request, a relay.Attempt) (*relay.Answer, error) {
+					if n == 1 {
+						time.Sleep(2 * lastSend)
+						return nil, connectionReset()
+					}
+					return answer(ctx, n, req, a)
+				}
+				x.relay.Stop(stopAfter(lastSend, 7*time.Second))
+				assert.NilError(t, x.serve(t.Context(), request(kind, 2)).err)
+				assert.Equal(t, x.attemptCount(), 2)
+			})
+		})
+	}
+}
+
+// Guards against moments of the stop at which a request would be sent and not answered, or refused though it
+// can be answered.
+func TestStopAllows(t *testing.T) {
+	now := time.Now()
+	s := &relay.Stop{SendBy: now.Add(3 * time.Second), AnswerBy: now.Add(7 * time.Second)}
+	for _, x := range []struct {
+		at, answer time.Duration
+		sent, want bool
+	}{
+		{0, time.Second, false, true},
+		{3 * time.Second, time.Second, false, true},
+		{3*time.Second + 1, time.Second, false, false},
+		{3*time.Second + 1, time.Second, true, true},
+		{6 * time.Second, time.Second, true, true},
+		{6*time.Second + 1, time.Second, true, false},
+		{0, 7 * time.Second, false, true},
+		{1, 7 * time.Second, false, false},
+	} {
+		assert.Equal(t, s.Allows(now.Add(x.at), x.sent, x.answer), x.want, "%+v", x)
+	}
+	var none *relay.Stop
+	assert.Assert(t, none.Allows(now.Add(time.Hour), false, time.Hour))
+}
+
+// Guards against a request that waits though nothing is awaited: without servers, without a path of engines and
+// without a repeat left.
+func TestRequestsThatDoNotWait(t *testing.T) {
+	for name, servers := range map[string][]server.Entry{"no servers": nil, "no path": {engineEntry("a", "near", 0, 4)}, "no repeat": {engineEntry("a", "near", 0, 8), engineEntry("b", "near", 0, 8)}} {
+		for _, kind := range allKinds {
+			if name == "no path" && kind != config.Stream {
+				continue
+			}
+			t.Run(fmt.Sprint(name, "/", kind), func(t *testing.T) {
+				runVirtual(t, func(t *testing.T) {
+					x, want := newSpeakers(t, servers...), fault.NotRun
+					if name == "no repeat" {
+						want = fault.MayHaveRun
+						x.onSend = func(context.Context, int, *relay.Request, relay.Attempt) (*relay.Answer, error) {
+							return nil, connectionReset()
+						}
+						for x.budget.TryRetry() { //nolint:revive // uses up the budget
+						}
+					}
+					got := x.serve(t.Context(), request(kind, 2))
+					checkVerdict(t, got, want)
+					assert.Assert(t, got.took <= 50*time.Millisecond, got.took) // a query whether the server has crashed
+				})
+			})
+		}
+	}
+}
