--- a/relay/relay.go
+++ b/relay/relay.go
@@ -180,6 +180,7 @@
 	firstEventTimes firstEventTimes
 	trials          trials
 	confirming      sync.Map // incarnations of servers that may have crashed and are probed again
+	waits           waits
 
 	mu          sync.Mutex
 	monitors    map[*stallMonitor]struct{} // of the running streams
@@ -214,6 +215,7 @@
 	}
 	r := &Relay{cfg: cfg, monitors: map[*stallMonitor]struct{}{}, restWaiters: map[string]int{}, firstEventTimes: firstEventTimes{byService: map[string]time.Duration{}}}
 	r.reports = newReportCache(r.fetchReport)
+	r.waits.init()
 	return r
 }
 
