watch: a state keeps its age in a younger process

Cause: package clock counted from the start of the process, and the zero time stood for "never". The state of the hub was confirmed before the start, at a negative time; config.Tracker ignored it and counted the age from the start. The follower then waited up to 0.2 s (relayCheckInterval) before it looked at the age.

Follower.followPeers looks at the age before it waits, wakes when the age reaches its bound, and heeds that bound also while it waits for an announced change.

Conclusion: an old belief is no longer renewed by handing it to a new process.

--- a/clock/clock.go
+++ b/clock/clock.go
@@ -10,19 +10,22 @@
 	"golang.org/x/sys/unix"
 )
 
-// start is the time at which Now is zero. Counting from the start of the process
-// keeps the values in logs small.
+// start is when the process started. Counting from there keeps the values in logs small.
 var start = sinceBoot()
 
+// origin is Now at the start of the process. What a process learns from others may be older than the
+// process: its times are positive as well, and the zero time is longer ago than any age that matters.
+const origin = 24 * time.Hour
+
 // override is the clock that Now reads instead of CLOCK_BOOTTIME, set by tests.
 var override atomic.Pointer[func() time.Duration]
 
-// Now returns the time since the process started, including suspensions.
+// Now returns the time since a day before the process started, including suspensions.
 func Now() time.Duration {
 	if f := override.Load(); f != nil {
 		return (*f)()
 	}
-	return sinceBoot() - start
+	return sinceBoot() - start + origin
 }
 
 // recordOrigin keeps the times of records of other processes positive that are older than this process.
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -82,3 +82,17 @@
 	tracker.Confirm(now - time.Second)
 	assert.Assert(t, tracker.Age() < time.Second)
 }
+
+// Guards against an old configuration that counts as new because the process that takes it from another
+// one is younger: such a process ran requests of a key that had been taken away.
+func TestConfirmationBeforeStartKeepsAge(t *testing.T) {
+	var tracker config.Tracker
+	tracker.Confirm(clock.Now() - time.Hour)
+	assert.Assert(t, tracker.Age() >= time.Hour, "%v", tracker.Age())
+}
+
+// Guards against a configuration that counts as confirmed at the start of the process.
+func TestAgeWithoutConfirmation(t *testing.T) {
+	var tracker config.Tracker
+	assert.Assert(t, tracker.Age() > time.Hour, "%v", tracker.Age())
+}
--- a/config/tracker.go
+++ b/config/tracker.go
@@ -11,7 +11,7 @@
 // known to be the newest one of the platform.
 type Tracker struct {
 	current     atomic.Pointer[Config]
-	confirmedAt atomic.Int64 // clock.Now of the last confirmation
+	confirmedAt atomic.Int64 // clock.Now of the last confirmation; 0 for none
 }
 
 // Current returns the configuration in effect, or nil before the first one.
@@ -35,5 +35,6 @@
 	}
 }
 
-// Age returns how long ago the configuration was last known to be the newest one.
+// Age returns how long ago the configuration was last known to be the newest one. Without a confirmation
+// it is a day or more.
 func (t *Tracker) Age() time.Duration { return clock.Now() - time.Duration(t.confirmedAt.Load()) }
--- a/watch/relay.go
+++ b/watch/relay.go
@@ -48,7 +48,7 @@
 	mu              sync.Mutex // guards the fields below except aheadSince
 	polledWatermark Watermark  // of this process's last answer from the platform
 	peerWatermark   Watermark  // the newest of other processes
-	// aheadSince is clock.Now since when peers is ahead of this process; 0 when it is not.
+	// aheadSince is clock.Now since when others know of changes that this process lacks; 0 when they don't.
 	// Only the goroutine of Run uses it.
 	aheadSince time.Duration
 	pages      []relayedPage
@@ -138,28 +138,39 @@
 	if !f.polledByPeers() || !f.clockSkew.known {
 		return false
 	}
-	t := time.NewTimer(relayCheckInterval)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return true
-	case <-f.relay.wake:
-	case <-t.C:
+	if left := f.pollAt() - clock.Now(); left > 0 {
+		t := time.NewTimer(min(left, relayCheckInterval))
+		defer t.Stop()
+		select {
+		case <-ctx.Done():
+			return true
+		case <-f.relay.wake:
+		case <-t.C:
+		}
 	}
 	now := clock.Now()
-	known := f.applyRelayed(now)
-	maxAge, pageWait := f.relayLimits()
-	switch {
+	switch known := f.applyRelayed(now); {
 	case known:
 		f.relay.aheadSince = 0
-		return now < f.retryAt || now-f.lastAnswer < maxAge
 	case f.relay.aheadSince == 0:
 		f.relay.aheadSince = now
-	case now-f.relay.aheadSince > pageWait && now >= f.retryAt:
-		f.relay.aheadSince = 0
-		return false
 	}
-	return true
+	if now < f.pollAt() {
+		return true
+	}
+	f.relay.aheadSince = 0
+	return false
+}
+
+// pollAt returns the time of package clock at which this process polls the platform itself unless
+// others supply newer data.
+func (f *Follower) pollAt() time.Duration {
+	maxAge, pageWait := f.relayLimits()
+	at := f.lastAnswer + maxAge
+	if f.relay.aheadSince > 0 {
+		at = min(at, f.relay.aheadSince+pageWait)
+	}
+	return max(at, f.retryAt)
 }
 
 // superseded reports whether relayed data makes a call in progress unnecessary.
--- a/watch/state_test.go
+++ b/watch/state_test.go
@@ -78,6 +78,21 @@
 	})
 }
 
+// Guards against following another process for a while longer from a state that is too old: the process
+// that handed it out had lost the platform.
+func TestOldPeerStateIsPolledAtOnce(t *testing.T) {
+	withFollower(t, func(t *testing.T, r *relayedTable) {
+		s, ok := r.follower.State()
+		assert.Assert(t, ok)
+		s.At = clock.Now() - 5200*time.Millisecond
+		_, confirmed, stop := startFromPeer(t, r, s)
+		defer stop()
+		synctest.Wait()
+		assert.Equal(t, *confirmed, s.At)
+		assert.Equal(t, r.polls.Load(), int64(1))
+	})
+}
+
 // Guards against handing out a table that is not known yet.
 func TestNoStateBeforeFirstAnswer(t *testing.T) {
 	f := watch.New(watch.Config{Name: "op", Log: zerolog.Nop()})
