--- a/edge/stop_test.go
+++ b/edge/stop_test.go
@@ -55,6 +55,7 @@
 	servers  *server.Table
 	intake   *intake.Tracker
 	callers  *http.Server
+	conns    *callerConns
 }
 
 // newStopRig returns a process whose only server answers by send.
@@ -76,8 +77,10 @@
 	assert.NilError(t, err)
 	assert.Assert(t, h.tracker.Apply(c))
 	h.tracker.Confirm(clock.Now())
-	x.callers = newHTTPServer(&platform.CallerHandler{Serve: h.Serve, MaxBody: h.maxBody, Leaving: h.isLeaving})
-	go func() { _ = x.callers.Serve(x.listener) }()
+	x.conns = newCallerConns(h.limits, func(string) {})
+	x.callers = newHTTPServer(x.conns.handler(&platform.CallerHandler{Serve: h.Serve, MaxBody: h.maxBody, Leaving: h.isLeaving}))
+	x.callers.ConnState, x.callers.ConnContext = x.conns.observe, withConn
+	go func() { _ = x.callers.Serve(x.conns.listener(x.listener)) }()
 	return x
 }
 
@@ -129,7 +132,7 @@
 func (x *stopRig) stop() (ended <-chan struct{}) {
 	done := make(chan struct{})
 	go func() {
-		_ = x.handler.drain(context.Background(), x.callers)
+		_ = x.handler.drain(context.Background(), x.callers, x.conns)
 		close(done)
 	}()
 	synctest.Wait()
