relay: the tests of waits name the prompt that belongs to the identity

Merged with the identity that holds the prompt, accuse named a request that no test sent, so that its trials never waited (12 cases failed). What is asserted stays as it was; go test -race ./relay -run 'Wait|Stop' passes.

--- a/relay/wait_test.go
+++ b/relay/wait_test.go
@@ -64,7 +64,7 @@
 // accuse records that a server crashed on the request and that another process tries it since a
 // time; 0 for none.
 func (x *speakers) accuse(triedAt time.Duration) {
-	part := poison.RequestPart("POST", "h", "/x/1", "", nil)
+	part := poison.RequestPart("POST", "h", "/x/1", "", nil, "", "800", "220") // of request
 	r := poison.Record{Part: part, Crashes: []poison.Crash{{Server: 1, Request: 1, At: poison.Now() - 5*time.Second}}, TriedAt: triedAt}
 	if triedAt > 0 {
 		r.Trial = 1
