edge: the listener of callers is closed once

http.Server.Close closes a listener again that a stop has closed. Now a second close does nothing; go test -race ./edge passes.

--- a/edge/conns.go
+++ b/edge/conns.go
@@ -43,7 +43,7 @@
 
 	mu    sync.Mutex
 	conns map[net.Conn]*connState
-	ln    net.Listener // nil before listener is called
+	ln    *connListener // nil before listener is called
 }
 
 // connState is what is known of a connection. callerConns.mu guards it.
@@ -80,16 +80,20 @@
 type connListener struct {
 	net.Listener
 	conns *callerConns
+	close func() error // closes Listener once; net/http closes it again
 }
 
 // listener returns a listener that accepts the connections of another one and has their reads observed.
 func (x *callerConns) listener(ln net.Listener) net.Listener {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.ln = ln
-	return &connListener{Listener: ln, conns: x}
+	x.ln = &connListener{Listener: ln, conns: x, close: sync.OnceValue(ln.Close)}
+	return x.ln
 }
 
+// Close stops accepting connections.
+func (l *connListener) Close() error { return l.close() }
+
 // Accept waits for the next connection.
 func (l *connListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
