relay: give requests that servers have a last answer before the process ends

Callers: another operator reports that in a planned stop requests that came late in the grace time were passed on and cut at its end with no answer, among them some that may not be repeated (LOST).

Cause: it can happen here. A stop accepts requests for 2.8 s and its end closes the connections of those that servers still have, 7.5 s after SIGTERM; the same goes for streams whose header was not sent.

Change: the attempts of all requests end at AnswerBy, 0.7 s before the process is killed and 0.2 s before drain closes the connections. A request that may have run gets 502, one whose connection to a server was not open yet 503 with a time to come back. A stream that has begun is cut, so that it does not look complete.

Evidence: edge.TestStopAnswersRequestsWithAServer stops a process whose server does not answer, with callers on pipes.

Conclusion: each request that was read gets a complete answer. A request that hangs at a server is given up 0.2 s sooner than before.

--- a/edge/stop_test.go
+++ b/edge/stop_test.go
@@ -165,6 +165,58 @@
 	}
 }
 
+// Guards against a request that is passed on late in a stop, or held back before, and whose connection is
+// closed without an answer when the process ends.
+func TestStopAnswersRequestsWithAServer(t *testing.T) {
+	for _, route := range stopKinds {
+		for _, came := range []time.Duration{0, 2700 * time.Millisecond, 5 * time.Second} {
+			t.Run(fmt.Sprint(route, " ", came), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					x := newStopRig(t, hang)
+					first := x.call(route) // keeps the listener open
+					time.Sleep(500 * time.Millisecond)
+					begun := time.Now()
+					ended := x.stop()
+					time.Sleep(came)
+					got := <-x.call(route)
+					assert.Assert(t, got.complete, "%+v", got)
+					if came > acceptWhileLeaving {
+						assert.Equal(t, got.status, http.StatusServiceUnavailable)
+						assert.Assert(t, got.at.Sub(begun) < came+50*time.Millisecond, got.at.Sub(begun))
+					} else {
+						assert.Equal(t, got.status, http.StatusBadGateway)
+						assert.Assert(t, got.at.Sub(begun) >= 7*time.Second, "given up after %v", got.at.Sub(begun))
+					}
+					got = <-first
+					assert.Equal(t, got.status, http.StatusBadGateway)
+					assert.Assert(t, got.complete, "%+v", got)
+					<-ended
+					assert.Assert(t, time.Since(begun) < x.handler.gracePeriod, time.Since(begun))
+				})
+			})
+		}
+	}
+}
+
+// Guards against a stream that looks complete though the end of the process has cut it.
+func TestStopCutsStreamsThatHaveBegun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newStopRig(t, func(ctx context.Context, _ *relay.Request) (*relay.Answer, error) {
+			body, w := io.Pipe()
+			context.AfterFunc(ctx, func() { _ = w.CloseWithError(ctx.Err()) })
+			go func() { _, _ = io.WriteString(w, "id: 1\ndata: 1\n\n") }()
+			return &relay.Answer{Status: http.StatusOK, Header: http.Header{}, Body: body, Length: -1, Signed: true}, nil
+		})
+		begun, got := time.Now(), x.call("stream")
+		time.Sleep(500 * time.Millisecond)
+		<-x.stop()
+		cut := <-got
+		assert.Equal(t, cut.status, http.StatusOK)
+		assert.Assert(t, !cut.complete)
+		assert.Assert(t, cut.at.Sub(begun) >= 7*time.Second, cut.at.Sub(begun))
+	})
+}
+
 // Guards against a request that is held back and passed on although its pause ends so late in the stop that it
 // would have to be answered at once, and against the refusal of one whose pause ends soon.
 func TestStopDuringShortPauses(t *testing.T) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -220,13 +220,15 @@
 // Start was not called, the caller gets the error as its answer; otherwise the connection must be
 // cut, as the answer is incomplete.
 func (r *Relay) Serve(ctx context.Context, req *Request, sink Sink) error {
+	caller := ctx
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
+	defer context.AfterFunc(r.waits.ending, cancel)()
 	r.cfg.Budget(req.Service.Name).AddRequest()
 	r.reports.budget.AddRequest()
 	req.parts = poison.PartsOf(req.Service.Name, req.PromptParts)
 	req.identity = sync.OnceValue(req.newIdentity)
-	err := r.serveByKind(ctx, req, sink)
+	err := r.lastAnswer(caller, req, r.serveByKind(ctx, req, sink))
 	if fault.VerdictOf(err) == fault.NotRun && req.mayHaveRun.Load() {
 		r.reportViolation(InvariantRefusal, req)
 	}
--- a/relay/wait.go
+++ b/relay/wait.go
@@ -13,7 +13,7 @@
 // Stop holds the last moments of a process that stops.
 type Stop struct {
 	SendBy   time.Time // a request that has not run on any server is sent to one until then
-	AnswerBy time.Time // last moment at which an answer can still be written
+	AnswerBy time.Time // requests without an answer get their last one then
 }
 
 // Allows reports whether a request may be sent to a server at a moment, if the answer takes about answer.
@@ -52,6 +52,9 @@
 type waits struct {
 	mu    sync.Mutex // held by change
 	state atomic.Pointer[waitState]
+
+	ending context.Context // ends at AnswerBy of the stop
+	end    context.CancelFunc
 }
 
 // waitState is the state of a process between two changes.
@@ -62,6 +65,7 @@
 
 func (w *waits) init() {
 	w.state.Store(&waitState{changed: make(chan struct{})})
+	w.ending, w.end = context.WithCancel(context.Background())
 }
 
 // change notifies all waits. A stop that is not nil begins, unless one has begun.
@@ -71,13 +75,15 @@
 	old := w.state.Load()
 	if old.stop != nil {
 		stop = old.stop
+	} else if stop != nil {
+		time.AfterFunc(time.Until(stop.AnswerBy), w.end)
 	}
 	w.state.Store(&waitState{stop: stop, changed: make(chan struct{})})
 	close(old.changed)
 }
 
-// Stop begins the stop of the process: requests that wait for what comes too late are refused at
-// once.
+// Stop begins the stop of the process: requests that wait for what comes too late are refused at once, and
+// those that are with servers at its end get their last answer then.
 func (r *Relay) Stop(s Stop) { r.waits.change(&s) }
 
 // awaited is what a request waits for.
@@ -159,6 +165,15 @@
 	return fault.New(cfg)
 }
 
+// lastAnswer returns the error of a request that the end of the stop has ended. Other errors stay.
+func (r *Relay) lastAnswer(caller context.Context, req *Request, err error) error {
+	code := fault.CodeOf(err)
+	if err == nil || r.waits.ending.Err() == nil || caller.Err() != nil || time.Now().After(req.Deadline) || (code != fault.Overload && code != fault.Unavailable) {
+		return err
+	}
+	return r.refuseStopping(req, leavingRetryAfter, err)
+}
+
 // isAnswer reports whether an error of wait is the answer to the request.
 func isAnswer(err error) bool {
 	var e *fault.Error
--- a/relay/wait_test.go
+++ b/relay/wait_test.go
@@ -273,6 +273,82 @@
 	}
 }
 
+// Guards against a request that a server has and that gets no answer before its process ends, or one that
+// says that it did not run.
+func TestRequestsWithAServer(t *testing.T) {
+	const lasts = 8 * time.Second // the server's work on a request
+	body := func(ctx context.Context, req *relay.Request, begun bool) (*relay.Answer, error) {
+		if begun {
+			return newStallingAnswer(ctx, events(1, 2)), nil
+		}
+		select {
+		case <-time.After(lasts):
+			ans := signedAnswer(200, "done")
+			if req.Route.Kind() == config.Stream {
+				ans = signedAnswer(200, events(1, 3))
+				ans.Length = -1
+			}
+			return ans, nil
+		case <-ctx.Done():
+			return nil, fault.New(fault.Config{Verdict: fault.MayHaveRun, Code: fault.Unavailable, Reason: "the server did not answer", Cause: ctx.Err()})
+		}
+	}
+	dial := func(ctx context.Context) (*relay.Answer, error) {
+		<-ctx.Done()
+		return nil, fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Unavailable, Reason: "the server can't be reached", Cause: ctx.Err()})
+	}
+	for _, state := range []string{"dial", "header", "begun"} {
+		for _, end := range []string{"stop", "deadline", "caller gone"} {
+			for _, kind := range allKinds {
+				if state == "begun" && kind != config.Stream {
+					continue
+				}
+				t.Run(fmt.Sprint(state, "/", end, "/", kind), func(t *testing.T) {
+					runVirtual(t, func(t *testing.T) {
+						x := newSpeakers(t, engineEntry("a", "near", 0, 8))
+						x.onSend = func(ctx context.Context, _ int, req *relay.Request, _ relay.Attempt) (*relay.Answer, error) {
+							if state == "dial" {
+								return dial(ctx)
+							}
+							return body(ctx, req, state == "begun")
+						}
+						ctx, leave := context.WithCancel(t.Context())
+						defer leave()
+						req := heldRequest(kind)
+						want := map[string]time.Duration{"stop": 7 * time.Second, "deadline": 2 * time.Second, "caller gone": time.Second}[end]
+						time.AfterFunc(time.Second, func() {
+							switch end {
+							case "stop":
+								x.relay.Stop(stopAfter(2*time.Second, 6*time.Second))
+							case "caller gone":
+								leave()
+							}
+						})
+						if end == "deadline" {
+							req.Deadline = req.Arrived.Add(want)
+						}
+						got := x.serve(ctx, req)
+						assert.Assert(t, got.took >= want && got.took <= want+100*time.Millisecond, got.took)
+						assert.Equal(t, x.attemptCount(), 1)
+						switch {
+						case end == "stop" && state == "dial":
+							checkStopped(t, got, 150*time.Millisecond)
+						case end == "stop":
+							checkVerdict(t, got, fault.MayHaveRun)
+							assert.Equal(t, fault.CodeOf(got.err), fault.Leaving)
+							assert.Equal(t, got.status != 0, state == "begun")
+						case state == "dial":
+							checkVerdict(t, got, fault.NotRun)
+						default:
+							checkVerdict(t, got, fault.MayHaveRun)
+						}
+					})
+				})
+			}
+		}
+	}
+}
+
 // Guards against moments of the stop at which a request would be sent and not answered, or refused though it
 // can be answered.
 func TestStopAllows(t *testing.T) {
