relay: check requests that waited against the configuration once more

Cause: nothing was checked after a wait, and waits knew only their own moment.

Change: a new configuration, a change of the registry and a server that says that it leaves have all waits looked at again. Handler.recheck decides whether the configuration still allows a request that no server has: 404, 401 or 503 as for a new one, or 503 with about 0.1 s to come back if it now belongs to another service, kind or account. It runs before each attempt too, where an equal version costs one comparison.

Conclusion: a wait ends with what is awaited, or with the first change after which it can't come. When a new server comes, all that wait for a pause go there at once; their number is bounded by the slots of the servers at rest.

--- a/config/config.go
+++ b/config/config.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -97,6 +98,11 @@
 	return r.cfg.Kind == Idempotent || (r.cfg.Kind == Stream && r.cfg.Resumable)
 }
 
+// LeadsTo reports whether requests of the route may go to a service.
+func (r *Route) LeadsTo(service string) bool {
+	return slices.ContainsFunc(r.cfg.Services, func(s WeightedService) bool { return s.Service == service && s.Weight > 0 })
+}
+
 // PickService picks the service of a request by weight. The random number is at least
 // 0 and below 1. It returns an empty name if the route has no services.
 func (r *Route) PickService(random float64) string {
--- a/edge/app.go
+++ b/edge/app.go
@@ -153,7 +153,7 @@
 	return intake.New(intake.Config{
 		Log: factory.Logger("intake"), MaxPause: s.maxPause(),
 		Announce:  func(records []intake.Record) { state.announceLeavers(records) },
-		OnLeaving: func(servers []uint64) { state.servers.MarkLeaving(servers) },
+		OnLeaving: func(servers []uint64) { state.servers.MarkLeaving(servers); state.recheck() },
 	})
 }
 
@@ -355,6 +355,7 @@
 		}
 		if c != nil && tracker.Apply(c) {
 			log.Info().Uint64("version", c.Version()).Uint64("revision", p.Revision).Msg("configuration in effect")
+			state.recheck()
 		}
 	}
 	serverTable := tableConfig(platform.TableServers)
@@ -372,6 +373,7 @@
 	serverTable.Confirm = func(time.Duration) {}
 	serverTable.Apply = func(p watch.Page, outage time.Duration) {
 		servers.Apply(registry.Decode(p), p.Whole, outage)
+		state.recheck()
 	}
 	configFollower, serverFollower := watch.New(configTable), watch.New(serverTable)
 	state.followers.Store(&map[string]*watch.Follower{platform.TableConfig: configFollower, platform.TableServers: serverFollower})
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -131,37 +131,68 @@
 	if at := h.leavingSince.Load(); at != 0 && time.Since(time.Unix(0, at)) > acceptWhileLeaving {
 		return nil, refuse(fault.Leaving, "this process stops", staleRetry)
 	}
-	route := conf.Match(c.Host, c.Path)
-	if route == nil {
-		if age > h.maxAge(uncertainFraction) {
-			return nil, refuse(fault.Unavailable, "the configuration may be old", staleRetry)
-		}
-		return nil, refuse(fault.NotFound, "no route for this path", 0)
-	}
-	var account *config.Account
-	if !route.Public() && conf.HasAccounts() {
-		if age > h.maxAge(rejectKeysFraction) {
-			return nil, refuse(fault.Unavailable, "the keys may be old", staleRetry)
-		}
-		if account = conf.Account(c.APIKey); account == nil {
-			if age > h.maxAge(uncertainFraction) {
-				return nil, refuse(fault.Unavailable, "the key may be newer than the configuration", staleRetry)
-			}
-			return nil, refuse(fault.Unauthorized, "the key is unknown", 0)
-		}
+	route, account, err := h.permit(conf, age, c)
+	if err != nil {
+		return nil, err
 	}
 	name := route.PickService(rand.Float64())
 	service, ok := conf.Service(name)
 	if !ok {
 		service = config.Service{Name: name}
 	}
-	return &relay.Request{
+	rq := &relay.Request{
 		ID: c.ID, Route: route, Service: service, Account: account, Version: conf.Version(),
 		Method: c.Method, Target: c.Target, Host: c.Host, Header: c.Header, Body: c.Body,
 		Arrived: c.Arrived, Deadline: c.Arrived.Add(h.timeout(c, route)),
 		LastEventID: c.LastEventID, PromptTokens: c.PromptTokens, MaxAnswerTokens: c.MaxAnswerTokens, AnswerTokensHint: c.ExpectedAnswerTokens,
 		PromptParts: c.PromptParts,
-	}, nil
+	}
+	rq.Allowed = func() error { return h.recheck(c, rq) }
+	return rq, nil
+}
+
+// permit returns the route and the account of a call in a configuration that was known to be the newest one
+// age ago; no account on routes without keys.
+func (h *Handler) permit(conf *config.Config, age time.Duration, c *platform.Call) (*config.Route, *config.Account, error) {
+	route := conf.Match(c.Host, c.Path)
+	if route == nil {
+		if age > h.maxAge(uncertainFraction) {
+			return nil, nil, refuse(fault.Unavailable, "the configuration may be old", staleRetry)
+		}
+		return nil, nil, refuse(fault.NotFound, "no route for this path", 0)
+	}
+	if route.Public() || !conf.HasAccounts() {
+		return route, nil, nil
+	}
+	if age > h.maxAge(rejectKeysFraction) {
+		return nil, nil, refuse(fault.Unavailable, "the keys may be old", staleRetry)
+	}
+	account := conf.Account(c.APIKey)
+	if account == nil {
+		if age > h.maxAge(uncertainFraction) {
+			return nil, nil, refuse(fault.Unavailable, "the key may be newer than the configuration", staleRetry)
+		}
+		return nil, nil, refuse(fault.Unauthorized, "the key is unknown", 0)
+	}
+	return route, account, nil
+}
+
+// recheck returns the error for an admitted call that was held back and that the configuration now in effect
+// does not allow. One that it serves in another way is refused with a time to come back.
+func (h *Handler) recheck(c *platform.Call, rq *relay.Request) error {
+	conf, age := h.tracker.Current(), h.tracker.Age()
+	if conf.Version() == rq.Version && (rq.Account == nil || age <= h.maxAge(rejectKeysFraction)) {
+		return nil
+	}
+	route, account, err := h.permit(conf, age, c)
+	if err != nil {
+		return err
+	}
+	sameAccount := (account == nil) == (rq.Account == nil) && (account == nil || account.Name == rq.Account.Name)
+	if !sameAccount || route.Kind() != rq.Route.Kind() || !route.LeadsTo(rq.Service.Name) {
+		return refuse(fault.Unavailable, "the configuration has changed", staleRetry)
+	}
+	return nil
 }
 
 // timeout returns the time that a call may take: the smaller of the caller's and the
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -99,6 +99,13 @@
 
 func (s *sharedState) ready() bool { return s.handler != nil && s.handler.ready() }
 
+// recheck makes held-back requests look again at the configuration and the registry.
+func (s *sharedState) recheck() {
+	if s.handler != nil {
+		s.handler.relay.Recheck()
+	}
+}
+
 func (s *sharedState) leaving() bool { return s.handler != nil && s.handler.isLeaving() }
 
 // holdsLease reports whether this process holds the placement lease.
--- a/edge/stop_test.go
+++ b/edge/stop_test.go
@@ -248,3 +248,82 @@
 		assert.Assert(t, grace <= stopMargin || !s.AnswerBy.After(now.Add(grace-stopMargin)), "%v: %+v", grace, s)
 	}
 }
+
+// Guards against a request that is sent after a wait although the configuration that is in effect then does
+// not allow it, and against the refusal of one that it still allows.
+func TestRecheck(t *testing.T) {
+	const other = "the configuration has changed"
+	route := func(name string, cfg config.RouteConfig) *config.Route {
+		cfg.Name, cfg.Host, cfg.Prefix, cfg.Timeout = name, "h", "/x/", time.Second
+		if cfg.Services == nil {
+			cfg.Services = []config.WeightedService{{Service: "s", Weight: 1}}
+		}
+		return config.NewRoute(cfg)
+	}
+	account := func(name string, keys ...string) []config.Account { return []config.Account{{Name: name, Keys: keys}} }
+	for name, tt := range map[string]struct {
+		next   config.Content
+		age    time.Duration
+		want   fault.Code // "" if the request goes on
+		reason string
+	}{
+		"same":                 {next: config.Content{Routes: []*config.Route{route("r", config.RouteConfig{})}, Accounts: account("a", "k", "l")}},
+		"another name":         {next: config.Content{Routes: []*config.Route{route("n", config.RouteConfig{})}, Accounts: account("a", "k")}},
+		"route gone":           {next: config.Content{Accounts: account("a", "k")}, want: fault.NotFound},
+		"key gone":             {next: config.Content{Routes: []*config.Route{route("r", config.RouteConfig{})}, Accounts: account("a", "l")}, want: fault.Unauthorized},
+		"key of another":       {next: config.Content{Routes: []*config.Route{route("r", config.RouteConfig{})}, Accounts: account("b", "k")}, want: fault.Unavailable, reason: other},
+		"public":               {next: config.Content{Routes: []*config.Route{route("r", config.RouteConfig{Public: true})}, Accounts: account("a", "k")}, want: fault.Unavailable, reason: other},
+		"another kind":         {next: config.Content{Routes: []*config.Route{route("r", config.RouteConfig{Kind: config.Stream})}, Accounts: account("a", "k")}, want: fault.Unavailable, reason: other},
+		"another service":      {next: config.Content{Routes: []*config.Route{route("r", config.RouteConfig{Services: []config.WeightedService{{Service: "t", Weight: 1}, {Service: "s"}}})}, Accounts: account("a", "k")}, want: fault.Unavailable, reason: other},
+		"one service more":     {next: config.Content{Routes: []*config.Route{route("r", config.RouteConfig{Services: []config.WeightedService{{Service: "t", Weight: 9}, {Service: "s", Weight: 1}}})}, Accounts: account("a", "k")}},
+		"keys may be old":      {age: 4500 * time.Millisecond, want: fault.Unavailable, reason: "the keys may be old"},
+		"nothing has changed":  {age: 4 * time.Second},
+		"key gone, may be old": {next: config.Content{Routes: []*config.Route{route("r", config.RouteConfig{})}, Accounts: account("a", "l")}, age: 3 * time.Second, want: fault.Unavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h, now := newTestHandler(t)
+			applyConfig(t, h, 1, "k")
+			rq, err := h.admit(&platform.Call{ID: "r1", Host: "h", Path: "/x/1", APIKey: "k", Arrived: time.Now()})
+			assert.NilError(t, err)
+			if tt.next.Routes != nil || tt.next.Accounts != nil {
+				tt.next.Version = 2
+				c, err := config.New(tt.next)
+				assert.NilError(t, err)
+				assert.Assert(t, h.tracker.Apply(c))
+			}
+			*now += tt.age
+			err = rq.Allowed()
+			if tt.want == "" {
+				assert.NilError(t, err)
+				return
+			}
+			assert.Equal(t, fault.CodeOf(err), tt.want, "%v", err)
+			assert.Equal(t, fault.VerdictOf(err), fault.NotRun)
+			assert.Assert(t, strings.Contains(err.Error(), tt.reason), "%v", err)
+			_, back := fault.RetryAt(err)
+			assert.Equal(t, back, tt.want == fault.Unavailable)
+		})
+	}
+}
+
+// Guards against a request that waits on after its route has left the configuration.
+func TestRouteLeavesWhileARequestWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newStopRig(t, hang)
+		x.handler.state.recheck() // before the handler is known
+		x.handler.state.handler = x.handler
+		x.rest(30 * time.Second)
+		held := x.call("once")
+		time.Sleep(500 * time.Millisecond)
+		c, err := config.New(config.Content{Version: 2})
+		assert.NilError(t, err)
+		assert.Assert(t, x.handler.tracker.Apply(c))
+		x.handler.tracker.Confirm(clock.Now())
+		begun := time.Now()
+		x.handler.state.recheck()
+		got := <-held
+		assert.Equal(t, got.status, http.StatusNotFound)
+		assert.Assert(t, got.complete && got.at.Sub(begun) < 50*time.Millisecond, "%+v", got)
+		<-x.stop()
+	})
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -49,6 +49,9 @@
 	// PromptParts identifies the parts of the prompt, in order. Requests share parts, but for the
 	// last one, which belongs to the request or its session.
 	PromptParts []string
+	// Allowed returns the error for a request that the configuration no longer allows, or nil. It is called
+	// after waits. nil if the configuration does not matter.
+	Allowed func() error
 
 	attempts   atomic.Int32 // attempts sent so far
 	mayHaveRun atomic.Bool  // set once an attempt may have been executed
--- a/relay/rest.go
+++ b/relay/rest.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cranberrybay/cranberrybay/fault"
@@ -129,7 +130,7 @@
 	if time.Until(req.Deadline) < first.wait+req.Route.TargetLatency() || !r.addRestWaiter(req.Service.Name, c) {
 		return false, r.refuseUntil(req, first, len(c.resting))
 	}
-	err = r.wait(ctx, req, awaited{at: time.Now().Add(first.wait), retryIn: leavingRetryAfter})
+	err = r.wait(ctx, req, awaited{at: time.Now().Add(first.wait), over: func() bool { return r.noneRests(req) }, retryIn: leavingRetryAfter})
 	r.removeRestWaiter(req.Service.Name)
 	switch {
 	case isAnswer(err):
@@ -141,6 +142,12 @@
 	return true, nil
 }
 
+// noneRests reports whether a request need not wait for servers at rest: one takes requests now, or all have left.
+func (r *Relay) noneRests(req *Request) bool {
+	first := slices.DeleteFunc(slices.Clone(r.candidates(req.Service.Name)), func(s *server.Server) bool { return !req.canBeFirst(s) })
+	return len(first) == 0 || slices.ContainsFunc(first, func(s *server.Server) bool { return r.waitForRest(s) == 0 })
+}
+
 // addRestWaiter counts a request that waits for servers at rest. It returns false if as many wait as the
 // servers run at once: the others would wait for these.
 func (r *Relay) addRestWaiter(service string, c *choice) bool {
--- a/relay/wait.go
+++ b/relay/wait.go
@@ -48,7 +48,8 @@
 
 var errStops = errors.New(reasonStops)
 
-// waits ends the waits of all requests early when the process stops.
+// waits ends the waits of all requests early when the process stops, and has them checked again after
+// other changes.
 type waits struct {
 	mu    sync.Mutex // held by change
 	state atomic.Pointer[waitState]
@@ -86,17 +87,21 @@
 // those that are with servers at its end get their last answer then.
 func (r *Relay) Stop(s Stop) { r.waits.change(&s) }
 
+// Recheck makes the requests that wait look again at the configuration and the registry, which have changed.
+func (r *Relay) Recheck() { r.waits.change(nil) }
+
 // awaited is what a request waits for.
 type awaited struct {
 	at      time.Time       // the awaited moment; not used if place is set
 	place   chan<- struct{} // takes a value when there is a place; the wait ends with the context otherwise
+	over    func() bool     // whether the wait has no purpose any more after a change; may be nil
 	retryIn time.Duration   // time to come back that callers get if the process stops before
 }
 
-// wait is the one way in which a request waits before it is sent. It returns nil when what is awaited has
-// come. Errors of package fault are the answer to the request, and others those of the context.
+// wait is the one way in which a request waits before it is sent. It returns nil when what is awaited has come
+// or is over. Errors of package fault are the answer to the request, and others those of the context.
 func (r *Relay) wait(ctx context.Context, req *Request, a awaited) error {
-	for {
+	for first := true; ; first = false {
 		state := r.waits.state.Load()
 		stop := state.stop
 		now, sent := time.Now(), req.mayHaveRun.Load()
@@ -107,6 +112,14 @@
 		if tooLate := a.place != nil && !end.IsZero() && !now.Before(end); tooLate || (a.place == nil && !stop.Allows(end, sent, req.Route.TargetLatency())) {
 			return r.refuseStopping(req, a.retryIn, nil)
 		}
+		if !first {
+			if err := r.recheck(req); err != nil {
+				return err
+			}
+			if a.over != nil && a.over() {
+				return nil
+			}
+		}
 		if a.place == nil && !now.Before(end) {
 			return ctx.Err()
 		}
@@ -137,6 +150,15 @@
 	return false, nil
 }
 
+// recheck returns the error for a request that the configuration does not allow any more, or nil. One that
+// may have run goes on.
+func (r *Relay) recheck(req *Request) error {
+	if req.Allowed == nil || req.mayHaveRun.Load() {
+		return nil
+	}
+	return req.Allowed()
+}
+
 // maySend returns the error for a request that must not be sent to a server now, or nil. running means that
 // an attempt of it is with a server.
 func (r *Relay) maySend(req *Request, running bool) error {
@@ -144,7 +166,10 @@
 	if !r.waits.state.Load().stop.Allows(time.Now(), sent, req.Route.TargetLatency()) {
 		return r.refuseStopping(req, leavingRetryAfter, nil)
 	}
-	return nil
+	if running {
+		return nil
+	}
+	return r.recheck(req)
 }
 
 // isStopping reports whether the process stops.
--- a/relay/wait_test.go
+++ b/relay/wait_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -102,9 +103,10 @@
 // heldCall is a request that waits.
 type heldCall struct {
 	*speakers
-	hold  hold
-	leave context.CancelFunc // the caller leaves
-	sent  int                // attempts before the request
+	hold   hold
+	leave  context.CancelFunc // the caller leaves
+	sent   int                // attempts before the request
+	denied atomic.Bool        // the configuration does not allow the request any more
 }
 
 // endsAtOnce ends the wait by change and checks that the request gets its answer at once.
@@ -132,6 +134,18 @@
 	return relay.Stop{SendBy: time.Now().Add(sendBy), AnswerBy: time.Now().Add(answerBy)}
 }
 
+// deniedBy returns the function Allowed of a request that the configuration denies once denied is set.
+func deniedBy(denied *atomic.Bool) func() error {
+	return func() error {
+		if denied.Load() {
+			return errGone
+		}
+		return nil
+	}
+}
+
+var errGone = fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Unauthorized, Reason: "the key is unknown"})
+
 // ends are all ways in which a wait ends; each returns once it is checked.
 var ends = []struct {
 	name string
@@ -159,13 +173,42 @@
 		got := c.endsAtOnce(t, done, func() { c.relay.Stop(stopAfter(4*time.Second, 5*time.Second)) })
 		checkStopped(t, got, c.hold.comesBack)
 	}},
+	{"route or key gone", func(t *testing.T, c *heldCall, done <-chan callerResult) {
+		got := c.endsAtOnce(t, done, func() { c.denied.Store(true); c.relay.Recheck() })
+		assert.Equal(t, fault.CodeOf(got.err), fault.Unauthorized, "%v", got.err)
+	}},
+	{"other change", func(t *testing.T, c *heldCall, done <-chan callerResult) {
+		c.relay.Recheck()
+		assert.NilError(t, (<-done).err)
+	}},
+	{"servers gone", func(t *testing.T, c *heldCall, done <-chan callerResult) {
+		gone := func() { c.table.Apply(nil, true, 0); c.relay.Recheck() }
+		if c.hold.name == "pause" {
+			checkVerdict(t, c.endsAtOnce(t, done, gone), fault.NotRun)
+			return
+		}
+		gone() // the other waits are short
+		checkVerdict(t, <-done, fault.NotRun)
+		assert.Equal(t, c.attemptCount(), c.sent)
+	}},
+	{"another server", func(t *testing.T, c *heldCall, done <-chan callerResult) {
+		b := engineEntry("b", "near", 0, 8)
+		c.table.Apply([]server.Change{{ID: "b", Entry: b}}, false, 0)
+		begun := time.Now()
+		c.relay.Recheck()
+		assert.NilError(t, (<-done).err)
+		if c.hold.name == "pause" {
+			assert.Assert(t, time.Since(begun) <= atOnce, "served after %v", time.Since(begun))
+		}
+	}},
 	{"caller gone", func(t *testing.T, c *heldCall, done <-chan callerResult) {
 		got := c.endsAtOnce(t, done, c.leave)
 		assert.Equal(t, fault.VerdictOf(got.err), fault.NotRun)
 	}},
 }
 
-// Guards against a request that waits for what can't come before its process ends.
+// Guards against a request that waits for what can't come before its process ends, and against one that is
+// sent after its wait although the configuration or the registry no longer allows it.
 func TestWaitsEnd(t *testing.T) {
 	for _, h := range holds {
 		for _, e := range ends {
@@ -179,6 +222,7 @@
 						defer leave()
 						c := &heldCall{speakers: x, hold: h, leave: leave, sent: x.attemptCount()}
 						req := heldRequest(kind)
+						req.Allowed = deniedBy(&c.denied)
 						done := make(chan callerResult, 1)
 						go func() { done <- x.serve(ctx, req) }()
 						time.Sleep(waitBegun)
@@ -274,7 +318,7 @@
 }
 
 // Guards against a request that a server has and that gets no answer before its process ends, or one that
-// says that it did not run.
+// says that it did not run; and against a change that ends a request that a server has.
 func TestRequestsWithAServer(t *testing.T) {
 	const lasts = 8 * time.Second // the server's work on a request
 	body := func(ctx context.Context, req *relay.Request, begun bool) (*relay.Answer, error) {
@@ -298,9 +342,9 @@
 		return nil, fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Unavailable, Reason: "the server can't be reached", Cause: ctx.Err()})
 	}
 	for _, state := range []string{"dial", "header", "begun"} {
-		for _, end := range []string{"stop", "deadline", "caller gone"} {
+		for _, end := range []string{"stop", "other changes", "deadline", "caller gone"} {
 			for _, kind := range allKinds {
-				if state == "begun" && kind != config.Stream {
+				if state == "begun" && kind != config.Stream || state != "header" && end == "other changes" {
 					continue
 				}
 				t.Run(fmt.Sprint(state, "/", end, "/", kind), func(t *testing.T) {
@@ -315,11 +359,17 @@
 						ctx, leave := context.WithCancel(t.Context())
 						defer leave()
 						req := heldRequest(kind)
-						want := map[string]time.Duration{"stop": 7 * time.Second, "deadline": 2 * time.Second, "caller gone": time.Second}[end]
+						var denied atomic.Bool
+						req.Allowed = deniedBy(&denied)
+						want := map[string]time.Duration{"stop": 7 * time.Second, "other changes": lasts, "deadline": 2 * time.Second, "caller gone": time.Second}[end]
 						time.AfterFunc(time.Second, func() {
 							switch end {
 							case "stop":
 								x.relay.Stop(stopAfter(2*time.Second, 6*time.Second))
+							case "other changes":
+								x.table.Apply(nil, true, 0)
+								denied.Store(true)
+								x.relay.Recheck()
 							case "caller gone":
 								leave()
 							}
@@ -331,6 +381,8 @@
 						assert.Assert(t, got.took >= want && got.took <= want+100*time.Millisecond, got.took)
 						assert.Equal(t, x.attemptCount(), 1)
 						switch {
+						case end == "other changes":
+							assert.NilError(t, got.err)
 						case end == "stop" && state == "dial":
 							checkStopped(t, got, 150*time.Millisecond)
 						case end == "stop":
