soak: planned stops while orders wait or servers hang

Cause: the soak stopped processes beside pauses of 1 to 3 s and deadlines of 4 s, so that no request waited beyond the end of a stop, and its checks excuse what ends in the last sixth of the grace time.

Change: TestStopsWhileRequestsWait (seeded) lets all desk servers ask one process for a pause of 1 to 12 s, or hang until after its stop, sends it six orders within 4 s, with 14 s to wait, and stops it half-way. Each order that was not refused a connection must get a complete answer, a refusal with Retry-After; what is refused must not have run, and no order runs twice. All plans have one more route, /held/, for it. TestHeldCheckFails shows that the check can fail.

--- a/soak/server_test.go
+++ b/soak/server_test.go
@@ -251,7 +251,11 @@
 	if r.Header.Get("Authorization") != "" || r.Header.Get("X-Cranberrybay-Tenant") != "shop" {
 		v.addViolation("request %s reached %s with a key, or for account %q", r.Header.Get(idHeader), b.id, r.Header.Get("X-Cranberrybay-Tenant"))
 	}
-	if ms, err := strconv.Atoi(r.Header.Get("X-Cranberrybay-Deadline-Ms")); err != nil || ms > callTimeoutMs {
+	limit := callTimeoutMs
+	if r.URL.Path == heldPath {
+		limit = int(heldLimit.Milliseconds())
+	}
+	if ms, err := strconv.Atoi(r.Header.Get("X-Cranberrybay-Deadline-Ms")); err != nil || ms > limit {
 		v.addViolation("request %s reached %s with %q ms left", r.Header.Get(idHeader), b.id, r.Header.Get("X-Cranberrybay-Deadline-Ms"))
 	}
 }
@@ -284,7 +288,7 @@
 	v.mu.Lock()
 	dead, fail := b.dead, b.failMode
 	seconds, paused := v.refusesFor(b, sent, time.Now())
-	if fail == refuseSome && r.URL.Path != orderPath && b.refusesNow() {
+	if fail == refuseSome && r.URL.Path != orderPath && r.URL.Path != heldPath && b.refusesNow() {
 		fail = "refuse"
 	}
 	v.mu.Unlock()
@@ -322,7 +326,7 @@
 	id := r.Header.Get(idHeader)
 	v.recordTaken(b, id, "")
 	v.recordRun(b, id)
-	if r.URL.Path == orderPath {
+	if r.URL.Path == orderPath || r.URL.Path == heldPath {
 		v.runs[id]++
 	}
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -81,6 +81,7 @@
 	oddRand      *rand.Rand // rows of odd_rows_test.go
 	refusalRand  *rand.Rand // faults of refusals_test.go
 	wishRand     *rand.Rand // faults of wishes_test.go
+	stopRand     *rand.Rand // faults of stops_test.go
 	store        *store
 	servers      *servers
 	callers      *callers
@@ -136,7 +137,7 @@
 		dir = filepath.Join(*keepFlag, t.Name())
 		assert.NilError(t, os.MkdirAll(dir, 0o750))
 	}
-	run := &soakRun{t: t, rand: rand.New(rand.NewSource(seed)), linkRand: rand.New(rand.NewSource(-seed)), extraRand: rand.New(rand.NewSource(^seed << 1)), drillRand: rand.New(rand.NewSource(^seed<<1 + 1)), silenceRand: rand.New(rand.NewSource(seed*31 + 1)), deadlyRand: rand.New(rand.NewSource(seed*31 + 2)), oddRand: rand.New(rand.NewSource(seed*31 + 4)), refusalRand: rand.New(rand.NewSource(seed*31 + 5)), wishRand: rand.New(rand.NewSource(seed*31 + 6)), store: newStore(t)}
+	run := &soakRun{t: t, rand: rand.New(rand.NewSource(seed)), linkRand: rand.New(rand.NewSource(-seed)), extraRand: rand.New(rand.NewSource(^seed << 1)), drillRand: rand.New(rand.NewSource(^seed<<1 + 1)), silenceRand: rand.New(rand.NewSource(seed*31 + 1)), deadlyRand: rand.New(rand.NewSource(seed*31 + 2)), oddRand: rand.New(rand.NewSource(seed*31 + 4)), refusalRand: rand.New(rand.NewSource(seed*31 + 5)), wishRand: rand.New(rand.NewSource(seed*31 + 6)), stopRand: rand.New(rand.NewSource(seed*31 + 7)), store: newStore(t)}
 	run.servers = newServers(t, run.store)
 	run.servers.rand = rand.New(rand.NewSource(seed*31 + 3))
 	run.configure(shopKey)
@@ -223,7 +224,7 @@
 	defer run.configMu.Unlock()
 	run.config = map[string]any{
 		"version": run.version,
-		"routes":  []any{route(streamPath, "llm", "streaming", 10*time.Second), route(orderPath, "desk", "non_idempotent", deskTimeout), route(lookupPath, "desk", "idempotent", deskTimeout)},
+		"routes":  []any{route(streamPath, "llm", "streaming", 10*time.Second), route(orderPath, "desk", "non_idempotent", deskTimeout), route(lookupPath, "desk", "idempotent", deskTimeout), route(heldPath, "desk", "non_idempotent", heldLimit)},
 		"services": []any{
 			map[string]any{"name": "desk"},
 			map[string]any{"name": "llm", "engine": map[string]any{
--- a/soak/wishes_test.go
+++ b/soak/wishes_test.go
@@ -40,6 +40,7 @@
 	toldLeaving map[*process]time.Time // when an entry process first passed on such an answer
 	busyUntil   time.Time              // until then processes without a pause are given one
 	pauses      map[*process]*pause
+	nothingTill map[*process]time.Time // until then the process is given a pause that ends then
 }
 
 // withWishes adds to all answers of a server that it leaves, if so.
@@ -95,13 +96,17 @@
 	}
 	p := b.pauses[r.sender]
 	if p == nil || now.After(p.end) {
-		if now.After(b.busyUntil) {
-			return "", false
+		end := b.nothingTill[r.sender]
+		if !now.Before(end) {
+			if now.After(b.busyUntil) {
+				return "", false
+			}
+			end = now.Add(time.Duration(1+v.rand.Intn(3)) * time.Second)
 		}
 		if b.pauses == nil {
 			b.pauses = map[*process]*pause{}
 		}
-		p = &pause{span: span{now, now.Add(time.Duration(1+v.rand.Intn(3)) * time.Second)}}
+		p = &pause{span: span{now, end}}
 		b.pauses[r.sender] = p
 	}
 	return strconv.FormatFloat(p.end.Sub(now).Seconds(), 'f', -1, 64), true
