--- a/edge/stop_test.go
+++ b/edge/stop_test.go
@@ -168,6 +168,58 @@
 	}
 }
 
+// Guards against a request that is passed on late in a stop, or held back before, and whose connection is
+// closed without an answer when the process ends.
+func TestStopAnswersRequestsWithAServer(t *testing.T) {
+	for _, route := range stopKinds {
+		for _, came := range []time.Duration{0, 2700 * time.Millisecond, 5 * time.Second} {
+			t.Run(fmt.Sprint(route, " ", came), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					x := newStopRig(t, hang)
+					first := x.call(route) // keeps the listener open
+					time.Sleep(500 * time.Millisecond)
+					begun := time.Now()
+					ended := x.stop()
+					time.Sleep(came)
+					got := <-x.call(route)
+					assert.Assert(t, got.complete, "%+v", got)
+					if came > acceptWhileLeaving {
+						assert.Equal(t, got.status, http.StatusServiceUnavailable)
+						assert.Assert(t, got.at.Sub(begun) < came+50*time.Millisecond, got.at.Sub(begun))
+					} else {
+						assert.Equal(t, got.status, http.StatusBadGateway)
+						assert.Assert(t, got.at.Sub(begun) >= 7*time.Second, "given up after %v", got.at.Sub(begun))
+					}
+					got = <-first
+					assert.Equal(t, got.status, http.StatusBadGateway)
+					assert.Assert(t, got.complete, "%+v", got)
+					<-ended
+					assert.Assert(t, time.Since(begun) < x.handler.gracePeriod, time.Since(begun))
+				})
+			})
+		}
+	}
+}
+
+// Guards against a stream that looks complete though the end of the process has cut it.
+func TestStopCutsStreamsThatHaveBegun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newStopRig(t, func(ctx context.Context, _ *relay.Request) (*relay.Answer, error) {
+			body, w := io.Pipe()
+			context.AfterFunc(ctx, func() { _ = w.CloseWithError(ctx.Err()) })
+			go func() { _, _ = io.WriteString(w, "id: 1\ndata: 1\n\n") }()
+			return &relay.Answer{Status: http.StatusOK, Header: http.Header{}, Body: body, Length: -1, Signed: true}, nil
+		})
+		begun, got := time.Now(), x.call("stream")
+		time.Sleep(500 * time.Millisecond)
+		<-x.stop()
+		cut := <-got
+		assert.Equal(t, cut.status, http.StatusOK)
+		assert.Assert(t, !cut.complete)
+		assert.Assert(t, cut.at.Sub(begun) >= 7*time.Second, cut.at.Sub(begun))
+	})
+}
+
 // Guards against a request that is held back and passed on although its pause ends so late in the stop that it
 // would have to be answered at once, and against the refusal of one whose pause ends soon.
 func TestStopDuringShortPauses(t *testing.T) {
@@ -199,3 +251,82 @@
 		assert.Assert(t, grace <= stopMargin || !s.AnswerBy.After(now.Add(grace-stopMargin)), "%v: %+v", grace, s)
 	}
 }
+
+// Guards against a request that is sent after a wait although the configuration that is in effect then does
+// not allow it, and against the refusal of one that it still allows.
+func TestRecheck(t *testing.T) {
+	const other = "the configuration has changed"
+	route := func(name string, cfg config.RouteConfig) *config.Route {
+		cfg.Name, cfg.Host, cfg.Prefix, cfg.Timeout = name, "h", "/x/", time.Second
+		if cfg.Services == nil {
+			cfg.Services = []config.WeightedService{{Service: "s", Weight: 1}}
+		}
+		return config.NewRoute(cfg)
+	}
+	account := func(name string, keys ...string) []config.Account { return []config.Account{{Name: name, Keys: keys}} }
+	for name, tt := range map[string]struct {
+		next   config.Content
+		age    time.Duration
+		want   fault.Code // "" if the request goes on
+		reason string
+	}{
+		"same":                 {next: config.Content{Routes: []*config.Route{route("r", config.RouteConfig{})}, Accounts: account("a", "k", "l")}},
+		"another name":         {next: config.Content{Routes: []*config.Route{route("n", config.RouteConfig{})}, Accounts: account("a", "k")}},
+		"route gone":           {next: config.Content{Accounts: account("a", "k")}, want: fault.NotFound},
+		"key gone":             {next: config.Content{Routes: []*config.Route{route("r", config.RouteConfig{})}, Accounts: account("a", "l")}, want: fault.Unauthorized},
+		"key of another":       {next: config.Content{Routes: []*config.Route{route("r", config.RouteConfig{})}, Accounts: account("b", "k")}, want: fault.Unavailable, reason: other},
+		"public":               {next: config.Content{Routes: []*config.Route{route("r", config.RouteConfig{Public: true})}, Accounts: account("a", "k")}, want: fault.Unavailable, reason: other},
+		"another kind":         {next: config.Content{Routes: []*config.Route{route("r", config.RouteConfig{Kind: config.Stream})}, Accounts: account("a", "k")}, want: fault.Unavailable, reason: other},
+		"another service":      {next: config.Content{Routes: []*config.Route{route("r", config.RouteConfig{Services: []config.WeightedService{{Service: "t", Weight: 1}, {Service: "s"}}})}, Accounts: account("a", "k")}, want: fault.Unavailable, reason: other},
+		"one service more":     {next: config.Content{Routes: []*config.Route{route("r", config.RouteConfig{Services: []config.WeightedService{{Service: "t", Weight: 9}, {Service: "s", Weight: 1}}})}, Accounts: account("a", "k")}},
+		"keys may be old":      {age: 4500 * time.Millisecond, want: fault.Unavailable, reason: "the keys may be old"},
+		"nothing has changed":  {age: 4 * time.Second},
+		"key gone, may be old": {next: config.Content{Routes: []*config.Route{route("r", config.RouteConfig{})}, Accounts: account("a", "l")}, age: 3 * time.Second, want: fault.Unavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h, now := newTestHandler(t)
+			applyConfig(t, h, 1, "k")
+			rq, err := h.admit(&platform.Call{ID: "r1", Host: "h", Path: "/x/1", APIKey: "k", Arrived: time.Now()})
+			assert.NilError(t, err)
+			if tt.next.Routes != nil || tt.next.Accounts != nil {
+				tt.next.Version = 2
+				c, err := config.New(tt.next)
+				assert.NilError(t, err)
+				assert.Assert(t, h.tracker.Apply(c))
+			}
+			*now += tt.age
+			err = rq.Allowed()
+			if tt.want == "" {
+				assert.NilError(t, err)
+				return
+			}
+			assert.Equal(t, fault.CodeOf(err), tt.want, "%v", err)
+			assert.Equal(t, fault.VerdictOf(err), fault.NotRun)
+			assert.Assert(t, strings.Contains(err.Error(), tt.reason), "%v", err)
+			_, back := fault.RetryAt(err)
+			assert.Equal(t, back, tt.want == fault.Unavailable)
+		})
+	}
+}
+
+// Guards against a request that waits on after its route has left the configuration.
+func TestRouteLeavesWhileARequestWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newStopRig(t, hang)
+		x.handler.state.recheck() // before the handler is known
+		x.handler.state.handler = x.handler
+		x.rest(30 * time.Second)
+		held := x.call("once")
+		time.Sleep(500 * time.Millisecond)
+		c, err := config.New(config.Content{Version: 2})
+		assert.NilError(t, err)
+		assert.Assert(t, x.handler.tracker.Apply(c))
+		x.handler.tracker.Confirm(clock.Now())
+		begun := time.Now()
+		x.handler.state.recheck()
+		got := <-held
+		assert.Equal(t, got.status, http.StatusNotFound)
+		assert.Assert(t, got.complete && got.at.Sub(begun) < 50*time.Millisecond, "%+v", got)
+		<-x.stop()
+	})
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -50,6 +50,9 @@
 	// PromptParts identifies the parts of the prompt, in order. Requests share parts, but for the
 	// last one, which belongs to the request or its session.
 	PromptParts []string
+	// Allowed returns the error for a request that the configuration no longer allows, or nil. It is called
+	// after waits. nil if the configuration does not matter.
+	Allowed func() error
 
 	attempts   atomic.Int32 // attempts sent so far
 	mayHaveRun atomic.Bool  // set once an attempt may have been executed
@@ -223,13 +226,15 @@
 // Start was not called, the caller gets the error as its answer; otherwise the connection must be
 // cut, as the answer is incomplete.
 func (r *Relay) Serve(ctx context.Context, req *Request, sink Sink) error {
+	caller := ctx
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
+	defer context.AfterFunc(r.waits.ending, cancel)()
 	r.cfg.Budget(req.Service.Name).AddRequest()
 	r.reports.budget.AddRequest()
 	req.parts = poison.PartsOf(req.Service.Name, req.PromptParts)
 	req.identity = sync.OnceValue(req.newIdentity)
-	err := r.serveByKind(ctx, req, sink)
+	err := r.lastAnswer(caller, req, r.serveByKind(ctx, req, sink))
 	if fault.VerdictOf(err) == fault.NotRun && req.mayHaveRun.Load() {
 		r.reportViolation(InvariantRefusal, req)
 	}
