watch: members ask the store before data of a lost hub is 2 s old

Cause: a member asked the store itself only when what the hub told was 2.4 s old, and looked at that every 0.2 s; while it waited for an announced change it did not look at the age at all. Its answer stayed with it. A hub without the store stayed the hub.

Change: - Members poll in the order in which they would become the hub (beat.Membership.Rank): the first at 1.7 s, the second at 1.775 s, all by 1.85 s; the hub at 1.5 s (1.8 s before). Waits for announced changes are spread likewise. - An answer that is 1.4 s newer than anything told is told directly to all of the failure domain (ShareWatermark, ShareChanges), without the help of the hub. - A process whose calls fail twice in a row while others tell something over 2 s newer counts as cut off: it says so in its heartbeats (settled, whose meaning is now "has a configuration and reaches the platform"), another one becomes the hub, and it tries again every 0.4 to 3 s. An outage of the store for all changes no hub.

--- a/beat/beat.go
+++ b/beat/beat.go
@@ -42,7 +42,7 @@
 type State struct {
 	Ready      bool
 	Leaving    bool
-	Settled    bool        // has a configuration, which is required of a hub
+	Settled    bool        // has a configuration and reaches the platform, as a hub must
 	Config     uint64      // version of the configuration in effect; 0 for none
 	Lease      Lease       // of this process; fencing number 0 when it has none to announce
 	Watermarks []Watermark // how far this process knows each platform table
--- a/beat/beat_test.go
+++ b/beat/beat_test.go
@@ -43,6 +43,8 @@
 	next       time.Time // when its next heartbeat is due
 	sent       int       // bytes sent
 	pages      []beat.Page
+	watermarks []beat.Watermark
+	follower   *platformFollower // nil in most tests
 	dead       []uint64
 	drops      map[string]int
 	poison     *poison.Tracker
@@ -71,10 +73,21 @@
 	x.intake = intake.New(intake.Config{Log: zerolog.Nop(), Announce: func(all []intake.Record) { x.membership.ReportLeavers(all) }})
 	x.membership = beat.New(beat.Config{
 		Self: x.peer, Incarnation: rand.Uint64(), Sealer: n.sealer, Log: zerolog.Nop(),
-		State:     func() beat.State { return x.state },
-		Clock:     n.platform,
-		Work:      func() []beat.Work { return x.work },
-		OnPage:    func(p beat.Page) { x.pages = append(x.pages, p) },
+		State: func() beat.State {
+			s := x.state
+			s.Watermarks = append(s.Watermarks, x.follower.watermarks()...)
+			return s
+		},
+		Clock: n.platform,
+		Work:  func() []beat.Work { return x.work },
+		OnPage: func(p beat.Page) {
+			x.pages = append(x.pages, p)
+			x.follower.offer(p)
+		},
+		OnWatermark: func(w beat.Watermark) {
+			x.watermarks = append(x.watermarks, w)
+			x.follower.observe(w)
+		},
 		OnDead:    func(all []uint64) { x.dead = append(x.dead, all...) },
 		OnDropped: func(reason string) { x.drops[reason]++ },
 		Suspects: func() beat.Suspects {
@@ -581,3 +594,54 @@
 
 // maxDatagram is what UDP carries over IPv4, in bytes.
 const maxDatagram = 65507
+
+// Guards against a hub that does not reach the platform and stays the hub.
+func TestHubWithoutPlatformIsReplaced(t *testing.T) {
+	runVirtual(t, func(t *testing.T, n *net) {
+		a, b, c, x := startTwoDomains(n)
+		checkHub(t, n, "d", "a")
+		a.state.Settled = false
+		n.run(time.Second)
+		checkHub(t, n, "d", "b")
+		n.run(2 * time.Second)
+		for _, y := range []*node{a, b, c, x} {
+			assert.Equal(t, y.membership.Size(), 4)
+		}
+		a.state.Settled = true
+		n.run(time.Second)
+		checkHub(t, n, "d", "a")
+	})
+}
+
+// Guards against two processes that poll the platform at the same time because both come next.
+func TestRank(t *testing.T) {
+	runVirtual(t, func(t *testing.T, n *net) {
+		a, b, c, x := startTwoDomains(n)
+		check := func(want ...int) {
+			t.Helper()
+			assert.DeepEqual(t, []int{a.membership.Rank(), b.membership.Rank(), c.membership.Rank(), x.membership.Rank()}, want)
+		}
+		check(0, 1, 2, 0)
+		b.state.Settled = false
+		n.run(3 * time.Second)
+		check(0, 2, 1, 0)
+	})
+}
+
+// Guards against answers of the platform that reach the others only through the hub, which may be gone, and
+// against datagrams that a hub sends again.
+func TestAnswerOfAMember(t *testing.T) {
+	runVirtual(t, func(t *testing.T, n *net) {
+		a, b, c, x := startTwoDomains(n)
+		w := beat.Watermark{Table: "op", Changed: 7, Clock: n.platform()}
+		b.membership.ShareWatermark(w)
+		b.membership.ShareChanges(beat.Page{Watermark: w, After: 5, Revision: 7})
+		assert.Equal(t, len(a.pages), 1)
+		assert.Equal(t, len(c.pages), 1)
+		assert.Equal(t, len(x.pages), 1)
+		assert.DeepEqual(t, c.watermarks, []beat.Watermark{w, w})
+		a.frozen = true
+		b.membership.ShareChanges(beat.Page{Watermark: w, After: 7, Revision: 8})
+		assert.Equal(t, len(c.pages), 2)
+	})
+}
--- a/beat/hub.go
+++ b/beat/hub.go
@@ -60,10 +60,9 @@
 }
 
 // electHub elects the hub among the live processes of this failure domain: one that has a
-// configuration and is not leaving, with the largest processor share. The caller holds mu.
+// configuration, reaches the platform and is not leaving, with the largest processor share. The caller holds mu.
 func (ms *Membership) electHub(now time.Duration) {
-	self := ms.cfg.Self
-	best := &member{peer: self, settled: ms.state.Settled, leaving: ms.state.Leaving}
+	best := ms.self()
 	for _, m := range ms.members {
 		if !m.silent && m.precedes(best) {
 			best = m
@@ -76,6 +75,28 @@
 	ms.cfg.Log.Info().Str("peer", ms.hub).Int("processes", ms.domainSize()).Msg("hub of the failure domain")
 }
 
+// self returns this process as a member. The caller holds mu.
+func (ms *Membership) self() *member {
+	return &member{peer: ms.cfg.Self, settled: ms.state.Settled, leaving: ms.state.Leaving}
+}
+
+// Rank returns the position of this process in the order in which the live processes of this failure
+// domain become its hub; 0 for the hub.
+func (ms *Membership) Rank() int {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	if ms.isHub() {
+		return 0
+	}
+	self, rank := ms.self(), 1
+	for name, m := range ms.members {
+		if !m.silent && name != ms.hub && m.precedes(self) {
+			rank++
+		}
+	}
+	return rank
+}
+
 // precedes reports whether a process is preferred to another one as the hub.
 func (m *member) precedes(o *member) bool {
 	switch {
--- a/beat/page.go
+++ b/beat/page.go
@@ -71,9 +71,36 @@
 		ms.cfg.Log.Error().Err(err).Str("table", p.Table).Msg("changes not shared")
 		return
 	}
-	if len(x.Rows) <= maxPageBytes { // for larger ones the others see the watermark and read the platform
-		ms.broadcast(notice{pages: []*wire.Page{x}})
+	n := notice{pages: []*wire.Page{x}}
+	if len(x.Rows) > maxPageBytes { // the others see the watermark and read the platform
+		n.pages = nil
 	}
+	switch {
+	case !ms.IsHub():
+		n.seen = []*wire.Seen{encodeWatermark(p.Watermark)}
+		ms.tellDomain(n)
+	case len(n.pages) > 0:
+		ms.broadcast(n)
+	}
+}
+
+// ShareWatermark tells the processes of this failure domain what this process learned from an answer of
+// the platform without changes.
+func (ms *Membership) ShareWatermark(w Watermark) {
+	ms.tellDomain(notice{seen: []*wire.Seen{encodeWatermark(w)}})
+}
+
+// tellDomain sends a notice to the processes of this failure domain without the help of the hub, which may
+// be gone. The hub forwards it to the other failure domains only.
+func (ms *Membership) tellDomain(n notice) {
+	ms.mu.Lock()
+	b := ms.newNotice(n)
+	ms.mu.Unlock()
+	ms.send(b, ms.toMembers())
+}
+
+func encodeWatermark(w Watermark) *wire.Seen {
+	return &wire.Seen{Table: w.Table, Changed: w.Changed, Clock: w.Clock.Milliseconds()}
 }
 
 // EncodePage converts a page to its wire form. After and Changed are the revisions of the
--- a/beat/receive.go
+++ b/beat/receive.go
@@ -205,7 +205,9 @@
 	}
 	out := ms.newNotice(x)
 	ms.mu.Unlock()
-	ms.send(out, ms.toMembers())
+	if !sameDomain || len(b.Seen) == 0 {
+		ms.send(out, ms.toMembers()) // a member that states a watermark sent it to all of the failure domain
+	}
 	if sameDomain {
 		ms.send(out, ms.toHubs())
 	}
--- a/beat/send.go
+++ b/beat/send.go
@@ -73,7 +73,7 @@
 	}
 	if ms.isHub() {
 		for _, x := range ms.state.Watermarks {
-			b.Seen = append(b.Seen, &wire.Seen{Table: x.Table, Changed: x.Changed, Clock: x.Clock.Milliseconds()})
+			b.Seen = append(b.Seen, encodeWatermark(x))
 		}
 	}
 	return b
@@ -139,7 +139,8 @@
 // notice is the content of a message that is sent at once, without loads.
 type notice struct {
 	pages    []*wire.Page
-	dead     []uint64 // backend servers, as in ServerHash
+	seen     []*wire.Seen // in the notice of a member: it was sent to all of the failure domain
+	dead     []uint64     // backend servers, as in ServerHash
 	suspects []*wire.Suspect
 	rates    []*wire.Rate
 	leavers  []*wire.Leaver
@@ -153,6 +154,7 @@
 func (ms *Membership) newNotice(n notice) *wire.Beat {
 	b := ms.newHeartbeat(nil)
 	b.Loads, b.Pages, b.Dead, b.Suspects, b.Rates, b.Leavers = nil, n.pages, n.dead, n.suspects, n.rates, n.leavers
+	b.Seen = append(b.Seen, n.seen...)
 	return b
 }
 
--- a/edge/app.go
+++ b/edge/app.go
@@ -207,7 +207,7 @@
 	members := beat.New(beat.Config{
 		Self: self, Incarnation: i.number, Sealer: sealer, Clock: state.clock,
 		State: func() beat.State {
-			return beat.State{Ready: state.ready(), Leaving: state.leaving(), Settled: state.hasConfig(), Config: state.configVersion(), Lease: state.lease(), Watermarks: state.seen()}
+			return beat.State{Ready: state.ready(), Leaving: state.leaving(), Settled: state.hasConfig() && !state.cutOff(), Config: state.configVersion(), Lease: state.lease(), Watermarks: state.seen()}
 		},
 		OnNewerKey: func() {
 			if state.onUnknownKey != nil {
@@ -328,11 +328,11 @@
 			Name: name, Wait: pollWait, Slack: pollSlack, Log: log,
 			FetchInitial:  func(ctx context.Context) (watch.State, bool) { return m.initialState(ctx, name) },
 			PolledByPeers: func() bool { return !members.IsPoller() },
-			DefersToPeer:  func() bool { return !members.IsHub() },
+			Rank:          members.Rank,
+			ShareWatermark: func(w watch.Watermark) {
+				members.ShareWatermark(beat.Watermark{Table: name, Changed: w.Changed, Clock: w.Clock})
+			},
 			Share: func(p watch.Page, after, changed uint64) {
-				if !members.IsHub() {
-					return // the hub polls as well
-				}
 				members.ShareChanges(beat.Page{Watermark: beat.Watermark{Table: name, Changed: changed, Clock: p.Clock}, After: after, Revision: p.Revision, Rows: p.Rows})
 			},
 			Read: func(ctx context.Context) (watch.Page, error) { return store.Read(ctx, name) },
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -77,6 +77,20 @@
 	return out
 }
 
+// cutOff reports whether other processes reach the platform's store and this one does not.
+func (s *sharedState) cutOff() bool {
+	followers := s.followers.Load()
+	if followers == nil {
+		return false
+	}
+	for _, f := range *followers {
+		if f.CutOff() {
+			return true
+		}
+	}
+	return false
+}
+
 // hasConfig reports whether this process has a configuration.
 func (s *sharedState) hasConfig() bool { return s.handler != nil && s.handler.tracker.Current() != nil }
 
--- a/watch/relay.go
+++ b/watch/relay.go
@@ -17,18 +17,33 @@
 }
 
 const (
-	// maxRelayAge is the age of relayed data after which a process polls the platform
-	// itself. Pollers poll every second and their watermarks are sent four times a
-	// second; a change must be known within two seconds even when the pollers are cut
-	// off from the platform.
-	maxRelayAge = 1800 * time.Millisecond
-	// maxRelayAgeDeferred applies instead when another process nearby polls first.
-	maxRelayAgeDeferred = 2400 * time.Millisecond
-	// maxPageWait is how long a process waits for the changes up to an announced
+	// maxRelayAge is the age of relayed data after which the first process of a failure
+	// domain, its hub, polls the platform itself. Pollers poll every second and their
+	// watermarks reach the hubs within two heartbeats of 0.25 to 0.33 s.
+	maxRelayAge = 1500 * time.Millisecond
+	// minMemberRelayAge and maxMemberRelayAge bound this age for the other processes, which
+	// poll one after another. The first of them lets the hub go first. The last one has its
+	// answer before the two seconds are over within which a change of the configuration, or
+	// a server that leaves, must be known, even when no other process reaches the platform.
+	minMemberRelayAge = 1700 * time.Millisecond
+	maxMemberRelayAge = 1850 * time.Millisecond
+	// maxPageWait is how long the hub waits for the changes up to an announced
 	// revision before it polls the platform for them.
 	maxPageWait = 150 * time.Millisecond
-	// maxPageWaitDeferred applies instead when another process nearby polls first.
-	maxPageWaitDeferred = 600 * time.Millisecond
+	// minMemberPageWait and maxMemberPageWait bound this wait for the other processes.
+	minMemberPageWait = 400 * time.Millisecond
+	maxMemberPageWait = 800 * time.Millisecond
+	// minSharedLead is how much newer than anything that the others told an answer is
+	// when a process that does not poll for them shares it, a little below the ages after
+	// which it polls in place of the pollers. An answer to a poll for a lost datagram is
+	// rarely that much newer, and need not be told.
+	minSharedLead = 1400 * time.Millisecond
+	// cutOffLag is how far the last answer to this process is behind what the others
+	// know when it counts as cut off from the platform, above the 1.7 s after which one
+	// lost answer is noticed.
+	cutOffLag = 2 * time.Second
+	// cutOffFailures is the least number of failed calls in a row before that.
+	cutOffFailures = 2
 	// relayCheckInterval is the longest time between two checks of the age of relayed data.
 	relayCheckInterval = 200 * time.Millisecond
 	// maxRelayedRetryDelay bounds the time between polls of a process that others poll
@@ -52,6 +67,7 @@
 	// Only the goroutine of Run uses it.
 	aheadSince time.Duration
 	pages      []relayedPage
+	cutOff     bool // others reach the platform and this process does not
 	// offered holds rows of other processes that may be newer than those of the platform.
 	offered []Row
 }
@@ -62,12 +78,48 @@
 	after, changed uint64
 }
 
-// recordPoll records the watermark of this process's last answer from the platform.
-func (r *relay) recordPoll(p Page, changed uint64) {
+// recordPoll records the watermark of this process's last answer from the platform. It returns how much
+// newer the answer is than anything that other processes told; 0 without the platform's clock.
+func (r *relay) recordPoll(p Page, changed uint64) (lead time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if p.Clock > 0 {
-		r.polledWatermark = Watermark{Changed: changed, Clock: p.Clock}
+	if p.Clock == 0 {
+		return 0
+	}
+	r.polledWatermark = Watermark{Changed: changed, Clock: p.Clock}
+	return p.Clock - r.peerWatermark.Clock
+}
+
+// CutOff reports whether other processes reach the platform and this one does not.
+func (f *Follower) CutOff() bool {
+	f.relay.mu.Lock()
+	defer f.relay.mu.Unlock()
+	return f.relay.cutOff
+}
+
+// recordCutOff records a failed call. This process counts as cut off if another one has a newer answer.
+func (f *Follower) recordCutOff() {
+	f.failures++
+	f.relay.mu.Lock()
+	defer f.relay.mu.Unlock()
+	heardAt := f.relay.peerWatermark.Clock + f.clockSkew.offset
+	if f.failures < cutOffFailures || !f.clockSkew.known || clock.Now()-heardAt > maxRelayAge || f.relay.cutOff {
+		return
+	}
+	if lag := f.relay.peerWatermark.Clock - f.relay.polledWatermark.Clock; lag > cutOffLag {
+		f.relay.cutOff = true
+		f.cfg.Log.Warn().Str("table", f.cfg.Name).Dur("lag", lag).Msg("other processes reach the platform, this one does not")
+	}
+}
+
+// endCutOff records an answer to this process.
+func (f *Follower) endCutOff() {
+	f.failures = 0
+	f.relay.mu.Lock()
+	defer f.relay.mu.Unlock()
+	if f.relay.cutOff {
+		f.relay.cutOff = false
+		f.cfg.Log.Info().Str("table", f.cfg.Name).Msg("this process reaches the platform again")
 	}
 }
 
@@ -165,6 +217,9 @@
 // pollAt returns the time of package clock at which this process polls the platform itself unless
 // others supply newer data.
 func (f *Follower) pollAt() time.Duration {
+	if f.CutOff() {
+		return f.retryAt // notices when it reaches the platform again
+	}
 	maxAge, pageWait := f.relayLimits()
 	at := f.lastAnswer + maxAge
 	if f.relay.aheadSince > 0 {
@@ -177,7 +232,7 @@
 func (f *Follower) superseded(now time.Duration) bool {
 	known := f.applyRelayed(now)
 	maxAge, _ := f.relayLimits()
-	return known && f.polledByPeers() && now-f.lastAnswer < maxAge
+	return known && f.polledByPeers() && now-f.lastAnswer < maxAge && !f.CutOff()
 }
 
 // applyRelayed applies relayed pages and the newest watermark of other processes. When this
@@ -194,7 +249,10 @@
 	outage := time.Duration(0)
 	if at > f.lastAnswer && now-at < lostAfter {
 		outage = f.endOutage(now)
-		f.failing, f.retryDelay, f.retryAt = false, firstRetryDelay, 0
+		f.failing = false
+		if !f.CutOff() {
+			f.retryDelay, f.retryAt = firstRetryDelay, 0
+		}
 	}
 	for _, x := range pages {
 		// Rows hold the state at the page's revision, so applying known ones again
@@ -220,11 +278,22 @@
 	return true
 }
 
+// rank returns how many processes nearby poll the platform before this one.
+func (f *Follower) rank() int {
+	if f.cfg.Rank == nil {
+		return 0
+	}
+	return f.cfg.Rank()
+}
+
 // relayLimits returns the age of relayed data, and the wait for announced changes, after
 // which this process polls the platform.
 func (f *Follower) relayLimits() (maxAge, pageWait time.Duration) {
-	if f.cfg.DefersToPeer != nil && f.cfg.DefersToPeer() {
-		return maxRelayAgeDeferred, maxPageWaitDeferred
+	rank := time.Duration(f.rank())
+	if rank == 0 {
+		return maxRelayAge, maxPageWait
 	}
-	return maxRelayAge, maxPageWait
+	// Each further process waits for a growing share of the time: half, two thirds and so on. A call and
+	// its relay take some 30 ms, so that one of the first answers spares the others theirs.
+	return maxMemberRelayAge - (maxMemberRelayAge-minMemberRelayAge)/rank, maxMemberPageWait - (maxMemberPageWait-minMemberPageWait)/rank
 }
--- a/watch/relay_test.go
+++ b/watch/relay_test.go
@@ -27,6 +27,9 @@
 	silent      atomic.Bool   // calls get no answer
 	poller      atomic.Bool   // this process is a poller: no other polls for it
 	outage      time.Duration // as passed to Apply last
+	rank        atomic.Int64  // processes nearby that poll before this one
+	shared      atomic.Int64  // pages shared
+	told        atomic.Int64  // watermarks shared
 }
 
 // platformAhead is the reading of the platform's clock at the start of a test.
@@ -42,7 +45,10 @@
 		row := func() watch.Row { return watch.Row{Key: "k", Value: []byte("polled"), Revision: r.changed} }
 		r.follower = watch.New(watch.Config{
 			Name: "op", Wait: time.Second, Slack: time.Second, Log: zerolog.Nop(),
-			PolledByPeers: func() bool { return !r.poller.Load() },
+			PolledByPeers:  func() bool { return !r.poller.Load() },
+			Rank:           func() int { return int(r.rank.Load()) },
+			Share:          func(watch.Page, uint64, uint64) { r.shared.Add(1) },
+			ShareWatermark: func(watch.Watermark) { r.told.Add(1) },
 			Read: func(context.Context) (watch.Page, error) {
 				return watch.Page{Whole: true, Rows: []watch.Row{row()}, Revision: r.changed, Clock: r.clock()}, nil
 			},
@@ -204,6 +210,7 @@
 			r.follower.ObserveWatermark(watch.Watermark{Changed: 5, Clock: cut})
 		}
 		synctest.Wait()
+		assert.Assert(t, !r.follower.CutOff(), "nobody reaches the platform")
 		assert.Assert(t, r.polls.Load() >= 3 && r.polls.Load() <= 14, "%d polls in an outage of 10 s", r.polls.Load())
 		polls := r.polls.Load()
 		r.announce(5, 1500*time.Millisecond) // a poller has an answer again
@@ -261,3 +268,109 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, s.Changed, uint64(12), "other processes must read the table again")
 }
+
+// announceStale sends heartbeats with a watermark that no longer advances.
+func (r *relayedTable) announceStale(changed uint64, at, during time.Duration) {
+	for end := time.Now().Add(during); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		r.follower.ObserveWatermark(watch.Watermark{Changed: changed, Clock: at})
+	}
+	synctest.Wait()
+}
+
+// Guards against following a hub that has lost the platform for longer than a change may take to be known,
+// whatever the rank of the process: a member sent requests to the old service for 2.25 s.
+func TestHubCutOff(t *testing.T) {
+	for _, rank := range []int64{1, 2, 10, 100} {
+		withFollower(t, func(t *testing.T, r *relayedTable) {
+			r.rank.Store(rank)
+			r.announce(5, time.Second)
+			cut := r.clock()
+			r.follower.ObserveWatermark(watch.Watermark{Changed: 5, Clock: cut})
+			r.changed = 9
+			r.announceStale(5, cut, 1600*time.Millisecond)
+			assert.Equal(t, r.polls.Load(), int64(0), "it polls before the hub does")
+			r.announceStale(5, cut, 300*time.Millisecond)
+			assert.Equal(t, len(r.applied), 2, "rank %d does not know the change after 1.9 s", rank)
+		})
+	}
+}
+
+// Guards against a wait for an announced change that outlasts the age at which the process polls.
+func TestLostChangeOfOldHub(t *testing.T) {
+	withFollower(t, func(t *testing.T, r *relayedTable) {
+		r.rank.Store(1)
+		r.announce(5, time.Second)
+		at := r.clock()
+		r.follower.ObserveWatermark(watch.Watermark{Changed: 5, Clock: at})
+		r.announceStale(5, at, 1650*time.Millisecond)
+		r.changed = 9
+		r.announceStale(9, at+1600*time.Millisecond, 100*time.Millisecond)
+		assert.Equal(t, len(r.applied), 2)
+	})
+}
+
+// Guards against processes that poll one after another without telling each other, and against one that
+// tells all others of what they know.
+func TestAnswersThatAreTold(t *testing.T) {
+	check := func(t *testing.T, r *relayedTable, polls, shared, told int64) {
+		t.Helper()
+		assert.DeepEqual(t, []int64{r.polls.Load(), r.shared.Load(), r.told.Load()}, []int64{polls, shared, told})
+	}
+	withFollower(t, func(t *testing.T, r *relayedTable) {
+		r.rank.Store(1)
+		r.announce(5, time.Second)
+		cut := r.clock()
+		r.follower.ObserveWatermark(watch.Watermark{Changed: 5, Clock: cut})
+		r.announceStale(5, cut, 1800*time.Millisecond)
+		check(t, r, 1, 0, 1)
+		r.changed = 9
+		r.announceStale(5, cut, 1800*time.Millisecond)
+		check(t, r, 2, 1, 1)
+		r.changed = 12
+		r.announce(12, 1500*time.Millisecond) // the page was lost
+		check(t, r, 3, 1, 1)
+	})
+}
+
+// Guards against a hub that stays the hub while it does not reach the platform and others do, against a
+// process that does not notice when it does again, and against calls without a pause meanwhile.
+func TestCutOffIsNoticed(t *testing.T) {
+	withFollower(t, func(t *testing.T, r *relayedTable) {
+		r.poller.Store(true)
+		r.announce(5, 3*time.Second)
+		assert.Assert(t, !r.follower.CutOff())
+		r.silent.Store(true)
+		r.announce(5, 4500*time.Millisecond)
+		assert.Assert(t, r.follower.CutOff(), "not noticed after 4.5 s")
+		r.poller.Store(false)
+		polls := r.polls.Load()
+		r.announce(5, 20*time.Second)
+		assert.Assert(t, r.follower.CutOff())
+		calls := r.polls.Load() - polls
+		assert.Assert(t, calls >= 4 && calls <= 20, "%d calls in 20 s", calls)
+		r.silent.Store(false)
+		r.announce(5, 4500*time.Millisecond)
+		assert.Assert(t, !r.follower.CutOff(), "not noticed 4.5 s after the end")
+		polls = r.polls.Load()
+		r.announce(5, 5*time.Second)
+		assert.Equal(t, r.polls.Load(), polls)
+	})
+}
+
+// Guards against a new hub for each lost answer.
+func TestOneLostAnswerIsNoCutOff(t *testing.T) {
+	withFollower(t, func(t *testing.T, r *relayedTable) {
+		r.poller.Store(true)
+		r.announce(5, 3*time.Second)
+		polls := r.polls.Load()
+		r.silent.Store(true)
+		for r.polls.Load() == polls {
+			r.announce(5, 100*time.Millisecond)
+		}
+		r.silent.Store(false)
+		for range 40 {
+			r.announce(5, 100*time.Millisecond)
+			assert.Assert(t, !r.follower.CutOff())
+		}
+	})
+}
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -76,15 +76,19 @@
 	// PolledByPeers reports whether other processes poll the platform for this one;
 	// nil means never.
 	PolledByPeers func() bool
-	// DefersToPeer reports whether another process nearby polls the platform before
-	// this one, and shares the answer, when relayed data is old or an announced
-	// change has not arrived; nil means never.
-	DefersToPeer func() bool
+	// Rank returns how many processes nearby poll the platform before this one, and
+	// share the answer, when relayed data is old or an announced change has not
+	// arrived; nil means none.
+	Rank func() int
 	// Share is called with the changes that this process polled, to relay them to
 	// others; may be nil. after and changed are the revisions of the table's last
-	// change before the page and with it.
+	// change before the page and with it. A process of a higher rank than 0 shares only
+	// what is much newer than anything that the others told.
 	Share func(p Page, after, changed uint64)
-	Wait  time.Duration // longest wait of one poll
+	// ShareWatermark is called when an answer without changes is much newer than
+	// anything that the others told, so that they need not poll as well; may be nil.
+	ShareWatermark func(w Watermark)
+	Wait           time.Duration // longest wait of one poll
 	// BatchDelay is the pause after a page with changes, so that a sequence of single
 	// changes shares a poll.
 	BatchDelay time.Duration
@@ -112,6 +116,7 @@
 	lastAnswer time.Duration // clock.Now of the last answer to this process, or to one that relayed it
 	lost       bool
 	failing    bool          // the last call failed
+	failures   int           // failed calls since the last answer to this process
 	retryDelay time.Duration // before the next retry of a failed call
 	retryAt    time.Duration // clock.Now of that retry while others poll for this process
 	clockSkew  clockSkew
@@ -290,7 +295,7 @@
 	timeout, ask := readTimeout, f.cfg.Read
 	if f.known {
 		revision, wait := f.revision, f.cfg.Wait
-		if f.failing || f.polledByPeers() {
+		if f.failing || f.failures > 0 || f.polledByPeers() {
 			wait = 0 // an immediate answer confirms the current state
 		}
 		timeout = wait + f.cfg.Slack
@@ -332,19 +337,31 @@
 		outage = max(outage, now-f.lastAnswer, time.Nanosecond)
 	}
 	f.failing, f.lastAnswer = false, now
+	f.endCutOff()
 	after := f.changed
 	f.known, f.revision, f.complete = true, p.Revision, p.Revision
 	f.changed = max(f.changed, lastChange(p))
-	f.relay.recordPoll(p, f.changed)
-	if f.cfg.Share != nil && !p.Whole && f.changed > after {
-		f.cfg.Share(p, after, f.changed)
-	}
+	lead := f.relay.recordPoll(p, f.changed)
+	f.share(p, after, lead)
 	if p.Whole || len(p.Rows) > 0 || outage > 0 {
 		f.apply(p, outage)
 	}
 	f.confirm(startedAt)
 }
 
+// share relays an answer to the others. lead is how much newer it is than anything that they told.
+func (f *Follower) share(p Page, after uint64, lead time.Duration) {
+	switch leads := lead > minSharedLead; {
+	case p.Whole:
+	case f.changed > after:
+		if f.cfg.Share != nil && (leads || f.rank() == 0) {
+			f.cfg.Share(p, after, f.changed)
+		}
+	case leads && f.cfg.ShareWatermark != nil && f.polledByPeers():
+		f.cfg.ShareWatermark(Watermark{Changed: f.changed, Clock: p.Clock})
+	}
+}
+
 // endOutage ends an outage and returns its length; 0 when there was none.
 func (f *Follower) endOutage(now time.Duration) time.Duration {
 	if !f.lost {
@@ -375,6 +392,7 @@
 // recordFailure records a failed call and logs the start of an outage.
 func (f *Follower) recordFailure(err error) {
 	f.failing = true
+	f.recordCutOff()
 	if f.lost || clock.Now()-f.lastAnswer < lostAfter {
 		return
 	}
