watch: a held up answer of the store makes nothing look newer

Cause: clockSkew took the time at which the first answer was received for the time at which the store had made it, and afterwards only ever lowered the difference of the two clocks. A process that waited in a queue for the state of another one kept too low a difference for good and polled again and again, and with clocks of different speeds the age of a poller drifted.

Change: each call bounds the difference from both sides: the store answered after the call began and before its answer arrived. The estimate starts at the lower bound, so that nothing looks newer than it is, and later calls move it into their bounds. The first two calls, and one every 10 minutes, ask for an answer without a wait, which bounds it closely.

Tests that failed before: watch.TestFirstAnswerHeldUp and TestStateAfterFirstAnswerHeldUp (age 1 ms instead of 3 s and 1.2 s), TestClocksOfDifferentSpeeds (1.15 s instead of 1.1 s at most after 6 hours).

Conclusion: an age may be overstated for a moment, which costs a call, and is not understated by a pause of the process.

--- a/watch/relay.go
+++ b/watch/relay.go
@@ -245,7 +245,7 @@
 	f.relay.pages, f.relay.offered = nil, nil
 	f.relay.mu.Unlock()
 	f.adoptOffered(offered)
-	at := newest.Clock + f.clockSkew.offset
+	at := f.clockSkew.toLocal(newest.Clock, now)
 	outage := time.Duration(0)
 	if at > f.lastAnswer && now-at < lostAfter {
 		outage = f.endOutage(now)
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -103,7 +103,13 @@
 	// they share the platform's network link, and a read that times out early has to
 	// start over.
 	readTimeout = 15 * time.Second
-	lostAfter   = time.Second // time without an answer after which the platform counts as lost
+	// skewCalls is the number of calls without a wait from which the difference of the clocks is
+	// estimated. The first one reads the whole table while others start, and may wait in a queue.
+	skewCalls = 2
+	// skewInterval is the longest time between two such calls of a process that polls with a wait. Clocks
+	// that differ by 0.01 % move apart by 60 ms meanwhile.
+	skewInterval = 10 * time.Minute
+	lostAfter    = time.Second // time without an answer after which the platform counts as lost
 )
 
 // Follower follows one table.
@@ -129,21 +135,38 @@
 	state State // without rows; a copy of the fields above after the last answer
 }
 
-// clockSkew maps the platform's clock to package clock. It keeps the least difference
-// seen, that of the answer with the shortest transit time, until the platform's clock
-// goes back. Derived times are therefore late by at most that transit time.
+// clockSkew maps the platform's clock to package clock. A call bounds the difference of the two clocks: the
+// platform answered after the call began and before its answer was received, which may be much later if
+// this process was paused. The estimate starts at the lower bound and moves only as far as later calls
+// require, so that what is derived from it does not look newer than it is.
 type clockSkew struct {
-	known  bool
-	last   time.Duration // of the platform's clock
-	offset time.Duration
+	calls     int // that the estimate is based on
+	known     bool
+	offset    time.Duration // of package clock to the platform's clock
+	boundedAt time.Duration // clock.Now of the last call without a wait
 }
 
-// toLocal returns the time of package clock at which the platform answered.
-func (k *clockSkew) toLocal(page, received time.Duration) time.Duration {
-	if d := received - page; !k.known || d < k.offset || page < k.last {
-		k.known, k.offset = true, d
+// observe takes an answer to a call that began at asked, and returns the time of package clock, not later
+// than it was, at which the platform answered.
+func (k *clockSkew) observe(page, asked, received time.Duration) time.Duration {
+	least, most := asked-page, received-page
+	if !k.known {
+		k.known, k.offset = true, least
 	}
-	k.last = page
+	k.calls++
+	k.offset = min(max(k.offset, least), most)
+	return page + k.offset
+}
+
+// needsCall reports whether the next call has to be answered without a wait, to bound the estimate.
+func (k *clockSkew) needsCall(now time.Duration) bool {
+	return k.known && (k.calls < skewCalls || now-k.boundedAt > skewInterval)
+}
+
+// toLocal returns the time of package clock that corresponds to a reading of the platform's clock that
+// this process has learned by now.
+func (k *clockSkew) toLocal(page, now time.Duration) time.Duration {
+	k.offset = min(k.offset, now-page)
 	return page + k.offset
 }
 
@@ -195,7 +218,7 @@
 // adoptState takes over the table as another process knows it.
 func (f *Follower) adoptState(s State) {
 	f.known, f.revision, f.complete, f.changed = true, s.Revision, s.Complete, s.Changed
-	f.clockSkew = clockSkew{known: true, last: s.Clock, offset: s.At - s.Clock}
+	f.clockSkew = clockSkew{known: true, offset: s.At - s.Clock}
 	f.lastAnswer = s.At
 	f.apply(s.Page, 0)
 	f.confirm(s.At)
@@ -295,8 +318,9 @@
 	timeout, ask := readTimeout, f.cfg.Read
 	if f.known {
 		revision, wait := f.revision, f.cfg.Wait
-		if f.failing || f.failures > 0 || f.polledByPeers() {
-			wait = 0 // an immediate answer confirms the current state
+		if now := clock.Now(); f.failing || f.failures > 0 || f.polledByPeers() || f.clockSkew.needsCall(now) {
+			wait = 0 // an immediate answer confirms the current state and bounds the clock
+			f.clockSkew.boundedAt = now
 		}
 		timeout = wait + f.cfg.Slack
 		ask = func(ctx context.Context) (Page, error) { return f.cfg.Poll(ctx, revision, wait) }
@@ -329,7 +353,7 @@
 func (f *Follower) applyAnswer(p Page, startedAt time.Duration) {
 	now := clock.Now()
 	if p.Clock > 0 {
-		startedAt = max(startedAt, f.clockSkew.toLocal(p.Clock, now))
+		startedAt = max(startedAt, f.clockSkew.observe(p.Clock, startedAt, now))
 	}
 	outage := f.endOutage(now)
 	if f.isRestored(p) {
