entry: answer a call whose answer with a length was cut off

Callers saw: a service broke off in the body of an answer with Content-Length, and the connection ended without a byte: neither an answer nor a refusal.

Cause: the part of the body that had arrived went into the buffer of net/http's server. The connection was then closed, since an answer had begun, but neither its head nor its body had been sent.

Change: of an answer with a length the first 32 KiB, or all, are read before a byte is written. A cut in them is answered with 502 and may have run. After that the connection is still closed in the middle of the answer.

Conclusion: a cut head never became an answer here; a cut body now ends in a complete refusal unless 32 KiB or a chunk have been passed on.

--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -184,3 +184,71 @@
 		}
 	})
 }
+
+// TestCutAnswerHasNoEnd guards against a model answer that was cut off at any byte of
+// its head or frames and is taken as whole, since its last frame is.
+func TestCutAnswerHasNoEnd(t *testing.T) {
+	frames := `{"tag":1,"attempt":1,"position":0,"token":"x"}` + "\n" + `{"tag":1,"attempt":1,"position":1,"stop":"end"}` + "\n"
+	half := len(frames) / 2
+	for name, whole := range map[string]string{
+		"length":   fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(frames), frames),
+		"chunks":   fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n", half, frames[:half], len(frames)-half, frames[half:]),
+		"unframed": "HTTP/1.1 200 OK\r\n\r\n" + frames,
+	} {
+		for _, reset := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, reset %t", name, reset), func(t *testing.T) {
+				var cut atomic.Int64
+				address := startCutServer(t, reset, func() string { return whole[:cut.Load()] })
+				end := strings.Index(whole, "end\"}\n") + len("end\"}\n")
+				for n := range len(whole) + 1 {
+					cut.Store(int64(n))
+					assert.Assert(t, !endsWithStop(t, address) || n >= end, "whole at %d of %d bytes", n, len(whole))
+				}
+				assert.Assert(t, reset || endsWithStop(t, address), "the whole answer is not taken as whole")
+			})
+		}
+	}
+}
+
+// startCutServer starts a server that answers each request and then closes or resets
+// the connection, and returns its address.
+func startCutServer(t *testing.T, reset bool, answer func() string) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if rq, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = io.Copy(io.Discard, rq.Body)
+			}
+			_, _ = io.WriteString(c, answer())
+			if reset {
+				_ = c.(*net.TCPConn).SetLinger(0)
+			}
+			_ = c.Close()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// endsWithStop runs a job and reports whether its answer had a frame with a stop reason.
+func endsWithStop(t *testing.T, address string) bool {
+	a, err := generate(t.Context(), address)
+	if err != nil {
+		return false
+	}
+	defer a.Close()
+	for {
+		var f engine.Frame
+		if err := a.Next(&f); err != nil {
+			return false
+		}
+		if f.Stop != "" {
+			return true
+		}
+	}
+}
--- a/entry/service.go
+++ b/entry/service.go
@@ -125,9 +125,10 @@
 
 var copyBuffers = sync.Pool{New: func() any { buf := make([]byte, copyBufferSize); return &buf }}
 
-// writeAnswer streams the answer of a service to the caller. When the answer is
-// cut off after its header was sent, the connection is closed, so that the caller
-// sees that the answer is incomplete.
+// writeAnswer streams the answer of a service to the caller. An answer that is cut
+// off before a part of it was sent is answered with the error. Later the connection
+// is closed, so that the caller sees that the answer is incomplete; the first part of
+// an answer with a length is sent once copyBufferSize bytes or the end are there.
 func writeAnswer(c *gin.Context, resp *proxy.Answer) {
 	defer resp.Body.Close()
 	header := c.Writer.Header()
@@ -142,7 +143,13 @@
 	buf := copyBuffers.Get().(*[]byte)
 	defer copyBuffers.Put(buf)
 	for {
-		n, err := resp.Body.Read(*buf)
+		n, err := readAnswer(resp.Body, *buf, !c.Writer.Written())
+		failed := err != nil && err != io.EOF //nolint:errorlint // readers return io.EOF itself
+		if failed && !c.Writer.Written() {
+			clear(header)
+			writeProblem(c, err)
+			return
+		}
 		if n > 0 {
 			if _, werr := c.Writer.Write((*buf)[:n]); werr != nil {
 				return
@@ -151,17 +158,22 @@
 				c.Writer.Flush()
 			}
 		}
-		if err == io.EOF { //nolint:errorlint // readers return io.EOF itself
-			break
+		if failed {
+			panic(http.ErrAbortHandler)
 		}
 		if err != nil {
-			if !c.Writer.Written() {
-				clear(header)
-				writeProblem(c, err)
-				return
-			}
-			panic(http.ErrAbortHandler)
+			break
 		}
 	}
 	c.Writer.WriteHeaderNow()
 }
+
+// readAnswer reads a part of an answer: what there is, or as much as buf takes.
+func readAnswer(body io.Reader, buf []byte, fill bool) (n int, err error) {
+	for err == nil && n < len(buf) && (n == 0 || fill) {
+		var more int
+		more, err = body.Read(buf[n:])
+		n += more
+	}
+	return n, err
+}
--- a/entry/system_test.go
+++ b/entry/system_test.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -79,9 +81,10 @@
 		return nil, refused
 	}
 	a, b := net.Pipe()
+	reset := &atomic.Bool{}
 	select {
-	case l.conns <- b:
-		return a, nil
+	case l.conns <- lingerConn{b, reset}:
+		return resetConn{a, reset}, nil
 	case <-l.closed:
 		return nil, refused
 	case <-ctx.Done():
@@ -89,6 +92,29 @@
 	}
 }
 
+// lingerConn is the end of a connection that a listener accepted. Its owner may reset
+// it, as net.TCPConn does after SetLinger(0).
+type lingerConn struct {
+	net.Conn
+	reset *atomic.Bool
+}
+
+func (c lingerConn) SetLinger(sec int) error { c.reset.Store(sec == 0); return nil }
+
+// resetConn is the other end.
+type resetConn struct {
+	net.Conn
+	reset *atomic.Bool
+}
+
+func (c resetConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if errors.Is(err, io.EOF) && c.reset.Load() {
+		err = &net.OpError{Op: "read", Err: syscall.ECONNRESET}
+	}
+	return n, err
+}
+
 // system is a set of entry processes and servers of the plain service "desk".
 type system struct {
 	*network
--- a/fakes/gate.go
+++ b/fakes/gate.go
@@ -92,6 +92,14 @@
 	return c.Conn.Write(b)
 }
 
+// SetLinger sets what a close does, as that of net.TCPConn, if the connection has that.
+func (c gatedConn) SetLinger(sec int) error {
+	if tcp, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		return tcp.SetLinger(sec)
+	}
+	return errors.ErrUnsupported
+}
+
 type gatedListener struct {
 	net.Listener
 	gate *Gate
