proxy, entry: pass on an answer without length or chunks as it came

Callers saw: a service whose answers have neither a length nor chunks stopped after its head or in its body and closed, and the caller got a 200 with an empty or short body, framed as whole (with chunks of ours, or with a Content-Length when it was recorded under a key, and so in each replay).

Cause: such an answer ends with its connection, so that a cut one can't be told from a whole one. The new framing stated what nobody knew.

Change: the answer is passed on, recorded and replayed without a length and chunks; it ends with the caller's connection. If the connection to the service is reset, so is the caller's. It is not refused, since that would end each call of a service that frames no answer, and RFC 9112, 6.3 allows it.

Evidence: before, entry.TestCutAnswerIsNoSuccess failed in the unframed cases ("cut at 45 of 57: framed as whole ... [chunked]"), with and without a key. Now it passes at each byte, FIN and RST. The rest of the tests of entry, proxy, fakes and node pass with the race detector.

Conclusion: no cut answer is framed as whole by us. A caller of a service that frames nothing sees what it would see without us.

--- a/entry/atmostonce.go
+++ b/entry/atmostonce.go
@@ -194,7 +194,7 @@
 	if header == nil {
 		header = http.Header{}
 	}
-	if header.Get("Content-Length") == "" && len(o.Body) > 0 {
+	if header.Get("Content-Length") == "" && header.Get("Transfer-Encoding") != proxy.Unframed && len(o.Body) > 0 {
 		header.Set("Content-Length", strconv.Itoa(len(o.Body)))
 	}
 	return &proxy.Answer{Status: o.Status, Header: header, Body: io.NopCloser(bytes.NewReader(o.Body))}
--- a/entry/listener.go
+++ b/entry/listener.go
@@ -278,3 +278,15 @@
 		c.headerStarted = false
 	}
 }
+
+// resetCaller makes the connection of the caller end with a reset. The end of the
+// connection may be the only end that an answer has.
+func resetCaller(c *gin.Context) {
+	cc, ok := c.Request.Context().Value(connKey{}).(*callerConn)
+	if !ok {
+		return
+	}
+	if tcp, ok := cc.Conn.(interface{ SetLinger(sec int) error }); ok {
+		_ = tcp.SetLinger(0) // fails only on a connection that has ended
+	}
+}
--- a/entry/service.go
+++ b/entry/service.go
@@ -159,6 +159,9 @@
 			}
 		}
 		if failed {
+			if resp.Header.Get("Transfer-Encoding") == proxy.Unframed {
+				resetCaller(c)
+			}
 			panic(http.ErrAbortHandler)
 		}
 		if err != nil {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -34,7 +34,14 @@
 	OnSend func(server string)
 }
 
-// Answer is the answer of a service. Its body is streamed and must be closed.
+// Unframed is the value of the header Transfer-Encoding of an answer that has neither
+// a length nor chunks. Its body ends with the connection, so that nobody can tell
+// whether it is whole. It must be passed on in the same way: net/http's server closes
+// the connection at the end of an answer with this header and does not send the header.
+const Unframed = "identity"
+
+// Answer is the answer of a service. Its body is streamed and must be closed. Of the
+// hop-by-hop headers it has Transfer-Encoding at most, see Unframed.
 type Answer struct {
 	Status int
 	Header http.Header
@@ -115,6 +122,9 @@
 		return nil, refusal(address, response.Header)
 	}
 	removeHopHeaders(response.Header)
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 && call.Method != http.MethodHead {
+		response.Header.Set("Transfer-Encoding", Unframed)
+	}
 	return &Answer{Status: response.StatusCode, Header: response.Header, Body: x}, nil
 }
 
