guard: a request that waited in vain for its turn has not run

Callers saw: an order that came again after a crash waited for its turn to run alone, was never sent, and ended as "may have run". Its caller could not send it again, so that an order that never ran was lost.

Cause: Case.Admit gave the timeout the verdict may-have-run in all cases, also to a request of which no server had seen anything.

Change: not run, unless a server may have run it or crashed under it.

Evidence: before, TestRequestThatWaitedHasNotRun failed ("may-have-run != not-run"). Now go test -race -count=1 ./guard ./proxy ./entry passes.

Conclusion: the verdict of a wait for a turn is true; the same verdict reaches the caller when a planned stop ends the wait.

--- a/guard/guard.go
+++ b/guard/guard.go
@@ -170,7 +170,8 @@
 //   - fault.Quarantined with verdict NotRun for a request that was not sent
 //   - fault.Crashed with verdict MayHaveRun for one that was, or under which servers
 //     crashed
-//   - fault.Timeout when its turn did not come in time
+//   - fault.Timeout when its turn did not come in time, with verdict NotRun or
+//     MayHaveRun likewise
 //
 // They have the time to come back.
 func (c *Case) Admit(ctx context.Context, deadline time.Time, mayHaveRun bool) error {
@@ -183,7 +184,11 @@
 		defer cancel()
 	}
 	if err := c.takeTurn(ctx); err != nil {
-		return fault.New(fault.Config{Verdict: fault.MayHaveRun, Code: fault.Timeout, Reason: "the deadline passed before the request could be repeated", RetryAt: time.Now().Add(maxTrial), Cause: err})
+		cfg := fault.Config{Verdict: fault.NotRun, Code: fault.Timeout, Reason: "the deadline passed before the request could be sent alone", RetryAt: time.Now().Add(maxTrial), Cause: err}
+		if mayHaveRun || c.crashes > 0 {
+			cfg.Verdict = fault.MayHaveRun
+		}
+		return fault.New(cfg)
 	}
 	return c.check(mayHaveRun)
 }
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -91,3 +91,24 @@
 		suspects[2].Close()
 	})
 }
+
+// TestRequestThatWaitedHasNotRun guards against a request that was never sent, waited in
+// vain for its turn alone, and is answered as one that may have run: its caller could
+// not send it again.
+func TestRequestThatWaitedHasNotRun(t *testing.T) {
+	virtually(t, func(t *testing.T, g *guard.Guard) {
+		first := g.Open(request("hotel", "deadly"))
+		assert.NilError(t, admit(first))
+		crash(first, "server-", 2, 10*time.Millisecond)
+		assert.NilError(t, admit(first)) // has the turn
+		again := g.Open(request("hotel", "deadly"))
+		assert.Assert(t, again.Alone())
+		err := again.Admit(context.Background(), time.Now().Add(time.Second), false)
+		assert.Equal(t, fault.CodeOf(err), fault.Timeout)
+		assert.Equal(t, fault.VerdictOf(err), fault.NotRun, "%v", err)
+		err = again.Admit(context.Background(), time.Now().Add(time.Second), true)
+		assert.Equal(t, fault.VerdictOf(err), fault.MayHaveRun, "%v", err)
+		first.Close()
+		again.Close()
+	})
+}
