relay: test a stop while requests wait for a place after a pause

Callers: none. One row of the table in docs/design.md had no test of its own: a request that waits, 0.1 s at most, because another one is the first after a pause.

Change: TestReturnsAfterAPauseDuringAStop. Evidence: with Relay.Stop empty the request is sent and ends as may-have-run; with it, it is refused as not run, for all kinds, with -race.

--- a/relay/wait_test.go
+++ b/relay/wait_test.go
@@ -452,3 +452,37 @@
 		}
 	}
 }
+
+// Guards against a request that waits for a place among the first ones after a pause, in a process that stops
+// before.
+func TestReturnsAfterAPauseDuringAStop(t *testing.T) {
+	for _, kind := range allKinds {
+		t.Run(kind.String(), func(t *testing.T) {
+			runVirtual(t, func(t *testing.T) {
+				x := newSpeakers(t, engineEntry("a", "near", 0, 8))
+				x.rest()
+				x.onSend = hangs
+				time.Sleep(holdPause + 250*time.Millisecond) // and the random addition to it
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				go x.serve(ctx, heldRequest(config.AtMostOnce)) // the first one, without an answer so far
+				time.Sleep(time.Millisecond)
+				done := make(chan callerResult, 1)
+				go func() { done <- x.serve(ctx, heldRequest(kind)) }()
+				time.Sleep(time.Millisecond)
+				assert.Equal(t, x.attemptCount(), 1, "the request does not wait")
+				x.relay.Stop(stopAfter(time.Millisecond, 20*time.Second))
+				begun := time.Now()
+				checkStopped(t, <-done, 150*time.Millisecond)
+				assert.Assert(t, time.Since(begun) <= 10*time.Millisecond, time.Since(begun))
+				assert.Equal(t, x.attemptCount(), 1)
+			})
+		})
+	}
+}
+
+// hangs is a server that does not answer.
+func hangs(ctx context.Context, _ int, _ *relay.Request, _ relay.Attempt) (*relay.Answer, error) {
+	<-ctx.Done()
+	return nil, connectionReset()
+}
