--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -38,39 +38,79 @@
 	return rs.StatusCode, body, json.NewDecoder(rs.Body).Decode(&body)
 }
 
+// stopDocumentsWith returns stopDocuments with the key of the account.
+func stopDocumentsWith(key string) []string {
+	return strings.Split(strings.Replace(stopDocuments, "KEY", spec.HashKey(key), 1), "---")
+}
+
+// orderAnswer is the answer to one order.
+type orderAnswer struct {
+	status  int
+	problem fault.Problem
+	err     error
+}
+
+const orders = 20 // four more than the service has slots
+
+// startOrders starts an entry process and orders, more than the service has slots, that
+// run for a time each. An order before them has been answered.
+func startOrders(t *testing.T, took time.Duration, modify func(*node.Settings)) (*process, *fakes.Service, chan orderAnswer) {
+	t.Helper()
+	platform, all := startCluster(t, 1, modify)
+	p := all[0]
+	desk := fakes.NewService()
+	srv := httptest.NewServer(desk.Handler())
+	t.Cleanup(srv.Close)
+	platform.SetVM(plat.VM{Name: "desk-1", Address: srv.Listener.Addr().String(), Domain: "domain-0", Service: "desk"})
+	p.publish(t, stopDocumentsWith("key")...)
+	eventually(t, 10*time.Second, "an order is served", func() bool {
+		status, _, err := p.postOrder()
+		return err == nil && status == http.StatusCreated
+	})
+	desk.SetFaults(fakes.ServiceFaults{Delay: took})
+	answers := make(chan orderAnswer)
+	for range orders {
+		go func() {
+			status, problem, err := p.postOrder()
+			answers <- orderAnswer{status, problem, err}
+		}()
+	}
+	eventually(t, 5*time.Second, "orders run", func() bool { return desk.Calls() >= 17 })
+	time.Sleep(200 * time.Millisecond)
+	return p, desk, answers
+}
+
+// TestChangeAnswersEachRequest guards against a request that gets no answer when the
+// key, the limits or the service that it came with change or go away, while it runs or
+// waits for a slot.
+func TestChangeAnswersEachRequest(t *testing.T) {
+	p, desk, answers := startOrders(t, 3*time.Second, func(*node.Settings) {})
+	changed := stopDocumentsWith("another key")
+	changed[1] = strings.Replace(changed[1], "1m", "2s", 1)
+	changed[2] = strings.NewReplacer("rate = 200", "rate = 1", "inflight = 100", "inflight = 1").Replace(changed[2])
+	p.publish(t, changed...)
+	time.Sleep(500 * time.Millisecond)
+	p.publish(t, changed[0])
+	eventually(t, 5*time.Second, "the key is no longer valid", func() bool {
+		status, _, err := p.postOrder()
+		return err == nil && status == http.StatusUnauthorized
+	})
+	for range orders {
+		a := <-answers
+		assert.NilError(t, a.err)
+		assert.Equal(t, a.status, http.StatusCreated, "%v", a.problem)
+	}
+	assert.Equal(t, desk.Calls(), orders+1)
+	p.stop(t)
+}
+
 // TestStopBoundAnswersEachRequest guards against requests whose connections a planned
 // stop closes without an answer when its time is over: orders that run and orders that
 // wait for a slot, after POST /drain and after SIGTERM.
 func TestStopBoundAnswersEachRequest(t *testing.T) {
 	for name, drain := range map[string]bool{"drain": true, "signal": false} {
 		t.Run(name, func(t *testing.T) {
-			platform, all := startCluster(t, 1, func(s *node.Settings) { s.Listen.Stop = spec.Duration{Duration: 12 * time.Second} })
-			p := all[0]
-			desk := fakes.NewService()
-			srv := httptest.NewServer(desk.Handler())
-			defer srv.Close()
-			platform.SetVM(plat.VM{Name: "desk-1", Address: srv.Listener.Addr().String(), Domain: "domain-0", Service: "desk"})
-			p.publish(t, strings.Split(strings.Replace(stopDocuments, "KEY", spec.HashKey("key"), 1), "---")...)
-			eventually(t, 10*time.Second, "an order is served", func() bool {
-				status, _, err := p.postOrder()
-				return err == nil && status == http.StatusCreated
-			})
-			desk.SetFaults(fakes.ServiceFaults{Delay: 9 * time.Second})
-			type answer struct {
-				status  int
-				problem fault.Problem
-				err     error
-			}
-			answers := make(chan answer)
-			const orders = 20 // 16 slots
-			for range orders {
-				go func() {
-					status, problem, err := p.postOrder()
-					answers <- answer{status, problem, err}
-				}()
-			}
-			eventually(t, 5*time.Second, "orders run", func() bool { return desk.Calls() >= 17 })
-			time.Sleep(200 * time.Millisecond)
+			p, desk, answers := startOrders(t, 9*time.Second, func(s *node.Settings) { s.Listen.Stop = spec.Duration{Duration: 12 * time.Second} })
 			start := time.Now()
 			stopped := make(chan error, 1)
 			go func() {
