claim, node: a planned stop writes the outcomes of its calls

Callers saw: an order ran and was answered, the table service was away when its process stopped, and a repeat under the same key got "may have run" in place of the answer, for good. A call that had not run, and whose release was not written, got the same and could never run under its key.

Cause: states that could not be written are kept in memory and written later; a planned stop ended the process without waiting for them.

Without an outage of the table it does not wait.

Evidence: before, node.TestStopWritesOutcomes failed: the row of the order had the state "claimed" of a process that had ended. Now it has the state "done". go test -race -count=1 ./claim ./node passes.

--- a/claim/finish.go
+++ b/claim/finish.go
@@ -218,6 +218,8 @@
 	MaintenanceInterval = 500 * time.Millisecond
 	// retryTimeout bounds one call of RetryPendingWrites.
 	retryTimeout = 10 * time.Second
+	// awaitInterval is the time between two checks in AwaitWrites.
+	awaitInterval = 20 * time.Millisecond
 )
 
 // Run calls Maintain every MaintenanceInterval until ctx ends.
@@ -258,6 +260,17 @@
 	return len(m.unwritten)
 }
 
+// AwaitWrites waits until PendingWrites is zero or ctx ends. Maintain must be called
+// meanwhile.
+func (m *Manager) AwaitWrites(ctx context.Context) {
+	for m.PendingWrites() > 0 && ctx.Err() == nil {
+		select {
+		case <-time.After(awaitInterval):
+		case <-ctx.Done():
+		}
+	}
+}
+
 // RetryPendingWrites tries once to write the rows that could not be written
 // before, up to MaxBatchRows of them.
 func (m *Manager) RetryPendingWrites(ctx context.Context) {
--- a/node/background.go
+++ b/node/background.go
@@ -33,6 +33,11 @@
 	return pool.New(pool.Config{Workers: workerCount, OnPanic: func(v any) { l.Error().Interface("panic", v).Msg("background task panicked") }})
 }
 
+// lastWriteTime bounds the wait of a planned stop for the outcomes of calls that are
+// not in the table yet. When they are lost, a repeat of the call is answered as one that
+// may have run. It is a part of endReserve, and longer than a short outage of the table.
+const lastWriteTime = endReserve / 3
+
 func fixedInterval(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
 
 type backgroundParams struct {
@@ -85,6 +90,12 @@
 	p.Pool.Every("guard", fixedInterval(time.Second), func(context.Context) { p.Peers.drainIfSuperseded(p.Entry) })
 	p.Lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error { p.Pool.Start(); return nil },
-		OnStop:  func(context.Context) error { p.Pool.Stop(); return nil },
+		OnStop: func(ctx context.Context) error {
+			ctx, cancel := context.WithTimeout(ctx, lastWriteTime)
+			defer cancel()
+			p.Claims.AwaitWrites(ctx)
+			p.Pool.Stop()
+			return nil
+		},
 	})
 }
--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -23,12 +23,15 @@
 	"[account]\nname = \"hotel\"\nteam = \"desk\"\nservices = [\"desk\"]\nweight = 1\nrate = 200\ninflight = 100\nkeys = [\"KEY\"]\n"
 
 // postOrder places an order and returns the whole answer.
-func (p *process) postOrder() (int, fault.Problem, error) {
+func (p *process) postOrder(header ...string) (int, fault.Problem, error) {
 	rq, err := http.NewRequest(http.MethodPost, "http://"+p.settings.Listen.Callers+"/services/desk/orders", strings.NewReader("refill"))
 	if err != nil {
 		return 0, fault.Problem{}, err
 	}
 	rq.Header.Set("Authorization", "Bearer key")
+	for i := 0; i < len(header); i += 2 {
+		rq.Header.Set(header[i], header[i+1])
+	}
 	rs, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(rq)
 	if err != nil {
 		return 0, fault.Problem{}, err
@@ -141,3 +144,31 @@
 		})
 	}
 }
+
+// TestStopWritesOutcomes guards against the outcome of an order that is lost since the
+// table service is away for a moment when the process stops.
+func TestStopWritesOutcomes(t *testing.T) {
+	platform, all := startCluster(t, 1)
+	p := all[0]
+	desk := fakes.NewService()
+	srv := httptest.NewServer(desk.Handler())
+	defer srv.Close()
+	platform.SetVM(plat.VM{Name: "desk-1", Address: srv.Listener.Addr().String(), Domain: "domain-0", Service: "desk"})
+	p.publish(t, stopDocumentsWith("key")...)
+	eventually(t, 10*time.Second, "an order is served", func() bool {
+		status, _, err := p.postOrder()
+		return err == nil && status == http.StatusCreated
+	})
+	desk.SetFaults(fakes.ServiceFaults{Delay: time.Second})
+	time.AfterFunc(500*time.Millisecond, func() { platform.Table().SetFaults(fakes.PlatformFaults{Down: true}) })
+	status, _, err := p.postOrder("Idempotency-Key", "order-1")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusCreated)
+	time.AfterFunc(time.Second, func() { platform.Table().SetFaults(fakes.PlatformFaults{}) })
+	p.stop(t)
+	time.Sleep(time.Second)
+	rows, err := platform.Table().Client().Scan(t.Context(), "claim/", "", 10)
+	assert.NilError(t, err)
+	assert.Equal(t, len(rows), 1)
+	assert.Assert(t, strings.Contains(string(rows[0].Value()), `"state":"done"`), "%s", rows[0].Value())
+}
