link: a request that waited for a connection is checked once more before it is sent

Cause: the wait for a connection comes after relay.maySend. The configuration was not looked at again after it either.

Change: link asks Request.MaySend once it has the connection; relay sets it to maySend. The request is refused as not run.

The wait itself, 2 s at most, does not end at the stop; its request is refused after it.

--- a/link/link.go
+++ b/link/link.go
@@ -42,6 +42,9 @@
 	// AllowReuse allows the use of an idle connection. The server may close it just when
 	// the request is sent, and then it is unknown whether the request ran.
 	AllowReuse bool
+	// MaySend returns the error for a request that must not be sent any more after its wait for a connection,
+	// or nil; it may be nil. The error is that of Do.
+	MaySend func() error
 	// Urgent requests don't wait for room, and may exceed the limit of connections to the server.
 	Urgent bool
 }
@@ -274,6 +277,12 @@
 	if err != nil {
 		return nil, err
 	}
+	if rq.MaySend != nil {
+		if err := rq.MaySend(); err != nil {
+			c.abandon(k, rq)
+			return nil, err
+		}
+	}
 	return c.exchange(ctx, k, rq)
 }
 
--- a/link/pool.go
+++ b/link/pool.go
@@ -154,6 +154,16 @@
 	return k, err
 }
 
+// abandon ends the use of a connection on which no request was sent.
+func (c *Client) abandon(k *conn, rq *Request) {
+	_ = k.Close()
+	if rq.AllowReuse {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.poolOf(k.address).end(time.Now())
+	}
+}
+
 // takeOrOpen is acquire without the count of requests.
 func (c *Client) takeOrOpen(ctx context.Context, address string, rq *Request) (*conn, error) {
 	if rq.AllowReuse {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -53,6 +53,9 @@
 	// Allowed returns the error for a request that the configuration no longer allows, or nil. It is called
 	// after waits. nil if the configuration does not matter.
 	Allowed func() error
+	// MaySend returns the error for an attempt that must not be sent after it waited for a connection, or nil.
+	// Set by Serve.
+	MaySend func() error
 
 	attempts   atomic.Int32 // attempts sent so far
 	mayHaveRun atomic.Bool  // set once an attempt may have been executed
@@ -232,6 +235,7 @@
 	defer context.AfterFunc(r.waits.ending, cancel)()
 	r.cfg.Budget(req.Service.Name).AddRequest()
 	r.reports.budget.AddRequest()
+	req.MaySend = func() error { return r.maySend(req, false) }
 	req.parts = poison.PartsOf(req.Service.Name, req.PromptParts)
 	req.identity = sync.OnceValue(req.newIdentity)
 	err := r.lastAnswer(caller, req, r.serveByKind(ctx, req, sink))
