edge: a stop ends within a short grace period

Change: the listener closes at the end of the usable time if that comes first. Evidence: TestStopKeepsToAShortGrace failed before (3.2 s of 2 s) and passes now.

--- a/edge/serve.go
+++ b/edge/serve.go
@@ -223,7 +223,7 @@
 	if h.state.placer != nil {
 		go h.state.placer.release(ctx)
 	}
-	time.Sleep(time.Until(begun.Add(listenerLinger)))
+	time.Sleep(min(time.Until(begun.Add(listenerLinger)), time.Until(end)))
 	for h.inflight.Load() > 0 && time.Now().Before(end) {
 		time.Sleep(drainPollInterval)
 	}
--- a/edge/stop_test.go
+++ b/edge/stop_test.go
@@ -20,6 +20,7 @@
 	"github.com/cranberrybay/cranberrybay/config"
 	"github.com/cranberrybay/cranberrybay/fault"
 	"github.com/cranberrybay/cranberrybay/intake"
+	"github.com/cranberrybay/cranberrybay/link"
 	"github.com/cranberrybay/cranberrybay/platform"
 	"github.com/cranberrybay/cranberrybay/relay"
 	"github.com/cranberrybay/cranberrybay/retry"
@@ -330,3 +331,55 @@
 		<-x.stop()
 	})
 }
+
+// Guards against a request that waits for a connection to its server and is passed on so late in the stop that its
+// answer is cut off.
+func TestStopWhileARequestWaitsForAConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		begun := time.Now()
+		var arrivals []time.Duration
+		client := link.New(link.Config{Limit: func(string) int { return 1 }, Dial: func(context.Context, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			go func() {
+				r := bufio.NewReader(far)
+				for {
+					rq, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					arrivals = append(arrivals, time.Since(begun))
+					time.Sleep(4500 * time.Millisecond)
+					_, _ = fmt.Fprintf(far, "HTTP/1.1 200 OK\r\nX-Cranberrybay-Request-Id: %s\r\nX-Cranberrybay-Server-Signature: s\r\nContent-Length: 0\r\n\r\n", rq.Header.Get("X-Cranberrybay-Request-Id"))
+				}
+			}()
+			return near, nil
+		}})
+		backend := &platform.Backend{Client: client}
+		var x *stopRig
+		x = newStopRig(t, func(ctx context.Context, rq *relay.Request) (*relay.Answer, error) {
+			return backend.Send(ctx, rq, relay.Attempt{Server: x.servers.ByID("a"), ReuseConnection: true})
+		})
+		first := x.call("idempotent")
+		time.Sleep(50 * time.Millisecond)
+		ended := x.stop()
+		time.Sleep(2700 * time.Millisecond)
+		second := <-x.call("idempotent")
+		assert.Equal(t, second.status, http.StatusServiceUnavailable)
+		assert.Assert(t, second.complete && second.back > 0)
+		assert.Equal(t, (<-first).status, http.StatusOK)
+		<-ended
+		assert.Equal(t, len(arrivals), 1, "%v", arrivals)
+		client.CloseIdle("a:1")
+	})
+}
+
+// Guards against a stop that takes longer than the time until the process is killed.
+func TestStopKeepsToAShortGrace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newStopRig(t, hang)
+		x.handler.gracePeriod = 2 * time.Second
+		begun := time.Now()
+		<-x.stop()
+		assert.Assert(t, time.Since(begun) < x.handler.gracePeriod, "%v", time.Since(begun))
+	})
+}
