poison: a refused trial suspends its request again

Cause: a trial that a server refuses gives no evidence, and the next arrival was tried at once.

Change: a server's refusal of a request that was sent alone suspends it again for 10 s, if it was suspended or quarantined before (Tracker.RecordRefused). A request with a single crash is not affected. Record.confirmed allocates only if something is unconfirmed.

--- a/poison/record.go
+++ b/poison/record.go
@@ -199,10 +199,11 @@
 
 // confirmed returns the crashes that are known to be such.
 func (r *Record) confirmed() []Crash {
-	if !r.Part.IsRequest() {
+	pending := func(c Crash) bool { return !r.isConfirmed(c) }
+	if !slices.ContainsFunc(r.Crashes, pending) {
 		return r.Crashes
 	}
-	return slices.DeleteFunc(slices.Clone(r.Crashes), func(c Crash) bool { return !r.isConfirmed(c) })
+	return slices.DeleteFunc(slices.Clone(r.Crashes), pending)
 }
 
 // unconfirmedFor returns how long it may take until it is known whether the last of the unconfirmed
--- a/poison/request_test.go
+++ b/poison/request_test.go
@@ -235,6 +235,32 @@
 	})
 }
 
+// Guards against a request that reaches a server with each arrival after its suspension, since no server runs it.
+func TestRefusedTrialSuspendsAgain(t *testing.T) {
+	virtually(t, func(t *testing.T) {
+		f := newFleet(3)
+		f.crashUnder(0, 1, "deadly")
+		f.awaitTrial(0, "deadly")
+		f.trackers[0].RecordRefused(requestPart("deadly"))
+		f.checkRequest(t, "deadly", 0, 0) // one crash suspends nothing
+		time.Sleep(time.Second)
+		f.tryUnder(1, 2, "deadly")
+		time.Sleep(time.Second)
+		f.checkRequest(t, "deadly", 8*time.Second, 10*time.Second)
+		for range 3 {
+			time.Sleep(10 * time.Second)
+			f.checkRequest(t, "deadly", 0, 0)
+			f.awaitTrial(2, "deadly")
+			f.trackers[2].RecordRefused(requestPart("deadly"))
+			f.checkRequest(t, "deadly", 9*time.Second, 10*time.Second)
+		}
+		time.Sleep(10 * time.Second)
+		f.tryUnder(0, 3, "deadly")
+		time.Sleep(time.Second)
+		f.checkRequest(t, "deadly", 9*time.Minute, 10*time.Minute)
+	})
+}
+
 // Guards against a suspension that ignores the servers that crash on runs sent before it.
 func TestCrashesDuringASuspensionCount(t *testing.T) {
 	virtually(t, func(t *testing.T) {
--- a/poison/trial.go
+++ b/poison/trial.go
@@ -74,6 +74,24 @@
 	return wait
 }
 
+// RecordRefused records that a server refused a request that was sent alone. One that was suspended is
+// suspended again: each further arrival would reach a server while none can run it.
+func (t *Tracker) RecordRefused(p Part) {
+	now := Now()
+	t.mu.Lock()
+	e := t.records[p]
+	if e == nil || e.Terms == 0 || e.Quarantined(now) {
+		t.mu.Unlock()
+		return
+	}
+	e.Until = now + suspension
+	t.update(e, now)
+	record := e.Record.clone()
+	t.mu.Unlock()
+	t.logQuarantined([]Record{record}, "servers refused its trial")
+	t.announce([]Record{record})
+}
+
 // ownTrial returns the last trial that this process claimed of the request among the parts, or 0. The caller
 // holds mu.
 func (t *Tracker) ownTrial(parts []Part) uint64 {
--- a/relay/deadly_test.go
+++ b/relay/deadly_test.go
@@ -43,6 +43,7 @@
 	tables    []*server.Table
 	processes []*relay.Relay
 	rng       *rand.Rand
+	refuses   bool // servers refuse all requests
 	// accepting is how long a server that has crashed still accepts connections when it is probed or
 	// queried.
 	accepting time.Duration
@@ -117,6 +118,12 @@
 	if f.isDown(address) {
 		return nil, fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Unavailable, Reason: "refused", Cause: syscall.ECONNREFUSED})
 	}
+	if f.refuses {
+		f.begin(address, deadly)
+		ans := signedAnswer(503, "")
+		ans.Refused = true
+		return ans, nil
+	}
 	run := &poisonRun{fleet: f.poisonFleet, ctx: ctx, address: address, deadly: deadly, cut: f.begin(address, deadly), next: 1}
 	ans := signedAnswer(200, "")
 	if req.Route.Kind() == config.Stream {
@@ -458,6 +465,30 @@
 	}
 }
 
+// Guards against a deadly request that goes on to reach servers because they refuse it.
+func TestRefusedTrialsAreFew(t *testing.T) {
+	for name, kind := range map[string]config.Kind{"stream": config.Stream, "idempotent": config.Idempotent, "at most once": config.AtMostOnce} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				begun := time.Now()
+				defer clock.Replace(func() time.Duration { return time.Since(begun) })()
+				f := newDeadlyFleet(4, serverEntries(kind, 6)...)
+				for n := 0; len(f.crashes) < 2; n++ {
+					_ = f.call(t.Context(), deadlyRequest(kind, n, true))
+					time.Sleep(500 * time.Millisecond)
+				}
+				f.refuses = true
+				sent := len(f.sends)
+				for n := range 60 {
+					time.Sleep(500 * time.Millisecond)
+					_ = f.call(t.Context(), deadlyRequest(kind, 100+n, true))
+				}
+				assert.Assert(t, len(f.sends)-sent <= maxLateSends, "%d arrivals at servers in 30 s", len(f.sends)-sent)
+			})
+		})
+	}
+}
+
 // Guards against one engine that is gone and counts as several crashes, at each check of a stream that
 // nothing can take over.
 func TestGoneEngineCountsOnce(t *testing.T) {
--- a/relay/poison.go
+++ b/relay/poison.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -76,7 +77,11 @@
 
 // recordCut notes that a server ended a run before it had shown that it can answer the request, and
 // waits until it is known whether the server still listens. The end of a server that leaves says nothing.
+// It also notes that a server refused a trial.
 func (r *Relay) recordCut(ctx context.Context, req *Request, s *server.Server, err error) {
+	if errors.Is(err, errRefused) && req.alone.Load() {
+		r.cfg.Poison.RecordRefused(req.identity())
+	}
 	if fault.VerdictOf(err) == fault.MayHaveRun && !r.endIsPlanned(s) {
 		r.recordUnanswered(req, s)
 		r.confirmCrash(ctx, req, s)
