--- a/edge/conns_test.go
+++ b/edge/conns_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -17,6 +18,8 @@
 
 	"github.com/cranberrybay/cranberrybay/config"
 	"github.com/cranberrybay/cranberrybay/link"
+	"github.com/cranberrybay/cranberrybay/platform"
+	"github.com/cranberrybay/cranberrybay/relay"
 )
 
 // Guards against connections that are closed sooner than the configuration in effect allows callers to use
@@ -367,3 +370,33 @@
 	assert.Equal(t, x.closeAllIdle(), 1)
 	assert.Assert(t, !c.closing)
 }
+
+// Guards against a cut answer that looks whole to a caller of HTTP/1.0, for whom it ends with its connection.
+func TestCutAnswerIsResetForOldCallers(t *testing.T) {
+	for _, proto := range []string{"HTTP/1.0", "HTTP/1.1"} {
+		t.Run(proto, func(t *testing.T) {
+			x := newCallerConns(func() config.Limits { return config.Limits{} }, func(string) {})
+			ln, err := net.Listen("tcp4", "127.0.0.1:0")
+			assert.NilError(t, err)
+			front := &platform.CallerHandler{
+				MaxBody: func() int64 { return 1 << 20 }, Leaving: func() bool { return false },
+				Serve: func(_ context.Context, _ *platform.Call, s relay.Sink) error {
+					s.Start(http.StatusOK, http.Header{}, -1)
+					assert.Check(t, s.Write([]byte("half of it")))
+					assert.Check(t, s.Flush())
+					return io.ErrUnexpectedEOF
+				},
+			}
+			srv := newHTTPServer(x.handler(front))
+			srv.ConnState, srv.ConnContext = x.observe, withConn
+			go func() { _ = srv.Serve(x.listener(ln)) }()
+			defer func() { assert.Check(t, srv.Close()) }()
+			c := connect(t, ln.Addr().String())
+			c.write(t, "GET /a "+proto+"\r\nHost: h\r\nX-Cranberrybay-Request-Id: r\r\n\r\n")
+			if rs, err := http.ReadResponse(c.answers, nil); err == nil {
+				body, err := io.ReadAll(rs.Body)
+				assert.Assert(t, err != nil, "%q looks whole", body)
+			}
+		})
+	}
+}
