relay: a panic in an attempt fails the attempt

No input is known that causes one.

Change: a panic is logged, counted and taken for an attempt that may have run.

Goroutines that check and hand over streams are not covered.

--- a/relay/plain.go
+++ b/relay/plain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"runtime/debug"
 	"slices"
 	"time"
 
@@ -82,7 +83,7 @@
 		}
 		go func() {
 			defer endTrial()
-			results <- r.attemptOnce(ctx, req, srv, sendAt)
+			results <- r.attemptSafely(ctx, req, srv, sendAt)
 		}()
 		return true
 	}
@@ -187,6 +188,20 @@
 	}
 }
 
+// attemptSafely is attemptOnce, but turns a panic into a failed attempt: it would end the process with all of its
+// requests.
+func (r *Relay) attemptSafely(ctx context.Context, req *Request, srv *server.Server, sendAt time.Time) (res attemptResult) {
+	defer func() {
+		if value := recover(); value != nil {
+			r.cfg.Count("panic")
+			r.cfg.Log.Error().Str("id", req.ID).Interface("panic", value).Bytes("stack", debug.Stack()).Msg("panic while a request was handled")
+			req.mayHaveRun.Store(true)
+			res = attemptResult{server: srv, err: mayHaveRunError(reasonInternal, nil), release: func() {}}
+		}
+	}()
+	return r.attemptOnce(ctx, req, srv, sendAt)
+}
+
 // attemptOnce makes one attempt, at sendAt, and reads the whole answer.
 func (r *Relay) attemptOnce(ctx context.Context, req *Request, srv *server.Server, sendAt time.Time) attemptResult {
 	slept := time.Until(sendAt) > 0
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -338,6 +338,7 @@
 	reasonNoAnswer = "the backend server did not answer"
 	reasonBadReply = "the answer of the backend server is damaged"
 	reasonTimeout  = "the request did not finish in time"
+	reasonInternal = "internal error"
 )
 
 // jitteredRetryTime returns a time between d/2 and 3d/2 from now, so that refused callers do not
