--- a/relay/plain_test.go
+++ b/relay/plain_test.go
@@ -184,20 +184,22 @@
 
 // Guards against a panic in an attempt, which would end the process with all of its requests.
 func TestPanicInAnAttemptFailsIt(t *testing.T) {
-	cl := newCluster(t, plainEntry("a"), plainEntry("b"))
-	cl.onSend = func(_ context.Context, n int, _ *relay.Request, _ relay.Attempt) (*relay.Answer, error) {
-		if n == 1 {
-			panic("no answer")
-		}
-		return signedAnswer(http.StatusOK, "found"), nil
+	for kind, panics := range map[config.Kind]int{config.Idempotent: 1, config.AtMostOnce: 2} {
+		t.Run(kind.String(), func(t *testing.T) {
+			cl := newCluster(t, plainEntry("a"), plainEntry("b"))
+			cl.onSend = func(_ context.Context, n int, _ *relay.Request, _ relay.Attempt) (*relay.Answer, error) {
+				if n <= panics {
+					panic("no answer")
+				}
+				return signedAnswer(http.StatusOK, "found"), nil
+			}
+			got := cl.serve(t.Context(), request(kind, 2))
+			if kind == config.Idempotent {
+				checkServed(t, got, "found")
+				return
+			}
+			checkVerdict(t, got, fault.MayHaveRun)
+			assert.Equal(t, cl.attemptCount(), 1)
+		})
 	}
-	checkServed(t, cl.serve(t.Context(), request(config.Idempotent, 2)), "found")
-	checkVerdict(t, newPanickingCluster(t).serve(t.Context(), request(config.AtMostOnce, 2)), fault.MayHaveRun)
-}
-
-// newPanickingCluster returns a cluster whose attempts panic.
-func newPanickingCluster(t *testing.T) *cluster {
-	cl := newCluster(t, plainEntry("a"), plainEntry("b"))
-	cl.onSend = func(context.Context, int, *relay.Request, relay.Attempt) (*relay.Answer, error) { panic("no answer") }
-	return cl
 }
