--- a/soak/deadly_test.go
+++ b/soak/deadly_test.go
@@ -253,6 +253,11 @@
 	runSeeds(t, []int64{1}, (*soakRun).deadlyRequests)
 }
 
+// TestDeadlyRequestsOpenSeeds runs the seeds that have failed and are listed in KNOWN-RED.txt.
+func TestDeadlyRequestsOpenSeeds(t *testing.T) {
+	runSeeds(t, []int64{1796504114, 1796504126}, (*soakRun).deadlyRequests)
+}
+
 // TestDeadlyChecksFail guards against checks of deadly requests that can't fail.
 func TestDeadlyChecksFail(t *testing.T) {
 	now := time.Now()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -104,6 +104,11 @@
 	runSeeds(t, append([]int64{1}, regressionSeeds...), (*soakRun).mixedFaults)
 }
 
+// TestSoakOpenSeeds runs the seed that has failed and is listed in KNOWN-RED.txt.
+func TestSoakOpenSeeds(t *testing.T) {
+	runSeeds(t, []int64{1796503216}, (*soakRun).mixedFaults)
+}
+
 // runSeeds runs a plan of faults with the given seeds, or with those of the command line.
 func runSeeds(t *testing.T, seeds []int64, plan func(run *soakRun)) {
 	t.Parallel()
