entry: a slot that the end of a stop frees is not given to a request that waits

Cause: the end of a stop ends all requests, each by its own callback. The first ones free their slots, and the queue gave them to orders that waited and were not ended yet; these were sent, and ended as may-have-run.

Change: a request that gets a slot after the end has begun is refused as not run.

--- a/entry/admission.go
+++ b/entry/admission.go
@@ -5,6 +5,7 @@
 
 	"github.com/gin-gonic/gin"
 
+	"github.com/cranberrybay/cranberrybay/fault"
 	"github.com/cranberrybay/cranberrybay/limit"
 	"github.com/cranberrybay/cranberrybay/queue"
 	"github.com/cranberrybay/cranberrybay/route"
@@ -56,6 +57,12 @@
 		grant.Done(0)
 		return nil, err
 	}
+	if h.ending.Err() != nil {
+		// The slot is that of a request which the end of the stop has ended just now.
+		slot.Drop()
+		grant.Done(0)
+		return nil, fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Leaving, Reason: reasonLeaving, RetryAt: time.Now(), Cause: errStopping})
+	}
 	return &permit{grant: grant, slot: slot}, nil
 }
 
--- a/entry/inflight.go
+++ b/entry/inflight.go
@@ -100,6 +100,9 @@
 	}
 }
 
+// reasonLeaving is the reason that callers get who ask a process that stops.
+const reasonLeaving = "this entry process is leaving, ask another address"
+
 // errStopping is the cause of a request that ends with its process.
 var errStopping = errors.New("the entry process stops")
 
@@ -129,7 +132,7 @@
 
 // refuseDraining refuses a request and lists the addresses of other processes.
 func (h *Handler) refuseDraining(c *gin.Context) {
-	err := fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Leaving, Reason: "this entry process is leaving, ask another address", RetryAt: time.Now()})
+	err := fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Leaving, Reason: reasonLeaving, RetryAt: time.Now()})
 	p := fault.ProblemOf(err)
 	for _, a := range h.cfg.Addresses(c.RemoteIP(), c.Query("domain")).Addresses {
 		if a != h.cfg.Self {
