--- a/edge/conns.go
+++ b/edge/conns.go
@@ -70,7 +70,7 @@
 	eventHeaderClosed  = "header closed"  // a header did not end in time
 	eventCloseCrossed  = "close crossed"  // a request was read from a connection that this process had closed
 	eventCloseDeferred = "close deferred" // bytes had arrived that were not read yet
-	eventStopCut       = "stop cut"       // an answer did not end before the process had to
+	eventStopCut       = "stop cut"       // answers did not end before the process had to
 )
 
 // connKey is the key of the connection in the context of a request.
