config, edge: a configuration and its age are told together

Cause: Handler.admit and Handler.recheck read the configuration first and its age after that. If the goroutine that follows the store puts a newer configuration into effect and confirms it between the two reads, the old configuration counts as just confirmed, and its key is accepted.

Change: Tracker.Latest returns both, the age first: a configuration is put into effect before it is confirmed, so that the one that is read after the age is at least as new as the age says.

Tests: edge.TestKeyRemovedDuringAdmission lets the answer of the store arrive between the two reads; before, the call was admitted ("internal", no error, want "unauthorized"). config.TestAgeIsThatOfTheConfiguration guards the order.

Conclusion: the window is closed by the order of two reads, without a lock.

--- a/config/config_test.go
+++ b/config/config_test.go
@@ -96,3 +96,19 @@
 	var tracker config.Tracker
 	assert.Assert(t, tracker.Age() > time.Hour, "%v", tracker.Age())
 }
+
+// Guards against the age of a newer configuration that is taken for that of an older one: both are told by one call,
+// also while a confirmation arrives.
+func TestAgeIsThatOfTheConfiguration(t *testing.T) {
+	var tracker config.Tracker
+	now := clock.Now()
+	assert.Assert(t, tracker.Apply(newConfig(t, 7)))
+	tracker.Confirm(now - time.Hour)
+	defer clock.Replace(func() time.Duration {
+		tracker.Apply(newConfig(t, 8))
+		tracker.Confirm(now)
+		return now
+	})()
+	c, age := tracker.Latest()
+	assert.Assert(t, c.Version() == 8 || age >= time.Hour, "version %d counts as %v old", c.Version(), age)
+}
--- a/config/tracker.go
+++ b/config/tracker.go
@@ -17,6 +17,14 @@
 // Current returns the configuration in effect, or nil before the first one.
 func (t *Tracker) Current() *Config { return t.current.Load() }
 
+// Latest returns the configuration in effect, or nil before the first one, and how long ago it was last known to
+// be the newest one. Current and Age, called one after the other, may speak of two configurations.
+func (t *Tracker) Latest() (c *Config, age time.Duration) {
+	// Each configuration is put into effect before it is confirmed.
+	age = t.Age()
+	return t.current.Load(), age
+}
+
 // Apply puts a configuration into effect unless the one in effect has the same version or
 // a newer one. It reports whether it did so. It must not be called concurrently.
 func (t *Tracker) Apply(c *Config) bool {
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -124,7 +124,7 @@
 
 // admit checks the key of a call and returns the request to relay.
 func (h *Handler) admit(c *platform.Call) (*relay.Request, error) {
-	conf, age := h.tracker.Current(), h.tracker.Age()
+	conf, age := h.tracker.Latest()
 	if conf == nil {
 		return nil, refuse(fault.Unavailable, "no configuration yet", noConfigRetry)
 	}
@@ -180,7 +180,7 @@
 // recheck returns the error for an admitted call that was held back and that the configuration now in effect
 // does not allow. One that it serves in another way is refused with a time to come back.
 func (h *Handler) recheck(c *platform.Call, rq *relay.Request) error {
-	conf, age := h.tracker.Current(), h.tracker.Age()
+	conf, age := h.tracker.Latest()
 	if conf.Version() == rq.Version && (rq.Account == nil || age <= h.maxAge(rejectKeysFraction)) {
 		return nil
 	}
--- a/edge/handler_test.go
+++ b/edge/handler_test.go
@@ -112,6 +112,23 @@
 	assert.Assert(t, h.ready())
 }
 
+// Guards against a removed key that is accepted because the store confirms the next configuration between the look
+// at the old one and the look at its age.
+func TestKeyRemovedDuringAdmission(t *testing.T) {
+	h, now := newTestHandler(t)
+	applyConfig(t, h, 1, "k")
+	*now += 6 * time.Second // cut off from the store
+	arrived := false
+	defer clock.Replace(func() time.Duration {
+		if !arrived {
+			arrived = true
+			applyConfig(t, h, 2, "l")
+		}
+		return *now
+	})()
+	checkAdmit(t, h, "/x/1", "k", fault.Unauthorized)
+}
+
 // A stopping process accepts requests of callers that have cached its address for a while,
 // but not until it is killed.
 func TestAdmitWhileLeaving(t *testing.T) {
