change: an announced version keeps its age through the fetch that it causes

What operators could see: a process reports that its version was confirmed to be the newest up to 4 s later than it was, and passes this on to others (health.behind of `status` is late by as much).

Cause: HandleAnnouncement subtracted the age in an announcement from the time after the fetch from the peer (1 s at most) and the read of the table (2 s, and a wait for the turn), not from the time at which it was told.

Change: the time of the confirmation is taken when the announcement arrives.

Only pages for operators depend on this age; requests don't.

--- a/change/peer.go
+++ b/change/peer.go
@@ -31,6 +31,7 @@
 // newer version, it fetches the records from the peer, or from the table if the
 // peer does not return them.
 func (s *Store) HandleAnnouncement(ctx context.Context, a Announcement) error {
+	confirmedAt := time.Now().Add(-a.Age) // before the fetch, which may take seconds
 	current := s.Version()
 	switch {
 	case current == 0:
@@ -40,7 +41,7 @@
 		return fmt.Errorf("version %d was not loaded: %w", a.Version, errStarting)
 	case a.Version == current:
 		s.checkDigest(a.Version, a.Digest)
-		s.noteConfirmed(a.Version, time.Now().Add(-a.Age))
+		s.noteConfirmed(a.Version, confirmedAt)
 		return nil
 	case a.Version <= s.availableVersion():
 		return nil // the version is older, or is being activated already
@@ -55,7 +56,7 @@
 			return fmt.Errorf("version %d of peer %q was not loaded: %w", a.Version, a.Peer, errors.Join(err, refreshErr))
 		}
 	}
-	s.noteConfirmed(a.Version, time.Now().Add(-a.Age))
+	s.noteConfirmed(a.Version, confirmedAt)
 	return nil
 }
 
--- a/change/publish_test.go
+++ b/change/publish_test.go
@@ -162,3 +162,27 @@
 		assert.Assert(t, strings.Contains(string(fresh.Tree().Document("account/hotel").Text()), fmt.Sprint("rate = ", keptRecords+10)))
 	})
 }
+
+// TestAnnouncementKeepsItsAge guards against an announcement whose age is counted from the end of the fetch that
+// it causes: a slow fetch made a version look as if it had just been confirmed to be the newest.
+func TestAnnouncementKeepsItsAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const fetchTime, age = 800 * time.Millisecond, 5 * time.Second
+		source := NewStore(StoreConfig{})
+		for version := uint64(1); version <= 2; version++ {
+			assert.NilError(t, source.Apply(version, emptyState().tree))
+		}
+		s := NewStore(StoreConfig{Fetch: func(context.Context, string, uint64) ([]Record, error) {
+			time.Sleep(fetchTime)
+			return source.Records(1)
+		}})
+		assert.NilError(t, s.Apply(1, emptyState().tree))
+		told := time.Now()
+		a := source.Announcement()
+		a.Peer, a.Age = "entry-2", age
+		assert.NilError(t, s.HandleAnnouncement(t.Context(), a))
+		assert.Equal(t, s.Version(), uint64(2))
+		assert.Equal(t, time.Since(told), fetchTime)
+		assert.Equal(t, s.ConfirmedAt(), told.Add(-age))
+	})
+}
