--- a/beat/follow_test.go
+++ b/beat/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand"
 	"slices"
 	"sync"
 	"testing"
@@ -24,6 +25,7 @@
 
 	mu          sync.Mutex
 	confirmedAt time.Duration
+	revision    uint64 // of the last change that was applied
 }
 
 func (f *platformFollower) offer(p beat.Page) {
@@ -55,18 +57,53 @@
 	return clock.Now() - f.confirmedAt
 }
 
+// knownRevision returns the revision of the last change that the process applied.
+func (f *platformFollower) knownRevision() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.revision
+}
+
+// firstRevision is the revision of a platformTable before its first change.
+const firstRevision = 5
+
 // platformTable is a table of the platform. A call takes 20 ms.
 type platformTable struct {
-	n *net
+	n     *net
+	batch time.Duration                   // pause of the processes after a page with changes
+	delay func(name string) time.Duration // added to the calls of a process; nil for none
 
 	mu       sync.Mutex
 	outgoing []func()               // messages to be sent, by the goroutine of the test
 	calls    []time.Duration        // clock.Now of each
 	cut      func(name string) bool // reports whether the process does not reach the platform; nil for none
+	changes  []time.Duration        // clock.Now of each change after firstRevision
+	changed  chan struct{}          // closed at the next change; nil without waiting calls
+}
+
+// change changes the row of the table.
+func (p *platformTable) change() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.changes = append(p.changes, clock.Now())
+	if p.changed != nil {
+		close(p.changed)
+		p.changed = nil
+	}
 }
 
-// call waits for an answer to a process.
-func (p *platformTable) call(ctx context.Context, name string, wait time.Duration) (watch.Page, error) {
+// revision returns the revision of the last change, and a channel that is closed at the next one.
+func (p *platformTable) revision() (revision uint64, changed <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.changed == nil {
+		p.changed = make(chan struct{})
+	}
+	return firstRevision + uint64(len(p.changes)), p.changed
+}
+
+// call waits for an answer to a process that knows the changes up to a revision.
+func (p *platformTable) call(ctx context.Context, name string, after uint64, wait time.Duration) (watch.Page, error) {
 	p.mu.Lock()
 	p.calls = append(p.calls, clock.Now())
 	cut := p.cut != nil && p.cut(name)
@@ -74,12 +111,38 @@
 	if cut {
 		<-ctx.Done()
 	}
+	took := 20 * time.Millisecond
+	if p.delay != nil {
+		took += p.delay(name)
+	}
+	if revision, changed := p.revision(); revision <= after && wait > 0 {
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-time.After(wait):
+		}
+	}
 	select {
 	case <-ctx.Done():
 		return watch.Page{}, ctx.Err()
-	case <-time.After(wait + 20*time.Millisecond):
-		return watch.Page{Revision: 5, Clock: p.n.platform()}, nil
+	case <-time.After(took):
 	}
+	page := watch.Page{Clock: p.n.platform()}
+	if page.Revision, _ = p.revision(); page.Revision > after {
+		page.Rows = []watch.Row{{Key: "config", Revision: page.Revision}}
+	}
+	return page, nil
+}
+
+// unknownFor returns how long a process has not known a change.
+func (p *platformTable) unknownFor(f *platformFollower) time.Duration {
+	next := f.knownRevision() - firstRevision
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if next >= uint64(len(p.changes)) {
+		return 0
+	}
+	return clock.Now() - p.changes[next]
 }
 
 // busiest returns the most calls within a span, and the number of all calls since a time.
@@ -106,25 +169,38 @@
 func (p *platformTable) follow(x *node) {
 	f := &platformFollower{}
 	name := x.peer.Name
+	send := func(message func()) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.outgoing = append(p.outgoing, message)
+	}
 	f.Follower = watch.New(watch.Config{
-		Name: "op", Wait: time.Second, Slack: 700 * time.Millisecond, Log: zerolog.Nop(),
+		Name: "op", Wait: time.Second, Slack: 700 * time.Millisecond, BatchDelay: p.batch, Log: zerolog.Nop(),
 		PolledByPeers: func() bool { return !x.membership.IsPoller() },
 		Rank:          x.membership.Rank,
-		Share:         func(watch.Page, uint64, uint64) {},
+		Share: func(page watch.Page, after, changed uint64) {
+			send(func() {
+				x.membership.ShareChanges(beat.Page{Watermark: beat.Watermark{Table: "op", Changed: changed, Clock: page.Clock}, After: after, Revision: page.Revision, Rows: page.Rows})
+			})
+		},
 		ShareWatermark: func(w watch.Watermark) {
-			p.mu.Lock()
-			defer p.mu.Unlock()
-			p.outgoing = append(p.outgoing, func() { x.membership.ShareWatermark(beat.Watermark{Table: "op", Changed: w.Changed, Clock: w.Clock}) })
+			send(func() { x.membership.ShareWatermark(beat.Watermark{Table: "op", Changed: w.Changed, Clock: w.Clock}) })
 		},
 		Read: func(ctx context.Context) (watch.Page, error) {
-			page, err := p.call(ctx, name, 0)
-			page.Whole, page.Rows = true, []watch.Row{{Key: "config", Revision: 5}}
+			page, err := p.call(ctx, name, 0, 0)
+			page.Whole = true
 			return page, err
 		},
-		Poll: func(ctx context.Context, _ uint64, wait time.Duration) (watch.Page, error) {
-			return p.call(ctx, name, wait)
+		Poll: func(ctx context.Context, after uint64, wait time.Duration) (watch.Page, error) {
+			return p.call(ctx, name, after, wait)
+		},
+		Apply: func(page watch.Page, _ time.Duration) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			for _, r := range page.Rows {
+				f.revision = max(f.revision, r.Revision)
+			}
 		},
-		Apply: func(watch.Page, time.Duration) {},
 		Confirm: func(at time.Duration) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
@@ -138,6 +214,20 @@
 	x.follower = f
 }
 
+// followAll makes all processes follow the table until stop is called.
+func (p *platformTable) followAll() (stop func()) {
+	for _, name := range p.n.order {
+		p.follow(p.n.nodes[name])
+	}
+	return func() {
+		for _, x := range p.n.nodes {
+			if !x.frozen {
+				x.follower.stop()
+			}
+		}
+	}
+}
+
 // runFollowing lets time pass in small steps and returns the greatest age of the table at a running process
 // that reaches the platform.
 func (p *platformTable) runFollowing(d time.Duration) (oldest time.Duration) {
@@ -199,16 +289,7 @@
 				for i, name := range n.order {
 					n.nodes[name].next = time.Now().Add(time.Duration(i*7919%300) * time.Millisecond)
 				}
-				for _, name := range n.order {
-					p.follow(n.nodes[name])
-				}
-				defer func() {
-					for _, x := range n.nodes {
-						if !x.frozen {
-							x.follower.stop()
-						}
-					}
-				}()
+				defer p.followAll()()
 				p.runFollowing(4 * time.Second)
 				assert.Assert(t, n.agreesOn(processes))
 				for _, name := range x.frozen {
@@ -231,3 +312,90 @@
 		})
 	}
 }
+
+// troubledHubs are ways in which the hubs of all failure domains are in trouble, while the other processes reach
+// the platform and each other.
+var troubledHubs = map[string]func(n *net, p *platformTable, hub func(name string) bool){
+	"cut off": func(_ *net, p *platformTable, hub func(string) bool) { p.cut = hub },
+	"cut off in turns": func(_ *net, p *platformTable, hub func(string) bool) {
+		p.cut = func(name string) bool { return hub(name) && inTurns() }
+	},
+	"mute": func(n *net, _ *platformTable, hub func(string) bool) {
+		n.cut = func(from, _ string) bool { return hub(from) }
+	},
+	"mute in turns": func(n *net, _ *platformTable, hub func(string) bool) {
+		n.cut = func(from, _ string) bool { return hub(from) && inTurns() }
+	},
+	"deaf": func(n *net, _ *platformTable, hub func(string) bool) {
+		n.cut = func(_, to string) bool { return hub(to) }
+	},
+	"cut off and deaf": func(n *net, p *platformTable, hub func(string) bool) {
+		p.cut, n.cut = hub, func(_, to string) bool { return hub(to) }
+	},
+	"heard by some": func(n *net, _ *platformTable, hub func(string) bool) {
+		n.cut = func(from, to string) bool { return hub(from) && !hub(to) && to[len(to)-1]%2 == 0 }
+	},
+	"losing datagrams": func(n *net, _ *platformTable, hub func(string) bool) {
+		r := rand.New(rand.NewSource(1))
+		n.cut = func(from, to string) bool { return (hub(from) || hub(to)) && r.Intn(2) == 0 }
+	},
+	"slow at the platform": func(_ *net, p *platformTable, hub func(string) bool) {
+		p.delay = func(name string) time.Duration {
+			if hub(name) {
+				return 650 * time.Millisecond // a call that takes 0.7 s longer than its wait has failed
+			}
+			return 0
+		}
+	},
+	"cut off, in a failure domain of its own": func(n *net, p *platformTable, hub func(string) bool) {
+		apart := func(name string) bool { return n.nodes[name].peer.Domain == "domain-0" }
+		p.cut = func(name string) bool { return hub(name) && apart(name) }
+		n.cut = func(from, to string) bool { return apart(from) != apart(to) }
+	},
+}
+
+// inTurns is true for 2 of 2.5 s.
+func inTurns() bool { return clock.Now()%(2500*time.Millisecond) < 2*time.Second }
+
+// Guards against a change of the configuration or of the servers that a process which reaches the platform does
+// not know within 2 s, because the hub of its failure domain is cut off, half cut off or slow.
+func TestChangesDespiteTroubledHubs(t *testing.T) {
+	const (
+		bound   = 2 * time.Second
+		gap     = 330 * time.Millisecond // between two changes
+		check   = 30 * time.Millisecond  // between two checks
+		changes = 24
+	)
+	fleets := []struct{ processes, domains int }{{3, 1}, {8, 3}}
+	if *large {
+		fleets = append(fleets, []struct{ processes, domains int }{{2, 1}, {30, 3}, {85, 4}}...)
+	}
+	for name, begin := range troubledHubs {
+		for _, fleet := range fleets {
+			for _, batch := range []time.Duration{0, 250 * time.Millisecond} {
+				t.Run(fmt.Sprintf("%s/%d in %d/%v", name, fleet.processes, fleet.domains, batch), func(t *testing.T) {
+					runVirtual(t, func(t *testing.T, n *net) {
+						joinFleet(n, fleet.processes, fleet.domains, 99)
+						p := &platformTable{n: n, batch: batch}
+						defer p.followAll()()
+						p.runFollowing(4 * time.Second)
+						hub := func(name string) bool { return name < fmt.Sprintf("front-%04d", fleet.domains) }
+						p.mu.Lock()
+						begin(n, p, hub)
+						p.mu.Unlock()
+						for range changes {
+							p.change()
+							for range gap / check {
+								p.runFollowing(check)
+								for _, name := range n.order {
+									unknown := p.unknownFor(n.nodes[name].follower)
+									assert.Assert(t, hub(name) || unknown <= bound, "%s does not know a change after %v", name, unknown)
+								}
+							}
+						}
+					})
+				})
+			}
+		}
+	}
+}
