proxy, engine, plat: heads of answers are bounded to 64 KB

On the users' platform heads are bounded to 16 KB; in the product's own interface they were not.

Cause: net/http keeps up to 10 MB of the head of an answer, for each call, unless MaxResponseHeaderBytes says otherwise.

Change: 64 KB (engine.MaxAnswerHead) for calls of plain services, jobs, orders and reports of engines; the same for the platform of the own interface. Common servers send at most 16 KB.

Conclusion: a head costs a call 64 KB at most, whatever a server sends.

--- a/engine/client.go
+++ b/engine/client.go
@@ -31,10 +31,15 @@
 	singleUse *http.Client // opens a connection for each call
 }
 
+// MaxAnswerHead bounds the head of an answer of a backend server, in bytes, together with interim answers before
+// it: a faulty server may send one without end, and net/http keeps up to 10 MB of it for each call. Common servers
+// send at most 16 KB.
+const MaxAnswerHead = 64 << 10
+
 // New returns a client.
 func New(cfg Config) *Client {
 	if cfg.Client == nil {
-		tr := &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true, IdleConnTimeout: time.Minute}
+		tr := &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: MaxAnswerHead}
 		tr.DialContext = (&net.Dialer{Timeout: time.Second}).DialContext
 		cfg.Client = &http.Client{Transport: tr}
 	}
--- a/plat/table.go
+++ b/plat/table.go
@@ -19,8 +19,11 @@
 	"github.com/cranberrybay/cranberrybay/watch"
 )
 
-// maxReply bounds one reply of the platform, in bytes.
-const maxReply = 64 << 20
+// maxReply and maxReplyHead bound the body and the head of one reply of the platform, in bytes.
+const (
+	maxReply     = 64 << 20
+	maxReplyHead = 64 << 10
+)
 
 // Row is the JSON form of a table row.
 type Row struct {
@@ -70,7 +73,7 @@
 func newClient(cfg Config) *client {
 	hc := cfg.Client
 	if hc == nil {
-		hc = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, DisableCompression: true}}
+		hc = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, DisableCompression: true, MaxResponseHeaderBytes: maxReplyHead}}
 	}
 	return &client{base: "http://" + cfg.Address, http: hc}
 }
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -86,7 +86,7 @@
 		return &conn{Conn: c}, nil
 	}
 	// A negative number of idle connections means that none is reused.
-	return &Client{transport: &http.Transport{MaxIdleConnsPerHost: -1, DisableCompression: true, DialContext: dial}, idle: cfg.Idle}
+	return &Client{transport: &http.Transport{MaxIdleConnsPerHost: -1, DisableCompression: true, DialContext: dial, MaxResponseHeaderBytes: engine.MaxAnswerHead}, idle: cfg.Idle}
 }
 
 // Do sends a call to the server at address. The verdict of an error states whether
