entry, quota: answers that are kept for repeats share a bound on memory

Cause, in the product's own interface: the answer to a call with an idempotency key is read into memory, up to 8 MB, so that a repeat gets the same answer. 16 such calls took 128 MB, under no common bound; they were held for as long as the callers read.

Change: these answers, and those that are passed on for another process, count against a quota of a fifth of the VM's memory (new setting memory, 184 MiB by default). The memory is free when the answer has been passed on. An answer without room is passed on as it arrives; its claim keeps the status, and a repeat is told that the call ran, as with answers over 8 MB. quota.ReadPart returns what was read when a bound is met; quota.Read uses it.

Test: entry.TestEndlessAnswersOfOrders. Before, "16 answers take 128 MB"; now at most twice the quota of 4 MB. It also checks that a caller gets each byte in order, that the memory is released, and that a small answer is kept.

Conclusion: the sum is bounded, and no answer is lost by the bound.

--- a/entry/atmostonce.go
+++ b/entry/atmostonce.go
@@ -15,6 +15,7 @@
 	"github.com/cranberrybay/cranberrybay/claim"
 	"github.com/cranberrybay/cranberrybay/fault"
 	"github.com/cranberrybay/cranberrybay/proxy"
+	"github.com/cranberrybay/cranberrybay/quota"
 )
 
 // KeyedCall is a call of a plain service that runs at most once for its key.
@@ -148,30 +149,50 @@
 }
 
 // recordAnswer reads an answer and records it as the outcome of its claim. Of an
-// answer with a body over maxRecordedBody only the status is recorded, and the
-// rest of the body is passed on as it arrives.
+// answer with a body over maxRecordedBody, or for which other answers leave no
+// memory, only the status is recorded, and the rest of the body is passed on as it
+// arrives.
 func (h *Handler) recordAnswer(ctx context.Context, cl *claim.Claim, a *proxy.Answer, cancel context.CancelFunc) (*proxy.Answer, error) {
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxRecordedBody+1))
-	if err != nil {
+	body, release, err := h.cfg.Quota.ReadPart(a.Body, maxRecordedBody)
+	kept := err == nil
+	if !kept && !errors.Is(err, quota.ErrTooLong) && !errors.Is(err, quota.ErrExhausted) {
 		_ = a.Body.Close()
 		cancel()
 		h.recordFailure(ctx, cl, err)
 		return nil, err
 	}
 	o := claim.Outcome{Status: a.Status, Header: a.Header, Body: body}
-	complete := len(body) <= maxRecordedBody
-	if !complete {
+	if !kept {
+		h.cfg.Log.Warn().Err(err).Int("bytes", len(body)).Msg("answer of a call with a key is not kept for its repeats")
 		o = claim.Outcome{Status: a.Status, BodyLost: true}
 	}
 	recordCtx, recordCancel := recordContext(ctx)
 	defer recordCancel()
 	h.logRecordError(h.cfg.Claims.Finish(recordCtx, cl, o))
-	if complete {
+	if kept {
 		_ = a.Body.Close()
 		cancel()
-		return replayAnswer(&o), nil
+		replay := replayAnswer(&o)
+		replay.Body = &cleanupBody{Reader: replay.Body, body: replay.Body, cleanup: release}
+		return replay, nil
+	}
+	rest := &cleanupBody{Reader: io.MultiReader(&heldPart{reader: bytes.NewReader(body), release: release}, a.Body), body: a.Body, cleanup: func() { release(); cancel() }}
+	return &proxy.Answer{Status: a.Status, Header: a.Header, Body: rest}, nil
+}
+
+// heldPart is the first part of an answer. Its memory is released at its end.
+type heldPart struct {
+	reader  *bytes.Reader
+	release func()
+}
+
+func (p *heldPart) Read(b []byte) (int, error) {
+	n, err := p.reader.Read(b)
+	if err != nil {
+		p.reader.Reset(nil)
+		p.release()
 	}
-	return &proxy.Answer{Status: a.Status, Header: a.Header, Body: &cleanupBody{Reader: io.MultiReader(bytes.NewReader(body), a.Body), body: a.Body, cleanup: cancel}}, nil
+	return n, err
 }
 
 // cleanupBody is the body of an answer that calls cleanup when it is closed. Its
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -24,6 +24,7 @@
 	"github.com/cranberrybay/cranberrybay/fleet"
 	"github.com/cranberrybay/cranberrybay/guard"
 	"github.com/cranberrybay/cranberrybay/proxy"
+	"github.com/cranberrybay/cranberrybay/quota"
 	"github.com/cranberrybay/cranberrybay/route"
 	"github.com/cranberrybay/cranberrybay/spec"
 	"github.com/cranberrybay/cranberrybay/stream"
@@ -51,6 +52,7 @@
 	Claims    *claim.Manager
 	Admission *AdmissionControl // limits and queues; nil for none
 	Guard     *guard.Guard      // refuses requests that crash engines; see stream.Config
+	Quota     *quota.Quota      // bounds the memory of answers that are kept until they are whole; nil for no bound
 	Domain    string            // failure domain of this process
 	Chooser   *route.Chooser    // nil for a chooser with default settings
 	Self      string            // address of this process in Addresses
--- a/entry/system_test.go
+++ b/entry/system_test.go
@@ -23,6 +23,7 @@
 	"github.com/cranberrybay/cranberrybay/fakes"
 	"github.com/cranberrybay/cranberrybay/fleet"
 	"github.com/cranberrybay/cranberrybay/proxy"
+	"github.com/cranberrybay/cranberrybay/quota"
 	"github.com/cranberrybay/cranberrybay/spec"
 	"github.com/cranberrybay/cranberrybay/table"
 )
@@ -123,6 +124,7 @@
 	services    []*fakes.Service
 	mu          sync.Mutex
 	nodes       []*node
+	quota       *quota.Quota // of each process; nil for none
 	doCall      func(c *proxy.Client) func(context.Context, string, proxy.Call) (*proxy.Answer, error) // replaced by tests that put in a bug
 }
 
@@ -212,7 +214,7 @@
 	}})
 	n.claims = claim.New(claim.Config{Table: s.flakyTable.Client(n.Wait), Holder: n.name, QueryHolder: s.queryHolder})
 	n.handler = entry.New(entry.Config{
-		Store: s.store(t), Fleet: servers, Engines: engine.New(engine.Config{}), Claims: n.claims, Self: n.name, Forward: s.forward,
+		Store: s.store(t), Fleet: servers, Engines: engine.New(engine.Config{}), Claims: n.claims, Self: n.name, Forward: s.forward, Quota: s.quota,
 		Services: proxy.NewPool(proxy.PoolConfig{
 			Servers: servers.Servers, OnStart: servers.BeginRequest, OnEnd: servers.EndRequest, OnFailure: servers.RequestFailed, OnSuccess: servers.RequestSucceeded, Do: s.doCall(client),
 			Probe: engine.New(engine.Config{Client: &http.Client{Transport: &http.Transport{DialContext: s.dial, DisableKeepAlives: true}}}).Load,
--- a/node/calls.go
+++ b/node/calls.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"time"
@@ -15,6 +14,7 @@
 	"github.com/cranberrybay/cranberrybay/member"
 	"github.com/cranberrybay/cranberrybay/peer"
 	"github.com/cranberrybay/cranberrybay/proxy"
+	"github.com/cranberrybay/cranberrybay/quota"
 )
 
 // queryClaim asks the incarnation that holds a claim whether the request ran.
@@ -48,7 +48,7 @@
 const maxForwardedBody = 7 << 20
 
 // forwardHandler returns the handler of requests that other processes forward.
-func forwardHandler(e *entry.Handler) func(context.Context, peer.Remote, peer.ForwardRequest) (peer.ForwardResponse, error) {
+func forwardHandler(e *entry.Handler, q *quota.Quota) func(context.Context, peer.Remote, peer.ForwardRequest) (peer.ForwardResponse, error) {
 	return func(ctx context.Context, _ peer.Remote, w peer.ForwardRequest) (peer.ForwardResponse, error) {
 		deadline, _ := ctx.Deadline()
 		a, replayed, err := e.RunForwarded(ctx, entry.KeyedCall{
@@ -59,10 +59,8 @@
 			return peer.ForwardResponse{}, err
 		}
 		defer a.Body.Close()
-		body, err := io.ReadAll(io.LimitReader(a.Body, maxForwardedBody+1))
-		if err == nil && len(body) > maxForwardedBody {
-			err = errors.New("the body is over 7 MiB")
-		}
+		body, release, err := q.Read(a.Body, maxForwardedBody)
+		defer release() // it is charged while it is read
 		if err != nil {
 			return peer.ForwardResponse{}, fault.New(fault.Config{Verdict: fault.Ran, Code: fault.Unavailable, Reason: "the request ran, its answer can't be passed on", Cause: err})
 		}
--- a/node/node.go
+++ b/node/node.go
@@ -32,6 +32,7 @@
 	"github.com/cranberrybay/cranberrybay/poison"
 	"github.com/cranberrybay/cranberrybay/proxy"
 	"github.com/cranberrybay/cranberrybay/queue"
+	"github.com/cranberrybay/cranberrybay/quota"
 	"github.com/cranberrybay/cranberrybay/route"
 	"github.com/cranberrybay/cranberrybay/table"
 	"github.com/cranberrybay/cranberrybay/watch"
@@ -71,6 +72,7 @@
 			newConfigSync,
 			newStore,
 			func() *engine.Client { return engine.New(engine.Config{}) },
+			func() *quota.Quota { return quota.ForVM(s.memory()) },
 			newPoisonTracker,
 			func(t *poison.Tracker, l *logs.Factory) *guard.Guard {
 				return guard.New(guard.Config{Tracker: t, Log: l.Logger("guard")})
@@ -114,12 +116,12 @@
 }
 
 // connectPeerHandlers sets the handlers of the calls that peers make.
-func connectPeerHandlers(p *peers, claims *claim.Manager, e *entry.Handler, limits *limit.Limiter, t *poison.Tracker) {
+func connectPeerHandlers(p *peers, claims *claim.Manager, e *entry.Handler, limits *limit.Limiter, t *poison.Tracker, q *quota.Quota) {
 	p.setHandlers(peerHandlers{
 		Claim: func(_ context.Context, _ peer.Remote, id string) (claim.RunStatus, error) {
 			return claims.RunStatus(id), nil
 		},
-		Forward: forwardHandler(e),
+		Forward: forwardHandler(e, q),
 		Report:  func(_ context.Context, _ peer.Remote, r limit.Report) error { limits.HandleReport(r); return nil },
 		Share:   func(_ context.Context, _ peer.Remote, s limit.Share) error { limits.HandleShare(s); return nil },
 		Suspects: func(_ context.Context, from peer.Remote, m peer.SuspectMessage) ([]poison.Record, error) {
@@ -139,6 +141,7 @@
 	Claims   *claim.Manager
 	Peers    *peers
 	Guard    *guard.Guard
+	Quota    *quota.Quota
 	Limits   *limit.Limiter
 	Queues   *queue.Set
 	Log      *logs.Factory
@@ -148,7 +151,7 @@
 	return entry.New(entry.Config{
 		Store: p.Store, Fleet: p.Fleet, Chooser: p.Chooser, Engines: p.Engines, Services: p.Services, Claims: p.Claims,
 		Admission: &entry.AdmissionControl{Limits: p.Limits, Queues: p.Queues},
-		Guard:     p.Guard,
+		Guard:     p.Guard, Quota: p.Quota,
 		Domain:    p.Settings.Domain, Self: p.Settings.Listen.Callers, Log: p.Log.Logger("entry"),
 		Addresses: p.Peers.addresses, Forward: p.Peers.forward,
 	})
--- a/node/settings.go
+++ b/node/settings.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"regexp"
+	"strconv"
 	"strings"
 	"time"
 
@@ -23,6 +24,7 @@
 	Name     string           `toml:"name"`   // name of the entry VM, unique in the system
 	Domain   string           `toml:"domain"` // failure domain
 	Region   string           `toml:"region"`
+	Memory   int64            `toml:"memory"` // of the VM, in MiB; 0 for defaultMemory
 	Token    string           `toml:"token"` // hash of the operators' credential, "sha256:..."
 	Listen   ListenSettings   `toml:"listen"`
 	Platform PlatformSettings `toml:"platform"`
@@ -52,6 +54,17 @@
 
 var tokenPattern = regexp.MustCompile(`^sha256:[0-9a-f]{64}$`)
 
+// defaultMemory is the memory of the smallest entry VMs, in MiB.
+const defaultMemory = 184
+
+// memory returns the memory of the VM in MiB.
+func (s Settings) memory() int64 {
+	if s.Memory == 0 {
+		return defaultMemory
+	}
+	return s.Memory
+}
+
 // defaultLinger is long enough for most callers with a cached address list to
 // send one more request.
 const defaultLinger = 5 * time.Second
@@ -111,6 +124,9 @@
 			add(f.key, f.value, "a name")
 		}
 	}
+	if s.Memory < 0 {
+		add("memory", strconv.FormatInt(s.Memory, 10), "a number of MiB")
+	}
 	if !tokenPattern.MatchString(s.Token) {
 		// The message leaves out the value: it may be the credential itself.
 		all = append(all, fmt.Errorf("%s: token is not \"sha256:\" followed by 64 lower-case hex digits", path))
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -49,6 +49,16 @@
 // caller must call release when it no longer needs b; it is never nil and may be called more than
 // once. After an error the bytes are already released.
 func (q *Quota) Read(r io.Reader, maxBytes int64) (b []byte, release func(), err error) {
+	if b, release, err = q.ReadPart(r, maxBytes); err != nil {
+		release()
+		b = nil
+	}
+	return b, release, err
+}
+
+// ReadPart is Read, but after ErrTooLong and ErrExhausted it returns what it has read of the message, which stays
+// charged until release. The rest can be read from r.
+func (q *Quota) ReadPart(r io.Reader, maxBytes int64) (b []byte, release func(), err error) {
 	held := int64(0)
 	release = func() {
 		q.Release(held)
@@ -58,13 +68,11 @@
 		if len(b) == cap(b) {
 			size := min(max(2*int64(cap(b)), initialBufferSize), maxBytes+1)
 			if int64(len(b)) > maxBytes {
-				release()
-				return nil, release, ErrTooLong
+				return b, release, ErrTooLong
 			}
 			// Both buffers are in memory during the copy.
 			if !q.TryAcquire(size) {
-				release()
-				return nil, release, ErrExhausted
+				return b, release, ErrExhausted
 			}
 			b = append(make([]byte, 0, size), b...)
 			q.Release(held)
@@ -79,8 +87,7 @@
 			release()
 			return nil, release, err
 		case int64(len(b)) > maxBytes:
-			release()
-			return nil, release, ErrTooLong
+			return b, release, ErrTooLong
 		}
 	}
 }
