socket, edge, entry: a stop resets no connection that the kernel has accepted

Cause: the kernel accepts connections and acknowledges requests before Accept does. Closing the listener resets those that wait.

Change: package socket. Drain binds the listening socket to a network interface that does not exist, upon which the kernel refuses new connections at once (Linux 5.0, no privilege), and waits until Accept has taken all that wait and none came for 30 ms; then the listener closes. Without the option it waits as well, and one that arrives in the last moment may be reset (event "close unsafe").

The directory, the readiness and the ports between processes close at once as before; what they are asked may be asked again.

--- a/edge/conns.go
+++ b/edge/conns.go
@@ -11,6 +11,7 @@
 
 	"github.com/cranberrybay/cranberrybay/config"
 	"github.com/cranberrybay/cranberrybay/link"
+	"github.com/cranberrybay/cranberrybay/socket"
 )
 
 const (
@@ -71,6 +72,7 @@
 	eventCloseCrossed  = "close crossed"  // a request was read from a connection that this process had closed
 	eventCloseDeferred = "close deferred" // bytes had arrived that were not read yet
 	eventStopCut       = "stop cut"       // answers did not end before the process had to
+	eventCloseUnsafe   = "close unsafe"   // connections that wait for Accept may be reset as the listener closes
 )
 
 // connKey is the key of the connection in the context of a request.
@@ -354,13 +356,18 @@
 	return open + x.accepting
 }
 
-// shutdown accepts no more connections and closes those of callers once they are idle. It returns the number
+// shutdown accepts the connections that wait and no more, and closes those of callers once they are idle. It returns the number
 // of those that are not at a time. net/http would also close the ones on which it has read a part of a header.
 func (x *callerConns) shutdown(until time.Time) (left int, err error) {
 	x.mu.Lock()
 	ln := x.ln
 	x.mu.Unlock()
 	if ln != nil {
+		ctx, cancel := context.WithDeadline(context.Background(), until)
+		defer cancel()
+		if refuses, drainErr := socket.Drain(ctx, ln.Listener); drainErr != nil || !refuses {
+			x.count(eventCloseUnsafe)
+		}
 		err = ln.Close()
 	}
 	for {
--- a/edge/conns_test.go
+++ b/edge/conns_test.go
@@ -217,6 +217,48 @@
 	assert.Equal(t, <-result, 0)
 }
 
+// slowListener accepts a connection in a while, as a slow process does.
+type slowListener struct{ *net.TCPListener }
+
+func (l slowListener) Accept() (net.Conn, error) {
+	time.Sleep(10 * time.Millisecond)
+	return l.TCPListener.Accept()
+}
+
+// Guards against requests on connections that a slow process has not accepted yet when it stops, and that end
+// without an answer.
+func TestStopAnswersConnectionsThatWait(t *testing.T) {
+	events := make(chan string, 8)
+	x := newCallerConns(func() config.Limits { return config.Limits{} }, func(event string) { events <- event })
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	var callers []*caller
+	for range 8 {
+		c := connect(t, ln.Addr().String())
+		c.write(t, "GET /late HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+		callers = append(callers, c)
+	}
+	srv := &http.Server{ConnState: x.observe, ConnContext: withConn, Handler: x.handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, r.URL.Path)
+	}))}
+	go func() { _ = srv.Serve(x.listener(slowListener{ln.(*net.TCPListener)})) }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		if x.ln != nil {
+			return poll.Success()
+		}
+		return poll.Continue("the server has not begun")
+	}, poll.WithDelay(time.Millisecond))
+	left, err := x.shutdown(time.Now().Add(5 * time.Second))
+	assert.NilError(t, err)
+	assert.Equal(t, left, 0)
+	assert.Equal(t, len(events), 0)
+	for _, c := range callers {
+		c.checkAnswer(t, "/late")
+	}
+}
+
 // Guards against a stop that waits for ever for a request that does not end.
 func TestStopEndsBesideARequestWithoutEnd(t *testing.T) {
 	x := newCallerConns(func() config.Limits { return config.Limits{} }, func(string) {})
--- a/entry/listener.go
+++ b/entry/listener.go
@@ -15,6 +15,7 @@
 	"github.com/gin-gonic/gin"
 
 	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/socket"
 )
 
 const (
@@ -35,12 +36,19 @@
 // where net/http closes the connection without an answer.
 func (h *Handler) Listener(l net.Listener) net.Listener { return callerListener{l, h.conns} }
 
-// Shutdown stops a drained server: it closes the listener and then the
-// connections, each one once the requests that were read from it are answered.
+// Shutdown stops a drained server: it closes the listener once the connections
+// that wait for Accept were taken, and then the connections, each one once the requests that were read from it are answered.
 // net/http's own shutdown closes a connection without an answer when it reads
 // the request meanwhile. When ctx ends first, the requests in flight get their
 // final answer; that takes at most EndTimeout.
 func (h *Handler) Shutdown(ctx context.Context, s *http.Server, l net.Listener) error {
+	inner := l
+	if callers, ok := l.(callerListener); ok {
+		inner = callers.Listener
+	}
+	if refuses, err := socket.Drain(ctx, inner); err != nil || !refuses {
+		h.cfg.Log.Warn().Err(err).Msg("the listener closes while the kernel accepts connections; some may be reset")
+	}
 	_ = l.Close()
 	for h.conns.closeIdle() > 0 && ctx.Err() == nil {
 		time.Sleep(connPollInterval)
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -14,7 +14,10 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/cranberrybay/cranberrybay/engine"
+	"github.com/cranberrybay/cranberrybay/entry"
 	"github.com/cranberrybay/cranberrybay/fakes"
+	"github.com/cranberrybay/cranberrybay/fleet"
 )
 
 const plainOrder = "POST /services/desk/orders HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key\r\nContent-Length: 0\r\n\r\n"
@@ -78,6 +81,39 @@
 	}
 }
 
+// slowListener accepts a connection in a while, as a slow process does.
+type slowListener struct{ *net.TCPListener }
+
+func (l slowListener) Accept() (net.Conn, error) {
+	time.Sleep(10 * time.Millisecond)
+	return l.TCPListener.Accept()
+}
+
+// TestShutdownAnswersConnectionsThatWait guards against requests on connections that
+// a slow process has not accepted yet when it stops, and that end without an answer.
+func TestShutdownAnswersConnectionsThatWait(t *testing.T) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	var answers []*bufio.Reader
+	for range 8 {
+		c, err := net.Dial("tcp4", ln.Addr().String())
+		assert.NilError(t, err)
+		defer c.Close()
+		_, err = io.WriteString(c, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+		assert.NilError(t, err)
+		answers = append(answers, bufio.NewReader(c))
+	}
+	h := entry.New(entry.Config{Store: newSystem(t, 1, 0).store(t), Fleet: fleet.New(fleet.Config{}), Engines: engine.New(engine.Config{})})
+	server, callers := h.Server(), h.Listener(slowListener{ln.(*net.TCPListener)})
+	go func() { _ = server.Serve(callers) }()
+	time.Sleep(time.Millisecond) // the server has begun
+	h.Drain()
+	assert.NilError(t, h.Shutdown(t.Context(), server, callers))
+	for _, r := range answers {
+		readStatus(t, r, 200, "request of a connection that waited")
+	}
+}
+
 // TestShutdownClosesIdleConnections guards against a planned stop that waits for
 // callers that keep their connections.
 func TestShutdownClosesIdleConnections(t *testing.T) {
