--- a/entry/system_test.go
+++ b/entry/system_test.go
@@ -124,7 +124,7 @@
 	services    []*fakes.Service
 	mu          sync.Mutex
 	nodes       []*node
-	quota       *quota.Quota // of each process; nil for none
+	quota       *quota.Quota                                                                           // of each process; nil for none
 	doCall      func(c *proxy.Client) func(context.Context, string, proxy.Call) (*proxy.Answer, error) // replaced by tests that put in a bug
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -152,7 +152,7 @@
 		Store: p.Store, Fleet: p.Fleet, Chooser: p.Chooser, Engines: p.Engines, Services: p.Services, Claims: p.Claims,
 		Admission: &entry.AdmissionControl{Limits: p.Limits, Queues: p.Queues},
 		Guard:     p.Guard, Quota: p.Quota,
-		Domain:    p.Settings.Domain, Self: p.Settings.Listen.Callers, Log: p.Log.Logger("entry"),
+		Domain: p.Settings.Domain, Self: p.Settings.Listen.Callers, Log: p.Log.Logger("entry"),
 		Addresses: p.Peers.addresses, Forward: p.Peers.forward,
 	})
 }
--- a/node/settings.go
+++ b/node/settings.go
@@ -25,7 +25,7 @@
 	Domain   string           `toml:"domain"` // failure domain
 	Region   string           `toml:"region"`
 	Memory   int64            `toml:"memory"` // of the VM, in MiB; 0 for defaultMemory
-	Token    string           `toml:"token"` // hash of the operators' credential, "sha256:..."
+	Token    string           `toml:"token"`  // hash of the operators' credential, "sha256:..."
 	Listen   ListenSettings   `toml:"listen"`
 	Platform PlatformSettings `toml:"platform"`
 	Peer     PeerSettings     `toml:"peer"` // other entry processes
