--- a/relay/handover.go
+++ b/relay/handover.go
@@ -201,9 +201,6 @@
 		close(h.done)
 		return
 	}
-	if why == plannedMove && m.relay.endIsPlanned(m.path.first) {
-		m.stream.uncountRun(m.run) // a failure of the new run needs the attempt
-	}
 	h.run = rn
 	close(h.done)
 	m.cancel()
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -72,7 +72,6 @@
 	relay  *Relay
 	req    *Request
 	stream *streamState
-	run    *run
 	parent context.Context // context of the stream
 	ctx    context.Context // context of the run
 	cancel context.CancelFunc
@@ -104,7 +103,7 @@
 // newStallMonitor returns the monitor of a run. Only runs over a path of engines are checked; for
 // others eventReceived and stop do nothing.
 func newStallMonitor(parent context.Context, st *streamState, rn *run, excluded map[string]bool) *stallMonitor {
-	m := &stallMonitor{relay: st.relay, req: st.req, stream: st, run: rn, parent: parent, ctx: rn.ctx, cancel: rn.cancel, path: rn.path, excluded: excluded, startedAt: time.Now()}
+	m := &stallMonitor{relay: st.relay, req: st.req, stream: st, parent: parent, ctx: rn.ctx, cancel: rn.cancel, path: rn.path, excluded: excluded, startedAt: time.Now()}
 	if len(rn.path.hops) > 0 {
 		m.mu.Lock()
 		m.timer = time.AfterFunc(m.relay.firstEventWait(m.req.Service.Name), m.check)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -81,17 +81,6 @@
 	return st.attempts
 }
 
-// uncountRun keeps a run from counting as an attempt: the route bounds the servers that have a request, and that of the
-// run has ended or will soon.
-func (st *streamState) uncountRun(rn *run) {
-	st.mu.Lock()
-	defer st.mu.Unlock()
-	if !rn.uncounted {
-		rn.uncounted = true
-		st.attempts--
-	}
-}
-
 // eventTiming records the times for which routes have targets.
 type eventTiming struct {
 	first       time.Duration // from the arrival of the request to the first event
@@ -176,9 +165,6 @@
 	resumeAfter string  // event after which the run resumes; "" to start
 	answer      *Answer // nil until the response header has arrived
 	cancelled   bool    // it was cancelled because another run takes over or its engine is gone
-	// uncounted means that the run does not count as an attempt, because its server has ended or leaves;
-	// guarded by streamState.mu.
-	uncounted bool
 }
 
 // end closes the answer, cancels the run and releases its path.
@@ -328,7 +314,7 @@
 		go r.probeFailed(t.first, failedServer)
 	}
 	if r.cfg.Servers.ByAddress(t.first.Address()) == nil {
-		st.uncountRun(rn) // its server is no longer registered
+		st.addAttempt(-1) // an attempt on a server that is no longer registered does not count
 	}
 	st.uncountRefusal(err)
 	return fault.VerdictOf(err) == fault.NotRun || st.req.Route.Repeatable()
