--- a/edge/registrar_test.go
+++ b/edge/registrar_test.go
@@ -244,6 +244,61 @@
 	})
 }
 
+// Guards against processes that form a system of their own for a minute: another writer has spoiled the rows by which
+// a process that starts finds the others. Requests that crash servers were refused by one part only.
+func TestSpoiledRowsAreWrittenAgain(t *testing.T) {
+	withCluster(t, func(t *testing.T, s *cluster) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		a, _ := s.join(ctx, "a", "d", 800, true)
+		go a.maintain(ctx)
+		time.Sleep(10 * time.Second)
+		for _, key := range []string{hubRowPrefix + "d", sealKeyRow} {
+			_, err := s.rows.client().Commit(ctx, *new(table.Batch).Put(key, []byte("odd")).Expect(key, revisionOf(t, s, key)))
+			assert.NilError(t, err)
+		}
+		b, _ := s.join(ctx, "b", "e", 200, false)
+		go b.maintain(ctx)
+		time.Sleep(5500 * time.Millisecond)
+		for _, n := range []*registrar{a, b} {
+			var names []string
+			for _, p := range n.cfg.Members.Peers() {
+				names = append(names, p.Name)
+			}
+			assert.Equal(t, len(names), 2, "%s knows %v", n.cfg.Self.Name, names)
+		}
+		assert.Equal(t, a.cfg.Sealer.Newest(), b.cfg.Sealer.Newest())
+	})
+}
+
+// Guards against calls to the platform that grow with the number of failure domains, or of processes: only the
+// pollers read the rows often.
+func TestRowsAreReadByPollers(t *testing.T) {
+	withCluster(t, func(t *testing.T, s *cluster) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		a, _ := s.join(ctx, "a", "d", 800, true)
+		go a.maintain(ctx)
+		time.Sleep(10 * time.Second)
+		s.mu.Lock()
+		reads, writes := s.reads, s.writes
+		s.mu.Unlock()
+		time.Sleep(time.Minute)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		assert.Assert(t, s.reads-reads <= int(time.Minute/pollerRowsInterval), "%d reads in a minute", s.reads-reads)
+		assert.Equal(t, s.writes, writes)
+	})
+}
+
+// revisionOf returns the revision of a row.
+func revisionOf(t *testing.T, s *cluster, key string) uint64 {
+	t.Helper()
+	rows, err := s.rows.client().Get(t.Context(), key)
+	assert.NilError(t, err)
+	return rows[0].Revision()
+}
+
 // knownFollower returns a follower of a table in memory that is read once.
 func knownFollower(ctx context.Context, name string, rows ...watch.Row) *watch.Follower {
 	f := watch.New(watch.Config{
