relay: a panic beside a stream does not end the process

No input is known that causes one.

Cause: only attempts at plain services recovered from panics; these run on goroutines and timers of their own.

Change: Relay.safely, which attempts use already in effect, runs them all. A handover that panics has failed, and the old run goes on; a query that panics says nothing about its engine.

Tests that ended the test process before: relay.TestPanicInAHandoverKeepsTheStream, TestPanicInAQueryKeepsTheStream, TestPanicInAChangeOfPathKeepsTheStream.

Conclusion: one stream's fault stays with it.

--- a/relay/handover.go
+++ b/relay/handover.go
@@ -179,7 +179,11 @@
 			rn.cancel()
 		}
 	})
-	ans, err := m.stream.send(rn)
+	var ans *Answer
+	err := mayHaveRunError(reasonInternal, nil)
+	if !m.relay.safely(m.req.ID, func() { ans, err = m.stream.send(rn) }) {
+		m.req.mayHaveRun.Store(true)
+	}
 	timer.Stop()
 	switch {
 	case err != nil && rn.ctx.Err() == nil:
--- a/relay/handover_test.go
+++ b/relay/handover_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -176,3 +177,59 @@
 		assert.Assert(t, !body.closedLate)
 	})
 }
+
+// Guards against a panic in a handover that ends the process, and with it the requests of all callers.
+func TestPanicInAHandoverKeepsTheStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var panicked atomic.Bool
+		cl := newDrainingCluster(t, &pacedBody{left: 200}, func(context.Context, relay.Attempt) (*relay.Answer, error) {
+			panicked.Store(true)
+			panic("index out of range")
+		})
+		checkServed(t, cl.serve(t.Context(), request(config.Stream, 2)), events(1, 200))
+		assert.Assert(t, panicked.Load())
+	})
+}
+
+// Guards against a panic in the query of a silent engine that ends the process, or that counts as its death.
+func TestPanicInAQueryKeepsTheStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var panicked atomic.Bool
+		cl := newCluster(t, engineEntry("a", "near", 0, 8))
+		cl.onSend = func(ctx context.Context, _ int, _ *relay.Request, _ relay.Attempt) (*relay.Answer, error) {
+			time.Sleep(700 * time.Millisecond)
+			ans := signedAnswer(http.StatusOK, "")
+			ans.Body = &pacedBody{ctx: ctx, left: 20}
+			return ans, nil
+		}
+		cl.onReport = func(context.Context, string) (relay.Report, error) {
+			panicked.Store(true)
+			panic("index out of range")
+		}
+		checkServed(t, cl.serve(t.Context(), request(config.Stream, 2)), events(1, 20))
+		assert.Assert(t, panicked.Load())
+		assert.Equal(t, cl.attemptCount(), 1)
+	})
+}
+
+// Guards against a panic in a change of path that ends the process.
+func TestPanicInAChangeOfPathKeepsTheStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, c := engineEntry("b", "near", 4, 8), slowAccelerator(engineEntry("c", "near", 4, 8))
+		cl := newCluster(t, engineEntry("a", "near", 0, 4), b, c)
+		cl.onSend = func(ctx context.Context, _ int, _ *relay.Request, _ relay.Attempt) (*relay.Answer, error) {
+			b.From, b.To = 0, 2
+			cl.table.Apply([]server.Change{{ID: b.ID, Entry: b}}, false, 0)
+			ans := signedAnswer(http.StatusOK, "")
+			ans.Body = &pacedBody{ctx: ctx, left: 100}
+			return ans, nil
+		}
+		panicked := false
+		cl.onRepath = func([]relay.Hop) error {
+			panicked = true
+			panic("index out of range")
+		}
+		checkServed(t, cl.serve(t.Context(), request(config.Stream, 2)), events(1, 100))
+		assert.Assert(t, panicked)
+	})
+}
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -191,15 +191,24 @@
 // attemptSafely is attemptOnce, but turns a panic into a failed attempt: it would end the process with all of its
 // requests.
 func (r *Relay) attemptSafely(ctx context.Context, req *Request, srv *server.Server, sendAt time.Time) (res attemptResult) {
+	res = attemptResult{server: srv, err: mayHaveRunError(reasonInternal, nil), release: func() {}}
+	if !r.safely(req.ID, func() { res = r.attemptOnce(ctx, req, srv, sendAt) }) {
+		req.mayHaveRun.Store(true)
+	}
+	return res
+}
+
+// safely calls f for a request and reports whether it returned. A panic is logged; on a goroutine of its own it would
+// end the process with all of its requests.
+func (r *Relay) safely(id string, f func()) (returned bool) {
 	defer func() {
 		if value := recover(); value != nil {
 			r.cfg.Count("panic")
-			r.cfg.Log.Error().Str("id", req.ID).Interface("panic", value).Bytes("stack", debug.Stack()).Msg("panic while a request was handled")
-			req.mayHaveRun.Store(true)
-			res = attemptResult{server: srv, err: mayHaveRunError(reasonInternal, nil), release: func() {}}
+			r.cfg.Log.Error().Str("id", id).Interface("panic", value).Bytes("stack", debug.Stack()).Msg("panic while a request was handled")
 		}
 	}()
-	return r.attemptOnce(ctx, req, srv, sendAt)
+	f()
+	return true
 }
 
 // attemptOnce makes one attempt, at sendAt, and reads the whole answer.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -220,7 +220,7 @@
 		cfg.PeerLoad = func(string) (int, int64) { return 0, 0 }
 	}
 	r := &Relay{cfg: cfg, monitors: map[*stallMonitor]struct{}{}, restWaiters: map[string]int{}, firstEventTimes: firstEventTimes{byService: map[string]time.Duration{}}}
-	r.reports = newReportCache(r.fetchReport)
+	r.reports = newReportCache(r.fetchReportSafely)
 	r.waits.init()
 	return r
 }
@@ -437,6 +437,16 @@
 	r.cfg.Pacer.Observe(pacer.Statement{Server: s.Incarnation(), ID: s.ID(), Named: n.Named, Rate: n.Value, Unreadable: n.Unreadable, SentAt: sentAt})
 }
 
+// fetchReportSafely is fetchReport, but turns a panic into an error that says nothing about the engine.
+func (r *Relay) fetchReportSafely(ctx context.Context, address string) (report Report, err error) {
+	err = &InvalidReportError{Address: address, Cause: errPanic}
+	r.safely("", func() { report, err = r.fetchReport(ctx, address) })
+	return report, err
+}
+
+// errPanic is the cause of errors that stand for a panic.
+var errPanic = errors.New("panic while the report was read")
+
 // fetchReport queries an engine for its report. Reports lag, so one without a rate does not end a
 // limit.
 func (r *Relay) fetchReport(ctx context.Context, address string) (Report, error) {
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -106,7 +106,7 @@
 	m := &stallMonitor{relay: st.relay, req: st.req, stream: st, parent: parent, ctx: rn.ctx, cancel: rn.cancel, path: rn.path, excluded: excluded, startedAt: time.Now()}
 	if len(rn.path.hops) > 0 {
 		m.mu.Lock()
-		m.timer = time.AfterFunc(m.relay.firstEventWait(m.req.Service.Name), m.check)
+		m.timer = time.AfterFunc(m.relay.firstEventWait(m.req.Service.Name), func() { m.relay.safely(m.req.ID, m.check) })
 		m.mu.Unlock()
 		m.relay.addMonitor(m)
 	}
@@ -198,7 +198,7 @@
 	if !leaving[m.path.currentHops()[0].Address] {
 		if m.leaving.CompareAndSwap(false, true) {
 			m.leaveAttempts++
-			go m.leaveLaterEngines(leaving)
+			go m.relay.safely(m.req.ID, func() { m.leaveLaterEngines(leaving) })
 		}
 		return
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -311,7 +311,7 @@
 			m.exclude(failedServer.Address())
 		}
 		// An engine that refuses may be full or dead; its report shows which.
-		go r.probeFailed(t.first, failedServer)
+		go r.safely(st.req.ID, func() { r.probeFailed(t.first, failedServer) })
 	}
 	if r.cfg.Servers.ByAddress(t.first.Address()) == nil {
 		st.addAttempt(-1) // an attempt on a server that is no longer registered does not count
