--- a/edge/registrar_test.go
+++ b/edge/registrar_test.go
@@ -244,15 +244,21 @@
 	})
 }
 
+// startHub starts the hub "a" of the failure domain "d" and returns when it has been the hub for a while.
+func (s *cluster) startHub(ctx context.Context) *registrar {
+	a, _ := s.join(ctx, "a", "d", 800, true)
+	go a.maintain(ctx)
+	time.Sleep(10 * time.Second)
+	return a
+}
+
 // Guards against processes that form a system of their own for a minute: another writer has spoiled the rows by which
 // a process that starts finds the others. Requests that crash servers were refused by one part only.
 func TestSpoiledRowsAreWrittenAgain(t *testing.T) {
 	withCluster(t, func(t *testing.T, s *cluster) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		a, _ := s.join(ctx, "a", "d", 800, true)
-		go a.maintain(ctx)
-		time.Sleep(10 * time.Second)
+		a := s.startHub(ctx)
 		for _, key := range []string{hubRowPrefix + "d", sealKeyRow} {
 			_, err := s.rows.client().Commit(ctx, *new(table.Batch).Put(key, []byte("odd")).Expect(key, revisionOf(t, s, key)))
 			assert.NilError(t, err)
@@ -277,9 +283,7 @@
 	withCluster(t, func(t *testing.T, s *cluster) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		a, _ := s.join(ctx, "a", "d", 800, true)
-		go a.maintain(ctx)
-		time.Sleep(10 * time.Second)
+		s.startHub(ctx)
 		s.mu.Lock()
 		reads, writes := s.reads, s.writes
 		s.mu.Unlock()
