edge: a failed update of the rows is tried again after 2 s

Cause: an update of the rows of the entry processes that failed was tried again every half second until it succeeded.

Change: it is tried again after 2 s, by all hubs; at once only while this hub's name is not in its row, or after the store returned from an older copy.

--- a/edge/registrar.go
+++ b/edge/registrar.go
@@ -68,7 +68,7 @@
 	// that lost contact find each other.
 	rowsInterval = time.Minute
 	// pollerRowsInterval is this interval for the two hubs that poll the platform for all
-	// processes. Rows that another writer has spoiled keep processes that start from finding
+	// processes, and for all hubs after a failure. Rows that another writer has spoiled keep processes that start from finding
 	// the others; until the rows are written again these form a system of their own.
 	pollerRowsInterval = 2 * time.Second
 	// sealKeyReadInterval is the minimum interval between reads of the key that are
@@ -365,6 +365,7 @@
 func (reg *registrar) maintain(ctx context.Context) {
 	writtenHub := "" // name in the hub's row, as far as this process knows
 	lastUpdate := clock.Now()
+	failed := false // the last update
 	lastKeyRead := clock.Now()
 	unwritten := false            // the row of quarantined parts may be out of date
 	restored := false             // the store returned from an older copy since the rows were read
@@ -375,10 +376,13 @@
 		now := clock.Now()
 		var err error
 		switch {
-		case hub.Name == reg.cfg.Self.Name && since > hubRowDelay && (writtenHub != hub.Name || now-lastUpdate > reg.rowsInterval() || restored):
-			writtenHub, err = reg.update(ctx)
-			lastUpdate = now
-			restored = err != nil
+		case hub.Name == reg.cfg.Self.Name && since > hubRowDelay && (writtenHub != hub.Name || now-lastUpdate > reg.rowsInterval(failed) || restored):
+			var name string
+			if name, err = reg.update(ctx); err == nil {
+				writtenHub = name
+			}
+			lastUpdate, failed = now, err != nil
+			restored = restored && failed
 		case unwritten && now > nextWrite && reg.cfg.Members.IsPoller():
 			err = reg.writeQuarantines(ctx)
 			unwritten = err != nil
@@ -405,9 +409,10 @@
 	}
 }
 
-// rowsInterval returns the interval at which this process reads the rows again while it is the hub.
-func (reg *registrar) rowsInterval() time.Duration {
-	if reg.cfg.Members.IsPoller() {
+// rowsInterval returns the time from one update of the rows, which may have failed, to the next while this process
+// is the hub.
+func (reg *registrar) rowsInterval(failed bool) time.Duration {
+	if failed || reg.cfg.Members.IsPoller() {
 		return pollerRowsInterval
 	}
 	return rowsInterval
--- a/edge/registrar_test.go
+++ b/edge/registrar_test.go
@@ -277,22 +277,26 @@
 	})
 }
 
-// Guards against calls to the platform that grow with the number of failure domains, or of processes: only the
-// pollers read the rows often.
+// Guards against pollers that read the rows again and again, also while the platform is down.
 func TestRowsAreReadByPollers(t *testing.T) {
-	withCluster(t, func(t *testing.T, s *cluster) {
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		s.startHub(ctx)
-		s.mu.Lock()
-		reads, writes := s.reads, s.writes
-		s.mu.Unlock()
-		time.Sleep(time.Minute)
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		assert.Assert(t, s.reads-reads <= int(time.Minute/pollerRowsInterval), "%d reads in a minute", s.reads-reads)
-		assert.Equal(t, s.writes, writes)
-	})
+	for _, down := range []bool{false, true} {
+		withCluster(t, func(t *testing.T, s *cluster) {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			s.startHub(ctx)
+			s.rows.mu.Lock()
+			s.rows.down = down
+			s.rows.mu.Unlock()
+			s.mu.Lock()
+			reads, writes := s.reads, s.writes
+			s.mu.Unlock()
+			time.Sleep(time.Minute)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			assert.Assert(t, s.reads-reads <= int(time.Minute/pollerRowsInterval), "%d reads in a minute, platform down: %t", s.reads-reads, down)
+			assert.Equal(t, s.writes, writes)
+		})
+	}
 }
 
 // revisionOf returns the revision of a row.
