--- a/beat/follow_test.go
+++ b/beat/follow_test.go
@@ -354,7 +354,7 @@
 	},
 }
 
-// inTurns is true for 2 of 2.5 s.
+// inTurns reports whether a trouble that comes and goes is on: for 2 of 2.5 s.
 func inTurns() bool { return clock.Now()%(2500*time.Millisecond) < 2*time.Second }
 
 // Guards against a change of the configuration or of the servers that a process which reaches the platform does
--- a/edge/conns.go
+++ b/edge/conns.go
@@ -356,8 +356,8 @@
 	return open + x.accepting
 }
 
-// shutdown accepts the connections that wait and no more, and closes those of callers once they are idle. It returns the number
-// of those that are not at a time. net/http would also close the ones on which it has read a part of a header.
+// shutdown accepts the connections that wait and no more, and closes those of callers once they are idle. It
+// returns the number of those that are not at a time. net/http would also close the ones on which it has read a part of a header.
 func (x *callerConns) shutdown(until time.Time) (left int, err error) {
 	x.mu.Lock()
 	ln := x.ln
--- a/edge/conns_test.go
+++ b/edge/conns_test.go
@@ -217,7 +217,7 @@
 	assert.Equal(t, <-result, 0)
 }
 
-// slowListener accepts a connection in a while, as a slow process does.
+// slowListener accepts connections late, as a process does that gets little processor time.
 type slowListener struct{ *net.TCPListener }
 
 func (l slowListener) Accept() (net.Conn, error) {
--- a/entry/listener.go
+++ b/entry/listener.go
@@ -36,11 +36,11 @@
 // where net/http closes the connection without an answer.
 func (h *Handler) Listener(l net.Listener) net.Listener { return callerListener{l, h.conns} }
 
-// Shutdown stops a drained server: it closes the listener once the connections
-// that wait for Accept were taken, and then the connections, each one once the requests that were read from it are answered.
-// net/http's own shutdown closes a connection without an answer when it reads
-// the request meanwhile. When ctx ends first, the requests in flight get their
-// final answer; that takes at most EndTimeout.
+// Shutdown stops a drained server: it closes the listener once Accept has taken the
+// connections that wait, and then each connection once the requests that were read
+// from it are answered. net/http's own shutdown closes a connection without an answer
+// when it reads the request meanwhile. When ctx ends first, the requests in flight get
+// their final answer; that takes at most EndTimeout.
 func (h *Handler) Shutdown(ctx context.Context, s *http.Server, l net.Listener) error {
 	inner := l
 	if callers, ok := l.(callerListener); ok {
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -81,7 +81,7 @@
 	}
 }
 
-// slowListener accepts a connection in a while, as a slow process does.
+// slowListener accepts connections late, as a process does that gets little processor time.
 type slowListener struct{ *net.TCPListener }
 
 func (l slowListener) Accept() (net.Conn, error) {
--- a/proxy/endless_test.go
+++ b/proxy/endless_test.go
@@ -14,7 +14,7 @@
 	"github.com/cranberrybay/cranberrybay/fault"
 )
 
-// endlessHeads are heads of answers that a faulty server goes on with until the connection closes.
+// endlessHeads are heads of answers that a faulty server continues until the connection closes.
 var endlessHeads = map[string]struct{ begin, repeated string }{
 	"lines":   {"HTTP/1.1 200 OK\r\n", "X-Line: yyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyy\r\n"},
 	"line":    {"HTTP/1.1 200 OK\r\nX-Line: ", "yyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyy"},
--- a/socket/socket_test.go
+++ b/socket/socket_test.go
@@ -25,7 +25,7 @@
 	return ln
 }
 
-// serve answers one request on each connection, and accepts one connection in a while.
+// serve accepts connections, each after a pause, and answers one request on each.
 func serve(ln net.Listener, pause time.Duration) {
 	for {
 		time.Sleep(pause)
@@ -131,7 +131,7 @@
 	assert.Assert(t, time.Since(begun) < 5*time.Second)
 }
 
-// Guards against an error that is not told apart: listeners of tests are no sockets.
+// Guards against a stop that fails for a listener that is not a socket, such as those of tests.
 func TestDrainOfNoSocket(t *testing.T) {
 	_, err := socket.Drain(t.Context(), struct{ net.Listener }{listen(t)})
 	assert.Assert(t, err != nil && !errors.Is(err, net.ErrClosed))
