edge: the rows of the entry processes are read once a minute again

By reading: each update lists the hubs of the rows anew (beat.AddPeers), which makes one that is silent count as alive; every 2 s that is too often.

--- a/edge/registrar.go
+++ b/edge/registrar.go
@@ -67,10 +67,6 @@
 	// rowsInterval is the interval at which a hub reads the rows again, so that hubs
 	// that lost contact find each other.
 	rowsInterval = time.Minute
-	// pollerRowsInterval is this interval for the two hubs that poll the platform for all
-	// processes, and for all hubs after a failure. Rows that another writer has spoiled keep processes that start from finding
-	// the others; until the rows are written again these form a system of their own.
-	pollerRowsInterval = 2 * time.Second
 	// sealKeyReadInterval is the minimum interval between reads of the key that are
 	// triggered by messages under an unknown key. Anybody can send such messages.
 	sealKeyReadInterval = 5 * time.Second
@@ -364,8 +360,7 @@
 // while it is. It reads the key when another process uses an unknown one.
 func (reg *registrar) maintain(ctx context.Context) {
 	writtenHub := "" // name in the hub's row, as far as this process knows
-	lastUpdate := clock.Now()
-	failed := false // the last update
+	nextUpdate := clock.Now() + rowsInterval
 	lastKeyRead := clock.Now()
 	unwritten := false            // the row of quarantined parts may be out of date
 	restored := false             // the store returned from an older copy since the rows were read
@@ -376,13 +371,10 @@
 		now := clock.Now()
 		var err error
 		switch {
-		case hub.Name == reg.cfg.Self.Name && since > hubRowDelay && (writtenHub != hub.Name || now-lastUpdate > reg.rowsInterval(failed) || restored):
-			var name string
-			if name, err = reg.update(ctx); err == nil {
-				writtenHub = name
-			}
-			lastUpdate, failed = now, err != nil
-			restored = restored && failed
+		case hub.Name == reg.cfg.Self.Name && since > hubRowDelay && (writtenHub != hub.Name || now > nextUpdate || restored):
+			writtenHub, err = reg.update(ctx)
+			nextUpdate = now + rowsInterval
+			restored = err != nil
 		case unwritten && now > nextWrite && reg.cfg.Members.IsPoller():
 			err = reg.writeQuarantines(ctx)
 			unwritten = err != nil
@@ -409,15 +401,6 @@
 	}
 }
 
-// rowsInterval returns the time from one update of the rows, which may have failed, to the next while this process
-// is the hub.
-func (reg *registrar) rowsInterval(failed bool) time.Duration {
-	if failed || reg.cfg.Members.IsPoller() {
-		return pollerRowsInterval
-	}
-	return rowsInterval
-}
-
 // update reads the rows, replaces the key if it is too old and this process holds the
 // placement lease, and writes the hub's row of this failure domain unless it already
 // describes this process. It returns the name in the hub's row.
