watch, member: no timer for a wait that is over at once

Cause, as far as the stacks show: a goroutine of a synctest bubble selects on a timer that is due at once, time.After(0), for which the runtime runs the timer inside the select. watch.sleep did so after each page of a table without a pause, verifyDeath when it drew no delay.

Change: both return at once when there is nothing to wait for. No decision changes; the tests and their bounds are as they were.

--- a/member/events.go
+++ b/member/events.go
@@ -136,9 +136,13 @@
 // verifyDeath pings a member that was reported dead, after a delay, and marks it
 // unreachable when it does not answer.
 func (ms *Membership) verifyDeath(m Member, wait time.Duration) {
-	select {
-	case <-time.After(wait):
-	case <-ms.ctx.Done():
+	if wait > 0 {
+		select {
+		case <-time.After(wait):
+		case <-ms.ctx.Done():
+		}
+	}
+	if ms.ctx.Err() != nil {
 		return
 	}
 	ms.cfg.BeforeStep()
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -302,6 +302,9 @@
 
 // sleep waits for a duration or until the context is done.
 func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	select {
 	case <-ctx.Done():
 	case <-time.After(d):
