entry: a stop that answered each request in its last moment is no failure

A process of serve exits with code 1 then.

Cause: when a stop runs out of time, Handler.Shutdown waits for the last answers and calls net/http's Shutdown with the context that has ended. A connection leaves the handler's list before net/http takes it for closed; in between, net/http returns the error of the context. Ruled out: a connection that stays open (the stop would take 3 s longer) and the other hooks of the stop, which return no error of a context that has ended.

Change: net/http's Shutdown gets what is left of EndTimeout.

--- a/entry/listener.go
+++ b/entry/listener.go
@@ -54,10 +54,13 @@
 		time.Sleep(connPollInterval)
 	}
 	h.endRequests()
-	for end := time.Now().Add(EndTimeout); h.conns.closeIdle() > 0 && time.Now().Before(end); {
+	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), EndTimeout)
+	defer cancel()
+	for h.conns.closeIdle() > 0 && last.Err() == nil {
 		time.Sleep(connPollInterval)
 	}
-	return s.Shutdown(ctx)
+	// A connection leaves conns before net/http takes it for closed, and ctx may have ended.
+	return s.Shutdown(last)
 }
 
 const (
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -271,3 +271,50 @@
 		time.Sleep(10 * time.Second)
 	})
 }
+
+// slowClosing accepts connections whose close takes a while, as in a process that gets
+// little processor time.
+type slowClosing struct{ net.Listener }
+
+type slowClosingConn struct{ net.Conn }
+
+func (l slowClosing) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return slowClosingConn{c}, nil
+}
+
+func (c slowClosingConn) Close() error {
+	time.Sleep(100 * time.Millisecond)
+	return c.Conn.Close()
+}
+
+// TestStopOutOfTimeIsNoFailure guards against a planned stop that reports a failure
+// although each request was answered: connections still close when its time is over.
+func TestStopOutOfTimeIsNoFailure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(t, 1, 1)
+		n := s.start(t)
+		time.Sleep(time.Second)
+		assert.NilError(t, n.listener.Close())
+		l := n.handler.Listener(slowClosing{s.listen("entry-slow")})
+		go func() { _ = n.server.Serve(l) }()
+		s.services[0].SetFaults(fakes.ServiceFaults{Delay: 4 * time.Second})
+		c, err := s.dial(t.Context(), "", "entry-slow")
+		assert.NilError(t, err)
+		defer c.Close()
+		go func() { _, _ = io.WriteString(c, strings.Replace(plainOrder, "Host: x", "Host: x\r\nConnection: close", 1)) }()
+		time.Sleep(time.Second)
+		n.handler.Drain()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		stopped := make(chan error, 1)
+		go func() { stopped <- n.handler.Shutdown(ctx, n.server, l) }()
+		readStatus(t, bufio.NewReader(c), 503, "order in flight")
+		err = <-stopped
+		time.Sleep(10 * time.Second) // the service ends its call
+		assert.NilError(t, err)
+	})
+}
