--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -305,7 +305,9 @@
 		c, err := s.dial(t.Context(), "", "entry-slow")
 		assert.NilError(t, err)
 		defer c.Close()
-		go func() { _, _ = io.WriteString(c, strings.Replace(plainOrder, "Host: x", "Host: x\r\nConnection: close", 1)) }()
+		go func() {
+			_, _ = io.WriteString(c, strings.Replace(plainOrder, "Host: x", "Host: x\r\nConnection: close", 1))
+		}()
 		time.Sleep(time.Second)
 		n.handler.Drain()
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
