entry: the listener of callers closes once

What was seen: cmds.TestProcesses failed once; a process of serve that had stopped well ended with exit code 1 and "close tcp 127.0.0.1:23018: use of closed network connection".

Cause: Handler.Shutdown closes the listener and goes on once Accept has returned. net/http's Shutdown then closes each listener whose Serve has not returned yet, which is an error on one that is closed. The class is that of: two owners record one end at different moments.

Change: the listener of callers closes once, as that of edge does.

--- a/entry/listener.go
+++ b/entry/listener.go
@@ -34,7 +34,9 @@
 // Listener returns a listener for callers. It bounds each write to a
 // connection, and answers a header that arrives too slowly with status 408,
 // where net/http closes the connection without an answer.
-func (h *Handler) Listener(l net.Listener) net.Listener { return callerListener{l, h.conns} }
+func (h *Handler) Listener(l net.Listener) net.Listener {
+	return callerListener{l, h.conns, sync.OnceValue(l.Close)}
+}
 
 // Shutdown stops a drained server: it closes the listener once Accept has taken the
 // connections that wait, and then each connection once the requests that were read
@@ -126,8 +128,12 @@
 type callerListener struct {
 	net.Listener
 	conns *connTracker
+	close func() error // closes Listener once; net/http closes it again
 }
 
+// Close stops accepting connections.
+func (l callerListener) Close() error { return l.close() }
+
 func (l callerListener) Accept() (net.Conn, error) {
 	l.conns.beginAccept()
 	c, err := l.Listener.Accept()
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -320,3 +320,28 @@
 		assert.NilError(t, err)
 	})
 }
+
+// slowServing returns the end of a listener late to net/http, as in a process that gets
+// little processor time.
+type slowServing struct{ net.Listener }
+
+func (l slowServing) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		time.Sleep(100 * time.Millisecond)
+	}
+	return c, err
+}
+
+// TestStopWithSlowListenerIsNoFailure guards against a planned stop that reports a failure
+// since net/http closes the listener once more: it has not noticed yet that it is closed.
+func TestStopWithSlowListenerIsNoFailure(t *testing.T) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	h := entry.New(entry.Config{Store: newSystem(t, 1, 0).store(t), Fleet: fleet.New(fleet.Config{}), Engines: engine.New(engine.Config{})})
+	server, callers := h.Server(), h.Listener(ln)
+	go func() { _ = server.Serve(slowServing{callers}) }()
+	time.Sleep(10 * time.Millisecond) // the server has begun
+	h.Drain()
+	assert.NilError(t, h.Shutdown(t.Context(), server, callers))
+}
