engine, quota: reports, statuses, cache events and frames take bounded memory

Cause: the bound of an answer was 4 MB (1 MB for an order status), for each call, and counted text. Elements of a list such as null or {} take 2 to 6 bytes of text and 24 to 136 in memory.

Change: a list with more elements than its text explains is refused (quota.List, 20 bytes each), as is a frame with more than 64 commas for each stage. Reports are bounded to 64 KB, order statuses to 256 KB and 1,024 parts with valid names; cache events share the process's quota while they are read, and are left out if there is no room: they are a hint.

--- a/engine/answer.go
+++ b/engine/answer.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"slices"
 
@@ -13,18 +14,24 @@
 	"github.com/cranberrybay/cranberrybay/fault"
 )
 
-// maxFrame bounds one frame, which is one line of an answer, in bytes.
-const maxFrame = 64 << 10
+const (
+	// maxFrame bounds one frame, which is one line of an answer, in bytes.
+	maxFrame = 64 << 10
+	// stageCommas bounds the commas of a frame for each stage, and for what is said once. They bound the elements of its
+	// lists, which take up to 70 times as much memory as their text. A stage has 20: a load report, a range, two times.
+	stageCommas = 64
+)
 
 // Answer is the stream of frames that an engine answers to a job.
 type Answer struct {
-	body   io.ReadCloser
-	reader *bufio.Reader
-	cancel context.CancelFunc
+	body      io.ReadCloser
+	reader    *bufio.Reader
+	cancel    context.CancelFunc
+	maxCommas int // of a frame
 }
 
-func newAnswer(body io.ReadCloser, cancel context.CancelFunc) *Answer {
-	return &Answer{body: body, reader: bufio.NewReaderSize(body, 4096), cancel: cancel}
+func newAnswer(body io.ReadCloser, cancel context.CancelFunc, stages int) *Answer {
+	return &Answer{body: body, reader: bufio.NewReaderSize(body, 4096), cancel: cancel, maxCommas: stageCommas * (stages + 1)}
 }
 
 // Next decodes the next frame into f and reuses the slices of f. It returns io.EOF
@@ -39,6 +46,9 @@
 	if err != nil {
 		return fault.New(fault.Config{Verdict: fault.MayHaveRun, Code: fault.Unavailable, Reason: "the connection to the engine was lost", Cause: err})
 	}
+	if n := bytes.Count(line, []byte{','}); n > a.maxCommas {
+		return fault.New(fault.Config{Verdict: fault.MayHaveRun, Code: fault.Unavailable, Reason: fmt.Sprintf("a frame has %d values or more, over %d", n, a.maxCommas)})
+	}
 	*f = Frame{Ranges: f.Ranges[:0], Took: f.Took[:0], Hops: f.Hops[:0]}
 	if err := json.Unmarshal(line, f); err != nil {
 		return fault.New(fault.Config{Verdict: fault.MayHaveRun, Code: fault.Unavailable, Reason: "a frame can't be decoded", Cause: err})
--- a/engine/client.go
+++ b/engine/client.go
@@ -15,11 +15,13 @@
 	"time"
 
 	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/quota"
 )
 
 // Config configures a Client.
 type Config struct {
 	Client *http.Client // nil for a client with its own transport
+	Quota  *quota.Quota // bounds the memory of lists of cache events that are read; nil for no bound
 }
 
 // Client is an HTTP client of engines and plain services. Answers name no call, so
@@ -29,6 +31,7 @@
 type Client struct {
 	http      *http.Client // reuses connections
 	singleUse *http.Client // opens a connection for each call
+	quota     *quota.Quota
 }
 
 // MaxAnswerHead bounds the head of an answer of a backend server, in bytes, together with interim answers before
@@ -43,7 +46,7 @@
 		tr.DialContext = (&net.Dialer{Timeout: time.Second}).DialContext
 		cfg.Client = &http.Client{Transport: tr}
 	}
-	return &Client{http: cfg.Client, singleUse: withoutReuse(cfg.Client)}
+	return &Client{http: cfg.Client, singleUse: withoutReuse(cfg.Client), quota: cfg.Quota}
 }
 
 // withoutReuse returns a client that opens a connection for each call and is like c
@@ -69,7 +72,7 @@
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { reused = i.Reused }})
 	rs, err := send(traced, c.http, http.MethodPost, j.Route[0].Address, "/generate", j)
 	if err == nil {
-		return newAnswer(rs.Body, cancel), nil
+		return newAnswer(rs.Body, cancel, len(j.Route)), nil
 	}
 	cancel()
 	var e *fault.Error
@@ -102,9 +105,24 @@
 
 // Events reads the prefix cache events after the given number.
 func (c *Client) Events(ctx context.Context, address string, after uint64) (CacheEvents, error) {
+	const path = "/events"
 	var e CacheEvents
-	err := call(ctx, c.http, callTimeout, http.MethodGet, address, "/events?after="+strconv.FormatUint(after, 10), nil, &e)
-	return e, err
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	rs, err := send(ctx, c.http, http.MethodGet, address, path+"?after="+strconv.FormatUint(after, 10), nil)
+	if err != nil {
+		return e, err
+	}
+	defer rs.Body.Close()
+	b, release, err := c.quota.Read(rs.Body, maxEvents)
+	defer release()
+	if err == nil {
+		err = json.Unmarshal(b, &e)
+	}
+	if err != nil {
+		return CacheEvents{}, undecodable(address, path, err)
+	}
+	return e, nil
 }
 
 // Export makes an engine write the KV cache of a request to storage that other
@@ -121,9 +139,12 @@
 	return call(ctx, c.singleUse, transferTimeout, http.MethodPost, address, "/import", i, &e)
 }
 
-// maxReply bounds one reply, in bytes. The longest replies are lists of cache
-// events of about 50 bytes each.
-const maxReply = 4 << 20
+const (
+	// maxReply bounds the reply to a call, in bytes. The longest are load reports, of less than 2 KB.
+	maxReply = 64 << 10
+	// maxEvents bounds a list of cache events, in bytes. An event takes about 50.
+	maxEvents = 4 << 20
+)
 
 // call sends one request and decodes the JSON answer. The timeout covers both.
 func call(ctx context.Context, c *http.Client, timeout time.Duration, method, address, path string, body, result any) error {
@@ -135,11 +156,16 @@
 	}
 	defer rs.Body.Close()
 	if err := json.NewDecoder(io.LimitReader(rs.Body, maxReply)).Decode(result); err != nil {
-		return fault.New(fault.Config{Verdict: fault.MayHaveRun, Code: fault.Unavailable, Reason: "engine's answer can't be decoded", Cause: fmt.Errorf("decode %s of %s: %w", path, address, err)})
+		return undecodable(address, path, err)
 	}
 	return nil
 }
 
+// undecodable returns the error for an answer that can't be decoded.
+func undecodable(address, path string, err error) error {
+	return fault.New(fault.Config{Verdict: fault.MayHaveRun, Code: fault.Unavailable, Reason: "engine's answer can't be decoded", Cause: fmt.Errorf("decode %s of %s: %w", path, address, err)})
+}
+
 // send sends one request and returns the answer if its status is 200.
 func send(ctx context.Context, c *http.Client, method, address, path string, body any) (*http.Response, error) {
 	var reader io.Reader
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cranberrybay/cranberrybay/label"
+	"github.com/cranberrybay/cranberrybay/quota"
 )
 
 // Stage is one engine of a route and the layers that it computes.
@@ -102,8 +103,8 @@
 
 // CacheEvents is the answer to GET /events.
 type CacheEvents struct {
-	Boot   string       `json:"boot"`
-	Events []CacheEvent `json:"events"`
+	Boot   string                 `json:"boot"`
+	Events quota.List[CacheEvent] `json:"events"`
 }
 
 // AttemptID identifies an attempt of a request. It is the body of POST /cancel, on
--- a/engine/fuzz_test.go
+++ b/engine/fuzz_test.go
@@ -21,7 +21,7 @@
 	f.Add([]byte("{\"position\":-1,\"ranges\":[[1]]}\n{\n\n"))
 	f.Add([]byte(`{"tag":1`))
 	f.Fuzz(func(t *testing.T, body []byte) {
-		a := newAnswer(io.NopCloser(bytes.NewReader(body)), func() {})
+		a := newAnswer(io.NopCloser(bytes.NewReader(body)), func() {}, 1)
 		defer a.Close()
 		var fr Frame
 		for frames := 0; ; frames++ {
--- a/engine/order.go
+++ b/engine/order.go
@@ -10,6 +10,8 @@
 	"net/http"
 
 	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/label"
+	"github.com/cranberrybay/cranberrybay/quota"
 )
 
 // Part is a layer range of a model version, with an optional adapter.
@@ -50,11 +52,11 @@
 // OrderStatus is the answer to POST /order and GET /order: the parts on an engine and
 // what it serves.
 type OrderStatus struct {
-	Memory  int         `json:"memory"` // MB available for weights
-	Parts   []PartState `json:"parts"`
-	Serve   *Part       `json:"serve,omitempty"` // part that requests run on at present
-	Fence   uint64      `json:"fence"`           // highest fencing number received in an order
-	Running int         `json:"running"`         // number of requests that run
+	Memory  int                   `json:"memory"` // MB available for weights
+	Parts   quota.List[PartState] `json:"parts"`
+	Serve   *Part                 `json:"serve,omitempty"` // part that requests run on at present
+	Fence   uint64                `json:"fence"`           // highest fencing number received in an order
+	Running int                   `json:"running"`         // number of requests that run
 }
 
 // OrderStatus reads the order status of an engine.
@@ -75,8 +77,13 @@
 	return decodeOrderStatus(rs.Body)
 }
 
-// maxOrderStatus bounds an order status, in bytes.
-const maxOrderStatus = 1 << 20
+const (
+	// maxOrderStatus bounds an order status, in bytes. A part takes about 100.
+	maxOrderStatus = 256 << 10
+	// maxParts bounds the parts of an engine: each layer of a model by itself, in several versions. The status of
+	// each engine stays in memory.
+	maxParts = 1024
+)
 
 func decodeOrderStatus(r io.Reader) (OrderStatus, error) {
 	var status OrderStatus
@@ -91,6 +98,9 @@
 
 // valid reports whether the values are possible.
 func (s *OrderStatus) valid() bool {
+	if len(s.Parts) > maxParts {
+		return false
+	}
 	for _, p := range s.Parts {
 		if !p.valid() {
 			return false
@@ -101,7 +111,7 @@
 
 // valid reports whether the values are possible.
 func (p *Part) valid() bool {
-	return p.First >= 0 && p.Last >= p.First && p.Last <= maxLayers && isCount(p.Size)
+	return label.IsValid(p.Model) && label.IsValid(p.Version) && label.IsValid(p.Adapter) && p.First >= 0 && p.Last >= p.First && p.Last <= maxLayers && isCount(p.Size)
 }
 
 // Order sends an order and returns the resulting status. It calls check once the
--- a/node/node.go
+++ b/node/node.go
@@ -71,8 +71,8 @@
 			newPool,
 			newConfigSync,
 			newStore,
-			func() *engine.Client { return engine.New(engine.Config{}) },
 			func() *quota.Quota { return quota.ForVM(s.memory()) },
+			func(q *quota.Quota) *engine.Client { return engine.New(engine.Config{Quota: q}) },
 			newPoisonTracker,
 			func(t *poison.Tracker, l *logs.Factory) *guard.Guard {
 				return guard.New(guard.Config{Tracker: t, Log: l.Logger("guard")})
