clock, relay: one function for a pause that ends with its context

Cause: watch, edge and change each had a function of their own for it, and member.verifyDeath a fourth in place; two of the four had the guard for waits of zero length that brought against the crash of the race detector. A panic while a report is read was logged with an empty id.

Change: clock.Sleep, with the guard, in place of the four; the log line of that panic has the address of the engine, as several requests share a report.

--- a/change/audit.go
+++ b/change/audit.go
@@ -11,6 +11,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/cranberrybay/cranberrybay/clock"
 	"github.com/cranberrybay/cranberrybay/fault"
 	"github.com/cranberrybay/cranberrybay/spec"
 	"github.com/cranberrybay/cranberrybay/table"
@@ -109,7 +110,7 @@
 			}
 		}
 		if _, err := p.cfg.Table.Commit(ctx, b); err != nil {
-			if errors.Is(err, table.ErrUnknown) && sleep(ctx, retryPause) {
+			if errors.Is(err, table.ErrUnknown) && clock.Sleep(ctx, retryPause) {
 				continue
 			}
 			p.cfg.Log.Warn().Err(err).Int("entries", len(batch)).Msg("refusals are not in the audit trail yet, the table service failed")
--- a/change/load.go
+++ b/change/load.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"github.com/cranberrybay/cranberrybay/clock"
 	"github.com/cranberrybay/cranberrybay/table"
 )
 
@@ -89,7 +90,7 @@
 			return nil
 		case errors.Is(err, table.ErrConflict):
 			return fmt.Errorf("head row changed while the process started: %w", ErrStale)
-		case !errors.Is(err, table.ErrUnknown) || !sleep(ctx, retryPause):
+		case !errors.Is(err, table.ErrUnknown) || !clock.Sleep(ctx, retryPause):
 			return fmt.Errorf("confirm head: %w", err)
 		}
 	}
@@ -294,7 +295,7 @@
 	tableCtx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	err := s.Refresh(tableCtx)
-	for errors.Is(err, ErrStale) && sleep(tableCtx, retryPause) {
+	for errors.Is(err, ErrStale) && clock.Sleep(tableCtx, retryPause) {
 		err = s.Refresh(tableCtx) // the head row changes while other processes publish
 	}
 	if err == nil {
--- a/change/publish.go
+++ b/change/publish.go
@@ -10,6 +10,7 @@
 	"github.com/google/uuid"
 	"github.com/rs/zerolog"
 
+	"github.com/cranberrybay/cranberrybay/clock"
 	"github.com/cranberrybay/cranberrybay/fault"
 	"github.com/cranberrybay/cranberrybay/spec"
 	"github.com/cranberrybay/cranberrybay/table"
@@ -105,7 +106,7 @@
 		res, pl, err := p.publishOnce(ctx, &rq, docs)
 		switch {
 		case errors.Is(err, errHeadChanged):
-			if sleep(ctx, retryPause) {
+			if clock.Sleep(ctx, retryPause) {
 				continue
 			}
 			err = unavailableError(err)
@@ -254,7 +255,7 @@
 			if readErr == nil && o == outcomeRejected {
 				return errHeadChanged
 			}
-			if !sleep(ctx, retryPause) {
+			if !clock.Sleep(ctx, retryPause) {
 				return fault.New(fault.Config{
 					Verdict: fault.MayHaveRun, Code: fault.Unavailable, Cause: errors.Join(err, readErr),
 					Reason:  fmt.Sprintf("the reply of the table service was lost: whether publication %s is accepted is unknown; look for it in the audit trail", tx.id),
@@ -309,16 +310,6 @@
 	}
 }
 
-// sleep waits for d and reports whether ctx is still active.
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 // unavailableError returns a refusal with the code Unavailable.
 func unavailableError(err error) error {
 	return fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Unavailable, Reason: "table service does not answer, nothing was published", RetryAt: time.Now().Add(maxTimeToEffect), Cause: err})
--- a/change/simulation_test.go
+++ b/change/simulation_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cranberrybay/cranberrybay/clock"
 	"github.com/cranberrybay/cranberrybay/fakes"
 	"github.com/cranberrybay/cranberrybay/fault"
 	"github.com/cranberrybay/cranberrybay/spec"
@@ -98,7 +99,7 @@
 	d := time.Until(p.pausedUntil)
 	p.sim.mu.Unlock()
 	if d > 0 {
-		sleep(ctx, d)
+		clock.Sleep(ctx, d)
 	}
 }
 
@@ -141,7 +142,7 @@
 		Fetch: func(ctx context.Context, peer string, after uint64) ([]Record, error) {
 			p.gate(ctx)
 			for _, q := range sim.procs {
-				if q.name == peer && sleep(ctx, 2*time.Millisecond) && q.up() {
+				if q.name == peer && clock.Sleep(ctx, 2*time.Millisecond) && q.up() {
 					return sim.fetch(q, after)
 				}
 			}
@@ -184,7 +185,7 @@
 	for _, q := range p.sim.procs {
 		if q != p {
 			go func() {
-				if sleep(ctx, time.Millisecond) {
+				if clock.Sleep(ctx, time.Millisecond) {
 					q.gate(ctx)
 					done(q.now().store.HandleAnnouncement(ctx, a))
 				}
@@ -261,7 +262,7 @@
 // watch checks every 20 ms that no process returns to an older version and that
 // every accepted version is in effect on all processes within maxTimeToEffect.
 func (sim *simulation) watch(ctx context.Context) {
-	for sleep(ctx, 20*time.Millisecond) {
+	for clock.Sleep(ctx, 20*time.Millisecond) {
 		h, err := decodeHead(sim.table.Row(headKey))
 		if err != nil {
 			sim.failf("head row: %v", err)
--- a/edge/registrar.go
+++ b/edge/registrar.go
@@ -191,7 +191,7 @@
 // initial state empty and this process reads the tables from the platform.
 func (reg *registrar) join(ctx context.Context) {
 	if reg.cfg.Bootstrap {
-		sleep(ctx, reg.startDelay())
+		clock.Sleep(ctx, reg.startDelay())
 	}
 	waited := reg.cfg.Bootstrap
 	for ctx.Err() == nil {
@@ -201,7 +201,7 @@
 		}
 		if err != nil {
 			reg.cfg.Log.Warn().Err(err).Msg("failed to read the rows of the entry processes")
-			sleep(ctx, storeRetryDelay/2+rand.N(storeRetryDelay))
+			clock.Sleep(ctx, storeRetryDelay/2+rand.N(storeRetryDelay))
 			continue
 		}
 		localHub := rows.hubs[reg.cfg.Self.Domain]
@@ -212,11 +212,11 @@
 		}
 		if !isSelf && !waited {
 			waited = true
-			sleep(ctx, reg.startDelay())
+			clock.Sleep(ctx, reg.startDelay())
 			continue
 		}
 		if !isSelf && reg.claimHubRow(ctx, rows) != nil {
-			sleep(ctx, storeRetryDelay/2+rand.N(storeRetryDelay))
+			clock.Sleep(ctx, storeRetryDelay/2+rand.N(storeRetryDelay))
 			continue
 		}
 		reg.addHubs(rows)
@@ -229,14 +229,6 @@
 	}
 }
 
-// sleep waits for a duration or until the context is done.
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // fetchFrom fetches the initial state from a process and reports whether it succeeded.
 func (reg *registrar) fetchFrom(ctx context.Context, p beat.Peer, wait bool) bool {
 	s, err := reg.cfg.Fetch(ctx, p.Address, wait)
--- a/edge/registrar_test.go
+++ b/edge/registrar_test.go
@@ -100,7 +100,7 @@
 		case !wait || time.Now().After(end):
 			return snapshot{}, errNotSettled
 		}
-		sleep(ctx, fetchPollInterval)
+		clock.Sleep(ctx, fetchPollInterval)
 	}
 }
 
--- a/member/events.go
+++ b/member/events.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/cranberrybay/cranberrybay/clock"
 )
 
 // verifyDelayPerMember times the number of members is the longest random delay
@@ -136,13 +138,7 @@
 // verifyDeath pings a member that was reported dead, after a delay, and marks it
 // unreachable when it does not answer.
 func (ms *Membership) verifyDeath(m Member, wait time.Duration) {
-	if wait > 0 {
-		select {
-		case <-time.After(wait):
-		case <-ms.ctx.Done():
-		}
-	}
-	if ms.ctx.Err() != nil {
+	if !clock.Sleep(ms.ctx, wait) {
 		return
 	}
 	ms.cfg.BeforeStep()
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -201,10 +201,16 @@
 // safely calls f for a request and reports whether it returned. A panic is logged; on a goroutine of its own it would
 // end the process with all of its requests.
 func (r *Relay) safely(id string, f func()) (returned bool) {
+	return r.safelyFor("id", id, f)
+}
+
+// safelyFor is safely for work that several requests may share. A panic is logged with the name and value of what the
+// work is for.
+func (r *Relay) safelyFor(name, value string, f func()) (returned bool) {
 	defer func() {
-		if value := recover(); value != nil {
+		if cause := recover(); cause != nil {
 			r.cfg.Count("panic")
-			r.cfg.Log.Error().Str("id", id).Interface("panic", value).Bytes("stack", debug.Stack()).Msg("panic while a request was handled")
+			r.cfg.Log.Error().Str(name, value).Interface("panic", cause).Bytes("stack", debug.Stack()).Msg("panic while a request was handled")
 		}
 	}()
 	f()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -440,7 +440,7 @@
 // fetchReportSafely is fetchReport, but turns a panic into an error that says nothing about the engine.
 func (r *Relay) fetchReportSafely(ctx context.Context, address string) (report Report, err error) {
 	err = &InvalidReportError{Address: address, Cause: errPanic}
-	r.safely("", func() { report, err = r.fetchReport(ctx, address) })
+	r.safelyFor("address", address, func() { report, err = r.fetchReport(ctx, address) })
 	return report, err
 }
 
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -198,7 +198,7 @@
 			f.applyAnswer(page, asked)
 			f.retryDelay, f.retryAt = firstRetryDelay, 0
 			if len(page.Rows) > 0 {
-				sleep(ctx, f.cfg.BatchDelay)
+				clock.Sleep(ctx, f.cfg.BatchDelay)
 			}
 			continue
 		}
@@ -297,18 +297,7 @@
 		f.retryAt = clock.Now() + wait
 		return
 	}
-	sleep(ctx, wait)
-}
-
-// sleep waits for a duration or until the context is done.
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
+	clock.Sleep(ctx, wait)
 }
 
 // stale reports whether a page is older than the known revision.
