edge, beat: pollers read the rows of the entry processes every 2 s, and believe them of unknown hubs only

Change: as (the two hubs that poll for all read the rows every 2 s; a failed update is tried again after 2 s), and beat.AddUnknownPeers: a row tells a running process only of hubs that it does not know, so that reading it does not make a hub that is silent count as alive.

--- a/beat/beat.go
+++ b/beat/beat.go
@@ -15,6 +15,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -216,10 +217,27 @@
 	}
 }
 
-// AddPeers adds processes that this one learned of from others, such as at its start.
+// AddPeers adds processes that this one learned of from others, such as at its start. They count as alive until they
+// miss heartbeats.
 func (ms *Membership) AddPeers(all []Peer) {
 	ms.mu.Lock()
 	defer ms.mu.Unlock()
+	ms.addPeers(all)
+}
+
+// AddUnknownPeers is AddPeers for the processes that this one does not know yet, or knows at another address. What it
+// knows of the others, such as that one is silent, stays.
+func (ms *Membership) AddUnknownPeers(all []Peer) {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	ms.addPeers(slices.DeleteFunc(slices.Clone(all), func(p Peer) bool {
+		m := ms.setOf(p)[p.Name]
+		return m != nil && m.peer == p
+	}))
+}
+
+// addPeers is AddPeers for callers that hold mu.
+func (ms *Membership) addPeers(all []Peer) {
 	now, before := clock.Now(), len(ms.members)+len(ms.others)
 	for _, p := range all {
 		if p.Name == ms.cfg.Self.Name {
@@ -239,12 +257,17 @@
 	}
 }
 
-// findOrAdd returns the record of a process and whether it is new. The caller holds mu.
-func (ms *Membership) findOrAdd(p Peer) (m *member, added bool) {
-	set := ms.others
+// setOf returns the set that a process belongs to. The caller holds mu.
+func (ms *Membership) setOf(p Peer) map[string]*member {
 	if p.Domain == ms.cfg.Self.Domain {
-		set = ms.members
+		return ms.members
 	}
+	return ms.others
+}
+
+// findOrAdd returns the record of a process and whether it is new. The caller holds mu.
+func (ms *Membership) findOrAdd(p Peer) (m *member, added bool) {
+	set := ms.setOf(p)
 	m = set[p.Name]
 	if m == nil {
 		m, added = &member{peer: p}, true
--- a/edge/registrar.go
+++ b/edge/registrar.go
@@ -6,7 +6,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -67,6 +69,10 @@
 	// rowsInterval is the interval at which a hub reads the rows again, so that hubs
 	// that lost contact find each other.
 	rowsInterval = time.Minute
+	// pollerRowsInterval is this interval for the two hubs that poll the platform for all
+	// processes, and for all hubs after a failure. Rows that another writer has spoiled keep processes that start from finding
+	// the others; until the rows are written again these form a system of their own.
+	pollerRowsInterval = 2 * time.Second
 	// sealKeyReadInterval is the minimum interval between reads of the key that are
 	// triggered by messages under an unknown key. Anybody can send such messages.
 	sealKeyReadInterval = 5 * time.Second
@@ -207,7 +213,7 @@
 		localHub := rows.hubs[reg.cfg.Self.Domain]
 		isSelf := localHub.Name == reg.cfg.Self.Name
 		if localHub.Name != "" && !isSelf && reg.fetchFrom(ctx, localHub, true) {
-			reg.addHubs(rows)
+			reg.cfg.Members.AddPeers(rows.hubPeers())
 			return
 		}
 		if !isSelf && !waited {
@@ -219,7 +225,7 @@
 			clock.Sleep(ctx, storeRetryDelay/2+rand.N(storeRetryDelay))
 			continue
 		}
-		reg.addHubs(rows)
+		reg.cfg.Members.AddPeers(rows.hubPeers())
 		for domain, hub := range rows.hubs {
 			if domain != reg.cfg.Self.Domain && reg.fetchFrom(ctx, hub, false) {
 				return
@@ -245,14 +251,8 @@
 	return true
 }
 
-// addHubs adds the hubs to the processes that this one exchanges heartbeats with.
-func (reg *registrar) addHubs(rows sharedRows) {
-	var hubs []beat.Peer
-	for _, p := range rows.hubs {
-		hubs = append(hubs, p)
-	}
-	reg.cfg.Members.AddPeers(hubs)
-}
+// hubPeers returns the hubs, with which this process exchanges heartbeats.
+func (rows *sharedRows) hubPeers() []beat.Peer { return slices.Collect(maps.Values(rows.hubs)) }
 
 // readRows reads the rows, and creates the key if there is none.
 func (reg *registrar) readRows(ctx context.Context) (sharedRows, error) {
@@ -352,7 +352,8 @@
 // while it is. It reads the key when another process uses an unknown one.
 func (reg *registrar) maintain(ctx context.Context) {
 	writtenHub := "" // name in the hub's row, as far as this process knows
-	nextUpdate := clock.Now() + rowsInterval
+	lastUpdate := clock.Now()
+	failed := false // the last update
 	lastKeyRead := clock.Now()
 	unwritten := false            // the row of quarantined parts may be out of date
 	restored := false             // the store returned from an older copy since the rows were read
@@ -363,10 +364,13 @@
 		now := clock.Now()
 		var err error
 		switch {
-		case hub.Name == reg.cfg.Self.Name && since > hubRowDelay && (writtenHub != hub.Name || now > nextUpdate || restored):
-			writtenHub, err = reg.update(ctx)
-			nextUpdate = now + rowsInterval
-			restored = err != nil
+		case hub.Name == reg.cfg.Self.Name && since > hubRowDelay && (writtenHub != hub.Name || now-lastUpdate > reg.rowsInterval(failed) || restored):
+			var name string
+			if name, err = reg.update(ctx); err == nil {
+				writtenHub = name
+			}
+			lastUpdate, failed = now, err != nil
+			restored = restored && failed
 		case unwritten && now > nextWrite && reg.cfg.Members.IsPoller():
 			err = reg.writeQuarantines(ctx)
 			unwritten = err != nil
@@ -393,6 +397,15 @@
 	}
 }
 
+// rowsInterval returns the time from one update of the rows, which may have failed, to the next while this process
+// is the hub.
+func (reg *registrar) rowsInterval(failed bool) time.Duration {
+	if failed || reg.cfg.Members.IsPoller() {
+		return pollerRowsInterval
+	}
+	return rowsInterval
+}
+
 // update reads the rows, replaces the key if it is too old and this process holds the
 // placement lease, and writes the hub's row of this failure domain unless it already
 // describes this process. It returns the name in the hub's row.
@@ -401,7 +414,7 @@
 	if err != nil {
 		return "", err
 	}
-	reg.addHubs(rows)
+	reg.cfg.Members.AddUnknownPeers(rows.hubPeers())
 	if rows.key.needsReplacement() && reg.cfg.HoldsLease() {
 		if _, err := reg.writeKey(ctx, rows.key.Number+1, rows.keyRevision); err != nil && !errors.Is(err, table.ErrConflict) {
 			return "", err
--- a/edge/registrar_test.go
+++ b/edge/registrar_test.go
@@ -252,10 +252,6 @@
 	return a
 }
 
-// spoiledRowsBound is the time within which processes find each other again after another writer has spoiled the rows
-// of the hubs and of the key.
-const spoiledRowsBound = 5500 * time.Millisecond
-
 // Guards against processes that form a system of their own for a minute: another writer has spoiled the rows by which
 // a process that starts finds the others. Requests that crash servers were refused by one part only.
 func TestSpoiledRowsAreWrittenAgain(t *testing.T) {
@@ -269,7 +265,7 @@
 		}
 		b, _ := s.join(ctx, "b", "e", 200, false)
 		go b.maintain(ctx)
-		time.Sleep(spoiledRowsBound)
+		time.Sleep(5500 * time.Millisecond)
 		for _, n := range []*registrar{a, b} {
 			var names []string
 			for _, p := range n.cfg.Members.Peers() {
@@ -281,6 +277,44 @@
 	})
 }
 
+// Guards against pollers that read the rows again and again, also while the platform is down.
+func TestRowsAreReadByPollers(t *testing.T) {
+	for _, down := range []bool{false, true} {
+		withCluster(t, func(t *testing.T, s *cluster) {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			s.startHub(ctx)
+			s.rows.mu.Lock()
+			s.rows.down = down
+			s.rows.mu.Unlock()
+			s.mu.Lock()
+			reads, writes := s.reads, s.writes
+			s.mu.Unlock()
+			time.Sleep(time.Minute)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			assert.Assert(t, s.reads-reads <= int(time.Minute/pollerRowsInterval), "%d reads in a minute, platform down: %t", s.reads-reads, down)
+			assert.Equal(t, s.writes, writes)
+		})
+	}
+}
+
+// Guards against a hub that is gone and counts as alive each time its row is read.
+func TestRowOfASilentHubRevivesNobody(t *testing.T) {
+	withCluster(t, func(t *testing.T, s *cluster) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s.join(ctx, "b", "e", 200, true) // sends nothing
+		a := s.startHub(ctx)
+		go a.cfg.Members.Run(ctx)
+		time.Sleep(10 * time.Second)
+		for range 10 {
+			time.Sleep(pollerRowsInterval / 3)
+			assert.Equal(t, len(a.cfg.Members.Peers()), 1, "a hub that never sent anything counts as alive")
+		}
+	})
+}
+
 // revisionOf returns the revision of a row.
 func revisionOf(t *testing.T, s *cluster, key string) uint64 {
 	t.Helper()
