watch: a process that reads a whole table after a gap tells the others what changed in it

Cause: a poller tells the others the pages that it polls, but not a whole table, which names no deleted rows. The others hear of a newer change, lack it, and ask the platform themselves, which has no history for them either.

Change: a process that knew the table before the gap compares it with the one it read and tells the difference, deletions too, as one page (Follower.changesTo). Whole tables count as changed at their own revision, as before, so that who misses the page reads the table (TestWholeReadCountsAsChange, unchanged). After a return from an older copy nothing is told, as before.

--- a/watch/watch.go
+++ b/watch/watch.go
@@ -6,13 +6,16 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/cranberrybay/cranberrybay/clock"
+	"github.com/cranberrybay/cranberrybay/table"
 )
 
 // ErrGap reports that the feed no longer holds the changes after the requested revision.
@@ -354,17 +357,40 @@
 	}
 	f.failing, f.lastAnswer = false, now
 	f.endCutOff()
-	after := f.changed
+	after, changes := f.changed, p
+	if p.Whole {
+		changes = f.changesTo(p)
+	}
 	f.known, f.revision, f.complete = true, p.Revision, p.Revision
 	f.changed = max(f.changed, lastChange(p))
 	lead := f.relay.recordPoll(p, f.changed)
-	f.share(p, after, lead)
+	f.share(changes, after, lead)
 	if p.Whole || len(p.Rows) > 0 || outage > 0 {
 		f.apply(p, outage)
 	}
 	f.confirm(startedAt)
 }
 
+// changesTo returns the changes that lead from the known rows to a whole table, which the platform's feed no longer
+// holds. It returns the page itself if they can't be told: no rows were known, or the platform returned from an older copy.
+func (f *Follower) changesTo(p Page) Page {
+	if f.rows == nil || table.Era(p.Revision) != f.restored.era {
+		return p
+	}
+	out := Page{Revision: p.Revision, Clock: p.Clock}
+	missing := maps.Clone(f.rows)
+	for _, r := range p.Rows {
+		if known, ok := f.rows[r.Key]; !ok || r.Revision == 0 || r.Revision != known.Revision {
+			out.Rows = append(out.Rows, r)
+		}
+		delete(missing, r.Key)
+	}
+	for _, key := range slices.Sorted(maps.Keys(missing)) {
+		out.Rows = append(out.Rows, Row{Key: key, Revision: p.Revision, Deleted: true})
+	}
+	return out
+}
+
 // share relays an answer to the others. lead is how much newer it is than anything that they told.
 func (f *Follower) share(p Page, after uint64, lead time.Duration) {
 	switch leads := lead > minSharedLead; {
@@ -390,7 +416,7 @@
 }
 
 // lastChange returns the revision of the last change in a page. A whole table does not
-// show which rows were deleted, so it counts as changed at its own revision.
+// show when rows were deleted, so it counts as changed at its own revision.
 func lastChange(p Page) uint64 {
 	if p.Whole {
 		return p.Revision
