beat: a known process is one at the same address

AddUnknownPeers compared all that a row says of a process with what its heartbeats say. A row that differs in the weight or the address for callers, which another writer may have changed, would have made a silent hub count as alive every 2 s. The address for heartbeats decides now, as the comment says. Found by reading; edge.TestRowOfASilentHubRevivesNobody and the tests of beat and edge pass.

--- a/beat/beat.go
+++ b/beat/beat.go
@@ -232,7 +232,7 @@
 	defer ms.mu.Unlock()
 	ms.addPeers(slices.DeleteFunc(slices.Clone(all), func(p Peer) bool {
 		m := ms.setOf(p)[p.Name]
-		return m != nil && m.peer == p
+		return m != nil && m.peer.Address == p.Address
 	}))
 }
 
