relay: a panic in work that no request waits for does not end the process

The probes of a server that may have crashed, the query of one that is silent, with the announcement of its death, and the check of the streams over it still ran unguarded: a panic there ended the process and the requests of all its callers (LOST).

Change: they run in safelyFor, which logs the panic with the server.

Test: relay.TestPanicInTheBackgroundEndsNoProcess; before, the panic ended the test's process. Behaviour without a panic is as before.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -278,12 +278,12 @@
 	if s.FoundDead(avoidDeadFor) {
 		return
 	}
-	go func() {
+	go r.safelyFor("server", s.ID(), func() {
 		if r.reports.confirmDead(s.Address()) {
 			r.MarkDead(s)
 			r.cfg.AnnounceDead(s)
 		}
-	}()
+	})
 }
 
 // MarkDead makes this process avoid a server that it or another entry process found dead. Streams
@@ -293,7 +293,7 @@
 	s.Avoid(avoidDeadFor)
 	s.MarkDead()
 	if wait := maxLiveEventAge + time.Millisecond - s.SilentFor(); wait > 0 {
-		time.AfterFunc(wait, func() { r.checkNow(s) })
+		time.AfterFunc(wait, func() { r.safelyFor("server", s.ID(), func() { r.checkNow(s) }) })
 		return
 	}
 	r.checkNow(s)
--- a/relay/report_test.go
+++ b/relay/report_test.go
@@ -140,3 +140,33 @@
 		})
 	}
 }
+
+// Guards against a panic in work that no request waits for, such as the probe of a server that may have crashed, that ends
+// the process.
+func TestPanicInTheBackgroundEndsNoProcess(t *testing.T) {
+	for name, work := range map[string]func(r *Relay, s *server.Server){
+		"probe": (*Relay).confirmLater, "report of a silent engine": (*Relay).suspect,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var panics, caught atomic.Int32
+				fail := func() error {
+					panics.Add(1)
+					panic("index out of range")
+				}
+				table := server.NewTable(server.Config{Log: zerolog.Nop()})
+				table.Apply([]server.Change{{ID: "a", Entry: server.Entry{ID: "a", Service: "s", Address: "a:1"}}}, true, 0)
+				r := New(Config{
+					Servers: table, Poison: poison.New(poison.Config{Log: zerolog.Nop()}), Log: zerolog.Nop(), Count: func(string) { caught.Add(1) },
+					Probe:        func(context.Context, string) error { return fail() },
+					FetchReport:  func(context.Context, string) (Report, error) { return Report{}, syscall.ECONNREFUSED },
+					AnnounceDead: func(*server.Server) { _ = fail() },
+				})
+				work(r, table.ByAddress("a:1"))
+				time.Sleep(2 * reportRetention)
+				assert.Equal(t, panics.Load(), int32(1))
+				assert.Equal(t, caught.Load(), int32(1))
+			})
+		})
+	}
+}
--- a/relay/trial.go
+++ b/relay/trial.go
@@ -169,7 +169,7 @@
 	if _, running := r.confirming.LoadOrStore(s.Incarnation(), true); running {
 		return
 	}
-	go func() {
+	go r.safelyFor("server", s.ID(), func() {
 		defer r.confirming.Delete(s.Incarnation())
 		for pause := firstConfirmPause; pause <= maxConfirmPause; pause *= 2 {
 			time.Sleep(pause)
@@ -181,7 +181,7 @@
 				return
 			}
 		}
-	}()
+	})
 }
 
 // refuses reports whether a server refuses connections.
