guard, proxy, stream: a server that may have crashed holds back the request that it cut, in all processes

Cause: when a server cut a request and its load report could not be read, but the port did not refuse connections either, the own interface recorded nothing until the watcher of servers saw another incarnation, a second or more later. Meanwhile each process sent the request to one more server.

Change: Case.RecordProbe takes what the probe of the server showed, in one place for plain services and engines: crashed, alive, or not known, which goes to poison.Tracker.RecordUnconfirmed. A caller that left proves nothing.

Test: guard.TestUnconfirmedCrashesHoldBackRequests (two processes; the server has crashed, or only the link was cut) failed before: the second process admitted the request. Tests of guard, proxy, stream, entry and relay pass with the race detector.

Conclusion: one mechanism for both interfaces; a sound request with one confirmed crash and one cut link waits up to 6 s.

--- a/guard/guard.go
+++ b/guard/guard.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -262,6 +263,18 @@
 	}
 }
 
+// RecordProbe records what the attempt to read the load report of a server, which RecordCut named and of which boot was
+// the incarnation, tells of its end. One that neither answers nor refuses connections may have crashed behind something that
+// goes on accepting them: until that is known, requests that would be refused if it had are held back in all processes.
+func (c *Case) RecordProbe(server uint64, boot string, load engine.LoadReport, err error) {
+	switch {
+	case HasCrashed(boot, load, err):
+		c.RecordCrash(server)
+	case err != nil && !errors.Is(err, context.Canceled): // the caller has not left
+		c.guard.tracker.RecordUnconfirmed(server)
+	}
+}
+
 // RecordCrash records that a server, which RecordCut named, has crashed.
 func (c *Case) RecordCrash(server uint64) {
 	c.crashes++
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -10,8 +10,10 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/cranberrybay/cranberrybay/clock"
+	"github.com/cranberrybay/cranberrybay/engine"
 	"github.com/cranberrybay/cranberrybay/fault"
 	"github.com/cranberrybay/cranberrybay/guard"
+	"github.com/cranberrybay/cranberrybay/poison"
 )
 
 func virtually(t *testing.T, f func(t *testing.T, g *guard.Guard)) {
@@ -112,3 +114,43 @@
 		again.Close()
 	})
 }
+
+// TestUnconfirmedCrashesHoldBackRequests guards against a request that crashes a server in each process, since none of
+// them knows yet that the server which another one lost has crashed: it neither answers nor refuses connections.
+func TestUnconfirmedCrashesHoldBackRequests(t *testing.T) {
+	for name, crashed := range map[string]bool{"server has crashed": true, "link was cut": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				start := time.Now()
+				defer clock.Replace(func() time.Duration { return time.Since(start) })()
+				var trackers []*poison.Tracker
+				var guards []*guard.Guard
+				for i := range 2 {
+					trackers = append(trackers, poison.New(poison.Config{Announce: func(all []poison.Record) { trackers[1-i].Merge(all) }}))
+					guards = append(guards, guard.New(guard.Config{Tracker: trackers[i]}))
+				}
+				first, second := guards[0].Open(request("hotel", "deadly")), guard.Server("desk-1", "boot")
+				crash(first, "desk-", 1, time.Second)
+				first.RecordCut(second)
+				first.RecordProbe(second, "boot", engine.LoadReport{}, context.DeadlineExceeded)
+				first.Close()
+				other := guards[1].Open(request("hotel", "deadly"))
+				err := admit(other)
+				assert.Equal(t, fault.CodeOf(err), fault.Quarantined)
+				assert.Equal(t, fault.VerdictOf(err), fault.NotRun)
+				time.Sleep(time.Second)
+				if crashed {
+					guards[0].RecordCrash(second) // another incarnation answers
+				}
+				time.Sleep(6 * time.Second)
+				assert.NilError(t, admit(guards[1].Open(request("hotel", "sound"))))
+				err = admit(guards[1].Open(request("hotel", "deadly")))
+				if !crashed {
+					assert.NilError(t, err)
+					return
+				}
+				assert.Equal(t, fault.CodeOf(err), fault.Quarantined)
+			})
+		})
+	}
+}
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -232,9 +232,8 @@
 	t.suspicion.RecordCut(server)
 	ctx, cancel := context.WithTimeout(ctx, crashProbeTimeout)
 	defer cancel()
-	if load, err := p.cfg.Probe(ctx, c.Address); guard.HasCrashed(c.Boot, load, err) {
-		t.suspicion.RecordCrash(server)
-	}
+	load, err := p.cfg.Probe(ctx, c.Address)
+	t.suspicion.RecordProbe(server, c.Boot, load, err)
 }
 
 // exchangeResult is the result of one of the two exchanges of a hedged lookup.
--- a/stream/diagnose.go
+++ b/stream/diagnose.go
@@ -80,7 +80,7 @@
 		for _, s := range st.route.Stages {
 			if w.gone[s.Name] {
 				st.excludeFailed(s.Name)
-				st.recordCut(s, func() bool { return true })
+				st.recordCut(s, func() (engine.LoadReport, error) { return engine.LoadReport{}, engine.ErrGone })
 			}
 		}
 		countRecovery("dead")
@@ -100,30 +100,29 @@
 		}
 		st.excludeFailed(first.Name)
 		if fault.VerdictOf(err) == fault.MayHaveRun && (engine.IsGone(err) || errors.Is(err, errNoStopReason)) {
-			st.recordCut(first, func() bool { return st.hasCrashed(ctx, first) })
+			st.recordCut(first, func() (engine.LoadReport, error) { return st.readReport(ctx, first) })
 		}
 		countRecovery("dead")
 	}
 }
 
-// recordCut records that a stage failed, unless the request had been answered before.
-func (st *requestState) recordCut(s route.Stage, crashed func() bool) {
+// recordCut records that a stage failed, unless the request had been answered before. probe tells whether its server
+// has crashed.
+func (st *requestState) recordCut(s route.Stage, probe func() (engine.LoadReport, error)) {
 	if len(st.acceptor.tokens) >= answeredTokens {
 		return
 	}
 	server := guard.Server(s.Name, s.Boot)
 	st.suspicion.RecordCut(server)
-	if crashed() {
-		st.suspicion.RecordCrash(server)
-	}
+	load, err := probe()
+	st.suspicion.RecordProbe(server, s.Boot, load, err)
 }
 
-// hasCrashed tells whether the server of a stage has crashed.
-func (st *requestState) hasCrashed(ctx context.Context, s route.Stage) bool {
+// readReport reads the load report of the server of a stage.
+func (st *requestState) readReport(ctx context.Context, s route.Stage) (engine.LoadReport, error) {
 	ctx, cancel := context.WithTimeout(ctx, maxProbe)
 	defer cancel()
-	load, err := st.runner.cfg.Probe(ctx, s)
-	return guard.HasCrashed(s.Boot, load, err)
+	return st.runner.cfg.Probe(ctx, s)
 }
 
 // excludeFailed excludes a server that failed.
@@ -167,7 +166,7 @@
 	}
 	st.excludeFailed(failed.Name)
 	if se.Reason == "" {
-		st.recordCut(failed, func() bool { return st.hasCrashed(ctx, failed) })
+		st.recordCut(failed, func() (engine.LoadReport, error) { return st.readReport(ctx, failed) })
 	}
 	countRecovery("dead")
 }
