watch: changesTo asks isRestored

Found in the read-through: changesTo compared the eras of the store itself, where isRestored does. The two differ only for a table of an older era, which Run rejects as stale before. Behaviour is unchanged; tests of watch and beat pass.

--- a/watch/watch.go
+++ b/watch/watch.go
@@ -15,7 +15,6 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cranberrybay/cranberrybay/clock"
-	"github.com/cranberrybay/cranberrybay/table"
 )
 
 // ErrGap reports that the feed no longer holds the changes after the requested revision.
@@ -374,7 +373,7 @@
 // changesTo returns the changes that lead from the known rows to a whole table, which the platform's feed no longer
 // holds. It returns the page itself if they can't be told: no rows were known, or the platform returned from an older copy.
 func (f *Follower) changesTo(p Page) Page {
-	if f.rows == nil || table.Era(p.Revision) != f.restored.era {
+	if f.rows == nil || f.isRestored(p) {
 		return p
 	}
 	out := Page{Revision: p.Revision, Clock: p.Clock}
