engine: one exchange under all short calls

Found in the read-through: Client.Events repeated the body of call (timeout, send, close, the error for what can't be decoded) to read through the quota. Both now give exchange what decodes the answer.

--- a/engine/client.go
+++ b/engine/client.go
@@ -105,24 +105,16 @@
 
 // Events reads the prefix cache events after the given number.
 func (c *Client) Events(ctx context.Context, address string, after uint64) (CacheEvents, error) {
-	const path = "/events"
 	var e CacheEvents
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	rs, err := send(ctx, c.http, http.MethodGet, address, path+"?after="+strconv.FormatUint(after, 10), nil)
-	if err != nil {
-		return e, err
-	}
-	defer rs.Body.Close()
-	b, release, err := c.quota.Read(rs.Body, maxEvents)
-	defer release()
-	if err == nil {
-		err = json.Unmarshal(b, &e)
-	}
-	if err != nil {
-		return CacheEvents{}, undecodable(address, path, err)
-	}
-	return e, nil
+	err := exchange(ctx, c.http, callTimeout, http.MethodGet, address, "/events?after="+strconv.FormatUint(after, 10), nil, func(r io.Reader) error {
+		b, release, err := c.quota.Read(r, maxEvents)
+		defer release()
+		if err != nil {
+			return err
+		}
+		return json.Unmarshal(b, &e)
+	})
+	return e, err
 }
 
 // Export makes an engine write the KV cache of a request to storage that other
@@ -148,6 +140,13 @@
 
 // call sends one request and decodes the JSON answer. The timeout covers both.
 func call(ctx context.Context, c *http.Client, timeout time.Duration, method, address, path string, body, result any) error {
+	return exchange(ctx, c, timeout, method, address, path, body, func(r io.Reader) error {
+		return json.NewDecoder(io.LimitReader(r, maxReply)).Decode(result)
+	})
+}
+
+// exchange sends one request and has the body of the answer decoded. The timeout covers both.
+func exchange(ctx context.Context, c *http.Client, timeout time.Duration, method, address, path string, body any, decode func(io.Reader) error) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	rs, err := send(ctx, c, method, address, path, body)
@@ -155,17 +154,12 @@
 		return err
 	}
 	defer rs.Body.Close()
-	if err := json.NewDecoder(io.LimitReader(rs.Body, maxReply)).Decode(result); err != nil {
-		return undecodable(address, path, err)
+	if err := decode(rs.Body); err != nil {
+		return fault.New(fault.Config{Verdict: fault.MayHaveRun, Code: fault.Unavailable, Reason: "engine's answer can't be decoded", Cause: fmt.Errorf("decode %s of %s: %w", path, address, err)})
 	}
 	return nil
 }
 
-// undecodable returns the error for an answer that can't be decoded.
-func undecodable(address, path string, err error) error {
-	return fault.New(fault.Config{Verdict: fault.MayHaveRun, Code: fault.Unavailable, Reason: "engine's answer can't be decoded", Cause: fmt.Errorf("decode %s of %s: %w", path, address, err)})
-}
-
 // send sends one request and returns the answer if its status is 200.
 func send(ctx context.Context, c *http.Client, method, address, path string, body any) (*http.Response, error) {
 	var reader io.Reader
