config: services state whether they are uneven or have competing routes

Cause: admission control and load balancing take effect only where the configuration requires it, and nothing in package config states the two properties that docs/design/overload.md names. Change: Service.Uneven reports whether the step factors of the accelerators differ at least eightfold; New sets Service.Competing if the streaming routes that list the service differ in priority. A route that lists the service with weight 0 counts, since PickService may still return it and a change of weights should not switch behaviour. No behaviour changes: nothing reads them yet. Conclusion: both properties depend on the configuration alone, never on a name.

--- a/config/config.go
+++ b/config/config.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"sort"
 	"strings"
@@ -173,6 +174,25 @@
 	HealthPath     string // path of the health check
 	MaxConnections int    // that one backend server accepts from all its clients together
 	Engine         *Engine
+	Competing      bool // its streaming routes, with any weight, differ in priority; set by New
+}
+
+// unevenRatio is the ratio of step factors from which the accelerators of a service count as uneven.
+const unevenRatio = 8
+
+// Uneven reports whether the step factors of the service's accelerators differ at least eightfold.
+// Factors that are not positive don't count.
+func (s Service) Uneven() bool {
+	if s.Engine == nil {
+		return false
+	}
+	least, most := math.Inf(1), 0.0
+	for _, a := range s.Engine.Accelerators {
+		if a.StepFactor > 0 {
+			least, most = min(least, a.StepFactor), max(most, a.StepFactor)
+		}
+	}
+	return most >= unevenRatio*least
 }
 
 // Limits bounds what a caller may send.
@@ -215,6 +235,7 @@
 func New(content Content) (*Config, error) {
 	c := &Config{version: content.Version, limits: content.Limits, routes: map[string][]*Route{}, services: map[string]Service{}, keys: map[string]*Account{}}
 	for _, s := range content.Services {
+		s.Competing = competing(s.Name, content.Routes)
 		c.services[s.Name] = s
 	}
 	for _, r := range content.Routes {
@@ -237,6 +258,24 @@
 	return c, nil
 }
 
+// competing reports whether the streaming routes that list a service differ in priority. Routes that list
+// it with weight 0 count too, so that a change of weights does not switch the behaviour of the service.
+func competing(service string, routes []*Route) bool {
+	var first *Route
+	for _, r := range routes {
+		if r.Kind() != Stream || !slices.ContainsFunc(r.cfg.Services, func(s WeightedService) bool { return s.Service == service }) {
+			continue
+		}
+		if first == nil {
+			first = r
+		}
+		if r.Priority() != first.Priority() {
+			return true
+		}
+	}
+	return false
+}
+
 // Version returns the version of the configuration.
 func (c *Config) Version() uint64 { return c.version }
 
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -112,3 +112,53 @@
 	c, age := tracker.Latest()
 	assert.Assert(t, c.Version() == 8 || age >= time.Hour, "version %d counts as %v old", c.Version(), age)
 }
+
+// Guards against a choice of engines for uneven accelerators that takes effect where they are alike, or
+// because of a factor that is not stated.
+func TestUneven(t *testing.T) {
+	for name, c := range map[string]struct {
+		factors []float64
+		want    bool
+	}{
+		"none": {nil, false}, "one": {[]float64{16}, false}, "sevenfold": {[]float64{2.4, 5.6, 16}, false},
+		"eightfold": {[]float64{2, 16}, true}, "elevenfold": {[]float64{1.4, 3.1, 16, 15}, true}, "not stated": {[]float64{0, 16}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := config.Service{Engine: &config.Engine{Accelerators: map[string]config.Accelerator{}}}
+			for i, f := range c.factors {
+				s.Engine.Accelerators[string(rune('a'+i))] = config.Accelerator{StepFactor: f}
+			}
+			assert.Equal(t, s.Uneven(), c.want)
+		})
+	}
+	assert.Assert(t, !config.Service{}.Uneven())
+}
+
+// Guards against admission by priority where the streaming routes of a service have the same one, and
+// against its absence where a route leads to the service with a small weight.
+func TestCompeting(t *testing.T) {
+	route := func(kind config.Kind, priority int, services ...config.WeightedService) *config.Route {
+		return config.NewRoute(config.RouteConfig{Host: "a", Prefix: "/", Kind: kind, Priority: priority, Services: services})
+	}
+	one, other := config.WeightedService{Service: "s", Weight: 99}, config.WeightedService{Service: "o", Weight: 1}
+	for name, c := range map[string]struct {
+		routes []*config.Route
+		want   bool
+	}{
+		"none":            {nil, false},
+		"same priority":   {[]*config.Route{route(config.Stream, 1, one), route(config.Stream, 1, one)}, false},
+		"other priority":  {[]*config.Route{route(config.Stream, 0, one), route(config.Stream, 2, other, one)}, true},
+		"weight 0":        {[]*config.Route{route(config.Stream, 0, one), route(config.Stream, 2, other, config.WeightedService{Service: "s"})}, true},
+		"not a stream":    {[]*config.Route{route(config.Stream, 0, one), route(config.Idempotent, 2, one)}, false},
+		"another service": {[]*config.Route{route(config.Stream, 0, one), route(config.Stream, 2, other)}, false},
+		"set beforehand":  {nil, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cfg, err := config.New(config.Content{Routes: c.routes, Services: []config.Service{{Name: "s", Competing: name == "set beforehand"}}})
+			assert.NilError(t, err)
+			s, ok := cfg.Service("s")
+			assert.Assert(t, ok)
+			assert.Equal(t, s.Competing, c.want)
+		})
+	}
+}
