config: rank of a stream by the priorities of its account and route

Cause: admission needs the order of the streams that compete for a service. The priority of the client account comes before that of the route; where all accounts have the same one, taking it alone makes all streams equal. Change: New sets Service.Urgencies, the different pairs of account and route priority; Rank counts those that come first. Competing is derived from it. Figures: TestRank fails when the priority of the account replaces that of the route. No behaviour changes yet. Conclusion: the ranks depend on the configuration alone.

--- a/config/config.go
+++ b/config/config.go
@@ -4,6 +4,7 @@
 package config
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -174,7 +175,36 @@
 	HealthPath     string // path of the health check
 	MaxConnections int    // that one backend server accepts from all its clients together
 	Engine         *Engine
-	Competing      bool // its streaming routes, with any weight, differ in priority; set by New
+	Urgencies      []Urgency // of its streams, most urgent first; set by New
+}
+
+// Urgency orders streams: first by the priority of the client account, then by that of the route. 0 is the most
+// urgent. An account without a priority has that of the route.
+type Urgency struct{ Account, Route int }
+
+// urgencyOf returns the urgency of a stream of an account, which may be nil, on a route.
+func urgencyOf(a *Account, route int) Urgency {
+	if a != nil && a.HasPriority {
+		return Urgency{Account: a.Priority, Route: route}
+	}
+	return Urgency{Account: route, Route: route}
+}
+
+func compareUrgencies(a, b Urgency) int {
+	return cmp.Or(cmp.Compare(a.Account, b.Account), cmp.Compare(a.Route, b.Route))
+}
+
+// Competing reports whether the streaming routes of the service differ in priority, so that streams compete
+// for its engines by urgency.
+func (s Service) Competing() bool {
+	return slices.ContainsFunc(s.Urgencies, func(u Urgency) bool { return u.Route != s.Urgencies[0].Route })
+}
+
+// Rank returns the number of urgencies of the service's streams that come before that of an account, which may
+// be nil, on a route.
+func (s Service) Rank(a *Account, r *Route) int {
+	rank, _ := slices.BinarySearchFunc(s.Urgencies, urgencyOf(a, r.Priority()), compareUrgencies)
+	return rank
 }
 
 // unevenRatio is the ratio of step factors from which the accelerators of a service count as uneven.
@@ -235,7 +265,7 @@
 func New(content Content) (*Config, error) {
 	c := &Config{version: content.Version, limits: content.Limits, routes: map[string][]*Route{}, services: map[string]Service{}, keys: map[string]*Account{}}
 	for _, s := range content.Services {
-		s.Competing = competing(s.Name, content.Routes)
+		s.Urgencies = urgencies(s.Name, content)
 		c.services[s.Name] = s
 	}
 	for _, r := range content.Routes {
@@ -258,22 +288,31 @@
 	return c, nil
 }
 
-// competing reports whether the streaming routes that list a service differ in priority. Routes that list
-// it with weight 0 count too, so that a change of weights does not switch the behaviour of the service.
-func competing(service string, routes []*Route) bool {
-	var first *Route
-	for _, r := range routes {
+// urgencies returns the different urgencies of the streams of a service, most urgent first. Routes that list it
+// with weight 0 count too, so that a change of weights does not switch the behaviour of the service.
+func urgencies(service string, content Content) []Urgency {
+	var out []Urgency
+	for _, r := range content.Routes {
 		if r.Kind() != Stream || !slices.ContainsFunc(r.cfg.Services, func(s WeightedService) bool { return s.Service == service }) {
 			continue
 		}
-		if first == nil {
-			first = r
+		if u := urgencyOf(nil, r.Priority()); r.Public() || len(content.Accounts) == 0 {
+			out = appendNew(out, u)
 		}
-		if r.Priority() != first.Priority() {
-			return true
+		for i := range content.Accounts {
+			out = appendNew(out, urgencyOf(&content.Accounts[i], r.Priority()))
 		}
 	}
-	return false
+	slices.SortFunc(out, compareUrgencies)
+	return out
+}
+
+// appendNew appends an urgency unless it is in the list.
+func appendNew(list []Urgency, u Urgency) []Urgency {
+	if slices.Contains(list, u) {
+		return list
+	}
+	return append(list, u)
 }
 
 // Version returns the version of the configuration.
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -154,11 +154,40 @@
 		"set beforehand":  {nil, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			cfg, err := config.New(config.Content{Routes: c.routes, Services: []config.Service{{Name: "s", Competing: name == "set beforehand"}}})
+			beforehand := map[string][]config.Urgency{"set beforehand": {{Route: 0}, {Route: 1}}}
+			cfg, err := config.New(config.Content{Routes: c.routes, Services: []config.Service{{Name: "s", Urgencies: beforehand[name]}}})
 			assert.NilError(t, err)
 			s, ok := cfg.Service("s")
 			assert.Assert(t, ok)
-			assert.Equal(t, s.Competing, c.want)
+			assert.Equal(t, s.Competing(), c.want)
+		})
+	}
+}
+
+// Guards against streams whose accounts have one priority and that are then all equally urgent, whatever their
+// routes say.
+func TestRank(t *testing.T) {
+	account := func(priority int) config.Account { return config.Account{Priority: priority, HasPriority: true} }
+	route := func(priority int) *config.Route {
+		return config.NewRoute(config.RouteConfig{Host: "a", Prefix: "/", Kind: config.Stream, Priority: priority, Services: []config.WeightedService{{Service: "s", Weight: 1}}})
+	}
+	urgent, late := route(0), route(2)
+	for name, c := range map[string]struct {
+		accounts []config.Account
+		want     [][2]int // ranks of each account on the urgent and on the late route
+	}{
+		"equal accounts":      {[]config.Account{account(1), account(1)}, [][2]int{{0, 1}, {0, 1}}},
+		"account comes first": {[]config.Account{account(0), account(1)}, [][2]int{{0, 1}, {2, 3}}},
+		"without a priority":  {[]config.Account{{}, {}}, [][2]int{{0, 1}, {0, 1}}},
+		"one without":         {[]config.Account{account(1), {}}, [][2]int{{1, 2}, {0, 3}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cfg, err := config.New(config.Content{Routes: []*config.Route{urgent, late}, Services: []config.Service{{Name: "s"}}, Accounts: c.accounts})
+			assert.NilError(t, err)
+			s, _ := cfg.Service("s")
+			for i := range c.accounts {
+				assert.DeepEqual(t, [2]int{s.Rank(&c.accounts[i], urgent), s.Rank(&c.accounts[i], late)}, c.want[i])
+			}
 		})
 	}
 }
