shard, edge: copies of the model with the same KV cache on all layers

Cause: the first layout gives more layers to faster engines, which then have the least KV cache. Change: Model.CopyTokens makes the first layout give each copy an equal KV cache per layer and fixes the context of a copy. The placer sets it for services whose streams compete (three times the least context) and for those with uneven accelerators (twice, as before). Others are laid out as before. Conclusion: the engine with the least cache bounds the streams of its copy.

--- a/edge/placer.go
+++ b/edge/placer.go
@@ -235,12 +235,26 @@
 		if !ok || service.Engine == nil || service.Engine.Layers == 0 {
 			continue
 		}
-		p.planService(ctx, service.Engine, servers)
+		p.planService(ctx, service, servers)
 	}
 }
 
-func (p *Placer) planService(ctx context.Context, e *config.Engine, servers []*server.Server) {
-	model := shard.Model{Layers: e.Layers, LayerMB: e.LayerMemory, TokenMB: e.TokenMemory / float64(e.Layers) / 1e6}
+// copyTokens returns the context that copies of the model of a service need: more where streams compete
+// for the engines, and the same on all layers where the engines differ widely. 0 for the default.
+func copyTokens(s config.Service) float64 {
+	switch {
+	case s.Competing():
+		return shard.LargeCopyTokens
+	case s.Uneven():
+		return shard.EqualCopyTokens
+	default:
+		return 0
+	}
+}
+
+func (p *Placer) planService(ctx context.Context, service config.Service, servers []*server.Server) {
+	e := service.Engine
+	model := shard.Model{Layers: e.Layers, LayerMB: e.LayerMemory, TokenMB: e.TokenMemory / float64(e.Layers) / 1e6, CopyTokens: copyTokens(service)}
 	var engines []shard.Engine
 	byID := map[string]*server.Server{}
 	empty := true
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -44,6 +44,10 @@
 	Layers  int
 	LayerMB float64 // MB of weights of one layer
 	TokenMB float64 // MB of KV cache that a token takes in one layer
+	// CopyTokens is the context, in tokens, that the first layout leaves to each copy. All engines of a copy
+	// then have about the same KV cache per layer, as the least of them bounds the streams of the copy. 0
+	// for defaultCopyTokens, where faster engines hold more layers and less cache.
+	CopyTokens float64
 }
 
 // minContextTokens is the KV cache, in tokens of context on every layer, that a
@@ -51,9 +55,19 @@
 const minContextTokens = 54_000
 
 // capacityMargin is the ratio of the layers that a set of engines can hold to the
-// layers of a copy. The excess allows faster engines to take more layers.
+// layers of a copy, unless Model.CopyTokens is set. The excess allows faster engines to
+// take more layers.
 const capacityMargin = 1.1
 
+// margin returns the ratio of the layers that a set of engines must be able to hold to
+// the layers of a copy.
+func (m Model) margin() float64 {
+	if m.CopyTokens > 0 {
+		return 1
+	}
+	return capacityMargin
+}
+
 // layersWithContext returns how many layers fit into an engine together with the KV
 // cache of the given number of tokens.
 func (m Model) layersWithContext(e Engine, tokens float64) int {
@@ -154,9 +168,25 @@
 	return n
 }
 
-// layoutContextTokens is the context, in tokens, that the first layout leaves to
-// each copy: about 120 streams of 900 tokens.
-const layoutContextTokens = 2 * minContextTokens
+// defaultCopyTokens is the context, in tokens, that the first layout leaves to each
+// copy: about 120 streams of 900 tokens.
+const defaultCopyTokens = 2 * minContextTokens
+
+// LargeCopyTokens is the Model.CopyTokens for services that are expected to run short of
+// KV cache: about 180 streams of 900 tokens. Fewer copies leave less memory to weights, and
+// more streams to each copy, whose tokens then take longer.
+const LargeCopyTokens = 3 * minContextTokens
+
+// EqualCopyTokens is the Model.CopyTokens that keeps the number of copies of the default.
+const EqualCopyTokens = defaultCopyTokens
+
+// copyTokens returns the context that the first layout leaves to each copy.
+func (m Model) copyTokens() float64 {
+	if m.CopyTokens > 0 {
+		return m.CopyTokens
+	}
+	return defaultCopyTokens
+}
 
 // layoutGroup assigns as many copies of the model to the engines of a group as fit.
 // If only one fits, the fastest engines that can hold it take it and the others stay
@@ -164,9 +194,9 @@
 // them most. If the remaining memory all went to context, the loss of any engine
 // would stop its failure domain until other engines had loaded its layers.
 func layoutGroup(m Model, group []Engine, plan map[string]Range) {
-	copies := max(1, layerCapacity(m, group, layoutContextTokens)/m.Layers)
+	copies := max(1, layerCapacity(m, group, m.copyTokens())/m.Layers)
 	if copies == 1 {
-		group = fastest(m, group, layoutContextTokens)
+		group = fastest(m, group, m.copyTokens())
 	}
 	for _, part := range splitByCards(group, copies) {
 		layoutOneCopy(m, part, plan)
@@ -182,7 +212,7 @@
 		return sorted[i].Memory/sorted[i].StepFactor > sorted[j].Memory/sorted[j].StepFactor
 	})
 	for i := range sorted {
-		if float64(layerCapacity(m, sorted[:i+1], tokens)) >= capacityMargin*float64(m.Layers) {
+		if float64(layerCapacity(m, sorted[:i+1], tokens)) >= m.margin()*float64(m.Layers) {
 			return sorted[:i+1]
 		}
 	}
@@ -246,7 +276,7 @@
 	low, high := 0.0, 1e6
 	for range 30 {
 		mid := (low + high) / 2
-		if float64(layerCapacity(m, engines, mid)) >= capacityMargin*float64(m.Layers) {
+		if float64(layerCapacity(m, engines, mid)) >= m.margin()*float64(m.Layers) {
 			low = mid
 		} else {
 			high = mid
