admit, relay: streams that engines have no capacity for are refused at once

Change: package admit decides by the occupancy of the KV cache over all engines and processes, which heartbeats tell, and by the pause that the configuration's figures predict for the chosen path. Less urgent ranks leave up to a tenth of the capacity to more urgent ones, accounts far over an equal share a little more; each rank keeps a quarter of its streams. Refused callers return when streams in progress have ended, the urgent first. It applies to services whose streaming routes differ in priority; engines get the rank as priority there.

--- a/path/path.go
+++ b/path/path.go
@@ -184,12 +184,17 @@
 	return hops, nodes[best].cost, true
 }
 
+// PassSeconds returns the seconds that a token takes on an engine that runs so many layers for it, with the wait for
+// the pass before.
+func PassSeconds(e Engine, layers int) float64 {
+	return float64(layers)*e.LayerSeconds + passWaitShare*float64(e.To-e.From)*e.LayerSeconds
+}
+
 // hopCost returns the seconds that a hop adds to the whole answer, or infinity when the
 // engine has too little memory for the stream.
 func hopCost(req Request, e *Engine, links LinkCosts, lastDomain, layers int, first bool) float64 {
 	n := float64(layers)
-	pass := float64(e.To-e.From) * e.LayerSeconds
-	cost := req.Answer*(n*e.LayerSeconds+passWaitShare*pass) + req.Prompt*n*e.LayerPrefill
+	cost := req.Answer*PassSeconds(*e, layers) + req.Prompt*n*e.LayerPrefill
 	usage := 0.0
 	if e.Capacity > 0 {
 		usage = (e.Used + (req.Prompt+req.Answer)*n) / e.Capacity
--- /dev/null
+++ b/relay/admission.go
@@ -0,0 +1,91 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/cranberrybay/cranberrybay/admit"
+	"github.com/cranberrybay/cranberrybay/config"
+	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/path"
+)
+
+const reasonShed = "the engines have no capacity for the request"
+
+// rank returns the number of urgencies of the service that come before that of the request. A stream that the
+// caller has a part of is the most urgent one: refusing it would waste what was served.
+func (req *Request) rank() int {
+	if req.LastEventID != "" {
+		return 0
+	}
+	return req.Service.Rank(req.Account, req.Route)
+}
+
+// Priority returns the priority for the engines; 0 is the most urgent. Where streams compete it is the rank of the
+// request, and otherwise the priority of the client account, or that of the route if the account has none.
+func (req *Request) Priority() int {
+	switch {
+	case req.Service.Competing():
+		return req.rank()
+	case req.Account != nil && req.Account.HasPriority:
+		return req.Account.Priority
+	default:
+		return req.Route.Priority()
+	}
+}
+
+// admission returns the controller of a service.
+func (r *Relay) admission(service string) *admit.Controller {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := r.admissions[service]
+	if c == nil {
+		c = admit.New(admit.Config{})
+		r.admissions[service] = c
+	}
+	return c
+}
+
+// admit returns the error for a stream that the engines have no capacity for, or nil. Streams that were
+// admitted before are not refused when they are sent again.
+func (st *streamState) admit(t *activePath) error {
+	r, req := st.relay, st.req
+	if !req.Service.Competing() || req.mayHaveRun.Load() || st.attemptCount() > 0 {
+		return nil
+	}
+	d := admit.Demand{Rank: req.rank(), Ranks: len(req.Service.Urgencies), Load: t.load}
+	if req.Account != nil {
+		d.Account = req.Account.Name
+	}
+	x := r.admission(req.Service.Name).Decide(time.Now(), d)
+	if x.Admitted {
+		return nil
+	}
+	r.cfg.Count("shed " + string(x.Bound))
+	r.cfg.Log.Info().Str("id", req.ID).Str("service", req.Service.Name).Str("bound", string(x.Bound)).Float64("load", x.Load).Float64("limit", x.Limit).
+		Int("rank", d.Rank).Str("account", d.Account).Dur("retry", time.Until(x.RetryAt)).Msg("stream refused, engines are full")
+	return fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Overload, Reason: reasonShed, RetryAt: x.RetryAt})
+}
+
+// load returns the load of the engines of the service and of a path. The load of the path is that before
+// this stream.
+func (ps *pathSearch) load(e *config.Engine, hops []Hop) admit.Load {
+	engines := make([]admit.Engine, 0, len(ps.engines))
+	for _, x := range ps.engines {
+		if x.To > x.From && !x.Suspect {
+			engines = append(engines, admit.Engine{From: x.From, To: x.To, Capacity: x.Capacity, Used: x.Used})
+		}
+	}
+	out := admit.Load{Memory: admit.Occupancy(e.Layers, engines)}
+	target := ps.req.Route.TargetGap()
+	if target <= 0 {
+		return out
+	}
+	for _, h := range hops {
+		if s := ps.chosen[h.Address]; s != nil {
+			x := ps.relay.candidate(s, e, ps.domains) // without the random factor of the search
+			out.Pause += path.PassSeconds(x, h.To-h.From) * float64(max(e.Stride, 1))
+		}
+	}
+	out.Pause /= target.Seconds()
+	return out
+}
--- a/relay/path.go
+++ b/relay/path.go
@@ -13,6 +13,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/cranberrybay/cranberrybay/admit"
 	"github.com/cranberrybay/cranberrybay/config"
 	"github.com/cranberrybay/cranberrybay/path"
 	"github.com/cranberrybay/cranberrybay/server"
@@ -87,7 +88,11 @@
 	if !ok {
 		return nil, false
 	}
-	return ps.activate(hops), true
+	t := ps.activate(hops)
+	if req.Service.Competing() {
+		t.load = ps.load(e, hops)
+	}
+	return t, true
 }
 
 // detour returns the path with the hops over dead engines replaced. The other hops stay, so that
@@ -422,7 +427,8 @@
 type activePath struct {
 	first  *server.Server
 	hops   []Hop
-	sendAt time.Time // when the first engine takes the stream
+	sendAt time.Time  // when the first engine takes the stream
+	load   admit.Load // when the path was chosen; set if streams compete for the engines
 
 	mu       sync.Mutex
 	servers  []*server.Server
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -17,6 +17,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/cranberrybay/cranberrybay/admit"
 	"github.com/cranberrybay/cranberrybay/config"
 	"github.com/cranberrybay/cranberrybay/fault"
 	"github.com/cranberrybay/cranberrybay/intake"
@@ -189,8 +190,9 @@
 	waits           waits
 
 	mu          sync.Mutex
-	monitors    map[*stallMonitor]struct{} // of the running streams
-	restWaiters map[string]int             // requests that wait for servers at rest, by service
+	monitors    map[*stallMonitor]struct{}   // of the running streams
+	restWaiters map[string]int               // requests that wait for servers at rest, by service
+	admissions  map[string]*admit.Controller // by service
 }
 
 // New returns a Relay that uses the functions of cfg.
@@ -219,7 +221,7 @@
 	if cfg.PeerLoad == nil {
 		cfg.PeerLoad = func(string) (int, int64) { return 0, 0 }
 	}
-	r := &Relay{cfg: cfg, monitors: map[*stallMonitor]struct{}{}, restWaiters: map[string]int{}, firstEventTimes: firstEventTimes{byService: map[string]time.Duration{}}}
+	r := &Relay{cfg: cfg, monitors: map[*stallMonitor]struct{}{}, restWaiters: map[string]int{}, admissions: map[string]*admit.Controller{}, firstEventTimes: firstEventTimes{byService: map[string]time.Duration{}}}
 	r.reports = newReportCache(r.fetchReportSafely)
 	r.waits.init()
 	return r
--- a/relay/rest.go
+++ b/relay/rest.go
@@ -189,6 +189,10 @@
 				Int("prompt", req.PromptTokens).Int("attempt", st.attemptCount()+1).Msg("no path")
 			return nil, st.noPathError(err)
 		}
+		if err := st.admit(rn.path); err != nil {
+			rn.end()
+			return nil, err
+		}
 		slept := time.Until(rn.path.sendAt) > 0
 		if err := r.wait(rn.ctx, req, awaited{at: rn.path.sendAt, retryIn: leavingRetryAfter}); err != nil {
 			rn.end()
@@ -215,6 +219,10 @@
 	if err := st.relay.refuseOverRate(st.req, noPathRetryAfter); err != nil {
 		return err
 	}
+	if st.req.Service.Competing() {
+		at := st.relay.admission(st.req.Service.Name).RetryAt(time.Now(), st.req.rank())
+		return fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Overload, Reason: reasonNoPath, RetryAt: at})
+	}
 	return notRunError(reasonNoPath, noPathRetryAfter, nil)
 }
 
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -256,6 +256,9 @@
 		r.recordAnswered(req)
 		st.logSlow(rn.path)
 		rn.path.first.RecordAnswer(time.Since(started))
+		if req.Service.Competing() {
+			r.admission(req.Service.Name).ObserveDuration(time.Since(started))
+		}
 		return false, nil
 	}
 	var gone *callerGoneError
