--- a/config/config.go
+++ b/config/config.go
@@ -59,10 +59,7 @@
 type Route struct{ cfg RouteConfig }
 
 // NewRoute returns a route, which allows at least one attempt.
-func NewRoute(cfg RouteConfig) *Route {
-	cfg.Attempts = max(cfg.Attempts, 1)
-	return &Route{cfg: cfg}
-}
+func NewRoute(cfg RouteConfig) *Route { return &Route{cfg: cfg} }
 
 // Name returns the name of the route.
 func (r *Route) Name() string { return r.cfg.Name }
@@ -85,7 +82,7 @@
 func (r *Route) Priority() int { return r.cfg.Priority }
 
 // Attempts returns the number of backend servers that a request may be sent to.
-func (r *Route) Attempts() int { return r.cfg.Attempts }
+func (r *Route) Attempts() int { return max(r.cfg.Attempts, 1) }
 
 // Public reports whether requests need no key.
 func (r *Route) Public() bool { return r.cfg.Public }
@@ -218,7 +215,7 @@
 		c.services[s.Name] = s
 	}
 	for _, r := range content.Routes {
-		if !strings.HasPrefix(r.cfg.Prefix, "/") || !strings.HasSuffix(r.cfg.Prefix, "/") {
+		if !hasSlashes(r.cfg.Prefix) {
 			return nil, fmt.Errorf("route %q: prefix %q does not begin and end with a slash", r.cfg.Name, r.cfg.Prefix)
 		}
 		host := strings.ToLower(r.cfg.Host)
@@ -237,6 +234,11 @@
 	return c, nil
 }
 
+// hasSlashes reports whether a path prefix begins and ends with a slash.
+func hasSlashes(prefix string) bool {
+	return strings.HasPrefix(prefix, "/") && strings.HasSuffix(prefix, "/")
+}
+
 // Version returns the version of the configuration.
 func (c *Config) Version() uint64 { return c.version }
 
