--- a/spec/check.go
+++ b/spec/check.go
@@ -41,7 +41,7 @@
 func (c *checker) require(ok bool, key, value, format string, args ...any) {
 	if !ok {
 		at := lineOf(c.doc.text, string(c.doc.kind), key, value)
-		c.errs = append(c.errs, fmt.Errorf("%s:%d: %s: %s", c.doc.path, at, key, fmt.Sprintf(format, args...)))
+		c.errs = append(c.errs, &Fault{Path: c.doc.path, Line: at, Key: key, Text: fmt.Sprintf(format, args...)})
 	}
 }
 
--- a/spec/file.go
+++ b/spec/file.go
@@ -181,7 +181,7 @@
 		d.kind, d.name, d.team = KindTeam, f.Team.Name, newTeam(*f.Team)
 	}
 	if count != 1 {
-		return nil, fmt.Errorf("%s:1: holds %d documents, want one of [service], [account], [wish] or [team]", path, count)
+		return nil, &Fault{Path: path, Line: 1, Text: fmt.Sprintf("holds %d documents, want one of [service], [account], [wish] or [team]", count)}
 	}
 	h := xxhash.New()
 	_, _ = h.WriteString(d.ID() + "\n")
@@ -197,14 +197,14 @@
 		var all []error
 		for i := range se.Errors {
 			row, _ := se.Errors[i].Position()
-			all = append(all, fmt.Errorf("%s:%d: unknown key %q", path, row, strings.Join(se.Errors[i].Key(), ".")))
+			all = append(all, &Fault{Path: path, Line: row, Text: fmt.Sprintf("unknown key %q", strings.Join(se.Errors[i].Key(), "."))})
 		}
 		return errors.Join(all...)
 	}
 	var de *toml.DecodeError
 	if errors.As(err, &de) {
 		row, _ := de.Position()
-		return fmt.Errorf("%s:%d: %s", path, row, de.Error())
+		return &Fault{Path: path, Line: row, Text: de.Error()}
 	}
-	return fmt.Errorf("%s:1: %w", path, err)
+	return &Fault{Path: path, Line: 1, Text: err.Error()}
 }
