--- a/cmds/publish.go
+++ b/cmds/publish.go
@@ -241,13 +241,7 @@
 func collectDocuments(dir string) ([]change.File, error) {
 	var files []change.File
 	var invalid []error
-	err := filepath.WalkDir(dir, func(path string, d fs.DirEntry, err error) error {
-		if err != nil {
-			return err
-		}
-		if d.IsDir() || !strings.HasSuffix(path, spec.Suffix) {
-			return nil
-		}
+	err := walkDocuments(dir, func(path string) error {
 		f, err := readDocument(path)
 		if err != nil {
 			invalid = append(invalid, err)
@@ -260,7 +254,7 @@
 		return nil
 	})
 	if err != nil {
-		return nil, fmt.Errorf("collect files below %s: %w", dir, err)
+		return nil, err
 	}
 	return files, errors.Join(invalid...)
 }
--- a/cmds/serve.go
+++ b/cmds/serve.go
@@ -3,17 +3,13 @@
 import (
 	"context"
 	"fmt"
-	"os"
 	"os/signal"
 	"runtime/debug"
-	"strings"
 	"syscall"
 
 	"github.com/spf13/cobra"
 
-	"github.com/cranberrybay/cranberrybay/edge"
 	"github.com/cranberrybay/cranberrybay/node"
-	"github.com/cranberrybay/cranberrybay/spec"
 )
 
 func newServe() *cobra.Command {
@@ -58,46 +54,6 @@
 	return app.Stop(stopCtx)
 }
 
-// storeTableHeader occurs in settings files of the command entry and in no
-// settings file of the command serve.
-const storeTableHeader = "\n[store]"
-
-// checkSettings validates a settings file of serve or entry.
-func checkSettings(path string) error {
-	raw, err := os.ReadFile(path)
-	if err != nil {
-		return fmt.Errorf("read settings: %w", err)
-	}
-	if strings.Contains(string(raw), storeTableHeader) {
-		_, err = edge.ReadSettings(path)
-	} else {
-		_, err = node.ReadSettings(path)
-	}
-	return err
-}
-
-func newCheck() *cobra.Command {
-	return &cobra.Command{
-		Use:   "check FILE...",
-		Short: "Check settings files and documents without starting",
-		Long:  "Checks documents, settings files of serve, and settings files of entry, which have a table [store].",
-		Args:  cobra.MinimumNArgs(1),
-		RunE: func(c *cobra.Command, args []string) error {
-			for _, path := range args {
-				if strings.HasSuffix(path, spec.Suffix) {
-					if _, err := readDocument(path); err != nil {
-						return usageError{err}
-					}
-				} else if err := checkSettings(path); err != nil {
-					return usageError{err}
-				}
-				_, _ = fmt.Fprintf(c.OutOrStdout(), "%s: ok\n", path)
-			}
-			return nil
-		},
-	}
-}
-
 func newVersion() *cobra.Command {
 	return &cobra.Command{
 		Use:   "version",
