--- a/path/path.go
+++ b/path/path.go
@@ -22,6 +22,7 @@
 	LayerPrefill float64 // seconds for one layer and one prompt token
 	Capacity     float64 // layer tokens of KV cache in total; 0 when unknown
 	Used         float64 // layer tokens in use
+	Unseen       float64 // layer tokens that are assumed in use besides, may be negative; they change the cost but never exclude the engine
 	Slots        int     // streams that it accepts as the first engine
 	FirstStreams int     // streams of which it is the first engine
 	Suspect      bool    // failed recently
@@ -44,6 +45,7 @@
 	Prompt     float64         // prompt tokens
 	Answer     float64         // answer tokens
 	Excluded   map[string]bool // engines that must not be chosen, by name
+	Local      bool            // all engines must be of one failure domain, and none suspected
 }
 
 // NoDomain is the next failure domain of a path that ends the stream's pass.
@@ -141,6 +143,9 @@
 			if e.From > from {
 				break
 			}
+			if req.Local && (e.Suspect || (prev >= 0 && e.Domain != lastDomain)) {
+				continue
+			}
 			if e.To <= from || (prev < 0 && req.From == 0 && e.FirstStreams >= e.Slots) {
 				continue
 			}
@@ -190,15 +195,16 @@
 	n := float64(layers)
 	pass := float64(e.To-e.From) * e.LayerSeconds
 	cost := req.Answer*(n*e.LayerSeconds+passWaitShare*pass) + req.Prompt*n*e.LayerPrefill
-	usage := 0.0
+	usage, unseen := 0.0, 0.0
 	if e.Capacity > 0 {
 		usage = (e.Used + (req.Prompt+req.Answer)*n) / e.Capacity
+		unseen = e.Unseen / e.Capacity
 	}
 	switch {
 	case usage > fullUse:
 		return math.Inf(1)
-	case usage > scarceUse:
-		cost *= 1 + scarceCostFactor*(usage-scarceUse)/(fullUse-scarceUse)
+	case usage+unseen > scarceUse:
+		cost *= 1 + scarceCostFactor*(usage+unseen-scarceUse)/(fullUse-scarceUse)
 	}
 	if first {
 		// The request itself is only a few kilobytes and does not load the link.
--- a/path/path_test.go
+++ b/path/path_test.go
@@ -147,6 +147,36 @@
 	assert.Equal(t, names(engines, hops), "b")
 }
 
+// Guards against unseen load that excludes an engine or does not count: it raises the cost above the share of the
+// cache that is scarce, and no engine is refused for it.
+func TestUnseenLoadNeverExcludes(t *testing.T) {
+	engines := []path.Engine{engine("a", 0, 0, 12), engine("b", 1, 0, 12)}
+	engines[0].Unseen = 5 * engines[0].Capacity
+	checkPath(t, request(), engines, "b")
+	checkPath(t, request(), engines[:1], "a")
+	engines[1].Unseen = 6 * engines[1].Capacity
+	checkPath(t, request(), engines, "a")
+	engines[0].Used = engines[0].Capacity
+	engines[0].Unseen = -engines[0].Capacity
+	checkPath(t, request(), engines, "b")
+}
+
+// Guards against a local path over engines of two failure domains or over a suspected one.
+func TestLocalPath(t *testing.T) {
+	engines := []path.Engine{engine("a", 0, 0, 6), engine("b", 0, 6, 12), engine("c", 1, 0, 6), engine("d", 1, 6, 12)}
+	engines[1].LayerSeconds *= 1e4
+	engines[2].LayerSeconds *= 1e4
+	checkPath(t, request(), engines, "ad")
+	req := request()
+	req.Local = true
+	engines[1].LayerSeconds *= 2
+	checkPath(t, req, engines, "cd")
+	engines[3].Suspect = true
+	checkPath(t, req, engines, "ab")
+	engines[0].Suspect = true
+	checkPath(t, req, engines, "")
+}
+
 func BenchmarkChoose(b *testing.B) {
 	var engines []path.Engine
 	for d := range 3 {
