relay: paths of uneven and competing services by corrected load

Change: for services for which Uneven or Competing holds, the load of each candidate is corrected by package spread, and a path within one failure domain is searched first. beat.PeerReport gives the age of the load of the other processes and their number; no message changes. Not measured on a whole deployment. Conclusion: what an engine can still take is decided by the reported load, as before; the correction only compares.

--- a/beat/beat.go
+++ b/beat/beat.go
@@ -160,6 +160,7 @@
 	reportedSize   int                // number of all processes, as reported by the hub
 	reportedLoads  map[uint32]load    // load of this process in its last heartbeat to the hub
 	peerLoads      map[uint32]load    // load of all other processes, as far as known
+	peerLoadsAt    time.Duration      // clock.Now when peerLoads was last replaced
 	state          State              // of this process, as in its last heartbeat
 	sequence       uint64
 	rounds         uint64                   // number of heartbeats sent
@@ -212,7 +213,7 @@
 	now := clock.Now()
 	return &Membership{
 		cfg: cfg, members: map[string]*member{}, others: map[string]*member{}, hub: cfg.Self.Name, hubSince: now, lastHeard: now, lastSent: now,
-		sharesFrom: now + sharesAfter, sizePeakSince: now,
+		sharesFrom: now + sharesAfter, sizePeakSince: now, peerLoadsAt: now,
 		deadReports: map[uint64]time.Duration{}, dropLoggedAt: map[string]time.Duration{},
 	}
 }
@@ -345,6 +346,14 @@
 	return x.streams, x.tokens
 }
 
+// PeerReport returns the age of what PeerLoad returns, and the number of entry processes. Loads are on the way for
+// an interval on average: half of one each to the hub and to the hubs of other failure domains.
+func (ms *Membership) PeerReport() (age time.Duration, processes int) {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	return clock.Now() - ms.peerLoadsAt + ms.interval(), ms.size()
+}
+
 // updateLease takes the lease announcement of a heartbeat if it is newer than the known
 // one: a higher fencing number wins, then the end of the lease, then a newer row. The
 // caller holds mu.
--- a/beat/beat_test.go
+++ b/beat/beat_test.go
@@ -298,6 +298,24 @@
 	})
 }
 
+// Guards against an age of the others' load that leaves out its way to this process, or that does not grow while no
+// heartbeat of the hub arrives.
+func TestPeerReport(t *testing.T) {
+	runVirtual(t, func(t *testing.T, n *net) {
+		a, b, _, _ := startTwoDomains(n)
+		n.run(time.Second)
+		for _, x := range []*node{a, b} {
+			age, processes := x.membership.PeerReport()
+			assert.Equal(t, processes, 4)
+			assert.Assert(t, age >= 250*time.Millisecond && age <= 600*time.Millisecond, "%v", age)
+		}
+		a.frozen = true
+		n.run(900 * time.Millisecond)
+		age, _ := b.membership.PeerReport()
+		assert.Assert(t, age >= 900*time.Millisecond, "%v", age)
+	})
+}
+
 // Guards against a failure domain without a reachable hub after the hub ended, was frozen
 // or lost contact with all other processes.
 func TestHubElection(t *testing.T) {
--- a/beat/receive.go
+++ b/beat/receive.go
@@ -117,7 +117,7 @@
 	ms.applyProcessList(b.Domains, p.Domain, fromOwnHub, now)
 	if fromOwnHub && b.Loads != nil {
 		ms.reportedSize = m.size
-		ms.peerLoads = subtractOwn(m.loads, ms.reportedLoads)
+		ms.peerLoads, ms.peerLoadsAt = subtractOwn(m.loads, ms.reportedLoads), now
 	}
 	ms.electHub(now)
 	return true
--- a/beat/send.go
+++ b/beat/send.go
@@ -36,7 +36,7 @@
 		return
 	}
 	domain, all := ms.sumLoads(now)
-	ms.peerLoads = all
+	ms.peerLoads, ms.peerLoadsAt = all, now
 	memberLoads, hubLoads := map[uint32]load{}, map[uint32]load{}
 	addLoads(memberLoads, all)
 	addLoads(memberLoads, own)
--- a/edge/app.go
+++ b/edge/app.go
@@ -285,7 +285,7 @@
 
 func newRelay(s Settings, q *quota.Quota, servers *server.Table, client *link.Client, backend *platform.Backend, members *beat.Membership, budgets *retryBudgets, t *poison.Tracker, p *pacer.Pacer, in *intake.Tracker, c *counters, factory *logs.Factory) *relay.Relay {
 	return relay.New(relay.Config{
-		Servers: servers, Send: backend.Send, FetchReport: backend.Report, Repath: backend.Repath, Probe: client.Probe, Budget: budgets.of, Quota: q, PeerLoad: members.PeerLoad,
+		Servers: servers, Send: backend.Send, FetchReport: backend.Report, Repath: backend.Repath, Probe: client.Probe, Budget: budgets.of, Quota: q, PeerLoad: members.PeerLoad, PeerReport: members.PeerReport,
 		Poison: t, Pacer: p, Intake: in, AnnounceDead: func(srv *server.Server) { members.ReportDead(srv.ID()) },
 		Domain: s.Domain, Log: factory.Logger("relay"), Count: c.event, Observe: c.observe,
 		CountViolation: func(i relay.Invariant) { c.violation(string(i)) },
--- a/relay/path.go
+++ b/relay/path.go
@@ -16,6 +16,7 @@
 	"github.com/cranberrybay/cranberrybay/config"
 	"github.com/cranberrybay/cranberrybay/path"
 	"github.com/cranberrybay/cranberrybay/server"
+	"github.com/cranberrybay/cranberrybay/spread"
 )
 
 const (
@@ -145,6 +146,7 @@
 	links   path.LinkCosts
 	chosen  map[string]*server.Server // by address
 	rivals  []rival
+	view    *spread.View // of the load of the other processes; nil if their reports are taken as they are
 }
 
 // rival is a candidate that was dropped because another one has the same address.
@@ -161,13 +163,14 @@
 	var names []string
 	ps.domains, names = indexDomains(all, r.cfg.Domain)
 	ps.links = pathLinks(e, names)
+	ps.view = r.loadView(req.Service)
 	// Processes that choose at the same time do not see each other's choices.
 	jitter := make([]float64, len(names))
 	for i := range jitter {
 		jitter[i] = 1 + domainJitter*rand.Float64()
 	}
 	for i, s := range all {
-		ps.engines[i] = r.candidate(s, e, ps.domains)
+		ps.engines[i] = r.candidate(s, ps)
 		ps.engines[i].LayerSeconds *= jitter[ps.engines[i].Domain]
 		if jitterEngines {
 			factor := 1 + engineJitter*rand.Float64()
@@ -273,7 +276,12 @@
 // choose returns the best path for the request that satisfies want.
 func (ps *pathSearch) choose(want path.Request) ([]Hop, bool) {
 	want.Prompt, want.Answer = float64(ps.req.PromptTokens), ps.req.expectedAnswerTokens(ps.req.Service.Engine)
+	want.Local = ps.staysLocal(want)
 	found, _, ok := path.Choose(want, ps.engines, ps.links)
+	if !ok && want.Local {
+		want.Local = false
+		found, _, ok = path.Choose(want, ps.engines, ps.links)
+	}
 	if !ok {
 		return nil, false
 	}
@@ -300,6 +308,7 @@
 func (ps *pathSearch) activate(hops []Hop) *activePath {
 	tokens := float64(ps.req.PromptTokens) + ps.req.expectedAnswerTokens(ps.req.Service.Engine)
 	t := &activePath{hops: hops}
+	ps.recordBegin()
 	for i, h := range hops {
 		s := ps.listedServer(h.Address)
 		if s == nil {
@@ -367,26 +376,29 @@
 }
 
 // candidate describes an engine with the load that all entry processes have on it.
-func (r *Relay) candidate(s *server.Server, e *config.Engine, domains map[string]int) path.Engine {
-	entry := s.Entry()
+func (r *Relay) candidate(s *server.Server, ps *pathSearch) path.Engine {
+	entry, e := s.Entry(), ps.req.Service.Engine
 	acc, ok := e.Accelerators[entry.Accelerator]
 	if !ok || entry.From < 0 || entry.To <= entry.From || entry.To > e.Layers {
 		return path.Engine{Name: s.Address()}
 	}
 	streams, tokens := r.cfg.PeerLoad(s.ID())
+	layers := float64(entry.To - entry.From)
+	unseen := ps.unseenLoad(s, streams, tokens, layers)
 	streams += s.Inflight()
 	tokens += s.ReservedTokens()
-	layers := float64(entry.To - entry.From)
+	expected := max(float64(streams)+unseen.Streams, 0)
 	tokensPerLayer := 0.0
-	if streams > 0 {
-		tokensPerLayer = float64(tokens) / layers // tokens of all streams per layer
+	if expected > 0 {
+		tokensPerLayer = max(float64(tokens)+unseen.Tokens, 0) / layers // tokens of all streams per layer
 	}
-	step := e.StepTime.Seconds() + float64(streams)*e.StepTimePerRequest.Seconds() + tokensPerLayer/1000*e.StepTimePerContext.Seconds()
+	step := e.StepTime.Seconds() + expected*e.StepTimePerRequest.Seconds() + tokensPerLayer/1000*e.StepTimePerContext.Seconds()
 	out := path.Engine{
-		Name: s.Address(), Domain: domains[entry.Domain], From: entry.From, To: entry.To,
+		Name: s.Address(), Domain: ps.domains[entry.Domain], From: entry.From, To: entry.To,
 		LayerSeconds: step * acc.StepFactor / float64(e.Layers),
 		Capacity:     KVCapacity(e, acc, entry.To-entry.From),
 		Used:         float64(tokens),
+		Unseen:       unseen.Tokens,
 		Slots:        max(entry.Slots, 1),
 		Suspect:      s.IsAvoided() || r.waitForRest(s) > 0,
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -25,6 +25,7 @@
 	"github.com/cranberrybay/cranberrybay/quota"
 	"github.com/cranberrybay/cranberrybay/retry"
 	"github.com/cranberrybay/cranberrybay/server"
+	"github.com/cranberrybay/cranberrybay/spread"
 )
 
 // Request is a caller's request after routing.
@@ -157,6 +158,10 @@
 	// PeerLoad returns the number of streams and of layer tokens that the other entry processes
 	// have on a server; it may be nil.
 	PeerLoad func(id string) (streams int, tokens int64)
+	// PeerReport returns the age of what PeerLoad returns and the number of entry processes. With it, paths of
+	// services that are uneven or have competing streams are chosen by corrected loads, see package spread. It may
+	// be nil.
+	PeerReport func() (age time.Duration, processes int)
 	// AnnounceDead tells the other entry processes that a server does not answer; it may be nil.
 	AnnounceDead func(s *server.Server)
 	// Poison knows the parts of prompts that crash servers; nil for one that this process shares
@@ -187,6 +192,7 @@
 	trials          trials
 	confirming      sync.Map // incarnations of servers that may have crashed and are probed again
 	waits           waits
+	spread          *spread.Estimator
 
 	mu          sync.Mutex
 	monitors    map[*stallMonitor]struct{} // of the running streams
@@ -219,7 +225,7 @@
 	if cfg.PeerLoad == nil {
 		cfg.PeerLoad = func(string) (int, int64) { return 0, 0 }
 	}
-	r := &Relay{cfg: cfg, monitors: map[*stallMonitor]struct{}{}, restWaiters: map[string]int{}, firstEventTimes: firstEventTimes{byService: map[string]time.Duration{}}}
+	r := &Relay{cfg: cfg, monitors: map[*stallMonitor]struct{}{}, restWaiters: map[string]int{}, spread: spread.New(spread.Config{}), firstEventTimes: firstEventTimes{byService: map[string]time.Duration{}}}
 	r.reports = newReportCache(r.fetchReportSafely)
 	r.waits.init()
 	return r
