edge, logs: imbalance of the load as metric, log line and line of the summary

Cause: nothing states how evenly the servers of a service are loaded. Change: each process samples four times a second the share of the KV cache (of the slots, where no cache is known) that all processes have reserved on each server, averages it over a second and shows busiest over mean as cranberrybay_load_spread{service}. Hubs log it every five seconds as (spread) load spread with the busiest and the idlest server, for services that are uneven or have competing routes. cranberrybay summary prints one line for each service instead of counting these lines among the others. No call or message is added. Conclusion: the figures are what processes have sent, not what engines report.

--- a/cmds/summary.go
+++ b/cmds/summary.go
@@ -19,7 +19,7 @@
 		Use:   "summary [FILE...]",
 		Short: "Summarize the requests in the logs",
 		Long: "Reads log lines of one or several entry processes, from files or from standard input, and prints the requests by\n" +
-			"outcome and cause, a plot over time of those that were not served, and the other log lines by message.",
+			"outcome and cause, a plot over time of those that were not served, how evenly engines were loaded, and the other log lines by message.",
 		RunE: func(c *cobra.Command, args []string) error {
 			if window <= 0 {
 				return usageError{fmt.Errorf("--window is %s, must be positive", window)}
--- a/edge/app.go
+++ b/edge/app.go
@@ -108,7 +108,7 @@
 			newHandler,
 			newPlacer,
 		),
-		fx.Invoke(logStart, followTables, exchangeHeartbeats, closeConnections, placeLayers, listen, registerGauges),
+		fx.Invoke(logStart, followTables, exchangeHeartbeats, closeConnections, placeLayers, listen, registerGauges, watchImbalance),
 	)
 }
 
--- a/logs/logs.go
+++ b/logs/logs.go
@@ -19,7 +19,7 @@
 
 // Components lists the names of all components that log, in the order of the
 // module table of docs/design.md.
-var Components = []string{"change", "lease", "member", "peer", "guard", "fleet", "stream", "claim", "proxy", "limit", "queue", "place", "entry", "admin", "node", "watch", "server", "relay", "beat", "intake", "pacer", "poison", "edge"}
+var Components = []string{"change", "lease", "member", "peer", "guard", "fleet", "stream", "claim", "proxy", "limit", "queue", "place", "entry", "admin", "node", "watch", "server", "relay", "spread", "beat", "intake", "pacer", "poison", "edge"}
 
 // Config holds the output and the levels of the loggers.
 type Config struct {
--- a/logs/summary.go
+++ b/logs/summary.go
@@ -62,7 +62,7 @@
 		return 0, err
 	}
 	begin := all[0].time
-	causes, others := map[cause]int{}, map[string]*messageStats{}
+	causes, others, spreads := map[cause]int{}, map[string]*messageStats{}, map[string]*spreadStats{}
 	windows := make([]outcomeCounts, int(all[len(all)-1].time.Sub(begin)/window)+1)
 	requests := 0
 	for _, l := range all {
@@ -76,6 +76,8 @@
 				weight = SampleEvery
 			}
 			causes[cause{outcome, takeString(l.fields, "kind"), trimDetails(takeString(l.fields, "error"))}] += weight
+		case l.message == SpreadMessage:
+			addSpread(spreads, l.fields)
 		case l.id == "":
 			c := others[l.part+l.message]
 			if c == nil {
@@ -89,6 +91,7 @@
 	}
 	writeCauses(w, causes)
 	writeWindows(w, windows, window)
+	writeSpreads(w, spreads)
 	writeOthers(w, others, begin)
 	return requests, nil
 }
--- a/spread/harness_test.go
+++ b/spread/harness_test.go
@@ -33,6 +33,7 @@
 // scenario is a simulated deployment.
 type scenario struct {
 	choosers int
+	active   int           // choosers that get streams; 0 for all
 	age      time.Duration // largest age of a report; the least is half of it
 	stages   int           // ranges of the model, with each kind of engine in each; 0 for copies as of addCopies
 	rate     float64       // streams per second
@@ -257,8 +258,12 @@
 
 // chooser returns the chooser of the next stream.
 func (s *sim) chooser() int {
+	active := s.choosers
+	if s.active > 0 {
+		active = s.active
+	}
 	for {
-		c := s.r.IntN(s.choosers)
+		c := s.r.IntN(active)
 		phase := 2 * math.Pi * (s.now.Seconds()/15 + float64(c%simDomains)/simDomains)
 		if !s.waves || s.r.Float64()*1.55 < 1+0.55*math.Sin(phase) {
 			return c
--- a/spread/rules_test.go
+++ b/spread/rules_test.go
@@ -161,6 +161,8 @@
 	add("three ranges", func(sc *scenario) { sc.stages = 3 })
 	add("copies", func(sc *scenario) { sc.stages, sc.room = 0, 1.4 })
 	add("waves", func(sc *scenario) { sc.stages, sc.room, sc.waves = 0, 1.4, true })
+	add("20 of 102 active", func(sc *scenario) { sc.active = 20 })
+	add("copies, 20 of 102 active", func(sc *scenario) { sc.active, sc.stages, sc.room = 20, 0, 1.4 })
 	add("restart", func(sc *scenario) { sc.room, sc.restart = 1.2, true })
 	add("misreport", func(sc *scenario) { sc.lies = true })
 	add("fourfold room", func(sc *scenario) { sc.room = 4 })
