--- a/relay/path.go
+++ b/relay/path.go
@@ -163,7 +163,7 @@
 	var names []string
 	ps.domains, names = indexDomains(all, r.cfg.Domain)
 	ps.links = pathLinks(e, names)
-	ps.view = r.loadView(req.Service)
+	ps.view = r.loadView(req.Service, all)
 	// Processes that choose at the same time do not see each other's choices.
 	jitter := make([]float64, len(names))
 	for i := range jitter {
--- a/relay/unseen.go
+++ b/relay/unseen.go
@@ -8,14 +8,20 @@
 	"github.com/cranberrybay/cranberrybay/spread"
 )
 
-// loadView returns what this process assumes about the load of the others, or nil if their reports are taken
-// as they are: for services whose accelerators are alike and whose streams don't compete.
-func (r *Relay) loadView(s config.Service) *spread.View {
+// loadView returns what this process assumes about the load of the others on the servers of a service, or nil if
+// their reports are taken as they are: for services whose accelerators are alike and whose streams don't compete.
+func (r *Relay) loadView(s config.Service, all []*server.Server) *spread.View {
 	if r.cfg.PeerReport == nil || !(s.Uneven() || s.Competing) {
 		return nil
 	}
-	age, processes := r.cfg.PeerReport()
-	v := r.spread.View(s.Name, clock.Now(), age, processes)
+	var report spread.Report
+	report.Age, report.Processes = r.cfg.PeerReport()
+	for _, srv := range all {
+		streams, _ := r.cfg.PeerLoad(srv.ID())
+		report.Own += float64(srv.Inflight())
+		report.Others += float64(streams)
+	}
+	v := r.spread.View(s.Name, clock.Now(), report)
 	return &v
 }
 
@@ -38,8 +44,9 @@
 }
 
 // staysLocal reports whether a path within one failure domain is searched first. Corrected loads differ by more than
-// the transfers between failure domains cost, so that without it up to two fifths of the paths would cross them. A
-// replaced part of a path has to fit the hops around it instead.
+// the transfers between failure domains cost: in the simulation of package spread, random additions sent a tenth of the
+// paths across them with reports of 0.5 s, and two fifths with 2 s. A replaced part of a path has to fit the hops
+// around it instead.
 func (ps *pathSearch) staysLocal(want path.Request) bool {
 	return ps.view != nil && want.From == 0 && want.NextDomain == path.NoDomain
 }
--- a/spread/harness_test.go
+++ b/spread/harness_test.go
@@ -210,23 +210,38 @@
 
 // view returns the candidates of chooser c as relay builds them.
 func (s *sim) view(c int) []path.Engine {
-	rep := s.report(c)
 	out := make([]path.Engine, len(s.engines))
 	jitter := [simDomains]float64{}
 	for d := range jitter {
 		jitter[d] = 1 + 0.15*s.r.Float64()
 	}
 	for i := range s.engines {
-		n := rep.total[i] + s.own[c][i]
-		if rep.own != nil {
-			n -= rep.own[c][i]
-		}
-		out[i] = s.candidate(i, float64(max(n, 0)))
+		out[i] = s.candidate(i, s.reported(c, i)+float64(s.own[c][i]))
 		out[i].LayerSeconds *= jitter[out[i].Domain]
 	}
 	return out
 }
 
+// viewOf returns what chooser c assumes about the others.
+func (s *sim) viewOf(c int) spread.View {
+	rep := s.report(c)
+	r := spread.Report{Age: s.now - rep.at, Processes: s.choosers}
+	for i := range s.engines {
+		r.Own += float64(s.own[c][i])
+		r.Others += s.reported(c, i)
+	}
+	return s.rates[c].View("s", s.now, r)
+}
+
+// reported returns the streams of the others on engine i that chooser c knows of.
+func (s *sim) reported(c, i int) float64 {
+	rep := s.report(c)
+	if rep.own == nil {
+		return 0
+	}
+	return float64(max(rep.total[i]-rep.own[c][i], 0))
+}
+
 // candidate returns the engine i with a load.
 func (s *sim) candidate(i int, streams float64) path.Engine {
 	e := s.engines[i].Engine
--- a/spread/rules_test.go
+++ b/spread/rules_test.go
@@ -18,8 +18,7 @@
 
 // corrected is the rule of the package.
 func corrected(s *sim, c int, engines []path.Engine) map[string]bool {
-	rep := s.report(c)
-	view := s.rates[c].View("s", s.now, s.now-rep.at, s.choosers)
+	view := s.viewOf(c)
 	s.change(c, engines, func(own, reported, perStream float64) float64 {
 		return view.Correction(spread.Load{Streams: own, Tokens: own * perStream}, spread.Load{Streams: reported, Tokens: reported * perStream}, perStream).Streams
 	})
@@ -30,7 +29,7 @@
 // since their report. Paths stay in a failure domain only if local is set.
 func drawn(share float64, local bool) rule {
 	return func(s *sim, c int, engines []path.Engine) map[string]bool {
-		unseen := share * s.rates[c].View("s", s.now, s.now-s.report(c).at, s.choosers).Unseen()
+		unseen := share * s.viewOf(c).Unseen()
 		s.change(c, engines, func(float64, float64, float64) float64 { return unseen * s.r.ExpFloat64() })
 		s.local = local
 		return nil
@@ -40,13 +39,9 @@
 // change adds what f returns to the streams of each engine, as relay does.
 func (s *sim) change(c int, engines []path.Engine, f func(own, reported, perStream float64) float64) {
 	s.local = true
-	rep := s.report(c)
 	for i := range engines {
 		e := &engines[i]
-		own, reported := float64(s.own[c][i]), float64(rep.total[i])
-		if rep.own != nil {
-			reported = float64(max(rep.total[i]-rep.own[c][i], 0))
-		}
+		own, reported := float64(s.own[c][i]), s.reported(c, i)
 		perStream := (simPrompt + simAnswer) * float64(e.To-e.From)
 		x := f(own, reported, perStream)
 		e.Unseen = x * perStream
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -3,8 +3,8 @@
 // the server with the least load, so that servers are overloaded in turn while others are idle (herd effect).
 //
 // An Estimator gives a View for each choice, which corrects the reported load of each server by what this process has
-// there, times the number of the others, and by a random number of streams of the size of what the others have begun
-// since their report. The package reads no clock and makes no calls. docs/design/spread.md has the alternatives.
+// there, scaled to all, and by a random number of streams of the size of what the others have begun since their
+// report. The package reads no clock and makes no calls. docs/design/spread.md has the alternatives.
 package spread
 
 import (
@@ -15,18 +15,23 @@
 )
 
 const (
-	// ownWeight is the weight of this process's own load times the number of the others against their reported
-	// load. The report is exact but old; the own load is a sample of the present one and differs from process to
-	// process, so that they choose differently. At 0.5 a tenth of the streams of the simulation met a full server
-	// where 2 % do at 0.75; at 1 a server that is back without streams gets more of them.
+	// ownWeight is the weight of this process's own load, scaled to all, against the load that the others reported.
+	// The report is exact but old; the own load is a sample of the present one and differs from process to process, so
+	// that they choose differently. Of the streams of a simulated fleet with little room, 7.7 % met a full server at
+	// 0.5, 0.6 % at 0.75 and 1.2 % at 1.
 	ownWeight = 0.75
 	// drawnShare is the mean of the random number of streams relative to the number that the others have begun
-	// since their report. At 0.5 and above streams take slow servers while fast ones are free, and answers take up
-	// to twice the time; without any, processes with no stream of their own still choose alike.
+	// since their report. In the same fleet, 16 % met a full server at 0 and 24 % at 0.5, where streams also take
+	// slow servers while fast ones are free.
 	drawnShare = 0.25
 	// rateTime is the time over which the rate of this process's own streams is smoothed. One process of a hundred
 	// that share 300 streams per second begins 6 in it; a load that changes with a period of 15 s is followed.
 	rateTime = 2 * time.Second
+	// ratioTime is the time over which streams in flight are smoothed for the ratio of the others' to the own ones.
+	// A process of a hundred has two or three streams in flight, whose number changes within a second.
+	ratioTime = 5 * time.Second
+	// priorStreams is the number of streams in flight up to which the number of processes counts more than that ratio.
+	priorStreams = 1.0
 	// maxAge bounds the age of a report. Heartbeats drop the load of a silent process after the same time.
 	maxAge = 3 * time.Second
 )
@@ -42,8 +47,23 @@
 type Estimator struct {
 	cfg Config
 
-	mu    sync.Mutex
-	rates map[string]rate // of the streams that this process began, by service
+	mu       sync.Mutex
+	services map[string]*observed
+}
+
+// observed is what this process has seen of a service.
+type observed struct {
+	begun       rate    // of streams of this process
+	own, others float64 // smoothed streams in flight, summed over servers
+	at          time.Duration
+}
+
+// Report is what a process knows at the time of a choice.
+type Report struct {
+	Age       time.Duration // of the load that the other processes reported
+	Processes int           // including this one
+	Own       float64       // streams of this process, summed over all servers
+	Others    float64       // reported streams of the others, summed over all servers
 }
 
 // rate is an exponentially smoothed rate of events.
@@ -57,25 +77,42 @@
 	if cfg.Random == nil {
 		cfg.Random = rand.ExpFloat64
 	}
-	return &Estimator{cfg: cfg, rates: map[string]rate{}}
+	return &Estimator{cfg: cfg, services: map[string]*observed{}}
+}
+
+// of returns the record of a service. The caller holds mu.
+func (e *Estimator) of(service string) *observed {
+	o := e.services[service]
+	if o == nil {
+		o = &observed{}
+		e.services[service] = o
+	}
+	return o
 }
 
 // Begin records that this process begins a stream of a service. now is on any monotonic clock.
 func (e *Estimator) Begin(service string, now time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.rates[service] = rate{value: e.rates[service].valueAt(now) + 1/rateTime.Seconds(), at: now}
+	o := e.of(service)
+	o.begun = rate{value: o.begun.valueAt(now) + 1/rateTime.Seconds(), at: now}
 }
 
-// View returns the View for one choice among the servers of a service. age is the age of the other processes' report,
-// and processes the number of all processes, including this one. It takes each of the others to begin as many streams
-// as this one; with the waves of the load they differ by a factor of two at most.
-func (e *Estimator) View(service string, now, age time.Duration, processes int) View {
+// View returns the View for one choice among the servers of a service. It takes the others together for as many
+// processes like this one as their streams are to its own; for one less than all processes while this one has hardly
+// any.
+func (e *Estimator) View(service string, now time.Duration, r Report) View {
 	e.mu.Lock()
-	own := e.rates[service].valueAt(now)
-	e.mu.Unlock()
-	others := float64(max(processes-1, 0))
-	return View{random: e.cfg.Random, others: others, unseen: own * others * min(max(age, 0), maxAge).Seconds()}
+	defer e.mu.Unlock()
+	peers := float64(max(r.Processes-1, 0))
+	if peers == 0 {
+		return View{}
+	}
+	o := e.of(service)
+	keep := math.Exp(-max(now-o.at, 0).Seconds() / ratioTime.Seconds())
+	o.own, o.others, o.at = keep*o.own+(1-keep)*r.Own, keep*o.others+(1-keep)*r.Others, now
+	ratio := (o.others + peers*priorStreams) / (o.own + priorStreams)
+	return View{random: e.cfg.Random, others: ratio, unseen: o.begun.valueAt(now) * ratio * min(max(r.Age, 0), maxAge).Seconds()}
 }
 
 // valueAt returns the rate at a time that is not before the last event.
@@ -92,7 +129,7 @@
 // View is what a process assumes about the others in one choice. The zero View assumes that their reports are true.
 type View struct {
 	random func() float64
-	others float64 // number of the other processes
+	others float64 // how many processes like this one the others are together
 	unseen float64 // expected number of streams that they have begun since their report
 }
 
--- a/spread/spread_test.go
+++ b/spread/spread_test.go
@@ -49,16 +49,9 @@
 	assert.Equal(t, got, spread.Imbalance{Spread: 2, Mean: 1.5, Busiest: "a", Highest: 3, Idlest: "b"})
 }
 
-// Guards against a correction by a rate that is not that of the other processes now, by a report without an age or of
+// Guards against a correction by a rate that is not that of the other processes now, by a report without an age or
 // one that is too old to count, and by others where there are none.
-func TestView(t *testing.T) {
-	e := spread.New(spread.Config{Random: func() float64 { return 2 }})
-	now := time.Duration(0)
-	for now < 20*time.Second { // 5 streams per second
-		now += 200 * time.Millisecond
-		e.Begin("s", now)
-	}
-	second := time.Second
+func TestUnseenStreams(t *testing.T) {
 	for name, c := range map[string]struct {
 		service   string
 		after     time.Duration
@@ -66,18 +59,48 @@
 		processes int
 		want      float64
 	}{
-		"others": {"s", 100 * time.Millisecond, second / 2, 61, 150}, "another service": {"o", 0, second, 61, 0}, "new report": {"s", 0, -second, 61, 0},
-		"old report": {"s", 100 * time.Millisecond, time.Hour, 11, 150}, "alone": {"s", 0, second, 1, 0}, "no process": {"s", 0, second, 0, 0},
-		"idle since": {"s", time.Minute, second, 61, 0},
+		"others": {"s", 100 * time.Millisecond, time.Second / 2, 61, 150}, "another service": {"o", 0, time.Second, 61, 0},
+		"new report": {"s", 0, -time.Second, 61, 0}, "old report": {"s", 100 * time.Millisecond, time.Hour, 11, 150},
+		"alone": {"s", 0, time.Second, 1, 0}, "no process": {"s", 0, time.Second, 0, 0}, "idle since": {"s", time.Minute, time.Second, 61, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
-			checkNear(t, e.View(c.service, now+c.after, c.age, c.processes).Unseen(), c.want)
+			e, now := busyEstimator()
+			checkNear(t, e.View(c.service, now+c.after, spread.Report{Age: c.age, Processes: c.processes}).Unseen(), c.want)
 		})
 	}
-	v := e.View("s", now+100*time.Millisecond, second/2, 61)
-	got := v.Correction(spread.Load{Streams: 2, Tokens: 200}, spread.Load{Streams: 100, Tokens: 9000}, 100)
+}
+
+// busyEstimator returns the Estimator of a process that has begun 5 streams per second until now.
+func busyEstimator() (e *spread.Estimator, now time.Duration) {
+	e = spread.New(spread.Config{Random: func() float64 { return 2 }})
+	for now < 20*time.Second {
+		now += 200 * time.Millisecond
+		e.Begin("s", now)
+	}
+	return e, now
+}
+
+// Guards against a correction that multiplies the own load by the number of processes although most of them have none,
+// and against one that takes a process for the whole load because it has no streams at the moment.
+func TestCorrection(t *testing.T) {
+	e, now := busyEstimator()
+	now += 100 * time.Millisecond
+	report := spread.Report{Age: time.Second / 2, Processes: 61, Own: 4, Others: 240}
+	e.View("s", now, report)
+	own, reported := spread.Load{Streams: 2, Tokens: 200}, spread.Load{Streams: 100, Tokens: 9000}
+	got := e.View("s", now, report).Correction(own, reported, 100)
 	checkNear(t, got.Streams, 0.25*150*2+0.75*(2*60-100))
 	checkNear(t, got.Tokens, 0.25*150*2*100+0.75*(200*60-9000))
-	assert.Equal(t, e.View("s", now, second, 1).Correction(spread.Load{Streams: 2}, spread.Load{Streams: 5}, 1), spread.Load{})
-	assert.Equal(t, spread.View{}.Correction(spread.Load{Streams: 2}, spread.Load{Streams: 5}, 1), spread.Load{})
+	report.Others, report.Processes = 40, 1000 // most processes are idle
+	for range 60 {
+		now += time.Second
+		got = e.View("s", now, report).Correction(own, reported, 100)
+	}
+	checkNear(t, got.Streams, 0.75*(2*(40+999)/5-100))
+	report.Own = 0
+	got = e.View("s", now, report).Correction(spread.Load{}, reported, 100)
+	checkNear(t, got.Streams, -75)
+	report.Processes = 1
+	assert.Equal(t, e.View("s", now, report).Correction(own, reported, 100), spread.Load{})
+	assert.Equal(t, spread.View{}.Correction(own, reported, 1), spread.Load{})
 }
