spread: comments of the simulation

Cause: three comments of the harness named other functions or columns than they stand at. Change: comments only. Figures: go test -race ./spread passes. Conclusion: none.

--- a/spread/harness_test.go
+++ b/spread/harness_test.go
@@ -54,12 +54,14 @@
 	down         bool
 }
 
+// simFinish is the end of a stream.
 type simFinish struct {
 	at      time.Duration
 	chooser int
 	hops    []path.Hop
 }
 
+// ends is a heap of the running streams, the first to end at the top.
 type ends []simFinish
 
 func (h ends) Len() int           { return len(h) }
@@ -82,7 +84,7 @@
 // result has what a simulation measures.
 type result struct {
 	spread                    float64 // busiest over mean of the KV shares of a range, mean over windows of a second
-	idle, over, refused, wide float64 // shares; see run
+	idle, over, refused, wide float64 // shares: of time, and of streams that met a full engine, got no path, crossed failure domains
 	took                      float64 // mean seconds of a stream
 	restarted                 float64 // largest KV share of the restarted engine relative to the mean of its range, within 2 s
 }
@@ -192,12 +194,12 @@
 	return n
 }
 
-// pass returns the seconds of one layer in a pass with so many streams.
+// layerSeconds returns the seconds of one layer in a pass with so many streams.
 func (e *simEngine) layerSeconds(streams float64) float64 {
 	return (stepTime + streams*(perStream+perContext*(simPrompt+simAnswer)/1000)) * e.factor / simLayers
 }
 
-// age returns how old the report is that chooser c has, and the report.
+// report returns the newest report that has reached chooser c.
 func (s *sim) report(c int) report {
 	all := s.reports[c%simDomains]
 	for i := len(all) - 1; i >= 0; i-- {
