--- a/admit/admit.go
+++ b/admit/admit.go
@@ -21,7 +21,7 @@
 const (
 	// fullLoad is the load up to which the most urgent streams are admitted. Engines preempt before the
 	// estimated load reaches 1, since streams are not spread evenly and reports of load are old.
-	fullLoad = 0.85
+	fullLoad = 0.92
 	// reserve is the share of the capacity that the least urgent rank leaves to the others. The ranks in
 	// between leave evenly spaced parts of it. A larger reserve refuses streams that the engines could serve.
 	reserve = 0.1
--- a/relay/admission.go
+++ b/relay/admission.go
@@ -80,9 +80,11 @@
 	if target <= 0 {
 		return out
 	}
+	reported := *ps
+	reported.view = nil // without the random numbers of the choice
 	for _, h := range hops {
 		if s := ps.chosen[h.Address]; s != nil {
-			x := ps.relay.candidate(s, e, ps.domains) // without the random factor of the search
+			x := ps.relay.candidate(s, &reported)
 			out.Pause += path.PassSeconds(x, h.To-h.From) * float64(max(e.Stride, 1))
 		}
 	}
