link: an answer whose status or head is invalid fails at once

Cause: http.ReadResponse takes any three digits as a status and any header name with a blank. link took each status below 200 for an interim answer. The body of an interim answer, and that of an answer to another request with 204, are taken for the answer.

Change: the new package reply checks what net/http leaves: a final status is 200 to 599, an interim one 100 to 199 without 101 and without a body, and header names have no blank. A head that net/http refuses, while no read failed, wraps the same error. A connection is not reused after a 204 or 304 that announces a body.

--- a/link/link.go
+++ b/link/link.go
@@ -27,6 +27,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/reply"
 )
 
 // Request is a request as it is written to the connection.
@@ -103,7 +104,6 @@
 	errTooManyLines = errors.New("head of the answer has too many lines")
 	errHeadTimeout  = errors.New("head of the answer did not end in time")
 	errUnknown      = errors.New("answer names no request on a connection that has carried others")
-	errSwitched     = errors.New("server switched the protocol")
 )
 
 // Client sends requests and pools idle connections. It is safe for concurrent use; its
@@ -203,6 +203,7 @@
 	remaining   int64     // bytes that the head may still take
 	deadline    time.Time // of the head; zero before its first byte
 	deadlineSet bool      // deadline is the read deadline of the connection
+	failed      bool      // a read failed
 }
 
 // startHead begins to limit reads.
@@ -234,12 +235,14 @@
 		return l.Conn.Read(b)
 	}
 	if l.remaining == 0 {
+		l.failed = true
 		return 0, errHeadTooLong
 	}
 	if !l.deadline.IsZero() && !l.deadlineSet {
 		// Most heads arrive with the first read and need no timer.
 		l.deadlineSet = true
 		if err := l.SetReadDeadline(l.deadline); err != nil {
+			l.failed = true
 			return 0, err
 		}
 	}
@@ -248,6 +251,7 @@
 	if n > 0 && l.deadline.IsZero() {
 		l.deadline = time.Now().Add(headTimeout)
 	}
+	l.failed = l.failed || err != nil
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		err = errHeadTimeout
 	}
@@ -322,7 +326,7 @@
 		return nil, newError(fault.MayHaveRun, "the server did not answer", contextCause(ctx, err))
 	}
 	x.body = rs.Body
-	x.reusable = !rs.Close && !x.outOfStep
+	x.reusable = !rs.Close && !x.outOfStep && !reply.HidesBody(rs)
 	x.unframed = rs.ContentLength < 0 && len(rs.TransferEncoding) == 0
 	x.idleLimit = keepAlive(rs.Header, c.cfg.IdleTimeout)
 	return &Answer{Status: rs.StatusCode, Header: rs.Header, Body: x, Length: rs.ContentLength, Unframed: x.unframed, SetReadDeadline: x.setReadDeadline}, nil
@@ -431,6 +435,9 @@
 	x.conn.limiter.startHead()
 	for range maxSkippedAnswers {
 		rs, err := http.ReadResponse(x.conn.reader, &http.Request{Method: rq.Method})
+		if err != nil && !x.conn.limiter.failed {
+			return nil, fmt.Errorf("%w: %w", reply.ErrInvalid, err) // the bytes have arrived and are no head
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -441,10 +448,10 @@
 		if lines > maxHeadLines {
 			return nil, errTooManyLines
 		}
-		if rs.StatusCode == http.StatusSwitchingProtocols {
-			return nil, errSwitched // no request asks for it
+		if err := reply.Check(rs); err != nil {
+			return nil, err
 		}
-		if rs.StatusCode < http.StatusOK {
+		if reply.IsInterim(rs) {
 			if x.conn.reader.Buffered() > 0 {
 				continue // the next head has begun
 			}
@@ -485,7 +492,7 @@
 	if err != nil {
 		return err
 	}
-	if n == maxUnmatchedBody || rs.Close {
+	if n == maxUnmatchedBody || rs.Close || reply.HidesBody(rs) {
 		return io.ErrUnexpectedEOF
 	}
 	return x.conn.SetReadDeadline(time.Time{})
