platform, proxy, engine, plat: damaged answers are checked wherever a status is read

Cause: the Transport of net/http delivers each status of three digits, 101 too, and heads whose names have a blank. Seen with the new tests on: - proxy: 000, -00 and 600 are delivered as answers (gin writes 000 as 200); an answer with 101 hangs until the test ends; blanks after Content-Length and Transfer-Encoding end with the deadline (10 s); the Content-Length of a 204 is passed on, so that a caller may take its next answer for the body. - engine: X-Not-Run beside 000, 001, 099, -00, 600, 999 and 101 is believed ("not-run", 7 of 8 calls); heads with blanks count. - plat: statuses fail as they should (guard); heads with blanks count, an object with "Transfer-Encoding : chunked" too. - platform: 600 and 999 are delivered to callers; reports with 000 to 099 end after 2 s each, and these and those with -01, 1000, 20, text and 101 make the engine count as silent; a commit whose answer is 000 to 099, 101, 600 or 999 counts as refused (may lose a write that was applied), and the era of such an answer counts; heads with blanks count. - 204 with a body on a kept connection of net/http: the bytes are taken for the answer to the next call, 1 of 1,000 loads (engine), 1 of 1,000 commits (plat), 7 of 1,000 commits (platform).

Change: reply.Check after each call. The error of a damaged answer says "may have run", for a commit "unknown". After a 204 or 304 that announces a body the idle connections of the client are closed, since net/http has put that of the answer among them. 204 is passed on without a length. net/http refuses -01, 1000, short and textual statuses, lengths that are negative, different or a list, a NUL, a bare carriage return and other control characters itself, and bounds interim answers by MaxResponseHeaderBytes: these cases stay as a guard.

--- a/engine/client.go
+++ b/engine/client.go
@@ -16,6 +16,7 @@
 
 	"github.com/cranberrybay/cranberrybay/fault"
 	"github.com/cranberrybay/cranberrybay/quota"
+	"github.com/cranberrybay/cranberrybay/reply"
 )
 
 // Config configures a Client.
@@ -181,6 +182,9 @@
 	if err != nil {
 		return nil, fault.New(fault.Config{Verdict: sendVerdict(err), Code: fault.Unavailable, Reason: "engine does not answer", Cause: err})
 	}
+	if err := checkHead(c, rs); err != nil {
+		return nil, err
+	}
 	if rs.StatusCode == http.StatusOK {
 		return rs, nil
 	}
@@ -188,6 +192,21 @@
 	return nil, responseError(rs)
 }
 
+// checkHead returns the error of a damaged answer, whose statements don't count, and closes its body. After an answer
+// without a body that announces one it closes the idle connections of the client: net/http has put that of the answer
+// among them, and took the body for the answer to the next call in one of 1,000 calls.
+func checkHead(c *http.Client, rs *http.Response) error {
+	if reply.HidesBody(rs) {
+		c.CloseIdleConnections()
+	}
+	err := reply.Check(rs)
+	if err == nil {
+		return nil
+	}
+	_ = rs.Body.Close()
+	return fault.New(fault.Config{Verdict: fault.MayHaveRun, Code: fault.Unavailable, Reason: "engine's answer is damaged", Cause: err})
+}
+
 // responseError converts an answer whose status is not 200 into an error.
 func responseError(rs *http.Response) error {
 	text, _ := io.ReadAll(io.LimitReader(rs.Body, 512))
--- a/plat/table.go
+++ b/plat/table.go
@@ -15,6 +15,7 @@
 	"strings"
 	"time"
 
+	"github.com/cranberrybay/cranberrybay/reply"
 	"github.com/cranberrybay/cranberrybay/table"
 	"github.com/cranberrybay/cranberrybay/watch"
 )
@@ -98,6 +99,14 @@
 		return 0, nil, fmt.Errorf("platform call %s: %w: %w", path, errReplyLost, err)
 	}
 	defer rs.Body.Close()
+	if err := reply.Check(rs); err != nil {
+		return 0, nil, fmt.Errorf("platform reply %s: %w: %w", path, errReplyLost, err)
+	}
+	if reply.HidesBody(rs) {
+		// net/http has put the connection into its pool and may take the body for the reply to the next call: one
+		// commit of 1,000 got such a reply.
+		c.http.CloseIdleConnections()
+	}
 	b, err := io.ReadAll(io.LimitReader(rs.Body, maxReply+1))
 	if err == nil && len(b) > maxReply {
 		err = fmt.Errorf("the reply is over %d MiB", maxReply>>20)
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -17,6 +17,7 @@
 	"github.com/cranberrybay/cranberrybay/engine"
 	"github.com/cranberrybay/cranberrybay/fault"
 	"github.com/cranberrybay/cranberrybay/guard"
+	"github.com/cranberrybay/cranberrybay/reply"
 )
 
 // Call is one call to a plain service.
@@ -116,12 +117,20 @@
 		x.release()
 		return nil, x.roundTripError(ctx, err)
 	}
+	if err := reply.Check(response); err != nil {
+		_ = response.Body.Close()
+		x.release()
+		return nil, fault.New(fault.Config{Verdict: fault.MayHaveRun, Code: fault.Unavailable, Reason: "the answer of the service is damaged", Cause: err})
+	}
 	x.startBody(response)
 	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(engine.NotRunHeader) == "true" {
 		_ = x.Close()
 		return nil, refusal(address, response.Header)
 	}
 	removeHopHeaders(response.Header)
+	if response.StatusCode == http.StatusNoContent {
+		delete(response.Header, "Content-Length") // a caller may wait for as many bytes
+	}
 	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 && call.Method != http.MethodHead {
 		response.Header.Set("Transfer-Encoding", Unframed)
 	}
