--- a/link/endless_test.go
+++ b/link/endless_test.go
@@ -244,6 +244,10 @@
 		f.Add([]byte(s), true)
 		f.Add([]byte(s), false)
 	}
+	for _, s := range damagedAnswers() {
+		f.Add([]byte(s), true)
+		f.Add([]byte(s), false)
+	}
 	f.Fuzz(func(t *testing.T, raw []byte, used bool) {
 		near, far := net.Pipe()
 		go func() {
@@ -279,7 +283,13 @@
 		_, _, _ = quota.New(1<<20).Read(ans.Body, 64<<10)
 		_ = ans.Body.Close()
 		_ = far.Close()
-		assert.Assert(t, ans.Status >= http.StatusOK, "status %d", ans.Status)
+		assert.Assert(t, ans.Status >= http.StatusOK && ans.Status <= 599, "status %d", ans.Status)
+		for name, values := range ans.Header {
+			assert.Assert(t, !strings.ContainsAny(name, " \x00\r\n"), "header name %q", name)
+			for _, v := range values {
+				assert.Assert(t, !strings.ContainsAny(v, "\x00\r\n"), "header value %q", v)
+			}
+		}
 		assert.Assert(t, ans.Header.Get("Id") == "1", "an answer of another request")
 	})
 }
--- a/link/invalid_test.go
+++ b/link/invalid_test.go
@@ -31,10 +31,13 @@
 	})
 }
 
+// invalidStatuses are no statuses, beside 101, which no request asks for.
+var invalidStatuses = []string{"000", "001", "099", "-01", "-00", "+99", "+20", "600", "999", "1000", "0200", "20", "2", "2x0", "abc", "", "101"}
+
 // Guards against a status that is none and that is taken for an interim answer, which made the exchange wait until its
 // time-out, or for the answer.
 func TestInvalidStatus(t *testing.T) {
-	for _, status := range []string{"000", "001", "099", "-01", "-00", "+99", "+20", "600", "999", "1000", "0200", "20", "2", "2x0", "abc", "", "101"} {
+	for _, status := range invalidStatuses {
 		for name, after := range map[string]string{"": "Id: 1\r\nContent-Length: 4\r\n\r\nbody", ", then an answer": "\r\nHTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 4\r\n\r\nbody"} {
 			t.Run(fmt.Sprintf("%q%s", status, name), func(t *testing.T) {
 				t.Parallel()
@@ -49,39 +52,63 @@
 	}
 }
 
+const damaged = "" // no answer
+
+// heads are header lines of answers with a body, and the body that the caller gets.
+var heads = map[string]struct{ lines, body, want string }{
+	"negative length":              {"Content-Length: -4\r\n", "body", damaged},
+	"signed length":                {"Content-Length: +4\r\n", "body", damaged},
+	"empty length":                 {"Content-Length: \r\n", "body", damaged},
+	"length with a blank":          {"Content-Length: 4 4\r\n", "body", damaged},
+	"huge length":                  {"Content-Length: 99999999999999999999\r\n", "body", damaged},
+	"equal lengths":                {"Content-Length: 4\r\nContent-Length: 4\r\n", "body", "body"},
+	"different lengths":            {"Content-Length: 4\r\nContent-Length: 3\r\n", "body", damaged},
+	"list of lengths":              {"Content-Length: 4, 4\r\n", "body", damaged},
+	"length and chunks":            {"Content-Length: 99\r\nTransfer-Encoding: chunked\r\n", "4\r\nbody\r\n0\r\n\r\n", "body"},
+	"chunks and length":            {"Transfer-Encoding: chunked\r\nContent-Length: 2\r\n", "4\r\nbody\r\n0\r\n\r\n", "body"},
+	"negative length and chunks":   {"Content-Length: -1\r\nTransfer-Encoding: chunked\r\n", "4\r\nbody\r\n0\r\n\r\n", damaged},
+	"chunks twice":                 {"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", "4\r\nbody\r\n0\r\n\r\n", damaged},
+	"unknown encoding":             {"Transfer-Encoding: gzip, chunked\r\n", "4\r\nbody\r\n0\r\n\r\n", damaged},
+	"negative chunk":               {"Transfer-Encoding: chunked\r\n", "-4\r\nbody\r\n0\r\n\r\n", damaged},
+	"blank in a name":              {"X Y: z\r\nContent-Length: 4\r\n", "body", damaged},
+	"blank after the length":       {"Content-Length : 4\r\n", "body", damaged},
+	"blank after the encoding":     {"Transfer-Encoding : chunked\r\n", "4\r\nbody\r\n0\r\n\r\n", damaged},
+	"tab after a name":             {"Content-Length\t: 4\r\n", "body", damaged},
+	"empty name":                   {": x\r\nContent-Length: 4\r\n", "body", damaged},
+	"no name":                      {"x\r\nContent-Length: 4\r\n", "body", damaged},
+	"NUL in a name":                {"X\x00: y\r\nContent-Length: 4\r\n", "body", damaged},
+	"NUL in a value":               {"X: a\x00b\r\nContent-Length: 4\r\n", "body", damaged},
+	"carriage return in a value":   {"X: a\rContent-Length: 9\r\nContent-Length: 4\r\n", "body", damaged},
+	"carriage return at the end":   {"X: a\r\r\nContent-Length: 4\r\n", "body", damaged},
+	"control character in a value": {"X: a\x01b\r\nContent-Length: 4\r\n", "body", damaged},
+	"delete character in a value":  {"X: a\x7fb\r\nContent-Length: 4\r\n", "body", damaged},
+	"continuation line":            {"X: a\r\n b\r\nContent-Length: 4\r\n", "body", "body"},
+	"bytes above ASCII":            {"X: \xff\xc3\xa9\r\nContent-Length: 4\r\n", "body", "body"},
+}
+
+// damagedAnswers returns answers with these heads, statuses and bodies, for the corpus of FuzzAnswer.
+func damagedAnswers() []string {
+	const stray = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5\r\n\r\nstray"
+	var out []string
+	for _, status := range invalidStatuses {
+		out = append(out, "HTTP/1.1 "+status+" x\r\nId: 1\r\nContent-Length: 4\r\n\r\nbody")
+	}
+	for _, x := range heads {
+		out = append(out, "HTTP/1.1 200 OK\r\nId: 1\r\n"+x.lines+"\r\n"+x.body)
+	}
+	for _, status := range []int{103, 204, 304} {
+		for _, id := range []string{"1", "2"} {
+			for _, lines := range []string{"", fmt.Sprintf("Content-Length: %d\r\n", len(stray)), "Transfer-Encoding: chunked\r\n", "Content-Length : 5\r\n"} {
+				out = append(out, fmt.Sprintf("HTTP/1.1 %d x\r\nId: %s\r\n%s\r\n%s", status, id, lines, stray))
+			}
+		}
+	}
+	return append(out, strings.Repeat("HTTP/1.1 103 x\r\n\r\n", 9)+stray)
+}
+
 // Guards against heads whose framing can be read in two ways, or whose lines another process would read differently.
 func TestInvalidHeads(t *testing.T) {
-	const damaged = "" // no answer
-	for name, x := range map[string]struct{ lines, body, want string }{
-		"negative length":              {"Content-Length: -4\r\n", "body", damaged},
-		"signed length":                {"Content-Length: +4\r\n", "body", damaged},
-		"empty length":                 {"Content-Length: \r\n", "body", damaged},
-		"length with a blank":          {"Content-Length: 4 4\r\n", "body", damaged},
-		"huge length":                  {"Content-Length: 99999999999999999999\r\n", "body", damaged},
-		"equal lengths":                {"Content-Length: 4\r\nContent-Length: 4\r\n", "body", "body"},
-		"different lengths":            {"Content-Length: 4\r\nContent-Length: 3\r\n", "body", damaged},
-		"list of lengths":              {"Content-Length: 4, 4\r\n", "body", damaged},
-		"length and chunks":            {"Content-Length: 99\r\nTransfer-Encoding: chunked\r\n", "4\r\nbody\r\n0\r\n\r\n", "body"},
-		"chunks and length":            {"Transfer-Encoding: chunked\r\nContent-Length: 2\r\n", "4\r\nbody\r\n0\r\n\r\n", "body"},
-		"negative length and chunks":   {"Content-Length: -1\r\nTransfer-Encoding: chunked\r\n", "4\r\nbody\r\n0\r\n\r\n", damaged},
-		"chunks twice":                 {"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", "4\r\nbody\r\n0\r\n\r\n", damaged},
-		"unknown encoding":             {"Transfer-Encoding: gzip, chunked\r\n", "4\r\nbody\r\n0\r\n\r\n", damaged},
-		"negative chunk":               {"Transfer-Encoding: chunked\r\n", "-4\r\nbody\r\n0\r\n\r\n", damaged},
-		"blank in a name":              {"X Y: z\r\nContent-Length: 4\r\n", "body", damaged},
-		"blank after the length":       {"Content-Length : 4\r\n", "body", damaged},
-		"blank after the encoding":     {"Transfer-Encoding : chunked\r\n", "4\r\nbody\r\n0\r\n\r\n", damaged},
-		"tab after a name":             {"Content-Length\t: 4\r\n", "body", damaged},
-		"empty name":                   {": x\r\nContent-Length: 4\r\n", "body", damaged},
-		"no name":                      {"x\r\nContent-Length: 4\r\n", "body", damaged},
-		"NUL in a name":                {"X\x00: y\r\nContent-Length: 4\r\n", "body", damaged},
-		"NUL in a value":               {"X: a\x00b\r\nContent-Length: 4\r\n", "body", damaged},
-		"carriage return in a value":   {"X: a\rContent-Length: 9\r\nContent-Length: 4\r\n", "body", damaged},
-		"carriage return at the end":   {"X: a\r\r\nContent-Length: 4\r\n", "body", damaged},
-		"control character in a value": {"X: a\x01b\r\nContent-Length: 4\r\n", "body", damaged},
-		"delete character in a value":  {"X: a\x7fb\r\nContent-Length: 4\r\n", "body", damaged},
-		"continuation line":            {"X: a\r\n b\r\nContent-Length: 4\r\n", "body", "body"},
-		"bytes above ASCII":            {"X: \xff\xc3\xa9\r\nContent-Length: 4\r\n", "body", "body"},
-	} {
+	for name, x := range heads {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			address := answering(t, "HTTP/1.1 200 OK\r\nId: 1\r\n"+x.lines+"\r\n"+x.body)
