proxy, entry: a damaged answer of a plain service ends as 502, and a refused request without its body is answered

Cause: on the product's own interface an answer that is none had the code "unavailable" and ended as 503, like a server that can't be reached; 502 is required. entry.TestInvalidStatus on: 000 is delivered as 200, 001 ends the caller's connection without an answer (net/http panics on the status); with the check alone an order ends as 503. entry.TestRefusedRequestWithoutItsBody: a request that is refused before its body is read (no key, no path, no service) and whose body does not arrive is never answered (read after an hour of virtual time); net/http reads the rest of the body before it sends the answer, without a deadline.

Change: the code "damaged" (502, may have run) for heads that reply.Check or net/http refuses. Suspicion of a crash takes it like "unavailable". A body that no handler reads has the time of any other (15 s).

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -198,6 +198,7 @@
 // writeProblemDocument answers with a problem document and the retry time of an
 // error.
 func writeProblemDocument(c *gin.Context, err error, p fault.Problem) {
+	boundUnreadBody(c)
 	if s, ok := fault.RetryAfter(err); ok {
 		c.Header("Retry-After", strconv.Itoa(s))
 	}
--- a/entry/request.go
+++ b/entry/request.go
@@ -16,6 +16,14 @@
 // bodyTimeout bounds the reading of a body. A body of maxBody needs 280 KB/s.
 const bodyTimeout = 15 * time.Second
 
+// boundUnreadBody bounds the reading of a body that no handler reads: net/http reads the rest of it before it sends the
+// answer, without a deadline of its own. A connection without deadlines is answered all the same.
+func boundUnreadBody(c *gin.Context) {
+	if c.Request.ContentLength != 0 && !c.Writer.Written() {
+		_ = http.NewResponseController(c.Writer).SetReadDeadline(time.Now().Add(bodyTimeout))
+	}
+}
+
 // readBody reads a body of at most maxBody bytes within bodyTimeout.
 func readBody(c *gin.Context) ([]byte, error) {
 	if c.Request.ContentLength > maxBody {
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -50,6 +50,7 @@
 	Leaving        Code = "leaving"      // this process is draining
 	Quarantined    Code = "quarantined"  // requests like this one crashed backend servers
 	Crashed        Code = "crashed"      // backend servers crashed while they ran the request
+	Damaged        Code = "damaged"      // the answer of a backend server is none
 	Unavailable    Code = "unavailable"  // no backend server or platform part answers
 	Timeout        Code = "timeout"      // the deadline passed
 	Conflict       Code = "conflict"     // another write or another use of the key came first
--- a/fault/http.go
+++ b/fault/http.go
@@ -11,7 +11,7 @@
 var httpStatuses = map[Code]int{
 	Invalid: 400, Unauthorized: 401, Forbidden: 403, NotFound: 404, RequestTooSlow: 408, Conflict: 409,
 	TooLarge: 413, KeyReused: 422, Limited: 429, HeaderTooLarge: 431, Cancelled: 499,
-	Internal: 500, Crashed: 502, Unavailable: 503, Overload: 503, Leaving: 503, Quarantined: 503, Timeout: 504,
+	Internal: 500, Crashed: 502, Damaged: 502, Unavailable: 503, Overload: 503, Leaving: 503, Quarantined: 503, Timeout: 504,
 }
 
 // HTTPStatus returns the HTTP status of a code, or 500 for an unknown code.
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -26,9 +26,26 @@
 // written" final.
 type conn struct {
 	net.Conn
-	progress atomic.Int32
+	progress   atomic.Int32
+	received   atomic.Bool // bytes were read
+	readFailed atomic.Bool
 }
 
+// Read reads from the connection and records whether bytes have arrived.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.received.Store(true)
+	}
+	if err != nil {
+		c.readFailed.Store(true)
+	}
+	return n, err
+}
+
+// receivedDamage reports whether net/http refused the bytes of an answer: it failed, while all reads succeeded.
+func (c *conn) receivedDamage() bool { return c.received.Load() && !c.readFailed.Load() }
+
 var errWritesBlocked = errors.New("the request has failed, writes to its connection are blocked")
 
 // Write writes to the connection unless writes are blocked.
@@ -84,6 +101,9 @@
 	x.cancel()
 }
 
+// reasonDamaged is the reason of errors for answers that are none.
+const reasonDamaged = "the answer of the service is damaged"
+
 // roundTripError returns the error of a round trip without an answer. The verdict
 // is not-run if no byte of the request was written: no connection was opened, or
 // the connection was lost or the deadline passed before the first byte.
@@ -93,6 +113,8 @@
 		cfg.Verdict, cfg.Reason = fault.NotRun, "the service can't be reached"
 	}
 	switch {
+	case ctx.Err() == nil && x.conn != nil && x.conn.receivedDamage():
+		cfg.Code, cfg.Reason = fault.Damaged, reasonDamaged
 	case x.expired.Load():
 		cfg.Code, cfg.Reason = fault.Timeout, "the service did not answer in time"
 	case errors.Is(context.Cause(ctx), context.Canceled) && errors.Is(err, context.Canceled):
--- a/proxy/invalid_test.go
+++ b/proxy/invalid_test.go
@@ -39,7 +39,7 @@
 		_, err = io.ReadAll(a.Body)
 		_ = a.Body.Close()
 	}
-	wantError(t, err, fault.MayHaveRun, fault.Unavailable)
+	wantError(t, err, fault.MayHaveRun, fault.Damaged)
 	assert.Assert(t, time.Since(begun) < time.Second, "the call ended only after %v", time.Since(begun))
 }
 
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -225,7 +225,7 @@
 // recordCut records that a server broke off the exchange of a call, and finds out
 // whether it crashed.
 func (p *Pool) recordCut(ctx context.Context, t *attempts, c fleet.Candidate, err error) {
-	if p.cfg.Probe == nil || err == nil || fault.VerdictOf(err) != fault.MayHaveRun || fault.CodeOf(err) != fault.Unavailable {
+	if p.cfg.Probe == nil || err == nil || fault.VerdictOf(err) != fault.MayHaveRun || (fault.CodeOf(err) != fault.Unavailable && fault.CodeOf(err) != fault.Damaged) {
 		return
 	}
 	server := guard.Server(c.Name, c.Boot)
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -114,13 +114,14 @@
 	}
 	response, err := c.transport.RoundTrip(request)
 	if err != nil {
+		err = x.roundTripError(ctx, err) // before release, which ends ctx
 		x.release()
-		return nil, x.roundTripError(ctx, err)
+		return nil, err
 	}
 	if err := reply.Check(response); err != nil {
 		_ = response.Body.Close()
 		x.release()
-		return nil, fault.New(fault.Config{Verdict: fault.MayHaveRun, Code: fault.Unavailable, Reason: "the answer of the service is damaged", Cause: err})
+		return nil, fault.New(fault.Config{Verdict: fault.MayHaveRun, Code: fault.Damaged, Reason: reasonDamaged, Cause: err})
 	}
 	x.startBody(response)
 	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(engine.NotRunHeader) == "true" {
