reply, engine, plat, platform: a connection of net/http ends after an answer without a body

Cause: closing the idle connections after 204 or 304 with a body comes too late beside other callers: the Transport puts the connection into its pool before the caller has the answer.

Change: reply.Conn, which the Transports dial, ends after the head of an answer with 204 or 304. The servers of these calls send neither in normal work. Closing the idle connections is removed.

Conclusion: done, but for a 204 or 304 after an interim answer, which Conn does not recognise.

--- a/engine/client.go
+++ b/engine/client.go
@@ -44,7 +44,7 @@
 func New(cfg Config) *Client {
 	if cfg.Client == nil {
 		tr := &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: MaxAnswerHead}
-		tr.DialContext = (&net.Dialer{Timeout: time.Second}).DialContext
+		tr.DialContext = reply.Dial((&net.Dialer{Timeout: time.Second}).DialContext)
 		cfg.Client = &http.Client{Transport: tr}
 	}
 	return &Client{http: cfg.Client, singleUse: withoutReuse(cfg.Client), quota: cfg.Quota}
@@ -182,7 +182,7 @@
 	if err != nil {
 		return nil, fault.New(fault.Config{Verdict: sendVerdict(err), Code: fault.Unavailable, Reason: "engine does not answer", Cause: err})
 	}
-	if err := checkHead(c, rs); err != nil {
+	if err := checkHead(rs); err != nil {
 		return nil, err
 	}
 	if rs.StatusCode == http.StatusOK {
@@ -192,13 +192,8 @@
 	return nil, responseError(rs)
 }
 
-// checkHead returns the error of a damaged answer, whose statements don't count, and closes its body. After an answer
-// without a body that announces one it closes the idle connections of the client: net/http has put that of the answer
-// among them, and took the body for the answer to the next call in one of 1,000 calls.
-func checkHead(c *http.Client, rs *http.Response) error {
-	if reply.HidesBody(rs) {
-		c.CloseIdleConnections()
-	}
+// checkHead returns the error of a damaged answer, whose statements don't count, and closes its body.
+func checkHead(rs *http.Response) error {
 	err := reply.Check(rs)
 	if err == nil {
 		return nil
--- a/engine/invalid_test.go
+++ b/engine/invalid_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -128,12 +130,18 @@
 	for _, status := range []int{204, 304} {
 		address := startRaw(t, fmt.Sprintf("HTTP/1.1 %d x\r\nContent-Length: %d\r\n\r\n%s", status, len(stray), stray))
 		c := engine.New(engine.Config{})
-		strayed := 0
-		for range 1000 {
-			if _, err := c.Load(t.Context(), address); err == nil {
-				strayed++
-			}
+		var strayed atomic.Int32
+		var callers sync.WaitGroup
+		for range 8 {
+			callers.Go(func() {
+				for range 250 {
+					if _, err := c.Load(t.Context(), address); err == nil {
+						strayed.Add(1)
+					}
+				}
+			})
 		}
-		assert.Equal(t, strayed, 0, "status %d", status)
+		callers.Wait()
+		assert.Equal(t, strayed.Load(), int32(0), "status %d", status)
 	}
 }
--- a/engine/order.go
+++ b/engine/order.go
@@ -70,7 +70,7 @@
 	if err != nil {
 		return status, fmt.Errorf("read order status of %s: %w", address, err)
 	}
-	if err := checkHead(c.http, rs); err != nil {
+	if err := checkHead(rs); err != nil {
 		return status, fmt.Errorf("read order status of %s: %w", address, err)
 	}
 	defer rs.Body.Close()
@@ -142,7 +142,7 @@
 		}
 		return status, fault.New(fault.Config{Verdict: verdict, Code: fault.Unavailable, Reason: "engine does not answer the order", Cause: err})
 	}
-	if err := checkHead(c.singleUse, rs); err != nil {
+	if err := checkHead(rs); err != nil {
 		return status, err
 	}
 	defer rs.Body.Close()
--- a/plat/invalid_test.go
+++ b/plat/invalid_test.go
@@ -8,6 +8,8 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -107,12 +109,18 @@
 	b.Put("a", nil)
 	for _, status := range []int{204, 304} {
 		c := NewTableClient(Config{Address: startRaw(t, fmt.Sprintf("HTTP/1.1 %d x\r\nContent-Length: %d\r\n\r\n%s", status, len(stray), stray))})
-		strayed := 0
-		for range 1000 {
-			if _, err := c.Commit(t.Context(), b); err == nil {
-				strayed++
-			}
+		var strayed atomic.Int32
+		var callers sync.WaitGroup
+		for range 8 {
+			callers.Go(func() {
+				for range 250 {
+					if _, err := c.Commit(t.Context(), b); err == nil {
+						strayed.Add(1)
+					}
+				}
+			})
 		}
-		assert.Equal(t, strayed, 0, "status %d", status)
+		callers.Wait()
+		assert.Equal(t, strayed.Load(), int32(0), "status %d", status)
 	}
 }
--- a/plat/table.go
+++ b/plat/table.go
@@ -74,7 +74,7 @@
 func newClient(cfg Config) *client {
 	hc := cfg.Client
 	if hc == nil {
-		hc = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, DisableCompression: true, MaxResponseHeaderBytes: maxReplyHead}}
+		hc = &http.Client{Transport: &http.Transport{DialContext: reply.Dial((&net.Dialer{}).DialContext), MaxIdleConnsPerHost: 16, DisableCompression: true, MaxResponseHeaderBytes: maxReplyHead}}
 	}
 	return &client{base: "http://" + cfg.Address, http: hc}
 }
@@ -102,11 +102,6 @@
 	if err := reply.Check(rs); err != nil {
 		return 0, nil, fmt.Errorf("platform reply %s: %w: %w", path, errReplyLost, err)
 	}
-	if reply.HidesBody(rs) {
-		// net/http has put the connection into its pool and may take the body for the reply to the next call: one
-		// commit of 1,000 got such a reply.
-		c.http.CloseIdleConnections()
-	}
 	b, err := io.ReadAll(io.LimitReader(rs.Body, maxReply+1))
 	if err == nil && len(b) > maxReply {
 		err = fmt.Errorf("the reply is over %d MiB", maxReply>>20)
