--- a/engine/client.go
+++ b/engine/client.go
@@ -16,6 +16,7 @@
 
 	"github.com/cranberrybay/cranberrybay/fault"
 	"github.com/cranberrybay/cranberrybay/quota"
+	"github.com/cranberrybay/cranberrybay/reply"
 )
 
 // Config configures a Client.
@@ -43,7 +44,7 @@
 func New(cfg Config) *Client {
 	if cfg.Client == nil {
 		tr := &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: MaxAnswerHead}
-		tr.DialContext = (&net.Dialer{Timeout: time.Second}).DialContext
+		tr.DialContext = reply.Dial((&net.Dialer{Timeout: time.Second}).DialContext)
 		cfg.Client = &http.Client{Transport: tr}
 	}
 	return &Client{http: cfg.Client, singleUse: withoutReuse(cfg.Client), quota: cfg.Quota}
@@ -181,6 +182,9 @@
 	if err != nil {
 		return nil, fault.New(fault.Config{Verdict: sendVerdict(err), Code: fault.Unavailable, Reason: "engine does not answer", Cause: err})
 	}
+	if err := checkHead(rs); err != nil {
+		return nil, err
+	}
 	if rs.StatusCode == http.StatusOK {
 		return rs, nil
 	}
@@ -188,6 +192,16 @@
 	return nil, responseError(rs)
 }
 
+// checkHead returns the error of a damaged answer, whose statements don't count, and closes its body.
+func checkHead(rs *http.Response) error {
+	err := reply.Check(rs)
+	if err == nil {
+		return nil
+	}
+	_ = rs.Body.Close()
+	return fault.New(fault.Config{Verdict: fault.MayHaveRun, Code: fault.Unavailable, Reason: "engine's answer is damaged", Cause: err})
+}
+
 // responseError converts an answer whose status is not 200 into an error.
 func responseError(rs *http.Response) error {
 	text, _ := io.ReadAll(io.LimitReader(rs.Body, 512))
--- a/plat/table.go
+++ b/plat/table.go
@@ -15,6 +15,7 @@
 	"strings"
 	"time"
 
+	"github.com/cranberrybay/cranberrybay/reply"
 	"github.com/cranberrybay/cranberrybay/table"
 	"github.com/cranberrybay/cranberrybay/watch"
 )
@@ -73,7 +74,7 @@
 func newClient(cfg Config) *client {
 	hc := cfg.Client
 	if hc == nil {
-		hc = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, DisableCompression: true, MaxResponseHeaderBytes: maxReplyHead}}
+		hc = &http.Client{Transport: &http.Transport{DialContext: reply.Dial((&net.Dialer{}).DialContext), MaxIdleConnsPerHost: 16, DisableCompression: true, MaxResponseHeaderBytes: maxReplyHead}}
 	}
 	return &client{base: "http://" + cfg.Address, http: hc}
 }
@@ -98,6 +99,9 @@
 		return 0, nil, fmt.Errorf("platform call %s: %w: %w", path, errReplyLost, err)
 	}
 	defer rs.Body.Close()
+	if err := reply.Check(rs); err != nil {
+		return 0, nil, fmt.Errorf("platform reply %s: %w: %w", path, errReplyLost, err)
+	}
 	b, err := io.ReadAll(io.LimitReader(rs.Body, maxReply+1))
 	if err == nil && len(b) > maxReply {
 		err = fmt.Errorf("the reply is over %d MiB", maxReply>>20)
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -17,6 +17,7 @@
 	"github.com/cranberrybay/cranberrybay/engine"
 	"github.com/cranberrybay/cranberrybay/fault"
 	"github.com/cranberrybay/cranberrybay/guard"
+	"github.com/cranberrybay/cranberrybay/reply"
 )
 
 // Call is one call to a plain service.
@@ -113,8 +114,14 @@
 	}
 	response, err := c.transport.RoundTrip(request)
 	if err != nil {
+		err = x.roundTripError(ctx, err) // before release, which ends ctx
 		x.release()
-		return nil, x.roundTripError(ctx, err)
+		return nil, err
+	}
+	if err := reply.Check(response); err != nil {
+		_ = response.Body.Close()
+		x.release()
+		return nil, fault.New(fault.Config{Verdict: fault.MayHaveRun, Code: fault.Damaged, Reason: reasonDamaged, Cause: err})
 	}
 	x.startBody(response)
 	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(engine.NotRunHeader) == "true" {
@@ -122,6 +129,9 @@
 		return nil, refusal(address, response.Header)
 	}
 	removeHopHeaders(response.Header)
+	if response.StatusCode == http.StatusNoContent {
+		delete(response.Header, "Content-Length") // a caller may wait for as many bytes
+	}
 	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 && call.Method != http.MethodHead {
 		response.Header.Set("Transfer-Encoding", Unframed)
 	}
