admit: spread of long retry times, idle accounts, engines of unknown capacity

Cause: review and tests of the package. Retry times of streams that last longer than 4 s were cut to 6 s, most of them to the same instant. Accounts that had ended were removed only when a new one arrived, and lowered the equal share of the others until then; with maxAccounts counted, each stream of an unknown account went over all of them. Streams on engines without a capacity figure counted for the memory of the others. Change: the mean of the retry times is bounded to 4 s and spread afterwards; idle accounts are removed every shareMemory; Occupancy takes such engines as holders only. Conclusion: the faults are mended; the retry times of ranks whose mean exceeds 4 s do not differ by rank.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -25,8 +25,8 @@
 	// reserve is the share of the capacity that the least urgent rank leaves to the others. The ranks in
 	// between leave evenly spaced parts of it. A larger reserve refuses streams that the engines could serve.
 	reserve = 0.1
-	// overShareReserve is the additional share that accounts leave to others while they start more than
-	// overShareFactor times the streams that an equal share would give them.
+	// overShareReserve is the additional share that accounts leave to others while they ask for more than
+	// overShareFactor times the streams that an equal share would give them. Refused streams count too.
 	overShareReserve = 0.02
 	overShareFactor  = 2
 	// minShare is the share of the streams of each rank that is admitted up to fullLoad, so that lasting
@@ -87,6 +87,7 @@
 	duration float64 // mean duration of a stream in seconds; 0 before the first one has ended
 	ranks    map[int]*rankCount
 	accounts map[string]*count
+	cleaned  time.Time // when idle accounts were removed last
 	all      count
 }
 
@@ -163,9 +164,12 @@
 	if name == "" {
 		return
 	}
+	// Accounts that send nothing more must not lower the equal share of the others.
+	if now.Sub(c.cleaned) >= shareMemory {
+		c.forgetIdle(now)
+	}
 	a := c.accounts[name]
 	if a == nil {
-		c.forgetIdle(now)
 		if len(c.accounts) >= maxAccounts {
 			return
 		}
@@ -179,6 +183,7 @@
 // forgetIdle removes accounts without a stream for several times shareMemory. The caller holds mu.
 func (c *Controller) forgetIdle(now time.Time) {
 	const negligible = 0.01 // streams
+	c.cleaned = now
 	for name, a := range c.accounts {
 		if a.decayed(now) < negligible {
 			delete(c.accounts, name)
@@ -186,7 +191,7 @@
 	}
 }
 
-// isOverShare reports whether an account starts far more streams than an equal share of them. The caller
+// isOverShare reports whether an account asks for far more streams than an equal share of them. The caller
 // holds mu.
 func (c *Controller) isOverShare(now time.Time, name string) bool {
 	a := c.accounts[name]
@@ -213,14 +218,17 @@
 
 // retryAt is RetryAt for callers that hold mu. About a third of the streams in progress have ended after
 // a third of their duration. Each rank returns a third later than the next more urgent one. The times
-// are spread over half to three halves of that, so that the callers do not return at once.
+// are spread over half to three halves of that, so that the callers do not return at once. The mean is bounded
+// instead of the times, of which many would be equal to the bound otherwise.
 func (c *Controller) retryAt(now time.Time, rank int) time.Time {
+	const maxSpread = 1.5 // longest wait, relative to the mean
 	duration := defaultDuration.Seconds()
 	if c.duration > 0 {
 		duration = c.duration
 	}
-	wait := duration * float64(rank+1) / 3 * (0.5 + c.random())
-	return now.Add(min(time.Duration(wait*float64(time.Second)), maxReturn))
+	mean := min(duration*float64(rank+1)/3, maxReturn.Seconds()/maxSpread)
+	wait := mean * (maxSpread - 1 + c.random())
+	return now.Add(time.Duration(wait * float64(time.Second)))
 }
 
 // Engine is an engine with the layers that it holds and its KV cache in layer tokens. A layer token is
@@ -232,7 +240,8 @@
 
 // Occupancy returns the share of the KV cache that is in use on the layer that has the least left, over
 // all engines that hold it. Every stream needs each layer, so that this layer bounds the streams. It is 1
-// if a layer has no holder, and 0 if the capacity of the engines is unknown.
+// if a layer has no holder. Engines of unknown capacity, which is 0, count as holders only; if there are no
+// others, the occupancy is 0.
 func Occupancy(layers int, engines []Engine) float64 {
 	used, capacity, held := make([]float64, layers), make([]float64, layers), make([]bool, layers)
 	for _, e := range engines {
@@ -241,9 +250,11 @@
 		}
 		n := float64(e.To - e.From)
 		for layer := e.From; layer < e.To; layer++ {
-			used[layer] += e.Used / n
-			capacity[layer] += e.Capacity / n
 			held[layer] = true
+			if e.Capacity > 0 {
+				used[layer] += e.Used / n
+				capacity[layer] += e.Capacity / n
+			}
 		}
 	}
 	most := 0.0
