relay: an admitted stream is never refused by admission control, a failed only holder is no missing layer

Cause: review. An attempt on an engine that has left the registry does not count, so that the next one was taken for the first and could be refused although the stream was admitted; so was a choice repeated after a wait for a rate. Engines that failed within the last moments were left out of the layers, so that one failed request on the only holder of a layer made the memory count as full and all streams were refused, though a path was found. The recorded duration of a stream was that of its last run. Change: streamState keeps when the stream was admitted; the engines that failed hold their layers without memory. Conclusion: a stream is decided on once.

--- a/relay/admission.go
+++ b/relay/admission.go
@@ -46,32 +46,38 @@
 }
 
 // admit returns the error for a stream that the engines have no capacity for, or nil. Streams that were
-// admitted before are not refused when they are sent again.
+// admitted before are not refused when they are sent again. The number of attempts does not tell that, because
+// some attempts do not count.
 func (st *streamState) admit(t *activePath) error {
 	r, req := st.relay, st.req
-	if !req.Service.Competing() || req.mayHaveRun.Load() || st.attemptCount() > 0 {
+	if !req.Service.Competing() || req.mayHaveRun.Load() || !st.admittedAt.IsZero() {
 		return nil
 	}
+	now := time.Now()
 	d := admit.Demand{Rank: req.rank(), Ranks: len(req.Service.Urgencies), Load: t.load}
 	if req.Account != nil {
 		d.Account = req.Account.Name
 	}
-	x := r.admission(req.Service.Name).Decide(time.Now(), d)
+	x := r.admission(req.Service.Name).Decide(now, d)
 	if x.Admitted {
+		st.admittedAt = now
 		return nil
 	}
 	r.cfg.Count("shed " + string(x.Bound))
 	r.cfg.Log.Info().Str("id", req.ID).Str("service", req.Service.Name).Str("bound", string(x.Bound)).Float64("load", x.Load).Float64("limit", x.Limit).
-		Int("rank", d.Rank).Str("account", d.Account).Dur("retry", time.Until(x.RetryAt)).Msg("stream refused, engines are full")
+		Int("rank", d.Rank).Str("account", d.Account).Dur("retry", x.RetryAt.Sub(now)).Msg("stream refused, engines are full")
 	return fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Overload, Reason: reasonShed, RetryAt: x.RetryAt})
 }
 
-// load returns the load of the engines of the service and of a path. The load of the path is that before
-// this stream.
+// load returns the load of the engines of the service, and of a path with this stream on it. The memory of engines
+// that failed recently does not count, as most streams avoid them; they still hold their layers.
 func (ps *pathSearch) load(e *config.Engine, hops []Hop) admit.Load {
 	engines := make([]admit.Engine, 0, len(ps.engines))
 	for _, x := range ps.engines {
-		if x.To > x.From && !x.Suspect {
+		if x.Suspect {
+			x.Capacity = 0
+		}
+		if x.To > x.From {
 			engines = append(engines, admit.Engine{From: x.From, To: x.To, Capacity: x.Capacity, Used: x.Used})
 		}
 	}
--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -40,8 +40,10 @@
 	repaths       int
 	reportQueries int // queries for engine reports
 	announced     []string
-	dead          map[string]bool // by address: servers that do not answer report queries
-	lateReports   map[string]int  // by address: report queries still to be answered too late
+	peerTokens    map[string]int64 // layer tokens of other processes, by server ID
+	counts        map[string]int   // by outcome
+	dead          map[string]bool  // by address: servers that do not answer report queries
+	lateReports   map[string]int   // by address: report queries still to be answered too late
 	onSend        func(ctx context.Context, n int, req *relay.Request, a relay.Attempt) (*relay.Answer, error)
 	onRepath      func(path []relay.Hop) error
 	// onReport answers the queries for reports if it is set; dead and lateReports don't count then.
@@ -81,7 +83,7 @@
 	t.Helper()
 	t.Cleanup(func() { time.Sleep(2 * longQueryTime) }) // a report query may still be running
 	obs := &observations{observed: map[relay.Measure][]float64{}, violated: map[relay.Invariant]int{}}
-	cl := &testCluster{dead: map[string]bool{}, lateReports: map[string]int{}, budget: retry.New(retry.Config{RetriesPerRequest: 0.2, Burst: retryBurst, Initial: retryBurst})}
+	cl := &testCluster{counts: map[string]int{}, peerTokens: map[string]int64{}, dead: map[string]bool{}, lateReports: map[string]int{}, budget: retry.New(retry.Config{RetriesPerRequest: 0.2, Burst: retryBurst, Initial: retryBurst})}
 	tracker := poison.New(poison.Config{Log: zerolog.Nop()})
 	cl.table = server.NewTable(server.Config{Log: zerolog.Nop(), OutageGrace: time.Second, Leaves: func(n uint64) bool { return cl.intake != nil && cl.intake.Leaves(n) }, OnDied: func(s *server.Server) { tracker.RecordCrash(s.Incarnation()) }})
 	var all []server.Change
@@ -100,6 +102,16 @@
 			defer cl.mu.Unlock()
 			obs.observed[name] = append(obs.observed[name], v)
 		},
+		Count: func(name string) {
+			cl.mu.Lock()
+			defer cl.mu.Unlock()
+			cl.counts[name]++
+		},
+		PeerLoad: func(id string) (int, int64) {
+			cl.mu.Lock()
+			defer cl.mu.Unlock()
+			return 0, cl.peerTokens[id]
+		},
 		CountViolation: func(i relay.Invariant) {
 			cl.mu.Lock()
 			defer cl.mu.Unlock()
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -34,6 +34,7 @@
 	req   *Request
 	sink  Sink
 
+	admittedAt time.Time    // when its service had capacity for it; zero if its streams do not compete
 	eventCount int          // events sent to the caller
 	runEvents  atomic.Int32 // events of the present run
 	timing     eventTiming
@@ -256,8 +257,8 @@
 		r.recordAnswered(req)
 		st.logSlow(rn.path)
 		rn.path.first.RecordAnswer(time.Since(started))
-		if req.Service.Competing() {
-			r.admission(req.Service.Name).ObserveDuration(time.Since(started))
+		if !st.admittedAt.IsZero() {
+			r.admission(req.Service.Name).ObserveDuration(time.Since(st.admittedAt))
 		}
 		return false, nil
 	}
