shard: copies with equal memory where the KV cache has to be equal

One copy of a domain had just too little memory: nearly all of its 14.4 GB engines held six layers instead of five, and the engines of another copy had 2.8 times the cache. Change: with CopyTokens, an engine goes to the set with the least memory if the present choice has more.

--- a/shard/shard.go
+++ b/shard/shard.go
@@ -198,7 +198,7 @@
 	if copies == 1 {
 		group = fastest(m, group, m.copyTokens())
 	}
-	for _, part := range splitByCards(group, copies) {
+	for _, part := range splitByCards(m, group, copies) {
 		layoutOneCopy(m, part, plan)
 	}
 }
@@ -220,8 +220,9 @@
 }
 
 // splitByCards divides engines into one set per copy, each with a similar mix of
-// cards.
-func splitByCards(group []Engine, copies int) [][]Engine {
+// cards. With Model.CopyTokens, the sets have about the same memory as well: a copy whose
+// layers just fit needs some small engines to hold one layer more than the others.
+func splitByCards(m Model, group []Engine, copies int) [][]Engine {
 	sorted := append([]Engine(nil), group...)
 	sort.SliceStable(sorted, func(i, j int) bool {
 		if sorted[i].Memory != sorted[j].Memory {
@@ -230,11 +231,18 @@
 		return sorted[i].StepFactor < sorted[j].StepFactor
 	})
 	sets := make([][]Engine, copies)
+	memory := make([]float64, copies)
 	for i, e := range sorted {
 		set := i % copies
 		if i/copies%2 == 1 {
 			set = copies - 1 - set
 		}
+		for other := range memory {
+			if m.CopyTokens > 0 && memory[other] < memory[set] {
+				set = other
+			}
+		}
+		memory[set] += e.Memory
 		sets[set] = append(sets[set], e)
 	}
 	return sets
