path, config, relay: low extra cost of engines short of memory where loads are corrected; rank of resumed streams

Cause: engines above 0.7 of their KV cache cost up to five times as much, which spread streams while loads were stale. With corrected loads they are even without it, and the detours over slower engines hold memory for longer. Besides, any caller could have rank 0 by stating a Last-Event-Id. Change: path.Request.Corrected starts the extra cost at 0.85 and limits it to the cost itself. A resumed stream has the least rank of its own account.

--- a/config/config.go
+++ b/config/config.go
@@ -204,6 +204,15 @@
 	return rank
 }
 
+// AccountRank returns the rank of the most urgent streams of an account, which may be nil.
+func (s Service) AccountRank(a *Account) int {
+	if a == nil || !a.HasPriority {
+		return 0
+	}
+	rank, _ := slices.BinarySearchFunc(s.Urgencies, Urgency{Account: a.Priority, Route: math.MinInt}, compareUrgencies)
+	return rank
+}
+
 // unevenRatio is the ratio of step factors from which the accelerators of a service count as uneven.
 const unevenRatio = 8
 
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -166,6 +166,7 @@
 
 // Guards against streams whose accounts have one priority and that are then all equally urgent, whatever their
 // routes say.
+// Guards as well against callers that pass other accounts by stating that they have a part of the stream.
 func TestRank(t *testing.T) {
 	account := func(priority int) config.Account { return config.Account{Priority: priority, HasPriority: true} }
 	route := func(priority int) *config.Route {
@@ -175,17 +176,19 @@
 	for name, c := range map[string]struct {
 		accounts []config.Account
 		want     [][2]int // ranks of each account on the urgent and on the late route
+		first    []int    // rank of the most urgent streams of each account
 	}{
-		"equal accounts":      {[]config.Account{account(1), account(1)}, [][2]int{{0, 1}, {0, 1}}},
-		"account comes first": {[]config.Account{account(0), account(1)}, [][2]int{{0, 1}, {2, 3}}},
-		"without a priority":  {[]config.Account{{}, {}}, [][2]int{{0, 1}, {0, 1}}},
-		"one without":         {[]config.Account{account(1), {}}, [][2]int{{1, 2}, {0, 3}}},
+		"equal accounts":      {[]config.Account{account(1), account(1)}, [][2]int{{0, 1}, {0, 1}}, []int{0, 0}},
+		"account comes first": {[]config.Account{account(0), account(1)}, [][2]int{{0, 1}, {2, 3}}, []int{0, 2}},
+		"without a priority":  {[]config.Account{{}, {}}, [][2]int{{0, 1}, {0, 1}}, []int{0, 0}},
+		"one without":         {[]config.Account{account(1), {}}, [][2]int{{1, 2}, {0, 3}}, []int{1, 0}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			cfg, err := config.New(config.Content{Routes: []*config.Route{urgent, late}, Services: []config.Service{{Name: "s"}}, Accounts: c.accounts})
 			assert.NilError(t, err)
 			s, _ := cfg.Service("s")
 			for i := range c.accounts {
+				assert.Equal(t, s.AccountRank(&c.accounts[i]), c.first[i])
 				assert.DeepEqual(t, [2]int{s.Rank(&c.accounts[i], urgent), s.Rank(&c.accounts[i], late)}, c.want[i])
 			}
 		})
--- a/path/path.go
+++ b/path/path.go
@@ -45,6 +45,7 @@
 	Prompt     float64         // prompt tokens
 	Answer     float64         // answer tokens
 	Excluded   map[string]bool // engines that must not be chosen, by name
+	Corrected  bool            // the loads of the engines are corrected for the age of reports
 	Local      bool            // all engines must be of one failure domain, and none suspected
 }
 
@@ -67,6 +68,11 @@
 	// scarceCostFactor is the extra cost of an engine at fullUse, relative to its cost
 	// below scarceUse; between the two it grows linearly.
 	scarceCostFactor = 4
+	// correctedScarceUse and correctedScarceCostFactor replace scarceUse and scarceCostFactor
+	// where loads are corrected for the age of reports. Streams are spread evenly there, and
+	// a path over slower engines holds the memory of all its engines for longer.
+	correctedScarceUse        = 0.85
+	correctedScarceCostFactor = 1
 	// suspectCost in seconds makes a suspected engine the last resort.
 	suspectCost = 1e3
 	// linkCostFactor multiplies the time on the link between failure domains, which
@@ -205,11 +211,15 @@
 		usage = (e.Used + (req.Prompt+req.Answer)*n) / e.Capacity
 		unseen = e.Unseen / e.Capacity
 	}
+	scarce, factor := scarceUse, float64(scarceCostFactor)
+	if req.Corrected {
+		scarce, factor = correctedScarceUse, correctedScarceCostFactor
+	}
 	switch {
 	case usage > fullUse:
 		return math.Inf(1)
-	case usage+unseen > scarceUse:
-		cost *= 1 + scarceCostFactor*(usage+unseen-scarceUse)/(fullUse-scarceUse)
+	case usage+unseen > scarce:
+		cost *= 1 + factor*(usage+unseen-scarce)/(fullUse-scarce)
 	}
 	if first {
 		// The request itself is only a few kilobytes and does not load the link.
--- a/relay/admission.go
+++ b/relay/admission.go
@@ -12,10 +12,11 @@
 const reasonShed = "the engines have no capacity for the request"
 
 // rank returns the number of urgencies of the service that come before that of the request. A stream that the
-// caller has a part of is the most urgent one: refusing it would waste what was served.
+// caller has a part of is as urgent as the most urgent ones of its account: refusing it would waste what was
+// served. It does not pass other accounts, since any caller can state that it has a part.
 func (req *Request) rank() int {
 	if req.LastEventID != "" {
-		return 0
+		return req.Service.AccountRank(req.Account)
 	}
 	return req.Service.Rank(req.Account, req.Route)
 }
--- a/relay/path.go
+++ b/relay/path.go
@@ -281,7 +281,7 @@
 // choose returns the best path for the request that satisfies want.
 func (ps *pathSearch) choose(want path.Request) ([]Hop, bool) {
 	want.Prompt, want.Answer = float64(ps.req.PromptTokens), ps.req.expectedAnswerTokens(ps.req.Service.Engine)
-	want.Local = ps.staysLocal(want)
+	want.Local, want.Corrected = ps.staysLocal(want), ps.view != nil
 	found, _, ok := path.Choose(want, ps.engines, ps.links)
 	if !ok && want.Local {
 		want.Local = false
