edge, relay, logs: metrics and summary of streams refused by admission

Cause: a refused stream left only a log line and an event counter; the load by which streams are admitted was not to be seen before the first refusal, and the summary did not tell which bound and rank was refused. Summary prints a line for each service, bound and rank with the ranges of load, limit and time to return. The message of the log line is a constant of package logs. Conclusion: explain printed the line already; a test holds that now.

--- a/edge/app.go
+++ b/edge/app.go
@@ -287,7 +287,7 @@
 	return relay.New(relay.Config{
 		Servers: servers, Send: backend.Send, FetchReport: backend.Report, Repath: backend.Repath, Probe: client.Probe, Budget: budgets.of, Quota: q, PeerLoad: members.PeerLoad, PeerReport: members.PeerReport,
 		Poison: t, Pacer: p, Intake: in, AnnounceDead: func(srv *server.Server) { members.ReportDead(srv.ID()) },
-		Domain: s.Domain, Log: factory.Logger("relay"), Count: c.event, Observe: c.observe,
+		Domain: s.Domain, Log: factory.Logger("relay"), Count: c.event, Observe: c.observe, ObserveAdmission: newAdmissionMetrics(c).observe,
 		CountViolation: func(i relay.Invariant) { c.violation(string(i)) },
 	})
 }
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -10,6 +10,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/cranberrybay/cranberrybay/admit"
 	"github.com/cranberrybay/cranberrybay/relay"
 	"github.com/cranberrybay/cranberrybay/server"
 )
@@ -44,6 +45,11 @@
 	c.set.GetOrCreateHistogram("cranberrybay_" + string(m)).Update(value)
 }
 
+// refusedStream counts a stream that was refused because the engines have no capacity for it.
+func (c *counters) refusedStream(service string, rank int, bound admit.Bound) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("cranberrybay_streams_refused_total{service=%q,rank=\"%d\",bound=%q}", service, rank, bound)).Inc()
+}
+
 // violation counts a violated invariant that was detected at run time.
 func (c *counters) violation(invariant string) {
 	c.set.GetOrCreateCounter(fmt.Sprintf("cranberrybay_violations_total{invariant=%q}", invariant)).Inc()
--- a/logs/explain_test.go
+++ b/logs/explain_test.go
@@ -44,3 +44,15 @@
 	assert.Assert(t, at > 0)
 	assert.Equal(t, b.String()[at+8+19], byte('.'), b.String())
 }
+
+// Guards against an explanation of a refused stream that leaves out which bound refused it, its value, or the time at
+// which its caller was told to return.
+func TestExplainRefusedStream(t *testing.T) {
+	var b strings.Builder
+	n, err := logs.Explain(&b, "r1", strings.NewReader(
+		refusedStream("r1", "01", `, "service": "llm", "bound": "memory", "load": 0.951, "limit": 0.82, "rank": 2, "account": "shop", "retry": 1200`)+
+			refusedStream("r2", "01", `, "service": "llm", "bound": "pause"`)))
+	assert.NilError(t, err)
+	assert.Equal(t, n, 1)
+	assert.Equal(t, b.String(), `   +0.000 s  a  relay   stream refused, engines are full account="shop" bound="memory" limit=0.82 load=0.951 rank=2 retry=1200 service="llm"`+"\n")
+}
--- a/logs/summary.go
+++ b/logs/summary.go
@@ -53,9 +53,10 @@
 
 // Summary writes an overview of the lines of all readers: the requests by
 // outcome and cause, a plot of the requests that were not served in each time
-// window, and the lines that belong to no request by message. Refused requests
-// did not run; failed ones may have. It returns the number of lines about the
-// end of a request.
+// window, the streams that were refused because engines were full, how evenly
+// the servers were loaded, and the lines that belong to no request by message.
+// Refused requests did not run; failed ones may have. It returns the number of
+// lines about the end of a request.
 func Summary(w io.Writer, window time.Duration, readers ...io.Reader) (int, error) {
 	all, err := readSorted(readers)
 	if err != nil || len(all) == 0 {
@@ -63,6 +64,7 @@
 	}
 	begin := all[0].time
 	causes, others, spreads := map[cause]int{}, map[string]*messageStats{}, map[string]*spreadStats{}
+	refusals := map[refusalKey]*refusalStats{}
 	windows := make([]outcomeCounts, int(all[len(all)-1].time.Sub(begin)/window)+1)
 	requests := 0
 	for _, l := range all {
@@ -78,6 +80,8 @@
 			causes[cause{outcome, takeString(l.fields, "kind"), trimDetails(takeString(l.fields, "error"))}] += weight
 		case l.message == SpreadMessage:
 			addSpread(spreads, l.fields)
+		case l.message == RefusalMessage:
+			addRefusal(refusals, l.fields)
 		case l.id == "":
 			c := others[l.part+l.message]
 			if c == nil {
@@ -91,6 +95,7 @@
 	}
 	writeCauses(w, causes)
 	writeWindows(w, windows, window)
+	writeRefusals(w, refusals)
 	writeSpreads(w, spreads)
 	writeOthers(w, others, begin)
 	return requests, nil
--- a/relay/admission.go
+++ b/relay/admission.go
@@ -6,6 +6,7 @@
 	"github.com/cranberrybay/cranberrybay/admit"
 	"github.com/cranberrybay/cranberrybay/config"
 	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/logs"
 	"github.com/cranberrybay/cranberrybay/path"
 )
 
@@ -57,12 +58,15 @@
 		d.Account = req.Account.Name
 	}
 	x := r.admission(req.Service.Name).Decide(time.Now(), d)
+	if r.cfg.ObserveAdmission != nil {
+		r.cfg.ObserveAdmission(req.Service.Name, d, x)
+	}
 	if x.Admitted {
 		return nil
 	}
 	r.cfg.Count("shed " + string(x.Bound))
 	r.cfg.Log.Info().Str("id", req.ID).Str("service", req.Service.Name).Str("bound", string(x.Bound)).Float64("load", x.Load).Float64("limit", x.Limit).
-		Int("rank", d.Rank).Str("account", d.Account).Dur("retry", time.Until(x.RetryAt)).Msg("stream refused, engines are full")
+		Int("rank", d.Rank).Str("account", d.Account).Dur("retry", time.Until(x.RetryAt)).Msg(logs.RefusalMessage)
 	return fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Overload, Reason: reasonShed, RetryAt: x.RetryAt})
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -181,6 +181,8 @@
 	Count func(name string)
 	// Observe records a measurement; it may be nil.
 	Observe func(m Measure, value float64)
+	// ObserveAdmission records the decision on a stream that competes for the engines of a service; it may be nil.
+	ObserveAdmission func(service string, d admit.Demand, x admit.Decision)
 	// CountViolation counts a violated invariant, which is also logged; it may be nil.
 	CountViolation func(i Invariant)
 }
