soak: overload of competing streams

Cause: no run of processes showed that an overload ends no process, refuses only streams that did not run, prefers urgent streams and ends with its cause. Change: plan TestOverload: routes of priority 0, 1 and 2 on one service, 60 callers and a burst of 15 for engines with KV cache for 44 streams, the crash of an engine, then calm. It checks what does not depend on the machine's speed. Streams are long (7,500 tokens) rather than kvBytes large, since package shard plans 54,000 tokens for each copy. No existing test was changed; replaceServer of the soak takes a random source in replaceServerWith.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -84,6 +84,7 @@
 	refusalRand  *rand.Rand // faults of refusals_test.go
 	wishRand     *rand.Rand // faults of wishes_test.go
 	stopRand     *rand.Rand // faults of stops_test.go
+	overloadRand *rand.Rand // load of overload_test.go
 	store        *store
 	servers      *servers
 	callers      *callers
@@ -144,7 +145,7 @@
 		dir = filepath.Join(*keepFlag, t.Name())
 		assert.NilError(t, os.MkdirAll(dir, 0o750))
 	}
-	run := &soakRun{t: t, rand: rand.New(rand.NewSource(seed)), linkRand: rand.New(rand.NewSource(-seed)), extraRand: rand.New(rand.NewSource(^seed << 1)), drillRand: rand.New(rand.NewSource(^seed<<1 + 1)), silenceRand: rand.New(rand.NewSource(seed*31 + 1)), deadlyRand: rand.New(rand.NewSource(seed*31 + 2)), oddRand: rand.New(rand.NewSource(seed*31 + 4)), refusalRand: rand.New(rand.NewSource(seed*31 + 5)), wishRand: rand.New(rand.NewSource(seed*31 + 6)), stopRand: rand.New(rand.NewSource(seed*31 + 7)), store: newStore(t)}
+	run := &soakRun{t: t, rand: rand.New(rand.NewSource(seed)), linkRand: rand.New(rand.NewSource(-seed)), extraRand: rand.New(rand.NewSource(^seed << 1)), drillRand: rand.New(rand.NewSource(^seed<<1 + 1)), silenceRand: rand.New(rand.NewSource(seed*31 + 1)), deadlyRand: rand.New(rand.NewSource(seed*31 + 2)), oddRand: rand.New(rand.NewSource(seed*31 + 4)), refusalRand: rand.New(rand.NewSource(seed*31 + 5)), wishRand: rand.New(rand.NewSource(seed*31 + 6)), stopRand: rand.New(rand.NewSource(seed*31 + 7)), overloadRand: rand.New(rand.NewSource(seed*31 + 8)), store: newStore(t)}
 	run.servers = newServers(t, run.store)
 	run.servers.rand = rand.New(rand.NewSource(seed*31 + 3))
 	run.configure(shopKey)
@@ -348,7 +349,12 @@
 
 // replaceServer stops a server and starts another one in its failure domain.
 func (run *soakRun) replaceServer(service string, stop func(*backend)) {
-	b := run.pickServer(service)
+	run.replaceServerWith(run.rand, service, stop)
+}
+
+// replaceServerWith is replaceServer with the given random source.
+func (run *soakRun) replaceServerWith(r *rand.Rand, service string, stop func(*backend)) {
+	b := run.pickServerWith(r, service)
 	stop(b)
 	run.replacements++
 	run.servers.start(fmt.Sprintf("x%d", run.replacements), b.zone, service)
