--- /dev/null
+++ b/fakes/clients.go
@@ -0,0 +1,132 @@
+package fakes
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"time"
+)
+
+// ClientCase is a kind of client that nobody controls: its requests are legal in size and use much memory, or
+// many connections, of the process that receives them.
+type ClientCase struct {
+	Name string
+	// write writes what one client sends to a connection. It returns when it has, or when done is closed.
+	write func(w io.Writer, t ClientTarget, done <-chan struct{})
+}
+
+// ClientTarget is what uncontrolled clients send their requests to.
+type ClientTarget struct {
+	Address string // IP:port
+	Path    string // of a call with a body
+	Header  string // lines of an ordinary request, each with CRLF
+}
+
+const (
+	// linesBytes is the size of the header lines in a head, below all limits on a head.
+	linesBytes = 15 << 10
+	// trailerBytes is the size of a trailer, below the buffer in which net/http expects one.
+	trailerBytes = 3900
+	// pipelined is the number of heads that a client sends without waiting for a response.
+	pipelined = 40
+	// byteInterval is the time between the bytes of a client that sends its head slowly.
+	byteInterval = 20 * time.Millisecond
+)
+
+// ClientCases returns all kinds of uncontrolled clients.
+func ClientCases() []ClientCase {
+	const body = "Content-Length: 1000\r\n"
+	whole := func(head string) func(w io.Writer, t ClientTarget, done <-chan struct{}) {
+		return func(w io.Writer, t ClientTarget, _ <-chan struct{}) { _, _ = io.WriteString(w, requestHead(t, head)) }
+	}
+	return []ClientCase{
+		{"short header lines, a body that does not arrive", whole(body + shortLines(linesBytes))},
+		{"short header lines, a whole request", whole("Content-Length: 0\r\n" + shortLines(linesBytes))},
+		{"repeated names, a body that does not arrive", whole(body + strings.Repeat("a:\r\n", linesBytes/4))},
+		{"continuation lines, a body that does not arrive", whole(body + "a: b\r\n" + strings.Repeat(" c\r\n", linesBytes/4))},
+		{"pipelined heads", func(w io.Writer, t ClientTarget, _ <-chan struct{}) {
+			head := requestHead(t, shortLines(linesBytes))
+			_, _ = io.WriteString(w, strings.Repeat(head, pipelined))
+		}},
+		{"heads that are sent byte by byte", func(w io.Writer, t ClientTarget, done <-chan struct{}) {
+			head := requestHead(t, shortLines(linesBytes))
+			sent := len(head) - 400
+			_, err := io.WriteString(w, head[:sent])
+			for ; err == nil && sent < len(head); sent++ {
+				select {
+				case <-done:
+					return
+				case <-time.After(byteInterval):
+					_, err = io.WriteString(w, head[sent:sent+1])
+				}
+			}
+		}},
+		{"connections without a byte", func(io.Writer, ClientTarget, <-chan struct{}) {}},
+		{"trailers of short lines", whole("Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n" + strings.TrimSuffix(shortLines(trailerBytes), "\r\n"))},
+		{"chunk extensions", whole("Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat("1;"+strings.Repeat("x", 2000)+"\r\nb\r\n", 200))},
+	}
+}
+
+// requestHead returns the head of a request with additional lines.
+func requestHead(t ClientTarget, lines string) string {
+	return "POST " + t.Path + " HTTP/1.1\r\n" + t.Header + lines + "\r\n"
+}
+
+// shortLines returns header lines with different names and no values.
+func shortLines(bytes int) string {
+	var b strings.Builder
+	for n := 0; b.Len() < bytes; n++ {
+		fmt.Fprintf(&b, "%c%c%c:\r\n", 'a'+n/26/26%26, 'a'+n/26%26, 'a'+n%26)
+	}
+	return b.String()
+}
+
+// Run opens connections to the target, sends on each what a client of this kind does, and opens another one for
+// each that the target closes, for the given time.
+func (k ClientCase) Run(t ClientTarget, connections int, d time.Duration) {
+	done := make(chan struct{})
+	var all sync.WaitGroup
+	for range connections {
+		all.Go(func() {
+			for {
+				k.connect(t, done)
+				select {
+				case <-done:
+					return
+				case <-time.After(byteInterval):
+				}
+			}
+		})
+	}
+	time.Sleep(d)
+	close(done)
+	all.Wait()
+}
+
+// connect opens one connection and holds it until the target closes it or done is closed.
+func (k ClientCase) connect(t ClientTarget, done <-chan struct{}) {
+	c, err := net.DialTimeout("tcp", t.Address, time.Second)
+	if err != nil {
+		return
+	}
+	defer func() { _ = c.Close() }()
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		_, _ = io.Copy(io.Discard, c)
+	}()
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		k.write(c, t, done)
+	}()
+	select {
+	case <-done:
+	case <-closed:
+	}
+	_ = c.Close() // ends the writes
+	<-written
+	<-closed
+}
--- /dev/null
+++ b/soak/clients_test.go
@@ -0,0 +1,162 @@
+package soak
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cranberrybay/cranberrybay/fakes"
+)
+
+const (
+	// clientsMemory is the memory of the VM in the settings, in MB: the smallest that deployments have. It is the
+	// bound on the resident memory of the process.
+	clientsMemory = 112
+	// clientsDescriptors is the limit on the descriptors of the process. A quarter of them must stay free, for
+	// the connections that the process itself opens.
+	clientsDescriptors     = 1000
+	clientsDescriptorBound = clientsDescriptors * 3 / 4
+	uncontrolledClients    = 1000
+	clientsTime            = 3 * time.Second
+)
+
+// lowered returns a program that runs the binary with clientsDescriptors.
+func lowered(t *testing.T, binary string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "lowered")
+	text := fmt.Sprintf("#!/bin/sh\nulimit -n %d\nexec %q \"$@\"\n", clientsDescriptors, binary)
+	assert.NilError(t, os.WriteFile(path, []byte(text), 0o700)) //nolint:gosec // a program
+	return path
+}
+
+// newLoweredProcess starts an entry process with clientsMemory and clientsDescriptors before one server.
+func newLoweredProcess(t *testing.T) *process {
+	t.Helper()
+	binary, err := buildOnce()
+	assert.NilError(t, err)
+	c := &crowd{store: newStore(t), server: &crowdedServer{address: freeAddress(t)}}
+	c.server.accepts.Store(1000)
+	c.server.listen(t)
+	t.Cleanup(c.server.stop)
+	c.configure(100)
+	c.register("i-1")
+	dir := t.TempDir()
+	p := newProcess(t, lowered(t, binary), dir, 1, "z", c.store.address)
+	text, err := os.ReadFile(p.settingsPath)
+	assert.NilError(t, err)
+	p.metricsAddress = freeAddress(t)
+	changed := strings.Replace(string(text), "memory = 284", fmt.Sprintf("memory = %d", clientsMemory), 1)
+	changed = strings.Replace(changed, "[listen]\n", fmt.Sprintf("[listen]\nmetrics = %q\n", p.metricsAddress), 1)
+	assert.NilError(t, os.WriteFile(p.settingsPath, []byte(changed), 0o600))
+	p.onOwnEnd = func() { t.Errorf("process %s ended by itself", p.name) }
+	p.start(t)
+	t.Cleanup(func() {
+		p.signal(9)
+		p.wait(5 * time.Second)
+	})
+	p.awaitReady(t)
+	return p
+}
+
+// order sends one ordinary order and returns an error if it isn't served.
+func (p *process) order(client *http.Client, id string) error {
+	rq, err := http.NewRequest(http.MethodPost, "http://"+p.callerAddress+"/order/1", strings.NewReader("body"))
+	if err != nil {
+		return err
+	}
+	rq.Host = "h"
+	rq.Header.Set(idHeader, id)
+	rs, err := client.Do(rq)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = rs.Body.Close() }()
+	if text, err := io.ReadAll(rs.Body); err != nil || rs.StatusCode != http.StatusOK || string(text) != "done" {
+		return fmt.Errorf("status %d, %q, error %w", rs.StatusCode, text, err)
+	}
+	return nil
+}
+
+// awaitOrder waits until an ordinary order is served.
+func (p *process) awaitOrder(t *testing.T) {
+	t.Helper()
+	client := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	var err error
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+		if err = p.order(client, fmt.Sprintf("order-%d", time.Now().UnixNano())); err == nil {
+			return
+		}
+	}
+	t.Errorf("no ordinary request is served: %v", err)
+}
+
+// checkUsage runs f and checks that the process lives and that its memory and descriptors stay under their bounds.
+func (p *process) checkUsage(t *testing.T, f func()) {
+	t.Helper()
+	pid := p.cmd.Process.Pid
+	done := make(chan struct{})
+	most := make(chan int)
+	go func() {
+		highest := 0
+		for {
+			n, _ := fakes.OpenDescriptors(pid) // 0 for a process that has ended
+			highest = max(highest, n)
+			select {
+			case <-done:
+				most <- highest
+				return
+			case <-time.After(20 * time.Millisecond):
+			}
+		}
+	}()
+	f()
+	close(done)
+	descriptors := <-most
+	memory, err := fakes.PeakMemory(pid)
+	assert.NilError(t, err)
+	t.Logf("at most %d MB and %d descriptors", memory>>20, descriptors)
+	assert.Check(t, memory <= clientsMemory<<20, "%d MB are resident, of a VM with %d", memory>>20, clientsMemory)
+	assert.Check(t, descriptors <= clientsDescriptorBound, "%d descriptors are open, of %d", descriptors, clientsDescriptors)
+}
+
+// Guards against clients that bring a process down: by memory, with requests of legal size that consist of short
+// header lines, or by descriptors. Each case has a process of its own, as memory that was used once stays resident.
+func TestUncontrolledClients(t *testing.T) {
+	for _, k := range fakes.ClientCases() {
+		t.Run(k.Name, func(t *testing.T) {
+			p := newLoweredProcess(t)
+			p.checkUsage(t, func() {
+				header := "Host: h\r\n" + idHeader + ": r\r\n"
+				k.Run(fakes.ClientTarget{Address: p.callerAddress, Path: "/order/1", Header: header}, uncontrolledClients, clientsTime)
+			})
+			p.awaitOrder(t)
+		})
+	}
+}
+
+// Guards against the same clients at the other listeners of a process.
+func TestUncontrolledClientsOfOtherListeners(t *testing.T) {
+	for name, address := range map[string]func(p *process) string{
+		"ready":     func(p *process) string { return p.readyAddress },
+		"directory": func(p *process) string { return p.directoryAddress },
+		"fetches":   func(p *process) string { return p.heartbeatAddress },
+		"metrics":   func(p *process) string { return p.metricsAddress },
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newLoweredProcess(t)
+			p.checkUsage(t, func() {
+				for _, k := range fakes.ClientCases() {
+					k.Run(fakes.ClientTarget{Address: address(p), Path: "/", Header: "Host: h\r\n"}, uncontrolledClients, clientsTime/3)
+				}
+			})
+			p.awaitOrder(t)
+		})
+	}
+}
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -18,8 +18,8 @@
 
 // process runs an entry process as an operating system process.
 type process struct {
-	name, zone, callerAddress, readyAddress, directoryAddress, heartbeatAddress, settingsPath string
-	binary, logPath                                                                           string
+	name, zone, callerAddress, readyAddress, directoryAddress, heartbeatAddress, metricsAddress, settingsPath string
+	binary, logPath                                                                                           string
 
 	restarting sync.Mutex // serialises restarts
 	onOwnEnd   func()     // called when the process ends without a signal
