edge, entry, node, admin: clients are bounded by package heads

Bodies of requests to `serve` were not charged to the quota, and the listeners for readiness, directory and metrics, and that for operators, waited without an end for a body that nobody read. Change: the HTTP listeners of `entry` and `serve` are behind two accounts, one for callers and one for the others. Bodies in `serve` are charged to the quota until their request ends. The admin API takes heads of 16 KiB instead of 1 MiB, and closes idle connections after a minute.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -83,6 +83,13 @@
 // 3 MB.
 const maxBodyBytes = 32 << 20
 
+const (
+	// maxHeaderBytes bounds a request's header. A credential has under 100 bytes.
+	maxHeaderBytes = 16 << 10
+	// idleTimeout bounds how long a connection waits for a further request.
+	idleTimeout = time.Minute
+)
+
 // New returns a handler with all routes.
 func New(cfg Config) *Handler {
 	gin.SetMode(gin.ReleaseMode)
@@ -119,7 +126,7 @@
 
 // Server returns the HTTP server of the handler.
 func (h *Handler) Server() *http.Server {
-	return &http.Server{Handler: h.engine, ReadHeaderTimeout: 5 * time.Second}
+	return &http.Server{Handler: h.engine, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 }
 
 func (h *Handler) publish(c *gin.Context) {
--- a/cmds/entry.go
+++ b/cmds/entry.go
@@ -11,6 +11,7 @@
 
 	"github.com/cranberrybay/cranberrybay/edge"
 	"github.com/cranberrybay/cranberrybay/platform"
+	"github.com/cranberrybay/cranberrybay/quota"
 )
 
 func newEntry() *cobra.Command {
@@ -42,6 +43,7 @@
 func runEntry(c *cobra.Command, s edge.Settings) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
+	quota.LimitHeap(s.Limits.Memory)
 	app := edge.New(s, c.OutOrStdout())
 	if err := app.Start(ctx); err != nil {
 		return fmt.Errorf("start entry process: %w", err)
--- a/cmds/serve.go
+++ b/cmds/serve.go
@@ -13,6 +13,7 @@
 
 	"github.com/cranberrybay/cranberrybay/edge"
 	"github.com/cranberrybay/cranberrybay/node"
+	"github.com/cranberrybay/cranberrybay/quota"
 	"github.com/cranberrybay/cranberrybay/spec"
 )
 
@@ -45,6 +46,7 @@
 	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
+	quota.LimitHeap(s.MemoryMB())
 	app := node.New(s, c.ErrOrStderr())
 	if err := app.Start(ctx); err != nil {
 		return fmt.Errorf("start entry process: %w", err)
--- a/edge/app.go
+++ b/edge/app.go
@@ -20,6 +20,7 @@
 	"github.com/cranberrybay/cranberrybay/beat"
 	"github.com/cranberrybay/cranberrybay/clock"
 	"github.com/cranberrybay/cranberrybay/config"
+	"github.com/cranberrybay/cranberrybay/heads"
 	"github.com/cranberrybay/cranberrybay/intake"
 	"github.com/cranberrybay/cranberrybay/lease"
 	"github.com/cranberrybay/cranberrybay/link"
@@ -469,18 +470,29 @@
 // listen starts the HTTP servers of the process.
 func listen(s Settings, h *Handler, q *quota.Quota, members *beat.Membership, c *counters, factory *logs.Factory, lc fx.Lifecycle) {
 	log := factory.Logger("edge")
+	forCallers, forOthers := s.headLimits().Split()
+	forCallers.Log, forOthers.Log = log, log
+	heads, otherHeads := heads.New(forCallers), heads.New(forOthers)
+	heads.Gauges("callers", c.gauge)
+	otherHeads.Gauges("others", c.gauge)
 	front := &platform.CallerHandler{Serve: h.Serve, MaxBody: h.maxBody, Leaving: h.isLeaving, Quota: q, OnPanic: h.logPanic}
 	find := func(domain string) ([]string, time.Duration) { return h.addresses(s, members, domain), addressTTL }
 	conns := newCallerConns(h.limits, c.event)
 	callers := newHTTPServer(conns.handler(front))
 	callers.ConnState, callers.ConnContext = conns.observe, withConn
 	callers.ReadHeaderTimeout, callers.IdleTimeout = 0, maxIdleTimeout // conns has the shorter bounds
+	heads.Attach(callers)
 	runAll(lc, every(connCheckInterval, conns.closeExpired))
-	serveHTTP(lc, log, "callers", s.Listen.Callers, callers, conns.listener)
-	serveHTTP(lc, log, "ready", s.Listen.Ready, newHTTPServer(platform.ReadyHandler(h.ready)), nil)
-	serveHTTP(lc, log, "directory", s.Listen.Directory, newHTTPServer(platform.ResolveHandler(find)), nil)
+	serveHTTP(lc, log, "callers", s.Listen.Callers, callers, func(ln net.Listener) net.Listener { return conns.listener(heads.Listener(ln)) })
+	other := func(name, address string, handler http.Handler) {
+		server := newHTTPServer(handler)
+		otherHeads.Attach(server)
+		serveHTTP(lc, log, name, address, server, otherHeads.Listener)
+	}
+	other("ready", s.Listen.Ready, platform.ReadyHandler(h.ready))
+	other("directory", s.Listen.Directory, platform.ResolveHandler(find))
 	if s.Listen.Metrics != "" {
-		serveHTTP(lc, log, "metrics", s.Listen.Metrics, newHTTPServer(c), nil)
+		other("metrics", s.Listen.Metrics, c)
 	}
 	lc.Append(fx.Hook{OnStop: func(ctx context.Context) error { return h.drain(ctx, callers, conns) }})
 }
--- a/edge/conns.go
+++ b/edge/conns.go
@@ -129,6 +129,9 @@
 // caller has left.
 const backgroundRead = 1 // byte
 
+// NetConn returns the connection below, for package heads.
+func (c *callerConn) NetConn() net.Conn { return c.Conn }
+
 // SetReadDeadline sets the deadline of reads, which has passed while the connection closes.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
 	c.conns.mu.Lock()
@@ -153,7 +156,7 @@
 
 // CloseWrite ends the sending side, which net/http does before it closes a connection with unread bytes.
 func (c *callerConn) CloseWrite() error {
-	if t, ok := c.Conn.(*net.TCPConn); ok {
+	if t, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return t.CloseWrite()
 	}
 	return nil
@@ -161,7 +164,7 @@
 
 // SetLinger sets what a close does, as that of net.TCPConn.
 func (c *callerConn) SetLinger(seconds int) error {
-	if t, ok := c.Conn.(*net.TCPConn); ok {
+	if t, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
 		return t.SetLinger(seconds)
 	}
 	return errors.ErrUnsupported
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -163,7 +163,7 @@
 func discardLogger() *stdlog.Logger { return stdlog.New(io.Discard, "", 0) }
 
 // serveHTTP runs an HTTP server on an address while the application runs.
-// wrap changes its listener; nil to use it as it is.
+// wrap changes its listener.
 func serveHTTP(lc fx.Lifecycle, log zerolog.Logger, name, address string, srv *http.Server, wrap func(ln net.Listener) net.Listener) {
 	lc.Append(fx.Hook{
 		OnStart: func(ctx context.Context) error {
@@ -172,9 +172,7 @@
 			if err != nil {
 				return fmt.Errorf("listen for %s: %w", name, err)
 			}
-			if wrap != nil {
-				ln = wrap(ln)
-			}
+			ln = wrap(ln)
 			go func() {
 				if err := srv.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 					log.Error().Err(err).Str("listener", name).Msg("listener ended")
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
+
+	"github.com/cranberrybay/cranberrybay/heads"
 )
 
 // Settings is the settings file of an entry process on the platform. The platform
@@ -70,6 +72,11 @@
 	Memory   int64   `toml:"memory"` // MB
 	CPUShare float64 `toml:"share"`  // fraction of a core
 	Cores    float64 `toml:"cores"`
+	// Heads is the memory for the heads of requests, in MB; 0 for a tenth of Memory, at least 10.
+	Heads int64 `toml:"heads"`
+	// Conns is the number of connections that clients may open; 0 for as many as Memory and the limit on
+	// descriptors allow.
+	Conns int `toml:"conns"`
 }
 
 // Log holds the log levels: the default and those of single parts of the process.
@@ -94,6 +101,11 @@
 	return missedEntries * time.Duration(heartbeat) * time.Millisecond
 }
 
+// headLimits returns the limits on the heads of requests and the connections of clients.
+func (s *Settings) headLimits() heads.Limits {
+	return heads.Limits{MemoryMB: s.Limits.Memory, HeadsMB: s.Limits.Heads, Conns: s.Limits.Conns}
+}
+
 // onLoopback reports whether callers reach this process at a loopback address only, as in tests with all
 // processes on one machine.
 func (s *Settings) onLoopback() bool {
@@ -162,6 +174,9 @@
 			errs = append(errs, fmt.Errorf("%s must be positive", field.key))
 		}
 	}
+	if err := s.headLimits().Check(); err != nil {
+		errs = append(errs, fmt.Errorf("limits.%w", err))
+	}
 	if s.Bounds.Pause < 0 {
 		errs = append(errs, errors.New("bounds.pause must not be negative"))
 	}
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -240,7 +240,7 @@
 // readChat reads a chat completion request and returns it with the service of
 // its model, which the account may use.
 func (h *Handler) readChat(c *gin.Context) (ChatRequest, *spec.Service, error) {
-	body, err := readBody(c)
+	body, err := h.readBody(c)
 	if err != nil {
 		return ChatRequest{}, nil, err
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -52,7 +52,7 @@
 	Claims    *claim.Manager
 	Admission *AdmissionControl // limits and queues; nil for none
 	Guard     *guard.Guard      // refuses requests that crash engines; see stream.Config
-	Quota     *quota.Quota      // bounds the memory of answers that are kept until they are whole; nil for no bound
+	Quota     *quota.Quota      // bounds the memory of bodies, and of answers that are kept until they are whole; nil for no bound
 	Domain    string            // failure domain of this process
 	Chooser   *route.Chooser    // nil for a chooser with default settings
 	Self      string            // address of this process in Addresses
@@ -86,7 +86,7 @@
 	h.ending, h.endRequests = context.WithCancel(context.Background())
 	h.runner = NewRunner(RunnerConfig{Fleet: cfg.Fleet, Chooser: cfg.Chooser, Engines: cfg.Engines, Domain: cfg.Domain, Guard: cfg.Guard})
 	h.router.RedirectTrailingSlash = false // paths of services are passed on unchanged
-	h.router.Use(h.markHandling, h.recoverPanic, h.checkHeader)
+	h.router.Use(h.markHandling, h.recoverPanic, h.checkHeader, h.releaseBody)
 	h.router.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
 	h.router.GET("/readyz", h.readyz)
 	h.router.GET("/addresses", func(c *gin.Context) { c.JSON(http.StatusOK, cfg.Addresses(c.RemoteIP(), c.Query("domain"))) })
--- a/entry/listener.go
+++ b/entry/listener.go
@@ -161,6 +161,9 @@
 	mayReadAgain  bool // a read that misses the present deadline is tried once more
 }
 
+// NetConn returns the connection below, for package heads.
+func (c *callerConn) NetConn() net.Conn { return c.Conn }
+
 // Close closes the connection.
 func (c *callerConn) Close() error {
 	c.conns.remove(c)
--- a/entry/request.go
+++ b/entry/request.go
@@ -1,9 +1,11 @@
 package entry
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"time"
@@ -11,13 +13,31 @@
 	"github.com/gin-gonic/gin"
 
 	"github.com/cranberrybay/cranberrybay/fault"
+	"github.com/cranberrybay/cranberrybay/quota"
 )
 
 // bodyTimeout bounds the reading of a body. A body of maxBody needs 280 KB/s.
 const bodyTimeout = 15 * time.Second
 
-// readBody reads a body of at most maxBody bytes within bodyTimeout.
-func readBody(c *gin.Context) ([]byte, error) {
+const (
+	bodyKey = "body" // key of the release of a body's memory in a gin context
+	// quotaRetryDelay is the mean delay of a retry when the quota is exhausted.
+	quotaRetryDelay = 500 * time.Millisecond
+)
+
+// releaseBody is the middleware that returns the memory of a request's body to the quota.
+func (h *Handler) releaseBody(c *gin.Context) {
+	defer func() {
+		if release, ok := c.Get(bodyKey); ok {
+			release.(func())()
+		}
+	}()
+	c.Next()
+}
+
+// readBody reads a body of at most maxBody bytes within bodyTimeout. Its memory is charged to the quota until the
+// request ends.
+func (h *Handler) readBody(c *gin.Context) ([]byte, error) {
 	if c.Request.ContentLength > maxBody {
 		return nil, bodyTooLarge(nil)
 	}
@@ -28,8 +48,9 @@
 	// The error is ignored: on a connection without deadlines only the caller
 	// bounds the time.
 	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout))
-	b, err := readAll(http.MaxBytesReader(c.Writer, c.Request.Body, maxBody), c.Request.ContentLength)
+	b, release, err := h.cfg.Quota.Read(http.MaxBytesReader(c.Writer, c.Request.Body, maxBody), maxBody)
 	if err == nil {
+		c.Set(bodyKey, release)
 		// net/http continues to read, to detect that the caller goes away.
 		_ = rc.SetReadDeadline(time.Time{})
 		return b, nil
@@ -37,7 +58,11 @@
 	c.Header("Connection", "close")
 	var large *http.MaxBytesError
 	switch {
-	case errors.As(err, &large):
+	case errors.Is(err, quota.ErrExhausted):
+		return nil, fault.New(fault.Config{
+			Verdict: fault.NotRun, Code: fault.Overload, Reason: "the bodies of other requests take the memory for them", RetryAt: time.Now().Add(quotaRetryDelay/2 + rand.N(quotaRetryDelay)), Cause: err,
+		})
+	case errors.As(err, &large), errors.Is(err, quota.ErrTooLong):
 		return nil, bodyTooLarge(err)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, refusal(fault.RequestTooSlow, fmt.Sprintf("the body did not arrive within %s", bodyTimeout), err)
@@ -48,20 +73,11 @@
 	}
 }
 
-// readAll reads a body of the given length, which is negative when unknown.
-func readAll(r io.Reader, length int64) ([]byte, error) {
-	if length < 0 {
-		return io.ReadAll(r)
-	}
-	b := make([]byte, length)
-	if _, err := io.ReadFull(r, b); err != nil {
-		return nil, err
-	}
-	// net/http watches the connection only once the end of the body was read.
-	if _, err := r.Read(make([]byte, 1)); err != nil && !errors.Is(err, io.EOF) {
-		return nil, err
-	}
-	return b, nil
+// HeadRefusal returns the content type and the body of the response to a request whose head was not read, since
+// package heads has no memory for it.
+func HeadRefusal() (contentType, body string) {
+	b, _ := json.Marshal(fault.ProblemOf(refusal(fault.Overload, "the heads of other requests take the memory for them", nil)))
+	return "application/problem+json", string(b)
 }
 
 // bodyTooLarge returns the error of a body over maxBody.
--- a/entry/service.go
+++ b/entry/service.go
@@ -26,7 +26,7 @@
 		writeProblem(c, err)
 		return
 	}
-	call, err := readCall(c, svc, arrival)
+	call, err := h.readCall(c, svc, arrival)
 	if err != nil {
 		writeProblem(c, err)
 		return
@@ -72,7 +72,7 @@
 
 // readCall reads the call of a service. The call is passed on unchanged, except
 // that the API key of the account is removed and a request ID is added.
-func readCall(c *gin.Context, svc *spec.Service, arrival time.Time) (proxy.Call, error) {
+func (h *Handler) readCall(c *gin.Context, svc *spec.Service, arrival time.Time) (proxy.Call, error) {
 	path := c.Param("path")
 	for segment := range strings.SplitSeq(path, "/") {
 		// A service may resolve "/lookups/../orders" to "/orders", while the
@@ -81,7 +81,7 @@
 			return proxy.Call{}, refusal(fault.Invalid, "the path has a segment \".\" or \"..\"", nil)
 		}
 	}
-	body, err := readBody(c)
+	body, err := h.readBody(c)
 	if err != nil {
 		return proxy.Call{}, err
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/cranberrybay/cranberrybay/entry"
 	"github.com/cranberrybay/cranberrybay/fleet"
 	"github.com/cranberrybay/cranberrybay/guard"
+	"github.com/cranberrybay/cranberrybay/heads"
 	"github.com/cranberrybay/cranberrybay/intake"
 	"github.com/cranberrybay/cranberrybay/limit"
 	"github.com/cranberrybay/cranberrybay/logs"
@@ -71,7 +72,7 @@
 			newPool,
 			newConfigSync,
 			newStore,
-			func() *quota.Quota { return quota.ForVM(s.memory()) },
+			func() *quota.Quota { return quota.ForVM(s.MemoryMB()) },
 			func(q *quota.Quota) *engine.Client { return engine.New(engine.Config{Quota: q}) },
 			newPoisonTracker,
 			func(t *poison.Tracker, l *logs.Factory) *guard.Guard {
@@ -167,9 +168,17 @@
 // startListeners opens both HTTP listeners before the process counts as started.
 // At a stop the listener for callers closes once the process is drained; the
 // listener for operators closes after it.
-func startListeners(lc fx.Lifecycle, s Settings, e *entry.Handler, d *drainer, a *admin.Handler, log *logs.Factory) {
-	addListener(lc, httpListener{name: "admin", address: s.Listen.Admin, server: a.Server()}, log)
-	addListener(lc, httpListener{name: "callers", address: s.Listen.Callers, server: e.Server(), entry: e, drain: d}, log)
+func startListeners(lc fx.Lifecycle, s Settings, e *entry.Handler, d *drainer, a *admin.Handler, m *metrics.Set, log *logs.Factory) {
+	callers, others := s.headLimits().Split()
+	callers.Log, others.Log = log.Logger("entry"), log.Logger("admin")
+	callers.ContentType, callers.Body = entry.HeadRefusal()
+	account := func(part string, cfg heads.Config) *heads.Account {
+		a := heads.New(cfg)
+		a.Gauges(part, func(name string, f func() float64) { m.NewGauge("cranberrybay_"+name, f) })
+		return a
+	}
+	addListener(lc, httpListener{name: "admin", address: s.Listen.Admin, server: a.Server(), heads: account("others", others)}, log)
+	addListener(lc, httpListener{name: "callers", address: s.Listen.Callers, server: e.Server(), heads: account("callers", callers), entry: e, drain: d}, log)
 }
 
 // httpListener is an HTTP server on an address. The one for callers is drained
@@ -178,6 +187,7 @@
 	name    string
 	address string
 	server  *http.Server
+	heads   *heads.Account
 	entry   *entry.Handler // nil for operators
 	drain   *drainer       // nil for operators
 }
@@ -192,6 +202,8 @@
 			if l, err = c.Listen(ctx, "tcp", s.address); err != nil {
 				return fmt.Errorf("listen for %s on %s: %w", s.name, s.address, err)
 			}
+			s.heads.Attach(s.server)
+			l = s.heads.Listener(l)
 			if s.entry != nil {
 				l = s.entry.Listener(l)
 			}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -247,7 +247,7 @@
 	defer rs.Body.Close()
 	text, err := io.ReadAll(rs.Body)
 	assert.NilError(t, err)
-	for _, want := range []string{"cranberrybay_answers", "cranberrybay_limit_rejected_total", `cranberrybay_peer_messages{kind="ping",way="sent"}`, `cranberrybay_peer_wire_bytes{way="sent"}`} {
+	for _, want := range []string{"cranberrybay_answers", "cranberrybay_limit_rejected_total", `cranberrybay_head_bytes{part="callers"}`, `cranberrybay_heads_refused_total{part="others",bound="memory"}`, `cranberrybay_client_connections{part="others"}`, `cranberrybay_peer_messages{kind="ping",way="sent"}`, `cranberrybay_peer_wire_bytes{way="sent"}`} {
 		assert.Assert(t, strings.Contains(string(text), "\n"+want+" ") || strings.HasPrefix(string(text), want+" "), want)
 	}
 }
--- a/node/settings.go
+++ b/node/settings.go
@@ -14,6 +14,7 @@
 
 	"github.com/pelletier/go-toml/v2"
 
+	"github.com/cranberrybay/cranberrybay/heads"
 	"github.com/cranberrybay/cranberrybay/logs"
 	"github.com/cranberrybay/cranberrybay/peer"
 	"github.com/cranberrybay/cranberrybay/spec"
@@ -25,6 +26,8 @@
 	Domain   string           `toml:"domain"` // failure domain
 	Region   string           `toml:"region"`
 	Memory   int64            `toml:"memory"` // of the VM, in MiB; 0 for defaultMemory
+	Heads    int64            `toml:"heads"`  // memory for the heads of requests, in MiB; 0 for a tenth of Memory, at least 10
+	Conns    int              `toml:"conns"`  // connections of clients; 0 for as many as Memory and the limit on descriptors allow
 	Token    string           `toml:"token"`  // hash of the operators' credential, "sha256:..."
 	Listen   ListenSettings   `toml:"listen"`
 	Platform PlatformSettings `toml:"platform"`
@@ -57,14 +60,19 @@
 // defaultMemory is the memory of the smallest entry VMs, in MiB.
 const defaultMemory = 184
 
-// memory returns the memory of the VM in MiB.
-func (s Settings) memory() int64 {
+// MemoryMB returns the memory of the VM in MiB.
+func (s Settings) MemoryMB() int64 {
 	if s.Memory == 0 {
 		return defaultMemory
 	}
 	return s.Memory
 }
 
+// headLimits returns the limits on the heads of requests and the connections of clients.
+func (s Settings) headLimits() heads.Limits {
+	return heads.Limits{MemoryMB: s.MemoryMB(), HeadsMB: s.Heads, Conns: s.Conns}
+}
+
 // defaultLinger is long enough for most callers with a cached address list to
 // send one more request.
 const defaultLinger = 5 * time.Second
@@ -127,6 +135,9 @@
 	if s.Memory < 0 {
 		add("memory", strconv.FormatInt(s.Memory, 10), "a number of MiB")
 	}
+	if err := s.headLimits().Check(); err != nil {
+		all = append(all, fmt.Errorf("%s: %w", path, err))
+	}
 	if !tokenPattern.MatchString(s.Token) {
 		// The message leaves out the value: it may be the credential itself.
 		all = append(all, fmt.Errorf("%s: token is not \"sha256:\" followed by 64 lower-case hex digits", path))
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -5,6 +5,8 @@
 import (
 	"errors"
 	"io"
+	"math"
+	"runtime/debug"
 
 	"golang.org/x/sync/semaphore"
 )
@@ -33,6 +35,18 @@
 // ForVM returns the quota for a VM with the given memory in MiB.
 func ForVM(memoryMB int64) *Quota { return New(int64(vmMemoryShare * float64(memoryMB) * (1 << 20))) }
 
+// heapShare is the share of a VM's memory that the runtime may take before it collects garbage more often than it
+// would by itself. The rest is for the program file, whose pages are resident as well, and for the kernel.
+const heapShare = 0.7
+
+// LimitHeap makes the runtime keep to the memory of a VM in MiB, unless the environment variable GOMEMLIMIT sets a
+// limit. Without one the heap may grow to twice what is in use, and beyond that while requests allocate quickly.
+func LimitHeap(memoryMB int64) {
+	if debug.SetMemoryLimit(-1) == math.MaxInt64 {
+		debug.SetMemoryLimit(int64(heapShare * float64(memoryMB) * (1 << 20)))
+	}
+}
+
 // TryAcquire acquires bytes if that many are available, and reports whether it did. It does not
 // wait.
 func (q *Quota) TryAcquire(bytes int64) bool { return q == nil || q.bytes.TryAcquire(bytes) }
--- a/soak/clients_test.go
+++ b/soak/clients_test.go
@@ -66,13 +66,16 @@
 }
 
 // order sends one ordinary order and returns an error if it isn't served.
-func (p *process) order(client *http.Client, id string) error {
+func (p *process) order(client *http.Client, id string, names ...string) error {
 	rq, err := http.NewRequest(http.MethodPost, "http://"+p.callerAddress+"/order/1", strings.NewReader("body"))
 	if err != nil {
 		return err
 	}
 	rq.Host = "h"
 	rq.Header.Set(idHeader, id)
+	for _, name := range names {
+		rq.Header[name] = []string{""}
+	}
 	rs, err := client.Do(rq)
 	if err != nil {
 		return err
@@ -141,6 +144,23 @@
 	}
 }
 
+// Guards against a client whose single request is legal in size and refused because of its many header lines.
+func TestManyHeaderLinesInCalm(t *testing.T) {
+	p := newLoweredProcess(t)
+	client := &http.Client{Timeout: 5 * time.Second}
+	var names []string
+	for n := range 2200 {
+		names = append(names, fmt.Sprintf("A%x", n))
+	}
+	assert.NilError(t, p.order(client, "many", names...))
+	rs, err := http.Get("http://" + p.metricsAddress + "/")
+	assert.NilError(t, err)
+	defer func() { _ = rs.Body.Close() }()
+	text, err := io.ReadAll(rs.Body)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(string(text), `cranberrybay_heads_refused_total{part="callers",bound="memory"} 0`), "%s", text)
+}
+
 // Guards against the same clients at the other listeners of a process.
 func TestUncontrolledClientsOfOtherListeners(t *testing.T) {
 	for name, address := range map[string]func(p *process) string{
