heads: connections whose bodies are late make room for others

Cause: connections with a request whose body did not arrive held all connections of a process for 10 s, the time for bodies, and every new caller was turned away. Change: where handlers read the whole body first (callers), a connection whose body has taken over 1 s makes room for a new one; its request has not been passed on. fakes.ClientCases has a further case: the one for trailers left out their end, so that they were never parsed; it stays under the name "without an end", and the same with its end is added. Conclusion: kept, as it ends the hold of places by silent bodies once the flood is small; fairness between addresses would be needed against a flood.

--- a/fakes/clients.go
+++ b/fakes/clients.go
@@ -64,7 +64,8 @@
 			}
 		}},
 		{"connections without a byte", func(io.Writer, ClientTarget, <-chan struct{}) {}},
-		{"trailers of short lines", whole("Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n" + strings.TrimSuffix(shortLines(trailerBytes), "\r\n"))},
+		{"trailers of short lines, without an end", whole("Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n" + strings.TrimSuffix(shortLines(trailerBytes), "\r\n"))},
+		{"trailers of short lines", whole("Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n" + shortLines(trailerBytes))},
 		{"chunk extensions", whole("Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat("1;"+strings.Repeat("x", 2000)+"\r\nb\r\n", 200))},
 	}
 }
--- a/heads/conn.go
+++ b/heads/conn.go
@@ -17,6 +17,9 @@
 	// firstHeadTime is the time in which an ordinary client sends its first head. A connection that has waited for
 	// less makes room only if no other is idle.
 	firstHeadTime = 200 * time.Millisecond
+	// bodyTime is the time in which the body of an ordinary request arrives. A connection whose request has waited
+	// for less makes no room.
+	bodyTime = time.Second
 	// refusalWriteTime bounds the writing of a refusal.
 	refusalWriteTime = 100 * time.Millisecond
 	// lingerTime and lingerBytes bound what is read after a refusal. A connection that is closed with unread bytes
@@ -89,7 +92,7 @@
 		victim.unlink()
 	}
 	a.conns++
-	c.accepted = time.Now()
+	c.since = time.Now()
 	a.fresh.push(c)
 	return victim, true
 }
@@ -97,24 +100,31 @@
 // victim returns the connection that makes room for another one, nil if a request is handled on each. The caller holds
 // mu.
 func (a *Account) victim() *Conn {
-	fresh, idle := a.fresh.first(), a.idle.first()
-	if fresh != nil && (idle == nil || time.Since(fresh.accepted) > firstHeadTime) {
+	fresh, body, idle := a.fresh.first(), a.bodies.first(), a.idle.first()
+	switch {
+	case fresh != nil && time.Since(fresh.since) > firstHeadTime:
 		return fresh
+	case body != nil && time.Since(body.since) > bodyTime:
+		return body
+	case idle != nil:
+		return idle
 	}
-	return idle
+	return fresh
 }
 
 // Conn is a connection that is charged to an account.
 type Conn struct {
 	net.Conn
 	account    *Account
-	prev, next *Conn // in a waitingList; Account.mu guards them, and accepted
-	accepted   time.Time
+	prev, next *Conn     // in a waitingList; Account.mu guards them, and since
+	since      time.Time // begin of the wait for the first head, or for a body
 
 	mu     sync.Mutex
 	phase  phase
 	closed bool
-	held   int64 // bytes charged for the request in progress
+	// waits means that the request that is handled has not been passed on, since its body has not arrived.
+	waits bool
+	held  int64 // bytes charged for the request in progress
 	// bytes and lines are at least what net/http's buffer holds.
 	bytes, lines int
 	// tail is the end of what was read of the head.
@@ -183,10 +193,10 @@
 	return true
 }
 
-// evict closes the connection unless a request is handled on it. It reports whether it is closed.
+// evict closes the connection unless a request is handled on it whose body has arrived. It reports whether it is closed.
 func (c *Conn) evict() bool {
 	c.mu.Lock()
-	served := c.phase == phaseServed
+	served := c.phase == phaseServed && !c.waits
 	if !served {
 		c.end()
 	}
@@ -307,7 +317,7 @@
 
 // begin replaces the charge for the bytes of a head by that for the parsed head, as a request begins. It reports
 // whether the request may be handled; refused means that the account can't hold it.
-func (c *Conn) begin(n, length int64) (ok, refused bool) {
+func (c *Conn) begin(n, length int64, hasBody bool) (ok, refused bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase == phaseEnded {
@@ -318,12 +328,30 @@
 		return false, true
 	}
 	c.held, c.phase, c.length = n, phaseServed, length
+	c.waits = hasBody && a.cfg.BodyFirst
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	c.unlink()
+	if c.waits {
+		c.since = time.Now()
+		a.bodies.push(c)
+	}
 	return true, false
 }
 
+// bodyRead notes that the whole body was read, or that it failed. The request may be passed on from then.
+func (c *Conn) bodyRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.waits {
+		return
+	}
+	c.waits = false
+	c.account.mu.Lock()
+	defer c.account.mu.Unlock()
+	c.unlink()
+}
+
 // finish ends the charge of a request whose response was sent. It reports whether the account can hold what the
 // client may have sent ahead of it.
 func (c *Conn) finish() bool {
@@ -341,7 +369,7 @@
 	if ok {
 		c.held = ahead
 	}
-	c.phase, c.ended, c.after, c.tail = phaseHead, false, 0, [2]byte{}
+	c.phase, c.waits, c.ended, c.after, c.tail = phaseHead, false, false, 0, [2]byte{}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	c.unlink()
--- a/heads/heads.go
+++ b/heads/heads.go
@@ -60,6 +60,9 @@
 type Config struct {
 	Bytes int64 // memory for heads; 0 for no bound
 	Conns int   // open connections; 0 for no bound
+	// BodyFirst means that handlers do nothing before they have read the whole body. Connections whose body takes long
+	// then make room for others, too.
+	BodyFirst bool
 	// ContentType and Body are those of a refusal; empty for plain text.
 	ContentType, Body string
 	Log               zerolog.Logger
@@ -84,7 +87,7 @@
 		conns = min(int(connShare*float64(l.MemoryMB<<20))/connBytes, descriptors()/descriptorPart)
 	}
 	others = Config{Bytes: bytes / otherPart, Conns: max(conns/otherPart, 1)}
-	callers = Config{Bytes: bytes - others.Bytes, Conns: max(conns-others.Conns, 1)}
+	callers = Config{Bytes: bytes - others.Bytes, Conns: max(conns-others.Conns, 1), BodyFirst: true}
 	return callers, others
 }
 
@@ -112,7 +115,7 @@
 const (
 	BoundMemory  = "memory"      // Config.Bytes
 	BoundConns   = "connections" // Config.Conns
-	BoundEvicted = "evicted"     // Config.Conns: a connection that waited for a request made room for another one
+	BoundEvicted = "evicted"     // Config.Conns: a connection that waited for a request, or its body, made room for another one
 )
 
 // bounds are all bounds, in the order of Account.refused.
@@ -130,6 +133,7 @@
 	conns   int
 	fresh   waitingList // connections without a whole head so far
 	idle    waitingList // connections that wait for a further request
+	bodies  waitingList // connections whose request waits for its body, with Config.BodyFirst
 	logged  time.Time   // last log line
 	skipped int         // refusals that were not logged since
 }
@@ -139,6 +143,7 @@
 	a := &Account{cfg: cfg}
 	a.fresh.init()
 	a.idle.init()
+	a.bodies.init()
 	return a
 }
 
--- a/heads/heads_test.go
+++ b/heads/heads_test.go
@@ -202,6 +202,24 @@
 	}
 }
 
+// Guards against requests whose bodies don't arrive that keep out others, and against the close of a connection whose
+// body has arrived.
+func TestLateBodiesMakeRoom(t *testing.T) {
+	x := serve(t, Config{Bytes: 1 << 20, Conns: 2, BodyFirst: true})
+	close(x.hold)
+	late := x.open(head("/late", "Content-Length: 9\r\n") + "part")
+	assert.Equal(t, <-x.handled, "/late")
+	second := x.open(head("/late", "Content-Length: 9\r\n") + "part")
+	assert.Equal(t, <-x.handled, "/late")
+	assert.Equal(t, status(x.dial()), 0) // no body has been late for long
+	time.Sleep(bodyTime + firstHeadTime)
+	assert.Equal(t, status(x.open(head("/", "Content-Length: 0\r\n"))), 200)
+	assert.Equal(t, status(late), 0)
+	_, err := io.WriteString(second, " body")
+	assert.NilError(t, err)
+	assert.Equal(t, status(second), 200)
+}
+
 // Guards against limits with which a process can't serve.
 func TestLimits(t *testing.T) {
 	for _, tt := range []struct {
--- a/heads/serve.go
+++ b/heads/serve.go
@@ -58,7 +58,8 @@
 		next.ServeHTTP(w, r)
 		return
 	}
-	switch ok, refused := c.begin(headCost(r), r.ContentLength); {
+	hasBody := r.Body != nil && r.Body != http.NoBody
+	switch ok, refused := c.begin(headCost(r), r.ContentLength, hasBody); {
 	case refused:
 		a.recordRefusal(indexMemory)
 		kind, retry, body := a.refusal()
@@ -72,11 +73,11 @@
 		panic(http.ErrAbortHandler) // the request was refused while it was read
 	}
 	r.Trailer = nil // names that the head announces; nothing here reads trailers
-	if r.Body != nil && r.Body != http.NoBody {
+	if hasBody {
 		// net/http ends the deadline when the body was read.
 		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
 		with := *r
-		with.Body = &body{r.Body, r}
+		with.Body = &body{r.Body, r, c}
 		r = &with
 	}
 	next.ServeHTTP(w, r)
@@ -100,12 +101,14 @@
 type body struct {
 	io.ReadCloser
 	request *http.Request // whose trailer net/http sets
+	conn    *Conn
 }
 
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if err != nil {
 		b.request.Trailer = nil
+		b.conn.bodyRead()
 	}
 	return n, err
 }
