--- a/cmds/serve.go
+++ b/cmds/serve.go
@@ -10,6 +10,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/cranberrybay/cranberrybay/node"
+	"github.com/cranberrybay/cranberrybay/quota"
 )
 
 func newServe() *cobra.Command {
@@ -41,6 +42,7 @@
 	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
+	quota.LimitHeap(s.MemoryMB())
 	app := node.New(s, c.ErrOrStderr())
 	if err := app.Start(ctx); err != nil {
 		return fmt.Errorf("start entry process: %w", err)
