admit, relay: a stream waits where capacity comes in time

Cause: streams were refused at once when the load was over their limit by less than what ends within the time in which they can still begin in time; their callers returned seconds later. Change: Decision.Waits; chooseRun decides again every 40 ms until half of the target latency has passed. Only streams wait whose excess is at most half of what will have ended by then; others are refused at once as before. The wait goes through relay.wait, so that a stop, a change of the configuration and the caller's leaving end it.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -39,6 +39,9 @@
 	// maxReturn bounds the time after which refused callers return. Callers wait for 20 s at most and
 	// give up after a third of that.
 	maxReturn = 6 * time.Second
+	// waitShare is the share of the capacity that becomes free that a stream which waits can count on. Streams
+	// that arrive meanwhile take the rest.
+	waitShare = 0.5
 	// durationWeight is the weight of the last stream in the mean duration.
 	durationWeight = 0.05
 )
@@ -63,11 +66,14 @@
 	Ranks   int    // number of urgencies of the service
 	Account string // client account; empty if there is none
 	Load    Load
+	WaitBy  time.Time // until when the stream can wait for capacity and still begin in time; zero if it can't wait
+	Waited  bool      // an earlier decision on the stream was that it waits
 }
 
-// Decision is the decision on a stream. The fields other than Admitted are those of a refusal.
+// Decision is the decision on a stream. The fields after Waits are those of a refusal.
 type Decision struct {
 	Admitted bool
+	Waits    bool // it is decided on again shortly, as there will be capacity
 	Bound    Bound
 	Load     float64   // of the resource that Bound names
 	Limit    float64   // that the load exceeds
@@ -125,8 +131,10 @@
 		rank = &rankCount{}
 		c.ranks[d.Rank] = rank
 	}
-	rank.arrived.add(now)
-	c.addAccount(now, d.Account)
+	if !d.Waited {
+		rank.arrived.add(now)
+		c.addAccount(now, d.Account)
+	}
 	limit := c.limit(now, d, rank)
 	out := Decision{Bound: BoundMemory, Load: d.Load.Memory, Limit: limit}
 	if d.Load.Pause > d.Load.Memory {
@@ -136,10 +144,28 @@
 		rank.admitted.add(now)
 		return Decision{Admitted: true}
 	}
+	if c.freeBy(now, d.WaitBy, out.Load) >= out.Load-limit {
+		return Decision{Waits: true}
+	}
 	out.RetryAt = c.retryAt(now, d.Rank)
 	return out
 }
 
+// freeBy returns the part of a load that ends until a time and that a stream that waits can count on. The caller
+// holds mu.
+func (c *Controller) freeBy(now, by time.Time, load float64) float64 {
+	ended := min(by.Sub(now).Seconds()/c.meanDuration(), 1)
+	return waitShare * load * ended
+}
+
+// meanDuration returns the mean duration of a stream in seconds. The caller holds mu.
+func (c *Controller) meanDuration() float64 {
+	if c.duration > 0 {
+		return c.duration
+	}
+	return defaultDuration.Seconds()
+}
+
 // limit returns the load up to which a stream is admitted. The caller holds mu.
 func (c *Controller) limit(now time.Time, d Demand, rank *rankCount) float64 {
 	if rank.admitted.decayed(now) < minShare*rank.arrived.decayed(now) {
@@ -222,11 +248,7 @@
 // instead of the times, of which many would be equal to the bound otherwise.
 func (c *Controller) retryAt(now time.Time, rank int) time.Time {
 	const maxSpread = 1.5 // longest wait, relative to the mean
-	duration := defaultDuration.Seconds()
-	if c.duration > 0 {
-		duration = c.duration
-	}
-	mean := min(duration*float64(rank+1)/3, maxReturn.Seconds()/maxSpread)
+	mean := min(c.meanDuration()*float64(rank+1)/3, maxReturn.Seconds()/maxSpread)
 	wait := mean * (maxSpread - 1 + c.random())
 	return now.Add(time.Duration(wait * float64(time.Second)))
 }
--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -239,3 +239,35 @@
 	assert.Equal(t, limit(2*time.Minute, "0"), 0.92) // it is alone
 	assert.Equal(t, limit(2*time.Minute, "new"), 0.92)
 }
+
+// Guards against refusals of streams for which capacity comes in time, against waits for capacity that does not
+// come, and against streams that count again each time they are decided on.
+func TestWaitForCapacity(t *testing.T) {
+	now := time.Unix(0, 0)
+	short := now.Add(250 * time.Millisecond)
+	for name, c := range map[string]struct {
+		load   float64
+		waitBy time.Time
+		waits  bool
+	}{
+		"little over the limit": {0.94, short, true},
+		"far over the limit":    {1.1, short, false},
+		"no time":               {0.94, now, false},
+		"can't wait":            {0.94, time.Time{}, false},
+		"time has passed":       {0.94, now.Add(-time.Second), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x := admit.New(admit.Config{}).Decide(now, admit.Demand{Load: admit.Load{Memory: c.load}, WaitBy: c.waitBy})
+			assert.Assert(t, !x.Admitted && x.Waits == c.waits && x.RetryAt.IsZero() == c.waits, "%+v", x)
+		})
+	}
+	// A quarter of the streams of a rank is admitted whatever its limit. Three more decisions on the second stream
+	// would be three streams of which none was admitted.
+	c := admit.New(admit.Config{})
+	d := admit.Demand{Rank: 1, Ranks: 2, Load: admit.Load{Memory: 0.83}, WaitBy: short}
+	assert.Assert(t, c.Decide(now, d).Admitted)
+	for range 4 {
+		assert.Assert(t, c.Decide(now, d).Waits)
+		d.Waited = true
+	}
+}
--- a/relay/admission.go
+++ b/relay/admission.go
@@ -35,8 +35,8 @@
 	}
 }
 
-// admission returns the controller of a service.
-func (r *Relay) admission(service string) *admit.Controller {
+// controller returns the admission controller of a service.
+func (r *Relay) controller(service string) *admit.Controller {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c := r.admissions[service]
@@ -47,31 +47,51 @@
 	return c
 }
 
-// admit returns the error for a stream that the engines have no capacity for, or nil. Streams that were
-// admitted before are not refused when they are sent again. The number of attempts does not tell that, because
+// admissionRecheck is the time after which a stream that waits for capacity is decided on again. Heartbeats tell
+// the load of the other processes every 250 ms; this process's own streams end in between.
+const admissionRecheck = 40 * time.Millisecond
+
+// admission is the decision on a stream.
+type admission int
+
+const (
+	admitted admission = iota
+	waitsForCapacity
+	refusedByLoad
+)
+
+// admit decides whether a stream may start on a path. Err is the answer to one that is refused. Streams that were
+// admitted before are not decided on when they are sent again. The number of attempts does not tell that, because
 // some attempts do not count.
-func (st *streamState) admit(t *activePath) error {
+func (st *streamState) admit(t *activePath, waited bool) (a admission, err error) {
 	r, req := st.relay, st.req
 	if !req.Service.Competing() || req.mayHaveRun.Load() || !st.admittedAt.IsZero() {
-		return nil
+		return admitted, nil
 	}
 	now := time.Now()
-	d := admit.Demand{Rank: req.rank(), Ranks: len(req.Service.Urgencies), Load: t.load}
+	d := admit.Demand{
+		Rank: req.rank(), Ranks: len(req.Service.Urgencies), Load: t.load, Waited: waited,
+		// The rest of the target time is for the first event.
+		WaitBy: req.Arrived.Add(req.Route.TargetLatency() / 2),
+	}
 	if req.Account != nil {
 		d.Account = req.Account.Name
 	}
-	x := r.admission(req.Service.Name).Decide(now, d)
-	if r.cfg.ObserveAdmission != nil {
+	x := r.controller(req.Service.Name).Decide(now, d)
+	if r.cfg.ObserveAdmission != nil && !x.Waits {
 		r.cfg.ObserveAdmission(req.Service.Name, d, x)
 	}
-	if x.Admitted {
+	switch {
+	case x.Admitted:
 		st.admittedAt = now
-		return nil
+		return admitted, nil
+	case x.Waits:
+		return waitsForCapacity, nil
 	}
 	r.cfg.Count("shed " + string(x.Bound))
 	r.cfg.Log.Info().Str("id", req.ID).Str("service", req.Service.Name).Str("bound", string(x.Bound)).Float64("load", x.Load).Float64("limit", x.Limit).
 		Int("rank", d.Rank).Str("account", d.Account).Dur("retry", x.RetryAt.Sub(now)).Msg(logs.RefusalMessage)
-	return fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Overload, Reason: reasonShed, RetryAt: x.RetryAt})
+	return refusedByLoad, fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Overload, Reason: reasonShed, RetryAt: x.RetryAt})
 }
 
 // load returns the load of the engines of the service, and of a path with this stream on it. The memory of engines
--- a/relay/admission_test.go
+++ b/relay/admission_test.go
@@ -146,3 +146,54 @@
 		})
 	})
 }
+
+// Guards against a stream that is refused although capacity comes in time, and against one that waits on when the
+// process stops, when its key is gone, when its caller is gone or when it can't begin in time any more.
+func TestStreamWaitsForCapacity(t *testing.T) {
+	const begun = 60 * time.Millisecond // the stream surely waits
+	for name, c := range map[string]struct {
+		end   func(cl *testCluster, req *relay.Request, leave func())
+		check func(t *testing.T, got callerResult)
+	}{
+		"capacity comes": {func(cl *testCluster, _ *relay.Request, _ func()) { cl.fill(0.5) }, func(t *testing.T, got callerResult) {
+			checkServed(t, got, events(1, 6))
+		}},
+		"no capacity": {func(*testCluster, *relay.Request, func()) {}, func(t *testing.T, got callerResult) {
+			checkVerdict(t, got, fault.NotRun)
+			assert.Assert(t, got.took <= 500*time.Millisecond, "refused after %v", got.took)
+		}},
+		"stop": {func(cl *testCluster, _ *relay.Request, _ func()) { cl.relay.Stop(stopAfter(0, time.Minute)) }, func(t *testing.T, got callerResult) {
+			checkStopped(t, got, 150*time.Millisecond)
+			assert.Assert(t, got.took <= begun+atOnce, "refused after %v", got.took)
+		}},
+		"key gone": {func(cl *testCluster, req *relay.Request, _ func()) {
+			req.Allowed = func() error { return errGone }
+			cl.relay.Recheck()
+		}, func(t *testing.T, got callerResult) {
+			assert.Equal(t, fault.CodeOf(got.err), fault.Unauthorized)
+		}},
+		"caller gone": {func(_ *testCluster, _ *relay.Request, leave func()) { leave() }, func(t *testing.T, got callerResult) {
+			checkVerdict(t, got, fault.NotRun)
+			assert.Assert(t, got.took <= begun+atOnce, "ended after %v", got.took)
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runVirtual(t, func(t *testing.T) {
+				cl := newFullCluster(t, 0.93)
+				req := competingRequest(0)
+				req.Route = config.NewRoute(config.RouteConfig{
+					Name: "r", Kind: config.Stream, Attempts: 3, Resumable: true, TargetLatency: time.Second, TargetGap: 200 * time.Millisecond,
+					Services: []config.WeightedService{{Service: "s", Weight: 1}},
+				})
+				ctx, leave := context.WithCancel(t.Context())
+				defer leave()
+				done := make(chan callerResult, 1)
+				go func() { done <- cl.serve(ctx, req) }()
+				time.Sleep(begun)
+				assert.Equal(t, cl.attemptCount(), 0, "the stream does not wait")
+				c.end(cl, req, leave)
+				c.check(t, <-done)
+			})
+		})
+	}
+}
--- a/relay/rest.go
+++ b/relay/rest.go
@@ -175,11 +175,12 @@
 func (st *streamState) chooseRun(ctx context.Context, excluded map[string]bool) (*run, error) {
 	r, req := st.relay, st.req
 	var c choice
+	waited := false // for capacity of the engines
 	for {
 		rn, ok := st.newRun(ctx, excluded, rateWait(req), &c)
 		if !ok {
-			waited, err := r.awaitRest(ctx, req, &c, func(s *server.Server) { delete(excluded, s.Address()) })
-			if waited {
+			rested, err := r.awaitRest(ctx, req, &c, func(s *server.Server) { delete(excluded, s.Address()) })
+			if rested {
 				if err := r.refuseQuarantined(req, req.mayHaveRun.Load()); err != nil {
 					return nil, err
 				}
@@ -189,19 +190,24 @@
 				Int("prompt", req.PromptTokens).Int("attempt", st.attemptCount()+1).Msg("no path")
 			return nil, st.noPathError(err)
 		}
-		if err := st.admit(rn.path); err != nil {
+		until := rn.path.sendAt
+		decision, err := st.admit(rn.path, waited)
+		if err != nil {
 			rn.end()
 			return nil, err
 		}
-		slept := time.Until(rn.path.sendAt) > 0
-		if err := r.wait(rn.ctx, req, awaited{at: rn.path.sendAt, retryIn: leavingRetryAfter}); err != nil {
+		if waited = decision == waitsForCapacity; waited {
+			until = time.Now().Add(admissionRecheck)
+		}
+		slept := time.Until(until) > 0
+		if err := r.wait(rn.ctx, req, awaited{at: until, retryIn: leavingRetryAfter}); err != nil {
 			rn.end()
 			if isAnswer(err) {
 				return nil, err
 			}
 			return nil, st.refusalVerdict(err)
 		}
-		if !slept || !r.isTurningAway(rn.path.first) {
+		if !waited && (!slept || !r.isTurningAway(rn.path.first)) {
 			return rn, nil
 		}
 		rn.end()
@@ -220,7 +226,7 @@
 		return err
 	}
 	if st.req.Service.Competing() {
-		at := st.relay.admission(st.req.Service.Name).RetryAt(time.Now(), st.req.rank())
+		at := st.relay.controller(st.req.Service.Name).RetryAt(time.Now(), st.req.rank())
 		return fault.New(fault.Config{Verdict: fault.NotRun, Code: fault.Overload, Reason: reasonNoPath, RetryAt: at})
 	}
 	return notRunError(reasonNoPath, noPathRetryAfter, nil)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -258,7 +258,7 @@
 		st.logSlow(rn.path)
 		rn.path.first.RecordAnswer(time.Since(started))
 		if !st.admittedAt.IsZero() {
-			r.admission(req.Service.Name).ObserveDuration(time.Since(st.admittedAt))
+			r.controller(req.Service.Name).ObserveDuration(time.Since(st.admittedAt))
 		}
 		return false, nil
 	}
