--- a/admit/admit.go
+++ b/admit/admit.go
@@ -7,8 +7,8 @@
 // without asking the others.
 //
 // Less urgent streams are refused first: the capacity above their limit is reserved for more urgent
-// ones. Each urgency keeps a minimum share, and refused callers are told to return when the streams in
-// progress will have ended, the more urgent ones first.
+// ones. Each urgency keeps a minimum share. A stream waits for a moment if capacity comes in time; refused
+// callers are told to return when the streams in progress will have ended, the more urgent ones first.
 package admit
 
 import (
