review: orders that wait for a connection go to a worker that leaves

Cause: a request that has waited for a connection to a worker is sent without a look at whether the worker has begun to leave meanwhile.

--- a/review/rig/config.go
+++ b/review/rig/config.go
@@ -1,11 +1,13 @@
 package main
 
-// jobConfig is a configuration with one route of orders, which may run once.
-func jobConfig(version int, tenants []any) map[string]any {
+import "time"
+
+// jobConfig is a configuration with one route of orders, which may run once, with the given timeout.
+func jobConfig(version int, timeout time.Duration, tenants []any) map[string]any {
 	return map[string]any{
 		"version": version,
 		"routes": []any{map[string]any{
-			"name": "jobs", "host": "desk.example", "pathPrefix": "/jobs/", "kind": "non_idempotent", "timeoutMs": 1000, "targetLatencyMs": 100,
+			"name": "jobs", "host": "desk.example", "pathPrefix": "/jobs/", "kind": "non_idempotent", "timeoutMs": timeout.Milliseconds(), "targetLatencyMs": timeout.Milliseconds() / 4,
 			"priority": 2, "service": "desk", "maxAttempts": 1, "public": false,
 		}},
 		"services": []any{map[string]any{"name": "desk", "healthPath": "/health", "maxConns": 110, "protocol": "h1", "tls": false}},
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -23,6 +23,7 @@
 type scenario func(s *site, calm bool) (broken bool, err error)
 
 var scenarios = map[string]scenario{
+	"drain":  playDrain,
 	"revoke": playRevoke,
 }
 
--- a/review/rig/record.go
+++ b/review/rig/record.go
@@ -28,5 +28,6 @@
 func (r *record) save(path string) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return os.WriteFile(path, []byte(strings.Join(r.lines, "\n")+"\n"), 0o644)
+	begin := "The record begins at " + r.start.UTC().Format("2006-01-02T15:04:05.000Z") + "."
+	return os.WriteFile(path, []byte(begin+"\n"+strings.Join(r.lines, "\n")+"\n"), 0o644)
 }
--- a/review/rig/revoke.go
+++ b/review/rig/revoke.go
@@ -15,7 +15,7 @@
 func playRevoke(s *site, calm bool) (bool, error) {
 	const key, unknown = "k-shop-1", "k-nobody-ever-held"
 	tenants := []any{map[string]any{"name": "shop", "apiKeys": []string{key}}}
-	s.store.put("op", "config", jobConfig(1, tenants))
+	s.store.put("op", "config", jobConfig(1, time.Second, tenants))
 	w, err := s.startWorker("i-000", "desk", "thamel", 6, func() time.Duration { return 15 * time.Millisecond })
 	if err != nil {
 		return false, err
@@ -37,7 +37,7 @@
 	if !calm {
 		tenants = []any{}
 	}
-	s.store.put("op", "config", jobConfig(2, tenants))
+	s.store.put("op", "config", jobConfig(2, time.Second, tenants))
 	changed := time.Now()
 	s.log.add("the store has acknowledged version 2, with %d tenants", len(tenants))
 	late := map[string]time.Duration{} // requests sent too late with a key that no tenant has any more
--- a/review/rig/site.go
+++ b/review/rig/site.go
@@ -46,6 +46,7 @@
 // entry is an entry process.
 type entry struct {
 	name, callers, ready string
+	file                 string // of its settings
 	cmd                  *exec.Cmd
 	ended                chan struct{}
 }
@@ -120,24 +121,33 @@
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
-	out, err := os.Create(filepath.Join(s.dir, name+".log"))
-	if err != nil {
+	e := &entry{name: name, callers: a[0], ready: a[1], file: file}
+	if err := s.run(e); err != nil {
 		return nil, err
 	}
+	s.entries = append(s.entries, e)
+	return e, nil
+}
+
+// run starts the process of an entry, also one that was killed.
+func (s *site) run(e *entry) error {
+	out, err := os.OpenFile(filepath.Join(s.dir, e.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
 	defer func() { _ = out.Close() }()
-	e := &entry{name: name, callers: a[0], ready: a[1], ended: make(chan struct{})}
-	e.cmd = exec.Command(s.program, "entry", "--config", file)
-	e.cmd.Stdout, e.cmd.Stderr = out, out
-	if err := e.cmd.Start(); err != nil {
-		return nil, err
+	cmd, ended := exec.Command(s.program, "entry", "--config", e.file), make(chan struct{})
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		return err
 	}
 	go func() {
-		_ = e.cmd.Wait()
-		close(e.ended)
+		_ = cmd.Wait()
+		close(ended)
 	}()
-	s.entries = append(s.entries, e)
-	s.log.add("entry process %s started", name)
-	return e, nil
+	e.cmd, e.ended = cmd, ended
+	s.log.add("entry process %s started", e.name)
+	return nil
 }
 
 // kill ends the process.
@@ -162,3 +172,13 @@
 	lines := strings.Split(strings.TrimSpace(string(raw)), "\n")
 	return strings.Join(lines[max(len(lines)-5, 0):], "\n")
 }
+
+// quote adds the log lines of a process about changes of a worker to the record. part is in each of them.
+func (s *site) quote(e *entry, part string) {
+	raw, _ := os.ReadFile(filepath.Join(s.dir, e.name+".log"))
+	for line := range strings.Lines(string(raw)) {
+		if strings.Contains(line, part) && strings.Contains(line, "backend server ") {
+			s.log.add("%s logged: %s", e.name, strings.TrimSpace(line))
+		}
+	}
+}
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -66,6 +66,13 @@
 	s.apply([]row{{Table: table, Key: key, Value: raw}})
 }
 
+// remove removes a row.
+func (s *store) remove(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply([]row{{Table: table, Key: key, Deleted: true}})
+}
+
 // apply makes one transaction. The caller holds mu.
 func (s *store) apply(changes []row) {
 	s.version++
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -19,7 +20,7 @@
 type run struct {
 	worker, id string
 	at         time.Time
-	cut        bool // the worker ended, or the caller left, before the answer
+	cut        atomic.Bool // the worker ended, or the caller left, before the answer
 }
 
 // worker is a worker of a plain service. It runs as many requests at once as it has slots and queues some more.
@@ -38,6 +39,8 @@
 
 	mu       sync.Mutex
 	sequence int
+	drains   bool
+	drainAt  time.Time // when the store has acknowledged that the worker drains; zero before
 	queued   int
 	runs     []*run
 }
@@ -81,11 +84,42 @@
 	default:
 	}
 	w.sequence++
+	state := "ready"
+	if w.drains {
+		state = "draining"
+	}
 	w.site.store.put("servers", w.id, map[string]any{
-		"service": w.service, "address": w.ln.Addr().String(), "zone": w.zone, "version": "v1", "slots": w.slots, "state": "ready", "coldLeftMs": 0, "sequence": w.sequence, "born": w.born,
+		"service": w.service, "address": w.ln.Addr().String(), "zone": w.zone, "version": "v1", "slots": w.slots, "state": state, "coldLeftMs": 0, "sequence": w.sequence, "born": w.born,
+	})
+}
+
+// drain reports that the worker drains, serves on for a time, and ends.
+func (w *worker) drain(serve time.Duration) {
+	w.mu.Lock()
+	w.drains = true
+	w.mu.Unlock()
+	w.beat()
+	w.mu.Lock()
+	w.drainAt = time.Now()
+	w.mu.Unlock()
+	w.site.log.add("worker %s: the store has acknowledged that it drains", w.id)
+	time.AfterFunc(serve, func() {
+		w.site.log.add("worker %s ends", w.id)
+		w.end()
+		w.site.store.remove("servers", w.id)
 	})
 }
 
+// sayLeaving makes an answer say that the worker leaves, if it does.
+func (w *worker) sayLeaving(h http.Header) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.drains {
+		h.Set("Connection", "close")
+		h.Set("Server-Leaving", "1")
+	}
+}
+
 // end ends the worker and its connections.
 func (w *worker) end() {
 	w.once.Do(func() {
@@ -107,6 +141,7 @@
 	h := rw.Header()
 	h.Set("X-Cranberrybay-Request-Id", id)
 	h.Set("X-Cranberrybay-Server-Load", w.load())
+	w.sayLeaving(h)
 	if target := r.Header.Get("X-Cranberrybay-Target-Instance"); target != "" && target != w.id {
 		h.Set("X-Cranberrybay-Instance-Id", w.id)
 		h.Set("X-Cranberrybay-Not-Executed", "1")
@@ -155,10 +190,11 @@
 	select {
 	case <-time.After(w.work()):
 	case <-ctx.Done():
-		x.cut = true
+		x.cut.Store(true)
 		w.site.log.add("request %s is cut off at %s", id, w.id)
 		return
 	}
+	w.sayLeaving(h)
 	h.Set("X-Cranberrybay-Server-Signature", w.id+"."+id)
 	text := "done by " + w.id + " for " + id + ", " + strconv.Itoa(len(body)) + " bytes read\n"
 	_, _ = io.WriteString(rw, text) // fails if the caller has gone
